--- /dev/null
+++ b/Libraries/LibConsensus/Membership.cpp
@@ -0,0 +1,129 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibConsensus/Membership.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace Consensus
+{
+
+const Protocol::Member *findMember(const Protocol::Membership &membership, const std::string &name)
+{
+    for (const auto &member : membership.members) {
+        if (member.name == name) {
+            return &member;
+        }
+    }
+    return nullptr;
+}
+
+bool isVoter(const Protocol::Membership &membership, const std::string &name, const std::string &storageId)
+{
+    const auto *member = findMember(membership, name);
+    return member != nullptr && member->voter && member->storageId == storageId;
+}
+
+std::size_t voterCount(const Protocol::Membership &membership)
+{
+    const auto &members = membership.members;
+    return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [](const Protocol::Member &member) { return member.voter; }));
+}
+
+std::size_t quorumSize(const Protocol::Membership &membership)
+{
+    return voterCount(membership) / 2 + 1;
+}
+
+bool hasQuorum(const Protocol::Membership &membership, const std::function<bool(const Protocol::Member &voter)> &question)
+{
+    std::size_t agreeing = 0;
+    for (const auto &member : membership.members) {
+        if (member.voter && question(member)) {
+            ++agreeing;
+        }
+    }
+    return agreeing >= quorumSize(membership);
+}
+
+std::int64_t quorumValue(const Protocol::Membership &membership, const std::function<std::int64_t(const Protocol::Member &voter)> &valueOf)
+{
+    std::vector<std::int64_t> values;
+    for (const auto &member : membership.members) {
+        if (member.voter) {
+            values.push_back(valueOf(member));
+        }
+    }
+    if (values.empty()) {
+        return 0;
+    }
+    std::sort(values.begin(), values.end(), std::greater<>());
+    return values[quorumSize(membership) - 1];
+}
+
+static MembershipProposal refuse(std::string reason)
+{
+    return MembershipProposal{.membership = std::nullopt, .refusal = std::move(reason)};
+}
+
+static bool namesThisMember(const Protocol::Member &member, const Protocol::Member &wanted)
+{
+    return member.name == wanted.name && (wanted.storageId.empty() || member.storageId == wanted.storageId);
+}
+
+static MembershipProposal addLearner(Protocol::Membership membership, const Protocol::Member &member)
+{
+    if (member.name.empty() || member.storageId.empty() || member.peerAddress.empty()) {
+        return refuse("a new member needs a name, a storage id and a peer address");
+    }
+    if (findMember(membership, member.name) != nullptr) {
+        return refuse("a member named " + member.name + " is there already; remove it first");
+    }
+    membership.members.push_back(member);
+    membership.members.back().voter = false;
+    return MembershipProposal{.membership = std::move(membership), .refusal = {}};
+}
+
+static MembershipProposal promoteLearner(Protocol::Membership membership, const Protocol::Member &wanted)
+{
+    for (auto &member : membership.members) {
+        if (namesThisMember(member, wanted)) {
+            if (member.voter) {
+                return refuse(member.name + " is a voter already");
+            }
+            member.voter = true;
+            return MembershipProposal{.membership = std::move(membership), .refusal = {}};
+        }
+    }
+    return refuse("no member named " + wanted.name + " has this data folder");
+}
+
+static MembershipProposal removeMember(Protocol::Membership membership, const Protocol::Member &wanted)
+{
+    const auto removed = std::erase_if(membership.members, [&wanted](const Protocol::Member &member) { return namesThisMember(member, wanted); });
+    if (removed == 0) {
+        return refuse("no member named " + wanted.name + " has this data folder");
+    }
+    if (voterCount(membership) == 0) {
+        return refuse("the last voter can't be removed");
+    }
+    return MembershipProposal{.membership = std::move(membership), .refusal = {}};
+}
+
+MembershipProposal applyChange(const Protocol::Membership &membership, const Protocol::MemberChange &change)
+{
+    switch (change.kind) {
+    case Protocol::MemberChangeKind::ADD:
+        return addLearner(membership, change.member);
+    case Protocol::MemberChangeKind::PROMOTE:
+        return promoteLearner(membership, change.member);
+    case Protocol::MemberChangeKind::REMOVE:
+        return removeMember(membership, change.member);
+    }
+    return refuse("unknown kind of change");
+}
+
+}
--- /dev/null
+++ b/Libraries/LibConsensus/ReplicatedLog.cpp
@@ -0,0 +1,865 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibConsensus/ReplicatedLog.h>
+
+#include <LibConsensus/Membership.h>
+#include <LibCore/Invariant.h>
+#include <LibCore/Log.h>
+
+namespace Consensus
+{
+
+using Protocol::LogMessage;
+using Protocol::MessageKind;
+
+const char *roleName(Role role)
+{
+    switch (role) {
+    case Role::Follower:
+        return "follower";
+    case Role::PreCandidate:
+        return "pre-candidate";
+    case Role::Candidate:
+        return "candidate";
+    case Role::Leader:
+        return "leader";
+    case Role::Failed:
+        return "failed";
+    }
+    return "unknown";
+}
+
+ReplicatedLog::ReplicatedLog(
+    ReplicatedLogOptions options, ReplicatedLogHooks hooks, Storage::WriteAheadLog &writeAheadLog, Storage::RecoveredState recovered, Core::Instant now)
+    : options(std::move(options))
+    , hooks(std::move(hooks))
+    , writeAheadLog(writeAheadLog)
+    , random(this->options.seed)
+    , ownMember(this->options.identity)
+    , store(writeAheadLog, recovered)
+    , currentTerm(recovered.term)
+    , votedFor(recovered.votedFor)
+    , committed(this->store.snapshotIndex())
+    , durableIndex(this->store.lastIndex())
+{
+    this->ownMember.storageId = recovered.storageId;
+    this->resetElectionTimer(now);
+}
+
+Core::Result<std::unique_ptr<ReplicatedLog>> ReplicatedLog::create(
+    ReplicatedLogOptions options, ReplicatedLogHooks hooks, Storage::WriteAheadLog &writeAheadLog, Core::Instant now)
+{
+    auto recovered = writeAheadLog.takeRecoveredState();
+    std::unique_ptr<ReplicatedLog> log(new ReplicatedLog(std::move(options), std::move(hooks), writeAheadLog, std::move(recovered), now));
+    const auto &snapshot = log->store.snapshot();
+    if (snapshot.has_value()) {
+        auto restored = log->hooks.restoreSnapshot(snapshot->state);
+        if (!restored.has_value()) {
+            return tl::make_unexpected(restored.error());
+        }
+    }
+    return log;
+}
+
+Role ReplicatedLog::role() const
+{
+    return this->currentRole;
+}
+
+std::int64_t ReplicatedLog::term() const
+{
+    return this->currentTerm;
+}
+
+std::int64_t ReplicatedLog::commitIndex() const
+{
+    return this->committed;
+}
+
+std::int64_t ReplicatedLog::lastIndex() const
+{
+    return this->store.lastIndex();
+}
+
+const Protocol::Member &ReplicatedLog::identity() const
+{
+    return this->ownMember;
+}
+
+const Protocol::Membership &ReplicatedLog::membership() const
+{
+    return this->store.membership();
+}
+
+bool ReplicatedLog::isInitialised() const
+{
+    return !this->store.membership().members.empty();
+}
+
+const Protocol::Member *ReplicatedLog::leader() const
+{
+    return findMember(this->store.membership(), this->leaderName);
+}
+
+std::int64_t ReplicatedLog::matchIndexOf(const std::string &name) const
+{
+    const auto found = this->progress.find(name);
+    return found == this->progress.end() ? 0 : found->second.matchIndex;
+}
+
+Core::Instant ReplicatedLog::lastHeardOf(const std::string &name) const
+{
+    const auto found = this->progress.find(name);
+    return found == this->progress.end() ? Core::Instant() : found->second.lastHeard;
+}
+
+const std::string &ReplicatedLog::storageFailure() const
+{
+    return this->failureMessage;
+}
+
+// ---- Messages and storage
+
+LogMessage ReplicatedLog::messageFor(const Protocol::Member &receiver, MessageKind::type kind) const
+{
+    LogMessage message;
+    message.kind = kind;
+    message.sender = this->ownMember.name;
+    message.storageId = this->ownMember.storageId;
+    message.senderAddress = this->ownMember.peerAddress;
+    message.receiverStorageId = receiver.storageId;
+    message.term = this->currentTerm;
+    message.commitIndex = this->committed;
+    message.round = this->round;
+    return message;
+}
+
+LogMessage ReplicatedLog::replyTo(const LogMessage &request, MessageKind::type kind) const
+{
+    Protocol::Member receiver;
+    receiver.storageId = request.storageId;
+    LogMessage reply = this->messageFor(receiver, kind);
+    reply.round = request.round;
+    return reply;
+}
+
+void ReplicatedLog::sendReply(const LogMessage &request, LogMessage reply)
+{
+    Protocol::Member receiver;
+    receiver.name = request.sender;
+    receiver.peerAddress = request.senderAddress;
+    receiver.storageId = request.storageId;
+    this->hooks.send(receiver, std::move(reply));
+}
+
+bool ReplicatedLog::makeDurable()
+{
+    if (this->currentRole == Role::Failed) {
+        return false;
+    }
+    const auto outcome = this->writeAheadLog.flush();
+    if (!outcome.has_value()) {
+        this->failureMessage = outcome.error().message;
+        this->fail();
+        return false;
+    }
+    this->durableIndex = this->store.lastIndex();
+    return true;
+}
+
+void ReplicatedLog::fail()
+{
+    Core::logEvent(Core::LogLevel::Error, "log.storage_failed", {{"error", this->failureMessage}});
+    this->currentRole = Role::Failed;
+    this->leaderName.clear();
+    this->failConfirmations();
+}
+
+// ---- Time
+
+void ReplicatedLog::resetElectionTimer(Core::Instant now)
+{
+    const auto base = this->options.electionTimeout.count();
+    std::uniform_int_distribution<Core::Duration::rep> spread(0, base);
+    this->electionDue = now + Core::Duration(base + spread(this->random));
+}
+
+bool ReplicatedLog::canStand() const
+{
+    return isVoter(this->store.membership(), this->ownMember.name, this->ownMember.storageId);
+}
+
+void ReplicatedLog::tick(Core::Instant now)
+{
+    if (this->currentRole == Role::Failed) {
+        return;
+    }
+    if (this->currentRole == Role::Leader) {
+        this->leaderTick(now);
+        return;
+    }
+    if (now < this->electionDue) {
+        return;
+    }
+    this->resetElectionTimer(now);
+    if (this->canStand()) {
+        this->startPreVote(now);
+    }
+}
+
+void ReplicatedLog::leaderTick(Core::Instant now)
+{
+    // E6. A leader that has not heard from a quorum for the election timeout steps down.
+    const bool inTouch = hasQuorum(this->store.membership(), [this, now](const Protocol::Member &voter) {
+        return voter.name == this->ownMember.name || now - this->lastHeardOf(voter.name) < this->options.electionTimeout;
+    });
+    if (!inTouch) {
+        Core::logEvent(Core::LogLevel::Warning, "log.leader_without_quorum", {{"term", this->currentTerm}});
+        this->becomeFollower(this->currentTerm, {}, now);
+        return;
+    }
+    if (now >= this->nextHeartbeat) {
+        this->nextHeartbeat = now + this->options.heartbeatPeriod;
+        this->broadcastAppend();
+    }
+}
+
+void ReplicatedLog::receive(const LogMessage &message, Core::Instant now)
+{
+    if (this->currentRole == Role::Failed) {
+        return;
+    }
+    // M4. A message meant for another data folder is not for this instance.
+    if (message.receiverStorageId != this->ownMember.storageId) {
+        Core::logEvent(Core::LogLevel::Debug, "log.message_for_other_folder", {{"sender", message.sender}});
+        return;
+    }
+    // E5. A higher term makes any instance a follower in it. Requests for votes are weighed first (E2).
+    const bool asksForVote = message.kind == MessageKind::PRE_VOTE_REQUEST || message.kind == MessageKind::VOTE_REQUEST;
+    const bool offersVote = message.kind == MessageKind::PRE_VOTE_REPLY && message.granted;
+    if (message.term > this->currentTerm && !asksForVote && !offersVote) {
+        this->becomeFollower(message.term, {}, now);
+    }
+    switch (message.kind) {
+    case MessageKind::PRE_VOTE_REQUEST:
+        this->takePreVoteRequest(message, now);
+        break;
+    case MessageKind::VOTE_REQUEST:
+        this->takeVoteRequest(message, now);
+        break;
+    case MessageKind::PRE_VOTE_REPLY:
+    case MessageKind::VOTE_REPLY:
+        this->takeVoteReply(message, now);
+        break;
+    case MessageKind::APPEND_REQUEST:
+        this->takeAppendRequest(message, now);
+        break;
+    case MessageKind::APPEND_REPLY:
+        this->takeAppendReply(message, now);
+        break;
+    case MessageKind::SNAPSHOT_REQUEST:
+        this->takeSnapshotRequest(message, now);
+        break;
+    case MessageKind::SNAPSHOT_REPLY:
+        this->takeSnapshotReply(message, now);
+        break;
+    case MessageKind::LEADERSHIP_TRANSFER:
+        this->takeLeadershipTransfer(message, now);
+        break;
+    }
+}
+
+// ---- Elections
+
+void ReplicatedLog::setTerm(std::int64_t newTerm, const std::string &vote)
+{
+    if (newTerm == this->currentTerm && vote == this->votedFor) {
+        return;
+    }
+    this->currentTerm = newTerm;
+    this->votedFor = vote;
+    this->writeAheadLog.putVote(newTerm, vote);
+}
+
+void ReplicatedLog::becomeFollower(std::int64_t newTerm, const std::string &leader, Core::Instant now)
+{
+    const bool wasLeader = this->currentRole == Role::Leader;
+    if (newTerm > this->currentTerm) {
+        this->setTerm(newTerm, {});
+    }
+    this->currentRole = Role::Follower;
+    this->leaderName = leader;
+    this->votes.clear();
+    if (wasLeader) {
+        Core::logEvent(Core::LogLevel::Information, "log.stepped_down", {{"term", this->currentTerm}});
+        this->progress.clear();
+        this->failConfirmations();
+        this->resetElectionTimer(now);
+    }
+}
+
+void ReplicatedLog::startPreVote(Core::Instant now)
+{
+    // E1. A voter that heard from no leader for its election timeout asks the voters whether they would vote for it, and keeps its term meanwhile.
+    this->currentRole = Role::PreCandidate;
+    this->leaderName.clear();
+    this->votes.clear();
+    this->votes[this->ownMember.name] = this->ownMember.storageId;
+    this->requestVotes(MessageKind::PRE_VOTE_REQUEST, this->currentTerm + 1, false);
+    this->countVotes(now);
+}
+
+void ReplicatedLog::startElection(Core::Instant now, bool transfer)
+{
+    this->currentRole = Role::Candidate;
+    // E3. A vote, the one for oneself included, is on disk before anybody hears of it.
+    this->setTerm(this->currentTerm + 1, this->ownMember.storageId);
+    if (!this->makeDurable()) {
+        return;
+    }
+    this->votes.clear();
+    this->votes[this->ownMember.name] = this->ownMember.storageId;
+    this->requestVotes(MessageKind::VOTE_REQUEST, this->currentTerm, transfer);
+    this->countVotes(now);
+}
+
+void ReplicatedLog::requestVotes(MessageKind::type kind, std::int64_t electionTerm, bool transfer)
+{
+    for (const auto &member : this->store.membership().members) {
+        if (!member.voter || member.name == this->ownMember.name) {
+            continue;
+        }
+        LogMessage message = this->messageFor(member, kind);
+        message.term = electionTerm;
+        message.transfer = transfer;
+        message.previousIndex = this->store.lastIndex();
+        message.previousTerm = this->store.lastTerm();
+        this->hooks.send(member, std::move(message));
+    }
+}
+
+bool ReplicatedLog::isUpToDate(const LogMessage &request) const
+{
+    if (request.previousTerm != this->store.lastTerm()) {
+        return request.previousTerm > this->store.lastTerm();
+    }
+    return request.previousIndex >= this->store.lastIndex();
+}
+
+bool ReplicatedLog::heardLeaderRecently(Core::Instant now) const
+{
+    if (this->currentRole == Role::Leader) {
+        return true;
+    }
+    return this->everHeardLeader && now - this->lastLeaderContact < this->options.electionTimeout;
+}
+
+void ReplicatedLog::takePreVoteRequest(const LogMessage &message, Core::Instant now)
+{
+    // E2. Yes only when no leader was heard for the election timeout and the asker's log is at least as far.
+    LogMessage reply = this->replyTo(message, MessageKind::PRE_VOTE_REPLY);
+    reply.granted = message.term > this->currentTerm && !this->heardLeaderRecently(now) && this->isUpToDate(message);
+    reply.term = reply.granted ? message.term : this->currentTerm;
+    if (this->makeDurable()) {
+        this->sendReply(message, std::move(reply));
+    }
+}
+
+void ReplicatedLog::takeVoteRequest(const LogMessage &message, Core::Instant now)
+{
+    // E2. A request is not even looked at while there is a leader, so that a removed or cut-off instance can't unseat it.
+    const bool isNewTerm = message.term > this->currentTerm;
+    if (isNewTerm && !message.transfer && this->heardLeaderRecently(now)) {
+        return;
+    }
+    if (isNewTerm) {
+        this->becomeFollower(message.term, {}, now);
+    }
+    // E3. One vote in a term.
+    const bool free = this->votedFor.empty() || this->votedFor == message.storageId;
+    LogMessage reply = this->replyTo(message, MessageKind::VOTE_REPLY);
+    reply.granted = message.term == this->currentTerm && free && this->isUpToDate(message);
+    reply.term = this->currentTerm;
+    if (reply.granted) {
+        this->setTerm(this->currentTerm, message.storageId);
+        this->resetElectionTimer(now);
+    }
+    if (this->makeDurable()) {
+        this->sendReply(message, std::move(reply));
+    }
+}
+
+void ReplicatedLog::takeVoteReply(const LogMessage &message, Core::Instant now)
+{
+    const bool forPreVote = this->currentRole == Role::PreCandidate && message.kind == MessageKind::PRE_VOTE_REPLY && message.term == this->currentTerm + 1;
+    const bool forVote = this->currentRole == Role::Candidate && message.kind == MessageKind::VOTE_REPLY && message.term == this->currentTerm;
+    if (!message.granted || (!forPreVote && !forVote)) {
+        return;
+    }
+    this->votes[message.sender] = message.storageId;
+    this->countVotes(now);
+}
+
+void ReplicatedLog::countVotes(Core::Instant now)
+{
+    // E4. Only voters count, and only with the data folder that they were made voters with.
+    const bool won = hasQuorum(this->store.membership(), [this](const Protocol::Member &voter) {
+        const auto vote = this->votes.find(voter.name);
+        return vote != this->votes.end() && vote->second == voter.storageId;
+    });
+    if (!won) {
+        return;
+    }
+    if (this->currentRole == Role::PreCandidate) {
+        this->startElection(now, false);
+    } else if (this->currentRole == Role::Candidate) {
+        this->becomeLeader(now);
+    }
+}
+
+void ReplicatedLog::takeLeadershipTransfer(const LogMessage &message, Core::Instant now)
+{
+    // E7. On the leader's own word a voter stands at once, without the pre-vote.
+    const bool fromLeader = message.term == this->currentTerm && message.sender == this->leaderName;
+    if (fromLeader && this->canStand() && this->currentRole == Role::Follower) {
+        this->startElection(now, true);
+    }
+}
+
+bool ReplicatedLog::transferLeadership(Core::Instant now)
+{
+    const Protocol::Member *furthest = nullptr;
+    for (const auto &member : this->store.membership().members) {
+        const bool reachable = now - this->lastHeardOf(member.name) < this->options.electionTimeout;
+        const bool eligible = member.voter && member.name != this->ownMember.name && reachable;
+        if (eligible && (furthest == nullptr || this->matchIndexOf(member.name) > this->matchIndexOf(furthest->name))) {
+            furthest = &member;
+        }
+    }
+    if (this->currentRole != Role::Leader || furthest == nullptr) {
+        return false;
+    }
+    this->hooks.send(*furthest, this->messageFor(*furthest, MessageKind::LEADERSHIP_TRANSFER));
+    return true;
+}
+
+void ReplicatedLog::becomeLeader(Core::Instant now)
+{
+    this->currentRole = Role::Leader;
+    this->leaderName = this->ownMember.name;
+    this->progress.clear();
+    for (const auto &member : this->store.membership().members) {
+        this->progress[member.name] = Progress{.nextIndex = this->store.lastIndex() + 1, .lastHeard = now};
+    }
+    this->nextHeartbeat = now + this->options.heartbeatPeriod;
+    Core::logEvent(Core::LogLevel::Information, "log.became_leader", {{"term", this->currentTerm}, {"last_index", this->store.lastIndex()}});
+    // E4. The new leader opens its term with an empty entry.
+    this->termStartIndex = this->store.lastIndex() + 1;
+    const auto opened = this->appendOwn(Protocol::LogEntry{});
+    Core::verify(opened.has_value(), "a new leader can append");
+    this->flush(now);
+}
+
+// ---- Replication, leader's side
+
+Core::Result<std::int64_t> ReplicatedLog::appendOwn(Protocol::LogEntry entry)
+{
+    if (this->currentRole != Role::Leader) {
+        return Core::failure(Core::ErrorKind::Unreachable, "this instance is not the leader");
+    }
+    entry.index = this->store.lastIndex() + 1;
+    entry.term = this->currentTerm;
+    this->store.append(entry);
+    this->hooks.flushNeeded();
+    return entry.index;
+}
+
+Core::Result<std::int64_t> ReplicatedLog::propose(std::string command)
+{
+    Protocol::LogEntry entry;
+    entry.command = std::move(command);
+    return this->appendOwn(std::move(entry));
+}
+
+Core::Result<std::int64_t> ReplicatedLog::proposeMembership(const Protocol::MemberChange &change)
+{
+    if (this->currentRole != Role::Leader) {
+        return Core::failure(Core::ErrorKind::Unreachable, "this instance is not the leader");
+    }
+    // M1. One change at a time, and none before the leader has committed an entry of its own term.
+    if (this->committed < this->termStartIndex || this->store.membershipIndex() > this->committed) {
+        return Core::failure(Core::ErrorKind::LimitReached, "another change of the members is still under way");
+    }
+    // M3. A learner votes only once it has caught up.
+    if (change.kind == Protocol::MemberChangeKind::PROMOTE && this->matchIndexOf(change.member.name) < this->committed) {
+        return Core::failure(Core::ErrorKind::LimitReached, change.member.name + " has not caught up yet");
+    }
+    MembershipProposal proposal = applyChange(this->store.membership(), change);
+    if (!proposal.membership.has_value()) {
+        return Core::failure(Core::ErrorKind::InvalidInput, proposal.refusal);
+    }
+    // M2. The new members count from the moment that the entry is in the log.
+    Protocol::LogEntry entry;
+    entry.__set_membership(proposal.membership.value());
+    for (const auto &member : entry.membership.members) {
+        this->progress.try_emplace(member.name, Progress{.nextIndex = this->store.lastIndex() + 1, .lastHeard = this->nextHeartbeat});
+    }
+    if (change.kind == Protocol::MemberChangeKind::REMOVE) {
+        this->progress.erase(change.member.name);
+    }
+    return this->appendOwn(std::move(entry));
+}
+
+Core::Result<void> ReplicatedLog::bootstrap(const Protocol::Membership &membership)
+{
+    if (this->currentRole == Role::Failed) {
+        return Core::failure(Core::ErrorKind::Storage, this->failureMessage);
+    }
+    if (this->isInitialised()) {
+        // A resent bootstrap with the same list is a success, whatever has happened since.
+        const bool same = this->store.membershipAt(1) == membership;
+        return same ? Core::Result<void>{} : Core::failure(Core::ErrorKind::InvalidInput, "this instance belongs to a log already");
+    }
+    if (!isVoter(membership, this->ownMember.name, this->ownMember.storageId)) {
+        return Core::failure(Core::ErrorKind::InvalidInput, "the list does not name this instance with its data folder as a voter");
+    }
+    // M5. Every founder starts with the same first entry.
+    Protocol::LogEntry entry;
+    entry.index = 1;
+    entry.term = 1;
+    entry.__set_membership(membership);
+    this->setTerm(std::max<std::int64_t>(this->currentTerm, 1), this->votedFor);
+    this->store.append(entry);
+    if (!this->makeDurable()) {
+        return Core::failure(Core::ErrorKind::Storage, this->failureMessage);
+    }
+    return {};
+}
+
+void ReplicatedLog::flush(Core::Instant now)
+{
+    if (!this->makeDurable() || this->currentRole != Role::Leader) {
+        return;
+    }
+    if (std::exchange(this->roundWanted, false)) {
+        ++this->round;
+    }
+    this->nextHeartbeat = now + this->options.heartbeatPeriod;
+    this->broadcastAppend();
+    this->advanceCommit();
+    this->finishConfirmations();
+}
+
+void ReplicatedLog::broadcastAppend()
+{
+    const Protocol::Membership membership = this->store.membership();
+    for (const auto &member : membership.members) {
+        if (member.name != this->ownMember.name) {
+            this->sendAppend(member);
+        }
+    }
+}
+
+void ReplicatedLog::sendAppend(const Protocol::Member &member)
+{
+    auto &progress = this->progress[member.name];
+    const auto previousTerm = this->store.termAt(progress.nextIndex - 1);
+    if (!previousTerm.has_value()) {
+        this->sendSnapshotPiece(member, progress);
+        return;
+    }
+    // R1. Entries travel with the index and term of the one before them.
+    LogMessage message = this->messageFor(member, MessageKind::APPEND_REQUEST);
+    message.previousIndex = progress.nextIndex - 1;
+    message.previousTerm = previousTerm.value();
+    message.entries = this->store.entriesFrom(progress.nextIndex, this->options.maximumBytesPerMessage);
+    // NOTE: The next message starts where this one ends; if this one is lost, the receiver's refusal brings nextIndex back.
+    progress.nextIndex += static_cast<std::int64_t>(message.entries.size());
+    this->hooks.send(member, std::move(message));
+}
+
+void ReplicatedLog::sendSnapshotPiece(const Protocol::Member &member, Progress &progress)
+{
+    const auto &snapshot = this->store.snapshot();
+    Core::verify(snapshot.has_value(), "entries that are gone are in a snapshot");
+    if (progress.snapshotIndex != snapshot->index) {
+        progress.snapshotIndex = snapshot->index;
+        progress.snapshotOffset = 0;
+    }
+    const auto offset = static_cast<std::size_t>(progress.snapshotOffset);
+    LogMessage message = this->messageFor(member, MessageKind::SNAPSHOT_REQUEST);
+    message.previousIndex = snapshot->index;
+    message.previousTerm = snapshot->term;
+    message.__set_piece(snapshot->state.substr(std::min(offset, snapshot->state.size()), this->options.snapshotPieceBytes));
+    message.pieceOffset = progress.snapshotOffset;
+    message.lastPiece = offset + message.piece.size() >= snapshot->state.size();
+    message.__set_membership(snapshot->membership);
+    this->hooks.send(member, std::move(message));
+}
+
+ReplicatedLog::Progress *ReplicatedLog::progressOfSender(const LogMessage &message)
+{
+    if (this->currentRole != Role::Leader || message.term != this->currentTerm) {
+        return nullptr;
+    }
+    const auto *member = findMember(this->store.membership(), message.sender);
+    const bool sameFolder = member != nullptr && member->storageId == message.storageId;
+    const auto found = this->progress.find(message.sender);
+    return sameFolder && found != this->progress.end() ? &found->second : nullptr;
+}
+
+void ReplicatedLog::takeAppendReply(const LogMessage &message, Core::Instant now)
+{
+    auto *progress = this->progressOfSender(message);
+    if (progress == nullptr) {
+        return;
+    }
+    progress->lastHeard = now;
+    progress->confirmedRound = std::max(progress->confirmedRound, message.round);
+    if (message.granted) {
+        progress->matchIndex = std::max(progress->matchIndex, message.matchIndex);
+        progress->nextIndex = std::max(progress->nextIndex, progress->matchIndex + 1);
+        this->advanceCommit();
+    } else {
+        progress->nextIndex = std::max(progress->matchIndex, std::min(progress->nextIndex - 1, message.matchIndex)) + 1;
+    }
+    this->finishConfirmations();
+    const bool behind = this->currentRole == Role::Leader && (!message.granted || progress->nextIndex <= this->store.lastIndex());
+    const auto *member = findMember(this->store.membership(), message.sender);
+    if (behind && member != nullptr) {
+        const Protocol::Member receiver = *member;
+        this->sendAppend(receiver);
+    }
+}
+
+void ReplicatedLog::takeSnapshotReply(const LogMessage &message, Core::Instant now)
+{
+    auto *progress = this->progressOfSender(message);
+    if (progress == nullptr) {
+        return;
+    }
+    progress->lastHeard = now;
+    progress->confirmedRound = std::max(progress->confirmedRound, message.round);
+    this->finishConfirmations();
+    if (message.granted) {
+        progress->matchIndex = std::max(progress->matchIndex, message.matchIndex);
+        progress->nextIndex = progress->matchIndex + 1;
+        progress->snapshotIndex = 0;
+        this->advanceCommit();
+        return;
+    }
+    if (message.previousIndex != progress->snapshotIndex) {
+        return;
+    }
+    // NOTE: A late reply may bring the offset back. The receiver then says again how much it holds, so this heals with the next heartbeat.
+    const bool advanced = message.pieceOffset > progress->snapshotOffset;
+    progress->snapshotOffset = message.pieceOffset;
+    if (advanced) {
+        const Protocol::Member receiver = *findMember(this->store.membership(), message.sender);
+        this->sendAppend(receiver);
+    }
+}
+
+void ReplicatedLog::advanceCommit()
+{
+    if (this->currentRole != Role::Leader) {
+        return;
+    }
+    const std::int64_t reached = quorumValue(this->store.membership(),
+        [this](const Protocol::Member &voter) { return voter.name == this->ownMember.name ? this->durableIndex : this->matchIndexOf(voter.name); });
+    // R5. An entry is committed when a quorum has it on disk and it, or one after it, is of the leader's own term.
+    if (reached > this->committed && this->store.termAt(reached) == this->currentTerm) {
+        this->commitTo(reached);
+    }
+}
+
+// ---- Replication, follower's side
+
+void ReplicatedLog::takeAppendRequest(const LogMessage &message, Core::Instant now)
+{
+    LogMessage reply = this->replyTo(message, MessageKind::APPEND_REPLY);
+    if (message.term < this->currentTerm) {
+        if (this->makeDurable()) {
+            this->sendReply(message, std::move(reply));
+        }
+        return;
+    }
+    Core::verify(this->currentRole != Role::Leader, "a term has one leader");
+    this->becomeFollower(message.term, message.sender, now);
+    this->lastLeaderContact = now;
+    this->everHeardLeader = true;
+    this->resetElectionTimer(now);
+
+    // R2. Entries are taken only when the one before them is held with the same term.
+    const auto heldTerm = this->store.termAt(message.previousIndex);
+    const bool beforeSnapshot = message.previousIndex < this->store.snapshotIndex();
+    reply.granted = beforeSnapshot || heldTerm == message.previousTerm;
+    if (reply.granted) {
+        reply.matchIndex = this->storeEntries(message);
+    } else {
+        reply.matchIndex = std::min(message.previousIndex - 1, this->store.lastIndex());
+    }
+    // R4. What is acknowledged is on disk.
+    if (!this->makeDurable()) {
+        return;
+    }
+    reply.term = this->currentTerm;
+    if (reply.granted) {
+        // R6. The leader's commit index counts as far as the logs are known to agree.
+        this->commitTo(std::min(message.commitIndex, reply.matchIndex));
+    }
+    this->sendReply(message, std::move(reply));
+}
+
+std::int64_t ReplicatedLog::storeEntries(const LogMessage &message)
+{
+    for (const auto &entry : message.entries) {
+        if (entry.index <= this->store.snapshotIndex() || this->store.termAt(entry.index) == entry.term) {
+            continue;
+        }
+        // R3. An entry of another term, and all after it, give way.
+        if (entry.index <= this->store.lastIndex()) {
+            Core::verify(entry.index > this->committed, "committed entries never change");
+            this->store.truncateFrom(entry.index);
+        }
+        Core::verify(entry.index == this->store.lastIndex() + 1, "entries are consecutive");
+        this->store.append(entry);
+    }
+    return std::max(message.previousIndex + static_cast<std::int64_t>(message.entries.size()), this->store.snapshotIndex());
+}
+
+void ReplicatedLog::takeSnapshotRequest(const LogMessage &message, Core::Instant now)
+{
+    if (message.term < this->currentTerm) {
+        return;
+    }
+    this->becomeFollower(message.term, message.sender, now);
+    this->lastLeaderContact = now;
+    this->everHeardLeader = true;
+    this->resetElectionTimer(now);
+    auto &incoming = this->incomingSnapshot;
+    if (message.pieceOffset == 0) {
+        incoming = IncomingSnapshot{.index = message.previousIndex, .state = {}};
+    }
+    const bool fits = incoming.index == message.previousIndex && static_cast<std::int64_t>(incoming.state.size()) == message.pieceOffset;
+    if (fits) {
+        incoming.state += message.piece;
+    }
+    if (fits && message.lastPiece && message.previousIndex > this->committed) {
+        this->installSnapshot(message);
+    }
+    if (!this->makeDurable()) {
+        return;
+    }
+    LogMessage reply = this->replyTo(message, MessageKind::SNAPSHOT_REPLY);
+    reply.previousIndex = message.previousIndex;
+    reply.pieceOffset = static_cast<std::int64_t>(incoming.state.size());
+    reply.granted = this->committed >= message.previousIndex;
+    reply.matchIndex = reply.granted ? message.previousIndex : 0;
+    this->sendReply(message, std::move(reply));
+}
+
+void ReplicatedLog::installSnapshot(const LogMessage &message)
+{
+    Protocol::StoredSnapshot snapshot;
+    snapshot.index = message.previousIndex;
+    snapshot.term = message.previousTerm;
+    snapshot.state = std::move(this->incomingSnapshot.state);
+    snapshot.membership = message.membership;
+    this->incomingSnapshot = IncomingSnapshot{};
+    auto outcome = this->writeAheadLog.flush();
+    if (outcome.has_value()) {
+        outcome = this->store.install(snapshot, this->currentTerm, this->votedFor);
+    }
+    if (outcome.has_value()) {
+        outcome = this->hooks.restoreSnapshot(snapshot.state);
+    }
+    if (!outcome.has_value()) {
+        this->failureMessage = outcome.error().message;
+        this->fail();
+        return;
+    }
+    this->committed = snapshot.index;
+    Core::logEvent(Core::LogLevel::Information, "log.snapshot_installed", {{"index", snapshot.index}, {"bytes", snapshot.state.size()}});
+}
+
+// ---- Committed entries
+
+void ReplicatedLog::commitTo(std::int64_t index)
+{
+    while (this->committed < index) {
+        const Protocol::LogEntry entry = this->store.entryAt(this->committed + 1);
+        this->committed = entry.index;
+        this->hooks.apply(entry);
+    }
+    const bool removed = this->currentRole == Role::Leader && this->store.membershipIndex() <= this->committed && !this->canStand();
+    if (removed) {
+        // M6. A leader that is no voter any more leaves once that is committed.
+        this->currentRole = Role::Follower;
+        this->leaderName.clear();
+        this->progress.clear();
+        this->failConfirmations();
+    }
+    this->compactIfDue();
+}
+
+void ReplicatedLog::compactIfDue()
+{
+    if (this->committed - this->store.snapshotIndex() < this->options.entriesBetweenSnapshots) {
+        return;
+    }
+    // NOTE: compact() writes the whole remaining log anew, so what is queued has to be on disk first.
+    if (!this->makeDurable()) {
+        return;
+    }
+    const auto outcome = this->store.compact(this->committed, this->hooks.takeSnapshot(), this->currentTerm, this->votedFor);
+    if (!outcome.has_value()) {
+        this->failureMessage = outcome.error().message;
+        this->fail();
+    }
+}
+
+// ---- Proof of leadership
+
+void ReplicatedLog::confirmLeadership(ConfirmHook hook)
+{
+    if (this->currentRole != Role::Leader) {
+        hook(false);
+        return;
+    }
+    // C1. A question is answered by a round of messages that starts after it.
+    this->roundWanted = true;
+    this->confirmations.push_back(WaitingConfirmation{.round = this->round + 1, .hook = std::move(hook)});
+    this->hooks.flushNeeded();
+}
+
+void ReplicatedLog::finishConfirmations()
+{
+    // C2. Confirmed when a quorum answered that round and an entry of the leader's own term is committed.
+    if (this->currentRole != Role::Leader || this->committed < this->termStartIndex) {
+        return;
+    }
+    const std::int64_t confirmedRound = quorumValue(this->store.membership(),
+        [this](const Protocol::Member &voter) { return voter.name == this->ownMember.name ? this->round : this->progress[voter.name].confirmedRound; });
+    std::vector<WaitingConfirmation> finished;
+    auto &waiting = this->confirmations;
+    while (!waiting.empty() && waiting.front().round <= confirmedRound) {
+        finished.push_back(std::move(waiting.front()));
+        waiting.erase(waiting.begin());
+    }
+    for (const auto &confirmation : finished) {
+        confirmation.hook(true);
+    }
+}
+
+void ReplicatedLog::failConfirmations()
+{
+    for (const auto &confirmation : std::exchange(this->confirmations, {})) {
+        confirmation.hook(false);
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCore/Daemon.cpp
@@ -0,0 +1,120 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibCore/Daemon.h>
+
+#include <csignal>
+#include <cstdio>
+#include <glib-unix.h>
+
+namespace Core
+{
+
+Daemon::Daemon(std::string name)
+    : name(std::move(name)), loop(g_main_loop_new(nullptr, FALSE)), timerService(systemClock()), loopTimer(this->timerService, nullptr)
+{
+    // A peer that closes while we write is an error of that write, not a signal.
+    std::signal(SIGPIPE, SIG_IGN);
+    this->terminateSource = g_unix_signal_add(SIGTERM, stopSignal, this);
+    this->interruptSource = g_unix_signal_add(SIGINT, stopSignal, this);
+    this->dumpSource = g_unix_signal_add(SIGUSR1, dumpSignal, this);
+}
+
+Daemon::~Daemon()
+{
+    g_source_remove(this->terminateSource);
+    g_source_remove(this->interruptSource);
+    g_source_remove(this->dumpSource);
+    g_main_loop_unref(this->loop);
+}
+
+TimerService &Daemon::timers()
+{
+    return this->timerService;
+}
+
+void Daemon::onStop(std::function<void()> hook)
+{
+    this->stopHook = std::move(hook);
+}
+
+void Daemon::onDump(std::function<void()> hook)
+{
+    this->dumpHook = std::move(hook);
+}
+
+void Daemon::run()
+{
+    g_main_loop_run(this->loop);
+    logEvent(LogLevel::Information, "daemon.stopped", {{"daemon", this->name}});
+}
+
+void Daemon::quit()
+{
+    g_main_loop_quit(this->loop);
+}
+
+gboolean Daemon::stopSignal(gpointer data)
+{
+    auto &self = *static_cast<Daemon *>(data);
+    logEvent(LogLevel::Information, "daemon.stop_requested", {{"daemon", self.name}});
+    if (self.stopping || !self.stopHook) {
+        self.quit();
+        return G_SOURCE_CONTINUE;
+    }
+    self.stopping = true;
+    self.stopHook();
+    return G_SOURCE_CONTINUE;
+}
+
+gboolean Daemon::dumpSignal(gpointer data)
+{
+    const auto &self = *static_cast<Daemon *>(data);
+    if (self.dumpHook) {
+        self.dumpHook();
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+void addLogLevelSetting(Settings &settings, LogLevel &target)
+{
+    SettingOptions option{.name = "log-level", .valueName = "LEVEL", .help = "debug, info, warning or error.", .defaultValue = "info"};
+    option.accept = [&target](const std::string &value) -> Result<void> {
+        for (const auto level : {LogLevel::Debug, LogLevel::Information, LogLevel::Warning, LogLevel::Error}) {
+            if (value == logLevelName(level)) {
+                target = level;
+                return {};
+            }
+        }
+        return failure(ErrorKind::InvalidInput, "\"" + value + "\" is none of debug, info, warning, error");
+    };
+    settings.add(std::move(option));
+}
+
+int runProgram(Settings &settings, int argumentCount, char **arguments, const LogLevel &logLevel, const std::function<Result<void>()> &program)
+{
+    const auto rest = settings.parse(argumentCount, arguments);
+    if (!rest.has_value()) {
+        std::fprintf(stderr, "%s\n", rest.error().message.c_str());
+        return static_cast<int>(ExitCode::Usage);
+    }
+    if (settings.helpRequested()) {
+        std::fputs(settings.helpText().c_str(), stdout);
+        return static_cast<int>(ExitCode::Success);
+    }
+    if (!rest->empty()) {
+        std::fprintf(stderr, "unexpected argument: %s\n", rest->front().c_str());
+        return static_cast<int>(ExitCode::Usage);
+    }
+    startLogging(arguments[0], logLevel);
+    const auto outcome = program();
+    if (!outcome.has_value()) {
+        logEvent(LogLevel::Error, "daemon.failed", {{"kind", errorKindName(outcome.error().kind)}, {"error", outcome.error().message}});
+        return static_cast<int>(ExitCode::Failure);
+    }
+    return static_cast<int>(ExitCode::Success);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCore/LoopTimer.h
@@ -0,0 +1,34 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// Runs a TimerService from the GLib main loop with a single GSource.
+
+#pragma once
+
+#include <LibCore/TimerService.h>
+
+#include <glib.h>
+
+namespace Core
+{
+
+/** Owns the GSource. The service has to outlive it. */
+class LoopTimer
+{
+public:
+    LoopTimer(TimerService &service, GMainContext *context);
+    ~LoopTimer();
+    LoopTimer(const LoopTimer &) = delete;
+    LoopTimer &operator=(const LoopTimer &) = delete;
+
+private:
+    static gboolean dispatch(GSource *source, GSourceFunc callback, gpointer data);
+    void arm();
+
+    TimerService &service;
+    GSource *source{nullptr};
+};
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/ActionService.cpp
@@ -0,0 +1,343 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibEntry/ActionService.h>
+
+#include <LibCore/Identity.h>
+#include <LibCore/Log.h>
+
+#include <algorithm>
+
+namespace Entry
+{
+
+static constexpr std::chrono::seconds SoonAgain{1};
+
+ActionService::ActionService(ActionOptions options, EntryState &state, ControlAccess &control) : options(options), state(state), control(control)
+{
+}
+
+std::size_t ActionService::underWay() const
+{
+    return this->runs.size();
+}
+
+ActionService::Run *ActionService::find(std::uint64_t id)
+{
+    const auto found = this->runs.find(id);
+    return found == this->runs.end() ? nullptr : &found->second;
+}
+
+void ActionService::later(std::uint64_t id, Core::Duration pause, void (ActionService::*step)(std::uint64_t))
+{
+    this->runs.at(id).timer = this->state.timers.once(pause, [this, id, step](Core::Instant) { (this->*step)(id); });
+}
+
+// The digest covers everything that makes two requests the same one.
+static std::string digestOf(const ActionCall &call)
+{
+    std::string content;
+    for (const auto &part : {call.service.value(), call.action, call.contentType, call.routingKey, call.body}) {
+        content += std::to_string(part.size()) + ":" + part;
+    }
+    return Core::sha256(content);
+}
+
+void ActionService::start(ActionCall call, AnswerHook done)
+{
+    ++this->state.counters.actions;
+    const auto refuse = [this, &call, &done](const Problem &problem) {
+        ++this->state.counters.refusedNotRun;
+        done(problemAnswer(problem, call.requestId));
+    };
+    const auto terms = findTerms(this->state, call.service, {});
+    if (!terms.has_value()) {
+        refuse(terms.error());
+        return;
+    }
+    const auto &actions = terms->declaration.actions;
+    if (std::find(actions.begin(), actions.end(), call.action) == actions.end()) {
+        refuse(Problem{.type = ProblemType::UnknownAction, .run = RunState::NotRun, .detail = call.action, .retryAfter = std::nullopt});
+        return;
+    }
+    const auto keyTime = Core::timeOfUuidVersion7(call.key);
+    if (!keyTime.has_value()) {
+        const std::string detail = "Idempotency-Key: " + keyTime.error().message;
+        refuse(Problem{.type = ProblemType::MalformedRequest, .run = RunState::NotRun, .detail = detail, .retryAfter = std::nullopt});
+        return;
+    }
+    const std::uint64_t id = this->nextRun++;
+    Run run{.call = std::move(call), .terms = terms.value(), .done = std::move(done), .attemptId = Core::randomToken()};
+    run.digest = digestOf(run.call);
+    run.deadlineTimer = this->state.timers.once(run.terms.deadline - this->state.timers.now(), [this, id](Core::Instant) { this->deadlineReached(id); });
+    this->runs.emplace(id, std::move(run));
+    this->claim(id);
+}
+
+// ---- Claiming
+
+void ActionService::claim(std::uint64_t id)
+{
+    // A1. The claim is durable on a quorum before the request is sent.
+    const auto &run = this->runs.at(id);
+    Protocol::ClaimRequest request;
+    request.key = run.call.key;
+    request.requestDigest = run.digest;
+    request.entryName = this->state.options.name.value();
+    request.attemptId = run.attemptId;
+    const auto limit = Core::milliseconds(run.terms.urgencyClass.deadlineMilliseconds) + this->options.lateOutcome;
+    request.executionLimitMilliseconds = static_cast<std::int32_t>(Core::toMilliseconds(limit));
+    this->control.claim(request, [this, id](const Core::Result<Protocol::ClaimReply> &reply) { this->takeClaimReply(id, reply); });
+}
+
+void ActionService::retryClaim(std::uint64_t id, const std::string &leaderAddress)
+{
+    this->control.tryElsewhere(leaderAddress);
+    this->later(id, this->options.controlRetryPause, &ActionService::claim);
+}
+
+void ActionService::takeClaimReply(std::uint64_t id, const Core::Result<Protocol::ClaimReply> &reply)
+{
+    const auto *run = this->find(id);
+    if (run == nullptr || run->stage != Stage::Claiming) {
+        // A2. A grant that comes after the caller was told "not run" is never used.
+        return;
+    }
+    if (!reply.has_value()) {
+        this->retryClaim(id, {});
+        return;
+    }
+    switch (reply->status) {
+    case Protocol::ClaimStatus::GRANTED:
+        this->send(id);
+        return;
+    case Protocol::ClaimStatus::NOT_LEADER:
+    case Protocol::ClaimStatus::UNAVAILABLE:
+        this->retryClaim(id, reply->leaderAddress);
+        return;
+    default:
+        this->answerFromRecord(id, reply.value());
+        this->forget(id);
+        return;
+    }
+}
+
+void ActionService::answerFromRecord(std::uint64_t id, const Protocol::ClaimReply &reply)
+{
+    switch (reply.status) {
+    case Protocol::ClaimStatus::COMPLETED:
+        this->answerOutcome(id, reply.outcome);
+        return;
+    case Protocol::ClaimStatus::IN_PROGRESS:
+        this->answerProblem(id, ProblemType::InProgress, RunState::Unknown, "another attempt with this key is under way");
+        return;
+    case Protocol::ClaimStatus::OUTCOME_UNKNOWN:
+        this->answerProblem(id, ProblemType::OutcomeUnknown, RunState::Unknown, "an earlier attempt ended without a known outcome");
+        return;
+    case Protocol::ClaimStatus::KEY_REUSED:
+        this->answerProblem(id, ProblemType::KeyReused, RunState::NotRun, "the key was used with another request");
+        return;
+    case Protocol::ClaimStatus::KEY_FROM_FUTURE:
+        this->answerProblem(id, ProblemType::KeyInFuture, RunState::NotRun, "check the clock that the key was made with");
+        return;
+    default:
+        // NOTE: Whether an earlier attempt with so old a key ran is not on record any more, so this is not "not run".
+        this->answerProblem(id, ProblemType::KeyExpired, RunState::Unknown, "make a new key only if the request was never sent before");
+        return;
+    }
+}
+
+// ---- Sending
+
+void ActionService::send(std::uint64_t id)
+{
+    auto &run = this->runs.at(id);
+    run.stage = Stage::Sending;
+    const auto view = this->state.snapshots.choose(run.call.service, this->state.backends, this->state.timers.now());
+    if (!view) {
+        this->answerProblem(id, ProblemType::NoSnapshot, RunState::NotRun, "no backend server is there");
+        this->settle(id);
+        return;
+    }
+    BackendRequest request;
+    request.operation = Operation::Action;
+    request.service = run.call.service;
+    request.subject = run.call.action;
+    request.body = run.call.body;
+    request.contentType = run.call.contentType;
+    request.idempotencyKey = run.call.key;
+    const std::string &routingKey = run.call.routingKey.empty() ? run.call.key : run.call.routingKey;
+    SubRequest subRequest{
+        .request = std::make_shared<const BackendRequest>(std::move(request)),
+        .view = view,
+        .shard = Core::ShardIndex(Core::shardOfKey(routingKey, view->shardCount())),
+        .priority = run.terms.urgencyClass.priority,
+        .deadline = run.terms.deadline,
+        .connectionShare = run.terms.connectionShare,
+        .excluded = run.tried,
+        .sent = [this, id](const ReplicaChoice &choice) { this->runs.at(id).tried.push_back(choice.id); },
+        .done = [this, id](const SubRequestOutcome &outcome) { this->takeOutcome(id, outcome); },
+    };
+    // A3. Never hedged: there is one sub-request at a time, and a next one only after the last one provably did not run.
+    run.subRequest = this->state.dispatcher.submit(std::move(subRequest));
+}
+
+void ActionService::takeOutcome(std::uint64_t id, const SubRequestOutcome &outcome)
+{
+    auto *run = this->find(id);
+    if (run == nullptr || run->stage != Stage::Sending) {
+        return;
+    }
+    run->subRequest.reset();
+    switch (outcome.result.status) {
+    case AttemptStatus::Answered:
+        run->outcome = Protocol::ActionOutcome();
+        run->outcome->statusCode = outcome.result.statusCode;
+        run->outcome->contentType = outcome.result.contentType;
+        run->outcome->body = outcome.result.body;
+        this->settle(id);
+        return;
+    case AttemptStatus::Refused:
+    case AttemptStatus::NotSent:
+        this->takeRefusal(id, outcome);
+        return;
+    case AttemptStatus::Failed:
+        // A4. It may have run, so the claim stays and the key never runs again.
+        this->answerProblem(id, ProblemType::OutcomeUnknown, RunState::Unknown, outcome.result.message);
+        this->forget(id);
+        return;
+    }
+}
+
+void ActionService::takeRefusal(std::uint64_t id, const SubRequestOutcome &outcome)
+{
+    auto &run = this->runs.at(id);
+    const bool timeLeft = this->state.timers.now() + this->options.controlRetryPause < run.terms.deadline;
+    const auto usable = static_cast<std::size_t>(run.terms.declaration.replicasPerShard);
+    if (timeLeft && outcome.backend.has_value() && run.tried.size() < usable) {
+        this->send(id);
+        return;
+    }
+    // A5. Proven not run: said so, and the claim is released, so that the caller may come again with the same key.
+    this->answerProblem(id, ProblemType::BackendRefused, RunState::NotRun, outcome.result.message);
+    this->settle(id);
+}
+
+void ActionService::deadlineReached(std::uint64_t id)
+{
+    auto &run = this->runs.at(id);
+    if (run.stage == Stage::Claiming) {
+        this->answerProblem(id, ProblemType::RecordsUnavailable, RunState::NotRun, "the claim was not confirmed in time");
+        this->settle(id);
+        return;
+    }
+    if (run.stage == Stage::Settling) {
+        return;
+    }
+    if (run.subRequest.has_value() && this->state.dispatcher.cancelIfWaiting(run.subRequest.value())) {
+        this->answerProblem(id, ProblemType::Overloaded, RunState::NotRun, "no replica had room in time");
+        this->settle(id);
+        return;
+    }
+    // A6. It is at a backend server. The caller is told that the outcome is unknown; the outcome is still awaited, to be recorded.
+    this->answerProblem(id, ProblemType::OutcomeUnknown, RunState::Unknown, "the backend server has not answered in time");
+    run.deadlineTimer = this->state.timers.once(this->options.lateOutcome, [this, id](Core::Instant) {
+        auto &late = this->runs.at(id);
+        if (late.stage == Stage::Sending) {
+            if (late.subRequest.has_value()) {
+                this->state.dispatcher.cancel(late.subRequest.value());
+            }
+            this->forget(id);
+        }
+    });
+}
+
+// ---- Settling
+
+void ActionService::settle(std::uint64_t id)
+{
+    auto &run = this->runs.at(id);
+    run.stage = Stage::Settling;
+    run.settleUntil = this->state.timers.now() + this->options.settlePersistence;
+    run.deadlineTimer = this->state.timers.once(this->options.recordWait, [this, id](Core::Instant) {
+        // A7. The answer is true even when it could not be recorded yet.
+        auto &waiting = this->runs.at(id);
+        if (waiting.done && waiting.outcome.has_value()) {
+            this->answerOutcome(id, waiting.outcome.value());
+        }
+    });
+    this->sendSettlement(id);
+}
+
+void ActionService::sendSettlement(std::uint64_t id)
+{
+    const auto &run = this->runs.at(id);
+    Protocol::SettleRequest request;
+    request.key = run.call.key;
+    request.attemptId = run.attemptId;
+    if (run.outcome.has_value()) {
+        request.__set_outcome(run.outcome.value());
+    }
+    this->control.settle(request, [this, id](const Core::Result<Protocol::SettleReply> &reply) { this->takeSettleReply(id, reply); });
+}
+
+void ActionService::takeSettleReply(std::uint64_t id, const Core::Result<Protocol::SettleReply> &reply)
+{
+    const auto *run = this->find(id);
+    if (run == nullptr) {
+        return;
+    }
+    const bool settled = reply.has_value() && (reply->status == Protocol::SettleStatus::SETTLED || reply->status == Protocol::SettleStatus::NO_SUCH_CLAIM);
+    if (settled) {
+        if (run->done && run->outcome.has_value()) {
+            this->answerOutcome(id, run->outcome.value());
+        }
+        this->forget(id);
+        return;
+    }
+    this->control.tryElsewhere(reply.has_value() ? reply->leaderAddress : std::string());
+    if (this->state.timers.now() >= run->settleUntil) {
+        Core::logEvent(Core::LogLevel::Warning, "action.not_settled", {{"request_id", run->call.requestId.value()}, {"key", run->call.key}});
+        this->forget(id);
+        return;
+    }
+    this->later(id, this->options.controlRetryPause, &ActionService::sendSettlement);
+}
+
+// ---- Answers
+
+void ActionService::reply(Run &run, CallerAnswer answer)
+{
+    const auto done = std::exchange(run.done, nullptr);
+    if (done) {
+        done(std::move(answer));
+    }
+}
+
+void ActionService::answerProblem(std::uint64_t id, ProblemType type, RunState runState, const std::string &detail)
+{
+    auto &run = this->runs.at(id);
+    if (!run.done) {
+        return;
+    }
+    ++(runState == RunState::NotRun ? this->state.counters.refusedNotRun : this->state.counters.refusedUnknown);
+    const bool mayComeAgain = type == ProblemType::InProgress || (runState == RunState::NotRun && problemStatus(type) == 503);
+    const Problem problem{.type = type, .run = runState, .detail = detail, .retryAfter = mayComeAgain ? std::optional(SoonAgain) : std::nullopt};
+    this->reply(run, problemAnswer(problem, run.call.requestId));
+}
+
+void ActionService::answerOutcome(std::uint64_t id, const Protocol::ActionOutcome &outcome)
+{
+    ++this->state.counters.answeredWhole;
+    this->reply(
+        this->runs.at(id), CallerAnswer{.status = outcome.statusCode, .contentType = outcome.contentType, .body = outcome.body, .retryAfter = std::nullopt});
+}
+
+void ActionService::forget(std::uint64_t id)
+{
+    this->runs.erase(id);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/Admission.cpp
@@ -0,0 +1,64 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibEntry/Admission.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Entry
+{
+
+static constexpr std::chrono::seconds ShortestRetryAfter{1};
+static constexpr std::chrono::seconds LongestRetryAfter{30};
+
+std::optional<std::chrono::seconds> Admission::refuse(const Core::ServiceName &service, const AdmissionView &view) const
+{
+    const auto found = this->services.find(service);
+    if (found == this->services.end()) {
+        return std::nullopt;
+    }
+    // Only requests at least as urgent go first, so an urgent request does not wait for the rest.
+    std::size_t ahead = 0;
+    for (const auto &[priority, count] : found->second) {
+        ahead += priority <= view.priority ? count : 0;
+    }
+    const double waves = static_cast<double>(ahead) / std::max(1.0, view.parallelRequests);
+    const auto latency = static_cast<double>(view.typicalLatency.count());
+    const double wait = std::max(0.0, waves - 1.0) * latency;
+    const double tolerable = WaitingShare * static_cast<double>(view.deadline.count());
+    if (wait <= tolerable) {
+        return std::nullopt;
+    }
+    const std::chrono::seconds untilDrained(static_cast<std::int64_t>(std::ceil((wait - tolerable) / 1'000'000.0)));
+    return std::clamp(untilDrained, ShortestRetryAfter, LongestRetryAfter);
+}
+
+void Admission::entered(const Core::ServiceName &service, std::int32_t priority)
+{
+    ++this->services[service][priority];
+}
+
+void Admission::left(const Core::ServiceName &service, std::int32_t priority)
+{
+    auto &count = this->services[service][priority];
+    if (count > 0) {
+        --count;
+    }
+}
+
+std::size_t Admission::underWay(const Core::ServiceName &service) const
+{
+    std::size_t total = 0;
+    const auto found = this->services.find(service);
+    if (found != this->services.end()) {
+        for (const auto &[priority, count] : found->second) {
+            total += count;
+        }
+    }
+    return total;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/ConfigurationFollower.cpp
@@ -0,0 +1,62 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibEntry/ConfigurationFollower.h>
+
+#include <LibCore/Log.h>
+
+namespace Entry
+{
+
+ConfigurationFollower::ConfigurationFollower(
+    ConfigurationFollowerOptions options, ConfigurationInForce &inForce, ControlAccess &control, Core::TimerService &timers)
+    : options(std::move(options))
+    , inForce(inForce)
+    , control(control)
+    , timers(timers)
+    , next(timers.once(Core::Duration(0), [this](Core::Instant) { this->ask(); }))
+{
+}
+
+int ConfigurationFollower::failuresInARow() const
+{
+    return this->failures;
+}
+
+void ConfigurationFollower::ask()
+{
+    Protocol::FollowRequest request;
+    request.entryName = this->options.entryName.value();
+    request.incarnation = this->options.incarnation;
+    request.revision = this->inForce.revision().value();
+    const Core::Instant sentAt = this->timers.now();
+    const std::weak_ptr<int> stillAlive = this->alive;
+    this->control.follow(request, [this, stillAlive, sentAt](const Core::Result<Protocol::FollowReply> &reply) {
+        if (!stillAlive.expired()) {
+            this->takeReply(reply, sentAt);
+        }
+    });
+}
+
+void ConfigurationFollower::takeReply(const Core::Result<Protocol::FollowReply> &reply, Core::Instant sentAt)
+{
+    const auto before = this->inForce.revision();
+    const bool usable = reply.has_value() && this->inForce.take(reply.value(), sentAt);
+    if (!usable) {
+        ++this->failures;
+        this->control.tryElsewhere(reply.has_value() ? reply->leaderAddress : std::string());
+    } else {
+        this->failures = 0;
+    }
+    if (usable && this->inForce.revision() != before) {
+        Core::logEvent(Core::LogLevel::Information, "configuration.in_force", {{"revision", this->inForce.revision().value()}, {"was", before.value()}});
+    }
+    // A new revision is confirmed to the control instances at once, so that operators see it in force.
+    const bool confirmSoon = usable && this->inForce.revision() != before;
+    const auto pause = confirmSoon ? Core::Duration(0) : usable ? this->options.period : this->options.retryPeriod;
+    this->next = this->timers.once(pause, [this](Core::Instant) { this->ask(); });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/EntryState.cpp
@@ -0,0 +1,71 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibEntry/EntryState.h>
+
+#include <LibCore/Json.h>
+
+namespace Entry
+{
+
+static constexpr std::chrono::seconds SoonAgain{1};
+
+EntryState::EntryState(EntryOptions optionsGiven, BackendTransport &transport, Core::TimerService &timersGiven)
+    : options(std::move(optionsGiven))
+    , timers(timersGiven)
+    , backends(this->options.table)
+    , snapshots(this->options.snapshots)
+    , dispatcher(this->options.dispatcher, this->backends, transport, timersGiven)
+{
+}
+
+HedgePolicy &EntryState::hedgePolicy(const Core::ServiceName &service)
+{
+    return this->hedging.try_emplace(service, this->options.hedging).first->second;
+}
+
+CallerAnswer problemAnswer(const Problem &problem, const Core::RequestId &requestId)
+{
+    return CallerAnswer{
+        .status = problemStatus(problem.type),
+        .contentType = "application/problem+json",
+        .body = Core::toText(problemDocument(problem, requestId.value())),
+        .retryAfter = problem.retryAfter,
+    };
+}
+
+static tl::unexpected<Problem> refuse(ProblemType type, std::string detail, std::optional<std::chrono::seconds> retryAfter = std::nullopt)
+{
+    return tl::make_unexpected(Problem{.type = type, .run = RunState::NotRun, .detail = std::move(detail), .retryAfter = retryAfter});
+}
+
+tl::expected<RequestTerms, Problem> findTerms(EntryState &state, const Core::ServiceName &service, const std::string &className)
+{
+    const Core::Instant now = state.timers.now();
+    if (state.draining) {
+        return refuse(ProblemType::Draining, "ask another entry instance", SoonAgain);
+    }
+    if (!state.configuration.isFresh(now)) {
+        return refuse(ProblemType::ConfigurationStale, "no control instance confirmed the configuration lately", SoonAgain);
+    }
+    const auto *declaration = state.configuration.service(service);
+    if (declaration == nullptr) {
+        return refuse(ProblemType::UnknownService, "\"" + service.value() + "\" is not declared");
+    }
+    const std::string &wanted = className.empty() ? declaration->urgencyClass : className;
+    const auto *urgencyClass = state.configuration.urgencyClass(wanted);
+    if (urgencyClass == nullptr) {
+        return refuse(ProblemType::UnknownClass, "\"" + wanted + "\" is not declared");
+    }
+    return RequestTerms{
+        .service = service,
+        .declaration = *declaration,
+        .urgencyClass = *urgencyClass,
+        .connectionShare = state.configuration.connectionShare(*declaration),
+        .deadline = now + Core::milliseconds(urgencyClass->deadlineMilliseconds) - state.options.answerReserve,
+    };
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/LatencyDigest.cpp
@@ -0,0 +1,69 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibEntry/LatencyDigest.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Entry
+{
+
+static constexpr double LowestMicroseconds = 50.0;
+static constexpr double Growth = 1.1;
+
+std::size_t LatencyDigest::bucketOf(Core::Duration latency)
+{
+    const double ratio = static_cast<double>(latency.count()) / LowestMicroseconds;
+    if (ratio <= 1.0) {
+        return 0;
+    }
+    const auto bucket = static_cast<std::size_t>(std::ceil(std::log(ratio) / std::log(Growth)));
+    return std::min(bucket, BucketCount - 1);
+}
+
+Core::Duration LatencyDigest::upperEnd(std::size_t bucket)
+{
+    return Core::Duration(static_cast<Core::Duration::rep>(LowestMicroseconds * std::pow(Growth, static_cast<double>(bucket))));
+}
+
+void LatencyDigest::add(Core::Duration latency)
+{
+    this->counts[bucketOf(latency)] += 1.0;
+    this->total += 1.0;
+}
+
+void LatencyDigest::fade(Core::Instant now)
+{
+    while (now - this->lastFade >= HalfLife) {
+        this->lastFade = std::max(this->lastFade + HalfLife, now - 8 * HalfLife);
+        for (auto &count : this->counts) {
+            count /= 2.0;
+        }
+        this->total /= 2.0;
+    }
+}
+
+Core::Duration LatencyDigest::quantile(double quantile, Core::Duration fallback, double minimumCount) const
+{
+    if (this->total < minimumCount) {
+        return fallback;
+    }
+    double below = 0.0;
+    for (std::size_t bucket = 0; bucket < BucketCount; ++bucket) {
+        below += this->counts[bucket];
+        if (below >= quantile * this->total) {
+            return upperEnd(bucket);
+        }
+    }
+    return upperEnd(BucketCount - 1);
+}
+
+double LatencyDigest::count() const
+{
+    return this->total;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/LatencyDigest.h
@@ -0,0 +1,45 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// Quantiles of recent latencies in bounded memory: a histogram with buckets
+// that grow by a fixed factor, whose counts fade with time.
+
+#pragma once
+
+#include <LibCore/Time.h>
+
+#include <array>
+
+namespace Entry
+{
+
+/** Latencies between 50 µs and about 100 s, each bucket 10 % wider than the last. */
+class LatencyDigest
+{
+public:
+    /** Counts one latency. */
+    void add(Core::Duration latency);
+
+    /** Halves all counts once for each half-life that has passed. */
+    void fade(Core::Instant now);
+
+    /** The upper end of the bucket that holds the quantile; `fallback` with fewer than `minimumCount` latencies. */
+    [[nodiscard]] Core::Duration quantile(double quantile, Core::Duration fallback, double minimumCount = 50.0) const;
+
+    [[nodiscard]] double count() const;
+
+private:
+    static constexpr std::size_t BucketCount = 160;
+    static constexpr Core::Duration HalfLife = Core::seconds(10);
+
+    [[nodiscard]] static std::size_t bucketOf(Core::Duration latency);
+    [[nodiscard]] static Core::Duration upperEnd(std::size_t bucket);
+
+    std::array<double, BucketCount> counts{};
+    double total{0.0};
+    Core::Instant lastFade;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/RegistryRefresher.cpp
@@ -0,0 +1,75 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibEntry/RegistryRefresher.h>
+
+namespace Entry
+{
+
+RegistryRefresher::RegistryRefresher(RegistryRefresherOptions options, BackendTable &table, Probe probe, Core::TimerService &timers)
+    : options(options)
+    , table(table)
+    , probe(std::move(probe))
+    , timers(timers)
+    , timer(timers.every(options.period, [this](Core::Instant now) { this->run(now); }))
+{
+}
+
+std::uint64_t RegistryRefresher::probesSent() const
+{
+    return this->sent;
+}
+
+bool RegistryRefresher::needsProbe(const Backend &backend, Core::Instant now) const
+{
+    const bool leaving = backend.announcement.incarnation <= backend.leavingIncarnation;
+    const bool dueSoon = now + this->options.askBefore >= backend.leaseEnd;
+    const bool worthAsking = now < backend.leaseEnd + this->options.askAfter;
+    return !leaving && dueSoon && worthAsking && !this->underWay.contains(backend.id);
+}
+
+void RegistryRefresher::run(Core::Instant now)
+{
+    for (const auto &backend : this->table.rows()) {
+        if (this->underWay.size() >= this->options.maximumUnderWay) {
+            return;
+        }
+        if (this->needsProbe(backend, now)) {
+            this->ask(backend);
+        }
+    }
+}
+
+void RegistryRefresher::ask(const Backend &backend)
+{
+    ++this->sent;
+    this->underWay.insert(backend.id);
+    const Core::Endpoint endpoint{.address = backend.announcement.address, .port = static_cast<std::uint16_t>(backend.announcement.port)};
+    const std::weak_ptr<int> stillAlive = this->alive;
+    this->probe(endpoint, [this, id = backend.id, stillAlive](const Core::Result<Protocol::Announcement> &announcement) {
+        if (!stillAlive.expired()) {
+            this->takeAnswer(id, announcement);
+        }
+    });
+}
+
+void RegistryRefresher::takeAnswer(BackendId id, const Core::Result<Protocol::Announcement> &announcement)
+{
+    this->underWay.erase(id);
+    if (!announcement.has_value()) {
+        return;
+    }
+    // Whoever answers at the address speaks only for the name that it was asked for.
+    const auto &known = this->table.row(id).announcement;
+    if (announcement->serviceName != known.serviceName || announcement->replicaName != known.replicaName) {
+        return;
+    }
+    const Core::Instant now = this->timers.now();
+    if (this->table.announce(announcement.value(), Core::Duration(0), now) == AnnounceOutcome::Outdated) {
+        this->table.noteReply(id, announcement->incarnation, now);
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRpc/RpcServer.cpp
@@ -0,0 +1,164 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibRpc/RpcServer.h>
+
+#include <LibCore/Log.h>
+#include <LibRpc/Serialization.h>
+
+namespace Rpc
+{
+
+using apache::thrift::transport::TMemoryBuffer;
+
+RpcServer::RpcServer(ServerOptions options, Core::TimerService &timers)
+    : options(std::move(options))
+    , service(g_socket_service_new())
+    , sweep(timers.every(this->options.partialFrameLimit, [this](Core::Instant) { this->closeStalled(); }))
+{
+}
+
+Core::Result<std::unique_ptr<RpcServer>> RpcServer::create(ServerOptions options, Core::TimerService &timers)
+{
+    std::unique_ptr<RpcServer> server(new RpcServer(std::move(options), timers));
+    const auto &endpoint = server->options.endpoint;
+    const Core::ObjectPointer<GSocketAddress> address(g_inet_socket_address_new_from_string(endpoint.address.c_str(), endpoint.port));
+    GError *rawError = nullptr;
+    auto *listener = G_SOCKET_LISTENER(server->service.get());
+    if (g_socket_listener_add_address(listener, address.get(), G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr, nullptr, &rawError) == FALSE) {
+        const Core::ErrorPointer error(rawError);
+        return Core::failure(Core::ErrorKind::Unreachable, "cannot listen on " + endpoint.toString() + ": " + error->message);
+    }
+    g_signal_connect(server->service.get(), "incoming", G_CALLBACK(incoming), server.get());
+    g_socket_service_start(server->service.get());
+    return server;
+}
+
+RpcServer::~RpcServer()
+{
+    g_signal_handlers_disconnect_by_data(this->service.get(), this);
+    g_socket_service_stop(this->service.get());
+    g_socket_listener_close(G_SOCKET_LISTENER(this->service.get()));
+    auto open = std::move(this->connections);
+    this->connections.clear();
+    for (auto &[id, connection] : open) {
+        connection.stream->close("the server stops");
+    }
+}
+
+std::size_t RpcServer::connectionCount() const
+{
+    return this->connections.size();
+}
+
+gboolean RpcServer::incoming(GSocketService *, GSocketConnection *connection, GObject *, gpointer data)
+{
+    static_cast<RpcServer *>(data)->accept(connection);
+    return TRUE;
+}
+
+void RpcServer::accept(GSocketConnection *socketConnection)
+{
+    if (this->connections.size() >= this->options.maximumConnections) {
+        Core::logEvent(Core::LogLevel::Warning, "rpc.connection_refused", {{"server", this->options.name}, {"connections", this->connections.size()}});
+        return;
+    }
+    g_tcp_connection_set_graceful_disconnect(G_TCP_CONNECTION(socketConnection), FALSE);
+    g_socket_set_option(g_socket_connection_get_socket(socketConnection), 6 /* IPPROTO_TCP */, 1 /* TCP_NODELAY */, 1, nullptr);
+    const std::uint64_t id = this->nextConnection++;
+    auto stream = FrameStream::create(Core::shareObject(G_IO_STREAM(socketConnection)), this->options.limits);
+    this->connections.emplace(id, Connection{.stream = stream, .waiting = {}});
+    const std::weak_ptr<int> stillAlive = this->alive;
+    stream->start(
+        [this, id, stillAlive](std::string frame) {
+            if (!stillAlive.expired()) {
+                this->takeFrame(id, std::move(frame));
+            }
+        },
+        [this, id, stillAlive](const std::string &) {
+            if (!stillAlive.expired()) {
+                this->connections.erase(id);
+            }
+        });
+}
+
+void RpcServer::takeFrame(std::uint64_t id, std::string frame)
+{
+    auto &connection = this->connections.at(id);
+    if (connection.waiting.size() >= this->options.maximumWaitingCalls) {
+        connection.stream->close("too many calls wait on one connection");
+        return;
+    }
+    connection.waiting.push_back(std::move(frame));
+    this->processNext(id);
+}
+
+void RpcServer::processNext(std::uint64_t id)
+{
+    const auto found = this->connections.find(id);
+    if (found == this->connections.end() || found->second.callUnderWay || found->second.waiting.empty()) {
+        return;
+    }
+    auto &connection = found->second;
+    connection.callUnderWay = true;
+    const std::string frame = std::move(connection.waiting.front());
+    connection.waiting.pop_front();
+
+    const auto request = std::make_shared<TMemoryBuffer>();
+    request->write(reinterpret_cast<const std::uint8_t *>(frame.data()), static_cast<std::uint32_t>(frame.size()));
+    const auto reply = std::make_shared<TMemoryBuffer>();
+    const auto input = protocolFactory()->getProtocol(request);
+    const auto output = protocolFactory()->getProtocol(reply);
+    const std::weak_ptr<int> stillAlive = this->alive;
+    // NOTE: The generated processor keeps bare pointers to both protocols until it answers, so the answer owns them.
+    const auto answer = [this, id, reply, stillAlive, input, output](bool healthy) {
+        if (!stillAlive.expired()) {
+            this->callEnded(id, healthy, reply->getBufferAsString());
+        }
+    };
+    try {
+        this->options.processor->process(answer, input, output);
+    } catch (const std::exception &exception) {
+        // The bytes were no Thrift call. There is no request to answer, so the connection goes.
+        Core::logEvent(Core::LogLevel::Warning, "rpc.malformed_call", {{"server", this->options.name}, {"error", exception.what()}});
+        this->callEnded(id, false, {});
+    }
+}
+
+void RpcServer::callEnded(std::uint64_t id, bool healthy, const std::string &reply)
+{
+    const auto found = this->connections.find(id);
+    if (found == this->connections.end()) {
+        return;
+    }
+    // NOTE: Closing erases the connection, so the stream is kept by hand meanwhile.
+    const auto stream = found->second.stream;
+    found->second.callUnderWay = false;
+    if (!reply.empty()) {
+        stream->send(reply);
+    }
+    if (!healthy) {
+        stream->close("malformed call");
+        return;
+    }
+    this->processNext(id);
+}
+
+void RpcServer::closeStalled()
+{
+    std::vector<std::shared_ptr<FrameStream>> stalled;
+    for (auto &[id, connection] : this->connections) {
+        const std::uint64_t received = connection.stream->bytesReceived();
+        if (connection.stream->hasPartialFrame() && connection.stalledAt == received) {
+            stalled.push_back(connection.stream);
+        }
+        connection.stalledAt = received;
+    }
+    for (const auto &stream : stalled) {
+        stream->close("a frame did not arrive whole in time");
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRpc/RpcServer.h
@@ -0,0 +1,79 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// Serves a Thrift service over framed TCP on the GLib loop. Calls of one
+// connection are answered in their order; the handler may answer later.
+
+#pragma once
+
+#include <LibCore/ObjectPointer.h>
+#include <LibCore/Result.h>
+#include <LibCore/Settings.h>
+#include <LibCore/TimerService.h>
+#include <LibRpc/FrameStream.h>
+
+#include <deque>
+#include <gio/gio.h>
+#include <memory>
+#include <thrift/async/TAsyncProcessor.h>
+#include <unordered_map>
+
+namespace Rpc
+{
+
+/** How a server listens and what it tolerates. */
+struct ServerOptions {
+    /** Shown in log lines. */
+    std::string name;
+    Core::Endpoint endpoint;
+    std::shared_ptr<apache::thrift::async::TAsyncProcessor> processor;
+    FrameLimits limits;
+    /** Further connections are closed at once. */
+    std::size_t maximumConnections{4096};
+    /** Calls that one connection may have waiting before it is closed. */
+    std::size_t maximumWaitingCalls{1024};
+    /** A frame has to arrive whole within about this long. */
+    Core::Duration partialFrameLimit{Core::seconds(10)};
+};
+
+/** Listens from create() until destroyed. */
+class RpcServer
+{
+public:
+    /** Fails with Unreachable when the address can't be listened on. */
+    [[nodiscard]] static Core::Result<std::unique_ptr<RpcServer>> create(ServerOptions options, Core::TimerService &timers);
+    ~RpcServer();
+    RpcServer(const RpcServer &) = delete;
+    RpcServer &operator=(const RpcServer &) = delete;
+
+    [[nodiscard]] std::size_t connectionCount() const;
+
+private:
+    struct Connection {
+        std::shared_ptr<FrameStream> stream;
+        std::deque<std::string> waiting;
+        bool callUnderWay{false};
+        // Bytes seen at the last sweep while a frame was unfinished.
+        std::uint64_t stalledAt{0};
+    };
+
+    RpcServer(ServerOptions options, Core::TimerService &timers);
+    static gboolean incoming(GSocketService *service, GSocketConnection *connection, GObject *source, gpointer data);
+    void accept(GSocketConnection *connection);
+    void takeFrame(std::uint64_t id, std::string frame);
+    void processNext(std::uint64_t id);
+    void callEnded(std::uint64_t id, bool healthy, const std::string &reply);
+    void closeStalled();
+
+    ServerOptions options;
+    Core::ObjectPointer<GSocketService> service;
+    std::unordered_map<std::uint64_t, Connection> connections;
+    std::uint64_t nextConnection{1};
+    Core::TimerSubscription sweep;
+    // Answers that come after the server is gone find this expired.
+    std::shared_ptr<int> alive{std::make_shared<int>(0)};
+};
+
+}
--- /dev/null
+++ b/Libraries/LibStorage/WriteAheadLog.cpp
@@ -0,0 +1,399 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibStorage/WriteAheadLog.h>
+
+#include <LibCore/Identity.h>
+#include <LibCore/Settings.h>
+#include <LibRpc/Serialization.h>
+
+#include <fmt/core.h>
+#include <zlib.h>
+
+namespace Storage
+{
+
+// A batch on disk: four bytes of length, the CRC-32 of the length, the CRC-32
+// of the content, the content. The content is a sequence of records, each with
+// four bytes of length before it. Numbers are big-endian.
+static constexpr std::size_t NumberBytes = 4;
+static constexpr std::size_t BatchHeaderBytes = 3 * NumberBytes;
+// A content whose last bytes were never written reads as at least this many zeros.
+static constexpr std::size_t UnwrittenTailBytes = 64;
+static constexpr const char *LogPrefix = "log-";
+static constexpr const char *SnapshotPrefix = "snapshot-";
+
+static void appendNumber(std::string &bytes, std::uint32_t number)
+{
+    for (const unsigned shift : {24U, 16U, 8U, 0U}) {
+        bytes += static_cast<char>(number >> shift);
+    }
+}
+
+static std::uint32_t numberAt(std::string_view bytes, std::size_t offset)
+{
+    std::uint32_t number = 0;
+    for (std::size_t index = 0; index < NumberBytes; ++index) {
+        number = (number << 8U) | static_cast<std::uint8_t>(bytes[offset + index]);
+    }
+    return number;
+}
+
+static std::uint32_t checksumOf(std::string_view bytes)
+{
+    return static_cast<std::uint32_t>(crc32_z(0, reinterpret_cast<const Bytef *>(bytes.data()), bytes.size()));
+}
+
+static std::string frameBatch(std::string_view content)
+{
+    std::string batch;
+    appendNumber(batch, static_cast<std::uint32_t>(content.size()));
+    appendNumber(batch, checksumOf(batch));
+    appendNumber(batch, checksumOf(content));
+    batch += content;
+    return batch;
+}
+
+namespace
+{
+/** What the bytes at some place of a file turned out to be. */
+enum class BatchState {
+    Whole,
+    /** A crash cut the last write short. */
+    Torn,
+    /** Bytes changed after they were written. */
+    Damaged,
+};
+}
+
+static bool isAllZero(std::string_view bytes)
+{
+    return bytes.find_first_not_of('\0') == std::string_view::npos;
+}
+
+// A write that a crash cut short leaves a file that is too short, or whose last
+// blocks were never written and read as zeros. Bytes that are there and do not
+// match their checksum were changed afterwards: that may be an entry which this
+// instance has acknowledged, so it must not go on as if it had never held it.
+static BatchState examineBatch(std::string_view rest)
+{
+    if (rest.size() < BatchHeaderBytes) {
+        return BatchState::Torn;
+    }
+    if (numberAt(rest, NumberBytes) != checksumOf(rest.substr(0, NumberBytes))) {
+        return isAllZero(rest) ? BatchState::Torn : BatchState::Damaged;
+    }
+    const std::size_t length = numberAt(rest, 0);
+    const std::string_view content = rest.substr(BatchHeaderBytes);
+    if (content.size() < length) {
+        return BatchState::Torn;
+    }
+    if (numberAt(rest, 2 * NumberBytes) == checksumOf(content.substr(0, length))) {
+        return BatchState::Whole;
+    }
+    const bool isLast = content.size() == length;
+    const bool tailUnwritten = length >= UnwrittenTailBytes && isAllZero(content.substr(length - UnwrittenTailBytes, UnwrittenTailBytes));
+    return isLast && tailUnwritten ? BatchState::Torn : BatchState::Damaged;
+}
+
+static std::string fileName(const std::string &prefix, std::uint64_t generation)
+{
+    return fmt::format("{}{:016}", prefix, generation);
+}
+
+static std::uint64_t generationOf(const std::string &name, const std::string &prefix)
+{
+    const auto number = Core::parseInteger(std::string_view(name).substr(prefix.size()), 0, INT64_MAX);
+    return number.has_value() ? static_cast<std::uint64_t>(number.value()) : 0;
+}
+
+WriteAheadLog::WriteAheadLog(Folder &folder) : folder(folder)
+{
+}
+
+Core::Result<std::unique_ptr<WriteAheadLog>> WriteAheadLog::create(Folder &folder)
+{
+    std::unique_ptr<WriteAheadLog> log(new WriteAheadLog(folder));
+    auto outcome = log->recover();
+    if (!outcome.has_value()) {
+        return tl::make_unexpected(outcome.error());
+    }
+    return log;
+}
+
+RecoveredState WriteAheadLog::takeRecoveredState()
+{
+    return std::move(this->recovered);
+}
+
+Core::Result<void> WriteAheadLog::recover()
+{
+    const auto names = this->folder.list();
+    if (!names.has_value()) {
+        return tl::make_unexpected(names.error());
+    }
+    // The log file is written after its snapshot, so the newest log file names the newest whole generation.
+    for (const auto &name : names.value()) {
+        if (name.starts_with(LogPrefix)) {
+            this->generation = std::max(this->generation, generationOf(name, LogPrefix));
+        }
+    }
+    if (this->generation == 0) {
+        return this->startNewFolder();
+    }
+    for (const auto &name : names.value()) {
+        if (name == fileName(SnapshotPrefix, this->generation)) {
+            auto outcome = this->readSnapshot(name);
+            if (!outcome.has_value()) {
+                return outcome;
+            }
+        }
+    }
+    auto outcome = this->readLog(fileName(LogPrefix, this->generation));
+    if (!outcome.has_value()) {
+        return outcome;
+    }
+    if (this->recovered.storageId.empty()) {
+        return Core::failure(Core::ErrorKind::Corruption, "the log file does not begin with the folder's identity");
+    }
+    this->storageId = this->recovered.storageId;
+    return this->removeOldGenerations(names.value());
+}
+
+Core::Result<void> WriteAheadLog::startNewFolder()
+{
+    this->generation = 1;
+    this->storageId = Core::randomToken();
+    this->recovered.storageId = this->storageId;
+    Protocol::StorageRecord record;
+    record.__set_storageId(this->storageId);
+    this->queueRecord(record);
+    // NOTE: replace() makes the first batch last or leaves no file at all, so a folder never has half an identity.
+    const std::string batch = frameBatch(std::exchange(this->queued, {}));
+    return this->folder.replace(fileName(LogPrefix, this->generation), batch);
+}
+
+Core::Result<void> WriteAheadLog::removeOldGenerations(const std::vector<std::string> &names)
+{
+    for (const auto &name : names) {
+        const bool isOldLog = name.starts_with(LogPrefix) && generationOf(name, LogPrefix) != this->generation;
+        const bool isOldSnapshot = name.starts_with(SnapshotPrefix) && generationOf(name, SnapshotPrefix) != this->generation;
+        if (isOldLog || isOldSnapshot) {
+            auto outcome = this->folder.remove(name);
+            if (!outcome.has_value()) {
+                return outcome;
+            }
+        }
+    }
+    return {};
+}
+
+Core::Result<void> WriteAheadLog::readSnapshot(const std::string &name)
+{
+    const auto content = this->folder.read(name);
+    if (!content.has_value()) {
+        return tl::make_unexpected(content.error());
+    }
+    const std::string_view bytes = content.value();
+    // A snapshot takes its name only when it is whole, so it can't be torn.
+    if (examineBatch(bytes) != BatchState::Whole || numberAt(bytes, 0) != bytes.size() - BatchHeaderBytes) {
+        return Core::failure(Core::ErrorKind::Corruption, name + " is damaged");
+    }
+    auto snapshot = Rpc::deserialize<Protocol::StoredSnapshot>(bytes.substr(BatchHeaderBytes));
+    if (!snapshot.has_value()) {
+        return Core::failure(Core::ErrorKind::Corruption, name + ": " + snapshot.error().message);
+    }
+    this->recovered.snapshot = std::move(snapshot.value());
+    return {};
+}
+
+Core::Result<void> WriteAheadLog::readLog(const std::string &name)
+{
+    const auto content = this->folder.read(name);
+    if (!content.has_value()) {
+        return tl::make_unexpected(content.error());
+    }
+    std::string_view rest = content.value();
+    while (!rest.empty()) {
+        const std::uint64_t offset = content.value().size() - rest.size();
+        const BatchState state = examineBatch(rest);
+        if (state == BatchState::Damaged) {
+            return Core::failure(Core::ErrorKind::Corruption, fmt::format("{} is damaged at byte {}", name, offset));
+        }
+        if (state == BatchState::Torn) {
+            this->recovered.tornBytes = rest.size();
+            return this->folder.truncate(name, offset);
+        }
+        const std::size_t length = numberAt(rest, 0);
+        auto outcome = this->replayBatch(rest.substr(BatchHeaderBytes, length));
+        if (!outcome.has_value()) {
+            return outcome;
+        }
+        rest.remove_prefix(BatchHeaderBytes + length);
+    }
+    return {};
+}
+
+Core::Result<void> WriteAheadLog::replayBatch(std::string_view batch)
+{
+    while (!batch.empty()) {
+        const std::size_t length = batch.size() < NumberBytes ? batch.size() : numberAt(batch, 0);
+        if (batch.size() < NumberBytes + length) {
+            return Core::failure(Core::ErrorKind::Corruption, "a batch ends within a record");
+        }
+        const auto record = Rpc::deserialize<Protocol::StorageRecord>(batch.substr(NumberBytes, length));
+        if (!record.has_value()) {
+            return tl::make_unexpected(record.error());
+        }
+        auto outcome = this->replayRecord(record.value());
+        if (!outcome.has_value()) {
+            return outcome;
+        }
+        batch.remove_prefix(NumberBytes + length);
+    }
+    return {};
+}
+
+Core::Result<void> WriteAheadLog::replayRecord(const Protocol::StorageRecord &record)
+{
+    if (record.__isset.storageId) {
+        this->recovered.storageId = record.storageId;
+    }
+    if (record.__isset.term) {
+        this->recovered.term = record.term;
+        this->recovered.votedFor = record.votedFor;
+    }
+    if (record.__isset.truncateFrom) {
+        auto &entries = this->recovered.entries;
+        while (!entries.empty() && entries.back().index >= record.truncateFrom) {
+            entries.pop_back();
+        }
+    }
+    if (record.__isset.entry) {
+        return this->replayEntry(record.entry);
+    }
+    return {};
+}
+
+Core::Result<void> WriteAheadLog::replayEntry(const Protocol::LogEntry &entry)
+{
+    auto &entries = this->recovered.entries;
+    const std::int64_t snapshotIndex = this->recovered.snapshot.has_value() ? this->recovered.snapshot->index : 0;
+    const std::int64_t expected = entries.empty() ? snapshotIndex + 1 : entries.back().index + 1;
+    if (entry.index != expected) {
+        return Core::failure(Core::ErrorKind::Corruption, fmt::format("entry {} follows where entry {} belongs", entry.index, expected));
+    }
+    entries.push_back(entry);
+    return {};
+}
+
+void WriteAheadLog::queueRecord(const Protocol::StorageRecord &record)
+{
+    const std::string bytes = Rpc::serialize(record);
+    appendNumber(this->queued, static_cast<std::uint32_t>(bytes.size()));
+    this->queued += bytes;
+}
+
+void WriteAheadLog::putEntry(const Protocol::LogEntry &entry)
+{
+    Protocol::StorageRecord record;
+    record.__set_entry(entry);
+    this->queueRecord(record);
+}
+
+void WriteAheadLog::putTruncation(std::int64_t fromIndex)
+{
+    Protocol::StorageRecord record;
+    record.__set_truncateFrom(fromIndex);
+    this->queueRecord(record);
+}
+
+void WriteAheadLog::putVote(std::int64_t term, const std::string &votedFor)
+{
+    Protocol::StorageRecord record;
+    record.__set_term(term);
+    record.__set_votedFor(votedFor);
+    this->queueRecord(record);
+}
+
+bool WriteAheadLog::hasUnflushed() const
+{
+    return !this->queued.empty();
+}
+
+Core::Result<void> WriteAheadLog::flush()
+{
+    if (!this->failure.empty()) {
+        return Core::failure(Core::ErrorKind::Storage, this->failure);
+    }
+    if (this->queued.empty()) {
+        return {};
+    }
+    const std::string name = fileName(LogPrefix, this->generation);
+    const std::string batch = frameBatch(std::exchange(this->queued, {}));
+    auto outcome = this->folder.append(name, batch);
+    if (!outcome.has_value()) {
+        return this->remember(std::move(outcome));
+    }
+    this->written += batch.size();
+    ++this->syncs;
+    return this->remember(this->folder.sync(name));
+}
+
+Core::Result<void> WriteAheadLog::compact(
+    const Protocol::StoredSnapshot &snapshot, std::int64_t term, const std::string &votedFor, const std::vector<Protocol::LogEntry> &entries)
+{
+    if (!this->failure.empty()) {
+        return Core::failure(Core::ErrorKind::Storage, this->failure);
+    }
+    const std::uint64_t next = this->generation + 1;
+    auto outcome = this->folder.replace(fileName(SnapshotPrefix, next), frameBatch(Rpc::serialize(snapshot)));
+    if (!outcome.has_value()) {
+        return this->remember(std::move(outcome));
+    }
+    this->queued.clear();
+    Protocol::StorageRecord identity;
+    identity.__set_storageId(this->storageId);
+    this->queueRecord(identity);
+    this->putVote(term, votedFor);
+    for (const auto &entry : entries) {
+        this->putEntry(entry);
+    }
+    outcome = this->folder.replace(fileName(LogPrefix, next), frameBatch(std::exchange(this->queued, {})));
+    if (!outcome.has_value()) {
+        return this->remember(std::move(outcome));
+    }
+    const std::uint64_t old = std::exchange(this->generation, next);
+    outcome = this->folder.remove(fileName(LogPrefix, old));
+    if (!outcome.has_value()) {
+        return this->remember(std::move(outcome));
+    }
+    return this->remember(this->folder.remove(fileName(SnapshotPrefix, old)));
+}
+
+Core::Result<void> WriteAheadLog::remember(Core::Result<void> outcome)
+{
+    if (!outcome.has_value()) {
+        this->failure = outcome.error().message;
+    }
+    return outcome;
+}
+
+const std::string &WriteAheadLog::failureMessage() const
+{
+    return this->failure;
+}
+
+std::uint64_t WriteAheadLog::syncCount() const
+{
+    return this->syncs;
+}
+
+std::uint64_t WriteAheadLog::bytesWritten() const
+{
+    return this->written;
+}
+
+}
--- /dev/null
+++ b/Meta/crankrudder.sh
@@ -0,0 +1,84 @@
+#!/usr/bin/env bash
+# The one command for developers and for a first look. See README.md.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+export BUILD=${BUILD:-Build}
+
+usage() {
+    cat <<'TEXT'
+usage: Meta/crankrudder.sh COMMAND
+
+  demo [--break wrong-reply]   builds, runs both deployments in small on loopback, reports broken promises
+  test                         builds, checks format and lint, runs all tests
+  build                        builds everything
+  format                       formats all sources in place
+  lint                         runs the linter alone
+  models                       checks the protocol models with Spin
+  measure tail|control|capacity   measures; figures go to standard output
+TEXT
+}
+
+install() { Meta/install-dependencies.sh; }
+
+build() {
+    cmake -G Ninja -B "$BUILD" -S . >/dev/null
+    cmake --build "$BUILD"
+}
+
+sources() { git ls-files --cached --others --exclude-standard '*.cpp' '*.h' | grep -v /Generated/; }
+
+check_format() {
+    sources | xargs clang-format --dry-run --Werror
+    echo "event=format.checked files=$(sources | wc -l)"
+}
+
+lint() {
+    # run-clang-tidy is not in every package of clang-tidy, so xargs spreads the files over the cores.
+    sources | grep '\.cpp$' | xargs -P "$(nproc)" -n 2 clang-tidy --quiet --extra-arg=-Wno-unknown-warning-option -p "$BUILD" 2>&1 \
+        | { grep -v -E '^[0-9]+ warnings? (generated|treated as)' || true; } | tee "${BUILD}/lint.txt"
+    if grep -q -E '(warning|error):' "${BUILD}/lint.txt"; then
+        return 1
+    fi
+    echo "event=lint.checked files=$(sources | grep -c '\.cpp$')"
+}
+
+command=${1:-help}
+[ "$#" -gt 0 ] && shift
+case "$command" in
+demo)
+    install
+    build
+    exec Meta/demo.sh "$@"
+    ;;
+test)
+    install
+    check_format
+    build
+    lint
+    ctest --test-dir "$BUILD" --output-on-failure
+    ;;
+build)
+    install
+    build
+    ;;
+format) sources | xargs clang-format -i ;;
+lint)
+    install
+    build
+    lint
+    ;;
+models)
+    install
+    exec Meta/models.sh
+    ;;
+measure)
+    install
+    build
+    exec "Meta/measure-${1:?tail, control or capacity}.sh"
+    ;;
+help | --help | -h) usage ;;
+*)
+    usage >&2
+    exit 2
+    ;;
+esac
--- /dev/null
+++ b/Services/controld/main.cpp
@@ -0,0 +1,149 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// The control instance: wires the data folder, the replicated log and the
+// Thrift services to one GLib loop.
+
+#include <LibControl/ControlHandlers.h>
+#include <LibControl/PeerTransport.h>
+#include <LibCore/Daemon.h>
+#include <LibCore/Identity.h>
+#include <LibCore/Log.h>
+#include <LibCore/Settings.h>
+#include <LibRpc/RpcServer.h>
+#include <LibStorage/PosixFolder.h>
+
+#include <cstdio>
+
+namespace
+{
+
+/** The settings of this program, see docs/OPERATING.md. */
+struct ControldSettings {
+    std::string name;
+    std::string zone;
+    std::string dataFolder;
+    Core::Endpoint operatorListen;
+    Core::Endpoint entryListen;
+    Core::Endpoint peerListen;
+    std::int64_t heartbeatMilliseconds{0};
+    std::int64_t electionTimeoutMilliseconds{0};
+    std::int64_t configurationLeaseMilliseconds{0};
+    std::int64_t replaceAfterSeconds{0};
+    std::int64_t claimHorizonSeconds{0};
+    std::int64_t entriesBetweenSnapshots{0};
+    Core::LogLevel logLevel{Core::LogLevel::Information};
+};
+
+}
+
+static void declareSettings(Core::Settings &settings, ControldSettings &values)
+{
+    settings.addText({.name = "name", .valueName = "NAME", .help = "Name of this control instance.", .required = true}, values.name);
+    settings.addText({.name = "zone", .valueName = "ZONE", .help = "Availability zone of this instance.", .defaultValue = "default"}, values.zone);
+    settings.addText({.name = "data-folder", .valueName = "PATH", .help = "The folder for this instance's own state.", .required = true}, values.dataFolder);
+    settings.addEndpoint({.name = "operator-listen", .valueName = "IP:PORT", .help = "Where operators call.", .required = true}, values.operatorListen);
+    settings.addEndpoint({.name = "entry-listen", .valueName = "IP:PORT", .help = "Where entry instances call.", .required = true}, values.entryListen);
+    settings.addEndpoint({.name = "peer-listen", .valueName = "IP:PORT", .help = "Where other control instances call.", .required = true}, values.peerListen);
+    settings.addInteger({.name = "heartbeat-ms", .valueName = "N", .help = "Period of the leader's heartbeat.", .defaultValue = "100"},
+        values.heartbeatMilliseconds,
+        10,
+        10'000);
+    settings.addInteger(
+        {.name = "election-timeout-ms", .valueName = "N", .help = "Silence of the leader after which another may stand.", .defaultValue = "1000"},
+        values.electionTimeoutMilliseconds,
+        50,
+        60'000);
+    settings.addInteger(
+        {.name = "configuration-lease-ms", .valueName = "N", .help = "How long an entry instance may rely on a confirmed revision.", .defaultValue = "5000"},
+        values.configurationLeaseMilliseconds,
+        500,
+        15'000);
+    settings.addInteger({.name = "replace-after-s", .valueName = "N", .help = "Silence after which a voter is replaced by a standby.", .defaultValue = "60"},
+        values.replaceAfterSeconds,
+        1,
+        86'400);
+    settings.addInteger({.name = "claim-horizon-s", .valueName = "N", .help = "How long records of non-repeatable requests are kept.", .defaultValue = "86400"},
+        values.claimHorizonSeconds,
+        60,
+        2'592'000);
+    settings.addInteger({.name = "snapshot-entries", .valueName = "N", .help = "Entries between two snapshots of the state.", .defaultValue = "4096"},
+        values.entriesBetweenSnapshots,
+        16,
+        10'000'000);
+    Core::addLogLevelSetting(settings, values.logLevel);
+}
+
+static Control::ControlNodeOptions makeNodeOptions(const ControldSettings &values, Control::PeerTransport &transport)
+{
+    Protocol::Member identity;
+    identity.name = values.name;
+    identity.zone = values.zone;
+    identity.peerAddress = values.peerListen.toString();
+    identity.entryAddress = values.entryListen.toString();
+    identity.operatorAddress = values.operatorListen.toString();
+    return Control::ControlNodeOptions{
+        .log = {.identity = identity,
+            .heartbeatPeriod = Core::milliseconds(values.heartbeatMilliseconds),
+            .electionTimeout = Core::milliseconds(values.electionTimeoutMilliseconds),
+            .entriesBetweenSnapshots = values.entriesBetweenSnapshots,
+            .seed = Core::randomNumber()},
+        .state = {.claimHorizon = Core::seconds(values.claimHorizonSeconds)},
+        .repair = {.replaceAfter = Core::seconds(values.replaceAfterSeconds)},
+        .configurationLease = Core::milliseconds(values.configurationLeaseMilliseconds),
+        .send = [&transport](const Protocol::Member &receiver, Protocol::LogMessage message) { transport.send(receiver, std::move(message)); },
+    };
+}
+
+static Core::Result<void> run(const ControldSettings &values)
+{
+    Core::Daemon daemon("controld");
+    auto &timers = daemon.timers();
+    auto folder = Storage::PosixFolder::create(values.dataFolder);
+    if (!folder.has_value()) {
+        return tl::make_unexpected(folder.error());
+    }
+    Control::PeerTransport transport(timers);
+    auto node = Control::ControlNode::create(makeNodeOptions(values, transport), *folder.value(), timers, Core::systemClock());
+    if (!node.has_value()) {
+        return tl::make_unexpected(node.error());
+    }
+    auto &control = *node.value();
+
+    const auto operators = std::make_shared<Protocol::OperatorAsyncProcessor>(std::make_shared<Control::OperatorHandler>(control));
+    const auto entries = std::make_shared<Protocol::EntryControlAsyncProcessor>(std::make_shared<Control::EntryControlHandler>(control));
+    const auto peers = std::make_shared<Protocol::ControlPeerAsyncProcessor>(std::make_shared<Control::ControlPeerHandler>(control));
+    std::vector<Rpc::ServerOptions> wanted;
+    wanted.push_back({.name = "operator", .endpoint = values.operatorListen, .processor = operators, .limits = {}});
+    wanted.push_back({.name = "entry", .endpoint = values.entryListen, .processor = entries, .limits = {}});
+    wanted.push_back({.name = "peer", .endpoint = values.peerListen, .processor = peers, .limits = {}});
+    std::vector<std::unique_ptr<Rpc::RpcServer>> servers;
+    for (auto &options : wanted) {
+        auto server = Rpc::RpcServer::create(std::move(options), timers);
+        if (!server.has_value()) {
+            return tl::make_unexpected(server.error());
+        }
+        servers.push_back(std::move(server.value()));
+    }
+
+    daemon.onStop([&control, &daemon] { control.drain([&daemon] { daemon.quit(); }); });
+    daemon.onDump([&control] {
+        std::fprintf(stdout, "%s\n", control.dump().c_str());
+        std::fflush(stdout);
+    });
+    Core::logEvent(Core::LogLevel::Information,
+        "daemon.started",
+        {{"name", values.name}, {"storage_id", control.log().identity().storageId}, {"revision", control.controlState().revision()}});
+    daemon.run();
+    return {};
+}
+
+int main(int argumentCount, char **arguments)
+{
+    ControldSettings values;
+    Core::Settings settings("controld", "a control instance of crankrudder: declared configuration and records of non-repeatable requests");
+    declareSettings(settings, values);
+    return Core::runProgram(settings, argumentCount, arguments, values.logLevel, [&values] { return run(values); });
+}
