--- /dev/null
+++ b/Tests/Support/FakeFolder.cpp
@@ -0,0 +1,137 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <Support/FakeFolder.h>
+
+namespace TestSupport
+{
+
+Core::Result<void> FakeFolder::step()
+{
+    ++this->changeCount;
+    if (this->failingFrom >= 0 && this->changeCount > this->failingFrom) {
+        return Core::failure(Core::ErrorKind::Storage, "the disk fails on purpose");
+    }
+    return {};
+}
+
+Core::Result<std::vector<std::string>> FakeFolder::list()
+{
+    std::vector<std::string> names;
+    for (const auto &[name, file] : this->files) {
+        names.push_back(name);
+    }
+    return names;
+}
+
+Core::Result<std::string> FakeFolder::read(const std::string &name)
+{
+    const auto found = this->files.find(name);
+    if (found == this->files.end()) {
+        return Core::failure(Core::ErrorKind::NotFound, name);
+    }
+    return found->second.durable + found->second.pending;
+}
+
+Core::Result<void> FakeFolder::append(const std::string &name, std::string_view bytes)
+{
+    auto outcome = this->step();
+    if (!outcome.has_value()) {
+        return outcome;
+    }
+    this->files[name].pending += bytes;
+    return {};
+}
+
+Core::Result<void> FakeFolder::sync(const std::string &name)
+{
+    auto outcome = this->step();
+    if (!outcome.has_value()) {
+        return outcome;
+    }
+    auto &file = this->files[name];
+    file.durable += std::exchange(file.pending, {});
+    return {};
+}
+
+Core::Result<void> FakeFolder::replace(const std::string &name, std::string_view bytes)
+{
+    auto outcome = this->step();
+    if (!outcome.has_value()) {
+        return outcome;
+    }
+    this->files[name] = File{.durable = std::string(bytes), .pending = {}};
+    return {};
+}
+
+Core::Result<void> FakeFolder::truncate(const std::string &name, std::uint64_t length)
+{
+    auto outcome = this->step();
+    if (!outcome.has_value()) {
+        return outcome;
+    }
+    auto &file = this->files[name];
+    const std::string whole = file.durable + file.pending;
+    file = File{.durable = whole.substr(0, length), .pending = {}};
+    return {};
+}
+
+Core::Result<void> FakeFolder::remove(const std::string &name)
+{
+    auto outcome = this->step();
+    if (!outcome.has_value()) {
+        return outcome;
+    }
+    this->files.erase(name);
+    return {};
+}
+
+void FakeFolder::crash(std::mt19937_64 &random)
+{
+    for (auto &[name, file] : this->files) {
+        std::string left = file.pending.substr(0, random() % (file.pending.size() + 1));
+        const bool asZeros = random() % 4 == 0 && left.size() > 256;
+        if (asZeros) {
+            // The length was written, the last blocks were not.
+            std::fill(left.end() - 128, left.end(), '\0');
+        }
+        file.durable += left;
+        file.pending.clear();
+    }
+}
+
+void FakeFolder::wipe()
+{
+    this->files.clear();
+}
+
+void FakeFolder::failAfter(int operations)
+{
+    this->failingFrom = this->changeCount + operations;
+}
+
+void FakeFolder::failNever()
+{
+    this->failingFrom = -1;
+}
+
+void FakeFolder::flipBit(const std::string &name, std::size_t byte, unsigned bit)
+{
+    auto &content = this->files.at(name).durable;
+    content[byte] = static_cast<char>(static_cast<unsigned char>(content[byte]) ^ (1U << bit));
+}
+
+std::size_t FakeFolder::size(const std::string &name) const
+{
+    const auto found = this->files.find(name);
+    return found == this->files.end() ? 0 : found->second.durable.size() + found->second.pending.size();
+}
+
+int FakeFolder::changes() const
+{
+    return this->changeCount;
+}
+
+}
