--- a/Libraries/LibConsensus/LogStore.cpp
+++ b/Libraries/LibConsensus/LogStore.cpp
@@ -133,7 +133,9 @@
         return outcome;
     }
     MembershipAtIndex base{.index = index, .membership = snapshot.membership};
-    std::erase_if(this->memberships, [index](const MembershipAtIndex &known) { return known.index <= index; });
+    std::erase_if(this->memberships, [index](const MembershipAtIndex &known) {
+        return known.index <= index;
+    });
     this->memberships.insert(this->memberships.begin(), std::move(base));
     this->entries.assign(rest.begin(), rest.end());
     this->latestSnapshot = std::move(snapshot);
--- a/Libraries/LibConsensus/Membership.cpp
+++ b/Libraries/LibConsensus/Membership.cpp
@@ -30,7 +30,9 @@
 std::size_t voterCount(const Protocol::Membership &membership)
 {
     const auto &members = membership.members;
-    return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [](const Protocol::Member &member) { return member.voter; }));
+    return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [](const Protocol::Member &member) {
+        return member.voter;
+    }));
 }
 
 std::size_t quorumSize(const Protocol::Membership &membership)
@@ -103,7 +105,9 @@
 
 static MembershipProposal removeMember(Protocol::Membership membership, const Protocol::Member &wanted)
 {
-    const auto removed = std::erase_if(membership.members, [&wanted](const Protocol::Member &member) { return namesThisMember(member, wanted); });
+    const auto removed = std::erase_if(membership.members, [&wanted](const Protocol::Member &member) {
+        return namesThisMember(member, wanted);
+    });
     if (removed == 0) {
         return refuse("no member named " + wanted.name + " has this data folder");
     }
--- a/Libraries/LibConsensus/ReplicatedLog.cpp
+++ b/Libraries/LibConsensus/ReplicatedLog.cpp
@@ -668,8 +668,9 @@
     if (this->currentRole != Role::Leader) {
         return;
     }
-    const std::int64_t reached = quorumValue(this->store.membership(),
-        [this](const Protocol::Member &voter) { return voter.name == this->ownMember.name ? this->durableIndex : this->matchIndexOf(voter.name); });
+    const std::int64_t reached = quorumValue(this->store.membership(), [this](const Protocol::Member &voter) {
+        return voter.name == this->ownMember.name ? this->durableIndex : this->matchIndexOf(voter.name);
+    });
     // R5. An entry is committed when a quorum has it on disk and it, or one after it, is of the leader's own term.
     if (reached > this->committed && this->store.termAt(reached) == this->currentTerm) {
         this->commitTo(reached);
@@ -842,8 +843,9 @@
     if (this->currentRole != Role::Leader || this->committed < this->termStartIndex) {
         return;
     }
-    const std::int64_t confirmedRound = quorumValue(this->store.membership(),
-        [this](const Protocol::Member &voter) { return voter.name == this->ownMember.name ? this->round : this->progress[voter.name].confirmedRound; });
+    const std::int64_t confirmedRound = quorumValue(this->store.membership(), [this](const Protocol::Member &voter) {
+        return voter.name == this->ownMember.name ? this->round : this->progress[voter.name].confirmedRound;
+    });
     std::vector<WaitingConfirmation> finished;
     auto &waiting = this->confirmations;
     while (!waiting.empty() && waiting.front().round <= confirmedRound) {
--- a/Libraries/LibControl/ConfigurationDelta.cpp
+++ b/Libraries/LibControl/ConfigurationDelta.cpp
@@ -35,9 +35,13 @@
 template<typename Item>
 static void carryOut(std::vector<Item> &items, const std::vector<Item> &changed, const std::vector<std::string> &removed)
 {
-    std::erase_if(items, [&removed](const Item &item) { return std::find(removed.begin(), removed.end(), item.name) != removed.end(); });
+    std::erase_if(items, [&removed](const Item &item) {
+        return std::find(removed.begin(), removed.end(), item.name) != removed.end();
+    });
     for (const auto &item : changed) {
-        const auto place = std::find_if(items.begin(), items.end(), [&item](const Item &candidate) { return candidate.name == item.name; });
+        const auto place = std::find_if(items.begin(), items.end(), [&item](const Item &candidate) {
+            return candidate.name == item.name;
+        });
         if (place == items.end()) {
             items.push_back(item);
         } else {
--- a/Libraries/LibControl/ControlNode.cpp
+++ b/Libraries/LibControl/ControlNode.cpp
@@ -51,7 +51,9 @@
         return tl::make_unexpected(log.error());
     }
     this->replicatedLog = std::move(log.value());
-    this->tickTimer = this->timers.every(this->options.log.heartbeatPeriod / TicksPerHeartbeat, [this](Core::Instant) { this->tick(); });
+    this->tickTimer = this->timers.every(this->options.log.heartbeatPeriod / TicksPerHeartbeat, [this](Core::Instant) {
+        this->tick();
+    });
     this->repairTimer = this->timers.every(RepairPeriod, [this](Core::Instant) {
         this->repair();
         this->forgetOldFollowers();
@@ -63,10 +65,22 @@
 {
     return Consensus::ReplicatedLogHooks{
         .send = this->options.send,
-        .apply = [this](const Protocol::LogEntry &entry) { this->applyEntry(entry); },
-        .takeSnapshot = [this] { return this->state.takeSnapshot(); },
-        .restoreSnapshot = [this](const std::string &bytes) { return this->state.restoreSnapshot(bytes); },
-        .flushNeeded = [this] { this->scheduleFlush(); },
+        .apply =
+            [this](const Protocol::LogEntry &entry) {
+                this->applyEntry(entry);
+            },
+        .takeSnapshot =
+            [this] {
+                return this->state.takeSnapshot();
+            },
+        .restoreSnapshot =
+            [this](const std::string &bytes) {
+                return this->state.restoreSnapshot(bytes);
+            },
+        .flushNeeded =
+            [this] {
+                this->scheduleFlush();
+            },
     };
 }
 
@@ -107,7 +121,9 @@
     if (this->flushTimer.isActive()) {
         return;
     }
-    this->flushTimer = this->timers.once(Core::Duration(0), [this](Core::Instant now) { this->replicatedLog->flush(now); });
+    this->flushTimer = this->timers.once(Core::Duration(0), [this](Core::Instant now) {
+        this->replicatedLog->flush(now);
+    });
 }
 
 void ControlNode::receive(const std::vector<Protocol::LogMessage> &messages)
@@ -213,7 +229,9 @@
     }
     const auto change = toChange(request);
     refusal.status = Protocol::ApplyStatus::UNKNOWN;
-    const auto answerUnknown = [refusal, done] { done(refusal); };
+    const auto answerUnknown = [refusal, done] {
+        done(refusal);
+    };
     if (request.dryRun) {
         this->replicatedLog->confirmLeadership([this, change, answerUnknown, done](bool confirmed) {
             if (confirmed) {
@@ -262,7 +280,9 @@
 
 void ControlNode::status(ReplyHook<Protocol::ControlStatus> done)
 {
-    this->replicatedLog->confirmLeadership([this, done = std::move(done)](bool confirmed) { done(this->makeStatus(confirmed)); });
+    this->replicatedLog->confirmLeadership([this, done = std::move(done)](bool confirmed) {
+        done(this->makeStatus(confirmed));
+    });
 }
 
 Protocol::ControlStatus ControlNode::makeStatus(bool confirmed) const
@@ -399,7 +419,9 @@
 // A UUID may be written in either case; both are one key.
 static std::string normalizedKey(std::string key)
 {
-    std::transform(key.begin(), key.end(), key.begin(), [](unsigned char character) { return static_cast<char>(std::tolower(character)); });
+    std::transform(key.begin(), key.end(), key.begin(), [](unsigned char character) {
+        return static_cast<char>(std::tolower(character));
+    });
     return key;
 }
 
@@ -451,8 +473,14 @@
         .leaderName = this->replicatedLog->identity().name,
         .membership = this->replicatedLog->membership(),
         .commitIndex = this->replicatedLog->commitIndex(),
-        .matchIndexOf = [this](const std::string &name) { return this->replicatedLog->matchIndexOf(name); },
-        .silenceOf = [this](const std::string &name) { return this->timers.now() - this->replicatedLog->lastHeardOf(name); },
+        .matchIndexOf =
+            [this](const std::string &name) {
+                return this->replicatedLog->matchIndexOf(name);
+            },
+        .silenceOf =
+            [this](const std::string &name) {
+                return this->timers.now() - this->replicatedLog->lastHeardOf(name);
+            },
     };
     const auto change = chooseRepair(view, this->options.repair);
     if (!change.has_value()) {
@@ -468,14 +496,18 @@
 
 void ControlNode::forgetOldFollowers()
 {
-    std::erase_if(this->followers, [this](const auto &item) { return this->timers.now() - item.second.lastSeen > FollowerRetention; });
+    std::erase_if(this->followers, [this](const auto &item) {
+        return this->timers.now() - item.second.lastSeen > FollowerRetention;
+    });
 }
 
 void ControlNode::drain(std::function<void()> stoppedHook)
 {
     this->draining = true;
     this->stopped = std::move(stoppedHook);
-    this->drainTimer = this->timers.every(DrainPollPeriod, [this](Core::Instant) { this->finishDrain(); });
+    this->drainTimer = this->timers.every(DrainPollPeriod, [this](Core::Instant) {
+        this->finishDrain();
+    });
 }
 
 void ControlNode::finishDrain()
--- a/Libraries/LibControl/ControlState.cpp
+++ b/Libraries/LibControl/ControlState.cpp
@@ -66,8 +66,9 @@
 
 const Protocol::AcceptedChange *ControlState::changeWithId(const std::string &changeId) const
 {
-    const auto found = std::find_if(
-        this->changes.rbegin(), this->changes.rend(), [&changeId](const Protocol::AcceptedChange &accepted) { return accepted.change.changeId == changeId; });
+    const auto found = std::find_if(this->changes.rbegin(), this->changes.rend(), [&changeId](const Protocol::AcceptedChange &accepted) {
+        return accepted.change.changeId == changeId;
+    });
     return found == this->changes.rend() ? nullptr : &*found;
 }
 
@@ -252,7 +253,9 @@
 {
     const auto keyTime = Core::timeOfUuidVersion7(key).value_or(Core::WallTime(0));
     const auto [first, last] = this->claimsByKeyTime.equal_range(keyTime.count());
-    const auto entry = std::find_if(first, last, [&key](const auto &candidate) { return candidate.second == key; });
+    const auto entry = std::find_if(first, last, [&key](const auto &candidate) {
+        return candidate.second == key;
+    });
     if (entry != last) {
         this->claimsByKeyTime.erase(entry);
     }
--- a/Libraries/LibControl/PeerTransport.cpp
+++ b/Libraries/LibControl/PeerTransport.cpp
@@ -32,7 +32,9 @@
     }
     peer.outbox.push_back(std::move(message));
     if (!this->flushTimer.isActive()) {
-        this->flushTimer = this->timers.once(Core::Duration(0), [this](Core::Instant) { this->flush(); });
+        this->flushTimer = this->timers.once(Core::Duration(0), [this](Core::Instant) {
+            this->flush();
+        });
     }
 }
 
@@ -45,7 +47,10 @@
         }
         auto client = std::make_shared<Protocol::ControlPeerCobClient>(peer.channel, Rpc::protocolFactory().get());
         // The acknowledgement only frees the client; what was delivered shows in the replies of the log.
-        client->deliver([client](Protocol::ControlPeerCobClient *) {}, messages);
+        client->deliver(
+            [client](Protocol::ControlPeerCobClient *) {
+            },
+            messages);
     }
 }
 
--- a/Libraries/LibCore/LoopTimer.cpp
+++ b/Libraries/LibCore/LoopTimer.cpp
@@ -35,7 +35,9 @@
     owned->owner = this;
     owned->service = &service;
     g_source_attach(this->source, context);
-    service.scheduleChanged = [this] { this->arm(); };
+    service.scheduleChanged = [this] {
+        this->arm();
+    };
     this->arm();
 }
 
--- a/Libraries/LibCore/Settings.cpp
+++ b/Libraries/LibCore/Settings.cpp
@@ -88,7 +88,9 @@
 void Settings::addInteger(SettingOptions option, std::int64_t &target, std::int64_t lowest, std::int64_t highest)
 {
     option.accept = [&target, lowest, highest](const std::string &value) -> Result<void> {
-        return parseInteger(value, lowest, highest).map([&target](std::int64_t number) { target = number; });
+        return parseInteger(value, lowest, highest).map([&target](std::int64_t number) {
+            target = number;
+        });
     };
     this->add(std::move(option));
 }
@@ -96,7 +98,9 @@
 void Settings::addEndpoint(SettingOptions option, Endpoint &target)
 {
     option.accept = [&target](const std::string &value) -> Result<void> {
-        return Endpoint::parse(value).map([&target](const Endpoint &endpoint) { target = endpoint; });
+        return Endpoint::parse(value).map([&target](const Endpoint &endpoint) {
+            target = endpoint;
+        });
     };
     this->add(std::move(option));
 }
--- a/Libraries/LibEntry/ActionService.cpp
+++ b/Libraries/LibEntry/ActionService.cpp
@@ -32,7 +32,9 @@
 
 void ActionService::later(std::uint64_t id, Core::Duration pause, void (ActionService::*step)(std::uint64_t))
 {
-    this->runs.at(id).timer = this->state.timers.once(pause, [this, id, step](Core::Instant) { (this->*step)(id); });
+    this->runs.at(id).timer = this->state.timers.once(pause, [this, id, step](Core::Instant) {
+        (this->*step)(id);
+    });
 }
 
 // The digest covers everything that makes two requests the same one.
@@ -50,6 +52,7 @@
     ++this->state.counters.actions;
     const auto refuse = [this, &call, &done](const Problem &problem) {
         ++this->state.counters.refusedNotRun;
+        logRefusal(this->state, problem, call.service, call.requestId);
         done(problemAnswer(problem, call.requestId));
     };
     const auto terms = findTerms(this->state, call.service, {});
@@ -71,7 +74,9 @@
     const std::uint64_t id = this->nextRun++;
     Run run{.call = std::move(call), .terms = terms.value(), .done = std::move(done), .attemptId = Core::randomToken()};
     run.digest = digestOf(run.call);
-    run.deadlineTimer = this->state.timers.once(run.terms.deadline - this->state.timers.now(), [this, id](Core::Instant) { this->deadlineReached(id); });
+    run.deadlineTimer = this->state.timers.once(run.terms.deadline - this->state.timers.now(), [this, id](Core::Instant) {
+        this->deadlineReached(id);
+    });
     this->runs.emplace(id, std::move(run));
     this->claim(id);
 }
@@ -89,7 +94,9 @@
     request.attemptId = run.attemptId;
     const auto limit = Core::milliseconds(run.terms.urgencyClass.deadlineMilliseconds) + this->options.lateOutcome;
     request.executionLimitMilliseconds = static_cast<std::int32_t>(Core::toMilliseconds(limit));
-    this->control.claim(request, [this, id](const Core::Result<Protocol::ClaimReply> &reply) { this->takeClaimReply(id, reply); });
+    this->control.claim(request, [this, id](const Core::Result<Protocol::ClaimReply> &reply) {
+        this->takeClaimReply(id, reply);
+    });
 }
 
 void ActionService::retryClaim(std::uint64_t id, const std::string &leaderAddress)
@@ -177,8 +184,14 @@
         .deadline = run.terms.deadline,
         .connectionShare = run.terms.connectionShare,
         .excluded = run.tried,
-        .sent = [this, id](const ReplicaChoice &choice) { this->runs.at(id).tried.push_back(choice.id); },
-        .done = [this, id](const SubRequestOutcome &outcome) { this->takeOutcome(id, outcome); },
+        .sent =
+            [this, id](const ReplicaChoice &choice) {
+                this->runs.at(id).tried.push_back(choice.id);
+            },
+        .done =
+            [this, id](const SubRequestOutcome &outcome) {
+                this->takeOutcome(id, outcome);
+            },
     };
     // A3. Never hedged: there is one sub-request at a time, and a next one only after the last one provably did not run.
     run.subRequest = this->state.dispatcher.submit(std::move(subRequest));
@@ -280,7 +293,9 @@
     if (run.outcome.has_value()) {
         request.__set_outcome(run.outcome.value());
     }
-    this->control.settle(request, [this, id](const Core::Result<Protocol::SettleReply> &reply) { this->takeSettleReply(id, reply); });
+    this->control.settle(request, [this, id](const Core::Result<Protocol::SettleReply> &reply) {
+        this->takeSettleReply(id, reply);
+    });
 }
 
 void ActionService::takeSettleReply(std::uint64_t id, const Core::Result<Protocol::SettleReply> &reply)
@@ -325,6 +340,7 @@
     ++(runState == RunState::NotRun ? this->state.counters.refusedNotRun : this->state.counters.refusedUnknown);
     const bool mayComeAgain = type == ProblemType::InProgress || (runState == RunState::NotRun && problemStatus(type) == 503);
     const Problem problem{.type = type, .run = runState, .detail = detail, .retryAfter = mayComeAgain ? std::optional(SoonAgain) : std::nullopt};
+    logRefusal(this->state, problem, run.call.service, run.call.requestId);
     this->reply(run, problemAnswer(problem, run.call.requestId));
 }
 
--- a/Libraries/LibEntry/Announcement.cpp
+++ b/Libraries/LibEntry/Announcement.cpp
@@ -107,7 +107,9 @@
 
 Core::Result<void> checkAnnouncement(const Protocol::Announcement &announcement)
 {
-    const auto refuse = [](const char *message) { return Core::failure(Core::ErrorKind::InvalidInput, message); };
+    const auto refuse = [](const char *message) {
+        return Core::failure(Core::ErrorKind::InvalidInput, message);
+    };
     if (announcement.serviceName.empty() || announcement.replicaName.empty()) {
         return refuse("service and replica need names");
     }
--- a/Libraries/LibEntry/BackendClient.cpp
+++ b/Libraries/LibEntry/BackendClient.cpp
@@ -198,7 +198,9 @@
 
 Core::Result<void> checkReply(const nlohmann::json &document, const AttemptRequest &attempt)
 {
-    const auto refuse = [](const char *what) { return Core::failure(Core::ErrorKind::InvalidInput, std::string("the reply names another ") + what); };
+    const auto refuse = [](const char *what) {
+        return Core::failure(Core::ErrorKind::InvalidInput, std::string("the reply names another ") + what);
+    };
     if (Core::textMember(document, "attempt").value_or("") != attempt.attempt.value()) {
         return refuse("attempt");
     }
--- a/Libraries/LibEntry/BackendTable.cpp
+++ b/Libraries/LibEntry/BackendTable.cpp
@@ -62,6 +62,10 @@
     }
     auto &backend = this->row(found->second);
     const auto &known = backend.announcement;
+    if (isLeavingState(announcement.state)) {
+        // Leaving holds for the whole incarnation, in whatever order the news of it comes.
+        this->markLeaving(backend.id, announcement.incarnation);
+    }
     if (std::tie(announcement.incarnation, announcement.sequence) <= std::tie(known.incarnation, known.sequence)) {
         return AnnounceOutcome::Outdated;
     }
--- a/Libraries/LibEntry/ConfigurationFollower.cpp
+++ b/Libraries/LibEntry/ConfigurationFollower.cpp
@@ -12,11 +12,9 @@
 
 ConfigurationFollower::ConfigurationFollower(
     ConfigurationFollowerOptions options, ConfigurationInForce &inForce, ControlAccess &control, Core::TimerService &timers)
-    : options(std::move(options))
-    , inForce(inForce)
-    , control(control)
-    , timers(timers)
-    , next(timers.once(Core::Duration(0), [this](Core::Instant) { this->ask(); }))
+    : options(std::move(options)), inForce(inForce), control(control), timers(timers), next(timers.once(Core::Duration(0), [this](Core::Instant) {
+        this->ask();
+    }))
 {
 }
 
@@ -56,7 +54,9 @@
     // A new revision is confirmed to the control instances at once, so that operators see it in force.
     const bool confirmSoon = usable && this->inForce.revision() != before;
     const auto pause = confirmSoon ? Core::Duration(0) : usable ? this->options.period : this->options.retryPeriod;
-    this->next = this->timers.once(pause, [this](Core::Instant) { this->ask(); });
+    this->next = this->timers.once(pause, [this](Core::Instant) {
+        this->ask();
+    });
 }
 
 }
--- a/Libraries/LibEntry/ControlClient.cpp
+++ b/Libraries/LibEntry/ControlClient.cpp
@@ -57,8 +57,12 @@
 {
     Rpc::call<Client, Protocol::FollowReply>(
         this->channel(),
-        [&request](Client &client, const std::function<void(Client *)> &callback) { client.follow(callback, request); },
-        [](Client &client, Protocol::FollowReply &reply) { client.recv_follow(reply); },
+        [&request](Client &client, const std::function<void(Client *)> &callback) {
+            client.follow(callback, request);
+        },
+        [](Client &client, Protocol::FollowReply &reply) {
+            client.recv_follow(reply);
+        },
         std::move(done));
 }
 
@@ -66,8 +70,12 @@
 {
     Rpc::call<Client, Protocol::ClaimReply>(
         this->channel(),
-        [&request](Client &client, const std::function<void(Client *)> &callback) { client.claim(callback, request); },
-        [](Client &client, Protocol::ClaimReply &reply) { client.recv_claim(reply); },
+        [&request](Client &client, const std::function<void(Client *)> &callback) {
+            client.claim(callback, request);
+        },
+        [](Client &client, Protocol::ClaimReply &reply) {
+            client.recv_claim(reply);
+        },
         std::move(done));
 }
 
@@ -75,8 +83,12 @@
 {
     Rpc::call<Client, Protocol::SettleReply>(
         this->channel(),
-        [&request](Client &client, const std::function<void(Client *)> &callback) { client.settle(callback, request); },
-        [](Client &client, Protocol::SettleReply &reply) { client.recv_settle(reply); },
+        [&request](Client &client, const std::function<void(Client *)> &callback) {
+            client.settle(callback, request);
+        },
+        [](Client &client, Protocol::SettleReply &reply) {
+            client.recv_settle(reply);
+        },
         std::move(done));
 }
 
--- a/Libraries/LibEntry/Dispatcher.cpp
+++ b/Libraries/LibEntry/Dispatcher.cpp
@@ -71,7 +71,9 @@
     if (sentHook) {
         sentHook(choice.value());
     }
-    this->transport.send(attempt, [this, id](AttemptResult result) { this->finish(id, std::move(result)); });
+    this->transport.send(attempt, [this, id](AttemptResult result) {
+        this->finish(id, std::move(result));
+    });
     return true;
 }
 
@@ -160,9 +162,12 @@
 Dispatcher::Queue::iterator Dispatcher::mostUrgent(Queue &queue, Core::Instant now) const
 {
     // Waiting raises the urgency step by step, so that no class starves for ever.
-    const auto urgency = [this, now](const Waiting &waiting) { return waiting.subRequest.priority - (now - waiting.since) / this->options.agingPeriod; };
-    return std::min_element(
-        queue.begin(), queue.end(), [&urgency](const auto &first, const auto &second) { return urgency(first.second) < urgency(second.second); });
+    const auto urgency = [this, now](const Waiting &waiting) {
+        return waiting.subRequest.priority - (now - waiting.since) / this->options.agingPeriod;
+    };
+    return std::min_element(queue.begin(), queue.end(), [&urgency](const auto &first, const auto &second) {
+        return urgency(first.second) < urgency(second.second);
+    });
 }
 
 void Dispatcher::drainQueue(const QueueKey &key)
@@ -212,7 +217,9 @@
             item = queue.erase(item);
         }
     }
-    std::erase_if(this->queues, [](const auto &item) { return item.second.empty(); });
+    std::erase_if(this->queues, [](const auto &item) {
+        return item.second.empty();
+    });
     for (auto &subRequest : expired) {
         ++this->counts.expiredInQueue;
         AttemptResult result;
--- a/Libraries/LibEntry/EntryNode.cpp
+++ b/Libraries/LibEntry/EntryNode.cpp
@@ -27,14 +27,32 @@
     , queries(this->state)
     , actions(this->options.actions, this->state, this->control)
     , peerRelay(
-          this->options.relay, this->state.backends, [this](const Protocol::Announcement &announcement) { return this->isDeclared(announcement); }, timersGiven)
+          this->options.relay,
+          this->state.backends,
+          [this](const Protocol::Announcement &announcement) {
+              return this->isDeclared(announcement);
+          },
+          timersGiven)
     , refresher(
           this->options.refresher,
           this->state.backends,
-          [this](const Core::Endpoint &endpoint, RegistryRefresher::AnswerHook done) { this->backendClient.probe(endpoint, std::move(done)); },
+          [this](const Core::Endpoint &endpoint, RegistryRefresher::AnswerHook done) {
+              this->backendClient.probe(endpoint, std::move(done));
+          },
           timersGiven)
-    , systemTimer(timersGiven.every(this->options.entry.systemPeriod, [this](Core::Instant now) { this->runSystems(now); }))
+    , systemTimer(timersGiven.every(this->options.entry.systemPeriod, [this](Core::Instant now) {
+        this->runSystems(now);
+    }))
 {
+    this->state.registryIsWarm = [this] {
+        return this->peerRelay.isWarm();
+    };
+    this->state.configuration.changed = [this] {
+        // Announcements of services that were not declared until now were not taken.
+        for (std::size_t peer = 0; peer < std::max<std::size_t>(1, this->options.relay.peers.size()); ++peer) {
+            this->peerRelay.askForAll();
+        }
+    };
 }
 
 PeerRelay &EntryNode::relay()
@@ -44,7 +62,7 @@
 
 bool EntryNode::isReady() const
 {
-    return !this->state.draining && this->state.configuration.isFresh(this->timers.now());
+    return !this->leavingSince.has_value() && this->peerRelay.isWarm() && this->state.configuration.isFresh(this->timers.now());
 }
 
 void EntryNode::runSystems(Core::Instant now)
@@ -61,7 +79,9 @@
 void EntryNode::handleCaller(const Http::Request &request, const Http::ResponderPointer &responder)
 {
     const Core::RequestId requestId(Core::randomToken().substr(0, RequestIdLength));
-    const AnswerHook done = [responder, requestId](CallerAnswer answer) { responder->respond(makeResponse(std::move(answer), requestId)); };
+    const AnswerHook done = [responder, requestId](CallerAnswer answer) {
+        responder->respond(makeResponse(std::move(answer), requestId));
+    };
     auto call = readCallerRequest(request, requestId);
     if (auto *query = std::get_if<QueryCall>(&call)) {
         this->queries.start(std::move(*query), done);
@@ -208,6 +228,8 @@
     document["instance"] = this->state.options.name.value();
     document["zone"] = this->state.options.zone.value();
     document["ready"] = this->isReady();
+    document["registry_warm"] = this->peerRelay.isWarm();
+    document["leaving"] = this->leavingSince.has_value();
     document["draining"] = this->state.draining;
     document["configuration"] = {{"revision", configuration.revision().value()},
         {"fresh", configuration.isFresh(now)},
@@ -218,6 +240,8 @@
         {"actions_under_way", this->actions.underWay()},
         {"sub_requests_waiting", dispatcher.waitingCount()},
         {"sub_requests_in_flight", dispatcher.inFlightCount()}};
+    const auto &relayCounters = this->peerRelay.counters();
+    document["relay"] = {{"sent", relayCounters.sent}, {"failed", relayCounters.failed}, {"received", relayCounters.received}};
     document["services"] = this->servicesToJson();
     document["backends"] = this->backendsToJson();
     return Core::toText(document, 2);
@@ -281,15 +305,16 @@
 void EntryNode::drain(std::function<void()> stoppedHook)
 {
     this->stopped = std::move(stoppedHook);
-    this->state.draining = true;
-    this->drainingSince = this->timers.now();
-    this->drainTimer = this->timers.every(DrainPollPeriod, [this](Core::Instant) { this->finishDrain(); });
+    this->leavingSince = this->timers.now();
+    this->drainTimer = this->timers.every(DrainPollPeriod, [this](Core::Instant) {
+        this->finishDrain();
+    });
 }
 
 void EntryNode::finishDrain()
 {
-    const bool balancerNoticed = this->timers.now() - this->drainingSince >= this->options.balancerNotice;
-    if (!balancerNoticed || this->queries.underWay() > 0 || this->actions.underWay() > 0) {
+    this->state.draining = this->timers.now() - this->leavingSince.value() >= this->options.balancerNotice;
+    if (!this->state.draining || this->queries.underWay() > 0 || this->actions.underWay() > 0) {
         return;
     }
     this->drainTimer.cancel();
--- a/Libraries/LibEntry/EntryNode.h
+++ b/Libraries/LibEntry/EntryNode.h
@@ -32,7 +32,7 @@
     RegistryRefresherOptions refresher;
     std::vector<Core::Endpoint> controlInstances;
     std::int64_t incarnation{0};
-    /** Asked of a planned stop: how long the balancer may still send work here before it must have noticed. */
+    /** A planned stop still takes work for this long after /readyz says no, since the balancer needs to notice. */
     Core::Duration balancerNotice{Core::milliseconds(1000)};
 };
 
@@ -55,7 +55,7 @@
 
     [[nodiscard]] PeerRelay &relay();
 
-    /** Takes no new work. `stopped` is called when nothing is under way any more. */
+    /** Leaves the balancer, then takes no new work. `stopped` is called when nothing is under way any more. */
     void drain(std::function<void()> stopped);
 
     /** The whole state as JSON. */
@@ -84,7 +84,8 @@
     PeerRelay peerRelay;
     RegistryRefresher refresher;
     std::function<void()> stopped;
-    Core::Instant drainingSince;
+    // Set when a planned stop begins; state.draining follows once the balancer had time to notice.
+    std::optional<Core::Instant> leavingSince;
     Core::TimerSubscription systemTimer;
     Core::TimerSubscription drainTimer;
 };
--- a/Libraries/LibEntry/EntryState.cpp
+++ b/Libraries/LibEntry/EntryState.cpp
@@ -6,10 +6,12 @@
 #include <LibEntry/EntryState.h>
 
 #include <LibCore/Json.h>
+#include <LibCore/Log.h>
 
 namespace Entry
 {
 
+static constexpr int MaximumRefusalLines = 10;
 static constexpr std::chrono::seconds SoonAgain{1};
 
 EntryState::EntryState(EntryOptions optionsGiven, BackendTransport &transport, Core::TimerService &timersGiven)
@@ -26,6 +28,25 @@
     return this->hedging.try_emplace(service, this->options.hedging).first->second;
 }
 
+void logRefusal(EntryState &state, const Problem &problem, const Core::ServiceName &service, const Core::RequestId &requestId)
+{
+    const Core::Instant now = state.timers.now();
+    if (now - state.refusalSecond >= Core::seconds(1)) {
+        state.refusalSecond = now;
+        state.refusalLines = 0;
+    }
+    if (++state.refusalLines > MaximumRefusalLines) {
+        return;
+    }
+    Core::logEvent(Core::LogLevel::Information,
+        "request.refused",
+        {{"request_id", requestId.value()},
+            {"service", service.value()},
+            {"type", problemName(problem.type)},
+            {"run", runStateName(problem.run)},
+            {"detail", problem.detail}});
+}
+
 CallerAnswer problemAnswer(const Problem &problem, const Core::RequestId &requestId)
 {
     return CallerAnswer{
@@ -50,6 +71,9 @@
     if (!state.configuration.isFresh(now)) {
         return refuse(ProblemType::ConfigurationStale, "no control instance confirmed the configuration lately", SoonAgain);
     }
+    if (state.registryIsWarm && !state.registryIsWarm()) {
+        return refuse(ProblemType::NoSnapshot, "this entry instance does not know all backend servers yet", SoonAgain);
+    }
     const auto *declaration = state.configuration.service(service);
     if (declaration == nullptr) {
         return refuse(ProblemType::UnknownService, "\"" + service.value() + "\" is not declared");
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -68,6 +68,11 @@
     Admission admission;
     std::map<Core::ServiceName, HedgePolicy> hedging;
     RequestCounters counters;
+    /** Lines about refusals in the present second. */
+    int refusalLines{0};
+    Core::Instant refusalSecond;
+    /** Whether the table of backend servers can be taken for complete; a fresh process's can't. */
+    std::function<bool()> registryIsWarm;
     /** A planned stop has begun: nothing new comes in. */
     bool draining{false};
 };
@@ -82,6 +87,9 @@
 
 using AnswerHook = std::function<void(CallerAnswer answer)>;
 
+/** Logs that a request was refused; at most a few lines a second, the rest is only counted. */
+void logRefusal(EntryState &state, const Problem &problem, const Core::ServiceName &service, const Core::RequestId &requestId);
+
 /** The answer that a problem makes. */
 [[nodiscard]] CallerAnswer problemAnswer(const Problem &problem, const Core::RequestId &requestId);
 
--- a/Libraries/LibEntry/FanOut.cpp
+++ b/Libraries/LibEntry/FanOut.cpp
@@ -32,7 +32,9 @@
     this->shards.resize(this->options.shards.size());
     // NOTE: The timer also carries the end when there is nothing to send, so that `done` never comes from within start().
     const Core::Duration timeLeft = std::max(Core::Duration(0), this->options.deadline - this->timers.now());
-    this->deadlineTimer = this->timers.once(timeLeft, [this](Core::Instant) { this->deadlineReached(); });
+    this->deadlineTimer = this->timers.once(timeLeft, [this](Core::Instant) {
+        this->deadlineReached();
+    });
     for (std::size_t position = 0; position < this->shards.size(); ++position) {
         this->shards[position].result.shard = this->options.shards[position];
         if (this->hasUntriedReplica(this->shards[position])) {
@@ -84,7 +86,9 @@
     };
     // The hook needs the id, which submit() gives; the hook itself comes later.
     const auto id = std::make_shared<SubRequestId>();
-    subRequest.done = [this, position, id](SubRequestOutcome result) { this->takeOutcome(position, *id, std::move(result)); };
+    subRequest.done = [this, position, id](SubRequestOutcome result) {
+        this->takeOutcome(position, *id, std::move(result));
+    };
     *id = this->dispatcher.submit(std::move(subRequest));
     this->shards[position].outstanding.push_back(*id);
 }
@@ -183,9 +187,13 @@
 
 void FanOut::endWhenResolved()
 {
-    const bool allResolved = std::all_of(this->shards.begin(), this->shards.end(), [](const ShardState &shard) { return shard.resolved; });
+    const bool allResolved = std::all_of(this->shards.begin(), this->shards.end(), [](const ShardState &shard) {
+        return shard.resolved;
+    });
     if (allResolved || this->outcome.snapshotLost) {
-        this->deadlineTimer = this->timers.once(Core::Duration(0), [this](Core::Instant) { this->deadlineReached(); });
+        this->deadlineTimer = this->timers.once(Core::Duration(0), [this](Core::Instant) {
+            this->deadlineReached();
+        });
     }
 }
 
@@ -217,7 +225,9 @@
     }
     // A hedge that is due but held back is looked at again after a quarter of the delay.
     const Core::Duration wait = std::max({ShortestHedgeCheck, delay.value() / 4, earliest.value() - now});
-    this->hedgeTimer = this->timers.once(wait, [this](Core::Instant time) { this->hedgeDue(time); });
+    this->hedgeTimer = this->timers.once(wait, [this](Core::Instant time) {
+        this->hedgeDue(time);
+    });
 }
 
 void FanOut::hedgeDue(Core::Instant now)
--- a/Libraries/LibEntry/MetricsPage.cpp
+++ b/Libraries/LibEntry/MetricsPage.cpp
@@ -13,8 +13,9 @@
 
 void MetricsPage::add(const std::string &name, const std::string &help, prometheus::MetricType type, const Labels &labels, double value)
 {
-    auto family
-        = std::find_if(this->families.begin(), this->families.end(), [&name](const prometheus::MetricFamily &candidate) { return candidate.name == name; });
+    auto family = std::find_if(this->families.begin(), this->families.end(), [&name](const prometheus::MetricFamily &candidate) {
+        return candidate.name == name;
+    });
     if (family == this->families.end()) {
         this->families.push_back(prometheus::MetricFamily{name, help, type, {}});
         family = this->families.end() - 1;
--- a/Libraries/LibEntry/PeerRelay.cpp
+++ b/Libraries/LibEntry/PeerRelay.cpp
@@ -20,13 +20,26 @@
     , table(table)
     , filter(std::move(filter))
     , timers(timers)
-    , roundTimer(timers.every(this->options.period, [this](Core::Instant) { this->sendRound(); }))
-    , antiEntropyTimer(timers.every(this->options.antiEntropyPeriod, [this](Core::Instant) { this->askForAll(); }))
+    , roundTimer(timers.every(this->options.period,
+          [this](Core::Instant) {
+              this->sendRound();
+          }))
+    , antiEntropyTimer(timers.every(this->options.antiEntropyPeriod, [this](Core::Instant) {
+        if (this->openSince.has_value()) {
+            this->askForAll();
+        }
+    }))
 {
     for (const auto &peer : this->options.peers) {
         this->channels.push_back(Rpc::RpcChannel::create({.endpoint = peer, .callTimeout = CallTimeout, .limits = {}}, timers));
     }
-    this->askForAll();
+}
+
+bool PeerRelay::isWarm() const
+{
+    // Within one lease every backend server that lives has announced itself to somebody who passed it on.
+    const bool waitedOut = this->openSince.has_value() && this->timers.now() - this->openSince.value() >= this->table.tableOptions().lease;
+    return this->heardCompleteTable || waitedOut;
 }
 
 const PeerRelayCounters &PeerRelay::counters() const
@@ -77,6 +90,9 @@
 
 void PeerRelay::askForAll()
 {
+    if (!this->openSince.has_value()) {
+        this->openSince = this->timers.now();
+    }
     if (this->channels.empty()) {
         return;
     }
@@ -92,14 +108,19 @@
     const std::weak_ptr<int> stillAlive = this->alive;
     Rpc::call<Client, Protocol::RelayReply>(
         channel,
-        [&request](Client &client, const std::function<void(Client *)> &callback) { client.relay(callback, request); },
-        [](Client &client, Protocol::RelayReply &reply) { client.recv_relay(reply); },
+        [&request](Client &client, const std::function<void(Client *)> &callback) {
+            client.relay(callback, request);
+        },
+        [](Client &client, Protocol::RelayReply &reply) {
+            client.recv_relay(reply);
+        },
         [this, stillAlive](const Core::Result<Protocol::RelayReply> &reply) {
             if (stillAlive.expired()) {
                 return;
             }
             if (reply.has_value()) {
                 this->take(reply->announcements);
+                this->heardCompleteTable = this->heardCompleteTable || reply->complete;
             } else {
                 ++this->counts.failed;
             }
@@ -123,9 +144,15 @@
     const Core::Instant now = this->timers.now();
     std::vector<Protocol::RelayedAnnouncement> all;
     for (const auto &backend : this->table.rows()) {
-        // What has run out here would run out there at once.
-        if (now - backend.announcedAt < this->table.tableOptions().lease) {
-            all.push_back(makeRelayed(backend.announcement, now - backend.announcedAt));
+        // The latest evidence counts, a direct reply as much as an announcement. What has run out here would run out there at once.
+        const auto lease = this->table.tableOptions().lease;
+        const Core::Duration age = now - (backend.leaseEnd - lease);
+        if (age >= lease) {
+            continue;
+        }
+        all.push_back(makeRelayed(backend.announcement, age));
+        if (backend.announcement.incarnation <= backend.leavingIncarnation) {
+            all.back().announcement.state = Protocol::BackendState::DRAINING;
         }
     }
     return all;
@@ -137,6 +164,7 @@
     Protocol::RelayReply reply;
     if (request.wantsAll) {
         reply.announcements = this->wholeTable();
+        reply.complete = this->isWarm();
     }
     return reply;
 }
--- a/Libraries/LibEntry/PeerRelay.h
+++ b/Libraries/LibEntry/PeerRelay.h
@@ -46,6 +46,12 @@
 
     PeerRelay(PeerRelayOptions options, BackendTable &table, Filter filter, Core::TimerService &timers);
 
+    /** Asks one peer after the other for its whole table, as a process does that has just learnt what is declared. */
+    void askForAll();
+
+    /** Whether this instance's table can be taken for complete. See docs/REGISTRY.md. */
+    [[nodiscard]] bool isWarm() const;
+
     /** A backend server announced itself here; the others hear of it with the next round. */
     void noteDirect(const Protocol::Announcement &announcement);
 
@@ -57,7 +63,6 @@
 
 private:
     void sendRound();
-    void askForAll();
     void sendTo(const std::shared_ptr<Rpc::RpcChannel> &channel, const Protocol::RelayRequest &request);
     void take(const std::vector<Protocol::RelayedAnnouncement> &announcements);
     [[nodiscard]] std::vector<Protocol::RelayedAnnouncement> wholeTable() const;
@@ -74,6 +79,9 @@
     // What came since the last round, the latest of each name.
     std::map<std::pair<std::string, std::string>, Fresh> fresh;
     std::size_t nextPeer{0};
+    bool heardCompleteTable{false};
+    // When what is declared became known, which is when announcements could first be taken.
+    std::optional<Core::Instant> openSince;
     PeerRelayCounters counts;
     Core::TimerSubscription roundTimer;
     Core::TimerSubscription antiEntropyTimer;
--- a/Libraries/LibEntry/QueryService.cpp
+++ b/Libraries/LibEntry/QueryService.cpp
@@ -59,6 +59,7 @@
 {
     const auto refuse = [this, &call, &done](const Problem &problem) {
         ++this->state.counters.refusedNotRun;
+        logRefusal(this->state, problem, call.service, call.requestId);
         done(problemAnswer(problem, call.requestId));
     };
     auto &counted = call.operation == Operation::Search ? this->state.counters.searches : this->state.counters.lookups;
@@ -122,7 +123,9 @@
     this->state.counters.firstAttempts += options.shards.size();
     auto &policy = this->state.hedgePolicy(run.call.service);
     run.fanOut = std::make_unique<FanOut>(std::move(options), this->state.dispatcher, policy, this->state.backends, this->state.timers);
-    run.fanOut->start([this, id](FanOutOutcome outcome) { this->takeOutcome(id, std::move(outcome)); });
+    run.fanOut->start([this, id](FanOutOutcome outcome) {
+        this->takeOutcome(id, std::move(outcome));
+    });
 }
 
 void QueryService::count(const FanOutOutcome &outcome)
@@ -171,6 +174,8 @@
         if (this->state.timers.now() >= run.terms.deadline) {
             problem.type = ProblemType::DeadlineExceeded;
         }
+        problem.detail = std::to_string(coverage.missing.size()) + " shards are missing, the first for " + coverage.missing.front().reason;
+        logRefusal(this->state, problem, run.call.service, run.call.requestId);
         auto document = problemDocument(problem, run.call.requestId.value());
         document["coverage"] = coverageToJson(coverage);
         document["snapshot"] = snapshotToJson(run.view->key);
@@ -238,8 +243,9 @@
 
 std::optional<nlohmann::json> QueryService::trace(const Core::RequestId &requestId) const
 {
-    const auto found
-        = std::find_if(this->traces.rbegin(), this->traces.rend(), [&requestId](const FinishedTrace &trace) { return trace.requestId == requestId; });
+    const auto found = std::find_if(this->traces.rbegin(), this->traces.rend(), [&requestId](const FinishedTrace &trace) {
+        return trace.requestId == requestId;
+    });
     if (found == this->traces.rend()) {
         return std::nullopt;
     }
--- a/Libraries/LibEntry/RegistryRefresher.cpp
+++ b/Libraries/LibEntry/RegistryRefresher.cpp
@@ -9,11 +9,9 @@
 {
 
 RegistryRefresher::RegistryRefresher(RegistryRefresherOptions options, BackendTable &table, Probe probe, Core::TimerService &timers)
-    : options(options)
-    , table(table)
-    , probe(std::move(probe))
-    , timers(timers)
-    , timer(timers.every(options.period, [this](Core::Instant now) { this->run(now); }))
+    : options(options), table(table), probe(std::move(probe)), timers(timers), timer(timers.every(options.period, [this](Core::Instant now) {
+        this->run(now);
+    }))
 {
 }
 
--- a/Libraries/LibEntry/SnapshotChooser.cpp
+++ b/Libraries/LibEntry/SnapshotChooser.cpp
@@ -78,7 +78,9 @@
         return false;
     }
     // Capacity is compared in replicas for each shard, since a new map may have another number of shards.
-    const auto perShard = [](const SnapshotView &view) { return static_cast<double>(view.usableReplicas) / static_cast<double>(view.replicas.size()); };
+    const auto perShard = [](const SnapshotView &view) {
+        return static_cast<double>(view.usableReplicas) / static_cast<double>(view.replicas.size());
+    };
     if (perShard(newer) >= this->options.headroom * perShard(present)) {
         return true;
     }
@@ -89,7 +91,9 @@
 // Better: coverable before not, then more covered, then newer.
 static bool isBetterFallback(const SnapshotView &candidate, const SnapshotView &best)
 {
-    const auto share = [](const SnapshotView &view) { return static_cast<double>(view.coveredShards) / static_cast<double>(view.replicas.size()); };
+    const auto share = [](const SnapshotView &view) {
+        return static_cast<double>(view.coveredShards) / static_cast<double>(view.replicas.size());
+    };
     if (share(candidate) != share(best)) {
         return share(candidate) > share(best);
     }
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -125,6 +125,11 @@
     return this->counts;
 }
 
+std::size_t HttpServer::requestsUnderWay() const
+{
+    return this->connections->requests;
+}
+
 void HttpServer::setMaximumConnections(std::size_t maximum)
 {
     this->options.maximumConnections = maximum;
@@ -153,7 +158,9 @@
     ++this->connections->open;
     this->counts.mostConnections = std::max(this->counts.mostConnections, this->connections->open);
     const auto counted = this->connections;
-    auto *open = new OpenConnection{.closed = [counted] { --counted->open; }};
+    auto *open = new OpenConnection{.closed = [counted] {
+        --counted->open;
+    }};
     g_object_weak_ref(G_OBJECT(connection.get()), connectionGone, open);
     if (this->options.acceptDelay == Core::Duration(0)) {
         this->serve(connection.get());
@@ -258,6 +265,11 @@
         refuseTooLarge(message);
         return;
     }
+    // Counted until libsoup says that the message is finished, which may be after the server object is gone.
+    ++self.connections->requests;
+    g_object_weak_ref(G_OBJECT(message), connectionGone, new OpenConnection{.closed = [counted = self.connections] {
+        --counted->requests;
+    }});
     soup_server_message_pause(message);
     const auto responder = std::make_shared<SoupResponder>(message, self.counts.aborted);
     self.options.handler(readRequest(message, path, query), responder);
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -59,6 +59,8 @@
 
     [[nodiscard]] std::size_t connectionCount() const;
     [[nodiscard]] const ServerCounters &counters() const;
+    /** Requests whose response has not been written to the last byte. */
+    [[nodiscard]] std::size_t requestsUnderWay() const;
     /** Changes the cap for connections yet to come. */
     void setMaximumConnections(std::size_t maximum);
 
@@ -78,6 +80,7 @@
     // Shared with the weak references of connections, which may outlive the server.
     struct Connections {
         std::size_t open{0};
+        std::size_t requests{0};
     };
     std::shared_ptr<Connections> connections;
     std::map<std::uint64_t, Core::TimerSubscription> delayed;
--- a/Libraries/LibProtocol/Generated/entry_types.cpp
+++ b/Libraries/LibProtocol/Generated/entry_types.cpp
@@ -804,6 +804,10 @@
 void RelayReply::__set_announcements(const std::vector<RelayedAnnouncement> & val) {
   this->announcements = val;
 }
+
+void RelayReply::__set_complete(const bool val) {
+  this->complete = val;
+}
 std::ostream& operator<<(std::ostream& out, const RelayReply& obj)
 {
   obj.printTo(out);
@@ -852,6 +856,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->complete);
+          this->__isset.complete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -881,6 +893,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("complete", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->complete);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -889,15 +905,18 @@
 void swap(RelayReply &a, RelayReply &b) {
   using ::std::swap;
   swap(a.announcements, b.announcements);
+  swap(a.complete, b.complete);
   swap(a.__isset, b.__isset);
 }
 
 RelayReply::RelayReply(const RelayReply& other27) {
   announcements = other27.announcements;
+  complete = other27.complete;
   __isset = other27.__isset;
 }
 RelayReply& RelayReply::operator=(const RelayReply& other28) {
   announcements = other28.announcements;
+  complete = other28.complete;
   __isset = other28.__isset;
   return *this;
 }
@@ -905,6 +924,7 @@
   using ::apache::thrift::to_string;
   out << "RelayReply(";
   out << "announcements=" << to_string(announcements);
+  out << ", " << "complete=" << to_string(complete);
   out << ")";
 }
 
--- a/Libraries/LibProtocol/Generated/entry_types.h
+++ b/Libraries/LibProtocol/Generated/entry_types.h
@@ -360,8 +360,9 @@
 std::ostream& operator<<(std::ostream& out, const RelayRequest& obj);
 
 typedef struct _RelayReply__isset {
-  _RelayReply__isset() : announcements(false) {}
+  _RelayReply__isset() : announcements(false), complete(false) {}
   bool announcements :1;
+  bool complete :1;
 } _RelayReply__isset;
 
 class RelayReply : public virtual ::apache::thrift::TBase {
@@ -369,20 +370,29 @@
 
   RelayReply(const RelayReply&);
   RelayReply& operator=(const RelayReply&);
-  RelayReply() noexcept {
+  RelayReply() noexcept
+             : complete(0) {
   }
 
   virtual ~RelayReply() noexcept;
   std::vector<RelayedAnnouncement>  announcements;
+  /**
+   * The list is the whole table of an instance that has been in touch for a lease at least.
+   */
+  bool complete;
 
   _RelayReply__isset __isset;
 
   void __set_announcements(const std::vector<RelayedAnnouncement> & val);
 
+  void __set_complete(const bool val);
+
   bool operator == (const RelayReply & rhs) const
   {
     if (!(announcements == rhs.announcements))
       return false;
+    if (!(complete == rhs.complete))
+      return false;
     return true;
   }
   bool operator != (const RelayReply &rhs) const {
--- a/Libraries/LibProtocol/entry.thrift
+++ b/Libraries/LibProtocol/entry.thrift
@@ -53,6 +53,8 @@
 
 struct RelayReply {
   1: list<RelayedAnnouncement> announcements,
+  /** The list is the whole table of an instance that has been in touch for a lease at least. */
+  2: bool complete,
 }
 
 service EntryPeer {
--- a/Libraries/LibRpc/FrameStream.cpp
+++ b/Libraries/LibRpc/FrameStream.cpp
@@ -174,6 +174,11 @@
     return !this->incoming.empty();
 }
 
+bool FrameStream::hasUnwritten() const
+{
+    return this->writeUnderWay || !this->outgoing.empty();
+}
+
 std::uint64_t FrameStream::bytesReceived() const
 {
     return this->received;
--- a/Libraries/LibRpc/FrameStream.h
+++ b/Libraries/LibRpc/FrameStream.h
@@ -52,6 +52,9 @@
     /** Whether bytes of an unfinished frame have arrived. */
     [[nodiscard]] bool hasPartialFrame() const;
 
+    /** Whether bytes wait to be written. */
+    [[nodiscard]] bool hasUnwritten() const;
+
     /** Counts every read, so that an owner can tell a stalled sender. */
     [[nodiscard]] std::uint64_t bytesReceived() const;
     [[nodiscard]] std::uint64_t bytesSent() const;
--- a/Libraries/LibRpc/RpcChannel.cpp
+++ b/Libraries/LibRpc/RpcChannel.cpp
@@ -170,7 +170,9 @@
         return;
     }
     const Core::Duration wait = std::max(Core::Duration(0), this->waiting.front().deadline - this->timers.now());
-    this->timeout = this->timers.once(wait, [this](Core::Instant) { this->failAll("no answer in time"); });
+    this->timeout = this->timers.once(wait, [this](Core::Instant) {
+        this->failAll("no answer in time");
+    });
 }
 
 void RpcChannel::failAll(const std::string &reason)
--- a/Libraries/LibRpc/RpcServer.cpp
+++ b/Libraries/LibRpc/RpcServer.cpp
@@ -8,15 +8,17 @@
 #include <LibCore/Log.h>
 #include <LibRpc/Serialization.h>
 
+#include <algorithm>
+
 namespace Rpc
 {
 
 using apache::thrift::transport::TMemoryBuffer;
 
 RpcServer::RpcServer(ServerOptions options, Core::TimerService &timers)
-    : options(std::move(options))
-    , service(g_socket_service_new())
-    , sweep(timers.every(this->options.partialFrameLimit, [this](Core::Instant) { this->closeStalled(); }))
+    : options(std::move(options)), service(g_socket_service_new()), sweep(timers.every(this->options.partialFrameLimit, [this](Core::Instant) {
+        this->closeStalled();
+    }))
 {
 }
 
@@ -53,6 +55,14 @@
     return this->connections.size();
 }
 
+bool RpcServer::isIdle() const
+{
+    return std::all_of(this->connections.begin(), this->connections.end(), [](const auto &item) {
+        const auto &connection = item.second;
+        return !connection.callUnderWay && connection.waiting.empty() && !connection.stream->hasUnwritten();
+    });
+}
+
 gboolean RpcServer::incoming(GSocketService *, GSocketConnection *connection, GObject *, gpointer data)
 {
     static_cast<RpcServer *>(data)->accept(connection);
--- a/Libraries/LibRpc/RpcServer.h
+++ b/Libraries/LibRpc/RpcServer.h
@@ -49,6 +49,8 @@
     RpcServer &operator=(const RpcServer &) = delete;
 
     [[nodiscard]] std::size_t connectionCount() const;
+    /** Whether no call waits and every answer has been written to the last byte. */
+    [[nodiscard]] bool isIdle() const;
 
 private:
     struct Connection {
--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -49,7 +49,7 @@
     fleet_start_entry "$index" "$ENTRIES" "$CONTROLS"
 done
 start_backends
-sleep 3
+fleet_await_backends "$ENTRIES" 42
 
 (
     sleep 2
--- a/Meta/fleet.sh
+++ b/Meta/fleet.sh
@@ -124,6 +124,20 @@
     fleet_ctl "$1" apply "$2"
 }
 
+# Waits until every entry instance is ready and knows that many backend servers: fleet_await_backends ENTRIES COUNT
+fleet_await_backends() {
+    local index tries page
+    for ((index = 0; index < $1; ++index)); do
+        for ((tries = 0; tries < 150; ++tries)); do
+            page=$(curl -s --max-time 2 "http://$(fleet_admin_address "$index")/metrics" || true)
+            if grep -q "^crankrudder_backends $2\$" <<<"$page" && grep -q '^crankrudder_ready 1$' <<<"$page"; then
+                break
+            fi
+            sleep 0.1
+        done
+    done
+}
+
 # Reads one field of an event line: fleet_field LINE NAME
 fleet_field() {
     sed -n "s/.* $2=\([^ ]*\).*/\1/p" <<<"$1"
--- a/Services/controld/main.cpp
+++ b/Services/controld/main.cpp
@@ -15,8 +15,11 @@
 #include <LibRpc/RpcServer.h>
 #include <LibStorage/PosixFolder.h>
 
+#include <algorithm>
 #include <cstdio>
 
+static constexpr Core::Duration ResponseFlushPeriod = Core::milliseconds(10);
+
 namespace
 {
 
@@ -93,7 +96,10 @@
         .state = {.claimHorizon = Core::seconds(values.claimHorizonSeconds)},
         .repair = {.replaceAfter = Core::seconds(values.replaceAfterSeconds)},
         .configurationLease = Core::milliseconds(values.configurationLeaseMilliseconds),
-        .send = [&transport](const Protocol::Member &receiver, Protocol::LogMessage message) { transport.send(receiver, std::move(message)); },
+        .send =
+            [&transport](const Protocol::Member &receiver, Protocol::LogMessage message) {
+                transport.send(receiver, std::move(message));
+            },
     };
 }
 
@@ -128,7 +134,20 @@
         servers.push_back(std::move(server.value()));
     }
 
-    daemon.onStop([&control, &daemon] { control.drain([&daemon] { daemon.quit(); }); });
+    Core::TimerSubscription flushTimer;
+    daemon.onStop([&control, &daemon, &servers, &flushTimer] {
+        control.drain([&daemon, &servers, &flushTimer] {
+            // Every answer is given, but its last bytes may still be on their way out.
+            flushTimer = daemon.timers().every(ResponseFlushPeriod, [&daemon, &servers](Core::Instant) {
+                const bool written = std::all_of(servers.begin(), servers.end(), [](const auto &server) {
+                    return server->isIdle();
+                });
+                if (written) {
+                    daemon.quit();
+                }
+            });
+        });
+    });
     daemon.onDump([&control] {
         std::fprintf(stdout, "%s\n", control.dump().c_str());
         std::fflush(stdout);
@@ -145,5 +164,7 @@
     ControldSettings values;
     Core::Settings settings("controld", "a control instance of crankrudder: declared configuration and records of non-repeatable requests");
     declareSettings(settings, values);
-    return Core::runProgram(settings, argumentCount, arguments, values.logLevel, [&values] { return run(values); });
+    return Core::runProgram(settings, argumentCount, arguments, values.logLevel, [&values] {
+        return run(values);
+    });
 }
--- a/Services/entryd/main.cpp
+++ b/Services/entryd/main.cpp
@@ -13,8 +13,11 @@
 #include <LibHttp/HttpServer.h>
 #include <LibRpc/RpcServer.h>
 
+#include <algorithm>
 #include <cstdio>
 
+static constexpr Core::Duration ResponseFlushPeriod = Core::milliseconds(10);
+
 namespace
 {
 
@@ -117,7 +120,20 @@
         return tl::make_unexpected(peerServer.error());
     }
 
-    daemon.onStop([&node, &daemon] { node.drain([&daemon] { daemon.quit(); }); });
+    Core::TimerSubscription flushTimer;
+    daemon.onStop([&node, &daemon, &servers, &flushTimer] {
+        node.drain([&daemon, &servers, &flushTimer] {
+            // Every answer is given, but its last bytes may still be on their way out.
+            flushTimer = daemon.timers().every(ResponseFlushPeriod, [&daemon, &servers](Core::Instant) {
+                const bool written = std::all_of(servers.begin(), servers.end(), [](const auto &server) {
+                    return server->requestsUnderWay() == 0;
+                });
+                if (written) {
+                    daemon.quit();
+                }
+            });
+        });
+    });
     daemon.onDump([&node] {
         std::fprintf(stdout, "%s\n", node.dump().c_str());
         std::fflush(stdout);
@@ -132,5 +148,7 @@
     EntrydSettings values;
     Core::Settings settings("entryd", "an entry instance of crankrudder: answers callers out of many shards");
     declareSettings(settings, values);
-    return Core::runProgram(settings, argumentCount, arguments, values.logLevel, [&values] { return run(values); });
+    return Core::runProgram(settings, argumentCount, arguments, values.logLevel, [&values] {
+        return run(values);
+    });
 }
--- a/Tests/LibControl/TestControlRandomized.cpp
+++ b/Tests/LibControl/TestControlRandomized.cpp
@@ -206,7 +206,9 @@
         request.entryName = "entry";
         request.revision = entry.inForce.revision().value();
         const Core::Instant sentAt = this->cluster.time.now();
-        node.follow(request, [&entry, sentAt](const Protocol::FollowReply &reply) { static_cast<void>(entry.inForce.take(reply, sentAt)); });
+        node.follow(request, [&entry, sentAt](const Protocol::FollowReply &reply) {
+            static_cast<void>(entry.inForce.take(reply, sentAt));
+        });
     }
 
     void claimSomething(Control::ControlNode &node, KeyHistory &history)
@@ -253,7 +255,8 @@
     {
         for (std::size_t index = 0; index < Instances; ++index) {
             if (auto *node = this->cluster.node(index)) {
-                node->settle(settle, [](const Protocol::SettleReply &) {});
+                node->settle(settle, [](const Protocol::SettleReply &) {
+                });
             }
         }
     }
--- a/Tests/Support/FakeBackend.cpp
+++ b/Tests/Support/FakeBackend.cpp
@@ -37,12 +37,14 @@
 {
     std::unique_ptr<FakeBackend> backend(new FakeBackend(std::move(options), timers));
     auto &self = *backend;
-    auto server = Http::HttpServer::create(
-        {.name = self.options.replica,
-            .endpoint = self.options.endpoint,
-            .handler = [&self](const Http::Request &request, const Http::ResponderPointer &responder) { self.handle(request, responder); },
-            .maximumConnections = self.options.connectionCap,
-            .acceptDelay = self.options.connectionOpenCost},
+    auto server = Http::HttpServer::create({.name = self.options.replica,
+                                               .endpoint = self.options.endpoint,
+                                               .handler =
+                                                   [&self](const Http::Request &request, const Http::ResponderPointer &responder) {
+                                                       self.handle(request, responder);
+                                                   },
+                                               .maximumConnections = self.options.connectionCap,
+                                               .acceptDelay = self.options.connectionOpenCost},
         timers);
     if (!server.has_value()) {
         return tl::make_unexpected(server.error());
@@ -52,7 +54,9 @@
     const auto offset = Core::Duration(static_cast<Core::Duration::rep>(self.random() % static_cast<std::uint64_t>(self.options.announcePeriod.count())));
     self.announceTimer = timers.once(offset, [&self, &timers](Core::Instant) {
         self.announce();
-        self.announceTimer = timers.every(self.options.announcePeriod, [&self](Core::Instant) { self.announce(); });
+        self.announceTimer = timers.every(self.options.announcePeriod, [&self](Core::Instant) {
+            self.announce();
+        });
     });
     return backend;
 }
@@ -198,7 +202,9 @@
 {
     const std::uint64_t id = this->nextWork++;
     const auto timeLeft = Core::parseInteger(request.header(TimeLeft), 0, INT32_MAX).value_or(60'000);
-    responder->aborted = [this, id] { this->abandon(id); };
+    responder->aborted = [this, id] {
+        this->abandon(id);
+    };
     this->queue.push_back(Work{.id = id, .request = request, .responder = responder, .deadline = this->timers.now() + Core::milliseconds(timeLeft)});
     this->counts.longestQueue = std::max(this->counts.longestQueue, this->queue.size());
     this->startNext();
@@ -230,7 +236,9 @@
         }
         const std::uint64_t id = work.id;
         if (!this->options.faults.frozen) {
-            work.timer = this->timers.once(this->sampleServiceTime(), [this, id](Core::Instant) { this->finishWork(id); });
+            work.timer = this->timers.once(this->sampleServiceTime(), [this, id](Core::Instant) {
+                this->finishWork(id);
+            });
         }
         this->running.emplace(id, std::move(work));
     }
@@ -249,7 +257,9 @@
 void FakeBackend::abandon(std::uint64_t id)
 {
     ++this->counts.cancelled;
-    std::erase_if(this->queue, [id](const Work &work) { return work.id == id; });
+    std::erase_if(this->queue, [id](const Work &work) {
+        return work.id == id;
+    });
     // A running action goes on to its end, as a printer would; a search is dropped.
     const auto found = this->running.find(id);
     if (found != this->running.end() && found->second.request.method == "GET") {
@@ -341,7 +351,9 @@
     this->draining = true;
     this->drained = std::move(done);
     this->announce();
-    this->drainTimer = this->timers.every(DrainPollPeriod, [this](Core::Instant) { this->checkDrained(); });
+    this->drainTimer = this->timers.every(DrainPollPeriod, [this](Core::Instant) {
+        this->checkDrained();
+    });
 }
 
 void FakeBackend::checkDrained()
--- a/Tests/Support/FakeControlCluster.cpp
+++ b/Tests/Support/FakeControlCluster.cpp
@@ -34,7 +34,9 @@
     options.log.identity.entryAddress = addressOf(index);
     options.log.identity.operatorAddress = addressOf(index);
     options.log.seed = this->random();
-    options.send = [this, index](const Protocol::Member &receiver, const Protocol::LogMessage &message) { this->send(index, receiver.peerAddress, message); };
+    options.send = [this, index](const Protocol::Member &receiver, const Protocol::LogMessage &message) {
+        this->send(index, receiver.peerAddress, message);
+    };
     auto node = Control::ControlNode::create(std::move(options), slot.folder, *slot.timers, this->time.clock());
     if (!node.has_value()) {
         return tl::make_unexpected(node.error());
@@ -129,7 +131,9 @@
                 continue;
             }
             bool confirmed = false;
-            candidate->show(0, [&confirmed](const Protocol::ShowReply &reply) { confirmed = reply.confirmed; });
+            candidate->show(0, [&confirmed](const Protocol::ShowReply &reply) {
+                confirmed = reply.confirmed;
+            });
             this->run(Core::milliseconds(100));
             if (confirmed) {
                 return index;
--- a/Tests/Support/FakeIndex.cpp
+++ b/Tests/Support/FakeIndex.cpp
@@ -104,8 +104,9 @@
 
 const FakeIndex::Document *FakeIndex::find(const std::string &id) const
 {
-    const auto found = std::lower_bound(
-        this->documents.begin(), this->documents.end(), id, [](const Document &document, const std::string &wanted) { return document.id < wanted; });
+    const auto found = std::lower_bound(this->documents.begin(), this->documents.end(), id, [](const Document &document, const std::string &wanted) {
+        return document.id < wanted;
+    });
     return found != this->documents.end() && found->id == id ? &*found : nullptr;
 }
 
--- a/Tests/Support/ManualTime.h
+++ b/Tests/Support/ManualTime.h
@@ -24,8 +24,14 @@
     [[nodiscard]] Core::Clock clock()
     {
         return Core::Clock{
-            .now = [this] { return this->time; },
-            .wallTime = [this] { return Epoch + std::chrono::duration_cast<Core::WallTime>(this->time.sinceStart()); },
+            .now =
+                [this] {
+                    return this->time;
+                },
+            .wallTime =
+                [this] {
+                    return Epoch + std::chrono::duration_cast<Core::WallTime>(this->time.sinceStart());
+                },
         };
     }
 
--- a/Utilities/crankctl/ConfigurationFile.cpp
+++ b/Utilities/crankctl/ConfigurationFile.cpp
@@ -20,7 +20,9 @@
     }
     for (const auto &member : object.items()) {
         const std::string &name = member.key();
-        const bool isKnown = std::any_of(known.begin(), known.end(), [&name](const char *candidate) { return name == candidate; });
+        const bool isKnown = std::any_of(known.begin(), known.end(), [&name](const char *candidate) {
+            return name == candidate;
+        });
         if (!isKnown) {
             return Core::failure(Core::ErrorKind::InvalidInput, fmt::format("{}: unknown member \"{}\"", path, name));
         }
@@ -130,7 +132,9 @@
     reader.integer("deadline_ms", urgencyClass.deadlineMilliseconds);
     reader.number("minimum_coverage", urgencyClass.minimumCoverage);
     reader.boolean("partial_allowed", urgencyClass.partialAllowed);
-    return reader.outcome().map([&urgencyClass] { return urgencyClass; });
+    return reader.outcome().map([&urgencyClass] {
+        return urgencyClass;
+    });
 }
 
 static Core::Result<Protocol::ServiceDeclaration> readService(const json &object, const std::string &path)
@@ -148,7 +152,9 @@
     reader.integer("connection_cap_per_replica", service.connectionCapPerReplica);
     reader.text("class", service.urgencyClass);
     reader.texts("actions", service.actions);
-    return reader.outcome().map([&service] { return service; });
+    return reader.outcome().map([&service] {
+        return service;
+    });
 }
 
 template<typename Item>
@@ -188,7 +194,9 @@
     if (outcome.has_value()) {
         outcome = readList(document.value(), "services", readService, configuration.services);
     }
-    return outcome.map([&configuration] { return configuration; });
+    return outcome.map([&configuration] {
+        return configuration;
+    });
 }
 
 json configurationToJson(const Protocol::Configuration &configuration)
--- a/Utilities/crankctl/OperatorConnection.cpp
+++ b/Utilities/crankctl/OperatorConnection.cpp
@@ -51,7 +51,9 @@
     std::string lastError = "no control instance leads at the moment";
     for (int round = 0; round < MaximumRounds; ++round) {
         std::string hint;
-        const auto outcome = this->callOne(target, [&call, &hint](Protocol::OperatorClient &client) { hint = call(client); });
+        const auto outcome = this->callOne(target, [&call, &hint](Protocol::OperatorClient &client) {
+            hint = call(client);
+        });
         if (outcome.has_value() && hint.empty()) {
             return {};
         }
--- a/Utilities/crankctl/main.cpp
+++ b/Utilities/crankctl/main.cpp
@@ -121,7 +121,9 @@
         revision = reply.revision;
         return reply.confirmed ? std::string() : reply.leaderAddress.empty() ? "?" : reply.leaderAddress;
     });
-    return outcome.map([&revision] { return revision; });
+    return outcome.map([&revision] {
+        return revision;
+    });
 }
 
 static CommandExit sendChange(const OperatorConnection &connection, const CommandSettings &settings, Protocol::ApplyRequest request)
@@ -202,8 +204,9 @@
 static CommandExit history(const OperatorConnection &connection, const CommandSettings &settings, const std::vector<std::string> &)
 {
     std::vector<Protocol::HistoryEntry> entries;
-    const auto outcome = connection.callOne(connection.instances().front(),
-        [&settings, &entries](Protocol::OperatorClient &client) { client.history(entries, static_cast<std::int32_t>(settings.limit)); });
+    const auto outcome = connection.callOne(connection.instances().front(), [&settings, &entries](Protocol::OperatorClient &client) {
+        client.history(entries, static_cast<std::int32_t>(settings.limit));
+    });
     if (!outcome.has_value()) {
         return fail(outcome.error());
     }
@@ -239,7 +242,9 @@
     bool anyConfirmed = false;
     for (const auto &instance : connection.instances()) {
         Protocol::ControlStatus reply;
-        const auto outcome = connection.callOne(instance, [&reply](Protocol::OperatorClient &client) { client.status(reply); });
+        const auto outcome = connection.callOne(instance, [&reply](Protocol::OperatorClient &client) {
+            client.status(reply);
+        });
         if (outcome.has_value()) {
             printStatus(reply);
             anyConfirmed = anyConfirmed || reply.confirmed;
@@ -254,7 +259,9 @@
 {
     for (const auto &instance : connection.instances()) {
         std::string document;
-        const auto outcome = connection.callOne(instance, [&document](Protocol::OperatorClient &client) { client.dump(document); });
+        const auto outcome = connection.callOne(instance, [&document](Protocol::OperatorClient &client) {
+            client.dump(document);
+        });
         if (!outcome.has_value()) {
             return fail(outcome.error());
         }
@@ -268,7 +275,9 @@
     Protocol::Membership founders;
     for (const auto &instance : connection.instances()) {
         Protocol::ControlStatus reply;
-        const auto outcome = connection.callOne(instance, [&reply](Protocol::OperatorClient &client) { client.status(reply); });
+        const auto outcome = connection.callOne(instance, [&reply](Protocol::OperatorClient &client) {
+            client.status(reply);
+        });
         if (!outcome.has_value()) {
             return fail(outcome.error());
         }
@@ -282,7 +291,9 @@
     }
     for (const auto &instance : connection.instances()) {
         Protocol::MemberOutcome reply;
-        const auto outcome = connection.callOne(instance, [&founders, &reply](Protocol::OperatorClient &client) { client.bootstrap(reply, founders); });
+        const auto outcome = connection.callOne(instance, [&founders, &reply](Protocol::OperatorClient &client) {
+            client.bootstrap(reply, founders);
+        });
         if (!outcome.has_value()) {
             return fail(outcome.error());
         }
@@ -349,7 +360,9 @@
             return usage(endpoint.error().message);
         }
         Protocol::ControlStatus reply;
-        const auto outcome = connection.callOne(endpoint.value(), [&reply](Protocol::OperatorClient &client) { client.status(reply); });
+        const auto outcome = connection.callOne(endpoint.value(), [&reply](Protocol::OperatorClient &client) {
+            client.status(reply);
+        });
         if (!outcome.has_value()) {
             return fail(outcome.error());
         }
--- a/Utilities/crankload/Balancer.cpp
+++ b/Utilities/crankload/Balancer.cpp
@@ -13,7 +13,9 @@
 static constexpr Core::Duration CheckPeriod = Core::milliseconds(200);
 
 Balancer::Balancer(std::vector<BalancerTarget> targets, Http::HttpClient &http, Core::TimerService &timers)
-    : targets(std::move(targets)), http(http), timer(timers.every(CheckPeriod, [this](Core::Instant) { this->check(); }))
+    : targets(std::move(targets)), http(http), timer(timers.every(CheckPeriod, [this](Core::Instant) {
+        this->check();
+    }))
 {
     this->check();
 }
@@ -24,7 +26,9 @@
         Http::ClientRequest request;
         request.endpoint = target.administration;
         request.target = "/readyz";
-        this->http.send(request, [&target](const Http::ClientResult &result) { target.ready = result.status == 200; });
+        this->http.send(request, [&target](const Http::ClientResult &result) {
+            target.ready = result.status == 200;
+        });
     }
 }
 
@@ -41,7 +45,9 @@
 
 std::size_t Balancer::readyCount() const
 {
-    return static_cast<std::size_t>(std::count_if(this->targets.begin(), this->targets.end(), [](const BalancerTarget &target) { return target.ready; }));
+    return static_cast<std::size_t>(std::count_if(this->targets.begin(), this->targets.end(), [](const BalancerTarget &target) {
+        return target.ready;
+    }));
 }
 
 }
--- a/Utilities/crankload/LoadDriver.cpp
+++ b/Utilities/crankload/LoadDriver.cpp
@@ -38,7 +38,9 @@
     for (std::size_t stream = 0; stream < this->options.streams.size(); ++stream) {
         this->scheduleNext(stream);
     }
-    this->idleTimer = this->timers.every(IdleCheckPeriod, [this](Core::Instant) { this->finishIfIdle(); });
+    this->idleTimer = this->timers.every(IdleCheckPeriod, [this](Core::Instant) {
+        this->finishIfIdle();
+    });
 }
 
 void LoadDriver::scheduleNext(std::size_t stream)
--- a/Utilities/crankload/main.cpp
+++ b/Utilities/crankload/main.cpp
@@ -77,7 +77,9 @@
         .valueName = "IP:PORT/IP:PORT,…",
         .help = "Caller and admin ports of the entry instances.",
         .required = true,
-        .accept = [&values](const std::string &text) { return readTargets(text, values.targets); }});
+        .accept = [&values](const std::string &text) {
+            return readTargets(text, values.targets);
+        }});
     settings.add({.name = "streams",
         .valueName = "SERVICE:KIND:RATE[:MS],…",
         .help = "Requests a second to each service; KIND is search, lookup or action.",
@@ -113,7 +115,9 @@
 
 static void report(const char *event, const std::string &prefix, Load::Tally &tally)
 {
-    const auto quantile = [&tally](double share) { return Core::toFractionalMilliseconds(tally.quantile(share)); };
+    const auto quantile = [&tally](double share) {
+        return Core::toFractionalMilliseconds(tally.quantile(share));
+    };
     const double inTime = tally.answered == 0 ? 0.0 : 100.0 * static_cast<double>(tally.withinDeadline) / static_cast<double>(tally.answered);
     fmt::print("event={} {}sent={} answered={} partial={} refused_not_run={} refused_unknown={} lost={} p50_ms={:.1f} p99_ms={:.1f} p999_ms={:.1f} "
                "in_time_pct={:.2f} covered_pct={:.3f} mixed_snapshots={} wrong_answers={}\n",
@@ -150,7 +154,9 @@
         if (static_cast<std::int64_t>(balancer.readyCount()) >= values.expectedReady) {
             started = true;
             readyTimer.cancel();
-            driver.start([&daemon] { daemon.quit(); });
+            driver.start([&daemon] {
+                daemon.quit();
+            });
         } else if (now >= giveUp) {
             daemon.quit();
         }
@@ -173,5 +179,7 @@
     LoadSettings values;
     Core::Settings settings("crankload", "an open-loop load client that checks every answer");
     declareSettings(settings, values);
-    return Core::runProgram(settings, argumentCount, arguments, values.logLevel, [&values] { return run(values); });
+    return Core::runProgram(settings, argumentCount, arguments, values.logLevel, [&values] {
+        return run(values);
+    });
 }
--- a/Utilities/fakebackendd/main.cpp
+++ b/Utilities/fakebackendd/main.cpp
@@ -153,5 +153,7 @@
     FakeBackendSettings values;
     Core::Settings settings("fakebackendd", "stand-ins for backend servers, for demonstrations and measurements");
     declareSettings(settings, values);
-    return Core::runProgram(settings, argumentCount, arguments, values.logLevel, [&values] { return run(values); });
+    return Core::runProgram(settings, argumentCount, arguments, values.logLevel, [&values] {
+        return run(values);
+    });
 }
