--- a/Tests/LibEntry/TestFanOut.cpp
+++ b/Tests/LibEntry/TestFanOut.cpp
@@ -8,7 +8,6 @@
 #include <criterion/criterion.h>
 #include <set>
 
-using Entry::AttemptStatus;
 using Entry::RefusalReason;
 using TestSupport::EntryFixture;
 
