LibRpc, LibHttp: Run calls of one connection side by side, one session a host

Cause 1: 64 claims in flight committed no more a second than one (1404 against 1347): RpcServer began a call only when the one before it on its connection had ended, so nothing could share a commit. Change 1: calls start as they arrive, answers leave in order.

Cause 2: a sub-request cost an entry instance 870 us at 58 shards; the profile shows libsoup walking all messages and connections of a session. Change 2: one session a host.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -8,9 +8,8 @@
 namespace Http
 {
 
-// The library's own limit over all hosts; ours are per host.
-static constexpr int ConnectionsOverAll = 100'000;
 static constexpr guint IdleSeconds = 120;
+static constexpr std::int64_t SessionLifetimeMicroseconds = 600'000'000;
 
 /** What the library's callback needs to find its exchange. */
 struct HttpClient::Finish {
@@ -32,14 +31,33 @@
     return this->exchanges.size();
 }
 
-SoupSession *HttpClient::sessionFor(int connectionsPerHost)
+HttpClient::Session &HttpClient::sessionFor(const SessionKey &key)
 {
-    auto &session = this->sessions[connectionsPerHost];
-    if (!session) {
-        session.reset(soup_session_new_with_options(
-            "max-conns", ConnectionsOverAll, "max-conns-per-host", connectionsPerHost, "idle-timeout", IdleSeconds, "timeout", 0, nullptr));
+    const std::int64_t now = g_get_monotonic_time();
+    auto &found = this->sessions[key];
+    found.lastUsedMicroseconds = now;
+    if (found.session) {
+        return found;
     }
-    return session.get();
+    found.session.reset(soup_session_new_with_options("max-conns",
+                                                      key.connectionsPerHost,
+                                                      "max-conns-per-host",
+                                                      key.connectionsPerHost,
+                                                      "idle-timeout",
+                                                      IdleSeconds,
+                                                      "timeout",
+                                                      0,
+                                                      nullptr));
+    this->dropUnusedSessions(now);
+    return found;
+}
+
+void HttpClient::dropUnusedSessions(std::int64_t now)
+{
+    // Hosts come and go; a session that nobody used for long goes with its connections.
+    std::erase_if(this->sessions, [now](const auto &item) {
+        return item.second.underWay == 0 && now - item.second.lastUsedMicroseconds > SessionLifetimeMicroseconds;
+    });
 }
 
 void HttpClient::starting(SoupMessage *, gpointer data)
@@ -68,9 +86,11 @@
     }
     // The library emits this right before the first byte of the request is written.
     g_signal_connect(message, "starting", G_CALLBACK(starting), exchange.get());
-    auto *session = this->sessionFor(request.connectionsPerHost);
+    exchange->sessionKey = SessionKey{.endpoint = request.endpoint, .connectionsPerHost = request.connectionsPerHost};
+    auto &session = this->sessionFor(exchange->sessionKey);
+    ++session.underWay;
     auto *finish = new Finish{.client = this, .alive = this->alive, .id = id};
-    soup_session_send_and_read_async(session, message, G_PRIORITY_DEFAULT, exchange->cancellable.get(), responseArrived, finish);
+    soup_session_send_and_read_async(session.session.get(), message, G_PRIORITY_DEFAULT, exchange->cancellable.get(), responseArrived, finish);
     this->exchanges.emplace(id, std::move(exchange));
     return id;
 }
@@ -92,6 +112,7 @@
     }
     const auto exchange = std::move(found->second);
     client.exchanges.erase(found);
+    --client.sessions[exchange->sessionKey].underWay;
     g_signal_handlers_disconnect_by_data(exchange->message.get(), exchange.get());
 
     ClientResult answer;
@@ -122,6 +143,7 @@
     }
     const auto exchange = std::move(found->second);
     this->exchanges.erase(found);
+    --this->sessions[exchange->sessionKey].underWay;
     g_signal_handlers_disconnect_by_data(exchange->message.get(), exchange.get());
     g_cancellable_cancel(exchange->cancellable.get());
 }
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -3,8 +3,10 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-// An HTTP client on the GLib loop: libsoup, with one session for each number of
-// connections that may be open to one host.
+// An HTTP client on the GLib loop: libsoup, with one session for each host.
+// libsoup walks all messages and all connections of a session at each step of
+// any of them, so a session shared by many hosts costs the square of what is in
+// flight (docs/QUERY-PATH.md gives the figures).
 
 #pragma once
 
@@ -73,7 +75,19 @@
     [[nodiscard]] std::size_t underWay() const;
 
 private:
+    struct SessionKey {
+        Core::Endpoint endpoint;
+        int connectionsPerHost{0};
+        auto operator<=>(const SessionKey &) const = default;
+    };
+    struct Session {
+        Core::ObjectPointer<SoupSession> session;
+        std::size_t underWay{0};
+        std::int64_t lastUsedMicroseconds{0};
+    };
+
     struct Exchange {
+        SessionKey sessionKey;
         Core::ObjectPointer<SoupMessage> message;
         Core::ObjectPointer<GCancellable> cancellable;
         ResultHook done;
@@ -81,11 +95,12 @@
     };
     struct Finish;
 
-    [[nodiscard]] SoupSession *sessionFor(int connectionsPerHost);
+    [[nodiscard]] Session &sessionFor(const SessionKey &key);
+    void dropUnusedSessions(std::int64_t now);
     static void starting(SoupMessage *message, gpointer data);
     static void responseArrived(GObject *source, GAsyncResult *result, gpointer data);
 
-    std::map<int, Core::ObjectPointer<SoupSession>> sessions;
+    std::map<SessionKey, Session> sessions;
     std::unordered_map<ExchangeId, std::unique_ptr<Exchange>> exchanges;
     ExchangeId nextId{1};
     std::shared_ptr<int> alive{std::make_shared<int>(0)};
--- a/Libraries/LibRpc/RpcServer.cpp
+++ b/Libraries/LibRpc/RpcServer.cpp
@@ -59,7 +59,7 @@
 {
     return std::all_of(this->connections.begin(), this->connections.end(), [](const auto &item) {
         const auto &connection = item.second;
-        return !connection.callUnderWay && connection.waiting.empty() && !connection.stream->hasUnwritten();
+        return connection.calls.empty() && !connection.stream->hasUnwritten();
     });
 }
 
@@ -79,7 +79,7 @@
     g_socket_set_option(g_socket_connection_get_socket(socketConnection), 6 /* IPPROTO_TCP */, 1 /* TCP_NODELAY */, 1, nullptr);
     const std::uint64_t id = this->nextConnection++;
     auto stream = FrameStream::create(Core::shareObject(G_IO_STREAM(socketConnection)), this->options.limits);
-    this->connections.emplace(id, Connection{.stream = stream, .waiting = {}});
+    this->connections.emplace(id, Connection{.stream = stream, .calls = {}});
     const std::weak_ptr<int> stillAlive = this->alive;
     stream->start(
         [this, id, stillAlive](std::string frame) {
@@ -97,24 +97,12 @@
 void RpcServer::takeFrame(std::uint64_t id, std::string frame)
 {
     auto &connection = this->connections.at(id);
-    if (connection.waiting.size() >= this->options.maximumWaitingCalls) {
+    if (connection.calls.size() >= this->options.maximumWaitingCalls) {
         connection.stream->close("too many calls wait on one connection");
         return;
     }
-    connection.waiting.push_back(std::move(frame));
-    this->processNext(id);
-}
-
-void RpcServer::processNext(std::uint64_t id)
-{
-    const auto found = this->connections.find(id);
-    if (found == this->connections.end() || found->second.callUnderWay || found->second.waiting.empty()) {
-        return;
-    }
-    auto &connection = found->second;
-    connection.callUnderWay = true;
-    const std::string frame = std::move(connection.waiting.front());
-    connection.waiting.pop_front();
+    const std::uint64_t number = this->nextCall++;
+    connection.calls.push_back(Call{.number = number});
 
     const auto request = std::make_shared<TMemoryBuffer>();
     request->write(reinterpret_cast<const std::uint8_t *>(frame.data()), static_cast<std::uint32_t>(frame.size()));
@@ -123,9 +111,9 @@
     const auto output = protocolFactory()->getProtocol(reply);
     const std::weak_ptr<int> stillAlive = this->alive;
     // NOTE: The generated processor keeps bare pointers to both protocols until it answers, so the answer owns them.
-    const auto answer = [this, id, reply, stillAlive, input, output](bool healthy) {
+    const auto answer = [this, id, number, reply, stillAlive, input, output](bool healthy) {
         if (!stillAlive.expired()) {
-            this->callEnded(id, healthy, reply->getBufferAsString());
+            this->callEnded(id, number, healthy, reply->getBufferAsString());
         }
     };
     try {
@@ -133,11 +121,11 @@
     } catch (const std::exception &exception) {
         // The bytes were no Thrift call. There is no request to answer, so the connection goes.
         Core::logEvent(Core::LogLevel::Warning, "rpc.malformed_call", {{"server", this->options.name}, {"error", exception.what()}});
-        this->callEnded(id, false, {});
+        this->callEnded(id, number, false, {});
     }
 }
 
-void RpcServer::callEnded(std::uint64_t id, bool healthy, const std::string &reply)
+void RpcServer::callEnded(std::uint64_t id, std::uint64_t number, bool healthy, std::string reply)
 {
     const auto found = this->connections.find(id);
     if (found == this->connections.end()) {
@@ -145,15 +133,28 @@
     }
     // NOTE: Closing erases the connection, so the stream is kept by hand meanwhile.
     const auto stream = found->second.stream;
-    found->second.callUnderWay = false;
-    if (!reply.empty()) {
-        stream->send(reply);
+    for (auto &call : found->second.calls) {
+        if (call.number == number) {
+            call.ended = true;
+            call.reply = std::move(reply);
+            break;
+        }
     }
+    this->sendEnded(found->second);
     if (!healthy) {
         stream->close("malformed call");
-        return;
     }
-    this->processNext(id);
+}
+
+void RpcServer::sendEnded(Connection &connection)
+{
+    while (!connection.calls.empty() && connection.calls.front().ended) {
+        const Call ended = std::move(connection.calls.front());
+        connection.calls.pop_front();
+        if (!ended.reply.empty()) {
+            connection.stream->send(ended.reply);
+        }
+    }
 }
 
 void RpcServer::closeStalled()
--- a/Libraries/LibRpc/RpcServer.h
+++ b/Libraries/LibRpc/RpcServer.h
@@ -4,7 +4,8 @@
  */
 
 // Serves a Thrift service over framed TCP on the GLib loop. Calls of one
-// connection are answered in their order; the handler may answer later.
+// connection run side by side, so that many of them can share one commit; their
+// answers leave in the order of the calls, as Thrift's clients expect.
 
 #pragma once
 
@@ -53,10 +54,16 @@
     [[nodiscard]] bool isIdle() const;
 
 private:
+    // One call that has not been answered to the client yet.
+    struct Call {
+        std::uint64_t number{0};
+        bool ended{false};
+        std::string reply;
+    };
     struct Connection {
         std::shared_ptr<FrameStream> stream;
-        std::deque<std::string> waiting;
-        bool callUnderWay{false};
+        // Invariant: in the order of arrival; the first one has not ended, or is being sent.
+        std::deque<Call> calls;
         // Bytes seen at the last sweep while a frame was unfinished.
         std::uint64_t stalledAt{0};
     };
@@ -65,14 +72,15 @@
     static gboolean incoming(GSocketService *service, GSocketConnection *connection, GObject *source, gpointer data);
     void accept(GSocketConnection *connection);
     void takeFrame(std::uint64_t id, std::string frame);
-    void processNext(std::uint64_t id);
-    void callEnded(std::uint64_t id, bool healthy, const std::string &reply);
+    void callEnded(std::uint64_t id, std::uint64_t number, bool healthy, std::string reply);
+    void sendEnded(Connection &connection);
     void closeStalled();
 
     ServerOptions options;
     Core::ObjectPointer<GSocketService> service;
     std::unordered_map<std::uint64_t, Connection> connections;
     std::uint64_t nextConnection{1};
+    std::uint64_t nextCall{1};
     Core::TimerSubscription sweep;
     // Answers that come after the server is gone find this expired.
     std::shared_ptr<int> alive{std::make_shared<int>(0)};
