--- a/Libraries/LibConsensus/ReplicatedLog.h
+++ b/Libraries/LibConsensus/ReplicatedLog.h
@@ -42,7 +42,7 @@
     Protocol::Member identity;
     Core::Duration heartbeatPeriod{Core::milliseconds(100)};
     /** Nobody stands for election within this time of hearing from a leader. */
-    Core::Duration electionTimeout{Core::milliseconds(1000)};
+    Core::Duration electionTimeout{Core::milliseconds(500)};
     std::size_t maximumBytesPerMessage{1024 * 1024};
     std::int64_t entriesBetweenSnapshots{4096};
     std::size_t snapshotPieceBytes{256 * 1024};
--- a/Services/controld/main.cpp
+++ b/Services/controld/main.cpp
@@ -55,7 +55,7 @@
         10,
         10'000);
     settings.addInteger(
-        {.name = "election-timeout-ms", .valueName = "N", .help = "Silence of the leader after which another may stand.", .defaultValue = "1000"},
+        {.name = "election-timeout-ms", .valueName = "N", .help = "Silence of the leader after which another may stand.", .defaultValue = "500"},
         values.electionTimeoutMilliseconds,
         50,
         60'000);
