LibEntry: Admit by this instance's part of the slots, hedge a straggling hedge

Cause 1: at a load equal to the slots 46 of 100 answers came after the deadline and none was refused at the door: admission counted all connections that an instance may open as capacity, while the slots behind them are shared with the other instances. Change 1: it counts slots divided by the declared number of instances, and waiting may take 0.3 of the deadline.

Cause 2: with 2 % stragglers over 50 shards a hedge straggles itself in one query of fifty, which then waits for the deadline. Change 2: a second hedge after another delay, from the same budget.

--- a/Libraries/LibEntry/Admission.h
+++ b/Libraries/LibEntry/Admission.h
@@ -33,7 +33,7 @@
 {
 public:
     /** The share of the deadline that waiting may take up. */
-    static constexpr double WaitingShare = 0.5;
+    static constexpr double WaitingShare = 0.3;
 
     /** Nothing when the request may come in; otherwise how long to stay away. */
     [[nodiscard]] std::optional<std::chrono::seconds> refuse(const Core::ServiceName &service, const AdmissionView &view) const;
--- a/Libraries/LibEntry/FanOut.cpp
+++ b/Libraries/LibEntry/FanOut.cpp
@@ -213,7 +213,7 @@
     const Core::Instant now = this->timers.now();
     std::optional<Core::Instant> earliest;
     for (const auto &shard : this->shards) {
-        if (shard.resolved || shard.hedged) {
+        if (shard.resolved || shard.hedges >= this->options.maximumHedgesPerShard) {
             continue;
         }
         // What still waits here for room is looked at again after one delay.
@@ -236,14 +236,18 @@
     for (std::size_t position = 0; delay.has_value() && position < this->shards.size(); ++position) {
         auto &shard = this->shards[position];
         const bool due = shard.lastSent.has_value() && shard.lastSent.value() + delay.value() <= now;
-        if (shard.resolved || shard.hedged || !due) {
+        if (shard.resolved || shard.hedges >= this->options.maximumHedgesPerShard || !due) {
             continue;
         }
+        if (!this->hasUntriedReplica(shard)) {
+            // All replicas are at it; what made one attempt slow need not make the next one slow.
+            shard.tried.clear();
+        }
         // A hedge is held back while the other replicas are busy, since it would only slow down somebody's first attempt.
         if (!this->dispatcher.hasIdleReplica(this->makeSubRequest(position)) || !this->hedgePolicy.spendHedge()) {
             continue;
         }
-        shard.hedged = true;
+        ++shard.hedges;
         ++this->outcome.hedges;
         this->submit(position, "hedge");
     }
--- a/Libraries/LibEntry/FanOut.h
+++ b/Libraries/LibEntry/FanOut.h
@@ -60,6 +60,8 @@
     Core::Instant deadline;
     int connectionShare{1};
     int maximumAttemptsPerShard{4};
+    /** The second one is for the case that the first one straggles, too. */
+    int maximumHedgesPerShard{2};
     /** Before a shard whose replicas all refused is tried again. */
     Core::Duration retryPause{Core::milliseconds(5)};
 };
@@ -81,7 +83,7 @@
     struct ShardState {
         ShardResult result;
         bool resolved{false};
-        bool hedged{false};
+        int hedges{0};
         bool retryWaits{false};
         int attempts{0};
         std::vector<SubRequestId> outstanding;
--- a/Libraries/LibEntry/QueryService.cpp
+++ b/Libraries/LibEntry/QueryService.cpp
@@ -35,15 +35,16 @@
 
 std::optional<Problem> QueryService::admit(const RequestTerms &terms, const SnapshotView &view) const
 {
-    double room = 0.0;
+    // The replicas' slots are shared with the other entry instances, so this one counts on its part of them and not on all that it may connect to.
+    double slots = 0.0;
     for (const auto &replicas : view.replicas) {
         for (const auto id : replicas) {
-            const double limit = this->state.backends.row(id).evidence.concurrencyLimit;
-            room += limit > 0.0 ? limit : terms.connectionShare;
+            slots += this->state.backends.row(id).announcement.slots;
         }
     }
+    const double instances = std::max(1, this->state.configuration.configuration().maximumEntryInstances);
     const AdmissionView admission{
-        .parallelRequests = room / static_cast<double>(view.replicas.size()),
+        .parallelRequests = slots / static_cast<double>(view.replicas.size()) / instances,
         .typicalLatency = this->state.dispatcher.latencies(terms.service).quantile(0.5, AssumedLatency),
         .deadline = Core::milliseconds(terms.urgencyClass.deadlineMilliseconds),
         .priority = terms.urgencyClass.priority,
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -39,15 +39,8 @@
     if (found.session) {
         return found;
     }
-    found.session.reset(soup_session_new_with_options("max-conns",
-                                                      key.connectionsPerHost,
-                                                      "max-conns-per-host",
-                                                      key.connectionsPerHost,
-                                                      "idle-timeout",
-                                                      IdleSeconds,
-                                                      "timeout",
-                                                      0,
-                                                      nullptr));
+    found.session.reset(soup_session_new_with_options(
+        "max-conns", key.connectionsPerHost, "max-conns-per-host", key.connectionsPerHost, "idle-timeout", IdleSeconds, "timeout", 0, nullptr));
     this->dropUnusedSessions(now);
     return found;
 }
--- a/Tests/LibEntry/TestFanOut.cpp
+++ b/Tests/LibEntry/TestFanOut.cpp
@@ -130,7 +130,21 @@
     cr_expect_neq(second.attempt.value(), first.attempt.value());
 }
 
-Test(FanOut, hedgesAStragglerOnceAndCancelsTheLoser)
+Test(FanOut, hedgesTheHedgeThatStragglesAndNoFurther)
+{
+    EntryFixture fixture({.shards = 1});
+    Asking asking(fixture);
+    asking.search();
+    fixture.advance(Core::milliseconds(250));
+    cr_assert_eq(fixture.transport.sent.size(), 3U);
+    fixture.transport.answer(2);
+    fixture.advance(Core::milliseconds(1));
+    cr_expect_eq(asking.status, 200);
+    cr_expect(fixture.transport.sent[0].cancelled);
+    cr_expect(fixture.transport.sent[1].cancelled);
+}
+
+Test(FanOut, hedgesAStragglerAndCancelsTheLoser)
 {
     EntryFixture fixture;
     Asking asking(fixture);
@@ -138,7 +152,7 @@
     for (const std::size_t position : {0U, 1U, 2U}) {
         fixture.transport.answer(position);
     }
-    fixture.advance(Core::milliseconds(60));
+    fixture.advance(Core::milliseconds(50));
     cr_assert_eq(fixture.transport.sent.size(), 5U, "one hedge for the one that is late");
     cr_expect_neq(fixture.transport.sent[4].attempt.backend.value(), fixture.transport.sent[3].attempt.backend.value());
     fixture.transport.answer(4);
