Everywhere: Let operators drain an instance by a call

Cause: a planned stop could only be asked for by a signal on the machine.

Change: Operator.drain and crankctl drain for control instances, POST /v1/drain for entry instances; both do what SIGTERM does. The rolling restart test now goes this way and checks that every process exits with 0.

--- a/Libraries/LibControl/ControlHandlers.cpp
+++ b/Libraries/LibControl/ControlHandlers.cpp
@@ -47,6 +47,14 @@
     callback(this->node.dump());
 }
 
+void OperatorHandler::drain(std::function<void()> callback)
+{
+    callback();
+    if (this->stopRequested) {
+        this->stopRequested();
+    }
+}
+
 EntryControlHandler::EntryControlHandler(ControlNode &node) : node(node)
 {
 }
--- a/Libraries/LibControl/ControlHandlers.h
+++ b/Libraries/LibControl/ControlHandlers.h
@@ -28,6 +28,10 @@
     void bootstrap(std::function<void(Protocol::MemberOutcome const &)> callback, const Protocol::Membership &membership) override;
     void changeMember(std::function<void(Protocol::MemberOutcome const &)> callback, const Protocol::MemberChange &change) override;
     void dump(std::function<void(std::string const &)> callback) override;
+    void drain(std::function<void()> callback) override;
+
+    /** Begins a planned stop of the process. */
+    std::function<void()> stopRequested;
 
 private:
     ControlNode &node;
--- a/Libraries/LibCore/Daemon.cpp
+++ b/Libraries/LibCore/Daemon.cpp
@@ -58,17 +58,21 @@
 
 gboolean Daemon::stopSignal(gpointer data)
 {
-    auto &self = *static_cast<Daemon *>(data);
-    logEvent(LogLevel::Information, "daemon.stop_requested", {{"daemon", self.name}});
-    if (self.stopping || !self.stopHook) {
-        self.quit();
-        return G_SOURCE_CONTINUE;
-    }
-    self.stopping = true;
-    self.stopHook();
+    static_cast<Daemon *>(data)->requestStop();
     return G_SOURCE_CONTINUE;
 }
 
+void Daemon::requestStop()
+{
+    logEvent(LogLevel::Information, "daemon.stop_requested", {{"daemon", this->name}});
+    if (this->stopping || !this->stopHook) {
+        this->quit();
+        return;
+    }
+    this->stopping = true;
+    this->stopHook();
+}
+
 gboolean Daemon::dumpSignal(gpointer data)
 {
     const auto &self = *static_cast<Daemon *>(data);
--- a/Libraries/LibCore/Daemon.h
+++ b/Libraries/LibCore/Daemon.h
@@ -50,6 +50,9 @@
     void run();
     void quit();
 
+    /** Begins a planned stop, as SIGTERM does. */
+    void requestStop();
+
 private:
     static gboolean stopSignal(gpointer data);
     static gboolean dumpSignal(gpointer data);
--- a/Libraries/LibEntry/EntryNode.cpp
+++ b/Libraries/LibEntry/EntryNode.cpp
@@ -163,6 +163,11 @@
         responder->respond(Http::Response{.status = ready ? 200 : 503, .contentType = "text/plain", .body = ready ? "ready\n" : "not ready\n", .headers = {}});
     } else if (request.path == "/metrics") {
         responder->respond(Http::Response{.status = 200, .contentType = "text/plain; version=0.0.4", .body = this->metrics(), .headers = {}});
+    } else if (request.path == "/v1/drain" && request.method == "POST") {
+        responder->respond(Http::Response{.status = 202, .body = "{}\n", .headers = {}});
+        if (this->stopRequested) {
+            this->stopRequested();
+        }
     } else if (request.path == "/v1/state") {
         responder->respond(Http::Response{.status = 200, .body = this->dump() + "\n", .headers = {}});
     } else if (segments.size() == 3 && segments[0] == "v1" && segments[1] == "traces") {
@@ -170,7 +175,7 @@
         responder->respond(trace.has_value() ? Http::Response{.status = 200, .body = Core::toText(trace.value(), 2) + "\n", .headers = {}}
                                              : errorResponse(404, "no trace of this request is kept"));
     } else {
-        responder->respond(errorResponse(404, "see /healthz, /readyz, /metrics, /v1/state, /v1/traces/{request}"));
+        responder->respond(errorResponse(404, "see /healthz, /readyz, /metrics, /v1/state, /v1/traces/{request}, POST /v1/drain"));
     }
 }
 
--- a/Libraries/LibEntry/EntryNode.h
+++ b/Libraries/LibEntry/EntryNode.h
@@ -58,6 +58,9 @@
     /** Leaves the balancer, then takes no new work. `stopped` is called when nothing is under way any more. */
     void drain(std::function<void()> stopped);
 
+    /** Called when an operator asks for a planned stop of the process. */
+    std::function<void()> stopRequested;
+
     /** The whole state as JSON. */
     [[nodiscard]] std::string dump() const;
 
--- a/Libraries/LibProtocol/Generated/Operator.cpp
+++ b/Libraries/LibProtocol/Generated/Operator.cpp
@@ -1414,6 +1414,151 @@
   return xfer;
 }
 
+
+Operator_drain_args::~Operator_drain_args() noexcept {
+}
+
+
+uint32_t Operator_drain_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Operator_drain_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Operator_drain_args");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Operator_drain_pargs::~Operator_drain_pargs() noexcept {
+}
+
+
+uint32_t Operator_drain_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Operator_drain_pargs");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Operator_drain_result::~Operator_drain_result() noexcept {
+}
+
+
+uint32_t Operator_drain_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Operator_drain_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("Operator_drain_result");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Operator_drain_presult::~Operator_drain_presult() noexcept {
+}
+
+
+uint32_t Operator_drain_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Operator_drain_presult::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Operator_drain_presult");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
 void OperatorClient::apply(ApplyOutcome& _return, const ApplyRequest& request)
 {
   send_apply(request);
@@ -1818,6 +1963,58 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "dump failed: unknown result");
 }
 
+void OperatorClient::drain()
+{
+  send_drain();
+  recv_drain();
+}
+
+void OperatorClient::send_drain()
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("drain", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Operator_drain_pargs args;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void OperatorClient::recv_drain()
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("drain") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  Operator_drain_presult result;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  return;
+}
+
 bool OperatorProcessor::dispatchCall(::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid, void* callContext) {
   ProcessMap::iterator pfn;
   pfn = processMap_.find(fname);
@@ -2215,6 +2412,59 @@
   }
 }
 
+void OperatorProcessor::process_drain(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Operator.drain", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Operator.drain");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "Operator.drain");
+  }
+
+  Operator_drain_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "Operator.drain", bytes);
+  }
+
+  Operator_drain_result result;
+  try {
+    iface_->drain();
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Operator.drain");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("drain", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "Operator.drain");
+  }
+
+  oprot->writeMessageBegin("drain", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "Operator.drain", bytes);
+  }
+}
+
 ::std::shared_ptr< ::apache::thrift::TProcessor > OperatorProcessorFactory::getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) {
   ::apache::thrift::ReleaseHandler< OperatorIfFactory > cleanup(handlerFactory_);
   ::std::shared_ptr< OperatorIf > handler(handlerFactory_->getHandler(connInfo), cleanup);
@@ -2808,6 +3058,83 @@
   } // end while(true)
 }
 
+void OperatorConcurrentClient::drain()
+{
+  int32_t seqid = send_drain();
+  recv_drain(seqid);
+}
+
+int32_t OperatorConcurrentClient::send_drain()
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("drain", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Operator_drain_pargs args;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void OperatorConcurrentClient::recv_drain(const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("drain") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      Operator_drain_presult result;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      sentry.commit();
+      return;
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 void OperatorCobClient::apply(::std::function<void(OperatorCobClient* client)> cob, const ApplyRequest& request)
 {
   send_apply(request);
@@ -3345,6 +3672,75 @@
   }
 }
 
+void OperatorCobClient::drain(::std::function<void(OperatorCobClient* client)> cob)
+{
+  send_drain();
+  channel_->sendAndRecvMessage(::std::bind(cob, this), otrans_.get(), itrans_.get());
+}
+
+void OperatorCobClient::send_drain()
+{
+  int32_t cseqid = 0;
+  otrans_->resetBuffer();
+  oprot_->writeMessageBegin("drain", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Operator_drain_pargs args;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void OperatorCobClient::recv_drain()
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+  bool completed = false;
+
+  try {
+    iprot_->readMessageBegin(fname, mtype, rseqid);
+    if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+      ::apache::thrift::TApplicationException x;
+      x.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+      completed = true;
+      completed__(true);
+      throw x;
+    }
+    if (mtype != ::apache::thrift::protocol::T_REPLY) {
+      iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+      completed = true;
+      completed__(false);
+    }
+    if (fname.compare("drain") != 0) {
+      iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+      completed = true;
+      completed__(false);
+    }
+    Operator_drain_presult result;
+    result.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+
+    completed = true;
+    completed__(true);
+    return;
+  } catch (...) {
+    if (!completed) {
+      completed__(false);
+    }
+    throw;
+  }
+}
+
 void OperatorAsyncProcessor::dispatchCall(::std::function<void(bool ok)> cob, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid) {
   ProcessMap::iterator pfn;
   pfn = processMap_.find(fname);
@@ -3782,6 +4178,63 @@
   return cob(true);
 }
 
+void OperatorAsyncProcessor::process_drain(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot)
+{
+  Operator_drain_args args;
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Operator.drain", nullptr);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Operator.drain");
+
+  try {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->preRead(ctx, "Operator.drain");
+    }
+    args.read(iprot);
+    iprot->readMessageEnd();
+    uint32_t bytes = iprot->getTransport()->readEnd();
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->postRead(ctx, "Operator.drain", bytes);
+    }
+  }
+  catch (const std::exception&) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Operator.drain");
+    }
+    return cob(false);
+  }
+  freer.unregister();
+  void (OperatorAsyncProcessor::*return_fn)(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* oprot, void* ctx) =
+    &OperatorAsyncProcessor::return_drain;
+  iface_->drain(
+      ::std::bind(return_fn, this, cob, seqid, oprot, ctx));
+}
+
+void OperatorAsyncProcessor::return_drain(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* oprot, void* ctx)
+{
+  Operator_drain_presult result;
+
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Operator.drain", nullptr);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Operator.drain");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "Operator.drain");
+  }
+
+  oprot->writeMessageBegin("drain", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  uint32_t bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "Operator.drain", bytes);
+  }
+  return cob(true);
+}
+
 ::std::shared_ptr< ::apache::thrift::async::TAsyncProcessor > OperatorAsyncProcessorFactory::getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) {
   ::apache::thrift::ReleaseHandler< OperatorCobSvIfFactory > cleanup(handlerFactory_);
   ::std::shared_ptr< OperatorCobSvIf > handler(handlerFactory_->getHandler(connInfo), cleanup);
--- a/Libraries/LibProtocol/Generated/Operator.h
+++ b/Libraries/LibProtocol/Generated/Operator.h
@@ -51,6 +51,11 @@
    * The whole state of this process, as a JSON document.
    */
   virtual void dump(std::string& _return) = 0;
+
+  /**
+   * A planned stop of this process: hands leadership over, finishes what waits, exits.
+   */
+  virtual void drain() = 0;
 };
 
 class OperatorIfFactory {
@@ -101,6 +106,9 @@
   void dump(std::string& /* _return */) override {
     return;
   }
+  void drain() override {
+    return;
+  }
 };
 
 typedef struct _Operator_apply_args__isset {
@@ -817,6 +825,81 @@
 
 };
 
+
+class Operator_drain_args {
+ public:
+
+  Operator_drain_args(const Operator_drain_args&) noexcept;
+  Operator_drain_args& operator=(const Operator_drain_args&) noexcept;
+  Operator_drain_args() noexcept {
+  }
+
+  virtual ~Operator_drain_args() noexcept;
+
+  bool operator == (const Operator_drain_args & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const Operator_drain_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Operator_drain_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Operator_drain_pargs {
+ public:
+
+
+  virtual ~Operator_drain_pargs() noexcept;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Operator_drain_result {
+ public:
+
+  Operator_drain_result(const Operator_drain_result&) noexcept;
+  Operator_drain_result& operator=(const Operator_drain_result&) noexcept;
+  Operator_drain_result() noexcept {
+  }
+
+  virtual ~Operator_drain_result() noexcept;
+
+  bool operator == (const Operator_drain_result & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const Operator_drain_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Operator_drain_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Operator_drain_presult {
+ public:
+
+
+  virtual ~Operator_drain_presult() noexcept;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
 class OperatorClient : virtual public OperatorIf {
  public:
   OperatorClient(std::shared_ptr< ::apache::thrift::protocol::TProtocol> prot) {
@@ -876,6 +959,12 @@
   void dump(std::string& _return) override;
   void send_dump();
   void recv_dump(std::string& _return);
+  /**
+   * A planned stop of this process: hands leadership over, finishes what waits, exits.
+   */
+  void drain() override;
+  void send_drain();
+  void recv_drain();
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
@@ -898,6 +987,7 @@
   void process_bootstrap(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_changeMember(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_dump(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_drain(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   OperatorProcessor(::std::shared_ptr<OperatorIf> iface) :
     iface_(iface) {
@@ -908,6 +998,7 @@
     processMap_["bootstrap"] = &OperatorProcessor::process_bootstrap;
     processMap_["changeMember"] = &OperatorProcessor::process_changeMember;
     processMap_["dump"] = &OperatorProcessor::process_dump;
+    processMap_["drain"] = &OperatorProcessor::process_drain;
   }
 
   virtual ~OperatorProcessor() {}
@@ -1019,6 +1110,18 @@
     return;
   }
 
+  /**
+   * A planned stop of this process: hands leadership over, finishes what waits, exits.
+   */
+  void drain() override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->drain();
+    }
+    ifaces_[i]->drain();
+  }
+
 };
 
 // The 'concurrent' client is a thread safe client that correctly handles
@@ -1085,6 +1188,12 @@
   void dump(std::string& _return) override;
   int32_t send_dump();
   void recv_dump(std::string& _return, const int32_t seqid);
+  /**
+   * A planned stop of this process: hands leadership over, finishes what waits, exits.
+   */
+  void drain() override;
+  int32_t send_drain();
+  void recv_drain(const int32_t seqid);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
@@ -1121,6 +1230,11 @@
    * The whole state of this process, as a JSON document.
    */
   virtual void dump(::std::function<void(OperatorCobClient* client)> cob) = 0;
+
+  /**
+   * A planned stop of this process: hands leadership over, finishes what waits, exits.
+   */
+  virtual void drain(::std::function<void(OperatorCobClient* client)> cob) = 0;
 };
 
 class OperatorCobSvIf {
@@ -1149,6 +1263,11 @@
    * The whole state of this process, as a JSON document.
    */
   virtual void dump(::std::function<void(std::string const& _return)> cob) = 0;
+
+  /**
+   * A planned stop of this process: hands leadership over, finishes what waits, exits.
+   */
+  virtual void drain(::std::function<void()> cob) = 0;
 };
 
 class OperatorCobSvIfFactory {
@@ -1206,6 +1325,9 @@
     std::string _return;
     return cob(_return);
   }
+  void drain(::std::function<void()> cob) override {
+    return cob();
+  }
 };
 
 class OperatorCobClient : virtual public OperatorCobClIf {
@@ -1257,6 +1379,12 @@
   void dump(::std::function<void(OperatorCobClient* client)> cob) override;
   void send_dump();
   void recv_dump(std::string& _return);
+  /**
+   * A planned stop of this process: hands leadership over, finishes what waits, exits.
+   */
+  void drain(::std::function<void(OperatorCobClient* client)> cob) override;
+  void send_drain();
+  void recv_drain();
  protected:
   ::std::shared_ptr< ::apache::thrift::async::TAsyncChannel> channel_;
   ::std::shared_ptr< ::apache::thrift::transport::TMemoryBuffer> itrans_;
@@ -1296,6 +1424,9 @@
   void process_dump(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot);
   void return_dump(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* oprot, void* ctx, const std::string& _return);
   void throw_dump(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* oprot, void* ctx, ::apache::thrift::TDelayedException* _throw);
+  void process_drain(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot);
+  void return_drain(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* oprot, void* ctx);
+  void throw_drain(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* oprot, void* ctx, ::apache::thrift::TDelayedException* _throw);
  public:
   OperatorAsyncProcessor(::std::shared_ptr<OperatorCobSvIf> iface) :
     iface_(iface) {
@@ -1306,6 +1437,7 @@
     processMap_["bootstrap"] = &OperatorAsyncProcessor::process_bootstrap;
     processMap_["changeMember"] = &OperatorAsyncProcessor::process_changeMember;
     processMap_["dump"] = &OperatorAsyncProcessor::process_dump;
+    processMap_["drain"] = &OperatorAsyncProcessor::process_drain;
   }
 
   virtual ~OperatorAsyncProcessor() {}
--- a/Libraries/LibProtocol/operator.thrift
+++ b/Libraries/LibProtocol/operator.thrift
@@ -181,4 +181,6 @@
   MemberOutcome changeMember(1: MemberChange change),
   /** The whole state of this process, as a JSON document. */
   string dump(),
+  /** A planned stop of this process: hands leadership over, finishes what waits, exits. */
+  void drain(),
 }
--- a/Services/controld/main.cpp
+++ b/Services/controld/main.cpp
@@ -118,7 +118,11 @@
     }
     auto &control = *node.value();
 
-    const auto operators = std::make_shared<Protocol::OperatorAsyncProcessor>(std::make_shared<Control::OperatorHandler>(control));
+    const auto operatorHandler = std::make_shared<Control::OperatorHandler>(control);
+    operatorHandler->stopRequested = [&daemon] {
+        daemon.requestStop();
+    };
+    const auto operators = std::make_shared<Protocol::OperatorAsyncProcessor>(operatorHandler);
     const auto entries = std::make_shared<Protocol::EntryControlAsyncProcessor>(std::make_shared<Control::EntryControlHandler>(control));
     const auto peers = std::make_shared<Protocol::ControlPeerAsyncProcessor>(std::make_shared<Control::ControlPeerHandler>(control));
     std::vector<Rpc::ServerOptions> wanted;
--- a/Services/entryd/main.cpp
+++ b/Services/entryd/main.cpp
@@ -120,6 +120,9 @@
         return tl::make_unexpected(peerServer.error());
     }
 
+    node.stopRequested = [&daemon] {
+        daemon.requestStop();
+    };
     Core::TimerSubscription flushTimer;
     daemon.onStop([&node, &daemon, &servers, &flushTimer] {
         node.drain([&daemon, &servers, &flushTimer] {
--- a/Tests/EndToEnd/faults.sh
+++ b/Tests/EndToEnd/faults.sh
@@ -72,12 +72,14 @@
 faults_rolling() {
     local index
     for ((index = 0; index < CONTROLS; ++index)); do
-        fleet_stop "control-${index}"
+        "${BUILD}/Utilities/crankctl/crankctl" --control "$(fleet_operator_address "$index")" drain
+        wait "${FLEET_PID_OF[control-${index}]}"
         fleet_start_control "$index"
         sleep 2
     done
     for ((index = 0; index < ENTRIES; ++index)); do
-        fleet_stop "entry-${index}"
+        curl -s -X POST "http://$(fleet_admin_address "$index")/v1/drain" >/dev/null
+        wait "${FLEET_PID_OF[entry-${index}]}"
         fleet_start_entry "$index" "$ENTRIES" "$CONTROLS"
         sleep 2
     done
--- a/Utilities/crankctl/main.cpp
+++ b/Utilities/crankctl/main.cpp
@@ -270,6 +270,21 @@
     return CommandExit::Success;
 }
 
+static CommandExit drain(const OperatorConnection &connection, const CommandSettings &, const std::vector<std::string> &)
+{
+    if (connection.instances().size() != 1) {
+        return usage("drain stops the instance that --control names; name just one");
+    }
+    const auto outcome = connection.callOne(connection.instances().front(), [](Protocol::OperatorClient &client) {
+        client.drain();
+    });
+    if (!outcome.has_value()) {
+        return fail(outcome.error());
+    }
+    fmt::print("status=draining\n");
+    return CommandExit::Success;
+}
+
 static CommandExit bootstrap(const OperatorConnection &connection, const CommandSettings &, const std::vector<std::string> &)
 {
     Protocol::Membership founders;
@@ -387,6 +402,7 @@
         {"status", "", "Prints what each control instance is and which entry instances have confirmed which revision.", status},
         {"members", "[add OPERATOR-ADDRESS | promote NAME | remove NAME]", "Lists or changes the control instances that hold the log.", members},
         {"bootstrap", "", "Founds the log on the instances of --control. Once, before anything else.", bootstrap},
+        {"drain", "", "Stops the one control instance of --control as planned: it hands leadership over and exits.", drain},
         {"dump", "", "Prints each control instance's whole state as JSON.", dump},
     };
     return table;
