Meta, Tests: Find the leader and start the instances in one place

Cause: the start of control and entry instances stood three times and the search for the leader twice. The one in the fault test fell back to instance 0 when it found no leader, so the test could go on without killing a leader: a check that could pass without its fault.

Change: fleet_start_instances and fleet_leader in Meta/fleet.sh serve the demonstration, the fault tests and the control measurement. The fault test now fails when no leader is found within five seconds. A comment in HttpServer says when a request stops being counted.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -265,7 +265,7 @@
         refuseTooLarge(message);
         return;
     }
-    // Counted until libsoup says that the message is finished, which may be after the server object is gone.
+    // Counted until the message is let go, which is after its last byte and may be after the server object is gone.
     ++self.connections->requests;
     g_object_weak_ref(G_OBJECT(message), connectionGone, new OpenConnection{.closed = [counted = self.connections] {
         --counted->requests;
--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -41,13 +41,7 @@
 }
 
 fleet_begin
-for ((index = 0; index < CONTROLS; ++index)); do
-    fleet_start_control "$index"
-done
-fleet_declare "$CONTROLS" Meta/Demo/configuration.json
-for ((index = 0; index < ENTRIES; ++index)); do
-    fleet_start_entry "$index" "$ENTRIES" "$CONTROLS"
-done
+fleet_start_instances "$CONTROLS" "$ENTRIES" Meta/Demo/configuration.json
 start_backends
 fleet_await_backends "$ENTRIES" 42
 
--- a/Meta/fleet.sh
+++ b/Meta/fleet.sh
@@ -124,6 +124,23 @@
     fleet_ctl "$1" apply "$2"
 }
 
+# Starts control instances, founds and declares, starts entry instances: fleet_start_instances CONTROLS ENTRIES FILE
+fleet_start_instances() {
+    local index
+    for ((index = 0; index < $1; ++index)); do
+        fleet_start_control "$index"
+    done
+    fleet_declare "$1" "$3"
+    for ((index = 0; index < $2; ++index)); do
+        fleet_start_entry "$index" "$2" "$1"
+    done
+}
+
+# The number of the control instance that leads, empty when none does: fleet_leader CONTROLS
+fleet_leader() {
+    { fleet_ctl "$1" status 2>/dev/null || true; } | sed -n 's/^instance=control-\([0-9]*\) role=leader.*/\1/p' | tail -n 1
+}
+
 # Waits until every entry instance is ready and knows that many backend servers: fleet_await_backends ENTRIES COUNT
 fleet_await_backends() {
     local index tries page
--- a/Meta/measure-control.sh
+++ b/Meta/measure-control.sh
@@ -14,16 +14,8 @@
 # Sum of the processor time of a process so far, in ticks of 10 ms.
 ticks_of() { awk '{ print $14 + $15 }' "/proc/${FLEET_PID_OF[$1]}/stat"; }
 
-leader_name() { fleet_ctl "$CONTROLS" status 2>/dev/null | sed -n 's/^instance=\(control-[0-9]\) role=leader.*/\1/p' | tail -n 1; }
-
 fleet_begin
-for ((index = 0; index < CONTROLS; ++index)); do
-    fleet_start_control "$index"
-done
-fleet_declare "$CONTROLS" Meta/Demo/configuration.json >/dev/null
-for ((index = 0; index < ENTRIES; ++index)); do
-    fleet_start_entry "$index" "$ENTRIES" "$CONTROLS"
-done
+fleet_start_instances "$CONTROLS" "$ENTRIES" Meta/Demo/configuration.json >/dev/null
 fleet_await_backends "$ENTRIES" 0
 
 measure_claims --in-flight 1 --duration-ms 3000
@@ -53,10 +45,10 @@
 # The leader is killed under claims.
 measure_claims --in-flight 16 --duration-ms 8000 &
 sleep 2
-victim=$(leader_name)
-fleet_stop "$victim" KILL
+victim=$(fleet_leader "$CONTROLS")
+fleet_stop "control-${victim}" KILL
 wait $!
-fleet_start_control "${victim#control-}"
+fleet_start_control "$victim"
 
 # A restart after many changes.
 for ((change = 0; change < 100; ++change)); do
--- a/Tests/EndToEnd/faults.sh
+++ b/Tests/EndToEnd/faults.sh
@@ -11,26 +11,23 @@
 ENTRIES=3
 CONTROLS=3
 
+# The leader's number; without a leader there is nothing to prove, so the test fails.
 leader_index() {
-    local index
-    for ((index = 0; index < CONTROLS; ++index)); do
-        if "${BUILD}/Utilities/crankctl/crankctl" --control "$(fleet_operator_address "$index")" status 2>/dev/null | grep -q 'role=leader'; then
-            echo "$index"
+    local tries leader
+    for ((tries = 0; tries < 50; ++tries)); do
+        leader=$(fleet_leader "$CONTROLS")
+        if [ -n "$leader" ]; then
+            echo "$leader"
             return
         fi
+        sleep 0.1
     done
-    echo 0
+    return 1
 }
 
 start_fleet() {
-    local index shard suffix
-    for ((index = 0; index < CONTROLS; ++index)); do
-        fleet_start_control "$index"
-    done
-    fleet_declare "$CONTROLS" Meta/Demo/configuration.json >/dev/null
-    for ((index = 0; index < ENTRIES; ++index)); do
-        fleet_start_entry "$index" "$ENTRIES" "$CONTROLS"
-    done
+    local shard suffix
+    fleet_start_instances "$CONTROLS" "$ENTRIES" Meta/Demo/configuration.json >/dev/null
     for suffix in a b; do
         for ((shard = 0; shard < 8; ++shard)); do
             fleet_start_backend catalogue "$shard" 8 "$suffix" "$ENTRIES"
