--- a/Libraries/LibConsensus/ReplicatedLog.cpp
+++ b/Libraries/LibConsensus/ReplicatedLog.cpp
@@ -15,6 +15,9 @@
 using Protocol::LogMessage;
 using Protocol::MessageKind;
 
+// Hexadecimal digits of the storage id in a member's name; enough that two folders of one instance never meet.
+static constexpr std::size_t FolderSuffixLength = 8;
+
 const char *roleName(Role role)
 {
     switch (role) {
@@ -46,6 +49,10 @@
     , durableIndex(this->store.lastIndex())
 {
     this->ownMember.storageId = recovered.storageId;
+    if (this->options.nameWithFolder) {
+        this->ownMember.name += '.';
+        this->ownMember.name += recovered.storageId.substr(0, FolderSuffixLength);
+    }
     this->resetElectionTimer(now);
 }
 
--- /dev/null
+++ b/Libraries/LibCoordinator/CoordinatorNode.cpp
@@ -0,0 +1,538 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibCoordinator/CoordinatorNode.h>
+
+#include <LibConsensus/Membership.h>
+#include <LibCore/Identity.h>
+#include <LibCore/Log.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace Coordinator
+{
+
+// News that arrives within this time travels together; far below the seconds in which it has to be in force.
+static constexpr Core::Duration NewsDelay = Core::milliseconds(5);
+static constexpr Core::Duration OverdueCheckPeriod = Core::milliseconds(100);
+static constexpr Core::Duration MemberCheckPeriod = Core::milliseconds(500);
+static constexpr Core::Duration IntroductionPeriod = Core::milliseconds(300);
+static constexpr Core::Duration IntroductionTimeout = Core::milliseconds(800);
+static constexpr Core::Duration ExpiryPeriod = Core::seconds(1);
+// A gap between two checks that is longer shows that this process itself stood still.
+static constexpr Core::Duration OwnPauseLimit = Core::seconds(3);
+// A gateway counts for this long after its last question, so that one that restarts keeps its part of the connections.
+static constexpr Core::Duration GatewayRetention = Core::seconds(15);
+static constexpr Core::Duration DrainPollPeriod = Core::milliseconds(20);
+
+CoordinatorNode::CoordinatorNode(CoordinatorOptions options, Core::TimerService &timers)
+    : options(std::move(options)), timers(timers), incarnation(static_cast<std::int64_t>(Core::randomNumber() >> 1U)), lastExpiry(timers.now())
+{
+}
+
+Core::Result<std::unique_ptr<CoordinatorNode>> CoordinatorNode::create(CoordinatorOptions options, Core::TimerService &timers)
+{
+    std::unique_ptr<CoordinatorNode> node(new CoordinatorNode(std::move(options), timers));
+    auto log = DeclarationLog::create(node->options.log, timers);
+    if (!log.has_value()) {
+        return tl::make_unexpected(log.error());
+    }
+    node->log = std::move(log.value());
+    node->log->changed = [raw = node.get()] {
+        raw->scheduleNews();
+    };
+    node->registry.changed = [raw = node.get()](const Fleet::BackendRecord &record) {
+        const auto &announcement = record.announcement;
+        Core::logEvent(Core::LogLevel::Information,
+            "backend.changed",
+            {{"backend", announcement.id},
+                {"service", announcement.serviceName},
+                {"address", announcement.address},
+                {"phase", static_cast<int>(announcement.phase)},
+                {"sequence", announcement.sequence}});
+        raw->scheduleNews();
+    };
+    node->peers = std::make_unique<Fleet::FleetWatcher>(
+        Fleet::WatcherOptions{.name = node->options.log.log.identity.name, .isGateway = false, .own = node->options.watchEndpoint}, node->registry, timers);
+    node->peers->heldVersion = [] {
+        // Coordinators get declarations through the log only.
+        return Fleet::DeclarationVersion(INT64_MAX);
+    };
+    node->peers->addCoordinators(node->options.seeds);
+    node->startTimers();
+    return node;
+}
+
+void CoordinatorNode::startTimers()
+{
+    this->overdueTimer = this->timers.every(OverdueCheckPeriod, [this](Core::Instant) {
+        this->answerOverdueWatchers();
+    });
+    this->memberTimer = this->timers.every(MemberCheckPeriod, [this](Core::Instant) {
+        this->changeMembers();
+    });
+    this->introductionTimer = this->timers.every(IntroductionPeriod, [this](Core::Instant) {
+        this->seekMembership();
+    });
+    this->expiryTimer = this->timers.every(ExpiryPeriod, [this](Core::Instant) {
+        this->expireBackends();
+    });
+}
+
+void CoordinatorNode::addSeeds(const std::vector<Core::Endpoint> &seeds)
+{
+    this->options.seeds = seeds;
+    this->peers->addCoordinators(seeds);
+}
+
+const DeclarationLog &CoordinatorNode::declarations() const
+{
+    return *this->log;
+}
+
+const Fleet::BackendRegistry &CoordinatorNode::backends() const
+{
+    return this->registry;
+}
+
+std::string CoordinatorNode::leaderOperatorAddress() const
+{
+    const auto *replicated = this->log->log();
+    const auto *leader = replicated == nullptr ? nullptr : replicated->leader();
+    return leader == nullptr ? std::string() : leader->operatorAddress;
+}
+
+// ---- Operators
+
+void CoordinatorNode::declare(const std::string &content, const std::function<void(const DeclareOutcome &outcome)> &done)
+{
+    DeclareOutcome outcome;
+    const auto version = this->options.examine(content);
+    if (!version.has_value()) {
+        outcome.status = DeclareStatus::Invalid;
+        outcome.problem = version.error().message;
+        done(outcome);
+        return;
+    }
+    outcome.version = version->value();
+    if (outcome.version <= this->log->current().version) {
+        // What is applied here is on a quorum's disks already, so no leader is needed to say so.
+        outcome.status = DeclareStatus::Accepted;
+        done(outcome);
+        return;
+    }
+    outcome.leaderAddress = this->leaderOperatorAddress();
+    if (this->draining) {
+        outcome.status = DeclareStatus::NotLeader;
+        done(outcome);
+        return;
+    }
+    Protocol::StoredDeclaration declaration;
+    declaration.version = outcome.version;
+    declaration.content = content;
+    this->log->propose(declaration, [outcome, done](ProposalEnd end) mutable {
+        switch (end) {
+        case ProposalEnd::Committed:
+            outcome.status = DeclareStatus::Accepted;
+            break;
+        case ProposalEnd::NotLeader:
+            outcome.status = DeclareStatus::NotLeader;
+            break;
+        case ProposalEnd::Unknown:
+            outcome.status = DeclareStatus::Unknown;
+            break;
+        }
+        done(outcome);
+    });
+}
+
+void CoordinatorNode::read(const std::function<void(const ReadOutcome &outcome)> &done)
+{
+    this->log->confirm([this, done](bool confirmed) {
+        ReadOutcome outcome;
+        outcome.confirmed = confirmed;
+        outcome.leaderAddress = this->leaderOperatorAddress();
+        if (confirmed) {
+            outcome.declaration = this->log->current();
+        }
+        done(outcome);
+    });
+}
+
+// ---- Backend servers
+
+void CoordinatorNode::announce(const Protocol::BackendAnnouncement &announcement)
+{
+    this->registry.merge(announcement, this->timers.now());
+}
+
+void CoordinatorNode::farewell(const std::string &id)
+{
+    this->registry.markGone(id, this->timers.now());
+}
+
+void CoordinatorNode::expireBackends()
+{
+    const auto now = this->timers.now();
+    const auto gap = now - std::exchange(this->lastExpiry, now);
+    const bool alone = this->peers->inReach() == 0 && !this->options.seeds.empty();
+    if (gap >= OwnPauseLimit || alone) {
+        // G4. Silence proves nothing while this process stood still, or while heartbeats may go to others that it can't hear.
+        this->registry.excuseSilence(now);
+        return;
+    }
+    // FIXME: Heartbeats that other coordinators took don't count here yet, so a backend server that moved to another coordinator would be taken
+    //        for gone; until coordinators share whom they heard, none is expired by silence alone.
+    this->registry.forget(now);
+}
+
+// ---- Watchers
+
+bool CoordinatorNode::hasNewsFor(const Protocol::WatchRequest &request) const
+{
+    const bool otherLife = request.coordinatorIncarnation != this->incarnation;
+    return otherLife || request.cursor < this->registry.position() || request.declarationVersion < this->log->current().version;
+}
+
+void CoordinatorNode::watch(const Protocol::WatchRequest &request, const std::function<void(const Protocol::WatchReply &reply)> &done)
+{
+    if (request.isGateway) {
+        this->gateways[request.watcherName] = this->timers.now();
+    }
+    WaitingWatcher watcher{.request = request, .done = done, .answerBy = this->timers.now() + this->options.watchHold};
+    if (request.confirm) {
+        const std::weak_ptr<int> weak = this->alive;
+        this->log->confirm([this, weak, watcher](bool confirmed) {
+            if (weak.expired()) {
+                return;
+            }
+            if (confirmed || this->hasNewsFor(watcher.request)) {
+                this->answerWatcher(watcher, confirmed);
+                return;
+            }
+            // Not the leader: a short wait, so that the asker does not ask without pause while there is none.
+            this->watchers.push_back(watcher);
+            this->watchers.back().answerBy = std::min(watcher.answerBy, this->timers.now() + OverdueCheckPeriod);
+        });
+        return;
+    }
+    if (this->hasNewsFor(request)) {
+        this->answerWatcher(watcher, false);
+        return;
+    }
+    this->watchers.push_back(std::move(watcher));
+}
+
+int CoordinatorNode::gatewayCount() const
+{
+    return static_cast<int>(this->gateways.size());
+}
+
+void CoordinatorNode::answerWatcher(const WaitingWatcher &watcher, bool confirmed)
+{
+    const auto &request = watcher.request;
+    Protocol::WatchReply reply;
+    reply.coordinatorIncarnation = this->incarnation;
+    reply.cursor = this->registry.position();
+    const std::int64_t known = request.coordinatorIncarnation == this->incarnation ? request.cursor : 0;
+    reply.changed = this->registry.changedSince(known, this->timers.now());
+    const auto &declaration = this->log->current();
+    reply.declarationVersion = declaration.version;
+    if (declaration.version > request.declarationVersion) {
+        reply.__set_declaration(declaration.content);
+    }
+    reply.confirmed = confirmed;
+    reply.gateways = this->gatewayCount();
+    const auto *replicated = this->log->log();
+    if (replicated != nullptr) {
+        for (const auto &member : replicated->membership().members) {
+            reply.coordinators.push_back(member.entryAddress);
+        }
+    }
+    watcher.done(reply);
+}
+
+void CoordinatorNode::scheduleNews()
+{
+    if (this->newsTimer.isActive()) {
+        return;
+    }
+    this->newsTimer = this->timers.once(NewsDelay, [this](Core::Instant) {
+        this->answerWatchersWithNews();
+    });
+}
+
+void CoordinatorNode::answerWatchersWithNews()
+{
+    std::list<WaitingWatcher> ready;
+    for (auto next = this->watchers.begin(); next != this->watchers.end();) {
+        const auto current = next++;
+        if (this->hasNewsFor(current->request)) {
+            ready.splice(ready.end(), this->watchers, current);
+        }
+    }
+    for (const auto &watcher : ready) {
+        this->answerWatcher(watcher, false);
+    }
+}
+
+void CoordinatorNode::answerOverdueWatchers()
+{
+    const auto now = this->timers.now();
+    std::list<WaitingWatcher> ready;
+    for (auto next = this->watchers.begin(); next != this->watchers.end();) {
+        const auto current = next++;
+        if (current->answerBy <= now) {
+            ready.splice(ready.end(), this->watchers, current);
+        }
+    }
+    for (const auto &watcher : ready) {
+        this->answerWatcher(watcher, false);
+    }
+    std::erase_if(this->gateways, [now](const auto &item) {
+        return now - item.second >= GatewayRetention;
+    });
+}
+
+// ---- Membership
+
+bool CoordinatorNode::isMember() const
+{
+    const auto *replicated = this->log->log();
+    if (replicated == nullptr) {
+        return false;
+    }
+    return Consensus::findMember(replicated->membership(), replicated->identity().name) != nullptr;
+}
+
+Protocol::Introduction CoordinatorNode::ownIntroduction() const
+{
+    Protocol::Introduction introduction;
+    const auto *replicated = this->log->log();
+    if (replicated != nullptr) {
+        introduction.member = replicated->identity();
+        introduction.initialised = replicated->isInitialised();
+        introduction.mayFound = this->options.mayFound;
+    }
+    return introduction;
+}
+
+Protocol::IntroductionReply CoordinatorNode::introduce(const Protocol::Introduction &introduction)
+{
+    Protocol::IntroductionReply reply;
+    reply.callee = this->ownIntroduction();
+    auto *replicated = this->log->log();
+    if (replicated == nullptr) {
+        return reply;
+    }
+    reply.membership = replicated->membership();
+    const auto *leader = replicated->leader();
+    reply.leaderAddress = leader == nullptr ? std::string() : leader->entryAddress;
+    const bool known = Consensus::findMember(reply.membership, introduction.member.name) != nullptr;
+    if (!this->log->isLeader() || known || introduction.member.storageId.empty()) {
+        return reply;
+    }
+    Protocol::MemberChange change;
+    change.kind = Protocol::MemberChangeKind::ADD;
+    change.member = introduction.member;
+    const auto proposed = replicated->proposeMembership(change);
+    Core::logEvent(Core::LogLevel::Warning,
+        "members.add",
+        {{"member", introduction.member.name},
+            {"address", introduction.member.peerAddress},
+            {"outcome", proposed.has_value() ? std::string("proposed") : proposed.error().message}});
+    return reply;
+}
+
+void CoordinatorNode::seekMembership()
+{
+    const auto *replicated = this->log->log();
+    if (replicated == nullptr) {
+        return;
+    }
+    // A member hears from a leader, or stands itself. One that does neither may have been taken out while it was away.
+    const bool quiet = replicated->leader() == nullptr;
+    if (this->isMember() && !quiet) {
+        this->introductionChannels.clear();
+        return;
+    }
+    auto endpoints = this->peers->coordinators();
+    for (const auto &endpoint : this->options.seeds) {
+        if (std::find(endpoints.begin(), endpoints.end(), endpoint) == endpoints.end() && endpoint != this->options.watchEndpoint) {
+            endpoints.push_back(endpoint);
+        }
+    }
+    for (const auto &endpoint : endpoints) {
+        this->introduceTo(endpoint);
+    }
+}
+
+void CoordinatorNode::introduceTo(const Core::Endpoint &endpoint)
+{
+    auto &channel = this->introductionChannels[endpoint];
+    if (!channel) {
+        channel = Rpc::RpcChannel::create({.endpoint = endpoint, .callTimeout = IntroductionTimeout, .limits = {}}, this->timers);
+    }
+    if (channel->waitingCalls() > 0) {
+        return;
+    }
+    const std::weak_ptr<int> weak = this->alive;
+    Rpc::call<Protocol::CoordinatorCobClient, Protocol::IntroductionReply>(
+        channel,
+        [introduction = this->ownIntroduction()](auto &client, auto callback) {
+            client.introduce(callback, introduction);
+        },
+        [](auto &client, auto &reply) {
+            client.recv_introduce(reply);
+        },
+        [this, weak, endpoint](const Core::Result<Protocol::IntroductionReply> &reply) {
+            if (!weak.expired() && reply.has_value()) {
+                this->takeIntroduction(endpoint, reply.value());
+            }
+        });
+}
+
+void CoordinatorNode::takeIntroduction(const Core::Endpoint &endpoint, const Protocol::IntroductionReply &reply)
+{
+    this->introduced[endpoint] = reply.callee;
+    this->foundIfComplete();
+}
+
+// F1. Only the seed with the lowest address founds, only when the platform says that the whole system starts for the
+// first time, and only once every seed has said that it holds no log. An empty folder alone is never a reason.
+void CoordinatorNode::foundIfComplete()
+{
+    auto *replicated = this->log->log();
+    if (replicated == nullptr || !this->options.mayFound || replicated->isInitialised() || this->options.seeds.empty()) {
+        return;
+    }
+    const auto lowest = *std::min_element(this->options.seeds.begin(), this->options.seeds.end());
+    if (lowest != this->options.watchEndpoint) {
+        return;
+    }
+    Protocol::Membership founders;
+    for (const auto &seed : this->options.seeds) {
+        if (seed == this->options.watchEndpoint) {
+            founders.members.push_back(replicated->identity());
+            continue;
+        }
+        const auto found = this->introduced.find(seed);
+        if (found == this->introduced.end() || found->second.initialised || !found->second.mayFound) {
+            return;
+        }
+        founders.members.push_back(found->second.member);
+    }
+    for (auto &member : founders.members) {
+        member.voter = true;
+    }
+    const auto founded = replicated->bootstrap(founders);
+    Core::logEvent(Core::LogLevel::Information,
+        "members.founded",
+        {{"voters", founders.members.size()}, {"outcome", founded.has_value() ? std::string("done") : founded.error().message}});
+}
+
+void CoordinatorNode::changeMembers()
+{
+    if (!this->log->isLeader() || this->draining) {
+        return;
+    }
+    auto &replicated = *this->log->log();
+    const MembershipView view{
+        .leaderName = replicated.identity().name,
+        .membership = replicated.membership(),
+        .commitIndex = replicated.commitIndex(),
+        .matchIndexOf =
+            [&replicated](const std::string &name) {
+                return replicated.matchIndexOf(name);
+            },
+        .silenceOf =
+            [this, &replicated](const std::string &name) {
+                return this->timers.now() - replicated.lastHeardOf(name);
+            },
+    };
+    const auto change = chooseMemberChange(view, this->options.membership);
+    if (!change.has_value()) {
+        return;
+    }
+    const auto proposed = replicated.proposeMembership(change.value());
+    Core::logEvent(Core::LogLevel::Warning,
+        "members.change",
+        {{"kind", change->kind == Protocol::MemberChangeKind::PROMOTE ? "promote" : "remove"},
+            {"member", change->member.name},
+            {"silent_ms", Core::toMilliseconds(view.silenceOf(change->member.name))},
+            {"outcome", proposed.has_value() ? std::string("proposed") : proposed.error().message}});
+}
+
+void CoordinatorNode::receive(const std::vector<Protocol::LogMessage> &messages)
+{
+    this->log->receive(messages);
+}
+
+// ---- Stop and state
+
+void CoordinatorNode::drain(std::function<void()> stoppedHook)
+{
+    this->draining = true;
+    this->stopped = std::move(stoppedHook);
+    this->drainTimer = this->timers.every(DrainPollPeriod, [this](Core::Instant) {
+        this->finishDrain();
+    });
+}
+
+void CoordinatorNode::finishDrain()
+{
+    if (this->log->waitingProposals() > 0) {
+        return;
+    }
+    if (this->log->isLeader() && this->log->log()->transferLeadership(this->timers.now())) {
+        // The next look finds this coordinator a follower, or asks again.
+        return;
+    }
+    this->drainTimer.cancel();
+    const auto hook = std::exchange(this->stopped, nullptr);
+    if (hook) {
+        hook();
+    }
+}
+
+std::string CoordinatorNode::dump() const
+{
+    nlohmann::json document;
+    const auto *replicated = this->log->log();
+    document["declaration_version"] = this->log->current().version;
+    document["backends"] = this->registry.size();
+    document["gateways"] = this->gatewayCount();
+    document["watchers"] = this->watchers.size();
+    document["peers_in_reach"] = this->peers->inReach();
+    document["folder_usable"] = replicated != nullptr;
+    if (replicated != nullptr) {
+        document["member"] = replicated->identity().name;
+        document["role"] = Consensus::roleName(replicated->role());
+        document["term"] = replicated->term();
+        document["commit_index"] = replicated->commitIndex();
+        document["members"] = nlohmann::json::array();
+        for (const auto &member : replicated->membership().members) {
+            document["members"].push_back({{"name", member.name}, {"voter", member.voter}, {"address", member.peerAddress}});
+        }
+    }
+    return document.dump(2);
+}
+
+CoordinatorHandler::CoordinatorHandler(CoordinatorNode &node) : node(node)
+{
+}
+
+void CoordinatorHandler::watch(std::function<void(Protocol::WatchReply const &)> callback, const Protocol::WatchRequest &request)
+{
+    this->node.watch(request, callback);
+}
+
+void CoordinatorHandler::introduce(std::function<void(Protocol::IntroductionReply const &)> callback, const Protocol::Introduction &introduction)
+{
+    callback(this->node.introduce(introduction));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCoordinator/CoordinatorNode.h
@@ -0,0 +1,162 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// A coordinator: takes declarations from operators and heartbeats from backend
+// servers, and tells gateways and other coordinators what is new.
+
+#pragma once
+
+#include <LibCoordinator/DeclarationLog.h>
+#include <LibCoordinator/MembershipPolicy.h>
+#include <LibFleet/BackendRegistry.h>
+#include <LibFleet/FleetWatcher.h>
+
+#include <list>
+
+namespace Coordinator
+{
+
+/** Settings of one coordinator. */
+struct CoordinatorOptions {
+    DeclarationLogOptions log;
+    MembershipPolicyOptions membership;
+    /** Where gateways and other coordinators call. */
+    Core::Endpoint watchEndpoint;
+    /** Coordinators that are known from the settings. */
+    std::vector<Core::Endpoint> seeds;
+    /** The whole system starts for the first time with empty folders. */
+    bool mayFound{false};
+    /** A question without news is answered after this long, so that the asker knows that the coordinator lives. */
+    Core::Duration watchHold{Core::milliseconds(900)};
+    /** A backend server without a heartbeat for this long is taken for gone. Several heartbeats, since single ones come seconds late. */
+    Core::Duration backendSilence{Core::seconds(20)};
+    /** Says what is wrong with a declaration's text, or which version it has. */
+    std::function<Core::Result<Fleet::DeclarationVersion>(const std::string &content)> examine;
+};
+
+/** What becomes of an operator's declaration. */
+enum class DeclareStatus {
+    /** This version, or a higher one, is held by a quorum. */
+    Accepted,
+    Invalid,
+    /** Another coordinator has to be asked. */
+    NotLeader,
+    /** It may or may not come into force. */
+    Unknown,
+};
+
+struct DeclareOutcome {
+    DeclareStatus status{DeclareStatus::Unknown};
+    /** The version of what was sent; -1 when it can't be read. */
+    std::int64_t version{-1};
+    /** For Invalid: what is wrong. */
+    std::string problem;
+    /** For NotLeader: where operators reach the leader; empty when unknown. */
+    std::string leaderAddress;
+};
+
+/** What a reader gets. */
+struct ReadOutcome {
+    /** Whether `declaration` is the newest, confirmed by a quorum after the question came. */
+    bool confirmed{false};
+    Protocol::StoredDeclaration declaration;
+    std::string leaderAddress;
+};
+
+/** Answers through hooks, which are called exactly once. */
+class CoordinatorNode
+{
+public:
+    [[nodiscard]] static Core::Result<std::unique_ptr<CoordinatorNode>> create(CoordinatorOptions options, Core::TimerService &timers);
+    CoordinatorNode(const CoordinatorNode &) = delete;
+    CoordinatorNode &operator=(const CoordinatorNode &) = delete;
+
+    // Operators.
+    void declare(const std::string &content, const std::function<void(const DeclareOutcome &outcome)> &done);
+    void read(const std::function<void(const ReadOutcome &outcome)> &done);
+
+    // Backend servers.
+    void announce(const Protocol::BackendAnnouncement &announcement);
+    void farewell(const std::string &id);
+
+    // Gateways and other coordinators.
+    void watch(const Protocol::WatchRequest &request, const std::function<void(const Protocol::WatchReply &reply)> &done);
+    [[nodiscard]] Protocol::IntroductionReply introduce(const Protocol::Introduction &introduction);
+    void receive(const std::vector<Protocol::LogMessage> &messages);
+
+    void addSeeds(const std::vector<Core::Endpoint> &seeds);
+
+    /** Hands leadership over. `stopped` is called when nothing waits any more. */
+    void drain(std::function<void()> stopped);
+
+    [[nodiscard]] const DeclarationLog &declarations() const;
+    [[nodiscard]] const Fleet::BackendRegistry &backends() const;
+    /** The state as JSON, for people. */
+    [[nodiscard]] std::string dump() const;
+
+private:
+    struct WaitingWatcher {
+        Protocol::WatchRequest request;
+        std::function<void(const Protocol::WatchReply &reply)> done;
+        Core::Instant answerBy;
+    };
+
+    CoordinatorNode(CoordinatorOptions options, Core::TimerService &timers);
+    void startTimers();
+    void answerWatcher(const WaitingWatcher &watcher, bool confirmed);
+    [[nodiscard]] bool hasNewsFor(const Protocol::WatchRequest &request) const;
+    void scheduleNews();
+    void answerWatchersWithNews();
+    void answerOverdueWatchers();
+    void changeMembers();
+    void seekMembership();
+    void introduceTo(const Core::Endpoint &endpoint);
+    void takeIntroduction(const Core::Endpoint &endpoint, const Protocol::IntroductionReply &reply);
+    void foundIfComplete();
+    [[nodiscard]] bool isMember() const;
+    [[nodiscard]] Protocol::Introduction ownIntroduction() const;
+    [[nodiscard]] std::string leaderOperatorAddress() const;
+    [[nodiscard]] int gatewayCount() const;
+    void expireBackends();
+    void finishDrain();
+
+    CoordinatorOptions options;
+    Core::TimerService &timers;
+    std::int64_t incarnation;
+    Fleet::BackendRegistry registry;
+    std::unique_ptr<Fleet::FleetWatcher> peers;
+    std::unique_ptr<DeclarationLog> log;
+    std::list<WaitingWatcher> watchers;
+    // When each gateway asked last.
+    std::map<std::string, Core::Instant> gateways;
+    // Coordinators that introduced themselves, by address; only used until a log is founded.
+    std::map<Core::Endpoint, Protocol::Introduction> introduced;
+    std::map<Core::Endpoint, std::shared_ptr<Rpc::RpcChannel>> introductionChannels;
+    Core::Instant lastExpiry;
+    bool draining{false};
+    std::function<void()> stopped;
+    Core::TimerSubscription newsTimer;
+    Core::TimerSubscription overdueTimer;
+    Core::TimerSubscription memberTimer;
+    Core::TimerSubscription introductionTimer;
+    Core::TimerSubscription expiryTimer;
+    Core::TimerSubscription drainTimer;
+    std::shared_ptr<int> alive{std::make_shared<int>(0)};
+};
+
+/** The Thrift service that gateways and coordinators call. */
+class CoordinatorHandler : public Protocol::CoordinatorCobSvIf
+{
+public:
+    explicit CoordinatorHandler(CoordinatorNode &node);
+
+    void watch(std::function<void(Protocol::WatchReply const &)> callback, const Protocol::WatchRequest &request) override;
+    void introduce(std::function<void(Protocol::IntroductionReply const &)> callback, const Protocol::Introduction &introduction) override;
+
+private:
+    CoordinatorNode &node;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibCoordinator/DeclarationLog.cpp
@@ -0,0 +1,233 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibCoordinator/DeclarationLog.h>
+
+#include <LibCore/Log.h>
+#include <LibRpc/Serialization.h>
+
+namespace Coordinator
+{
+
+// Elections are decided to within a quarter of the heartbeat period.
+static constexpr int TicksPerHeartbeat = 4;
+
+DeclarationLog::DeclarationLog(DeclarationLogOptions options, Core::TimerService &timers) : options(std::move(options)), timers(timers)
+{
+    this->newest.version = -1;
+}
+
+Core::Result<std::unique_ptr<DeclarationLog>> DeclarationLog::create(DeclarationLogOptions options, Core::TimerService &timers)
+{
+    std::unique_ptr<DeclarationLog> log(new DeclarationLog(std::move(options), timers));
+    const auto opened = log->open();
+    if (!opened.has_value() && opened.error().kind == Core::ErrorKind::Corruption) {
+        return tl::make_unexpected(opened.error());
+    }
+    if (!opened.has_value()) {
+        Core::logEvent(Core::LogLevel::Error, "log.folder_unusable", {{"error", opened.error().message}});
+        log->closeAndReopen();
+    }
+    return log;
+}
+
+Core::Result<void> DeclarationLog::open()
+{
+    auto openedFolder = Storage::PosixFolder::create(this->options.dataFolder);
+    if (!openedFolder.has_value()) {
+        return tl::make_unexpected(openedFolder.error());
+    }
+    this->folder = std::move(openedFolder.value());
+    auto openedLog = Storage::WriteAheadLog::create(*this->folder);
+    if (!openedLog.has_value()) {
+        return tl::make_unexpected(openedLog.error());
+    }
+    this->writeAheadLog = std::move(openedLog.value());
+    auto made = Consensus::ReplicatedLog::create(this->options.log, this->makeHooks(), *this->writeAheadLog, this->timers.now());
+    if (!made.has_value()) {
+        return tl::make_unexpected(made.error());
+    }
+    this->replicatedLog = std::move(made.value());
+    this->tickTimer = this->timers.every(this->options.log.heartbeatPeriod / TicksPerHeartbeat, [this](Core::Instant) {
+        this->tick();
+    });
+    Core::logEvent(Core::LogLevel::Information,
+        "log.opened",
+        {{"member", this->replicatedLog->identity().name},
+            {"initialised", this->replicatedLog->isInitialised() ? 1 : 0},
+            {"last_index", this->replicatedLog->lastIndex()},
+            {"declaration", this->newest.version}});
+    return {};
+}
+
+void DeclarationLog::closeAndReopen()
+{
+    this->tickTimer.cancel();
+    this->flushTimer.cancel();
+    this->failWaiting();
+    this->replicatedLog.reset();
+    this->writeAheadLog.reset();
+    this->folder.reset();
+    this->reopenTimer = this->timers.once(this->options.reopenPause, [this](Core::Instant) {
+        const auto opened = this->open();
+        if (!opened.has_value()) {
+            Core::logEvent(Core::LogLevel::Warning, "log.folder_unusable", {{"error", opened.error().message}});
+            this->closeAndReopen();
+        }
+    });
+}
+
+Consensus::ReplicatedLogHooks DeclarationLog::makeHooks()
+{
+    return Consensus::ReplicatedLogHooks{
+        .send = this->options.send,
+        .apply =
+            [this](const Protocol::LogEntry &entry) {
+                this->applyEntry(entry);
+            },
+        .takeSnapshot =
+            [this] {
+                return Rpc::serialize(this->newest);
+            },
+        .restoreSnapshot = [this](const std::string &state) -> Core::Result<void> {
+            auto stored = Rpc::deserialize<Protocol::StoredDeclaration>(state);
+            if (!stored.has_value()) {
+                return tl::make_unexpected(stored.error());
+            }
+            this->adopt(std::move(stored.value()));
+            return {};
+        },
+        .flushNeeded =
+            [this] {
+                this->scheduleFlush();
+            },
+    };
+}
+
+void DeclarationLog::tick()
+{
+    this->replicatedLog->tick(this->timers.now());
+    if (this->replicatedLog->role() == Consensus::Role::Failed) {
+        this->closeAndReopen();
+        return;
+    }
+    if (!this->isLeader()) {
+        this->failWaiting();
+    }
+}
+
+void DeclarationLog::scheduleFlush()
+{
+    if (this->flushTimer.isActive()) {
+        return;
+    }
+    this->flushTimer = this->timers.once(Core::Duration(0), [this](Core::Instant now) {
+        this->replicatedLog->flush(now);
+    });
+}
+
+void DeclarationLog::receive(const std::vector<Protocol::LogMessage> &messages)
+{
+    for (const auto &message : messages) {
+        if (this->replicatedLog) {
+            this->replicatedLog->receive(message, this->timers.now());
+        }
+    }
+}
+
+void DeclarationLog::adopt(Protocol::StoredDeclaration declaration)
+{
+    if (declaration.version <= this->newest.version) {
+        return;
+    }
+    this->newest = std::move(declaration);
+    Core::logEvent(
+        Core::LogLevel::Information, "declaration.committed", {{"version", this->newest.version}, {"bytes", this->newest.content.size()}});
+    if (this->changed) {
+        this->changed();
+    }
+}
+
+void DeclarationLog::applyEntry(const Protocol::LogEntry &entry)
+{
+    if (!entry.command.empty()) {
+        auto declaration = Rpc::deserialize<Protocol::StoredDeclaration>(entry.command);
+        if (declaration.has_value()) {
+            this->adopt(std::move(declaration.value()));
+        } else {
+            // Every coordinator meets the same bytes, so every one passes over them alike.
+            Core::logEvent(Core::LogLevel::Error, "log.command_unreadable", {{"index", entry.index}, {"error", declaration.error().message}});
+        }
+    }
+    const auto found = this->waiting.find(entry.index);
+    if (found == this->waiting.end()) {
+        return;
+    }
+    const Waiting finished = std::move(found->second);
+    this->waiting.erase(found);
+    finished.done(finished.term == entry.term ? ProposalEnd::Committed : ProposalEnd::Unknown);
+}
+
+void DeclarationLog::propose(const Protocol::StoredDeclaration &declaration, ProposalHook done)
+{
+    if (!this->isLeader()) {
+        done(ProposalEnd::NotLeader);
+        return;
+    }
+    const auto index = this->replicatedLog->propose(Rpc::serialize(declaration));
+    if (!index.has_value()) {
+        done(ProposalEnd::NotLeader);
+        return;
+    }
+    this->waiting[index.value()] = Waiting{.term = this->replicatedLog->term(), .done = std::move(done)};
+}
+
+void DeclarationLog::confirm(const std::function<void(bool confirmed)> &hook)
+{
+    if (!this->replicatedLog) {
+        hook(false);
+        return;
+    }
+    this->replicatedLog->confirmLeadership(hook);
+}
+
+const Protocol::StoredDeclaration &DeclarationLog::current() const
+{
+    return this->newest;
+}
+
+Consensus::ReplicatedLog *DeclarationLog::log()
+{
+    return this->replicatedLog.get();
+}
+
+const Consensus::ReplicatedLog *DeclarationLog::log() const
+{
+    return this->replicatedLog.get();
+}
+
+bool DeclarationLog::isLeader() const
+{
+    return this->replicatedLog && this->replicatedLog->role() == Consensus::Role::Leader;
+}
+
+std::size_t DeclarationLog::waitingProposals() const
+{
+    return this->waiting.size();
+}
+
+std::uint64_t DeclarationLog::syncCount() const
+{
+    return this->writeAheadLog ? this->writeAheadLog->syncCount() : 0;
+}
+
+void DeclarationLog::failWaiting()
+{
+    for (const auto &[index, entry] : std::exchange(this->waiting, {})) {
+        entry.done(ProposalEnd::Unknown);
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCoordinator/DeclarationLog.h
@@ -0,0 +1,101 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// The declaration that operators sent, kept on a quorum of coordinators by the
+// replicated log. Of all accepted declarations the one with the highest version
+// counts; of two with one version, the one that the log holds first.
+
+#pragma once
+
+#include <LibConsensus/ReplicatedLog.h>
+#include <LibCore/TimerService.h>
+#include <LibFleet/Declaration.h>
+#include <LibProtocol/Generated/fleet_types.h>
+#include <LibStorage/PosixFolder.h>
+
+#include <map>
+
+namespace Coordinator
+{
+
+/** Settings of one coordinator's part. */
+struct DeclarationLogOptions {
+    Consensus::ReplicatedLogOptions log;
+    std::string dataFolder;
+    /** Pause before a folder whose disk failed is opened again. */
+    Core::Duration reopenPause{Core::milliseconds(500)};
+    std::function<void(const Protocol::Member &receiver, Protocol::LogMessage message)> send;
+};
+
+/** How a proposed declaration ended. */
+enum class ProposalEnd {
+    /** The log holds it on a quorum. */
+    Committed,
+    /** Another coordinator leads, or none. Nothing was proposed. */
+    NotLeader,
+    /** It may or may not come to be committed. */
+    Unknown,
+};
+
+/** Opens its folder again by itself after a disk failure; meanwhile it takes part in nothing. */
+class DeclarationLog
+{
+public:
+    using ProposalHook = std::function<void(ProposalEnd end)>;
+
+    /** Fails when the folder holds what was not written there. A disk that fails now is tried again later. */
+    [[nodiscard]] static Core::Result<std::unique_ptr<DeclarationLog>> create(DeclarationLogOptions options, Core::TimerService &timers);
+
+    /** Puts a declaration into the log. The hook is called exactly once. */
+    void propose(const Protocol::StoredDeclaration &declaration, ProposalHook done);
+
+    /** Asks a quorum whether this coordinator leads, so that current() is the newest. The hook is called exactly once. */
+    void confirm(const std::function<void(bool confirmed)> &hook);
+
+    /** The newest committed declaration as far as this coordinator knows; version -1 for none. */
+    [[nodiscard]] const Protocol::StoredDeclaration &current() const;
+
+    void receive(const std::vector<Protocol::LogMessage> &messages);
+
+    /** The log, or nullptr while the folder can't be used. */
+    [[nodiscard]] Consensus::ReplicatedLog *log();
+    [[nodiscard]] const Consensus::ReplicatedLog *log() const;
+    [[nodiscard]] bool isLeader() const;
+    [[nodiscard]] std::size_t waitingProposals() const;
+    [[nodiscard]] std::uint64_t syncCount() const;
+
+    /** A newer declaration was committed. */
+    std::function<void()> changed;
+
+private:
+    struct Waiting {
+        std::int64_t term{0};
+        ProposalHook done;
+    };
+
+    DeclarationLog(DeclarationLogOptions options, Core::TimerService &timers);
+    [[nodiscard]] Core::Result<void> open();
+    void closeAndReopen();
+    [[nodiscard]] Consensus::ReplicatedLogHooks makeHooks();
+    void applyEntry(const Protocol::LogEntry &entry);
+    void adopt(Protocol::StoredDeclaration declaration);
+    void tick();
+    void scheduleFlush();
+    void failWaiting();
+
+    DeclarationLogOptions options;
+    Core::TimerService &timers;
+    Protocol::StoredDeclaration newest;
+    std::unique_ptr<Storage::PosixFolder> folder;
+    std::unique_ptr<Storage::WriteAheadLog> writeAheadLog;
+    std::unique_ptr<Consensus::ReplicatedLog> replicatedLog;
+    // Invariant: only entries that this coordinator proposed as leader and that are not committed yet.
+    std::map<std::int64_t, Waiting> waiting;
+    Core::TimerSubscription tickTimer;
+    Core::TimerSubscription flushTimer;
+    Core::TimerSubscription reopenTimer;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibCoordinator/MembershipPolicy.cpp
@@ -0,0 +1,103 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibCoordinator/MembershipPolicy.h>
+
+#include <algorithm>
+
+namespace Coordinator
+{
+
+namespace
+{
+
+/** Answers the policy's questions about single members. */
+class Judge
+{
+public:
+    Judge(const MembershipView &view, const MembershipPolicyOptions &options) : view(view), options(options)
+    {
+    }
+
+    // Two members at one address: the folder of the one that joined first is lost, for certain.
+    [[nodiscard]] bool folderIsLost(const Protocol::Member &member) const
+    {
+        bool seenSelf = false;
+        for (const auto &other : this->view.membership.members) {
+            if (other.name == member.name) {
+                seenSelf = true;
+            } else if (seenSelf && other.peerAddress == member.peerAddress) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    [[nodiscard]] bool isLostVoter(const Protocol::Member &member) const
+    {
+        const bool isOther = member.name != this->view.leaderName;
+        const bool silent = this->view.silenceOf(member.name) >= this->options.replaceAfter;
+        return member.voter && isOther && (silent || this->folderIsLost(member));
+    }
+
+    [[nodiscard]] bool isReadyLearner(const Protocol::Member &member) const
+    {
+        const bool fresh = this->view.silenceOf(member.name) <= this->options.learnerFreshness;
+        return !member.voter && fresh && !this->folderIsLost(member) && this->view.matchIndexOf(member.name) >= this->view.commitIndex;
+    }
+
+    [[nodiscard]] bool isUselessLearner(const Protocol::Member &member) const
+    {
+        const bool silent = this->view.silenceOf(member.name) >= this->options.forgetLearnerAfter;
+        return !member.voter && (silent || this->folderIsLost(member));
+    }
+
+private:
+    const MembershipView &view;
+    const MembershipPolicyOptions &options;
+};
+
+Protocol::MemberChange makeChange(Protocol::MemberChangeKind::type kind, const Protocol::Member &member)
+{
+    Protocol::MemberChange change;
+    change.kind = kind;
+    change.member = member;
+    return change;
+}
+
+}
+
+std::optional<Protocol::MemberChange> chooseMemberChange(const MembershipView &view, const MembershipPolicyOptions &options)
+{
+    const Judge judge(view, options);
+    const auto &members = view.membership.members;
+    const auto lostVoter = std::find_if(members.begin(), members.end(), [&judge](const auto &member) {
+        return judge.isLostVoter(member);
+    });
+    const auto learner = std::find_if(members.begin(), members.end(), [&judge](const auto &member) {
+        return judge.isReadyLearner(member);
+    });
+    const auto voters = static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [](const auto &member) {
+        return member.voter;
+    }));
+    const bool replaced = voters > options.wantedVoters;
+    if (lostVoter != members.end() && replaced) {
+        return makeChange(Protocol::MemberChangeKind::REMOVE, *lostVoter);
+    }
+    // A learner becomes a voter before the lost voter goes, so that the log is never held by fewer than before.
+    const bool needed = voters < options.wantedVoters || (lostVoter != members.end() && !replaced);
+    if (learner != members.end() && needed) {
+        return makeChange(Protocol::MemberChangeKind::PROMOTE, *learner);
+    }
+    const auto useless = std::find_if(members.begin(), members.end(), [&judge](const auto &member) {
+        return judge.isUselessLearner(member);
+    });
+    if (useless != members.end()) {
+        return makeChange(Protocol::MemberChangeKind::REMOVE, *useless);
+    }
+    return std::nullopt;
+}
+
+}
--- a/Libraries/LibEntry/LatencyDigest.cpp
+++ b/Libraries/LibCore/LatencyDigest.cpp
@@ -3,18 +3,18 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-#include <LibEntry/LatencyDigest.h>
+#include <LibCore/LatencyDigest.h>
 
 #include <algorithm>
 #include <cmath>
 
-namespace Entry
+namespace Core
 {
 
 static constexpr double LowestMicroseconds = 50.0;
 static constexpr double Growth = 1.1;
 
-std::size_t LatencyDigest::bucketOf(Core::Duration latency)
+std::size_t LatencyDigest::bucketOf(Duration latency)
 {
     const double ratio = static_cast<double>(latency.count()) / LowestMicroseconds;
     if (ratio <= 1.0) {
@@ -24,18 +24,18 @@
     return std::min(bucket, BucketCount - 1);
 }
 
-Core::Duration LatencyDigest::upperEnd(std::size_t bucket)
+Duration LatencyDigest::upperEnd(std::size_t bucket)
 {
-    return Core::Duration(static_cast<Core::Duration::rep>(LowestMicroseconds * std::pow(Growth, static_cast<double>(bucket))));
+    return Duration(static_cast<Duration::rep>(LowestMicroseconds * std::pow(Growth, static_cast<double>(bucket))));
 }
 
-void LatencyDigest::add(Core::Duration latency)
+void LatencyDigest::add(Duration latency)
 {
     this->counts[bucketOf(latency)] += 1.0;
     this->total += 1.0;
 }
 
-void LatencyDigest::fade(Core::Instant now)
+void LatencyDigest::fade(Instant now)
 {
     while (now - this->lastFade >= HalfLife) {
         this->lastFade = std::max(this->lastFade + HalfLife, now - 8 * HalfLife);
@@ -46,7 +46,7 @@
     }
 }
 
-Core::Duration LatencyDigest::quantile(double quantile, Core::Duration fallback, double minimumCount) const
+Duration LatencyDigest::quantile(double quantile, Duration fallback, double minimumCount) const
 {
     if (this->total < minimumCount) {
         return fallback;
--- a/Libraries/LibEntry/LatencyDigest.h
+++ b/Libraries/LibCore/LatencyDigest.h
@@ -12,7 +12,7 @@
 
 #include <array>
 
-namespace Entry
+namespace Core
 {
 
 /** Latencies between 50 µs and about 100 s, each bucket 10 % wider than the last. */
@@ -20,26 +20,26 @@
 {
 public:
     /** Counts one latency. */
-    void add(Core::Duration latency);
+    void add(Duration latency);
 
     /** Halves all counts once for each half-life that has passed. */
-    void fade(Core::Instant now);
+    void fade(Instant now);
 
     /** The upper end of the bucket that holds the quantile; `fallback` with fewer than `minimumCount` latencies. */
-    [[nodiscard]] Core::Duration quantile(double quantile, Core::Duration fallback, double minimumCount = 50.0) const;
+    [[nodiscard]] Duration quantile(double quantile, Duration fallback, double minimumCount = 50.0) const;
 
     [[nodiscard]] double count() const;
 
 private:
     static constexpr std::size_t BucketCount = 160;
-    static constexpr Core::Duration HalfLife = Core::seconds(10);
+    static constexpr Duration HalfLife = seconds(10);
 
-    [[nodiscard]] static std::size_t bucketOf(Core::Duration latency);
-    [[nodiscard]] static Core::Duration upperEnd(std::size_t bucket);
+    [[nodiscard]] static std::size_t bucketOf(Duration latency);
+    [[nodiscard]] static Duration upperEnd(std::size_t bucket);
 
     std::array<double, BucketCount> counts{};
     double total{0.0};
-    Core::Instant lastFade;
+    Instant lastFade;
 };
 
 }
--- a/Libraries/LibEntry/Dispatcher.cpp
+++ b/Libraries/LibEntry/Dispatcher.cpp
@@ -252,7 +252,7 @@
     return this->counts;
 }
 
-LatencyDigest &Dispatcher::latencies(const Core::ServiceName &service)
+Core::LatencyDigest &Dispatcher::latencies(const Core::ServiceName &service)
 {
     return this->digests[service];
 }
--- a/Libraries/LibEntry/Dispatcher.h
+++ b/Libraries/LibEntry/Dispatcher.h
@@ -10,7 +10,7 @@
 
 #include <LibCore/TimerService.h>
 #include <LibEntry/BackendTransport.h>
-#include <LibEntry/LatencyDigest.h>
+#include <LibCore/LatencyDigest.h>
 #include <LibEntry/LoadBudget.h>
 #include <LibEntry/ReplicaSelector.h>
 
@@ -94,7 +94,7 @@
     [[nodiscard]] const DispatcherCounters &counters() const;
 
     /** Latencies of answered sub-requests of a service. */
-    [[nodiscard]] LatencyDigest &latencies(const Core::ServiceName &service);
+    [[nodiscard]] Core::LatencyDigest &latencies(const Core::ServiceName &service);
 
 private:
     struct InFlight {
@@ -136,7 +136,7 @@
     std::map<QueueKey, Queue> queues;
     // Invariant: for each waiting sub-request the key of its queue.
     std::unordered_map<SubRequestId, QueueKey> queueOf;
-    std::map<Core::ServiceName, LatencyDigest> digests;
+    std::map<Core::ServiceName, Core::LatencyDigest> digests;
     DispatcherCounters counts;
     std::uint64_t nextId{1};
 };
--- a/Libraries/LibEntry/HedgePolicy.cpp
+++ b/Libraries/LibEntry/HedgePolicy.cpp
@@ -14,7 +14,7 @@
 {
 }
 
-std::optional<Core::Duration> HedgePolicy::delay(const LatencyDigest &latencies) const
+std::optional<Core::Duration> HedgePolicy::delay(const Core::LatencyDigest &latencies) const
 {
     if (!this->options.enabled) {
         return std::nullopt;
--- a/Libraries/LibEntry/HedgePolicy.h
+++ b/Libraries/LibEntry/HedgePolicy.h
@@ -9,7 +9,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
-#include <LibEntry/LatencyDigest.h>
+#include <LibCore/LatencyDigest.h>
 #include <LibEntry/LoadBudget.h>
 
 #include <optional>
@@ -38,7 +38,7 @@
     explicit HedgePolicy(HedgePolicyOptions options);
 
     /** How long after sending the second attempt is due; nothing when there are no hedges. */
-    [[nodiscard]] std::optional<Core::Duration> delay(const LatencyDigest &latencies) const;
+    [[nodiscard]] std::optional<Core::Duration> delay(const Core::LatencyDigest &latencies) const;
 
     void noteFirstAttempt();
     /** Whether a hedge may be sent now; if so it is paid for. */
--- /dev/null
+++ b/Libraries/LibFleet/BackendRegistry.cpp
@@ -0,0 +1,134 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibFleet/BackendRegistry.h>
+
+namespace Fleet
+{
+
+using Protocol::BackendAnnouncement;
+using Protocol::BackendPhase;
+
+BackendRegistry::BackendRegistry(RegistryOptions options) : options(options)
+{
+}
+
+// What others act on; the sequence alone only shows that the backend server lives.
+static bool differs(const BackendAnnouncement &held, const BackendAnnouncement &incoming)
+{
+    return held.phase != incoming.phase || held.address != incoming.address || held.serviceName != incoming.serviceName || held.slots != incoming.slots;
+}
+
+bool BackendRegistry::merge(const BackendAnnouncement &announcement, Core::Instant now)
+{
+    const auto [position, isNew] = this->records.try_emplace(announcement.id);
+    auto &record = position->second;
+    if (!isNew) {
+        // G1. A phase never goes back, however new the heartbeat that says so.
+        const bool goesBack = announcement.phase < record.announcement.phase;
+        // G2. Within one phase the higher sequence counts.
+        const bool outdated = announcement.phase == record.announcement.phase && announcement.sequence <= record.announcement.sequence;
+        if (goesBack || outdated) {
+            return false;
+        }
+    }
+    const bool news = isNew || differs(record.announcement, announcement);
+    const bool knowsPlace = !announcement.serviceName.empty();
+    const auto sequence = std::max(record.announcement.sequence, announcement.sequence);
+    if (isNew || knowsPlace) {
+        record.announcement = announcement;
+    }
+    record.announcement.phase = announcement.phase;
+    record.announcement.sequence = sequence;
+    record.warmUntil = now + Core::milliseconds(announcement.warmupLeftMs);
+    record.lastHeard = now;
+    if (news) {
+        this->noteChange(record);
+    }
+    return news;
+}
+
+bool BackendRegistry::markGone(const std::string &id, Core::Instant now)
+{
+    // G3. One that is not known is remembered all the same, since its heartbeats may still be on their way.
+    BackendAnnouncement farewell;
+    farewell.id = id;
+    farewell.phase = BackendPhase::GONE;
+    farewell.sequence = INT64_MAX;
+    return this->merge(farewell, now);
+}
+
+std::size_t BackendRegistry::expire(Core::Instant now, Core::Duration silence)
+{
+    std::vector<std::string> silent;
+    for (const auto &[id, record] : this->records) {
+        if (record.announcement.phase != BackendPhase::GONE && now - record.lastHeard >= silence) {
+            silent.push_back(id);
+        }
+    }
+    for (const auto &id : silent) {
+        this->markGone(id, now);
+    }
+    return silent.size();
+}
+
+void BackendRegistry::excuseSilence(Core::Instant now)
+{
+    for (auto &[id, record] : this->records) {
+        record.lastHeard = now;
+    }
+}
+
+void BackendRegistry::forget(Core::Instant now)
+{
+    std::erase_if(this->records, [this, now](const auto &item) {
+        const auto &record = item.second;
+        const bool forgotten = record.announcement.phase == BackendPhase::GONE && now - record.lastHeard >= this->options.retention;
+        if (forgotten) {
+            this->byChange.erase(record.changedAt);
+        }
+        return forgotten;
+    });
+}
+
+const BackendRecord *BackendRegistry::find(const std::string &id) const
+{
+    const auto found = this->records.find(id);
+    return found == this->records.end() ? nullptr : &found->second;
+}
+
+std::vector<BackendAnnouncement> BackendRegistry::changedSince(std::int64_t position, Core::Instant now) const
+{
+    std::vector<BackendAnnouncement> changed;
+    for (auto next = this->byChange.upper_bound(position); next != this->byChange.end(); ++next) {
+        const auto &record = this->records.at(next->second);
+        changed.push_back(record.announcement);
+        const auto warmupLeft = std::max(Core::Duration(0), record.warmUntil - now);
+        changed.back().warmupLeftMs = static_cast<std::int32_t>(Core::toMilliseconds(warmupLeft));
+    }
+    return changed;
+}
+
+std::int64_t BackendRegistry::position() const
+{
+    return this->changes;
+}
+
+std::size_t BackendRegistry::size() const
+{
+    return this->records.size();
+}
+
+void BackendRegistry::noteChange(BackendRecord &record)
+{
+    this->byChange.erase(record.changedAt);
+    record.changedAt = ++this->changes;
+    this->byChange[record.changedAt] = record.announcement.id;
+    if (this->changed) {
+        this->changed(record);
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibFleet/BackendRegistry.h
@@ -0,0 +1,81 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// The backend servers that announced themselves, as a coordinator or a gateway
+// knows them. News may come late, twice and in any order from several sides;
+// merging them gives the same table everywhere (docs/PLATFORM.md, rules G1 to G4).
+
+#pragma once
+
+#include <LibCore/TimerService.h>
+#include <LibProtocol/Generated/fleet_types.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Fleet
+{
+
+/** One incarnation of a backend server. */
+struct BackendRecord {
+    Protocol::BackendAnnouncement announcement;
+    /** Until when it runs slowly after its start. */
+    Core::Instant warmUntil;
+    /** When a heartbeat of it was last known to have been made. */
+    Core::Instant lastHeard;
+    /** Position in the row of changes; grows with each change that others have to know. */
+    std::int64_t changedAt{0};
+};
+
+/** How long things are remembered. */
+struct RegistryOptions {
+    /** A backend server that left or fell silent is remembered for this long, so that late news of it changes nothing. */
+    Core::Duration retention{Core::seconds(600)};
+};
+
+/** Merges announcements. */
+class BackendRegistry
+{
+public:
+    explicit BackendRegistry(RegistryOptions options = {});
+
+    /** Takes an announcement over. Returns whether others have to know. */
+    bool merge(const Protocol::BackendAnnouncement &announcement, Core::Instant now);
+
+    /** The backend server said that it ends, or is known to have ended. Returns whether that is news. */
+    bool markGone(const std::string &id, Core::Instant now);
+
+    /** Marks those gone that made no heartbeat for a time. Returns how many. */
+    std::size_t expire(Core::Instant now, Core::Duration silence);
+
+    /** Starts the count of silence anew for all, after this process itself was stopped for a while. */
+    void excuseSilence(Core::Instant now);
+
+    /** Forgets records that are gone for longer than the retention. */
+    void forget(Core::Instant now);
+
+    [[nodiscard]] const BackendRecord *find(const std::string &id) const;
+    /** Records that changed after a position. */
+    [[nodiscard]] std::vector<Protocol::BackendAnnouncement> changedSince(std::int64_t position, Core::Instant now) const;
+    [[nodiscard]] std::int64_t position() const;
+    [[nodiscard]] std::size_t size() const;
+
+    /** Called for each record that others have to know of, after it changed. */
+    std::function<void(const BackendRecord &record)> changed;
+
+private:
+    void noteChange(BackendRecord &record);
+
+    RegistryOptions options;
+    std::unordered_map<std::string, BackendRecord> records;
+    // Invariant: one item for each record, so that a watcher gets what it misses without a walk over all records.
+    std::map<std::int64_t, std::string> byChange;
+    std::int64_t changes{0};
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -0,0 +1,560 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibGateway/BackendPool.h>
+
+#include <LibCore/Log.h>
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace Gateway
+{
+
+static constexpr Core::Duration SweepPeriod = Core::milliseconds(50);
+// Weight of the newest latency in the smoothed slowness; three samples decide.
+static constexpr double SlownessWeight = 0.3;
+// What is known of slowness fades to half in this time, so that one that recovered is asked again.
+static constexpr double SlownessHalfLifeSeconds = 2.0;
+// One latency is never taken for more than this many times the usual.
+static constexpr double SlownessCeiling = 12.0;
+// A load report is news for this long; requests take tens of milliseconds.
+static constexpr Core::Duration LoadReportLife = Core::milliseconds(250);
+// An attempt that takes this many times the usual latency, and at least the floor, makes its backend server look stuck.
+static constexpr int StuckFactor = 3;
+static constexpr Core::Duration StuckFloor = Core::milliseconds(25);
+// Score added for one that looks stuck: more than any usual difference, less than what is avoided after failures.
+static constexpr double StuckPenaltyMilliseconds = 300.0;
+static constexpr double AvoidedPenaltyMilliseconds = 10'000.0;
+// A cold backend server takes about this much longer.
+static constexpr double ColdFactor = 1.6;
+// Failures in a row after which a backend server is avoided, and for how long at first and at most.
+static constexpr int FailuresUntilAvoided = 2;
+static constexpr Core::Duration FirstAvoidance = Core::milliseconds(500);
+static constexpr Core::Duration LongestAvoidance = Core::seconds(4);
+// Scores differ by up to this share at random, so that gateways don't all choose the same one.
+static constexpr double ScoreNoise = 0.15;
+
+BackendPool::BackendPool(BackendPoolOptions options, const Dialect &dialect, Core::EventPoll &poll, Core::TimerService &timers)
+    : options(std::move(options)), dialect(dialect), poll(poll), timers(timers), random(this->options.seed)
+{
+    this->sweepTimer = timers.every(SweepPeriod, [this](Core::Instant) {
+        this->sweep();
+    });
+}
+
+BackendPool::~BackendPool()
+{
+    for (auto &[name, backend] : this->backends) {
+        for (const auto &connection : backend->connections) {
+            connection->closed = nullptr;
+            connection->close();
+        }
+    }
+}
+
+// ---- Rows
+
+BackendPool::Service &BackendPool::serviceOf(const Core::ServiceName &name)
+{
+    auto &service = this->services[name];
+    if (!service.budget) {
+        service.budget = std::make_unique<RepeatBudget>(this->options.budget);
+    }
+    return service;
+}
+
+void BackendPool::update(const Fleet::BackendRecord &record)
+{
+    const auto &announcement = record.announcement;
+    const auto found = this->backends.find(announcement.id);
+    if (found != this->backends.end()) {
+        found->second->phase = announcement.phase;
+        found->second->slots = std::max(1, announcement.slots);
+        found->second->warmUntil = record.warmUntil;
+        return;
+    }
+    const auto endpoint = Core::Endpoint::parse(announcement.address);
+    if (announcement.phase != Protocol::BackendPhase::READY || !endpoint.has_value()) {
+        return;
+    }
+    auto backend = std::make_unique<Backend>();
+    backend->name = BackendName(announcement.id);
+    backend->service = Core::ServiceName(announcement.serviceName);
+    backend->endpoint = endpoint.value();
+    backend->sameZone = announcement.zone == this->options.zone.value();
+    backend->sameRegion = backend->sameZone || this->options.regions[announcement.zone] == this->options.regions[this->options.zone.value()];
+    backend->slots = std::max(1, announcement.slots);
+    backend->warmUntil = record.warmUntil;
+    const auto service = backend->service;
+    this->serviceOf(service).backends.push_back(backend.get());
+    this->backends[announcement.id] = std::move(backend);
+    this->offerRoom(service);
+}
+
+void BackendPool::markGone(Backend &backend)
+{
+    backend.phase = Protocol::BackendPhase::GONE;
+}
+
+void BackendPool::remove(Backend &backend)
+{
+    auto &rows = this->serviceOf(backend.service).backends;
+    std::erase(rows, &backend);
+    this->backends.erase(backend.name.value());
+}
+
+void BackendPool::setDeclaration(std::shared_ptr<const Fleet::Declaration> newDeclaration)
+{
+    this->declaration = std::move(newDeclaration);
+    for (const auto &[name, declared] : this->declaration->services) {
+        this->serviceOf(name).connectionCap = declared.connectionCap;
+    }
+}
+
+void BackendPool::setGatewayCount(int count)
+{
+    this->gateways = std::max(1, count);
+}
+
+int BackendPool::gatewayCount() const
+{
+    return this->gateways;
+}
+
+RepeatBudget &BackendPool::budget(const Core::ServiceName &service)
+{
+    return *this->serviceOf(service).budget;
+}
+
+bool BackendPool::hasReady(const Core::ServiceName &service) const
+{
+    const auto found = this->services.find(service);
+    return found != this->services.end() && std::any_of(found->second.backends.begin(), found->second.backends.end(), [](const Backend *backend) {
+        return backend->phase == Protocol::BackendPhase::READY;
+    });
+}
+
+const PoolCounters &BackendPool::counters() const
+{
+    return this->counts;
+}
+
+std::size_t BackendPool::connectionCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[name, backend] : this->backends) {
+        count += backend->connections.size();
+    }
+    return count;
+}
+
+std::size_t BackendPool::backendCount() const
+{
+    return this->backends.size();
+}
+
+// ---- Choice
+
+std::size_t BackendPool::connectionLimit(const Service &service) const
+{
+    const double share = this->options.connectionShare * service.connectionCap / this->gateways;
+    return std::max<std::size_t>(1, static_cast<std::size_t>(share));
+}
+
+bool BackendPool::hasRoom(const Backend &backend, const Service &service) const
+{
+    if (backend.connections.size() < this->connectionLimit(service)) {
+        return true;
+    }
+    return std::any_of(backend.connections.begin(), backend.connections.end(), [](const auto &connection) {
+        return connection->isIdle();
+    });
+}
+
+bool BackendPool::isStuck(const Backend &backend, Core::Instant now) const
+{
+    return std::any_of(backend.inFlight.begin(), backend.inFlight.end(), [&backend, now](const Attempt *attempt) {
+        const auto limit = std::max(StuckFloor, StuckFactor * attempt->typicalLatency);
+        // A reply that came later than the attempt began shows that the server works, if slowly on this one.
+        return now - std::max(attempt->startedAt, backend.lastReply) >= limit;
+    });
+}
+
+static double milliseconds(Core::Duration duration)
+{
+    return Core::toFractionalMilliseconds(duration);
+}
+
+double BackendPool::scoreOf(const Backend &backend, Core::Duration typicalLatency, Core::Instant now)
+{
+    const double age = milliseconds(now - backend.slownessAt) / 1000.0;
+    const double slowness = 1.0 + (backend.slowness - 1.0) * std::exp2(-age / SlownessHalfLifeSeconds);
+    const double own = static_cast<double>(backend.inFlight.size());
+    const double freshness = std::max(0.0, 1.0 - milliseconds(now - backend.loadAt) / milliseconds(LoadReportLife));
+    const double reported = freshness * (backend.load.running + backend.load.waiting);
+    const double queueing = std::max(0.0, std::max(own, reported) + 1.0 - backend.slots) / backend.slots;
+    double score = milliseconds(typicalLatency) * slowness * (1.0 + queueing);
+    if (now < backend.warmUntil) {
+        score *= ColdFactor;
+    }
+    if (!backend.sameRegion) {
+        score += milliseconds(backend.roundTrip.value_or(this->options.assumedRegionRoundTrip) + this->options.crossRegionBias);
+    } else if (!backend.sameZone) {
+        score += milliseconds(this->options.crossZoneBias);
+    }
+    score *= 1.0 + std::uniform_real_distribution<double>(0.0, ScoreNoise)(this->random);
+    score += this->isStuck(backend, now) ? StuckPenaltyMilliseconds : 0.0;
+    score += now < backend.avoidedUntil ? AvoidedPenaltyMilliseconds : 0.0;
+    return score;
+}
+
+Backend *BackendPool::choose(
+    const Core::ServiceName &service, const std::vector<BackendName> &tried, Core::Duration typicalLatency, bool soundOnly)
+{
+    auto &row = this->serviceOf(service);
+    const auto now = this->timers.now();
+    Backend *best = nullptr;
+    double bestScore = 0.0;
+    for (auto *backend : row.backends) {
+        const bool wasTried = std::find(tried.begin(), tried.end(), backend->name) != tried.end();
+        if (backend->phase != Protocol::BackendPhase::READY || wasTried || !this->hasRoom(*backend, row)) {
+            continue;
+        }
+        const double score = this->scoreOf(*backend, typicalLatency, now);
+        if (soundOnly && score >= StuckPenaltyMilliseconds + milliseconds(typicalLatency)) {
+            continue;
+        }
+        if (best == nullptr || score < bestScore) {
+            best = backend;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+// ---- Connections
+
+std::shared_ptr<Wire::ClientConnection> BackendPool::openConnection(Backend &backend)
+{
+    auto opened = Wire::ClientConnection::create({.endpoint = backend.endpoint, .silenceLimit = this->options.connectPatience * 2, .limits = {}}, this->poll, this->timers);
+    if (!opened.has_value()) {
+        Core::logEvent(
+            Core::LogLevel::Warning, "backend.connect_failed", {{"backend", backend.name.value()}, {"reason", opened.error().message}});
+        return nullptr;
+    }
+    ++this->counts.connectionsOpened;
+    const auto &connection = opened.value();
+    connection->closed = [this, name = backend.name.value(), raw = connection.get()] {
+        const auto found = this->backends.find(name);
+        if (found != this->backends.end()) {
+            this->connectionClosed(*found->second, raw);
+        }
+    };
+    backend.connections.push_back(connection);
+    return connection;
+}
+
+std::shared_ptr<Wire::ClientConnection> BackendPool::connectionFor(Backend &backend)
+{
+    const auto now = this->timers.now();
+    // The one that was used last is the least likely to have been closed by the other side.
+    std::shared_ptr<Wire::ClientConnection> best;
+    std::vector<std::shared_ptr<Wire::ClientConnection>> expired;
+    for (const auto &connection : backend.connections) {
+        if (!connection->isIdle()) {
+            continue;
+        }
+        if (connection->idleUntil() <= now) {
+            expired.push_back(connection);
+        } else if (!best || connection->lastUsed() > best->lastUsed()) {
+            best = connection;
+        }
+    }
+    for (const auto &connection : expired) {
+        connection->close();
+    }
+    return best ? best : this->openConnection(backend);
+}
+
+void BackendPool::connectionClosed(Backend &backend, const Wire::ClientConnection *connection)
+{
+    const auto service = backend.service;
+    std::erase_if(backend.connections, [connection](const auto &held) {
+        return held.get() == connection;
+    });
+    this->offerRoom(service);
+}
+
+// ---- Attempts
+
+AttemptId BackendPool::send(Backend &backend, AttemptOptions attemptOptions)
+{
+    const AttemptId id = this->nextAttempt++;
+    ++this->counts.attempts;
+    auto &attempt = this->attempts[id];
+    attempt.id = id;
+    attempt.backend = &backend;
+    attempt.startedAt = this->timers.now();
+    attempt.typicalLatency = attemptOptions.typicalLatency;
+    attempt.done = std::move(attemptOptions.done);
+    backend.inFlight.push_back(&attempt);
+    attempt.connection = this->connectionFor(backend);
+    if (!attempt.connection) {
+        // The outcome is told from the loop, as all outcomes are.
+        attempt.cancelAt = attempt.startedAt;
+        return id;
+    }
+    std::string bytes;
+    this->dialect.writeRequest(bytes, BackendRequest{.caller = attemptOptions.caller, .backend = backend.name, .timeLeft = attemptOptions.timeLeft});
+    attempt.connection->send(
+        std::move(bytes),
+        [this, expected = attemptOptions.caller->id](const Wire::Response &response) {
+            const auto reply = this->dialect.readReply(Wire::Response{.status = response.status, .headers = response.headers, .body = {}});
+            return expected.value().empty() || reply.id.value().empty() || reply.id == expected;
+        },
+        [this, id](Wire::ClientResult result) {
+            this->finish(id, std::move(result));
+        });
+    return id;
+}
+
+Attempt BackendPool::takeAttempt(AttemptId id)
+{
+    const auto found = this->attempts.find(id);
+    Attempt attempt = std::move(found->second);
+    std::erase(attempt.backend->inFlight, &found->second);
+    this->attempts.erase(found);
+    return attempt;
+}
+
+void BackendPool::finish(AttemptId id, Wire::ClientResult result)
+{
+    const Attempt attempt = this->takeAttempt(id);
+    auto &backend = *attempt.backend;
+    AttemptOutcome outcome;
+    outcome.reason = std::move(result.reason);
+    switch (result.end) {
+    case Wire::ClientEnd::Answered:
+        outcome.end = AttemptEnd::Replied;
+        outcome.reply = this->dialect.readReply(std::move(result.response));
+        break;
+    case Wire::ClientEnd::NotSent:
+        outcome.end = AttemptEnd::NotSent;
+        break;
+    case Wire::ClientEnd::Broken:
+        outcome.end = AttemptEnd::Broken;
+        break;
+    }
+    this->learn(backend, attempt, outcome);
+    const auto service = backend.service;
+    if (attempt.done) {
+        attempt.done(outcome);
+    }
+    this->offerRoom(service);
+}
+
+void BackendPool::learn(Backend &backend, const Attempt &attempt, const AttemptOutcome &outcome)
+{
+    const auto now = this->timers.now();
+    if (outcome.end != AttemptEnd::Replied) {
+        (outcome.end == AttemptEnd::NotSent ? this->counts.notSent : this->counts.broken) += 1;
+        this->noteFailure(backend, outcome.reason);
+        return;
+    }
+    const auto &reply = outcome.reply;
+    backend.lastReply = now;
+    if (reply.load.has_value()) {
+        backend.load = reply.load.value();
+        backend.loadAt = now;
+    }
+    if (attempt.connection->connectTime() > Core::Duration(0)) {
+        const auto measured = attempt.connection->connectTime();
+        backend.roundTrip = std::min(backend.roundTrip.value_or(measured), measured);
+    }
+    if (reply.wrongBackend) {
+        ++this->counts.wrongBackend;
+        Core::logEvent(Core::LogLevel::Information, "backend.replaced", {{"backend", backend.name.value()}, {"address", backend.endpoint.toString()}});
+        this->markGone(backend);
+        return;
+    }
+    if (reply.notExecuted) {
+        ++this->counts.notExecuted;
+        return;
+    }
+    if (reply.message.status >= 500) {
+        this->noteFailure(backend, "status " + std::to_string(reply.message.status));
+        return;
+    }
+    backend.consecutiveFailures = 0;
+    backend.avoidedUntil = now;
+    const double usual = std::max(1.0, milliseconds(attempt.typicalLatency));
+    const double latency = milliseconds(now - attempt.startedAt) - (backend.sameRegion ? 0.0 : milliseconds(backend.roundTrip.value_or(Core::Duration(0))));
+    const double ratio = std::clamp(latency / usual, 0.5, SlownessCeiling);
+    const double age = milliseconds(now - backend.slownessAt) / 1000.0;
+    const double faded = 1.0 + (backend.slowness - 1.0) * std::exp2(-age / SlownessHalfLifeSeconds);
+    backend.slowness = (1.0 - SlownessWeight) * faded + SlownessWeight * ratio;
+    backend.slownessAt = now;
+}
+
+void BackendPool::noteFailure(Backend &backend, const std::string &reason)
+{
+    ++backend.consecutiveFailures;
+    if (backend.consecutiveFailures < FailuresUntilAvoided) {
+        return;
+    }
+    const auto now = this->timers.now();
+    const int doublings = std::min(backend.consecutiveFailures - FailuresUntilAvoided, 3);
+    const auto duration = std::min(FirstAvoidance * (1 << doublings), LongestAvoidance);
+    if (now >= backend.avoidedUntil) {
+        Core::logEvent(Core::LogLevel::Information,
+            "backend.avoided",
+            {{"backend", backend.name.value()},
+                {"service", backend.service.value()},
+                {"failures", backend.consecutiveFailures},
+                {"for_ms", Core::toMilliseconds(duration)},
+                {"reason", reason}});
+    }
+    backend.avoidedUntil = now + duration;
+}
+
+void BackendPool::abandon(AttemptId id, bool callerGone)
+{
+    const auto found = this->attempts.find(id);
+    if (found == this->attempts.end()) {
+        return;
+    }
+    auto &attempt = found->second;
+    attempt.done = nullptr;
+    const bool unsent = attempt.connection && !attempt.connection->isConnected();
+    const auto patience = callerGone ? this->options.cancelPatience : this->options.abandonPatience;
+    // One that has not left is not waited for: the backend server never learns of it.
+    attempt.cancelAt = this->timers.now() + (unsent ? Core::Duration(0) : patience);
+}
+
+bool BackendPool::mayHaveBeenSent(AttemptId id) const
+{
+    const auto found = this->attempts.find(id);
+    return found == this->attempts.end() || (found->second.connection && found->second.connection->isConnected());
+}
+
+// ---- Room
+
+std::uint64_t BackendPool::waitForRoom(const Core::ServiceName &service, int priority, RoomHook hook)
+{
+    auto &waiters = this->serviceOf(service).waiters;
+    const auto number = this->nextWaiter++;
+    const auto position = std::upper_bound(waiters.begin(), waiters.end(), priority, [](int wanted, const Waiter &waiter) {
+        return wanted < waiter.priority;
+    });
+    waiters.insert(position, Waiter{.number = number, .priority = priority, .hook = std::move(hook)});
+    return number;
+}
+
+void BackendPool::stopWaiting(const Core::ServiceName &service, std::uint64_t number)
+{
+    std::erase_if(this->serviceOf(service).waiters, [number](const Waiter &waiter) {
+        return waiter.number == number;
+    });
+}
+
+void BackendPool::offerRoom(const Core::ServiceName &service)
+{
+    auto &waiters = this->serviceOf(service).waiters;
+    if (waiters.empty()) {
+        return;
+    }
+    const Waiter first = std::move(waiters.front());
+    waiters.erase(waiters.begin());
+    // One that finds no room after all waits again.
+    first.hook();
+}
+
+// ---- Each tick
+
+void BackendPool::sweep()
+{
+    const auto now = this->timers.now();
+    this->cancelOverdue(now);
+    this->closeResting(now);
+}
+
+void BackendPool::cancelOverdue(Core::Instant now)
+{
+    std::vector<AttemptId> overdue;
+    for (const auto &[id, attempt] : this->attempts) {
+        const bool connecting = attempt.connection && !attempt.connection->isConnected();
+        const bool connectsTooLong = connecting && now - attempt.startedAt >= this->options.connectPatience;
+        if ((attempt.cancelAt.has_value() && attempt.cancelAt.value() <= now) || connectsTooLong) {
+            overdue.push_back(id);
+        }
+    }
+    for (const auto id : overdue) {
+        const auto found = this->attempts.find(id);
+        if (found == this->attempts.end()) {
+            continue;
+        }
+        const Attempt attempt = this->takeAttempt(id);
+        auto &backend = *attempt.backend;
+        const bool sent = attempt.connection && attempt.connection->isConnected();
+        ++this->counts.cancelled;
+        if (sent && now - backend.lastReply >= this->options.abandonPatience) {
+            this->noteFailure(backend, "silent");
+        } else if (!sent) {
+            this->noteFailure(backend, "no connection in time");
+        }
+        if (attempt.connection) {
+            attempt.connection->close();
+        }
+        if (attempt.done) {
+            attempt.done(AttemptOutcome{.end = AttemptEnd::NotSent, .reply = {}, .reason = "no connection in time"});
+        }
+    }
+}
+
+void BackendPool::closeResting(Core::Instant now)
+{
+    std::vector<std::shared_ptr<Wire::ClientConnection>> resting;
+    std::vector<Backend *> gone;
+    for (const auto &[name, backend] : this->backends) {
+        const bool isGone = backend->phase == Protocol::BackendPhase::GONE;
+        for (const auto &connection : backend->connections) {
+            const bool expired = connection->idleUntil() <= now || now - connection->lastUsed() >= this->options.idleLimit;
+            if (connection->isIdle() && (expired || isGone)) {
+                resting.push_back(connection);
+            }
+        }
+        if (isGone && backend->connections.empty() && backend->inFlight.empty()) {
+            gone.push_back(backend.get());
+        }
+    }
+    for (const auto &connection : resting) {
+        connection->close();
+    }
+    for (auto *backend : gone) {
+        this->remove(*backend);
+    }
+}
+
+std::string BackendPool::dump() const
+{
+    const auto now = this->timers.now();
+    nlohmann::json rows = nlohmann::json::array();
+    for (const auto &[name, backend] : this->backends) {
+        rows.push_back({{"backend", name},
+            {"service", backend->service.value()},
+            {"address", backend->endpoint.toString()},
+            {"phase", static_cast<int>(backend->phase)},
+            {"connections", backend->connections.size()},
+            {"in_flight", backend->inFlight.size()},
+            {"slowness", backend->slowness},
+            {"avoided_ms", Core::toMilliseconds(std::max(Core::Duration(0), backend->avoidedUntil - now))},
+            {"failures", backend->consecutiveFailures}});
+    }
+    return rows.dump(2);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/BackendPool.h
@@ -0,0 +1,227 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// The backend servers as this gateway sees them: what it observed of each, its
+// connections to each, and which one a request goes to next.
+
+#pragma once
+
+#include <LibCore/EventPoll.h>
+#include <LibCore/StrongValue.h>
+#include <LibCore/TimerService.h>
+#include <LibFleet/BackendRegistry.h>
+#include <LibFleet/Declaration.h>
+#include <LibGateway/Dialect.h>
+#include <LibGateway/RepeatBudget.h>
+#include <LibWire/ClientConnection.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <unordered_map>
+
+namespace Gateway
+{
+
+/** Where this gateway is, and what it takes into account. Times are as measured on the deployments; docs/QUERY-PATH.md. */
+struct BackendPoolOptions {
+    Core::ZoneName zone;
+    /** Region of each availability zone. */
+    std::map<std::string, std::string> regions;
+    RepeatBudgetOptions budget;
+    /** A server that is not silent answers a new connection within this time, also across regions. */
+    Core::Duration connectPatience{Core::milliseconds(600)};
+    /** An abandoned attempt is cancelled, by closing its connection, after this time. Longer than a pause, so that a connection survives one. */
+    Core::Duration abandonPatience{Core::milliseconds(300)};
+    /** Once the caller has gone nobody needs the answer: cancelled well within half a second. */
+    Core::Duration cancelPatience{Core::milliseconds(150)};
+    /** A connection that was not used for this long is closed. */
+    Core::Duration idleLimit{Core::seconds(20)};
+    /** Added to the expected latency of a backend server in another region, whose bytes are dear. */
+    Core::Duration crossRegionBias{Core::milliseconds(10)};
+    /** The same for another availability zone of this region. */
+    Core::Duration crossZoneBias{Core::milliseconds(2)};
+    /** Round trip that is assumed to another region before one was measured. */
+    Core::Duration assumedRegionRoundTrip{Core::milliseconds(20)};
+    /** The part of a backend server's connections that all gateways together may open, since their number is known only roughly. */
+    double connectionShare{0.9};
+    std::uint64_t seed{1};
+};
+
+class BackendPool;
+struct Backend;
+
+/** Names an attempt until it has ended. */
+using AttemptId = std::uint64_t;
+
+/** How a send to a backend server ended. */
+enum class AttemptEnd {
+    Replied,
+    /** It never left this gateway. */
+    NotSent,
+    /** It may have run. */
+    Broken,
+};
+
+struct AttemptOutcome {
+    AttemptEnd end{AttemptEnd::Broken};
+    BackendReply reply;
+    std::string reason;
+};
+
+/** What is sent, and what is expected of it. */
+struct AttemptOptions {
+    const CallerRequest *caller{nullptr};
+    Core::Duration timeLeft{0};
+    /** Typical latency of such requests, for judging a backend server by. */
+    Core::Duration typicalLatency{0};
+    std::function<void(const AttemptOutcome &outcome)> done;
+};
+
+/** One send that is under way. */
+struct Attempt {
+    AttemptId id{0};
+    Backend *backend{nullptr};
+    std::shared_ptr<Wire::ClientConnection> connection;
+    Core::Instant startedAt;
+    Core::Duration typicalLatency{0};
+    // Set when nobody waits for the outcome any more.
+    std::optional<Core::Instant> cancelAt;
+    std::function<void(const AttemptOutcome &outcome)> done;
+};
+
+/** One incarnation of a backend server. */
+struct Backend {
+    BackendName name;
+    Core::ServiceName service;
+    Core::Endpoint endpoint;
+    bool sameZone{false};
+    bool sameRegion{false};
+    int slots{1};
+    Protocol::BackendPhase::type phase{Protocol::BackendPhase::READY};
+    Core::Instant warmUntil;
+
+    // How much longer than usual it takes, smoothed; 1 is usual.
+    double slowness{1.0};
+    Core::Instant slownessAt;
+    int consecutiveFailures{0};
+    Core::Instant avoidedUntil;
+    Core::Instant lastReply;
+    LoadReport load;
+    Core::Instant loadAt;
+    std::optional<Core::Duration> roundTrip;
+
+    std::vector<std::shared_ptr<Wire::ClientConnection>> connections;
+    // Invariant: exactly the attempts of the pool that name this backend.
+    std::vector<Attempt *> inFlight;
+};
+
+/** Counts for metrics. */
+struct PoolCounters {
+    std::uint64_t attempts{0};
+    std::uint64_t connectionsOpened{0};
+    std::uint64_t broken{0};
+    std::uint64_t notSent{0};
+    std::uint64_t notExecuted{0};
+    std::uint64_t cancelled{0};
+    std::uint64_t wrongBackend{0};
+};
+
+/** Table of backends and of the attempts under way. */
+class BackendPool
+{
+public:
+    /** Calls the hook once when a service may have room again. */
+    using RoomHook = std::function<void()>;
+
+    BackendPool(BackendPoolOptions options, const Dialect &dialect, Core::EventPoll &poll, Core::TimerService &timers);
+    ~BackendPool();
+    BackendPool(const BackendPool &) = delete;
+    BackendPool &operator=(const BackendPool &) = delete;
+
+    /** Takes over what the registry learnt. */
+    void update(const Fleet::BackendRecord &record);
+
+    /** Takes connection caps over. */
+    void setDeclaration(std::shared_ptr<const Fleet::Declaration> declaration);
+    void setGatewayCount(int count);
+    [[nodiscard]] int gatewayCount() const;
+
+    /** The best backend server that has room and is none of `tried`, or nullptr. `soundOnly` passes over those that seem stuck. */
+    [[nodiscard]] Backend *choose(
+        const Core::ServiceName &service, const std::vector<BackendName> &tried, Core::Duration typicalLatency, bool soundOnly);
+
+    /** Sends. `done` is called exactly once, from the loop, unless the attempt is abandoned. */
+    AttemptId send(Backend &backend, AttemptOptions options);
+
+    /** Nobody waits for the outcome any more. `callerGone` asks for an early cancellation. */
+    void abandon(AttemptId id, bool callerGone);
+
+    /** Whether the request has left, as far as can be told. */
+    [[nodiscard]] bool mayHaveBeenSent(AttemptId id) const;
+
+    /** Calls the hook when there may be room; more urgent ones first. Returns a number for stopWaiting(). */
+    std::uint64_t waitForRoom(const Core::ServiceName &service, int priority, RoomHook hook);
+    void stopWaiting(const Core::ServiceName &service, std::uint64_t number);
+
+    [[nodiscard]] RepeatBudget &budget(const Core::ServiceName &service);
+    [[nodiscard]] bool hasReady(const Core::ServiceName &service) const;
+    [[nodiscard]] const PoolCounters &counters() const;
+    [[nodiscard]] std::size_t connectionCount() const;
+    [[nodiscard]] std::size_t backendCount() const;
+
+    /** The rows as JSON, for people. */
+    [[nodiscard]] std::string dump() const;
+
+private:
+    struct Waiter {
+        std::uint64_t number{0};
+        int priority{0};
+        RoomHook hook;
+    };
+    struct Service {
+        std::vector<Backend *> backends;
+        // Invariant: in order of priority, and of arrival within one.
+        std::vector<Waiter> waiters;
+        int connectionCap{1};
+        std::unique_ptr<RepeatBudget> budget;
+    };
+
+    [[nodiscard]] Service &serviceOf(const Core::ServiceName &name);
+    [[nodiscard]] std::size_t connectionLimit(const Service &service) const;
+    [[nodiscard]] bool hasRoom(const Backend &backend, const Service &service) const;
+    [[nodiscard]] bool isStuck(const Backend &backend, Core::Instant now) const;
+    [[nodiscard]] double scoreOf(const Backend &backend, Core::Duration typicalLatency, Core::Instant now);
+    [[nodiscard]] std::shared_ptr<Wire::ClientConnection> connectionFor(Backend &backend);
+    [[nodiscard]] std::shared_ptr<Wire::ClientConnection> openConnection(Backend &backend);
+    void connectionClosed(Backend &backend, const Wire::ClientConnection *connection);
+    void finish(AttemptId id, Wire::ClientResult result);
+    [[nodiscard]] Attempt takeAttempt(AttemptId id);
+    void learn(Backend &backend, const Attempt &attempt, const AttemptOutcome &outcome);
+    void noteFailure(Backend &backend, const std::string &reason);
+    void markGone(Backend &backend);
+    void remove(Backend &backend);
+    void offerRoom(const Core::ServiceName &service);
+    void sweep();
+    void cancelOverdue(Core::Instant now);
+    void closeResting(Core::Instant now);
+
+    BackendPoolOptions options;
+    const Dialect &dialect;
+    Core::EventPoll &poll;
+    Core::TimerService &timers;
+    std::mt19937_64 random;
+    int gateways{1};
+    std::shared_ptr<const Fleet::Declaration> declaration;
+    std::unordered_map<Core::ServiceName, Service> services;
+    std::unordered_map<std::string, std::unique_ptr<Backend>> backends;
+    std::unordered_map<AttemptId, Attempt> attempts;
+    AttemptId nextAttempt{1};
+    std::uint64_t nextWaiter{1};
+    Core::TimerSubscription sweepTimer;
+    PoolCounters counts;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/Dialect.h
@@ -0,0 +1,99 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// What requests and replies mean, free of the headers in which they say it. An
+// adapter fills the hooks; nothing in this library knows a header's name.
+
+#pragma once
+
+#include <LibCore/StrongValue.h>
+#include <LibCore/Time.h>
+#include <LibWire/Message.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Gateway
+{
+
+/** Name of one incarnation of a backend server. */
+using BackendName = Core::StrongValue<struct BackendNameTag, std::string>;
+
+/** A caller's request, its envelope read. */
+struct CallerRequest {
+    /** Empty when the caller gave none. */
+    Core::RequestId id;
+    std::string host;
+    /** How long the caller waits; nothing when it did not say. */
+    std::optional<Core::Duration> patience;
+    Wire::Request message;
+};
+
+/** How busy a backend server said that it is. */
+struct LoadReport {
+    int running{0};
+    int waiting{0};
+    int slots{0};
+};
+
+/** A backend server's reply, its envelope read. */
+struct BackendReply {
+    Core::RequestId id;
+    /** The backend server's proof that this is its answer; empty when there is none. */
+    std::string signature;
+    /** The backend server says that it did not run the request and never will. */
+    bool notExecuted{false};
+    /** Another backend server has the address now. */
+    bool wrongBackend{false};
+    std::optional<LoadReport> load;
+    Wire::Response message;
+
+    [[nodiscard]] bool isSuccess() const
+    {
+        return this->message.status >= 200 && this->message.status < 300;
+    }
+};
+
+/** One send to one backend server. */
+struct BackendRequest {
+    const CallerRequest *caller{nullptr};
+    BackendName backend;
+    Core::Duration timeLeft{0};
+};
+
+/** An answer put together from the parts of several backend servers. */
+struct MergedAnswer {
+    Core::RequestId id;
+    std::vector<std::string> signatures;
+    std::size_t missing{0};
+    std::string body;
+};
+
+/** How a request ended that has no backend server's answer. */
+enum class Refusal {
+    /** Nothing ran and nothing will: come back later. */
+    NotRun,
+    /** Something may have run, and no answer came in time. */
+    TimedOut,
+    /** Something may have run, and its answer was lost. */
+    Failed,
+    NoRoute,
+};
+
+/** Reads and writes the envelopes. */
+struct Dialect {
+    std::function<CallerRequest(Wire::Request message)> readRequest;
+    std::function<BackendReply(Wire::Response message)> readReply;
+    /** Appends the bytes of a request to a backend server. */
+    std::function<void(std::string &bytes, const BackendRequest &request)> writeRequest;
+    /** A backend server's reply as the caller gets it. */
+    std::function<Wire::Response(BackendReply reply)> passOn;
+    std::function<Wire::Response(const MergedAnswer &answer)> writeMerged;
+    std::function<Wire::Response(Refusal refusal, const Core::RequestId &id, Core::Duration comeBackAfter)> writeRefusal;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/RepeatBudget.cpp
@@ -0,0 +1,51 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibGateway/RepeatBudget.h>
+
+#include <algorithm>
+
+namespace Gateway
+{
+
+RepeatBudget::RepeatBudget(RepeatBudgetOptions options) : options(options)
+{
+}
+
+RepeatBudget::Slice &RepeatBudget::sliceAt(Core::Instant now)
+{
+    const std::int64_t number = now.sinceStart() / (this->options.window / SliceCount);
+    auto &slice = this->slices[static_cast<std::size_t>(number) % SliceCount];
+    if (slice.number != number) {
+        slice = Slice{.number = number, .requests = 0, .repeats = 0};
+    }
+    return slice;
+}
+
+void RepeatBudget::noteRequest(Core::Instant now)
+{
+    ++this->sliceAt(now).requests;
+}
+
+bool RepeatBudget::takeRepeat(Core::Instant now, int gateways)
+{
+    auto &current = this->sliceAt(now);
+    double requests = 0.0;
+    double repeats = 0.0;
+    for (const auto &slice : this->slices) {
+        if (slice.number > current.number - static_cast<std::int64_t>(SliceCount)) {
+            requests += slice.requests;
+            repeats += slice.repeats;
+        }
+    }
+    const double allowed = this->options.ratio * requests + this->options.slack / std::max(1, gateways);
+    if (repeats + 1.0 > this->options.usedShare * allowed) {
+        return false;
+    }
+    ++current.repeats;
+    return true;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/RepeatBudget.h
@@ -0,0 +1,56 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// Bounds the requests that a service gets beyond the first send of each. Every
+// gateway keeps its own part of a budget that holds for all of them together, so
+// the sum stays within it without a word between them. Pure.
+
+#pragma once
+
+#include <LibCore/Time.h>
+
+#include <array>
+#include <cstdint>
+
+namespace Gateway
+{
+
+/** The budget of the whole deployment for one service. */
+struct RepeatBudgetOptions {
+    /** Repeats for each request. */
+    double ratio{0.2};
+    /** Repeats allowed on top, in one window, by all gateways together. */
+    double slack{60.0};
+    Core::Duration window{Core::seconds(10)};
+    /** The part of the budget that is used, since clocks, arrivals and gateway counts are known only roughly. */
+    double usedShare{0.75};
+};
+
+/** Counts requests and repeats in a sliding window. */
+class RepeatBudget
+{
+public:
+    explicit RepeatBudget(RepeatBudgetOptions options = {});
+
+    void noteRequest(Core::Instant now);
+
+    /** Takes one repeat out of the budget; false when there is none left. `gateways` share the slack. */
+    [[nodiscard]] bool takeRepeat(Core::Instant now, int gateways);
+
+private:
+    static constexpr std::size_t SliceCount = 10;
+    struct Slice {
+        std::int64_t number{-1};
+        std::uint32_t requests{0};
+        std::uint32_t repeats{0};
+    };
+
+    [[nodiscard]] Slice &sliceAt(Core::Instant now);
+
+    RepeatBudgetOptions options;
+    std::array<Slice, SliceCount> slices{};
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/RequestSettings.h
@@ -0,0 +1,37 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// Limits and delays of requests under way.
+
+#pragma once
+
+#include <LibCore/Time.h>
+
+namespace Gateway
+{
+
+/** All of them hold for every route; what differs by route is in the declaration. */
+struct RequestSettings {
+    /** The part of the target latency that is kept for the way back to the caller and for a new connection of it. */
+    double returnShare{0.13};
+    /** An attempt without a reply is hedged after this many times the usual latency … */
+    double hedgeFactor{2.2};
+    /** … and at least this long, which is about what a round trip to the farthest region takes. */
+    Core::Duration hedgeFloor{Core::milliseconds(16)};
+    /** … and at most this part of the target latency, so that a hedge can still make it. */
+    double hedgeCeilingShare{0.4};
+    /** The usual latency, as a part of the target, before any was measured. */
+    double assumedLatencyShare{0.15};
+    /** Given to the caller as the time to come back after when nothing ran. */
+    Core::Duration comeBackAfter{Core::milliseconds(150)};
+    /** Kept back from the time that a request may take, so that its answer is out before the time is over. */
+    Core::Duration answerReserve{Core::milliseconds(20)};
+    /** The part of the target latency that a single request waits for room before it is refused. */
+    double roomWaitShare{0.2};
+    /** How long a request may be held for which nobody said how long. */
+    Core::Duration defaultPatience{Core::seconds(10)};
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -0,0 +1,264 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibGateway/ShardCall.h>
+
+#include <algorithm>
+
+namespace Gateway
+{
+
+// Backend servers that may refuse one request before it is given up; each refusal is a send that the budget pays for.
+static constexpr int MaximumRefusals = 3;
+
+ShardCall::ShardCall(const CallTerms &terms, Core::ServiceName service, BackendPool &pool, Core::TimerService &timers)
+    : terms(terms), serviceName(std::move(service)), pool(pool), timers(timers)
+{
+}
+
+ShardCall::~ShardCall()
+{
+    this->abandonRunning(false);
+    if (this->waiter.has_value()) {
+        this->pool.stopWaiting(this->serviceName, this->waiter.value());
+    }
+}
+
+void ShardCall::start(std::function<void()> finishedHook)
+{
+    this->finished = std::move(finishedHook);
+    this->pool.budget(this->serviceName).noteRequest(this->timers.now());
+    this->tryNext(false);
+}
+
+void ShardCall::tryNext(bool soundOnly)
+{
+    auto *backend = this->pool.choose(this->serviceName, this->tried, this->terms.typicalLatency, soundOnly);
+    if (backend != nullptr) {
+        this->sendTo(*backend);
+    } else if (this->running.empty()) {
+        this->waitForRoom();
+    }
+}
+
+void ShardCall::waitForRoom()
+{
+    this->current = CallState::Waiting;
+    if (this->waiter.has_value()) {
+        return;
+    }
+    this->waiter = this->pool.waitForRoom(this->serviceName, this->terms.route->priority, [this] {
+        this->waiter.reset();
+        this->tryNext(false);
+    });
+}
+
+void ShardCall::sendTo(Backend &backend)
+{
+    this->current = CallState::UnderWay;
+    const auto now = this->timers.now();
+    const auto name = backend.name;
+    this->tried.push_back(name);
+    ++this->sends;
+    const std::weak_ptr<int> weak = this->alive;
+    const auto id = this->pool.send(backend,
+        AttemptOptions{.caller = this->terms.request,
+            .timeLeft = std::min(this->terms.deadline, this->terms.giveUpAt) - now,
+            .typicalLatency = this->terms.typicalLatency,
+            .done = [this, weak, name](const AttemptOutcome &outcome) {
+                if (!weak.expired()) {
+                    this->takeOutcome(name, outcome);
+                }
+            }});
+    this->running.push_back(Running{.id = id, .backend = name, .startedAt = now});
+}
+
+bool ShardCall::mayTryAnother() const
+{
+    const bool attemptsLeft = this->executions + static_cast<int>(this->running.size()) < this->terms.route->maximumAttempts;
+    const bool timeLeft = this->timers.now() < std::min(this->terms.deadline, this->terms.giveUpAt);
+    return attemptsLeft && timeLeft;
+}
+
+std::optional<Core::Instant> ShardCall::hedgeIfDue()
+{
+    if (this->current != CallState::UnderWay || this->running.empty() || !this->terms.route->idempotent || !this->mayTryAnother()) {
+        return std::nullopt;
+    }
+    const auto now = this->timers.now();
+    const auto due = this->running.back().startedAt + this->terms.hedgeDelay;
+    if (now < due) {
+        return due;
+    }
+    auto *backend = this->pool.choose(this->serviceName, this->tried, this->terms.typicalLatency, true);
+    if (backend == nullptr) {
+        // Nobody sound has room just now; worth another look soon.
+        return now + this->terms.hedgeDelay / 2;
+    }
+    const auto late = this->running.back();
+    if (!this->pool.mayHaveBeenSent(late.id)) {
+        // The first one never left, so another place for it is no repeat.
+        this->pool.abandon(late.id, false);
+        this->running.pop_back();
+        this->sendTo(*backend);
+        return std::nullopt;
+    }
+    if (!this->pool.budget(this->serviceName).takeRepeat(now, this->pool.gatewayCount())) {
+        return std::nullopt;
+    }
+    ++this->hedgeCount;
+    this->sendTo(*backend);
+    return std::nullopt;
+}
+
+void ShardCall::takeOutcome(const BackendName &backend, const AttemptOutcome &outcome)
+{
+    const auto position = std::find_if(this->running.begin(), this->running.end(), [&backend](const Running &attempt) {
+        return attempt.backend == backend;
+    });
+    if (position == this->running.end() || isFinished(this->current)) {
+        return;
+    }
+    const auto startedAt = position->startedAt;
+    this->running.erase(position);
+    switch (outcome.end) {
+    case AttemptEnd::Replied:
+        this->takeReply(backend, outcome.reply, startedAt);
+        break;
+    case AttemptEnd::NotSent:
+        this->reason = outcome.reason;
+        this->retryOrFinish(CallState::NotRun);
+        break;
+    case AttemptEnd::Broken:
+        ++this->executions;
+        this->reason = outcome.reason;
+        this->retryOrFinish(CallState::Failed);
+        break;
+    }
+}
+
+void ShardCall::takeReply(const BackendName &backend, const BackendReply &incoming, Core::Instant startedAt)
+{
+    if (incoming.notExecuted || incoming.wrongBackend) {
+        ++this->refusals;
+        this->reason = incoming.wrongBackend ? "the address has another backend server now" : "the backend server refused";
+        this->retryOrFinish(CallState::NotRun);
+        return;
+    }
+    ++this->executions;
+    const bool goodSuccess = incoming.isSuccess() && !incoming.signature.empty();
+    // What is no success is final for the caller when the request itself is at fault, and worth another try otherwise.
+    const bool worthRetry = !goodSuccess && (incoming.isSuccess() || incoming.message.status >= 500);
+    this->answer = incoming;
+    this->answerer = backend;
+    this->answerLatency = this->timers.now() - startedAt;
+    if (!worthRetry) {
+        this->finish(goodSuccess ? CallState::Answered : CallState::FailedWithReply);
+        return;
+    }
+    this->reason = "status " + std::to_string(incoming.message.status);
+    this->retryOrFinish(incoming.isSuccess() ? CallState::Failed : CallState::FailedWithReply);
+}
+
+void ShardCall::retryOrFinish(CallState otherwise)
+{
+    if (!this->running.empty()) {
+        // Another attempt is still under way.
+        return;
+    }
+    const bool nothingRan = this->executions == 0;
+    const bool allowed = (this->terms.route->idempotent || nothingRan) && this->refusals < MaximumRefusals && this->mayTryAnother();
+    const bool wasSent = otherwise != CallState::NotRun || this->refusals > 0;
+    if (allowed && this->pool.choose(this->serviceName, this->tried, this->terms.typicalLatency, false) != nullptr) {
+        if (!wasSent || this->pool.budget(this->serviceName).takeRepeat(this->timers.now(), this->pool.gatewayCount())) {
+            this->tryNext(false);
+            return;
+        }
+    }
+    this->finish(nothingRan ? CallState::NotRun : otherwise);
+}
+
+void ShardCall::finish(CallState end)
+{
+    this->current = end;
+    this->abandonRunning(false);
+    // NOTE: The hook may destroy this call, so it is taken out first and nothing is touched afterwards.
+    const auto hook = std::exchange(this->finished, nullptr);
+    if (hook) {
+        hook();
+    }
+}
+
+void ShardCall::abandonRunning(bool callerGone)
+{
+    for (const auto &attempt : std::exchange(this->running, {})) {
+        this->pool.abandon(attempt.id, callerGone);
+    }
+}
+
+void ShardCall::giveUp(bool callerGone)
+{
+    if (isFinished(this->current)) {
+        return;
+    }
+    const bool sent = std::any_of(this->running.begin(), this->running.end(), [this](const Running &attempt) {
+        return this->pool.mayHaveBeenSent(attempt.id);
+    });
+    this->executions += sent ? 1 : 0;
+    this->current = this->executions > 0 ? CallState::Failed : CallState::NotRun;
+    this->finished = nullptr;
+    this->abandonRunning(callerGone);
+    if (this->waiter.has_value()) {
+        this->pool.stopWaiting(this->serviceName, this->waiter.value());
+        this->waiter.reset();
+    }
+}
+
+CallState ShardCall::state() const
+{
+    return this->current;
+}
+
+const Core::ServiceName &ShardCall::service() const
+{
+    return this->serviceName;
+}
+
+BackendReply &ShardCall::reply()
+{
+    return this->answer;
+}
+
+Core::Duration ShardCall::latency() const
+{
+    return this->answerLatency;
+}
+
+int ShardCall::attempts() const
+{
+    return this->sends;
+}
+
+int ShardCall::hedges() const
+{
+    return this->hedgeCount;
+}
+
+bool ShardCall::mayHaveRun() const
+{
+    return this->executions > 0 || !this->running.empty();
+}
+
+const std::string &ShardCall::failureReason() const
+{
+    return this->reason;
+}
+
+const BackendName &ShardCall::answeredBy() const
+{
+    return this->answerer;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/ShardCall.h
@@ -0,0 +1,124 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// One request to one service, over as many backend servers as its route allows:
+// the first attempt, a hedge when it is late, a retry when it failed.
+
+#pragma once
+
+#include <LibGateway/BackendPool.h>
+#include <LibGateway/RequestSettings.h>
+
+namespace Gateway
+{
+
+/** What stays the same for all shards of a request. Outlives its calls. */
+struct CallTerms {
+    const CallerRequest *request{nullptr};
+    const Fleet::Route *route{nullptr};
+    const RequestSettings *settings{nullptr};
+    /** The caller gives up then. */
+    Core::Instant deadline;
+    /** Nothing is held for longer than until then. */
+    Core::Instant giveUpAt;
+    /** What such a request usually takes. */
+    Core::Duration typicalLatency{0};
+    /** After this long without a reply an attempt is hedged. */
+    Core::Duration hedgeDelay{0};
+};
+
+/** Where a call stands. */
+enum class CallState {
+    /** Waits for a connection to a backend server. */
+    Waiting,
+    UnderWay,
+    /** A good reply is there. */
+    Answered,
+    /** A backend server answered with a failure that may be passed on. */
+    FailedWithReply,
+    /** No reply; it may have run. */
+    Failed,
+    /** It did not run anywhere and will not. */
+    NotRun,
+};
+
+/** Whether a state is final. */
+[[nodiscard]] inline bool isFinished(CallState state)
+{
+    return state != CallState::Waiting && state != CallState::UnderWay;
+}
+
+/** Runs until it is finished or cancelled. */
+class ShardCall
+{
+public:
+    ShardCall(const CallTerms &terms, Core::ServiceName service, BackendPool &pool, Core::TimerService &timers);
+    ~ShardCall();
+    ShardCall(const ShardCall &) = delete;
+    ShardCall &operator=(const ShardCall &) = delete;
+
+    /** Sends the first attempt, or waits for room. `finishedHook` is called once, from here or later. */
+    void start(std::function<void()> finishedHook);
+
+    /** Sends a hedge if one is due. Returns when to look again; nothing when there is nothing to wait for. */
+    std::optional<Core::Instant> hedgeIfDue();
+
+    /** Gives up. Attempts under way are abandoned; the state says whether any may have run. */
+    void giveUp(bool callerGone);
+
+    [[nodiscard]] CallState state() const;
+    [[nodiscard]] const Core::ServiceName &service() const;
+    /** The reply, in states Answered and FailedWithReply. */
+    [[nodiscard]] BackendReply &reply();
+    /** How long the answered attempt took. */
+    [[nodiscard]] Core::Duration latency() const;
+    [[nodiscard]] int attempts() const;
+    [[nodiscard]] int hedges() const;
+    /** Whether any attempt may have reached a backend server. */
+    [[nodiscard]] bool mayHaveRun() const;
+    /** Why it failed, for logs. */
+    [[nodiscard]] const std::string &failureReason() const;
+    [[nodiscard]] const BackendName &answeredBy() const;
+
+private:
+    struct Running {
+        AttemptId id{0};
+        BackendName backend;
+        Core::Instant startedAt;
+    };
+
+    void tryNext(bool soundOnly);
+    void sendTo(Backend &backend);
+    void waitForRoom();
+    void takeOutcome(const BackendName &backend, const AttemptOutcome &outcome);
+    void takeReply(const BackendName &backend, const BackendReply &incoming, Core::Instant startedAt);
+    void retryOrFinish(CallState otherwise);
+    void finish(CallState end);
+    void abandonRunning(bool callerGone);
+    [[nodiscard]] bool mayTryAnother() const;
+
+    const CallTerms &terms;
+    Core::ServiceName serviceName;
+    BackendPool &pool;
+    Core::TimerService &timers;
+    CallState current{CallState::Waiting};
+    std::function<void()> finished;
+    std::vector<Running> running;
+    // Backend servers that are not asked again.
+    std::vector<BackendName> tried;
+    // Attempts that may have run; bounded by the route.
+    int executions{0};
+    int sends{0};
+    int hedgeCount{0};
+    int refusals{0};
+    std::optional<std::uint64_t> waiter;
+    BackendReply answer;
+    BackendName answerer;
+    Core::Duration answerLatency{0};
+    std::string reason;
+    std::shared_ptr<int> alive{std::make_shared<int>(0)};
+};
+
+}
--- a/Libraries/LibRpc/RpcChannel.cpp
+++ b/Libraries/LibRpc/RpcChannel.cpp
@@ -99,6 +99,8 @@
     }
     this->connecting.reset(g_cancellable_new());
     const Core::ObjectPointer<GSocketClient> client(g_socket_client_new());
+    // Instances talk by IP number. Looking for a proxy would load the desktop's settings, which costs time and writes below the home folder.
+    g_socket_client_set_enable_proxy(client.get(), FALSE);
     const Core::ObjectPointer<GSocketAddress> address(
         g_inet_socket_address_new_from_string(this->options.endpoint.address.c_str(), this->options.endpoint.port));
     g_socket_client_connect_async(
--- /dev/null
+++ b/Libraries/LibWire/ClientConnection.cpp
@@ -0,0 +1,269 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibWire/ClientConnection.h>
+
+#include <LibCore/Invariant.h>
+#include <LibCore/Settings.h>
+
+#include <cstring>
+#include <sys/epoll.h>
+#include <utility>
+
+namespace Wire
+{
+
+static constexpr std::size_t ReadLimitBytes = 256 * 1024;
+// A server that does not say how long it keeps idle connections is taken to do so for this long.
+static constexpr Core::Duration DefaultIdleTime = Core::seconds(30);
+// Servers tell whole seconds; one that says "timeout=5" may close a little earlier.
+static constexpr Core::Duration IdleMargin = Core::milliseconds(700);
+
+Core::Result<std::shared_ptr<ClientConnection>> ClientConnection::create(ClientConnectionOptions options, Core::EventPoll &poll, Core::TimerService &timers)
+{
+    auto socket = Socket::connectTo(options.endpoint, options.silenceLimit);
+    if (!socket.has_value()) {
+        return tl::make_unexpected(socket.error());
+    }
+    const int descriptor = socket->number();
+    std::shared_ptr<ClientConnection> connection(new ClientConnection(std::move(options), std::move(socket.value()), poll, timers));
+    poll.add(descriptor, EPOLLIN | EPOLLOUT | EPOLLRDHUP, connection);
+    return connection;
+}
+
+ClientConnection::ClientConnection(ClientConnectionOptions options, Socket socket, Core::EventPoll &poll, Core::TimerService &timers)
+    : options(std::move(options))
+    , socket(std::move(socket))
+    , poll(poll)
+    , timers(timers)
+    , parser(MessageKind::Response, this->options.limits)
+    , startedAt(timers.now())
+    , lastUse(this->startedAt)
+    , keptUntil(this->startedAt + DefaultIdleTime)
+{
+}
+
+ClientConnection::~ClientConnection() = default;
+
+void ClientConnection::send(std::string bytes, RecogniseHook recogniseHook, ResultHook doneHook)
+{
+    Core::verify(this->isIdle(), "a request is sent on an idle connection only");
+    this->output = std::move(bytes);
+    this->written = 0;
+    this->recognise = std::move(recogniseHook);
+    this->done = std::move(doneHook);
+    this->parser.reset(this->options.limits);
+    this->lastUse = this->timers.now();
+    if (this->up) {
+        this->writeMore();
+    }
+}
+
+bool ClientConnection::isIdle() const
+{
+    return !this->gone && !this->done;
+}
+
+bool ClientConnection::isConnected() const
+{
+    return this->up;
+}
+
+bool ClientConnection::isClosed() const
+{
+    return this->gone;
+}
+
+std::uint64_t ClientConnection::answered() const
+{
+    return this->answers;
+}
+
+Core::Instant ClientConnection::idleUntil() const
+{
+    return this->keptUntil;
+}
+
+Core::Instant ClientConnection::lastUsed() const
+{
+    return this->lastUse;
+}
+
+Core::Duration ClientConnection::connectTime() const
+{
+    return this->connecting;
+}
+
+void ClientConnection::close()
+{
+    if (this->gone) {
+        return;
+    }
+    const auto keepAlive = this->shared_from_this();
+    this->gone = true;
+    this->done = nullptr;
+    this->recognise = nullptr;
+    this->poll.remove(this->socket.number());
+    this->socket = Socket();
+    const auto hook = std::exchange(this->closed, nullptr);
+    if (hook) {
+        hook();
+    }
+}
+
+void ClientConnection::handleEvents(std::uint32_t events)
+{
+    if (!this->up) {
+        this->connected();
+        if (this->gone || !this->up) {
+            return;
+        }
+    }
+    if ((events & EPOLLOUT) != 0) {
+        this->writeMore();
+    }
+    if (!this->gone && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
+        this->readMore();
+    }
+}
+
+void ClientConnection::connected()
+{
+    const int error = this->socket.connectError();
+    if (error != 0) {
+        this->finish(ClientResult{.end = ClientEnd::NotSent, .response = {}, .reason = std::string("connect: ") + std::strerror(error)}, false);
+        return;
+    }
+    this->up = true;
+    this->connecting = this->timers.now() - this->startedAt;
+}
+
+void ClientConnection::writeMore()
+{
+    if (this->socket.write(this->output, this->written) == Transfer::Broken) {
+        this->fail("the connection broke while the request was sent");
+        return;
+    }
+    this->setWantsWrite(this->written < this->output.size());
+}
+
+void ClientConnection::setWantsWrite(bool wants)
+{
+    if (wants == this->wantsWrite) {
+        return;
+    }
+    this->wantsWrite = wants;
+    const auto reading = static_cast<std::uint32_t>(EPOLLIN | EPOLLRDHUP);
+    this->poll.modify(this->socket.number(), wants ? reading | static_cast<std::uint32_t>(EPOLLOUT) : reading);
+}
+
+void ClientConnection::readMore()
+{
+    const auto transfer = this->socket.read(this->input, ReadLimitBytes);
+    const bool surplus = !this->done && !this->input.empty();
+    if (surplus) {
+        // Bytes that nobody asked for belong to no request, and neither does what follows them.
+        this->close();
+        return;
+    }
+    this->parse();
+    if (this->gone || transfer == Transfer::Open) {
+        return;
+    }
+    if (transfer == Transfer::Ended && this->done) {
+        // The end of the stream may end a response that names no length; a reset never does.
+        this->parser.feedEnd();
+        if (this->parser.state() == ParseState::Whole) {
+            this->responseWhole();
+        }
+    }
+    if (!this->gone) {
+        this->fail(transfer == Transfer::Ended ? "the server closed the connection" : "the connection was reset");
+    }
+}
+
+void ClientConnection::parse()
+{
+    while (!this->gone && this->done && !this->input.empty()) {
+        const std::size_t consumed = this->parser.feed(this->input);
+        this->input.erase(0, consumed);
+        if (this->parser.state() == ParseState::Partial) {
+            return;
+        }
+        if (this->parser.state() != ParseState::Whole) {
+            this->fail("the bytes are no response");
+            return;
+        }
+        this->responseWhole();
+    }
+}
+
+void ClientConnection::responseWhole()
+{
+    const bool serverKeeps = this->parser.keepsConnection();
+    Response response = this->parser.takeResponse();
+    if (this->recognise && !this->recognise(response)) {
+        if (!serverKeeps) {
+            this->fail("the answer belongs to another request");
+            return;
+        }
+        // A surplus answer to an earlier request; the right one may still follow.
+        this->parser.reset(this->options.limits);
+        return;
+    }
+    ++this->answers;
+    this->noteKeepAlive(response);
+    // An answer that came before the request was out leaves the server reading: what is sent next would be taken for its rest.
+    const bool requestOut = this->written == this->output.size();
+    const bool keep = serverKeeps && requestOut && this->input.empty();
+    this->finish(ClientResult{.end = ClientEnd::Answered, .response = std::move(response), .reason = {}}, keep);
+}
+
+void ClientConnection::noteKeepAlive(const Response &response)
+{
+    this->lastUse = this->timers.now();
+    this->keptUntil = this->lastUse + DefaultIdleTime;
+    const auto *value = findHeader(response.headers, "Keep-Alive");
+    if (value == nullptr) {
+        return;
+    }
+    const auto position = value->find("timeout=");
+    if (position == std::string::npos) {
+        return;
+    }
+    const std::string digits = value->substr(position + 8, value->find_first_not_of("0123456789", position + 8) - position - 8);
+    const auto timeout = Core::parseInteger(digits, 0, 86'400);
+    if (timeout.has_value()) {
+        this->keptUntil = this->lastUse + std::max(Core::Duration(0), Core::Duration(Core::seconds(timeout.value())) - IdleMargin);
+    }
+}
+
+void ClientConnection::finish(ClientResult result, bool keep)
+{
+    const auto keepAlive = this->shared_from_this();
+    const auto hook = std::exchange(this->done, nullptr);
+    this->recognise = nullptr;
+    if (!keep) {
+        this->gone = true;
+        this->poll.remove(this->socket.number());
+        this->socket = Socket();
+    }
+    if (hook) {
+        hook(std::move(result));
+    }
+    if (!keep) {
+        const auto closedHook = std::exchange(this->closed, nullptr);
+        if (closedHook) {
+            closedHook();
+        }
+    }
+}
+
+void ClientConnection::fail(const std::string &reason)
+{
+    this->finish(ClientResult{.end = ClientEnd::Broken, .response = {}, .reason = reason}, false);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibWire/ClientConnection.h
@@ -0,0 +1,117 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// One kept HTTP/1.1 connection to one server, with one request under way at a
+// time. Nothing is ever sent twice by itself, and an answer counts only when its
+// owner recognises it as the answer to the request that was sent.
+
+#pragma once
+
+#include <LibCore/EventPoll.h>
+#include <LibCore/TimerService.h>
+#include <LibWire/MessageParser.h>
+#include <LibWire/Socket.h>
+
+#include <functional>
+#include <memory>
+
+namespace Wire
+{
+
+/** How a request on a connection ended. */
+enum class ClientEnd {
+    /** The whole response is there. */
+    Answered,
+    /** The connection did not come up, so the server can't have seen the request. */
+    NotSent,
+    /** The connection broke, or what came was no response. The request may have run. */
+    Broken,
+};
+
+/** Handed to the owner when a request has ended. */
+struct ClientResult {
+    ClientEnd end{ClientEnd::Broken};
+    Response response;
+    /** For logs; empty when answered. */
+    std::string reason;
+};
+
+/** How a connection is made. */
+struct ClientConnectionOptions {
+    Core::Endpoint endpoint;
+    /** Sent bytes that stay unacknowledged for this long break the connection. */
+    Core::Duration silenceLimit{Core::milliseconds(1500)};
+    MessageLimits limits;
+};
+
+/** Connects at once; the first request may be sent before the connection is up. */
+class ClientConnection : public Core::EventHandler, public std::enable_shared_from_this<ClientConnection>
+{
+public:
+    using ResultHook = std::function<void(ClientResult result)>;
+    /** Whether a response belongs to the request that is under way. One that does not is passed over. */
+    using RecogniseHook = std::function<bool(const Response &response)>;
+
+    [[nodiscard]] static Core::Result<std::shared_ptr<ClientConnection>> create(
+        ClientConnectionOptions options, Core::EventPoll &poll, Core::TimerService &timers);
+    ~ClientConnection() override;
+
+    /** Only on a connection that is idle. `done` is called once, unless close() comes first. */
+    void send(std::string bytes, RecogniseHook recognise, ResultHook done);
+
+    /** Ends the connection and drops the request under way without calling its hook. */
+    void close();
+
+    /** Whether a request may be sent now. */
+    [[nodiscard]] bool isIdle() const;
+    [[nodiscard]] bool isConnected() const;
+    [[nodiscard]] bool isClosed() const;
+    /** Requests that were answered on this connection. */
+    [[nodiscard]] std::uint64_t answered() const;
+    /** Until when the server may be taken to keep it while idle. */
+    [[nodiscard]] Core::Instant idleUntil() const;
+    [[nodiscard]] Core::Instant lastUsed() const;
+    /** How long connecting took; 0 before it is up. */
+    [[nodiscard]] Core::Duration connectTime() const;
+
+    /** Called once the connection can't be used any more, after the result hook. */
+    std::function<void()> closed;
+
+    void handleEvents(std::uint32_t events) override;
+
+private:
+    ClientConnection(ClientConnectionOptions options, Socket socket, Core::EventPoll &poll, Core::TimerService &timers);
+    void connected();
+    void writeMore();
+    void readMore();
+    void parse();
+    void responseWhole();
+    void finish(ClientResult result, bool keep);
+    void fail(const std::string &reason);
+    void noteKeepAlive(const Response &response);
+    void setWantsWrite(bool wants);
+
+    ClientConnectionOptions options;
+    Socket socket;
+    Core::EventPoll &poll;
+    Core::TimerService &timers;
+    MessageParser parser;
+    std::string output;
+    std::size_t written{0};
+    std::string input;
+    RecogniseHook recognise;
+    // Invariant: set exactly while a request is under way.
+    ResultHook done;
+    bool up{false};
+    bool gone{false};
+    bool wantsWrite{true};
+    std::uint64_t answers{0};
+    Core::Instant startedAt;
+    Core::Instant lastUse;
+    Core::Instant keptUntil;
+    Core::Duration connecting{0};
+};
+
+}
--- /dev/null
+++ b/Libraries/LibWire/MessageParser.cpp
@@ -0,0 +1,213 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibWire/MessageParser.h>
+
+namespace Wire
+{
+
+// What a callback returns to make the parser stop.
+static constexpr int Stop = 1;
+static constexpr int GoOn = 0;
+
+MessageParser::MessageParser(MessageKind kind, MessageLimits limits) : kind(kind), limits(limits)
+{
+    this->reset(limits);
+}
+
+void MessageParser::reset(MessageLimits newLimits)
+{
+    this->limits = newLimits;
+    http_parser_init(&this->parser, this->kind == MessageKind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    this->parser.data = this;
+    this->currentState = ParseState::Partial;
+    this->begun = false;
+    this->headersDone = false;
+    this->keepAlive = false;
+    this->valueStarted = false;
+    this->headerBytes = 0;
+    this->target.clear();
+    this->headers.clear();
+    this->body.clear();
+}
+
+MessageParser &MessageParser::self(http_parser *parser)
+{
+    return *static_cast<MessageParser *>(parser->data);
+}
+
+const http_parser_settings &MessageParser::callbacks()
+{
+    static const http_parser_settings settings = [] {
+        http_parser_settings made;
+        http_parser_settings_init(&made);
+        made.on_url = onUrl;
+        made.on_header_field = onHeaderField;
+        made.on_header_value = onHeaderValue;
+        made.on_headers_complete = onHeadersComplete;
+        made.on_body = onBody;
+        made.on_message_complete = onMessageComplete;
+        return made;
+    }();
+    return settings;
+}
+
+std::size_t MessageParser::feed(std::string_view bytes)
+{
+    if (this->currentState != ParseState::Partial || bytes.empty()) {
+        return 0;
+    }
+    this->begun = true;
+    const std::size_t consumed = http_parser_execute(&this->parser, &callbacks(), bytes.data(), bytes.size());
+    const auto error = HTTP_PARSER_ERRNO(&this->parser);
+    if (error == HPE_PAUSED) {
+        http_parser_pause(&this->parser, 0);
+        return consumed;
+    }
+    if (error == HPE_HEADER_OVERFLOW) {
+        this->currentState = ParseState::HeadersTooLarge;
+    } else if (error != HPE_OK && this->currentState == ParseState::Partial) {
+        this->currentState = ParseState::Malformed;
+    } else if (this->parser.upgrade != 0) {
+        // Changing the protocol of a connection is not offered.
+        this->currentState = ParseState::Malformed;
+    }
+    return consumed;
+}
+
+void MessageParser::feedEnd()
+{
+    if (this->currentState != ParseState::Partial) {
+        return;
+    }
+    // NOTE: Only a response that names no length may end with its connection; the parser knows which one does.
+    http_parser_execute(&this->parser, &callbacks(), nullptr, 0);
+    if (this->currentState == ParseState::Partial) {
+        this->currentState = ParseState::Malformed;
+    }
+}
+
+ParseState MessageParser::state() const
+{
+    return this->currentState;
+}
+
+bool MessageParser::hasBegun() const
+{
+    return this->begun;
+}
+
+bool MessageParser::headersComplete() const
+{
+    return this->headersDone;
+}
+
+bool MessageParser::keepsConnection() const
+{
+    return this->keepAlive;
+}
+
+bool MessageParser::expectsContinue() const
+{
+    const auto *expectation = findHeader(this->headers, "Expect");
+    return expectation != nullptr && sameName(*expectation, "100-continue");
+}
+
+Request MessageParser::takeRequest()
+{
+    return Request{.method = http_method_str(static_cast<http_method>(this->parser.method)),
+        .target = std::move(this->target),
+        .headers = std::move(this->headers),
+        .body = std::move(this->body)};
+}
+
+Response MessageParser::takeResponse()
+{
+    return Response{.status = static_cast<int>(this->parser.status_code), .headers = std::move(this->headers), .body = std::move(this->body)};
+}
+
+int MessageParser::countHeaderBytes(std::size_t count)
+{
+    this->headerBytes += count;
+    if (this->headerBytes <= this->limits.headerBytes) {
+        return GoOn;
+    }
+    this->currentState = ParseState::HeadersTooLarge;
+    return Stop;
+}
+
+int MessageParser::onUrl(http_parser *parser, const char *bytes, std::size_t count)
+{
+    auto &reader = self(parser);
+    reader.target.append(bytes, count);
+    return reader.countHeaderBytes(count);
+}
+
+int MessageParser::onHeaderField(http_parser *parser, const char *bytes, std::size_t count)
+{
+    auto &reader = self(parser);
+    if (reader.headersDone) {
+        // A trailer after a chunked body; it is checked, but not passed on.
+        return reader.countHeaderBytes(count);
+    }
+    if (reader.headers.empty() || reader.valueStarted) {
+        reader.headers.push_back({});
+        reader.valueStarted = false;
+    }
+    reader.headers.back().name.append(bytes, count);
+    return reader.countHeaderBytes(count);
+}
+
+int MessageParser::onHeaderValue(http_parser *parser, const char *bytes, std::size_t count)
+{
+    auto &reader = self(parser);
+    if (!reader.headersDone) {
+        reader.valueStarted = true;
+        reader.headers.back().value.append(bytes, count);
+    }
+    return reader.countHeaderBytes(count);
+}
+
+int MessageParser::onHeadersComplete(http_parser *parser)
+{
+    auto &reader = self(parser);
+    reader.headersDone = true;
+    const bool lengthKnown = parser->content_length != UINT64_MAX;
+    if (lengthKnown && parser->content_length > reader.limits.bodyBytes) {
+        reader.currentState = ParseState::BodyTooLarge;
+        return -1;
+    }
+    return GoOn;
+}
+
+int MessageParser::onBody(http_parser *parser, const char *bytes, std::size_t count)
+{
+    auto &reader = self(parser);
+    if (reader.body.size() + count > reader.limits.bodyBytes) {
+        reader.currentState = ParseState::BodyTooLarge;
+        return Stop;
+    }
+    reader.body.append(bytes, count);
+    return GoOn;
+}
+
+int MessageParser::onMessageComplete(http_parser *parser)
+{
+    auto &reader = self(parser);
+    const bool interim = reader.kind == MessageKind::Response && parser->status_code >= 100 && parser->status_code < 200;
+    if (interim) {
+        // "100 Continue" comes before the response that is waited for.
+        reader.headers.clear();
+        reader.headersDone = false;
+        reader.valueStarted = false;
+        return GoOn;
+    }
+    reader.keepAlive = http_should_keep_alive(parser) != 0;
+    reader.currentState = ParseState::Whole;
+    http_parser_pause(parser, 1);
+    return GoOn;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibWire/Server.cpp
@@ -0,0 +1,396 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibWire/Server.h>
+
+#include <LibCore/Log.h>
+
+#include <sys/epoll.h>
+#include <vector>
+
+namespace Wire
+{
+
+static constexpr int ListenBacklog = 512;
+static constexpr std::size_t ReadLimitBytes = 64 * 1024;
+// Bytes of further requests that a connection may send ahead while one is being answered.
+static constexpr std::size_t PipelinedLimitBytes = 64 * 1024;
+// How often limits of time are checked; a limit is kept to within this.
+static constexpr Core::Duration SweepPeriod = Core::milliseconds(250);
+// How long a connection waits, after its last response, for the other side to close it.
+static constexpr Core::Duration LingerTime = Core::seconds(1);
+
+// ---- Exchange
+
+Exchange::Exchange(std::weak_ptr<ServerConnection> connection) : connection(std::move(connection))
+{
+}
+
+void Exchange::respond(const Response &response)
+{
+    if (!this->open) {
+        return;
+    }
+    this->open = false;
+    this->aborted = nullptr;
+    if (const auto target = this->connection.lock()) {
+        target->respond(response);
+    }
+}
+
+bool Exchange::isOpen() const
+{
+    return this->open;
+}
+
+// ---- Server
+
+Server::Server(ServerOptions options, Core::EventPoll &poll, Core::TimerService &timers) : options(std::move(options)), poll(poll), timers(timers)
+{
+}
+
+Core::Result<std::shared_ptr<Server>> Server::create(ServerOptions options, Core::EventPoll &poll, Core::TimerService &timers)
+{
+    auto listener = Socket::listenOn(options.endpoint, ListenBacklog);
+    if (!listener.has_value()) {
+        return Core::failure(Core::ErrorKind::Unreachable, options.name + " " + options.endpoint.toString() + ": " + listener.error().message);
+    }
+    std::shared_ptr<Server> server(new Server(std::move(options), poll, timers));
+    server->listener = std::move(listener.value());
+    server->listening = true;
+    // NOTE: The table of watched descriptors holds the server until stopListening(), which the destructor can't be, so it gets a handle that owns nothing.
+    poll.add(server->listener.number(), EPOLLIN, std::shared_ptr<Core::EventHandler>(std::shared_ptr<Core::EventHandler>(), server.get()));
+    auto *raw = server.get();
+    server->sweepTimer = timers.every(SweepPeriod, [raw](Core::Instant) {
+        raw->sweep();
+    });
+    return server;
+}
+
+Server::~Server()
+{
+    this->stopListening();
+    const auto remaining = std::exchange(this->connections, {});
+    for (const auto &[descriptor, connection] : remaining) {
+        connection->close();
+    }
+}
+
+void Server::setLimits(const ServerLimits &limits)
+{
+    this->options.limits = limits;
+}
+
+void Server::endConnectionsAfterResponse()
+{
+    this->draining = true;
+}
+
+void Server::closeResting()
+{
+    std::vector<std::shared_ptr<ServerConnection>> resting;
+    for (const auto &[descriptor, connection] : this->connections) {
+        if (connection->isResting()) {
+            resting.push_back(connection);
+        }
+    }
+    for (const auto &connection : resting) {
+        connection->linger();
+    }
+}
+
+void Server::stopListening()
+{
+    if (!this->listening) {
+        return;
+    }
+    this->listening = false;
+    this->poll.remove(this->listener.number());
+    this->listener = Socket();
+}
+
+std::size_t Server::connectionCount() const
+{
+    return this->connections.size();
+}
+
+std::size_t Server::underWay() const
+{
+    std::size_t count = 0;
+    for (const auto &[descriptor, connection] : this->connections) {
+        const bool answering = connection->stage == ServerConnection::Stage::Answering;
+        count += answering || connection->written < connection->output.size() ? 1 : 0;
+    }
+    return count;
+}
+
+const ServerCounters &Server::counters() const
+{
+    return this->counts;
+}
+
+void Server::handleEvents(std::uint32_t)
+{
+    this->accept();
+}
+
+void Server::accept()
+{
+    while (this->connections.size() < this->options.maximumConnections) {
+        Socket accepted = this->listener.acceptOne();
+        if (!accepted.isOpen()) {
+            return;
+        }
+        ++this->counts.accepted;
+        const int descriptor = accepted.number();
+        const auto connection = std::make_shared<ServerConnection>(*this, std::move(accepted));
+        this->connections[descriptor] = connection;
+        this->poll.add(descriptor, EPOLLIN | EPOLLRDHUP, connection);
+    }
+}
+
+void Server::sweep()
+{
+    const auto now = this->timers.now();
+    std::vector<std::shared_ptr<ServerConnection>> all;
+    all.reserve(this->connections.size());
+    for (const auto &[descriptor, connection] : this->connections) {
+        all.push_back(connection);
+    }
+    for (const auto &connection : all) {
+        connection->closeIfOverdue(now);
+    }
+    if (this->listening) {
+        // Connections that waited for room below the maximum.
+        this->accept();
+    }
+}
+
+void Server::forget(int descriptor)
+{
+    this->connections.erase(descriptor);
+}
+
+// ---- ServerConnection
+
+ServerConnection::ServerConnection(Server &server, Socket socket)
+    : server(&server)
+    , socket(std::move(socket))
+    , parser(MessageKind::Request, server.options.limits.message)
+    , lastActivity(server.timers.now())
+    , requestBegan(this->lastActivity)
+{
+}
+
+bool ServerConnection::isResting() const
+{
+    return this->stage == Stage::Reading && !this->parser.hasBegun() && this->input.empty() && this->written == this->output.size();
+}
+
+void ServerConnection::handleEvents(std::uint32_t events)
+{
+    if ((events & EPOLLERR) != 0 || (events & EPOLLHUP) != 0) {
+        this->close();
+        return;
+    }
+    if ((events & EPOLLOUT) != 0) {
+        this->writeMore();
+    }
+    if (this->stage != Stage::Closed && (events & (EPOLLIN | EPOLLRDHUP)) != 0) {
+        this->readMore();
+    }
+}
+
+void ServerConnection::readMore()
+{
+    const auto transfer = this->socket.read(this->input, ReadLimitBytes);
+    if (this->stage == Stage::Lingering) {
+        this->input.clear();
+        if (transfer != Transfer::Open) {
+            this->close();
+        }
+        return;
+    }
+    // A caller that ends its side of the connection has gone away: callers of this interface keep it open while they wait.
+    if (transfer != Transfer::Open) {
+        this->close();
+        return;
+    }
+    this->lastActivity = this->server->timers.now();
+    this->parse();
+}
+
+void ServerConnection::parse()
+{
+    if (this->stage != Stage::Reading || this->input.empty()) {
+        this->updateInterest();
+        return;
+    }
+    if (!this->parser.hasBegun()) {
+        this->requestBegan = this->server->timers.now();
+    }
+    const std::size_t consumed = this->parser.feed(this->input);
+    this->input.erase(0, consumed);
+    switch (this->parser.state()) {
+    case ParseState::Partial:
+        if (this->parser.headersComplete() && this->parser.expectsContinue() && !this->continueSent) {
+            this->continueSent = true;
+            this->output += "HTTP/1.1 100 Continue\r\n\r\n";
+            this->writeMore();
+        }
+        break;
+    case ParseState::Whole:
+        this->takeRequest();
+        break;
+    case ParseState::Malformed:
+        this->refuse(400);
+        break;
+    case ParseState::HeadersTooLarge:
+        this->refuse(431);
+        break;
+    case ParseState::BodyTooLarge:
+        this->refuse(413);
+        break;
+    }
+}
+
+void ServerConnection::takeRequest()
+{
+    ++this->server->counts.requests;
+    this->stage = Stage::Answering;
+    this->closeAfterResponse = !this->parser.keepsConnection();
+    Request request = this->parser.takeRequest();
+    this->headRequest = request.method == "HEAD";
+    this->exchange = std::make_shared<Exchange>(this->weak_from_this());
+    const auto current = this->exchange;
+    this->server->options.handler(std::move(request), current);
+}
+
+void ServerConnection::refuse(int status)
+{
+    ++this->server->counts.malformed;
+    this->stage = Stage::Answering;
+    this->closeAfterResponse = true;
+    Core::logEvent(Core::LogLevel::Information, "request.unreadable", {{"server", this->server->options.name}, {"status", status}});
+    this->respond(Response{.status = status, .headers = {}, .body = {}});
+}
+
+void ServerConnection::respond(const Response &response)
+{
+    if (this->stage != Stage::Answering) {
+        return;
+    }
+    this->exchange.reset();
+    const bool serverEnds = this->server->draining || findHeader(response.headers, "Connection") != nullptr;
+    this->closeAfterResponse = this->closeAfterResponse || serverEnds;
+    const auto idleSeconds = std::chrono::duration_cast<std::chrono::seconds>(this->server->options.limits.idleTimeout).count();
+    appendResponse(this->output, response, {.close = this->closeAfterResponse, .idleSeconds = idleSeconds, .withoutBody = this->headRequest});
+    this->stage = Stage::Reading;
+    this->parser.reset(this->server->options.limits.message);
+    this->continueSent = false;
+    this->lastActivity = this->server->timers.now();
+    this->writeMore();
+}
+
+void ServerConnection::writeMore()
+{
+    if (this->socket.write(this->output, this->written) == Transfer::Broken) {
+        this->close();
+        return;
+    }
+    if (this->written == this->output.size()) {
+        this->output.clear();
+        this->written = 0;
+        this->responseWritten();
+        return;
+    }
+    this->updateInterest();
+}
+
+void ServerConnection::responseWritten()
+{
+    if (this->stage == Stage::Reading && this->closeAfterResponse) {
+        this->linger();
+        return;
+    }
+    this->updateInterest();
+    // NOTE: A request that came ahead is parsed from the loop, so that a long row of them does not nest.
+    if (this->stage == Stage::Reading && !this->input.empty()) {
+        this->parse();
+    }
+}
+
+void ServerConnection::linger()
+{
+    if (this->stage == Stage::Closed) {
+        return;
+    }
+    this->stage = Stage::Lingering;
+    this->lastActivity = this->server->timers.now();
+    this->input.clear();
+    this->socket.finishWriting();
+    this->updateInterest();
+}
+
+void ServerConnection::updateInterest()
+{
+    if (this->stage == Stage::Closed) {
+        return;
+    }
+    const bool write = this->written < this->output.size();
+    const bool read = this->stage != Stage::Answering || this->input.size() < PipelinedLimitBytes;
+    if (write == this->wantsWrite && read == this->wantsRead) {
+        return;
+    }
+    this->wantsWrite = write;
+    this->wantsRead = read;
+    std::uint32_t events = read ? static_cast<std::uint32_t>(EPOLLIN | EPOLLRDHUP) : 0U;
+    events |= write ? static_cast<std::uint32_t>(EPOLLOUT) : 0U;
+    this->server->poll.modify(this->socket.number(), events);
+}
+
+void ServerConnection::close()
+{
+    if (this->stage == Stage::Closed) {
+        return;
+    }
+    const auto keepAlive = this->shared_from_this();
+    this->stage = Stage::Closed;
+    this->server->poll.remove(this->socket.number());
+    this->server->forget(this->socket.number());
+    this->socket = Socket();
+    const auto pending = std::exchange(this->exchange, nullptr);
+    if (!pending) {
+        return;
+    }
+    pending->open = false;
+    ++this->server->counts.aborted;
+    const auto hook = std::exchange(pending->aborted, nullptr);
+    if (hook) {
+        hook();
+    }
+}
+
+void ServerConnection::closeIfOverdue(Core::Instant now)
+{
+    const auto &limits = this->server->options.limits;
+    if (this->stage == Stage::Lingering && now - this->lastActivity >= LingerTime) {
+        this->close();
+        return;
+    }
+    if (this->stage != Stage::Reading) {
+        return;
+    }
+    if (this->parser.hasBegun() && now - this->requestBegan >= limits.requestTimeout) {
+        ++this->server->counts.timedOut;
+        this->refuse(408);
+        return;
+    }
+    if (!this->parser.hasBegun() && now - this->lastActivity >= limits.idleTimeout) {
+        this->linger();
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibWire/Socket.cpp
@@ -0,0 +1,180 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibWire/Socket.h>
+
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace Wire
+{
+
+static constexpr std::size_t ReadPieceBytes = 16 * 1024;
+
+Socket::Socket(int descriptor) : descriptor(descriptor)
+{
+}
+
+Socket::~Socket()
+{
+    if (this->descriptor >= 0) {
+        close(this->descriptor);
+    }
+}
+
+Socket::Socket(Socket &&other) noexcept : descriptor(std::exchange(other.descriptor, -1))
+{
+}
+
+Socket &Socket::operator=(Socket &&other) noexcept
+{
+    std::swap(this->descriptor, other.descriptor);
+    return *this;
+}
+
+static Core::Result<sockaddr_in> toAddress(const Core::Endpoint &endpoint)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    if (inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr) != 1) {
+        return Core::failure(Core::ErrorKind::InvalidInput, endpoint.address + " is no IPv4 address");
+    }
+    return address;
+}
+
+static tl::unexpected<Core::Error> systemFailure(const char *call)
+{
+    return Core::failure(Core::ErrorKind::Unreachable, std::string(call) + ": " + std::strerror(errno));
+}
+
+static void setOption(int descriptor, int level, int option, int value)
+{
+    // An option that can't be set costs time, not truth; the connection is used all the same.
+    setsockopt(descriptor, level, option, &value, sizeof(value));
+}
+
+Core::Result<Socket> Socket::connectTo(const Core::Endpoint &endpoint, Core::Duration silenceLimit)
+{
+    const auto address = toAddress(endpoint);
+    if (!address.has_value()) {
+        return tl::make_unexpected(address.error());
+    }
+    Socket made(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (!made.isOpen()) {
+        return systemFailure("socket");
+    }
+    setOption(made.descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(made.descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(Core::toMilliseconds(silenceLimit)));
+    const auto *generic = reinterpret_cast<const sockaddr *>(&address.value());
+    if (connect(made.descriptor, generic, sizeof(sockaddr_in)) != 0 && errno != EINPROGRESS) {
+        return systemFailure("connect");
+    }
+    return made;
+}
+
+Core::Result<Socket> Socket::listenOn(const Core::Endpoint &endpoint, int backlog)
+{
+    const auto address = toAddress(endpoint);
+    if (!address.has_value()) {
+        return tl::make_unexpected(address.error());
+    }
+    Socket made(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (!made.isOpen()) {
+        return systemFailure("socket");
+    }
+    setOption(made.descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
+    const auto *generic = reinterpret_cast<const sockaddr *>(&address.value());
+    if (bind(made.descriptor, generic, sizeof(sockaddr_in)) != 0) {
+        return systemFailure("bind");
+    }
+    if (listen(made.descriptor, backlog) != 0) {
+        return systemFailure("listen");
+    }
+    return made;
+}
+
+Socket Socket::acceptOne() const
+{
+    Socket accepted(accept4(this->descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (accepted.isOpen()) {
+        setOption(accepted.descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    }
+    return accepted;
+}
+
+int Socket::number() const
+{
+    return this->descriptor;
+}
+
+bool Socket::isOpen() const
+{
+    return this->descriptor >= 0;
+}
+
+Transfer Socket::read(std::string &bytes, std::size_t limit) const
+{
+    std::array<char, ReadPieceBytes> piece{};
+    std::size_t taken = 0;
+    while (taken < limit) {
+        const ssize_t count = recv(this->descriptor, piece.data(), piece.size(), 0);
+        if (count > 0) {
+            bytes.append(piece.data(), static_cast<std::size_t>(count));
+            taken += static_cast<std::size_t>(count);
+            if (static_cast<std::size_t>(count) < piece.size()) {
+                return Transfer::Open;
+            }
+        } else if (count == 0) {
+            return Transfer::Ended;
+        } else if (errno != EINTR) {
+            return errno == EAGAIN || errno == EWOULDBLOCK ? Transfer::Open : Transfer::Broken;
+        }
+    }
+    return Transfer::Open;
+}
+
+Transfer Socket::write(std::string_view bytes, std::size_t &offset) const
+{
+    while (offset < bytes.size()) {
+        const ssize_t count = send(this->descriptor, bytes.data() + offset, bytes.size() - offset, MSG_NOSIGNAL);
+        if (count >= 0) {
+            offset += static_cast<std::size_t>(count);
+        } else if (errno != EINTR) {
+            return errno == EAGAIN || errno == EWOULDBLOCK ? Transfer::Open : Transfer::Broken;
+        }
+    }
+    return Transfer::Open;
+}
+
+int Socket::connectError() const
+{
+    int error = 0;
+    socklen_t length = sizeof(error);
+    if (getsockopt(this->descriptor, SOL_SOCKET, SO_ERROR, &error, &length) != 0) {
+        return errno;
+    }
+    return error;
+}
+
+void Socket::finishWriting() const
+{
+    shutdown(this->descriptor, SHUT_WR);
+}
+
+void Socket::resetOnClose() const
+{
+    const linger immediate{.l_onoff = 1, .l_linger = 0};
+    setsockopt(this->descriptor, SOL_SOCKET, SO_LINGER, &immediate, sizeof(immediate));
+}
+
+}
--- a/Meta/generate-protocol.sh
+++ b/Meta/generate-protocol.sh
@@ -3,6 +3,6 @@
 # generated code is committed, so that building needs no generator.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-for file in operator control entry; do
+for file in operator control entry fleet; do
     thrift --gen cpp:cob_style,no_skeleton -out Libraries/LibProtocol/Generated "Libraries/LibProtocol/${file}.thrift"
 done
--- /dev/null
+++ b/Services/coordinatord/main.cpp
@@ -0,0 +1,162 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// The coordinator: wires the coordinator node to its listeners on one GLib loop.
+
+#include <LibControl/PeerTransport.h>
+#include <LibCoordinator/CoordinatorNode.h>
+#include <LibCore/Daemon.h>
+#include <LibCore/EventPoll.h>
+#include <LibCore/Identity.h>
+#include <LibCore/Log.h>
+#include <LibProtocol/Generated/ControlPeer.h>
+#include <LibRpc/RpcServer.h>
+#include <platform/ConfigurationCodec.h>
+#include <platform/ControlInterface.h>
+#include <platform/SettingsFile.h>
+#include <platform/SettingsWatch.h>
+
+#include <cstdio>
+
+namespace
+{
+
+// The declaration is small and changes hundreds of times a day: a snapshot each few dozen entries keeps the log short.
+constexpr std::int64_t EntriesBetweenSnapshots = 64;
+// A leader that is gone is noticed after one to two seconds, well inside the operators' patience; short periods cost processor time on every coordinator.
+constexpr Core::Duration HeartbeatPeriod = Core::milliseconds(200);
+constexpr Core::Duration ElectionTimeout = Core::milliseconds(900);
+constexpr Core::Duration ResponseFlushTime = Core::milliseconds(300);
+// Operators' documents with thousands of routes.
+constexpr std::size_t MaximumDocumentBytes = 8 * 1024 * 1024;
+
+/** What other coordinators call for the replicated log. */
+class LogPeerHandler : public Protocol::ControlPeerCobSvIf
+{
+public:
+    explicit LogPeerHandler(Coordinator::CoordinatorNode &node) : node(node)
+    {
+    }
+
+    void deliver(std::function<void()> callback, const std::vector<Protocol::LogMessage> &messages) override
+    {
+        this->node.receive(messages);
+        callback();
+    }
+
+private:
+    Coordinator::CoordinatorNode &node;
+};
+
+Coordinator::CoordinatorOptions makeOptions(const Platform::ProcessSettings &settings, Control::PeerTransport &transport)
+{
+    Coordinator::CoordinatorOptions options;
+    options.watchEndpoint = Platform::internalEndpoint(settings, Platform::InternalPort::Watch);
+    options.seeds = Platform::watchEndpoints(settings);
+    options.mayFound = settings.firstStart;
+    options.membership.wantedVoters = 2 * static_cast<std::size_t>(settings.tolerableLosses) + 1;
+    options.examine = [](const std::string &content) -> Core::Result<Fleet::DeclarationVersion> {
+        const auto declaration = Platform::readConfiguration(content);
+        if (!declaration.has_value()) {
+            return tl::make_unexpected(declaration.error());
+        }
+        return declaration.value()->version;
+    };
+    options.log.dataFolder = settings.dataFolder;
+    options.log.send = [&transport](const Protocol::Member &receiver, Protocol::LogMessage message) {
+        transport.send(receiver, std::move(message));
+    };
+    auto &log = options.log.log;
+    log.identity.name = settings.instanceName;
+    log.identity.zone = settings.zone;
+    log.identity.peerAddress = Platform::internalEndpoint(settings, Platform::InternalPort::Log).toString();
+    log.identity.entryAddress = options.watchEndpoint.toString();
+    log.identity.operatorAddress = settings.controlListen->toString();
+    log.nameWithFolder = true;
+    log.heartbeatPeriod = HeartbeatPeriod;
+    log.electionTimeout = ElectionTimeout;
+    log.entriesBetweenSnapshots = EntriesBetweenSnapshots;
+    log.seed = Core::randomNumber();
+    return options;
+}
+
+Core::Result<void> run()
+{
+    const auto settings = Platform::loadProcessSettings();
+    if (!settings.has_value()) {
+        return tl::make_unexpected(settings.error());
+    }
+    if (!settings->controlListen.has_value() || settings->dataFolder.empty()) {
+        return Core::failure(Core::ErrorKind::InvalidInput, "a coordinator needs a control address and a data folder");
+    }
+    Core::Daemon daemon("coordinatord");
+    auto &timers = daemon.timers();
+    const auto poll = Core::EventPoll::create(nullptr);
+    if (!poll.has_value()) {
+        return tl::make_unexpected(poll.error());
+    }
+    Control::PeerTransport transport(timers);
+    const auto node = Coordinator::CoordinatorNode::create(makeOptions(settings.value(), transport), timers);
+    if (!node.has_value()) {
+        return tl::make_unexpected(node.error());
+    }
+    auto &coordinator = *node.value();
+
+    const auto watchers = std::make_shared<Protocol::CoordinatorAsyncProcessor>(std::make_shared<Coordinator::CoordinatorHandler>(coordinator));
+    const auto peers = std::make_shared<Protocol::ControlPeerAsyncProcessor>(std::make_shared<LogPeerHandler>(coordinator));
+    const auto watchServer = Rpc::RpcServer::create(
+        {.name = "watch", .endpoint = Platform::internalEndpoint(settings.value(), Platform::InternalPort::Watch), .processor = watchers, .limits = {}}, timers);
+    const auto peerServer = Rpc::RpcServer::create(
+        {.name = "log", .endpoint = Platform::internalEndpoint(settings.value(), Platform::InternalPort::Log), .processor = peers, .limits = {}}, timers);
+    for (const auto *server : {&watchServer, &peerServer}) {
+        if (!server->has_value()) {
+            return tl::make_unexpected(server->error());
+        }
+    }
+    Platform::ControlInterface interface(coordinator, settings->controlListen->toString());
+    const auto operators = Wire::Server::create({.name = "control",
+                                                    .endpoint = settings->controlListen.value(),
+                                                    .handler =
+                                                        [&interface](const Wire::Request &request, const auto &exchange) {
+                                                            interface.handle(request, exchange);
+                                                        },
+                                                    .limits = {.message = {.headerBytes = 16 * 1024, .bodyBytes = MaximumDocumentBytes}}},
+        *poll.value(),
+        timers);
+    if (!operators.has_value()) {
+        return tl::make_unexpected(operators.error());
+    }
+    const Platform::SettingsWatch settingsWatch(timers, [&coordinator](const Platform::ProcessSettings &changed) {
+        coordinator.addSeeds(Platform::watchEndpoints(changed));
+    });
+    Core::TimerSubscription flushTimer;
+    daemon.onStop([&coordinator, &daemon, &flushTimer] {
+        coordinator.drain([&daemon, &flushTimer] {
+            // Every answer is given, but its last bytes may still be on their way out.
+            flushTimer = daemon.timers().once(ResponseFlushTime, [&daemon](Core::Instant) {
+                daemon.quit();
+            });
+        });
+    });
+    daemon.onDump([&coordinator] {
+        std::fprintf(stdout, "%s\n", coordinator.dump().c_str());
+        std::fflush(stdout);
+    });
+    Core::logEvent(Core::LogLevel::Information,
+        "daemon.started",
+        {{"name", settings->instanceName}, {"first_start", settings->firstStart ? 1 : 0}, {"seeds", settings->seeds.size()}});
+    daemon.run();
+    return {};
+}
+
+}
+
+int main(int argumentCount, char **arguments)
+{
+    Core::LogLevel logLevel{Core::LogLevel::Information};
+    Core::Settings settings("coordinatord", "a coordinator of crankrudder on the platform: declaration and registry");
+    Core::addLogLevelSetting(settings, logLevel);
+    return Core::runProgram(settings, argumentCount, arguments, logLevel, run);
+}
--- a/Tests/LibEntry/TestRegistry.cpp
+++ b/Tests/LibEntry/TestRegistry.cpp
@@ -2,7 +2,7 @@
 #include <LibEntry/Admission.h>
 #include <LibEntry/Announcement.h>
 #include <LibEntry/ConfigurationInForce.h>
-#include <LibEntry/LatencyDigest.h>
+#include <LibCore/LatencyDigest.h>
 #include <LibEntry/RegistryRefresher.h>
 #include <Support/EntryFixture.h>
 
@@ -220,7 +220,7 @@
 
 Test(LatencyDigest, findsQuantilesWithinABucket)
 {
-    Entry::LatencyDigest digest;
+    Core::LatencyDigest digest;
     cr_expect_eq(digest.quantile(0.5, Core::milliseconds(7)).count(), 7000, "the fallback, while too little is known");
     for (int value = 1; value <= 1000; ++value) {
         digest.add(Core::Duration(value * 100));
