LibWire, LibGateway: Take a request back at once when another is sent in its place

Ruled out: retries after failures, which count what may have run. Test: takesARequestBackThatHasNotLeft.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -261,7 +261,7 @@
 std::shared_ptr<Wire::ClientConnection> BackendPool::connectionFor(Backend &backend)
 {
     const auto now = this->timers.now();
-    // The one that was used last is the least likely to have been closed by the other side.
+    // One that is up goes first; of those the one that was used last is the least likely to have been closed by the other side.
     std::shared_ptr<Wire::ClientConnection> best;
     std::vector<std::shared_ptr<Wire::ClientConnection>> expired;
     for (const auto &connection : backend.connections) {
@@ -270,7 +270,7 @@
         }
         if (connection->idleUntil() <= now) {
             expired.push_back(connection);
-        } else if (!best || connection->lastUsed() > best->lastUsed()) {
+        } else if (!best || std::pair(connection->isConnected(), connection->lastUsed()) > std::pair(best->isConnected(), best->lastUsed())) {
             best = connection;
         }
     }
@@ -429,10 +429,14 @@
     }
     auto &attempt = found->second;
     attempt.done = nullptr;
-    const bool unsent = attempt.connection && !attempt.connection->isConnected();
-    const auto patience = callerGone ? this->options.cancelPatience : this->options.abandonPatience;
-    // One that has not left is not waited for: the backend server never learns of it.
-    attempt.cancelAt = this->timers.now() + (unsent ? Core::Duration(0) : patience);
+    // One that has not left is taken back here and now: it must not leave later, when another has been sent in its place.
+    if (attempt.connection && attempt.connection->withdraw()) {
+        const auto service = attempt.backend->service;
+        (void)this->takeAttempt(id);
+        this->offerRoom(service);
+        return;
+    }
+    attempt.cancelAt = this->timers.now() + (callerGone ? this->options.cancelPatience : this->options.abandonPatience);
 }
 
 bool BackendPool::mayHaveBeenSent(AttemptId id) const
@@ -522,7 +526,8 @@
     for (const auto &[name, backend] : this->backends) {
         const bool isGone = backend->phase == Protocol::BackendPhase::GONE;
         for (const auto &connection : backend->connections) {
-            const bool expired = connection->idleUntil() <= now || now - connection->lastUsed() >= this->options.idleLimit;
+            const bool neverCameUp = !connection->isConnected() && now - connection->lastUsed() >= this->options.connectPatience;
+            const bool expired = neverCameUp || connection->idleUntil() <= now || now - connection->lastUsed() >= this->options.idleLimit;
             if (connection->isIdle() && (expired || isGone)) {
                 resting.push_back(connection);
             }
--- a/Libraries/LibWire/ClientConnection.cpp
+++ b/Libraries/LibWire/ClientConnection.cpp
@@ -113,6 +113,18 @@
     }
 }
 
+bool ClientConnection::withdraw()
+{
+    if (this->gone || this->up || !this->done) {
+        return false;
+    }
+    this->output.clear();
+    this->written = 0;
+    this->done = nullptr;
+    this->recognise = nullptr;
+    return true;
+}
+
 void ClientConnection::handleEvents(std::uint32_t events)
 {
     if (!this->up) {
--- a/Libraries/LibWire/ClientConnection.h
+++ b/Libraries/LibWire/ClientConnection.h
@@ -64,6 +64,9 @@
     /** Ends the connection and drops the request under way without calling its hook. */
     void close();
 
+    /** Takes the request back if none of it has left, and keeps the connection. Returns whether that was so; the result hook is not called then. */
+    [[nodiscard]] bool withdraw();
+
     /** Whether a request may be sent now. */
     [[nodiscard]] bool isIdle() const;
     [[nodiscard]] bool isConnected() const;
--- /dev/null
+++ b/Tests/LibWire/TestClientConnection.cpp
@@ -0,0 +1,214 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// A client connection against a server that answers byte by byte as a test says.
+
+#include <LibWire/ClientConnection.h>
+#include <Support/LoopFixture.h>
+
+#include <criterion/criterion.h>
+
+using TestSupport::LoopFixture;
+
+namespace
+{
+
+/** Accepts one connection, notes what comes and sends what it is told. */
+class ByteServer : public Core::EventHandler
+{
+public:
+    explicit ByteServer(LoopFixture &fixture) : fixture(fixture), endpoint(TestSupport::freeEndpoint()), listener(std::move(Wire::Socket::listenOn(this->endpoint, 4).value()))
+    {
+    }
+
+    [[nodiscard]] bool accept()
+    {
+        return this->fixture.runUntil([this] {
+            if (!this->socket.isOpen()) {
+                this->socket = this->listener.acceptOne();
+            }
+            g_main_context_iteration(this->fixture.context, FALSE);
+            return this->socket.isOpen();
+        });
+    }
+
+    void send(std::string_view bytes) const
+    {
+        std::size_t offset = 0;
+        (void)this->socket.write(bytes, offset);
+    }
+
+    /** What has arrived so far. */
+    [[nodiscard]] const std::string &received()
+    {
+        (void)this->socket.read(this->bytes, 65536);
+        return this->bytes;
+    }
+
+    void handleEvents(std::uint32_t) override
+    {
+    }
+
+    LoopFixture &fixture;
+    Core::Endpoint endpoint;
+    Wire::Socket listener;
+    Wire::Socket socket;
+    std::string bytes;
+};
+
+/** A connection to it, and how its requests ended. */
+class Client
+{
+public:
+    Client(LoopFixture &fixture, const ByteServer &server)
+        : fixture(fixture), connection(Wire::ClientConnection::create({.endpoint = server.endpoint, .limits = {}}, *fixture.poll, fixture.timers).value())
+    {
+    }
+
+    void send(const std::string &id)
+    {
+        this->connection->send(
+            "GET /" + id + " HTTP/1.1\r\nHost: h\r\n\r\n",
+            [id](const Wire::Response &response) {
+                const auto *found = Wire::findHeader(response.headers, "Id");
+                return found != nullptr && *found == id;
+            },
+            [this](Wire::ClientResult result) {
+                this->results.push_back(std::move(result));
+            });
+    }
+
+    [[nodiscard]] bool hasResults(std::size_t count)
+    {
+        return this->fixture.runUntil([this, count] {
+            return this->results.size() >= count;
+        });
+    }
+
+    LoopFixture &fixture;
+    std::shared_ptr<Wire::ClientConnection> connection;
+    std::vector<Wire::ClientResult> results;
+};
+
+std::string answerTo(const std::string &id, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+}
+
+Test(ClientConnection, takesARequestBackThatHasNotLeft)
+{
+    LoopFixture fixture;
+    ByteServer server(fixture);
+    Client client(fixture, server);
+    client.send("first");
+    cr_assert(client.connection->withdraw());
+    cr_assert(server.accept());
+    fixture.settle();
+    cr_assert(server.received().empty(), "nothing of a request that was taken back may leave");
+    client.send("second");
+    cr_assert(fixture.runUntil([&server] {
+        return server.received().find("second") != std::string::npos;
+    }));
+    cr_assert(server.received().find("first") == std::string::npos);
+    cr_assert_not(client.connection->withdraw(), "what has left can't be taken back");
+}
+
+Test(ClientConnection, passesOverASurplusAnswer)
+{
+    LoopFixture fixture;
+    ByteServer server(fixture);
+    Client client(fixture, server);
+    client.send("a");
+    cr_assert(server.accept());
+    fixture.settle();
+    server.send(answerTo("old", "x") + answerTo("a", "mine"));
+    cr_assert(client.hasResults(1));
+    cr_assert(client.results[0].end == Wire::ClientEnd::Answered);
+    cr_assert(client.results[0].response.body == "mine");
+}
+
+Test(ClientConnection, dropsAConnectionWithBytesBehindTheAnswer)
+{
+    LoopFixture fixture;
+    ByteServer server(fixture);
+    Client client(fixture, server);
+    client.send("a");
+    cr_assert(server.accept());
+    fixture.settle();
+    server.send(answerTo("a", "mine") + "more");
+    cr_assert(client.hasResults(1));
+    cr_assert(client.results[0].end == Wire::ClientEnd::Answered);
+    cr_assert(client.connection->isClosed());
+}
+
+Test(ClientConnection, dropsAnIdleConnectionOnWhichBytesArrive)
+{
+    LoopFixture fixture;
+    ByteServer server(fixture);
+    Client client(fixture, server);
+    client.send("a");
+    cr_assert(server.accept());
+    fixture.settle();
+    server.send(answerTo("a", "mine"));
+    cr_assert(client.hasResults(1));
+    cr_assert_not(client.connection->isClosed());
+    server.send(answerTo("a", "again"));
+    cr_assert(fixture.runUntil([&client] {
+        return client.connection->isClosed();
+    }));
+}
+
+Test(ClientConnection, tellsAResetFromAnEnd)
+{
+    struct Case {
+        const char *name;
+        bool reset;
+        const char *bytes;
+        bool whole;
+    };
+    const std::vector<Case> cases{
+        {"no length, ended", false, "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart", true},
+        {"no length, reset", true, "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart", false},
+        {"a length, ended early", false, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\npart", false},
+        {"chunks, ended early", false, "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", false},
+        {"no HTTP", false, "garbage garbage\r\n\r\n", false},
+        {"nothing", false, "", false},
+    };
+    for (const auto &item : cases) {
+        LoopFixture fixture;
+        ByteServer server(fixture);
+        Client client(fixture, server);
+        client.send("a");
+        cr_assert(server.accept());
+        fixture.settle();
+        (void)server.received();
+        server.send(item.bytes);
+        fixture.settle();
+        if (item.reset) {
+            server.socket.resetOnClose();
+        }
+        server.socket = Wire::Socket();
+        cr_assert(client.hasResults(1), "%s", item.name);
+        cr_assert((client.results[0].end == Wire::ClientEnd::Answered) == item.whole, "%s", item.name);
+        cr_assert(item.whole || client.results[0].end == Wire::ClientEnd::Broken, "%s", item.name);
+    }
+}
+
+Test(ClientConnection, knowsThatNothingWasSentWithoutAConnection)
+{
+    LoopFixture fixture;
+    const auto endpoint = TestSupport::freeEndpoint();
+    const auto connection = Wire::ClientConnection::create({.endpoint = endpoint, .limits = {}}, *fixture.poll, fixture.timers).value();
+    std::optional<Wire::ClientEnd> end;
+    connection->send("GET / HTTP/1.1\r\n\r\n", nullptr, [&end](const Wire::ClientResult &result) {
+        end = result.end;
+    });
+    cr_assert(fixture.runUntil([&end] {
+        return end.has_value();
+    }));
+    cr_assert(end == Wire::ClientEnd::NotSent);
+}
