--- a/Libraries/LibCoordinator/CoordinatorNode.cpp
+++ b/Libraries/LibCoordinator/CoordinatorNode.cpp
@@ -24,8 +24,6 @@
 static constexpr Core::Duration ExpiryPeriod = Core::seconds(1);
 // A gap between two checks that is longer shows that this process itself stood still.
 static constexpr Core::Duration OwnPauseLimit = Core::seconds(3);
-// A gateway counts for this long after its last question, so that one that restarts keeps its part of the connections.
-static constexpr Core::Duration GatewayRetention = Core::seconds(15);
 static constexpr Core::Duration DrainPollPeriod = Core::milliseconds(20);
 
 CoordinatorNode::CoordinatorNode(CoordinatorOptions options, Core::TimerService &timers)
@@ -55,12 +53,19 @@
                 {"sequence", announcement.sequence}});
         raw->scheduleNews();
     };
-    node->peers = std::make_unique<Fleet::FleetWatcher>(
-        Fleet::WatcherOptions{.name = node->options.log.log.identity.name, .isGateway = false, .own = node->options.watchEndpoint}, node->registry, timers);
-    node->peers->heldVersion = [] {
-        // Coordinators get declarations through the log only.
-        return Fleet::DeclarationVersion(INT64_MAX);
+    node->gateways.changed = [raw = node.get()](const Fleet::BackendRecord &) {
+        raw->scheduleNews();
     };
+    // Coordinators watch all others, and get declarations through the log only.
+    node->peers = std::make_unique<Fleet::FleetWatcher>(Fleet::WatcherOptions{.name = node->options.log.log.identity.name,
+                                                            .zone = node->options.log.log.identity.zone,
+                                                            .own = node->options.watchEndpoint,
+                                                            .watchedAtOnce = SIZE_MAX,
+                                                            .wantsDeclarations = false,
+                                                            .wantsHeard = true},
+        node->registry,
+        node->gateways,
+        timers);
     node->peers->addCoordinators(node->options.seeds);
     node->startTimers();
     return node;
@@ -182,10 +187,15 @@
     if (gap >= OwnPauseLimit || alone) {
         // G4. Silence proves nothing while this process stood still, or while heartbeats may go to others that it can't hear.
         this->registry.excuseSilence(now);
+        this->gateways.excuseSilence(now);
         return;
     }
-    // FIXME: Heartbeats that other coordinators took don't count here yet, so a backend server that moved to another coordinator would be taken
-    //        for gone; until coordinators share whom they heard, none is expired by silence alone.
+    const auto backendsGone = this->registry.expire(now, this->options.backendSilence);
+    const auto gatewaysGone = this->gateways.expire(now, this->options.gatewaySilence);
+    if (backendsGone + gatewaysGone > 0) {
+        Core::logEvent(Core::LogLevel::Information, "registry.expired", {{"backends", backendsGone}, {"gateways", gatewaysGone}});
+    }
+    this->gateways.forget(now);
     this->registry.forget(now);
 }
 
@@ -194,13 +204,14 @@
 bool CoordinatorNode::hasNewsFor(const Protocol::WatchRequest &request) const
 {
     const bool otherLife = request.coordinatorIncarnation != this->incarnation;
-    return otherLife || request.cursor < this->registry.position() || request.declarationVersion < this->log->current().version;
+    const bool membersChanged = request.cursor < this->registry.position() || request.gatewayCursor < this->gateways.position();
+    return otherLife || membersChanged || request.declarationVersion < this->log->current().version;
 }
 
 void CoordinatorNode::watch(const Protocol::WatchRequest &request, const std::function<void(const Protocol::WatchReply &reply)> &done)
 {
-    if (request.isGateway) {
-        this->gateways[request.watcherName] = this->timers.now();
+    if (request.__isset.gateway) {
+        this->gateways.merge(request.gateway, this->timers.now());
     }
     WaitingWatcher watcher{.request = request, .done = done, .answerBy = this->timers.now() + this->options.watchHold};
     if (request.confirm) {
@@ -226,9 +237,13 @@
     this->watchers.push_back(std::move(watcher));
 }
 
-int CoordinatorNode::gatewayCount() const
+std::vector<std::string> CoordinatorNode::heardFor(const std::string &watcher)
 {
-    return static_cast<int>(this->gateways.size());
+    const auto since = std::exchange(this->heardUntil[watcher], this->timers.now());
+    auto heard = this->registry.mergedSince(since);
+    const auto gatewaysHeard = this->gateways.mergedSince(since);
+    heard.insert(heard.end(), gatewaysHeard.begin(), gatewaysHeard.end());
+    return heard;
 }
 
 void CoordinatorNode::answerWatcher(const WaitingWatcher &watcher, bool confirmed)
@@ -239,17 +254,26 @@
     reply.cursor = this->registry.position();
     const std::int64_t known = request.coordinatorIncarnation == this->incarnation ? request.cursor : 0;
     reply.changed = this->registry.changedSince(known, this->timers.now());
+    const std::int64_t knownGateways = request.coordinatorIncarnation == this->incarnation ? request.gatewayCursor : 0;
+    reply.gatewayCursor = this->gateways.position();
+    reply.changedGateways = this->gateways.changedSince(knownGateways, this->timers.now());
+    if (request.wantsHeard) {
+        reply.heard = this->heardFor(request.watcherName);
+    }
     const auto &declaration = this->log->current();
     reply.declarationVersion = declaration.version;
-    if (declaration.version > request.declarationVersion) {
+    if (request.wantsDeclaration && declaration.version > request.declarationVersion) {
         reply.__set_declaration(declaration.content);
     }
     reply.confirmed = confirmed;
-    reply.gateways = this->gatewayCount();
     const auto *replicated = this->log->log();
     if (replicated != nullptr) {
+        reply.hasLeader = replicated->leader() != nullptr;
         for (const auto &member : replicated->membership().members) {
-            reply.coordinators.push_back(member.entryAddress);
+            Protocol::CoordinatorPlace place;
+            place.address = member.entryAddress;
+            place.zone = member.zone;
+            reply.coordinators.push_back(std::move(place));
         }
     }
     watcher.done(reply);
@@ -292,9 +316,6 @@
     for (const auto &watcher : ready) {
         this->answerWatcher(watcher, false);
     }
-    std::erase_if(this->gateways, [now](const auto &item) {
-        return now - item.second >= GatewayRetention;
-    });
 }
 
 // ---- Membership
@@ -504,7 +525,7 @@
     const auto *replicated = this->log->log();
     document["declaration_version"] = this->log->current().version;
     document["backends"] = this->registry.size();
-    document["gateways"] = this->gatewayCount();
+    document["gateways"] = this->gateways.readyCount();
     document["watchers"] = this->watchers.size();
     document["peers_in_reach"] = this->peers->inReach();
     document["folder_usable"] = replicated != nullptr;
--- a/Libraries/LibCoordinator/CoordinatorNode.h
+++ b/Libraries/LibCoordinator/CoordinatorNode.h
@@ -29,9 +29,11 @@
     /** The whole system starts for the first time with empty folders. */
     bool mayFound{false};
     /** A question without news is answered after this long, so that the asker knows that the coordinator lives. */
-    Core::Duration watchHold{Core::milliseconds(900)};
+    Core::Duration watchHold{Core::milliseconds(1800)};
     /** A backend server without a heartbeat for this long is taken for gone. Several heartbeats, since single ones come seconds late. */
     Core::Duration backendSilence{Core::seconds(20)};
+    /** The same for a gateway, which calls at least each time that a question was held. */
+    Core::Duration gatewaySilence{Core::seconds(12)};
     /** Says what is wrong with a declaration's text, or which version it has. */
     std::function<Core::Result<Fleet::DeclarationVersion>(const std::string &content)> examine;
 };
@@ -118,7 +120,7 @@
     [[nodiscard]] bool isMember() const;
     [[nodiscard]] Protocol::Introduction ownIntroduction() const;
     [[nodiscard]] std::string leaderOperatorAddress() const;
-    [[nodiscard]] int gatewayCount() const;
+    [[nodiscard]] std::vector<std::string> heardFor(const std::string &watcher);
     void expireBackends();
     void finishDrain();
 
@@ -129,8 +131,10 @@
     std::unique_ptr<Fleet::FleetWatcher> peers;
     std::unique_ptr<DeclarationLog> log;
     std::list<WaitingWatcher> watchers;
-    // When each gateway asked last.
-    std::map<std::string, Core::Instant> gateways;
+    // Gateways that take requests.
+    Fleet::BackendRegistry gateways;
+    // Up to when each coordinator knows whose heartbeats came here.
+    std::map<std::string, Core::Instant> heardUntil;
     // Coordinators that introduced themselves, by address; only used until a log is founded.
     std::map<Core::Endpoint, Protocol::Introduction> introduced;
     std::map<Core::Endpoint, std::shared_ptr<Rpc::RpcChannel>> introductionChannels;
--- a/Libraries/LibFleet/BackendRegistry.cpp
+++ b/Libraries/LibFleet/BackendRegistry.cpp
@@ -5,6 +5,8 @@
 
 #include <LibFleet/BackendRegistry.h>
 
+#include <algorithm>
+
 namespace Fleet
 {
 
@@ -21,21 +23,28 @@
     return held.phase != incoming.phase || held.address != incoming.address || held.serviceName != incoming.serviceName || held.slots != incoming.slots;
 }
 
+// Silence is no step forward: a later heartbeat makes the backend server ready again.
+static int rankOf(BackendPhase::type phase)
+{
+    return phase == BackendPhase::SILENT ? static_cast<int>(BackendPhase::READY) : static_cast<int>(phase);
+}
+
 bool BackendRegistry::merge(const BackendAnnouncement &announcement, Core::Instant now)
 {
     const auto [position, isNew] = this->records.try_emplace(announcement.id);
     auto &record = position->second;
     if (!isNew) {
         // G1. A phase never goes back, however new the heartbeat that says so.
-        const bool goesBack = announcement.phase < record.announcement.phase;
+        const bool goesBack = rankOf(announcement.phase) < rankOf(record.announcement.phase);
         // G2. Within one phase the higher sequence counts.
-        const bool outdated = announcement.phase == record.announcement.phase && announcement.sequence <= record.announcement.sequence;
+        const bool samePhase = rankOf(announcement.phase) == rankOf(record.announcement.phase);
+        const bool outdated = samePhase && announcement.sequence <= record.announcement.sequence;
         if (goesBack || outdated) {
             return false;
         }
     }
     const bool news = isNew || differs(record.announcement, announcement);
-    const bool knowsPlace = !announcement.serviceName.empty();
+    const bool knowsPlace = !announcement.address.empty();
     const auto sequence = std::max(record.announcement.sequence, announcement.sequence);
     if (isNew || knowsPlace) {
         record.announcement = announcement;
@@ -44,6 +53,7 @@
     record.announcement.sequence = sequence;
     record.warmUntil = now + Core::milliseconds(announcement.warmupLeftMs);
     record.lastHeard = now;
+    record.lastMerged = now;
     if (news) {
         this->noteChange(record);
     }
@@ -60,16 +70,57 @@
     return this->merge(farewell, now);
 }
 
+void BackendRegistry::noteHeard(const std::string &id, Core::Instant now)
+{
+    const auto found = this->records.find(id);
+    if (found != this->records.end()) {
+        found->second.lastHeard = now;
+    }
+}
+
+std::vector<std::string> BackendRegistry::mergedSince(Core::Instant time) const
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, record] : this->records) {
+        if (record.lastMerged > time && record.announcement.phase != BackendPhase::GONE) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+int BackendRegistry::readyCount() const
+{
+    return static_cast<int>(std::count_if(this->records.begin(), this->records.end(), [](const auto &item) {
+        return item.second.announcement.phase == BackendPhase::READY;
+    }));
+}
+
+int BackendRegistry::readyCountIn(const std::string &zone) const
+{
+    return static_cast<int>(std::count_if(this->records.begin(), this->records.end(), [&zone](const auto &item) {
+        return item.second.announcement.phase == BackendPhase::READY && item.second.announcement.zone == zone;
+    }));
+}
+
 std::size_t BackendRegistry::expire(Core::Instant now, Core::Duration silence)
 {
-    std::vector<std::string> silent;
+    std::vector<BackendAnnouncement> silent;
     for (const auto &[id, record] : this->records) {
-        if (record.announcement.phase != BackendPhase::GONE && now - record.lastHeard >= silence) {
-            silent.push_back(id);
+        const auto phase = record.announcement.phase;
+        const bool expires = phase == BackendPhase::READY || phase == BackendPhase::DRAINING;
+        if (expires && now - record.lastHeard >= silence) {
+            silent.push_back(record.announcement);
         }
     }
-    for (const auto &id : silent) {
-        this->markGone(id, now);
+    for (auto &announcement : silent) {
+        if (announcement.phase == BackendPhase::DRAINING) {
+            this->markGone(announcement.id, now);
+            continue;
+        }
+        announcement.phase = BackendPhase::SILENT;
+        ++announcement.sequence;
+        this->merge(announcement, now);
     }
     return silent.size();
 }
@@ -85,7 +136,8 @@
 {
     std::erase_if(this->records, [this, now](const auto &item) {
         const auto &record = item.second;
-        const bool forgotten = record.announcement.phase == BackendPhase::GONE && now - record.lastHeard >= this->options.retention;
+        const bool over = record.announcement.phase == BackendPhase::GONE || record.announcement.phase == BackendPhase::SILENT;
+        const bool forgotten = over && now - record.lastHeard >= this->options.retention;
         if (forgotten) {
             this->byChange.erase(record.changedAt);
         }
--- a/Libraries/LibFleet/BackendRegistry.h
+++ b/Libraries/LibFleet/BackendRegistry.h
@@ -28,6 +28,8 @@
     Core::Instant warmUntil;
     /** When a heartbeat of it was last known to have been made. */
     Core::Instant lastHeard;
+    /** When an announcement of it was last merged here. */
+    Core::Instant lastMerged;
     /** Position in the row of changes; grows with each change that others have to know. */
     std::int64_t changedAt{0};
 };
@@ -50,7 +52,17 @@
     /** The backend server said that it ends, or is known to have ended. Returns whether that is news. */
     bool markGone(const std::string &id, Core::Instant now);
 
-    /** Marks those gone that made no heartbeat for a time. Returns how many. */
+    /** A heartbeat of this one reached another coordinator. */
+    void noteHeard(const std::string &id, Core::Instant now);
+
+    /** Ids whose heartbeats were taken over by merge() after a time, whether or not they were news. */
+    [[nodiscard]] std::vector<std::string> mergedSince(Core::Instant time) const;
+
+    /** How many are ready, and how many of these are in one availability zone. */
+    [[nodiscard]] int readyCount() const;
+    [[nodiscard]] int readyCountIn(const std::string &zone) const;
+
+    /** Marks those silent that made no heartbeat for a time, and those gone that were leaving. Returns how many. */
     std::size_t expire(Core::Instant now, Core::Duration silence);
 
     /** Starts the count of silence anew for all, after this process itself was stopped for a while. */
--- a/Libraries/LibFleet/FleetWatcher.cpp
+++ b/Libraries/LibFleet/FleetWatcher.cpp
@@ -8,29 +8,34 @@
 #include <LibCore/Log.h>
 
 #include <algorithm>
+#include <functional>
 
 namespace Fleet
 {
 
-FleetWatcher::FleetWatcher(WatcherOptions options, BackendRegistry &registry, Core::TimerService &timers)
-    : options(std::move(options)), registry(registry), timers(timers)
+FleetWatcher::FleetWatcher(WatcherOptions options, BackendRegistry &backends, BackendRegistry &gateways, Core::TimerService &timers)
+    : options(std::move(options)), backends(backends), gateways(gateways), timers(timers)
 {
 }
 
+FleetWatcher::Watched &FleetWatcher::add(const Core::Endpoint &endpoint)
+{
+    const auto [position, isNew] = this->table.try_emplace(endpoint);
+    if (isNew) {
+        position->second.endpoint = endpoint;
+        position->second.lastAnswer = this->timers.now();
+    }
+    return position->second;
+}
+
 void FleetWatcher::addCoordinators(const std::vector<Core::Endpoint> &endpoints)
 {
     for (const auto &endpoint : endpoints) {
-        if (endpoint == this->options.own) {
-            continue;
+        if (endpoint != this->options.own) {
+            this->add(endpoint);
         }
-        const auto [position, isNew] = this->table.try_emplace(endpoint);
-        if (!isNew) {
-            continue;
-        }
-        position->second.endpoint = endpoint;
-        position->second.lastAnswer = this->timers.now();
-        this->ask(endpoint);
     }
+    this->askChosen();
 }
 
 void FleetWatcher::wantConfirmation()
@@ -44,6 +49,11 @@
     return this->isCurrent;
 }
 
+bool FleetWatcher::hasNews() const
+{
+    return this->anyAnswer;
+}
+
 std::size_t FleetWatcher::inReach() const
 {
     return static_cast<std::size_t>(std::count_if(this->table.begin(), this->table.end(), [](const auto &item) {
@@ -51,15 +61,6 @@
     }));
 }
 
-int FleetWatcher::gatewayCount() const
-{
-    int most = 0;
-    for (const auto &[endpoint, watched] : this->table) {
-        most = std::max(most, watched.gateways);
-    }
-    return most;
-}
-
 std::vector<Core::Endpoint> FleetWatcher::coordinators() const
 {
     std::vector<Core::Endpoint> endpoints;
@@ -69,29 +70,89 @@
     return endpoints;
 }
 
-std::uint64_t FleetWatcher::answers() const
+std::int64_t FleetWatcher::held() const
 {
-    return this->answerCount;
+    return this->heldVersion ? this->heldVersion().value() : -1;
 }
 
-void FleetWatcher::ask(const Core::Endpoint &endpoint)
+int FleetWatcher::distanceOf(const Watched &watched) const
 {
-    const auto found = this->table.find(endpoint);
-    if (found == this->table.end() || found->second.asking) {
-        return;
+    if (watched.zone.empty()) {
+        return 2;
     }
-    auto &watched = found->second;
-    watched.asking = true;
-    if (!watched.channel) {
-        watched.channel = Rpc::RpcChannel::create({.endpoint = endpoint, .callTimeout = this->options.answerTimeout, .limits = {}}, this->timers);
+    if (watched.zone == this->options.zone) {
+        return 0;
+    }
+    const auto own = this->options.regions.find(this->options.zone);
+    const auto other = this->options.regions.find(watched.zone);
+    const bool sameRegion = own != this->options.regions.end() && other != this->options.regions.end() && own->second == other->second;
+    return sameRegion ? 1 : 2;
+}
+
+// The near ones that work go first; among equals each watcher has an order of its own, so that watchers spread.
+std::vector<FleetWatcher::Watched *> FleetWatcher::chosen()
+{
+    const auto rank = [this](const Watched &watched) {
+        const bool doubtful = !watched.hasLeader;
+        return std::tuple(watched.failing, !watched.reachable, doubtful, this->distanceOf(watched), std::hash<std::string>{}(this->options.name + watched.endpoint.toString()));
+    };
+    std::vector<Watched *> rows;
+    for (auto &[endpoint, watched] : this->table) {
+        rows.push_back(&watched);
+    }
+    std::sort(rows.begin(), rows.end(), [&rank](const Watched *left, const Watched *right) {
+        return rank(*left) < rank(*right);
+    });
+    // Only the leader confirms, and a watcher does not know which one that is.
+    if (!this->wantsConfirmation && rows.size() > this->options.watchedAtOnce) {
+        rows.resize(this->options.watchedAtOnce);
     }
+    return rows;
+}
+
+void FleetWatcher::askChosen()
+{
+    for (auto *watched : this->chosen()) {
+        if (!watched->retry.isActive()) {
+            this->ask(*watched);
+        }
+    }
+}
+
+Protocol::WatchRequest FleetWatcher::makeRequest(Watched &watched)
+{
     Protocol::WatchRequest request;
     request.watcherName = this->options.name;
     request.coordinatorIncarnation = watched.incarnation;
     request.cursor = watched.cursor;
-    request.declarationVersion = this->heldVersion ? this->heldVersion().value() : -1;
+    request.gatewayCursor = watched.gatewayCursor;
     request.confirm = this->wantsConfirmation;
-    request.isGateway = this->options.isGateway;
+    request.wantsHeard = this->options.wantsHeard;
+    const auto first = this->chosen().front();
+    const bool overdue = this->newestKnown > this->held() && this->timers.now() - this->newestKnownSince >= this->options.declarationPatience;
+    request.wantsDeclaration = this->options.wantsDeclarations && (first == &watched || overdue || this->wantsConfirmation);
+    request.declarationVersion = request.wantsDeclaration ? this->held() : std::max(this->held(), this->newestKnown);
+    if (!this->options.wantsDeclarations) {
+        request.declarationVersion = INT64_MAX;
+    }
+    const auto own = this->presence ? this->presence() : std::nullopt;
+    if (own.has_value()) {
+        request.__set_gateway(own.value());
+    }
+    return request;
+}
+
+void FleetWatcher::ask(Watched &watched)
+{
+    if (watched.asking) {
+        return;
+    }
+    watched.asking = true;
+    const auto endpoint = watched.endpoint;
+    if (!watched.channel) {
+        watched.channel = Rpc::RpcChannel::create({.endpoint = endpoint, .callTimeout = this->options.answerTimeout, .limits = {}}, this->timers);
+    }
+    const auto request = this->makeRequest(watched);
     const std::weak_ptr<int> weak = this->alive;
     Rpc::call<Protocol::CoordinatorCobClient, Protocol::WatchReply>(
         watched.channel,
@@ -108,6 +169,25 @@
         });
 }
 
+void FleetWatcher::askLater(const Core::Endpoint &endpoint, Core::Duration pause)
+{
+    this->table.at(endpoint).retry = this->timers.once(pause, [this, endpoint](Core::Instant) {
+        const auto found = this->table.find(endpoint);
+        if (found == this->table.end()) {
+            return;
+        }
+        const auto rows = this->chosen();
+        const bool wanted = std::find(rows.begin(), rows.end(), &found->second) != rows.end();
+        // One that fails is asked now and then all the same, to notice that it is back.
+        if (wanted || !found->second.reachable) {
+            this->ask(found->second);
+        } else {
+            found->second.channel.reset();
+        }
+        this->askChosen();
+    });
+}
+
 void FleetWatcher::takeAnswer(const Core::Endpoint &endpoint, const Core::Result<Protocol::WatchReply> &answer, bool askedForConfirmation)
 {
     const auto found = this->table.find(endpoint);
@@ -120,8 +200,8 @@
         this->failed(watched, answer.error().message);
         return;
     }
-    ++this->answerCount;
     watched.lastAnswer = this->timers.now();
+    watched.failing = false;
     if (!std::exchange(watched.reachable, true)) {
         Core::logEvent(Core::LogLevel::Information, "coordinator.reached", {{"coordinator", endpoint.toString()}});
     }
@@ -129,48 +209,56 @@
     if (askedForConfirmation && answer->confirmed && this->wantsConfirmation) {
         this->wantsConfirmation = false;
         this->isCurrent = true;
-        Core::logEvent(Core::LogLevel::Information,
-            "declaration.confirmed",
-            {{"version", answer->declarationVersion}, {"coordinator", endpoint.toString()}});
-        if (this->confirmed) {
-            this->confirmed();
-        }
+        Core::logEvent(
+            Core::LogLevel::Information, "declaration.confirmed", {{"version", answer->declarationVersion}, {"coordinator", endpoint.toString()}});
     }
-    // NOTE: Asked from the loop, so that a coordinator that answers at once can't keep this function from returning.
-    watched.retry = this->timers.once(Core::Duration(0), [this, endpoint](Core::Instant) {
-        this->ask(endpoint);
-    });
+    // NOTE: Asked from the loop, so that a coordinator that answers at once can't keep this function from returning. One that told of a
+    //       declaration without its text is asked after a pause, to want the text from it if it has not come from the first one by then.
+    const bool textMissing = this->options.wantsDeclarations && this->newestKnown > this->held();
+    this->askLater(endpoint, textMissing ? this->options.declarationPatience : Core::Duration(0));
 }
 
 void FleetWatcher::takeNews(Watched &watched, const Protocol::WatchReply &reply)
 {
+    const auto now = this->timers.now();
+    this->anyAnswer = true;
     watched.incarnation = reply.coordinatorIncarnation;
     watched.cursor = reply.cursor;
-    watched.gateways = reply.gateways;
-    const auto now = this->timers.now();
+    watched.gatewayCursor = reply.gatewayCursor;
+    watched.hasLeader = reply.hasLeader;
     for (const auto &announcement : reply.changed) {
-        this->registry.merge(announcement, now);
+        this->backends.merge(announcement, now);
+    }
+    for (const auto &announcement : reply.changedGateways) {
+        this->gateways.merge(announcement, now);
+    }
+    for (const auto &id : reply.heard) {
+        this->backends.noteHeard(id, now);
+        this->gateways.noteHeard(id, now);
+    }
+    if (reply.declarationVersion > this->newestKnown) {
+        this->newestKnown = reply.declarationVersion;
+        this->newestKnownSince = now;
     }
     if (reply.__isset.declaration && this->declarationArrived) {
         this->declarationArrived(DeclarationVersion(reply.declarationVersion), reply.declaration);
     }
-    std::vector<Core::Endpoint> others;
-    for (const auto &address : reply.coordinators) {
-        const auto endpoint = Core::Endpoint::parse(address);
-        if (endpoint.has_value()) {
-            others.push_back(endpoint.value());
+    for (const auto &place : reply.coordinators) {
+        const auto endpoint = Core::Endpoint::parse(place.address);
+        if (endpoint.has_value() && endpoint.value() != this->options.own) {
+            this->add(endpoint.value()).zone = place.zone;
         }
     }
-    this->addCoordinators(others);
+    this->askChosen();
 }
 
 void FleetWatcher::failed(Watched &watched, const std::string &reason)
 {
     const auto endpoint = watched.endpoint;
+    watched.failing = true;
     if (std::exchange(watched.reachable, false)) {
         Core::logEvent(Core::LogLevel::Warning, "coordinator.lost", {{"coordinator", endpoint.toString()}, {"reason", reason}});
     }
-    watched.gateways = 0;
     const bool othersAnswer = this->inReach() > 0;
     if (othersAnswer && this->timers.now() - watched.lastAnswer >= this->options.giveUpAfter) {
         // One that comes back is named again by the others.
@@ -178,9 +266,8 @@
         this->table.erase(endpoint);
         return;
     }
-    watched.retry = this->timers.once(this->options.retryPause, [this, endpoint](Core::Instant) {
-        this->ask(endpoint);
-    });
+    this->askLater(endpoint, this->options.retryPause);
+    this->askChosen();
 }
 
 }
--- a/Libraries/LibFleet/FleetWatcher.h
+++ b/Libraries/LibFleet/FleetWatcher.h
@@ -3,7 +3,7 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-// Watches coordinators and takes their news over: backend servers, the
+// Watches coordinators and takes their news over: backend servers, gateways, the
 // declaration, and which other coordinators there are. Gateways use it, and
 // coordinators watch each other with it.
 
@@ -24,16 +24,25 @@
 /** Who watches, and how patiently. */
 struct WatcherOptions {
     std::string name;
-    bool isGateway{false};
+    std::string zone;
+    /** Region of each availability zone. */
+    std::map<std::string, std::string> regions;
     /** Never watched: the watcher itself. */
     Core::Endpoint own;
+    /** How many coordinators are watched at once; any more are known, but asked only when these fail. */
+    std::size_t watchedAtOnce{3};
+    /** Whether declarations are wanted, and whose heartbeats coordinators heard. */
+    bool wantsDeclarations{true};
+    bool wantsHeard{false};
     /**
      * A coordinator that does not answer for this long is asked over a new connection. Longer than coordinators
-     * hold a question (CoordinatorOptions::watchHold), and short enough that a healed network is used within two seconds.
+     * hold a question (CoordinatorOptions::watchHold), and short enough that a healed network is used within three seconds.
      */
-    Core::Duration answerTimeout{Core::milliseconds(1700)};
+    Core::Duration answerTimeout{Core::milliseconds(2800)};
     /** Pause after a failed question. */
     Core::Duration retryPause{Core::milliseconds(200)};
+    /** A declaration that the first coordinator has not sent after this long is wanted of the others, too. */
+    Core::Duration declarationPatience{Core::milliseconds(300)};
     /** One that is no longer named by others is given up after this long without an answer. */
     Core::Duration giveUpAfter{Core::seconds(20)};
 };
@@ -42,11 +51,11 @@
 class FleetWatcher
 {
 public:
-    FleetWatcher(WatcherOptions options, BackendRegistry &registry, Core::TimerService &timers);
+    FleetWatcher(WatcherOptions options, BackendRegistry &backends, BackendRegistry &gateways, Core::TimerService &timers);
     FleetWatcher(const FleetWatcher &) = delete;
     FleetWatcher &operator=(const FleetWatcher &) = delete;
 
-    /** Adds coordinators to those that are watched. */
+    /** Adds coordinators to those that may be watched. */
     void addCoordinators(const std::vector<Core::Endpoint> &endpoints);
 
     /** Asks from now on for an answer that is confirmed to be current, until one came. */
@@ -55,44 +64,58 @@
     [[nodiscard]] bool isConfirmed() const;
     /** Coordinators that answered lately. */
     [[nodiscard]] std::size_t inReach() const;
-    /** The largest number of gateways that any coordinator told of. */
-    [[nodiscard]] int gatewayCount() const;
     [[nodiscard]] std::vector<Core::Endpoint> coordinators() const;
-    /** Answers so far. */
-    [[nodiscard]] std::uint64_t answers() const;
+    /** Whether any coordinator has answered yet. */
+    [[nodiscard]] bool hasNews() const;
 
     /** The version that is held already; asked before each question. */
     std::function<DeclarationVersion()> heldVersion;
+    /** What the watcher says of itself, when it is a gateway that takes requests. */
+    std::function<std::optional<Protocol::BackendAnnouncement>()> presence;
     /** A newer declaration came. */
     std::function<void(DeclarationVersion version, const std::string &content)> declarationArrived;
-    /** The first confirmed answer came; what it carried has been handed over before. */
-    std::function<void()> confirmed;
 
 private:
     struct Watched {
         Core::Endpoint endpoint;
+        std::string zone;
         std::shared_ptr<Rpc::RpcChannel> channel;
         std::int64_t incarnation{0};
         std::int64_t cursor{0};
-        int gateways{0};
+        std::int64_t gatewayCursor{0};
         bool asking{false};
         bool reachable{false};
+        // The last question failed. One that was never asked is neither reachable nor failing.
+        bool failing{false};
+        // Whether it hears from a leader; one that does not may miss declarations.
+        bool hasLeader{true};
         Core::Instant lastAnswer;
         Core::TimerSubscription retry;
     };
 
-    void ask(const Core::Endpoint &endpoint);
+    Watched &add(const Core::Endpoint &endpoint);
+    void askChosen();
+    [[nodiscard]] std::vector<Watched *> chosen();
+    [[nodiscard]] int distanceOf(const Watched &watched) const;
+    void ask(Watched &watched);
+    void askLater(const Core::Endpoint &endpoint, Core::Duration pause);
+    [[nodiscard]] Protocol::WatchRequest makeRequest(Watched &watched);
     void takeAnswer(const Core::Endpoint &endpoint, const Core::Result<Protocol::WatchReply> &answer, bool askedForConfirmation);
     void takeNews(Watched &watched, const Protocol::WatchReply &reply);
     void failed(Watched &watched, const std::string &reason);
+    [[nodiscard]] std::int64_t held() const;
 
     WatcherOptions options;
-    BackendRegistry &registry;
+    BackendRegistry &backends;
+    BackendRegistry &gateways;
     Core::TimerService &timers;
     std::map<Core::Endpoint, Watched> table;
     bool wantsConfirmation{false};
     bool isCurrent{false};
-    std::uint64_t answerCount{0};
+    bool anyAnswer{false};
+    // The newest version that any coordinator told of, and since when.
+    std::int64_t newestKnown{-1};
+    Core::Instant newestKnownSince;
     std::shared_ptr<int> alive{std::make_shared<int>(0)};
 };
 
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -85,6 +85,7 @@
     backend->name = BackendName(announcement.id);
     backend->service = Core::ServiceName(announcement.serviceName);
     backend->endpoint = endpoint.value();
+    backend->zone = announcement.zone;
     backend->sameZone = announcement.zone == this->options.zone.value();
     backend->sameRegion = backend->sameZone || this->options.regions[announcement.zone] == this->options.regions[this->options.zone.value()];
     backend->slots = std::max(1, announcement.slots);
@@ -115,9 +116,10 @@
     }
 }
 
-void BackendPool::setGatewayCount(int count)
+void BackendPool::setGatewayCount(int all, int inZone)
 {
-    this->gateways = std::max(1, count);
+    this->gateways = std::max(1, all);
+    this->gatewaysInZone = std::max(1, inZone);
 }
 
 int BackendPool::gatewayCount() const
@@ -138,6 +140,35 @@
     });
 }
 
+std::vector<std::string> BackendPool::zonesOf(const Core::ServiceName &service) const
+{
+    std::vector<std::string> zones;
+    const auto found = this->services.find(service);
+    if (found == this->services.end()) {
+        return zones;
+    }
+    const auto now = this->timers.now();
+    for (const auto *backend : found->second.backends) {
+        if (backend->phase == Protocol::BackendPhase::READY && now >= backend->avoidedUntil) {
+            zones.push_back(backend->zone);
+        }
+    }
+    return zones;
+}
+
+Core::Duration BackendPool::roundTripTo(const Core::ServiceName &service) const
+{
+    Core::Duration shortest = this->options.assumedRegionRoundTrip;
+    const auto found = this->services.find(service);
+    if (found == this->services.end()) {
+        return shortest;
+    }
+    for (const auto *backend : found->second.backends) {
+        shortest = std::min(shortest, backend->roundTrip.value_or(shortest));
+    }
+    return shortest;
+}
+
 const PoolCounters &BackendPool::counters() const
 {
     return this->counts;
@@ -159,15 +190,19 @@
 
 // ---- Choice
 
-std::size_t BackendPool::connectionLimit(const Service &service) const
+std::size_t BackendPool::connectionLimit(const Backend &backend, const Service &service) const
 {
-    const double share = this->options.connectionShare * service.connectionCap / this->gateways;
-    return std::max<std::size_t>(1, static_cast<std::size_t>(share));
+    if (service.connectionCap == 0) {
+        return static_cast<std::size_t>(this->options.undeclaredCap);
+    }
+    const double near = this->options.nearConnectionShare * service.connectionCap / this->gatewaysInZone;
+    const double far = this->options.farConnectionShare * service.connectionCap / this->gateways;
+    return std::max<std::size_t>(1, static_cast<std::size_t>(backend.sameZone ? near : far));
 }
 
 bool BackendPool::hasRoom(const Backend &backend, const Service &service) const
 {
-    if (backend.connections.size() < this->connectionLimit(service)) {
+    if (backend.connections.size() < this->connectionLimit(backend, service)) {
         return true;
     }
     return std::any_of(backend.connections.begin(), backend.connections.end(), [](const auto &connection) {
@@ -295,6 +330,8 @@
 {
     const AttemptId id = this->nextAttempt++;
     ++this->counts.attempts;
+    this->counts.attemptsToOtherRegion += backend.sameRegion ? 0 : 1;
+    this->counts.attemptsToOtherZone += backend.sameRegion && !backend.sameZone ? 1 : 0;
     auto &attempt = this->attempts[id];
     attempt.id = id;
     attempt.backend = &backend;
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -45,8 +45,12 @@
     Core::Duration crossZoneBias{Core::milliseconds(2)};
     /** Round trip that is assumed to another region before one was measured. */
     Core::Duration assumedRegionRoundTrip{Core::milliseconds(20)};
-    /** The part of a backend server's connections that all gateways together may open, since their number is known only roughly. */
-    double connectionShare{0.9};
+    /** The part of a backend server's connections that gateways of its own zone may open together; most requests come from there. */
+    double nearConnectionShare{0.6};
+    /** The part that all other gateways may open together. What is left is for counts of gateways that are out of date. */
+    double farConnectionShare{0.3};
+    /** Connections to a backend server of a service that is not declared. */
+    int undeclaredCap{1};
     std::uint64_t seed{1};
 };
 
@@ -97,6 +101,7 @@
     BackendName name;
     Core::ServiceName service;
     Core::Endpoint endpoint;
+    std::string zone;
     bool sameZone{false};
     bool sameRegion{false};
     int slots{1};
@@ -121,6 +126,9 @@
 /** Counts for metrics. */
 struct PoolCounters {
     std::uint64_t attempts{0};
+    /** Of these, to another zone of this region, and to another region. */
+    std::uint64_t attemptsToOtherZone{0};
+    std::uint64_t attemptsToOtherRegion{0};
     std::uint64_t connectionsOpened{0};
     std::uint64_t broken{0};
     std::uint64_t notSent{0};
@@ -146,7 +154,8 @@
 
     /** Takes connection caps over. */
     void setDeclaration(std::shared_ptr<const Fleet::Declaration> declaration);
-    void setGatewayCount(int count);
+    /** How many gateways share the backend servers, and how many of these are in this zone. */
+    void setGatewayCount(int all, int inZone);
     [[nodiscard]] int gatewayCount() const;
 
     /** The best backend server that has room and is none of `tried`, or nullptr. `soundOnly` passes over those that seem stuck. */
@@ -168,6 +177,10 @@
 
     [[nodiscard]] RepeatBudget &budget(const Core::ServiceName &service);
     [[nodiscard]] bool hasReady(const Core::ServiceName &service) const;
+    /** The availability zones in which a service has backend servers that take work and seem sound. */
+    [[nodiscard]] std::vector<std::string> zonesOf(const Core::ServiceName &service) const;
+    /** The shortest round trip to a backend server of a service; an assumption before one was measured. */
+    [[nodiscard]] Core::Duration roundTripTo(const Core::ServiceName &service) const;
     [[nodiscard]] const PoolCounters &counters() const;
     [[nodiscard]] std::size_t connectionCount() const;
     [[nodiscard]] std::size_t backendCount() const;
@@ -185,12 +198,13 @@
         std::vector<Backend *> backends;
         // Invariant: in order of priority, and of arrival within one.
         std::vector<Waiter> waiters;
-        int connectionCap{1};
+        // 0 when the service is not declared.
+        int connectionCap{0};
         std::unique_ptr<RepeatBudget> budget;
     };
 
     [[nodiscard]] Service &serviceOf(const Core::ServiceName &name);
-    [[nodiscard]] std::size_t connectionLimit(const Service &service) const;
+    [[nodiscard]] std::size_t connectionLimit(const Backend &backend, const Service &service) const;
     [[nodiscard]] bool hasRoom(const Backend &backend, const Service &service) const;
     [[nodiscard]] bool isStuck(const Backend &backend, Core::Instant now) const;
     [[nodiscard]] double scoreOf(const Backend &backend, Core::Duration typicalLatency, Core::Instant now);
@@ -214,6 +228,7 @@
     Core::TimerService &timers;
     std::mt19937_64 random;
     int gateways{1};
+    int gatewaysInZone{1};
     std::shared_ptr<const Fleet::Declaration> declaration;
     std::unordered_map<Core::ServiceName, Service> services;
     std::unordered_map<std::string, std::unique_ptr<Backend>> backends;
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -93,6 +93,8 @@
     /** A backend server's reply as the caller gets it. */
     std::function<Wire::Response(BackendReply reply)> passOn;
     std::function<Wire::Response(const MergedAnswer &answer)> writeMerged;
+    /** A partial answer for another gateway, whose body is ours. */
+    std::function<Wire::Response(const Core::RequestId &id, std::string body)> writePartial;
     std::function<Wire::Response(Refusal refusal, const Core::RequestId &id, Core::Duration comeBackAfter)> writeRefusal;
 };
 
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -5,7 +5,9 @@
 
 #include <LibGateway/GatewayNode.h>
 
+#include <LibCore/Identity.h>
 #include <LibCore/Log.h>
+#include <LibGateway/SingleRequest.h>
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -14,31 +16,121 @@
 {
 
 static constexpr Core::Duration HousekeepingPeriod = Core::seconds(1);
+// How often the counters are logged: a bound for how long ago the last line before a crash was.
+static constexpr Core::Duration CounterLogPeriod = Core::seconds(10);
+
+static BackendPoolOptions relayPoolOptions(const GatewayOptions &options)
+{
+    BackendPoolOptions relays = options.pool;
+    relays.undeclaredCap = options.relayConnections;
+    relays.connectPatience = options.relay.connectPatience;
+    return relays;
+}
 
 GatewayNode::GatewayNode(GatewayOptions options, Core::EventPoll &poll, Core::TimerService &timers)
     : options(std::move(options))
     , timers(timers)
     , pool(this->options.pool, this->options.dialect, poll, timers)
-    , watcher(Fleet::WatcherOptions{.name = this->options.name, .isGateway = true, .own = {}}, this->registry, timers)
+    , relayDialect(makeRelayDialect(this->options.dialect))
+    , relays(relayPoolOptions(this->options), this->relayDialect, poll, timers)
+    , watcher(Fleet::WatcherOptions{.name = this->options.name, .zone = this->options.pool.zone.value(), .regions = this->options.pool.regions, .own = {}},
+          this->registry,
+          this->gateways,
+          timers)
+    , incarnationName(this->options.name + "/" + Core::randomToken().substr(0, 8))
 {
     this->registry.changed = [this](const Fleet::BackendRecord &record) {
         this->pool.update(record);
     };
+    this->gateways.changed = [this](const Fleet::BackendRecord &record) {
+        this->updateRelays(record);
+    };
     this->watcher.heldVersion = [this] {
         return this->routes ? this->routes->declaration().version : Fleet::DeclarationVersion(-1);
     };
+    this->watcher.presence = [this] {
+        return this->makePresence();
+    };
     this->watcher.declarationArrived = [this](Fleet::DeclarationVersion version, const std::string &content) {
         this->adopt(version, content);
     };
     this->watcher.wantConfirmation();
     this->watcher.addCoordinators(this->options.coordinators);
+    this->counterTimer = timers.every(CounterLogPeriod, [this](Core::Instant) {
+        this->logCounters();
+    });
     this->housekeeping = timers.every(HousekeepingPeriod, [this](Core::Instant now) {
-        this->pool.setGatewayCount(this->watcher.gatewayCount() > 0 ? this->watcher.gatewayCount() : this->pool.gatewayCount());
-        for (auto &[name, digest] : this->latencies) {
+        this->housekeep(now);
+    });
+}
+
+void GatewayNode::housekeep(Core::Instant now)
+{
+    if (this->watcher.hasNews() && !this->firstNews.has_value()) {
+        this->firstNews = now;
+    }
+    for (auto *digests : {&this->latencies, &this->relayLatencies}) {
+        for (auto &[name, digest] : *digests) {
             digest.fade(now);
         }
-        this->registry.forget(now);
-    });
+    }
+    this->registry.forget(now);
+    this->gateways.forget(now);
+}
+
+void GatewayNode::logCounters() const
+{
+    const auto &sends = this->pool.counters();
+    Core::logEvent(Core::LogLevel::Information,
+        "gateway.counters",
+        {{"requests", this->counts.requests},
+            {"answered", this->counts.answered},
+            {"partial", this->counts.partial},
+            {"refused", this->counts.refused},
+            {"failed", this->counts.failed},
+            {"callers_gone", this->counts.callersGone},
+            {"relayed", this->counts.relayed},
+            {"for_others", this->counts.takenForOthers},
+            {"hedges", this->counts.hedges},
+            {"sends", sends.attempts},
+            {"sends_other_zone", sends.attemptsToOtherZone},
+            {"sends_other_region", sends.attemptsToOtherRegion},
+            {"broken", sends.broken},
+            {"not_sent", sends.notSent},
+            {"not_executed", sends.notExecuted},
+            {"cancelled", sends.cancelled},
+            {"connections_opened", sends.connectionsOpened},
+            {"connections", this->pool.connectionCount()},
+            {"gateways", this->pool.gatewayCount()},
+            {"coordinators", this->watcher.inReach()}});
+}
+
+// ---- Other gateways
+
+std::optional<Protocol::BackendAnnouncement> GatewayNode::makePresence()
+{
+    if (!this->isReady() && !this->draining) {
+        return std::nullopt;
+    }
+    Protocol::BackendAnnouncement presence;
+    presence.id = this->incarnationName;
+    presence.address = this->options.relayEndpoint.toString();
+    presence.zone = this->options.pool.zone.value();
+    presence.slots = this->options.relayConnections;
+    presence.phase = this->draining ? Protocol::BackendPhase::DRAINING : Protocol::BackendPhase::READY;
+    presence.sequence = ++this->presenceSequence;
+    return presence;
+}
+
+void GatewayNode::updateRelays(const Fleet::BackendRecord &record)
+{
+    this->pool.setGatewayCount(this->gateways.readyCount(), this->gateways.readyCountIn(this->options.pool.zone.value()));
+    if (record.announcement.id == this->incarnationName) {
+        return;
+    }
+    Fleet::BackendRecord relay = record;
+    relay.announcement.serviceName = relayService(record.announcement.zone).value();
+    this->relays.update(relay);
 }
 
 void GatewayNode::addCoordinators(const std::vector<Core::Endpoint> &endpoints)
@@ -144,13 +236,10 @@
     exchange->respond(this->options.dialect.writeRefusal(refusal, request.id, this->options.requests.comeBackAfter));
 }
 
-std::vector<Core::ServiceName> GatewayNode::servicesFor(const Fleet::Route &route)
+Core::ServiceName GatewayNode::chooseTarget(const Fleet::Route &route)
 {
-    if (route.isFanOut()) {
-        return route.shards;
-    }
     if (route.targets.size() == 1) {
-        return {route.targets.front().service};
+        return route.targets.front().service;
     }
     // Each request goes to the part that is furthest behind its share, so that shares hold for short times too.
     double total = 0.0;
@@ -164,29 +253,75 @@
     }
     const auto chosen = std::max_element(behind.begin(), behind.end());
     *chosen -= 1.0;
-    return {route.targets[static_cast<std::size_t>(chosen - behind.begin())].service};
+    return route.targets[static_cast<std::size_t>(chosen - behind.begin())].service;
 }
 
-void GatewayNode::startRequest(const Fleet::Route &route, CallerRequest request, const Wire::ExchangePointer &exchange)
+void GatewayNode::handleRelayed(Wire::Request message, const Wire::ExchangePointer &exchange)
 {
-    const auto id = this->nextRequest++;
-    const RequestContext context{.pool = &this->pool,
+    ++this->counts.takenForOthers;
+    auto terms = takeRelayTerms(message.headers);
+    CallerRequest request = this->options.dialect.readRequest(std::move(message));
+    const auto *route = this->routes && this->watcher.isConfirmed() ? this->routes->match(request.host, request.message.target) : nullptr;
+    const bool holdsShards = route != nullptr && terms.has_value() && std::all_of(terms->shards.begin(), terms->shards.end(), [route](const auto &shard) {
+        return std::find(route->shards.begin(), route->shards.end(), shard) != route->shards.end();
+    });
+    if (!holdsShards) {
+        // The other gateway holds another declaration; it does the work itself then.
+        this->refuse(Refusal::NotRun, request, exchange, "part-refused");
+        return;
+    }
+    RelayPlan plan;
+    plan.direct = std::move(terms->shards);
+    this->run(std::make_unique<FanOutRequest>(
+                  this->contextFor(*route, terms->targetLeft), this->routes, *route, std::move(request), std::move(plan), Asker::OtherGateway),
+        exchange);
+}
+
+RequestContext GatewayNode::contextFor(const Fleet::Route &route, std::optional<Core::Duration> targetLeft)
+{
+    return RequestContext{.pool = &this->pool,
+        .relays = &this->relays,
         .timers = &this->timers,
         .dialect = &this->options.dialect,
         .settings = &this->options.requests,
-        .latencies = &this->latencies[route.name]};
-    const auto services = this->servicesFor(route);
-    auto made = std::make_unique<RoutedRequest>(context, this->routes, route, std::move(request), services);
-    auto &routed = *made;
-    this->requests[id] = std::move(made);
+        .latencies = &this->latencies[route.name],
+        .relayLatencies = &this->relayLatencies[route.name],
+        .targetLeft = targetLeft};
+}
+
+void GatewayNode::startRequest(const Fleet::Route &route, CallerRequest request, const Wire::ExchangePointer &exchange)
+{
+    // A caller can't claim to be another gateway.
+    (void)takeRelayTerms(request.message.headers);
+    const auto context = this->contextFor(route, std::nullopt);
+    if (!route.isFanOut()) {
+        this->run(std::make_unique<SingleRequest>(context, this->routes, route, std::move(request), this->chooseTarget(route)), exchange);
+        return;
+    }
+    auto plan = planRelay(route.shards,
+        this->pool,
+        this->relays,
+        this->options.pool.zone.value(),
+        this->options.pool.regions,
+        this->nextRequest,
+        this->options.relay);
+    this->counts.relayed += plan.relayed.empty() ? 0 : 1;
+    this->run(std::make_unique<FanOutRequest>(context, this->routes, route, std::move(request), std::move(plan), Asker::Caller), exchange);
+}
+
+void GatewayNode::run(std::unique_ptr<RoutedRequest> request, const Wire::ExchangePointer &exchange)
+{
+    const auto id = this->nextRequest++;
+    auto &held = *request;
+    this->requests[id] = std::move(request);
     exchange->aborted = [this, id] {
         const auto found = this->requests.find(id);
         if (found != this->requests.end()) {
             found->second->callerGone();
         }
     };
-    routed.start(
-        [exchange](Wire::Response response) {
+    held.start(
+        [exchange](const Wire::Response &response) {
             exchange->respond(response);
         },
         [this, id](const RequestSummary &summary) {
@@ -199,17 +334,24 @@
 void GatewayNode::count(const RequestSummary &summary)
 {
     this->counts.hedges += static_cast<std::uint64_t>(summary.hedges);
-    const std::string_view outcome = summary.outcome;
-    if (outcome == "caller-gone") {
-        ++this->counts.callersGone;
-    } else if (outcome == "not-run") {
-        ++this->counts.refused;
-    } else if (outcome == "partial") {
-        ++this->counts.partial;
-    } else if (outcome == "complete" || outcome == "answered") {
+    switch (summary.outcome) {
+    case RequestOutcome::Answered:
         ++this->counts.answered;
-    } else {
+        break;
+    case RequestOutcome::Partial:
+        ++this->counts.partial;
+        break;
+    case RequestOutcome::NotRun:
+        ++this->counts.refused;
+        break;
+    case RequestOutcome::CallerGone:
+        ++this->counts.callersGone;
+        break;
+    case RequestOutcome::FailedByBackend:
+    case RequestOutcome::TimedOut:
+    case RequestOutcome::Failed:
         ++this->counts.failed;
+        break;
     }
 }
 
@@ -222,10 +364,11 @@
         {{"request", summary.request->id.value()},
             {"route", summary.route->name},
             {"declaration", summary.declarationVersion},
-            {"outcome", summary.outcome},
+            {"outcome", outcomeName(summary.outcome)},
             {"status", summary.status},
             {"shards", summary.shards},
             {"answered", summary.answered},
+            {"relayed", summary.relayed},
             {"attempts", summary.attempts},
             {"hedges", summary.hedges},
             {"took_ms", Core::toMilliseconds(summary.took)},
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -9,7 +9,7 @@
 #pragma once
 
 #include <LibFleet/FleetWatcher.h>
-#include <LibGateway/RoutedRequest.h>
+#include <LibGateway/FanOutRequest.h>
 #include <LibWire/Server.h>
 
 namespace Gateway
@@ -22,6 +22,11 @@
     RequestSettings requests;
     std::vector<Core::Endpoint> coordinators;
     Dialect dialect;
+    /** Where other gateways bring searches. */
+    Core::Endpoint relayEndpoint;
+    RelayOptions relay;
+    /** Connections to each other gateway, one request at a time on each. */
+    int relayConnections{8};
     /** Reads a declaration's text. */
     std::function<Core::Result<std::shared_ptr<const Fleet::Declaration>>(const std::string &content)> readDeclaration;
     /** A gateway that knows no backend server for some services is ready all the same after this long; two heartbeats bring those that are there. */
@@ -38,6 +43,9 @@
     std::uint64_t callersGone{0};
     std::uint64_t unrouted{0};
     std::uint64_t hedges{0};
+    /** Searches of which another gateway was asked for a part, and parts that others asked for. */
+    std::uint64_t relayed{0};
+    std::uint64_t takenForOthers{0};
 };
 
 /** Everything of a gateway but its sockets. */
@@ -48,8 +56,12 @@
     GatewayNode(const GatewayNode &) = delete;
     GatewayNode &operator=(const GatewayNode &) = delete;
 
+    /** A caller's request. */
     void handle(Wire::Request message, const Wire::ExchangePointer &exchange);
 
+    /** A search that another gateway brings. */
+    void handleRelayed(Wire::Request message, const Wire::ExchangePointer &exchange);
+
     /** Whether callers should come here. */
     [[nodiscard]] bool isReady() const;
 
@@ -69,28 +81,44 @@
 private:
     void adopt(Fleet::DeclarationVersion version, const std::string &content);
     void startRequest(const Fleet::Route &route, CallerRequest request, const Wire::ExchangePointer &exchange);
+    [[nodiscard]] RequestContext contextFor(const Fleet::Route &route, std::optional<Core::Duration> targetLeft);
+    void run(std::unique_ptr<RoutedRequest> request, const Wire::ExchangePointer &exchange);
+    [[nodiscard]] std::optional<Protocol::BackendAnnouncement> makePresence();
+    void updateRelays(const Fleet::BackendRecord &record);
+    void housekeep(Core::Instant now);
     void refuse(Refusal refusal, const CallerRequest &request, const Wire::ExchangePointer &exchange, const char *outcome);
-    [[nodiscard]] std::vector<Core::ServiceName> servicesFor(const Fleet::Route &route);
+    [[nodiscard]] Core::ServiceName chooseTarget(const Fleet::Route &route);
     [[nodiscard]] bool knowsEveryService() const;
     void count(const RequestSummary &summary);
     void log(const RequestSummary &summary);
+    void logCounters() const;
 
     GatewayOptions options;
     Core::TimerService &timers;
     BackendPool pool;
+    Dialect relayDialect;
+    // Other gateways, as backend servers of a service for each zone.
+    BackendPool relays;
     Fleet::BackendRegistry registry;
+    Fleet::BackendRegistry gateways;
     Fleet::FleetWatcher watcher;
     // The newest declaration that came; in force once it is confirmed that it was current.
     std::shared_ptr<const Fleet::RouteTable> routes;
     // How far each part of a split route is behind its share.
     std::unordered_map<std::string, std::vector<double>> credits;
+    // Of backend servers' replies and of other gateways' parts, by route.
     std::unordered_map<std::string, Core::LatencyDigest> latencies;
+    std::unordered_map<std::string, Core::LatencyDigest> relayLatencies;
     std::unordered_map<std::uint64_t, std::unique_ptr<RoutedRequest>> requests;
     std::uint64_t nextRequest{1};
     std::optional<Core::Instant> firstNews;
+    // Names this life of the gateway towards the others.
+    std::string incarnationName;
+    std::int64_t presenceSequence{0};
     bool draining{false};
     GatewayCounters counts;
     Core::TimerSubscription housekeeping;
+    Core::TimerSubscription counterTimer;
 };
 
 }
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -3,8 +3,8 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-// One caller's request from its route to its answer: to one backend server, or
-// to one of each shard with the parts merged.
+// What every request of a caller has from its route to its answer: terms, looks
+// at what is late, a summary. SingleRequest and FanOutRequest are the two kinds.
 
 #pragma once
 
@@ -14,30 +14,57 @@
 namespace Gateway
 {
 
+/** How a request ended. */
+enum class RequestOutcome {
+    /** A whole answer. */
+    Answered,
+    /** A merged answer that leaves shards out. */
+    Partial,
+    /** A backend server's own failure was passed on. */
+    FailedByBackend,
+    /** Nothing ran. */
+    NotRun,
+    /** It may have run; no answer came in time. */
+    TimedOut,
+    /** It may have run; its answer is lost. */
+    Failed,
+    CallerGone,
+};
+
+/** For log lines. */
+[[nodiscard]] const char *outcomeName(RequestOutcome outcome);
+
 /** How a request ended, for logs and metrics. */
 struct RequestSummary {
     const CallerRequest *request{nullptr};
     const Fleet::Route *route{nullptr};
     std::int64_t declarationVersion{0};
     int status{0};
-    /** In one word, why it ended as it did. */
-    const char *outcome{""};
+    RequestOutcome outcome{RequestOutcome::Failed};
     std::size_t shards{0};
     std::size_t answered{0};
+    /** Of the shards, those that another gateway was asked for. */
+    std::size_t relayed{0};
     int attempts{0};
     int hedges{0};
     Core::Duration took{0};
+    /** Which shards are missing, and why. */
     std::string detail;
 };
 
 /** What a request needs around it. */
 struct RequestContext {
     BackendPool *pool{nullptr};
+    /** Other gateways. */
+    BackendPool *relays{nullptr};
     Core::TimerService *timers{nullptr};
     const Dialect *dialect{nullptr};
     const RequestSettings *settings{nullptr};
-    /** Latencies of this route's replies. */
+    /** Latencies of this route's replies, and of the other gateways' partial answers. */
     Core::LatencyDigest *latencies{nullptr};
+    Core::LatencyDigest *relayLatencies{nullptr};
+    /** When the answer should leave, if whoever asks said so; otherwise the route tells. */
+    std::optional<Core::Duration> targetLeft;
 };
 
 /** Lives until it is answered; its owner drops it when `finished` is called. */
@@ -47,12 +74,11 @@
     using AnswerHook = std::function<void(Wire::Response response)>;
     using FinishedHook = std::function<void(const RequestSummary &summary)>;
 
-    /** `services` are one service for a single request and all shards for a fan-out. The declaration is kept for as long as the request lives. */
-    RoutedRequest(RequestContext context,
-        std::shared_ptr<const Fleet::RouteTable> routes,
-        const Fleet::Route &route,
-        CallerRequest request,
-        const std::vector<Core::ServiceName> &services);
+    /** `routes` keeps the declaration that the route belongs to for as long as the request lives. */
+    RoutedRequest(RequestContext context, std::shared_ptr<const Fleet::RouteTable> routes, const Fleet::Route &route, CallerRequest request);
+    virtual ~RoutedRequest();
+    RoutedRequest(const RoutedRequest &) = delete;
+    RoutedRequest &operator=(const RoutedRequest &) = delete;
 
     /** `answer` is called once, `finished` after it. */
     void start(AnswerHook answer, FinishedHook finished);
@@ -60,19 +86,26 @@
     /** The caller went away: nothing is sent any more, and what runs is cancelled. */
     void callerGone();
 
-private:
+protected:
+    /** Starts the calls. Their hooks call callFinished(). */
+    virtual void startCalls() = 0;
+    /** Completes the request if it can be. */
+    virtual void check() = 0;
+    /** Hedges what is late. Returns when to look again at the latest. */
+    [[nodiscard]] virtual Core::Instant lookAtCalls() = 0;
+    /** Ends all calls. */
+    virtual void giveUpCalls(bool callerIsGone) = 0;
+    /** Adds what the calls know. */
+    virtual void describe(RequestSummary &summary) const = 0;
+
     void callFinished();
-    void look();
-    void scheduleLook(Core::Instant due);
-    void checkCoverage();
-    void checkSingle();
-    void answerMerged();
-    void answerRefusal();
-    void complete(Wire::Response response, const char *outcome);
-    [[nodiscard]] std::size_t needed() const;
-    [[nodiscard]] std::size_t countOf(CallState wanted) const;
+    void complete(Wire::Response response, RequestOutcome outcome);
+    void refuse(bool mayHaveRun);
+    [[nodiscard]] std::unique_ptr<ShardCall> makeCall(const Core::ServiceName &service);
     [[nodiscard]] bool isTargetDue() const;
-    [[nodiscard]] RequestSummary summary(int status, const char *outcome) const;
+    [[nodiscard]] bool isTimeUp() const;
+    [[nodiscard]] Core::Instant now() const;
+    static void describeCall(RequestSummary &summary, const ShardCall &call);
 
     RequestContext context;
     std::shared_ptr<const Fleet::RouteTable> routes;
@@ -82,13 +115,23 @@
     Core::Instant arrivedAt;
     // When an answer should leave to be in time.
     Core::Instant targetAt;
-    std::vector<std::unique_ptr<ShardCall>> calls;
+
+private:
+    void look();
+    void scheduleLook(Core::Instant due);
+
     bool starting{false};
     bool done{false};
     AnswerHook answerHook;
     FinishedHook finishedHook;
     Core::TimerSubscription lookTimer;
-    std::optional<Core::Instant> nextLook;
 };
 
+/** A part of a duration. */
+[[nodiscard]] Core::Duration scaled(Core::Duration duration, double factor);
+
+/** The terms of a request's calls. */
+[[nodiscard]] CallTerms makeTerms(
+    const RequestSettings &settings, const Fleet::Route &route, const CallerRequest &request, const Core::LatencyDigest &latencies, Core::Instant now);
+
 }
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -26,6 +26,11 @@
     }
 }
 
+void ShardCall::countEarlierExecutions(int count)
+{
+    this->executionCount = count;
+}
+
 void ShardCall::start(std::function<void()> finishedHook)
 {
     this->finished = std::move(finishedHook);
@@ -77,7 +82,7 @@
 
 bool ShardCall::mayTryAnother() const
 {
-    const bool attemptsLeft = this->executions + static_cast<int>(this->running.size()) < this->terms.route->maximumAttempts;
+    const bool attemptsLeft = this->executionCount + static_cast<int>(this->running.size()) < this->terms.route->maximumAttempts;
     const bool timeLeft = this->timers.now() < std::min(this->terms.deadline, this->terms.giveUpAt);
     return attemptsLeft && timeLeft;
 }
@@ -132,7 +137,7 @@
         this->retryOrFinish(CallState::NotRun);
         break;
     case AttemptEnd::Broken:
-        ++this->executions;
+        ++this->executionCount;
         this->reason = outcome.reason;
         this->retryOrFinish(CallState::Failed);
         break;
@@ -147,7 +152,7 @@
         this->retryOrFinish(CallState::NotRun);
         return;
     }
-    ++this->executions;
+    ++this->executionCount;
     const bool goodSuccess = incoming.isSuccess() && !incoming.signature.empty();
     // What is no success is final for the caller when the request itself is at fault, and worth another try otherwise.
     const bool worthRetry = !goodSuccess && (incoming.isSuccess() || incoming.message.status >= 500);
@@ -168,7 +173,7 @@
         // Another attempt is still under way.
         return;
     }
-    const bool nothingRan = this->executions == 0;
+    const bool nothingRan = this->executionCount == 0;
     const bool allowed = (this->terms.route->idempotent || nothingRan) && this->refusals < MaximumRefusals && this->mayTryAnother();
     const bool wasSent = otherwise != CallState::NotRun || this->refusals > 0;
     if (allowed && this->pool.choose(this->serviceName, this->tried, this->terms.typicalLatency, false) != nullptr) {
@@ -183,6 +188,7 @@
 void ShardCall::finish(CallState end)
 {
     this->current = end;
+    this->countRunning();
     this->abandonRunning(false);
     // NOTE: The hook may destroy this call, so it is taken out first and nothing is touched afterwards.
     const auto hook = std::exchange(this->finished, nullptr);
@@ -191,6 +197,13 @@
     }
 }
 
+void ShardCall::countRunning()
+{
+    this->executionCount += static_cast<int>(std::count_if(this->running.begin(), this->running.end(), [this](const Running &attempt) {
+        return this->pool.mayHaveBeenSent(attempt.id);
+    }));
+}
+
 void ShardCall::abandonRunning(bool callerGone)
 {
     for (const auto &attempt : std::exchange(this->running, {})) {
@@ -203,11 +216,8 @@
     if (isFinished(this->current)) {
         return;
     }
-    const bool sent = std::any_of(this->running.begin(), this->running.end(), [this](const Running &attempt) {
-        return this->pool.mayHaveBeenSent(attempt.id);
-    });
-    this->executions += sent ? 1 : 0;
-    this->current = this->executions > 0 ? CallState::Failed : CallState::NotRun;
+    this->countRunning();
+    this->current = this->executionCount > 0 ? CallState::Failed : CallState::NotRun;
     this->finished = nullptr;
     this->abandonRunning(callerGone);
     if (this->waiter.has_value()) {
@@ -246,9 +256,9 @@
     return this->hedgeCount;
 }
 
-bool ShardCall::mayHaveRun() const
+int ShardCall::executions() const
 {
-    return this->executions > 0 || !this->running.empty();
+    return this->executionCount;
 }
 
 const std::string &ShardCall::failureReason() const
--- a/Libraries/LibGateway/ShardCall.h
+++ b/Libraries/LibGateway/ShardCall.h
@@ -59,6 +59,9 @@
     ShardCall(const ShardCall &) = delete;
     ShardCall &operator=(const ShardCall &) = delete;
 
+    /** Attempts that another gateway made before; they count against what the route allows. To be called before start(). */
+    void countEarlierExecutions(int count);
+
     /** Sends the first attempt, or waits for room. `finishedHook` is called once, from here or later. */
     void start(std::function<void()> finishedHook);
 
@@ -76,8 +79,8 @@
     [[nodiscard]] Core::Duration latency() const;
     [[nodiscard]] int attempts() const;
     [[nodiscard]] int hedges() const;
-    /** Whether any attempt may have reached a backend server. */
-    [[nodiscard]] bool mayHaveRun() const;
+    /** Backend servers at which the request may have run; final once the call is finished. */
+    [[nodiscard]] int executions() const;
     /** Why it failed, for logs. */
     [[nodiscard]] const std::string &failureReason() const;
     [[nodiscard]] const BackendName &answeredBy() const;
@@ -96,6 +99,7 @@
     void takeReply(const BackendName &backend, const BackendReply &incoming, Core::Instant startedAt);
     void retryOrFinish(CallState otherwise);
     void finish(CallState end);
+    void countRunning();
     void abandonRunning(bool callerGone);
     [[nodiscard]] bool mayTryAnother() const;
 
@@ -109,7 +113,7 @@
     // Backend servers that are not asked again.
     std::vector<BackendName> tried;
     // Attempts that may have run; bounded by the route.
-    int executions{0};
+    int executionCount{0};
     int sends{0};
     int hedgeCount{0};
     int refusals{0};
--- /dev/null
+++ b/Libraries/LibGateway/SingleRequest.cpp
@@ -0,0 +1,73 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibGateway/SingleRequest.h>
+
+#include <algorithm>
+
+namespace Gateway
+{
+
+SingleRequest::SingleRequest(
+    RequestContext context, std::shared_ptr<const Fleet::RouteTable> routes, const Fleet::Route &route, CallerRequest request, const Core::ServiceName &service)
+    : RoutedRequest(context, std::move(routes), route, std::move(request)), call(this->makeCall(service))
+{
+}
+
+void SingleRequest::startCalls()
+{
+    this->call->start([this] {
+        this->callFinished();
+    });
+}
+
+void SingleRequest::check()
+{
+    switch (this->call->state()) {
+    case CallState::Waiting:
+    case CallState::UnderWay:
+        break;
+    case CallState::Answered:
+        this->context.latencies->add(this->call->latency());
+        this->complete(this->context.dialect->passOn(std::move(this->call->reply())), RequestOutcome::Answered);
+        break;
+    case CallState::FailedWithReply:
+        this->complete(this->context.dialect->passOn(std::move(this->call->reply())), RequestOutcome::FailedByBackend);
+        break;
+    case CallState::Failed:
+    case CallState::NotRun:
+        this->refuse(this->call->executions() > 0);
+        break;
+    }
+}
+
+Core::Instant SingleRequest::lookAtCalls()
+{
+    auto next = this->call->hedgeIfDue().value_or(this->terms.giveUpAt);
+    if (this->call->state() != CallState::Waiting) {
+        return next;
+    }
+    // Refused early rather than served late: the caller comes back, perhaps to a gateway with room.
+    const auto roomUntil = this->arrivedAt + scaled(this->route.targetLatency, this->context.settings->roomWaitShare);
+    if (this->now() >= roomUntil) {
+        this->call->giveUp(false);
+        return next;
+    }
+    return std::min(next, roomUntil);
+}
+
+void SingleRequest::giveUpCalls(bool callerIsGone)
+{
+    this->call->giveUp(callerIsGone);
+}
+
+void SingleRequest::describe(RequestSummary &summary) const
+{
+    summary.shards = 1;
+    summary.answered = this->call->state() == CallState::Answered ? 1 : 0;
+    describeCall(summary, *this->call);
+}
+
+}
--- a/Libraries/LibProtocol/Generated/fleet_types.cpp
+++ b/Libraries/LibProtocol/Generated/fleet_types.cpp
@@ -14,6 +14,10 @@
 namespace Protocol {
 
 int _kBackendPhaseValues[] = {
+  /**
+   * Made no heartbeat for long; takes no new work until it does.
+   */
+  BackendPhase::SILENT,
   BackendPhase::READY,
   /**
    * Takes no new work.
@@ -25,6 +29,10 @@
   BackendPhase::GONE
 };
 const char* _kBackendPhaseNames[] = {
+  /**
+   * Made no heartbeat for long; takes no new work until it does.
+   */
+  "SILENT",
   "READY",
   /**
    * Takes no new work.
@@ -35,7 +43,7 @@
    */
   "GONE"
 };
-const std::map<int, const char*> _BackendPhase_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kBackendPhaseValues, _kBackendPhaseNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _BackendPhase_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kBackendPhaseValues, _kBackendPhaseNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const BackendPhase::type& val) {
   std::map<int, const char*>::const_iterator it = _BackendPhase_VALUES_TO_NAMES.find(val);
@@ -307,16 +315,29 @@
   this->cursor = val;
 }
 
+void WatchRequest::__set_gatewayCursor(const int64_t val) {
+  this->gatewayCursor = val;
+}
+
 void WatchRequest::__set_declarationVersion(const int64_t val) {
   this->declarationVersion = val;
 }
 
+void WatchRequest::__set_wantsDeclaration(const bool val) {
+  this->wantsDeclaration = val;
+}
+
 void WatchRequest::__set_confirm(const bool val) {
   this->confirm = val;
 }
 
-void WatchRequest::__set_isGateway(const bool val) {
-  this->isGateway = val;
+void WatchRequest::__set_gateway(const BackendAnnouncement& val) {
+  this->gateway = val;
+__isset.gateway = true;
+}
+
+void WatchRequest::__set_wantsHeard(const bool val) {
+  this->wantsHeard = val;
 }
 std::ostream& operator<<(std::ostream& out, const WatchRequest& obj)
 {
@@ -371,6 +392,14 @@
         }
         break;
       case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->gatewayCursor);
+          this->__isset.gatewayCursor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->declarationVersion);
           this->__isset.declarationVersion = true;
@@ -378,7 +407,15 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wantsDeclaration);
+          this->__isset.wantsDeclaration = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->confirm);
           this->__isset.confirm = true;
@@ -386,10 +423,18 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->gateway.read(iprot);
+          this->__isset.gateway = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->isGateway);
-          this->__isset.isGateway = true;
+          xfer += iprot->readBool(this->wantsHeard);
+          this->__isset.wantsHeard = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -423,16 +468,29 @@
   xfer += oprot->writeI64(this->cursor);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("declarationVersion", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeFieldBegin("gatewayCursor", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->gatewayCursor);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("declarationVersion", ::apache::thrift::protocol::T_I64, 5);
   xfer += oprot->writeI64(this->declarationVersion);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("confirm", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeFieldBegin("wantsDeclaration", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->wantsDeclaration);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("confirm", ::apache::thrift::protocol::T_BOOL, 7);
   xfer += oprot->writeBool(this->confirm);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("isGateway", ::apache::thrift::protocol::T_BOOL, 6);
-  xfer += oprot->writeBool(this->isGateway);
+  if (this->__isset.gateway) {
+    xfer += oprot->writeFieldBegin("gateway", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->gateway.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("wantsHeard", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->wantsHeard);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -445,9 +503,12 @@
   swap(a.watcherName, b.watcherName);
   swap(a.coordinatorIncarnation, b.coordinatorIncarnation);
   swap(a.cursor, b.cursor);
+  swap(a.gatewayCursor, b.gatewayCursor);
   swap(a.declarationVersion, b.declarationVersion);
+  swap(a.wantsDeclaration, b.wantsDeclaration);
   swap(a.confirm, b.confirm);
-  swap(a.isGateway, b.isGateway);
+  swap(a.gateway, b.gateway);
+  swap(a.wantsHeard, b.wantsHeard);
   swap(a.__isset, b.__isset);
 }
 
@@ -455,18 +516,24 @@
   watcherName = other3.watcherName;
   coordinatorIncarnation = other3.coordinatorIncarnation;
   cursor = other3.cursor;
+  gatewayCursor = other3.gatewayCursor;
   declarationVersion = other3.declarationVersion;
+  wantsDeclaration = other3.wantsDeclaration;
   confirm = other3.confirm;
-  isGateway = other3.isGateway;
+  gateway = other3.gateway;
+  wantsHeard = other3.wantsHeard;
   __isset = other3.__isset;
 }
 WatchRequest& WatchRequest::operator=(const WatchRequest& other4) {
   watcherName = other4.watcherName;
   coordinatorIncarnation = other4.coordinatorIncarnation;
   cursor = other4.cursor;
+  gatewayCursor = other4.gatewayCursor;
   declarationVersion = other4.declarationVersion;
+  wantsDeclaration = other4.wantsDeclaration;
   confirm = other4.confirm;
-  isGateway = other4.isGateway;
+  gateway = other4.gateway;
+  wantsHeard = other4.wantsHeard;
   __isset = other4.__isset;
   return *this;
 }
@@ -476,9 +543,124 @@
   out << "watcherName=" << to_string(watcherName);
   out << ", " << "coordinatorIncarnation=" << to_string(coordinatorIncarnation);
   out << ", " << "cursor=" << to_string(cursor);
+  out << ", " << "gatewayCursor=" << to_string(gatewayCursor);
   out << ", " << "declarationVersion=" << to_string(declarationVersion);
+  out << ", " << "wantsDeclaration=" << to_string(wantsDeclaration);
   out << ", " << "confirm=" << to_string(confirm);
-  out << ", " << "isGateway=" << to_string(isGateway);
+  out << ", " << "gateway="; (__isset.gateway ? (out << to_string(gateway)) : (out << "<null>"));
+  out << ", " << "wantsHeard=" << to_string(wantsHeard);
+  out << ")";
+}
+
+
+CoordinatorPlace::~CoordinatorPlace() noexcept {
+}
+
+
+void CoordinatorPlace::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void CoordinatorPlace::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+std::ostream& operator<<(std::ostream& out, const CoordinatorPlace& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CoordinatorPlace::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CoordinatorPlace::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CoordinatorPlace");
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CoordinatorPlace &a, CoordinatorPlace &b) {
+  using ::std::swap;
+  swap(a.address, b.address);
+  swap(a.zone, b.zone);
+  swap(a.__isset, b.__isset);
+}
+
+CoordinatorPlace::CoordinatorPlace(const CoordinatorPlace& other5) {
+  address = other5.address;
+  zone = other5.zone;
+  __isset = other5.__isset;
+}
+CoordinatorPlace& CoordinatorPlace::operator=(const CoordinatorPlace& other6) {
+  address = other6.address;
+  zone = other6.zone;
+  __isset = other6.__isset;
+  return *this;
+}
+void CoordinatorPlace::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CoordinatorPlace(";
+  out << "address=" << to_string(address);
+  out << ", " << "zone=" << to_string(zone);
   out << ")";
 }
 
@@ -499,6 +681,14 @@
   this->changed = val;
 }
 
+void WatchReply::__set_gatewayCursor(const int64_t val) {
+  this->gatewayCursor = val;
+}
+
+void WatchReply::__set_changedGateways(const std::vector<BackendAnnouncement> & val) {
+  this->changedGateways = val;
+}
+
 void WatchReply::__set_declarationVersion(const int64_t val) {
   this->declarationVersion = val;
 }
@@ -512,12 +702,16 @@
   this->confirmed = val;
 }
 
-void WatchReply::__set_gateways(const int32_t val) {
-  this->gateways = val;
+void WatchReply::__set_coordinators(const std::vector<CoordinatorPlace> & val) {
+  this->coordinators = val;
+}
+
+void WatchReply::__set_heard(const std::vector<std::string> & val) {
+  this->heard = val;
 }
 
-void WatchReply::__set_coordinators(const std::vector<std::string> & val) {
-  this->coordinators = val;
+void WatchReply::__set_hasLeader(const bool val) {
+  this->hasLeader = val;
 }
 std::ostream& operator<<(std::ostream& out, const WatchReply& obj)
 {
@@ -567,14 +761,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changed.clear();
-            uint32_t _size5;
-            ::apache::thrift::protocol::TType _etype8;
-            xfer += iprot->readListBegin(_etype8, _size5);
-            this->changed.resize(_size5);
-            uint32_t _i9;
-            for (_i9 = 0; _i9 < _size5; ++_i9)
+            uint32_t _size7;
+            ::apache::thrift::protocol::TType _etype10;
+            xfer += iprot->readListBegin(_etype10, _size7);
+            this->changed.resize(_size7);
+            uint32_t _i11;
+            for (_i11 = 0; _i11 < _size7; ++_i11)
             {
-              xfer += this->changed[_i9].read(iprot);
+              xfer += this->changed[_i11].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -584,6 +778,34 @@
         }
         break;
       case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->gatewayCursor);
+          this->__isset.gatewayCursor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->changedGateways.clear();
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->changedGateways.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
+            {
+              xfer += this->changedGateways[_i16].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.changedGateways = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->declarationVersion);
           this->__isset.declarationVersion = true;
@@ -591,7 +813,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readBinary(this->declaration);
           this->__isset.declaration = true;
@@ -599,7 +821,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
+      case 8:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->confirmed);
           this->__isset.confirmed = true;
@@ -607,30 +829,50 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->gateways);
-          this->__isset.gateways = true;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->coordinators.clear();
+            uint32_t _size17;
+            ::apache::thrift::protocol::TType _etype20;
+            xfer += iprot->readListBegin(_etype20, _size17);
+            this->coordinators.resize(_size17);
+            uint32_t _i21;
+            for (_i21 = 0; _i21 < _size17; ++_i21)
+            {
+              xfer += this->coordinators[_i21].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.coordinators = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
+      case 10:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->coordinators.clear();
-            uint32_t _size10;
-            ::apache::thrift::protocol::TType _etype13;
-            xfer += iprot->readListBegin(_etype13, _size10);
-            this->coordinators.resize(_size10);
-            uint32_t _i14;
-            for (_i14 = 0; _i14 < _size10; ++_i14)
+            this->heard.clear();
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->heard.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
             {
-              xfer += iprot->readString(this->coordinators[_i14]);
+              xfer += iprot->readString(this->heard[_i26]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.coordinators = true;
+          this->__isset.heard = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->hasLeader);
+          this->__isset.hasLeader = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -663,44 +905,72 @@
   xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<BackendAnnouncement> ::const_iterator _iter15;
-    for (_iter15 = this->changed.begin(); _iter15 != this->changed.end(); ++_iter15)
+    std::vector<BackendAnnouncement> ::const_iterator _iter27;
+    for (_iter27 = this->changed.begin(); _iter27 != this->changed.end(); ++_iter27)
+    {
+      xfer += (*_iter27).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gatewayCursor", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->gatewayCursor);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changedGateways", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changedGateways.size()));
+    std::vector<BackendAnnouncement> ::const_iterator _iter28;
+    for (_iter28 = this->changedGateways.begin(); _iter28 != this->changedGateways.end(); ++_iter28)
     {
-      xfer += (*_iter15).write(oprot);
+      xfer += (*_iter28).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("declarationVersion", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeFieldBegin("declarationVersion", ::apache::thrift::protocol::T_I64, 6);
   xfer += oprot->writeI64(this->declarationVersion);
   xfer += oprot->writeFieldEnd();
 
   if (this->__isset.declaration) {
-    xfer += oprot->writeFieldBegin("declaration", ::apache::thrift::protocol::T_STRING, 5);
+    xfer += oprot->writeFieldBegin("declaration", ::apache::thrift::protocol::T_STRING, 7);
     xfer += oprot->writeBinary(this->declaration);
     xfer += oprot->writeFieldEnd();
   }
-  xfer += oprot->writeFieldBegin("confirmed", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeFieldBegin("confirmed", ::apache::thrift::protocol::T_BOOL, 8);
   xfer += oprot->writeBool(this->confirmed);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("gateways", ::apache::thrift::protocol::T_I32, 7);
-  xfer += oprot->writeI32(this->gateways);
+  xfer += oprot->writeFieldBegin("coordinators", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coordinators.size()));
+    std::vector<CoordinatorPlace> ::const_iterator _iter29;
+    for (_iter29 = this->coordinators.begin(); _iter29 != this->coordinators.end(); ++_iter29)
+    {
+      xfer += (*_iter29).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("coordinators", ::apache::thrift::protocol::T_LIST, 8);
+  xfer += oprot->writeFieldBegin("heard", ::apache::thrift::protocol::T_LIST, 10);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->coordinators.size()));
-    std::vector<std::string> ::const_iterator _iter16;
-    for (_iter16 = this->coordinators.begin(); _iter16 != this->coordinators.end(); ++_iter16)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->heard.size()));
+    std::vector<std::string> ::const_iterator _iter30;
+    for (_iter30 = this->heard.begin(); _iter30 != this->heard.end(); ++_iter30)
     {
-      xfer += oprot->writeString((*_iter16));
+      xfer += oprot->writeString((*_iter30));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("hasLeader", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->hasLeader);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -711,35 +981,44 @@
   swap(a.coordinatorIncarnation, b.coordinatorIncarnation);
   swap(a.cursor, b.cursor);
   swap(a.changed, b.changed);
+  swap(a.gatewayCursor, b.gatewayCursor);
+  swap(a.changedGateways, b.changedGateways);
   swap(a.declarationVersion, b.declarationVersion);
   swap(a.declaration, b.declaration);
   swap(a.confirmed, b.confirmed);
-  swap(a.gateways, b.gateways);
   swap(a.coordinators, b.coordinators);
+  swap(a.heard, b.heard);
+  swap(a.hasLeader, b.hasLeader);
   swap(a.__isset, b.__isset);
 }
 
-WatchReply::WatchReply(const WatchReply& other17) {
-  coordinatorIncarnation = other17.coordinatorIncarnation;
-  cursor = other17.cursor;
-  changed = other17.changed;
-  declarationVersion = other17.declarationVersion;
-  declaration = other17.declaration;
-  confirmed = other17.confirmed;
-  gateways = other17.gateways;
-  coordinators = other17.coordinators;
-  __isset = other17.__isset;
-}
-WatchReply& WatchReply::operator=(const WatchReply& other18) {
-  coordinatorIncarnation = other18.coordinatorIncarnation;
-  cursor = other18.cursor;
-  changed = other18.changed;
-  declarationVersion = other18.declarationVersion;
-  declaration = other18.declaration;
-  confirmed = other18.confirmed;
-  gateways = other18.gateways;
-  coordinators = other18.coordinators;
-  __isset = other18.__isset;
+WatchReply::WatchReply(const WatchReply& other31) {
+  coordinatorIncarnation = other31.coordinatorIncarnation;
+  cursor = other31.cursor;
+  changed = other31.changed;
+  gatewayCursor = other31.gatewayCursor;
+  changedGateways = other31.changedGateways;
+  declarationVersion = other31.declarationVersion;
+  declaration = other31.declaration;
+  confirmed = other31.confirmed;
+  coordinators = other31.coordinators;
+  heard = other31.heard;
+  hasLeader = other31.hasLeader;
+  __isset = other31.__isset;
+}
+WatchReply& WatchReply::operator=(const WatchReply& other32) {
+  coordinatorIncarnation = other32.coordinatorIncarnation;
+  cursor = other32.cursor;
+  changed = other32.changed;
+  gatewayCursor = other32.gatewayCursor;
+  changedGateways = other32.changedGateways;
+  declarationVersion = other32.declarationVersion;
+  declaration = other32.declaration;
+  confirmed = other32.confirmed;
+  coordinators = other32.coordinators;
+  heard = other32.heard;
+  hasLeader = other32.hasLeader;
+  __isset = other32.__isset;
   return *this;
 }
 void WatchReply::printTo(std::ostream& out) const {
@@ -748,11 +1027,14 @@
   out << "coordinatorIncarnation=" << to_string(coordinatorIncarnation);
   out << ", " << "cursor=" << to_string(cursor);
   out << ", " << "changed=" << to_string(changed);
+  out << ", " << "gatewayCursor=" << to_string(gatewayCursor);
+  out << ", " << "changedGateways=" << to_string(changedGateways);
   out << ", " << "declarationVersion=" << to_string(declarationVersion);
   out << ", " << "declaration="; (__isset.declaration ? (out << to_string(declaration)) : (out << "<null>"));
   out << ", " << "confirmed=" << to_string(confirmed);
-  out << ", " << "gateways=" << to_string(gateways);
   out << ", " << "coordinators=" << to_string(coordinators);
+  out << ", " << "heard=" << to_string(heard);
+  out << ", " << "hasLeader=" << to_string(hasLeader);
   out << ")";
 }
 
@@ -866,17 +1148,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Introduction::Introduction(const Introduction& other19) {
-  member = other19.member;
-  initialised = other19.initialised;
-  mayFound = other19.mayFound;
-  __isset = other19.__isset;
+Introduction::Introduction(const Introduction& other33) {
+  member = other33.member;
+  initialised = other33.initialised;
+  mayFound = other33.mayFound;
+  __isset = other33.__isset;
 }
-Introduction& Introduction::operator=(const Introduction& other20) {
-  member = other20.member;
-  initialised = other20.initialised;
-  mayFound = other20.mayFound;
-  __isset = other20.__isset;
+Introduction& Introduction::operator=(const Introduction& other34) {
+  member = other34.member;
+  initialised = other34.initialised;
+  mayFound = other34.mayFound;
+  __isset = other34.__isset;
   return *this;
 }
 void Introduction::printTo(std::ostream& out) const {
@@ -998,17 +1280,17 @@
   swap(a.__isset, b.__isset);
 }
 
-IntroductionReply::IntroductionReply(const IntroductionReply& other21) {
-  callee = other21.callee;
-  membership = other21.membership;
-  leaderAddress = other21.leaderAddress;
-  __isset = other21.__isset;
+IntroductionReply::IntroductionReply(const IntroductionReply& other35) {
+  callee = other35.callee;
+  membership = other35.membership;
+  leaderAddress = other35.leaderAddress;
+  __isset = other35.__isset;
 }
-IntroductionReply& IntroductionReply::operator=(const IntroductionReply& other22) {
-  callee = other22.callee;
-  membership = other22.membership;
-  leaderAddress = other22.leaderAddress;
-  __isset = other22.__isset;
+IntroductionReply& IntroductionReply::operator=(const IntroductionReply& other36) {
+  callee = other36.callee;
+  membership = other36.membership;
+  leaderAddress = other36.leaderAddress;
+  __isset = other36.__isset;
   return *this;
 }
 void IntroductionReply::printTo(std::ostream& out) const {
@@ -1113,15 +1395,15 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredDeclaration::StoredDeclaration(const StoredDeclaration& other23) {
-  version = other23.version;
-  content = other23.content;
-  __isset = other23.__isset;
+StoredDeclaration::StoredDeclaration(const StoredDeclaration& other37) {
+  version = other37.version;
+  content = other37.content;
+  __isset = other37.__isset;
 }
-StoredDeclaration& StoredDeclaration::operator=(const StoredDeclaration& other24) {
-  version = other24.version;
-  content = other24.content;
-  __isset = other24.__isset;
+StoredDeclaration& StoredDeclaration::operator=(const StoredDeclaration& other38) {
+  version = other38.version;
+  content = other38.content;
+  __isset = other38.__isset;
   return *this;
 }
 void StoredDeclaration::printTo(std::ostream& out) const {
@@ -1132,4 +1414,288 @@
   out << ")";
 }
 
+
+MissingShard::~MissingShard() noexcept {
+}
+
+
+void MissingShard::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void MissingShard::__set_executions(const int32_t val) {
+  this->executions = val;
+}
+std::ostream& operator<<(std::ostream& out, const MissingShard& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t MissingShard::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->executions);
+          this->__isset.executions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t MissingShard::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("MissingShard");
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("executions", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->executions);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(MissingShard &a, MissingShard &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.executions, b.executions);
+  swap(a.__isset, b.__isset);
+}
+
+MissingShard::MissingShard(const MissingShard& other39) {
+  serviceName = other39.serviceName;
+  executions = other39.executions;
+  __isset = other39.__isset;
+}
+MissingShard& MissingShard::operator=(const MissingShard& other40) {
+  serviceName = other40.serviceName;
+  executions = other40.executions;
+  __isset = other40.__isset;
+  return *this;
+}
+void MissingShard::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "MissingShard(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "executions=" << to_string(executions);
+  out << ")";
+}
+
+
+PartialAnswer::~PartialAnswer() noexcept {
+}
+
+
+void PartialAnswer::__set_signatures(const std::vector<std::string> & val) {
+  this->signatures = val;
+}
+
+void PartialAnswer::__set_records(const std::string& val) {
+  this->records = val;
+}
+
+void PartialAnswer::__set_missing(const std::vector<MissingShard> & val) {
+  this->missing = val;
+}
+std::ostream& operator<<(std::ostream& out, const PartialAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PartialAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->signatures.clear();
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->signatures.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
+            {
+              xfer += iprot->readString(this->signatures[_i45]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.signatures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->records);
+          this->__isset.records = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->missing.clear();
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->missing.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
+            {
+              xfer += this->missing[_i50].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.missing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PartialAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PartialAnswer");
+
+  xfer += oprot->writeFieldBegin("signatures", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->signatures.size()));
+    std::vector<std::string> ::const_iterator _iter51;
+    for (_iter51 = this->signatures.begin(); _iter51 != this->signatures.end(); ++_iter51)
+    {
+      xfer += oprot->writeString((*_iter51));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->records);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("missing", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->missing.size()));
+    std::vector<MissingShard> ::const_iterator _iter52;
+    for (_iter52 = this->missing.begin(); _iter52 != this->missing.end(); ++_iter52)
+    {
+      xfer += (*_iter52).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PartialAnswer &a, PartialAnswer &b) {
+  using ::std::swap;
+  swap(a.signatures, b.signatures);
+  swap(a.records, b.records);
+  swap(a.missing, b.missing);
+  swap(a.__isset, b.__isset);
+}
+
+PartialAnswer::PartialAnswer(const PartialAnswer& other53) {
+  signatures = other53.signatures;
+  records = other53.records;
+  missing = other53.missing;
+  __isset = other53.__isset;
+}
+PartialAnswer& PartialAnswer::operator=(const PartialAnswer& other54) {
+  signatures = other54.signatures;
+  records = other54.records;
+  missing = other54.missing;
+  __isset = other54.__isset;
+  return *this;
+}
+void PartialAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PartialAnswer(";
+  out << "signatures=" << to_string(signatures);
+  out << ", " << "records=" << to_string(records);
+  out << ", " << "missing=" << to_string(missing);
+  out << ")";
+}
+
 } // namespace
--- a/Libraries/LibProtocol/Generated/fleet_types.h
+++ b/Libraries/LibProtocol/Generated/fleet_types.h
@@ -23,10 +23,14 @@
 namespace Protocol {
 
 /**
- * Phases only ever go forward within one incarnation of a backend server.
+ * Phases only ever go forward within one incarnation of a backend server, but for silence, which a later heartbeat ends.
  */
 struct BackendPhase {
   enum type {
+    /**
+     * Made no heartbeat for long; takes no new work until it does.
+     */
+    SILENT = 0,
     READY = 1,
     /**
      * Takes no new work.
@@ -49,6 +53,8 @@
 
 class WatchRequest;
 
+class CoordinatorPlace;
+
 class WatchReply;
 
 class Introduction;
@@ -57,6 +63,10 @@
 
 class StoredDeclaration;
 
+class MissingShard;
+
+class PartialAnswer;
+
 typedef struct _BackendAnnouncement__isset {
   _BackendAnnouncement__isset() : id(false), serviceName(false), address(false), zone(false), slots(false), phase(false), warmupLeftMs(false), sequence(false) {}
   bool id :1;
@@ -169,13 +179,16 @@
 std::ostream& operator<<(std::ostream& out, const BackendAnnouncement& obj);
 
 typedef struct _WatchRequest__isset {
-  _WatchRequest__isset() : watcherName(false), coordinatorIncarnation(false), cursor(false), declarationVersion(false), confirm(false), isGateway(false) {}
+  _WatchRequest__isset() : watcherName(false), coordinatorIncarnation(false), cursor(false), gatewayCursor(false), declarationVersion(false), wantsDeclaration(false), confirm(false), gateway(false), wantsHeard(false) {}
   bool watcherName :1;
   bool coordinatorIncarnation :1;
   bool cursor :1;
+  bool gatewayCursor :1;
   bool declarationVersion :1;
+  bool wantsDeclaration :1;
   bool confirm :1;
-  bool isGateway :1;
+  bool gateway :1;
+  bool wantsHeard :1;
 } _WatchRequest__isset;
 
 class WatchRequest : public virtual ::apache::thrift::TBase {
@@ -187,33 +200,47 @@
                : watcherName(),
                  coordinatorIncarnation(0),
                  cursor(0),
+                 gatewayCursor(0),
                  declarationVersion(0),
+                 wantsDeclaration(0),
                  confirm(0),
-                 isGateway(0) {
+                 wantsHeard(0) {
   }
 
   virtual ~WatchRequest() noexcept;
   std::string watcherName;
   /**
-   * Which life of the coordinator the cursor belongs to; 0 at first.
+   * Which life of the coordinator the cursors belong to; 0 at first.
    */
   int64_t coordinatorIncarnation;
   /**
-   * Changes up to here are known.
+   * Changes of backend servers up to here are known.
    */
   int64_t cursor;
   /**
-   * The declaration that the watcher holds; -1 for none.
+   * Changes of gateways up to here are known.
+   */
+  int64_t gatewayCursor;
+  /**
+   * The newest declaration that the watcher holds or has heard of; -1 for none.
    */
   int64_t declarationVersion;
+  /**
+   * A newer declaration's text is wanted, not only its version. One coordinator sends it to a gateway, not all.
+   */
+  bool wantsDeclaration;
   /**
    * The answer has to be current as of now, confirmed by a quorum.
    */
   bool confirm;
   /**
-   * The watcher is a gateway, which takes a part of every backend server's connections.
+   * There when the watcher is a gateway that takes requests; its service name is empty.
    */
-  bool isGateway;
+  BackendAnnouncement gateway;
+  /**
+   * The watcher is a coordinator and wants to know whose heartbeats came here.
+   */
+  bool wantsHeard;
 
   _WatchRequest__isset __isset;
 
@@ -223,11 +250,17 @@
 
   void __set_cursor(const int64_t val);
 
+  void __set_gatewayCursor(const int64_t val);
+
   void __set_declarationVersion(const int64_t val);
 
+  void __set_wantsDeclaration(const bool val);
+
   void __set_confirm(const bool val);
 
-  void __set_isGateway(const bool val);
+  void __set_gateway(const BackendAnnouncement& val);
+
+  void __set_wantsHeard(const bool val);
 
   bool operator == (const WatchRequest & rhs) const
   {
@@ -237,11 +270,19 @@
       return false;
     if (!(cursor == rhs.cursor))
       return false;
+    if (!(gatewayCursor == rhs.gatewayCursor))
+      return false;
     if (!(declarationVersion == rhs.declarationVersion))
       return false;
+    if (!(wantsDeclaration == rhs.wantsDeclaration))
+      return false;
     if (!(confirm == rhs.confirm))
       return false;
-    if (!(isGateway == rhs.isGateway))
+    if (__isset.gateway != rhs.__isset.gateway)
+      return false;
+    else if (__isset.gateway && !(gateway == rhs.gateway))
+      return false;
+    if (!(wantsHeard == rhs.wantsHeard))
       return false;
     return true;
   }
@@ -261,16 +302,75 @@
 
 std::ostream& operator<<(std::ostream& out, const WatchRequest& obj);
 
+typedef struct _CoordinatorPlace__isset {
+  _CoordinatorPlace__isset() : address(false), zone(false) {}
+  bool address :1;
+  bool zone :1;
+} _CoordinatorPlace__isset;
+
+/**
+ * Where a coordinator can be watched.
+ */
+class CoordinatorPlace : public virtual ::apache::thrift::TBase {
+ public:
+
+  CoordinatorPlace(const CoordinatorPlace&);
+  CoordinatorPlace& operator=(const CoordinatorPlace&);
+  CoordinatorPlace() noexcept
+                   : address(),
+                     zone() {
+  }
+
+  virtual ~CoordinatorPlace() noexcept;
+  /**
+   * IP:port.
+   */
+  std::string address;
+  std::string zone;
+
+  _CoordinatorPlace__isset __isset;
+
+  void __set_address(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  bool operator == (const CoordinatorPlace & rhs) const
+  {
+    if (!(address == rhs.address))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    return true;
+  }
+  bool operator != (const CoordinatorPlace &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CoordinatorPlace & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CoordinatorPlace &a, CoordinatorPlace &b);
+
+std::ostream& operator<<(std::ostream& out, const CoordinatorPlace& obj);
+
 typedef struct _WatchReply__isset {
-  _WatchReply__isset() : coordinatorIncarnation(false), cursor(false), changed(false), declarationVersion(false), declaration(false), confirmed(false), gateways(false), coordinators(false) {}
+  _WatchReply__isset() : coordinatorIncarnation(false), cursor(false), changed(false), gatewayCursor(false), changedGateways(false), declarationVersion(false), declaration(false), confirmed(false), coordinators(false), heard(false), hasLeader(false) {}
   bool coordinatorIncarnation :1;
   bool cursor :1;
   bool changed :1;
+  bool gatewayCursor :1;
+  bool changedGateways :1;
   bool declarationVersion :1;
   bool declaration :1;
   bool confirmed :1;
-  bool gateways :1;
   bool coordinators :1;
+  bool heard :1;
+  bool hasLeader :1;
 } _WatchReply__isset;
 
 class WatchReply : public virtual ::apache::thrift::TBase {
@@ -281,33 +381,37 @@
   WatchReply() noexcept
              : coordinatorIncarnation(0),
                cursor(0),
+               gatewayCursor(0),
                declarationVersion(0),
                declaration(),
                confirmed(0),
-               gateways(0) {
+               hasLeader(0) {
   }
 
   virtual ~WatchReply() noexcept;
   int64_t coordinatorIncarnation;
   int64_t cursor;
   std::vector<BackendAnnouncement>  changed;
+  int64_t gatewayCursor;
+  std::vector<BackendAnnouncement>  changedGateways;
   int64_t declarationVersion;
   /**
-   * There when the watcher's version is older.
+   * There when it was wanted and the watcher's version is older.
    */
   std::string declaration;
   /**
    * The version was the newest when the question was asked.
    */
   bool confirmed;
+  std::vector<CoordinatorPlace>  coordinators;
   /**
-   * Gateways that watch, as far as this coordinator knows.
+   * Ids of backend servers and gateways that called this coordinator since its last answer to the watcher.
    */
-  int32_t gateways;
+  std::vector<std::string>  heard;
   /**
-   * Where the coordinators can be watched: IP:port.
+   * Whether this coordinator hears from a leader, so that news of declarations reach it.
    */
-  std::vector<std::string>  coordinators;
+  bool hasLeader;
 
   _WatchReply__isset __isset;
 
@@ -317,15 +421,21 @@
 
   void __set_changed(const std::vector<BackendAnnouncement> & val);
 
+  void __set_gatewayCursor(const int64_t val);
+
+  void __set_changedGateways(const std::vector<BackendAnnouncement> & val);
+
   void __set_declarationVersion(const int64_t val);
 
   void __set_declaration(const std::string& val);
 
   void __set_confirmed(const bool val);
 
-  void __set_gateways(const int32_t val);
+  void __set_coordinators(const std::vector<CoordinatorPlace> & val);
 
-  void __set_coordinators(const std::vector<std::string> & val);
+  void __set_heard(const std::vector<std::string> & val);
+
+  void __set_hasLeader(const bool val);
 
   bool operator == (const WatchReply & rhs) const
   {
@@ -335,6 +445,10 @@
       return false;
     if (!(changed == rhs.changed))
       return false;
+    if (!(gatewayCursor == rhs.gatewayCursor))
+      return false;
+    if (!(changedGateways == rhs.changedGateways))
+      return false;
     if (!(declarationVersion == rhs.declarationVersion))
       return false;
     if (__isset.declaration != rhs.__isset.declaration)
@@ -343,10 +457,12 @@
       return false;
     if (!(confirmed == rhs.confirmed))
       return false;
-    if (!(gateways == rhs.gateways))
-      return false;
     if (!(coordinators == rhs.coordinators))
       return false;
+    if (!(heard == rhs.heard))
+      return false;
+    if (!(hasLeader == rhs.hasLeader))
+      return false;
     return true;
   }
   bool operator != (const WatchReply &rhs) const {
@@ -538,6 +654,126 @@
 
 std::ostream& operator<<(std::ostream& out, const StoredDeclaration& obj);
 
+typedef struct _MissingShard__isset {
+  _MissingShard__isset() : serviceName(false), executions(false) {}
+  bool serviceName :1;
+  bool executions :1;
+} _MissingShard__isset;
+
+/**
+ * A shard that a gateway was asked for and has no answer of.
+ */
+class MissingShard : public virtual ::apache::thrift::TBase {
+ public:
+
+  MissingShard(const MissingShard&);
+  MissingShard& operator=(const MissingShard&);
+  MissingShard() noexcept
+               : serviceName(),
+                 executions(0) {
+  }
+
+  virtual ~MissingShard() noexcept;
+  std::string serviceName;
+  /**
+   * Backend servers at which the request may have run.
+   */
+  int32_t executions;
+
+  _MissingShard__isset __isset;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_executions(const int32_t val);
+
+  bool operator == (const MissingShard & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(executions == rhs.executions))
+      return false;
+    return true;
+  }
+  bool operator != (const MissingShard &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const MissingShard & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(MissingShard &a, MissingShard &b);
+
+std::ostream& operator<<(std::ostream& out, const MissingShard& obj);
+
+typedef struct _PartialAnswer__isset {
+  _PartialAnswer__isset() : signatures(false), records(false), missing(false) {}
+  bool signatures :1;
+  bool records :1;
+  bool missing :1;
+} _PartialAnswer__isset;
+
+/**
+ * What one gateway answers another that brought it a part of a search.
+ */
+class PartialAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  PartialAnswer(const PartialAnswer&);
+  PartialAnswer& operator=(const PartialAnswer&);
+  PartialAnswer() noexcept
+                : records() {
+  }
+
+  virtual ~PartialAnswer() noexcept;
+  /**
+   * One for each shard that is in.
+   */
+  std::vector<std::string>  signatures;
+  /**
+   * The greatest records of these shards, greatest first.
+   */
+  std::string records;
+  std::vector<MissingShard>  missing;
+
+  _PartialAnswer__isset __isset;
+
+  void __set_signatures(const std::vector<std::string> & val);
+
+  void __set_records(const std::string& val);
+
+  void __set_missing(const std::vector<MissingShard> & val);
+
+  bool operator == (const PartialAnswer & rhs) const
+  {
+    if (!(signatures == rhs.signatures))
+      return false;
+    if (!(records == rhs.records))
+      return false;
+    if (!(missing == rhs.missing))
+      return false;
+    return true;
+  }
+  bool operator != (const PartialAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PartialAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PartialAnswer &a, PartialAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const PartialAnswer& obj);
+
 } // namespace
 
 #endif
--- a/Libraries/LibProtocol/fleet.thrift
+++ b/Libraries/LibProtocol/fleet.thrift
@@ -5,8 +5,10 @@
 include "operator.thrift"
 namespace cpp Protocol
 
-/** Phases only ever go forward within one incarnation of a backend server. */
+/** Phases only ever go forward within one incarnation of a backend server, but for silence, which a later heartbeat ends. */
 enum BackendPhase {
+  /** Made no heartbeat for long; takes no new work until it does. */
+  SILENT = 0,
   READY = 1,
   /** Takes no new work. */
   DRAINING = 2,
@@ -32,31 +34,47 @@
 
 struct WatchRequest {
   1: string watcherName,
-  /** Which life of the coordinator the cursor belongs to; 0 at first. */
+  /** Which life of the coordinator the cursors belong to; 0 at first. */
   2: i64 coordinatorIncarnation,
-  /** Changes up to here are known. */
+  /** Changes of backend servers up to here are known. */
   3: i64 cursor,
-  /** The declaration that the watcher holds; -1 for none. */
-  4: i64 declarationVersion,
+  /** Changes of gateways up to here are known. */
+  4: i64 gatewayCursor,
+  /** The newest declaration that the watcher holds or has heard of; -1 for none. */
+  5: i64 declarationVersion,
+  /** A newer declaration's text is wanted, not only its version. One coordinator sends it to a gateway, not all. */
+  6: bool wantsDeclaration,
   /** The answer has to be current as of now, confirmed by a quorum. */
-  5: bool confirm,
-  /** The watcher is a gateway, which takes a part of every backend server's connections. */
-  6: bool isGateway,
+  7: bool confirm,
+  /** There when the watcher is a gateway that takes requests; its service name is empty. */
+  8: optional BackendAnnouncement gateway,
+  /** The watcher is a coordinator and wants to know whose heartbeats came here. */
+  9: bool wantsHeard,
+}
+
+/** Where a coordinator can be watched. */
+struct CoordinatorPlace {
+  /** IP:port. */
+  1: string address,
+  2: string zone,
 }
 
 struct WatchReply {
   1: i64 coordinatorIncarnation,
   2: i64 cursor,
   3: list<BackendAnnouncement> changed,
-  4: i64 declarationVersion,
-  /** There when the watcher's version is older. */
-  5: optional binary declaration,
+  4: i64 gatewayCursor,
+  5: list<BackendAnnouncement> changedGateways,
+  6: i64 declarationVersion,
+  /** There when it was wanted and the watcher's version is older. */
+  7: optional binary declaration,
   /** The version was the newest when the question was asked. */
-  6: bool confirmed,
-  /** Gateways that watch, as far as this coordinator knows. */
-  7: i32 gateways,
-  /** Where the coordinators can be watched: IP:port. */
-  8: list<string> coordinators,
+  8: bool confirmed,
+  9: list<CoordinatorPlace> coordinators,
+  /** Ids of backend servers and gateways that called this coordinator since its last answer to the watcher. */
+  10: list<string> heard,
+  /** Whether this coordinator hears from a leader, so that news of declarations reach it. */
+  11: bool hasLeader,
 }
 
 struct Introduction {
@@ -86,3 +104,19 @@
   1: i64 version,
   2: binary content,
 }
+
+/** A shard that a gateway was asked for and has no answer of. */
+struct MissingShard {
+  1: string serviceName,
+  /** Backend servers at which the request may have run. */
+  2: i32 executions,
+}
+
+/** What one gateway answers another that brought it a part of a search. */
+struct PartialAnswer {
+  /** One for each shard that is in. */
+  1: list<string> signatures,
+  /** The greatest records of these shards, greatest first. */
+  2: binary records,
+  3: list<MissingShard> missing,
+}
--- a/Services/gatewayd/main.cpp
+++ b/Services/gatewayd/main.cpp
@@ -54,7 +54,9 @@
             return;
         }
         this->callers.closeResting();
-        const bool idle = this->callers.connectionCount() == 0 || (this->callers.underWay() == 0 && passed >= BalancerNotice + Core::seconds(1));
+        // Counts searches of other gateways, too.
+        const bool working = this->node.requestsUnderWay() > 0 || this->callers.underWay() > 0;
+        const bool idle = !working && (this->callers.connectionCount() == 0 || passed >= BalancerNotice + Core::seconds(1));
         if (idle || passed >= this->stopTime - StopReserve) {
             this->daemon.quit();
         }
@@ -79,6 +81,7 @@
     options.pool.budget.window = settings.repeatWindow;
     options.pool.seed = Core::randomNumber();
     options.coordinators = Platform::watchEndpoints(settings);
+    options.relayEndpoint = Platform::internalEndpoint(settings, Platform::InternalPort::Relay);
     options.dialect = Platform::makeDialect();
     options.readDeclaration = Platform::readConfiguration;
     options.registryPatience = 2 * settings.heartbeatPeriod + Core::milliseconds(200);
@@ -127,6 +130,18 @@
     if (!readiness.has_value()) {
         return tl::make_unexpected(readiness.error());
     }
+    const auto relay = Wire::Server::create({.name = "relay",
+                                                .endpoint = Platform::internalEndpoint(settings.value(), Platform::InternalPort::Relay),
+                                                .handler =
+                                                    [&node](Wire::Request request, const auto &exchange) {
+                                                        node.handleRelayed(std::move(request), exchange);
+                                                    },
+                                                .limits = {}},
+        *poll.value(),
+        timers);
+    if (!relay.has_value()) {
+        return tl::make_unexpected(relay.error());
+    }
     node.limitsChanged = [&callers](const Fleet::CallerLimits &limits) {
         callers.value()->setLimits({.message = {.headerBytes = limits.headerBytes, .bodyBytes = limits.bodyBytes},
             .requestTimeout = limits.requestTimeout,
