--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -40,7 +40,7 @@
     /** A connection that was not used for this long is closed. */
     Core::Duration idleLimit{Core::seconds(20)};
     /** Added to the expected latency of a backend server in another region, whose bytes are dear. */
-    Core::Duration crossRegionBias{Core::milliseconds(10)};
+    Core::Duration crossRegionBias{Core::milliseconds(30)};
     /** The same for another availability zone of this region. */
     Core::Duration crossZoneBias{Core::milliseconds(2)};
     /** Round trip that is assumed to another region before one was measured. */
