--- a/Libraries/LibCoordinator/DeclarationLog.cpp
+++ b/Libraries/LibCoordinator/DeclarationLog.cpp
@@ -143,8 +143,7 @@
         return;
     }
     this->newest = std::move(declaration);
-    Core::logEvent(
-        Core::LogLevel::Information, "declaration.committed", {{"version", this->newest.version}, {"bytes", this->newest.content.size()}});
+    Core::logEvent(Core::LogLevel::Information, "declaration.committed", {{"version", this->newest.version}, {"bytes", this->newest.content.size()}});
     if (this->changed) {
         this->changed();
     }
--- a/Libraries/LibEntry/Dispatcher.h
+++ b/Libraries/LibEntry/Dispatcher.h
@@ -8,9 +8,9 @@
 
 #pragma once
 
+#include <LibCore/LatencyDigest.h>
 #include <LibCore/TimerService.h>
 #include <LibEntry/BackendTransport.h>
-#include <LibCore/LatencyDigest.h>
 #include <LibEntry/LoadBudget.h>
 #include <LibEntry/ReplicaSelector.h>
 
--- a/Libraries/LibEntry/HedgePolicy.h
+++ b/Libraries/LibEntry/HedgePolicy.h
@@ -8,8 +8,8 @@
 
 #pragma once
 
-#include <LibCore/Time.h>
 #include <LibCore/LatencyDigest.h>
+#include <LibCore/Time.h>
 #include <LibEntry/LoadBudget.h>
 
 #include <optional>
--- a/Libraries/LibFleet/FleetWatcher.cpp
+++ b/Libraries/LibFleet/FleetWatcher.cpp
@@ -94,7 +94,11 @@
 {
     const auto rank = [this](const Watched &watched) {
         const bool doubtful = !watched.hasLeader;
-        return std::tuple(watched.failing, !watched.reachable, doubtful, this->distanceOf(watched), std::hash<std::string>{}(this->options.name + watched.endpoint.toString()));
+        return std::tuple(watched.failing,
+            !watched.reachable,
+            doubtful,
+            this->distanceOf(watched),
+            std::hash<std::string>{}(this->options.name + watched.endpoint.toString()));
     };
     std::vector<Watched *> rows;
     for (auto &[endpoint, watched] : this->table) {
@@ -209,8 +213,7 @@
     if (askedForConfirmation && answer->confirmed && this->wantsConfirmation) {
         this->wantsConfirmation = false;
         this->isCurrent = true;
-        Core::logEvent(
-            Core::LogLevel::Information, "declaration.confirmed", {{"version", answer->declarationVersion}, {"coordinator", endpoint.toString()}});
+        Core::logEvent(Core::LogLevel::Information, "declaration.confirmed", {{"version", answer->declarationVersion}, {"coordinator", endpoint.toString()}});
     }
     // NOTE: Asked from the loop, so that a coordinator that answers at once can't keep this function from returning. One that told of a
     //       declaration without its text is asked after a pause, to want the text from it if it has not come from the first one by then.
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -247,8 +247,7 @@
     return score;
 }
 
-Backend *BackendPool::choose(
-    const Core::ServiceName &service, const std::vector<BackendName> &tried, Core::Duration typicalLatency, bool soundOnly)
+Backend *BackendPool::choose(const Core::ServiceName &service, const std::vector<BackendName> &tried, Core::Duration typicalLatency, bool soundOnly)
 {
     auto &row = this->serviceOf(service);
     const auto now = this->timers.now();
@@ -275,10 +274,10 @@
 
 std::shared_ptr<Wire::ClientConnection> BackendPool::openConnection(Backend &backend)
 {
-    auto opened = Wire::ClientConnection::create({.endpoint = backend.endpoint, .silenceLimit = this->options.connectPatience * 2, .limits = {}}, this->poll, this->timers);
+    auto opened = Wire::ClientConnection::create(
+        {.endpoint = backend.endpoint, .silenceLimit = this->options.connectPatience * 2, .limits = {}}, this->poll, this->timers);
     if (!opened.has_value()) {
-        Core::logEvent(
-            Core::LogLevel::Warning, "backend.connect_failed", {{"backend", backend.name.value()}, {"reason", opened.error().message}});
+        Core::logEvent(Core::LogLevel::Warning, "backend.connect_failed", {{"backend", backend.name.value()}, {"reason", opened.error().message}});
         return nullptr;
     }
     ++this->counts.connectionsOpened;
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -159,8 +159,7 @@
     [[nodiscard]] int gatewayCount() const;
 
     /** The best backend server that has room and is none of `tried`, or nullptr. `soundOnly` passes over those that seem stuck. */
-    [[nodiscard]] Backend *choose(
-        const Core::ServiceName &service, const std::vector<BackendName> &tried, Core::Duration typicalLatency, bool soundOnly);
+    [[nodiscard]] Backend *choose(const Core::ServiceName &service, const std::vector<BackendName> &tried, Core::Duration typicalLatency, bool soundOnly);
 
     /** Sends. `done` is called exactly once, from the loop, unless the attempt is abandoned. */
     AttemptId send(Backend &backend, AttemptOptions options);
--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -20,12 +20,8 @@
     addRelayTerms(this->request.message.headers, RelayTerms{.targetLeft = targetLeft, .shards = this->shards});
 }
 
-FanOutRequest::FanOutRequest(RequestContext context,
-    std::shared_ptr<const Fleet::RouteTable> routes,
-    const Fleet::Route &route,
-    CallerRequest request,
-    RelayPlan plan,
-    Asker asker)
+FanOutRequest::FanOutRequest(
+    RequestContext context, std::shared_ptr<const Fleet::RouteTable> routes, const Fleet::Route &route, CallerRequest request, RelayPlan plan, Asker asker)
     : RoutedRequest(context, std::move(routes), route, std::move(request)), plan(std::move(plan)), asker(asker)
 {
 }
--- a/Libraries/LibGateway/FanOutRequest.h
+++ b/Libraries/LibGateway/FanOutRequest.h
@@ -28,12 +28,8 @@
 class FanOutRequest final : public RoutedRequest
 {
 public:
-    FanOutRequest(RequestContext context,
-        std::shared_ptr<const Fleet::RouteTable> routes,
-        const Fleet::Route &route,
-        CallerRequest request,
-        RelayPlan plan,
-        Asker asker);
+    FanOutRequest(
+        RequestContext context, std::shared_ptr<const Fleet::RouteTable> routes, const Fleet::Route &route, CallerRequest request, RelayPlan plan, Asker asker);
 
 protected:
     void startCalls() override;
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -298,13 +298,8 @@
         this->run(std::make_unique<SingleRequest>(context, this->routes, route, std::move(request), this->chooseTarget(route)), exchange);
         return;
     }
-    auto plan = planRelay(route.shards,
-        this->pool,
-        this->relays,
-        this->options.pool.zone.value(),
-        this->options.pool.regions,
-        this->nextRequest,
-        this->options.relay);
+    auto plan = planRelay(
+        route.shards, this->pool, this->relays, this->options.pool.zone.value(), this->options.pool.regions, this->nextRequest, this->options.relay);
     this->counts.relayed += plan.relayed.empty() ? 0 : 1;
     this->run(std::make_unique<FanOutRequest>(context, this->routes, route, std::move(request), std::move(plan), Asker::Caller), exchange);
 }
--- a/Libraries/LibGateway/SingleRequest.h
+++ b/Libraries/LibGateway/SingleRequest.h
@@ -16,8 +16,11 @@
 class SingleRequest final : public RoutedRequest
 {
 public:
-    SingleRequest(
-        RequestContext context, std::shared_ptr<const Fleet::RouteTable> routes, const Fleet::Route &route, CallerRequest request, const Core::ServiceName &service);
+    SingleRequest(RequestContext context,
+        std::shared_ptr<const Fleet::RouteTable> routes,
+        const Fleet::Route &route,
+        CallerRequest request,
+        const Core::ServiceName &service);
 
 protected:
     void startCalls() override;
--- a/Libraries/LibWire/MessageParser.cpp
+++ b/Libraries/LibWire/MessageParser.cpp
@@ -5,6 +5,8 @@
 
 #include <LibWire/MessageParser.h>
 
+#include <algorithm>
+
 namespace Wire
 {
 
@@ -174,6 +176,14 @@
 {
     auto &reader = self(parser);
     reader.headersDone = true;
+    // A blank before the colon is read differently by different programs, so such a message is refused (RFC 9112, section 5.1).
+    const bool namesAreClean = std::all_of(reader.headers.begin(), reader.headers.end(), [](const Header &header) {
+        return !header.name.empty() && header.name.find_first_of(" \t") == std::string::npos;
+    });
+    if (!namesAreClean) {
+        reader.currentState = ParseState::Malformed;
+        return -1;
+    }
     const bool lengthKnown = parser->content_length != UINT64_MAX;
     if (lengthKnown && parser->content_length > reader.limits.bodyBytes) {
         reader.currentState = ParseState::BodyTooLarge;
--- a/Services/coordinatord/main.cpp
+++ b/Services/coordinatord/main.cpp
@@ -107,7 +107,8 @@
     const auto watchers = std::make_shared<Protocol::CoordinatorAsyncProcessor>(std::make_shared<Coordinator::CoordinatorHandler>(coordinator));
     const auto peers = std::make_shared<Protocol::ControlPeerAsyncProcessor>(std::make_shared<LogPeerHandler>(coordinator));
     const auto watchServer = Rpc::RpcServer::create(
-        {.name = "watch", .endpoint = Platform::internalEndpoint(settings.value(), Platform::InternalPort::Watch), .processor = watchers, .limits = {}}, timers);
+        {.name = "watch", .endpoint = Platform::internalEndpoint(settings.value(), Platform::InternalPort::Watch), .processor = watchers, .limits = {}},
+        timers);
     const auto peerServer = Rpc::RpcServer::create(
         {.name = "log", .endpoint = Platform::internalEndpoint(settings.value(), Platform::InternalPort::Log), .processor = peers, .limits = {}}, timers);
     for (const auto *server : {&watchServer, &peerServer}) {
--- a/Tests/LibEntry/TestRegistry.cpp
+++ b/Tests/LibEntry/TestRegistry.cpp
@@ -1,8 +1,8 @@
 #include <LibCore/Identity.h>
+#include <LibCore/LatencyDigest.h>
 #include <LibEntry/Admission.h>
 #include <LibEntry/Announcement.h>
 #include <LibEntry/ConfigurationInForce.h>
-#include <LibCore/LatencyDigest.h>
 #include <LibEntry/RegistryRefresher.h>
 #include <Support/EntryFixture.h>
 
--- /dev/null
+++ b/Tests/LibGateway/TestPureParts.cpp
@@ -0,0 +1,93 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// The parts of a gateway that are functions of what they are told.
+
+#include <LibGateway/RecordMerge.h>
+#include <LibGateway/RelayPlan.h>
+#include <LibGateway/RepeatBudget.h>
+
+#include <criterion/criterion.h>
+
+namespace
+{
+
+std::string record(char first, char last)
+{
+    std::string made(Gateway::RecordBytes, '\0');
+    made.front() = first;
+    made.back() = last;
+    return made;
+}
+
+}
+
+Test(RecordMerge, takesTheGreatestByBytes)
+{
+    const std::string low = record('\x01', 'a');
+    const std::string high = record('\xff', 'a');
+    const std::string highest = record('\xff', 'b');
+    const std::string one = low + high;
+    const std::string two = highest + high + "remainder";
+    cr_assert(Gateway::mergeGreatest({one, two}, 3) == highest + high + high, "equal records all count, bytes compare as unsigned");
+    cr_assert(Gateway::mergeGreatest({one, two}, 99) == highest + high + high + low, "a remainder is no record");
+    cr_assert(Gateway::mergeGreatest({}, 5).empty());
+    cr_assert(Gateway::mergeGreatest({one}, 0).empty());
+}
+
+Test(RepeatBudget, staysWithinItsPartInEveryWindow)
+{
+    Gateway::RepeatBudget budget({.ratio = 0.2, .slack = 40.0, .window = Core::seconds(10), .usedShare = 1.0});
+    std::vector<std::pair<int, bool>> sent;
+    for (int tick = 0; tick < 4000; ++tick) {
+        const Core::Instant now(Core::milliseconds(10 * tick));
+        const bool busy = tick < 1000 || tick > 2500;
+        if (busy && tick % 5 == 0) {
+            budget.noteRequest(now);
+        }
+        sent.emplace_back(tick, budget.takeRepeat(now, 4));
+    }
+    for (std::size_t start = 0; start + 1000 <= sent.size(); ++start) {
+        int repeats = 0;
+        for (std::size_t index = start; index < start + 1000; ++index) {
+            repeats += sent[index].second ? 1 : 0;
+        }
+        // 200 requests in a busy window; a window may begin between two slices, so one slice more may count.
+        cr_assert(repeats <= static_cast<int>((0.2 * 200 + 10) * 1.25), "%d repeats from %zu", repeats, start);
+    }
+}
+
+Test(RepeatBudget, sharesTheSlackAmongGateways)
+{
+    const auto repeatsWith = [](int gateways) {
+        Gateway::RepeatBudget budget({.ratio = 0.2, .slack = 60.0, .window = Core::seconds(10), .usedShare = 0.75});
+        int taken = 0;
+        while (budget.takeRepeat(Core::Instant(Core::seconds(100)), gateways)) {
+            ++taken;
+        }
+        return taken;
+    };
+    cr_assert(repeatsWith(1) == 45);
+    cr_assert(repeatsWith(10) == 4);
+    cr_assert(repeatsWith(100) == 0, "a part of less than one is none");
+}
+
+Test(RelayTerms, comeBackAsTheyWereAddedAndAreAllNeeded)
+{
+    Wire::Headers headers{{"Host", "h"}};
+    Gateway::addRelayTerms(headers, {.targetLeft = Core::milliseconds(42), .shards = {Core::ServiceName("a"), Core::ServiceName("b")}});
+    auto copy = headers;
+    const auto terms = Gateway::takeRelayTerms(copy);
+    cr_assert(terms.has_value() && terms->targetLeft == Core::milliseconds(42) && terms->shards.size() == 2);
+    cr_assert(copy.size() == 1, "nothing of them reaches a backend server");
+    for (const char *missing : {Gateway::RelayHeader::TargetLeft, Gateway::RelayHeader::Shards}) {
+        auto spoilt = headers;
+        std::erase_if(spoilt, [missing](const auto &header) {
+            return header.name == missing;
+        });
+        cr_assert_not(Gateway::takeRelayTerms(spoilt).has_value());
+        cr_assert(spoilt.size() == 1);
+    }
+}
--- /dev/null
+++ b/Tests/LibGateway/TestRequests.cpp
@@ -0,0 +1,250 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// Requests over backend servers that answer, refuse, stay silent and break off.
+
+#include <Support/GatewayFixture.h>
+
+#include <criterion/criterion.h>
+
+using TestSupport::badAnswer;
+using TestSupport::GatewayFixture;
+using TestSupport::goodAnswer;
+
+namespace
+{
+
+const auto Silent = [](const Wire::Request &, const Wire::ExchangePointer &) {
+};
+
+TestSupport::ScriptedBackend::Script answering(const std::string &body)
+{
+    return [body](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+        exchange->respond(goodAnswer(request, "signature-" + body.substr(0, 1), body));
+    };
+}
+
+TestSupport::ScriptedBackend::Script failing(int status, bool notExecuted)
+{
+    return [status, notExecuted](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+        exchange->respond(badAnswer(request, status, notExecuted));
+    };
+}
+
+void makeSingle(GatewayFixture &fixture, bool idempotent, Core::Duration target = Core::milliseconds(200))
+{
+    fixture.route().idempotent = idempotent;
+    fixture.route().maximumAttempts = 2;
+    fixture.route().targetLatency = target;
+    fixture.route().targets = {{.service = Core::ServiceName("s"), .weight = 1.0}};
+}
+
+void makeSearch(GatewayFixture &fixture, std::vector<Core::ServiceName> shards, double coverage)
+{
+    fixture.route().idempotent = true;
+    fixture.route().maximumAttempts = 2;
+    fixture.route().targetLatency = Core::milliseconds(200);
+    fixture.route().topRecords = 10;
+    fixture.route().minimumCoverage = coverage;
+    fixture.route().shards = std::move(shards);
+}
+
+std::string record(char letter)
+{
+    return std::string(16, letter);
+}
+
+const std::string *header(const Wire::Response &response, const char *name)
+{
+    return Wire::findHeader(response.headers, name);
+}
+
+}
+
+Test(SingleRequest, passesAnAnswerOnUnchanged)
+{
+    GatewayFixture fixture;
+    makeSingle(fixture, true);
+    fixture.add("s", "one", answering("bytes"));
+    const auto answer = fixture.ask("r1");
+    cr_assert(answer.status == 200 && answer.body == "bytes");
+    cr_assert(*header(answer, "Response-Signature") == "signature-b");
+}
+
+Test(SingleRequest, runsANonIdempotentRequestAtMostOnce)
+{
+    struct Case {
+        const char *name;
+        TestSupport::ScriptedBackend::Script script;
+        int status;
+        std::size_t runs;
+    };
+    const std::vector<Case> cases{
+        {"it failed", failing(500, false), 500, 1},
+        {"it broke off",
+            [](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+                auto response = badAnswer(request, 200, false);
+                response.headers.push_back({"Connection", "close"});
+                exchange->respond(response);
+            },
+            502,
+            1},
+        {"it refused", failing(503, true), 503, 2},
+    };
+    for (const auto &item : cases) {
+        GatewayFixture fixture;
+        makeSingle(fixture, false);
+        const auto &one = fixture.add("s", "one", item.script);
+        const auto &two = fixture.add("s", "two", item.script);
+        const auto answer = fixture.ask("r1", "POST");
+        cr_assert(answer.status == item.status, "%s: %d", item.name, answer.status);
+        cr_assert(one.requests.size() + two.requests.size() == item.runs, "%s", item.name);
+    }
+}
+
+Test(SingleRequest, isHedgedIfIdempotent)
+{
+    GatewayFixture fixture;
+    makeSingle(fixture, true, Core::milliseconds(100));
+    const auto &one = fixture.add("s", "one", Silent);
+    const auto &two = fixture.add("s", "two", Silent);
+    fixture.begin("r1");
+    cr_assert(fixture.runUntil([&] {
+        return one.requests.size() == 1 && two.requests.size() == 1;
+    }));
+}
+
+Test(SingleRequest, isNeverHedgedOtherwise)
+{
+    GatewayFixture fixture;
+    makeSingle(fixture, false, Core::milliseconds(100));
+    const auto &one = fixture.add("s", "one", Silent);
+    const auto &two = fixture.add("s", "two", Silent);
+    fixture.begin("r1");
+    fixture.settle(Core::milliseconds(400));
+    cr_assert(one.requests.size() + two.requests.size() == 1);
+}
+
+Test(SingleRequest, triesAnotherAfterAFailureOfAnIdempotentOne)
+{
+    GatewayFixture fixture;
+    makeSingle(fixture, true);
+    bool first = true;
+    const auto script = [&first](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+        exchange->respond(std::exchange(first, false) ? badAnswer(request, 500, false) : goodAnswer(request, "sig", "fine"));
+    };
+    fixture.add("s", "one", script);
+    fixture.add("s", "two", script);
+    cr_assert(fixture.ask("r1").body == "fine");
+    cr_assert(fixture.summary->attempts == 2);
+}
+
+Test(SingleRequest, goesElsewhereWhenAnAddressWasReused)
+{
+    GatewayFixture fixture;
+    makeSingle(fixture, false);
+    const auto &gone = fixture.add("s", "gone", failing(421, false));
+    (void)fixture.ask("r1", "POST");
+    fixture.add("s", "there", answering("fine"));
+    cr_assert(fixture.ask("r2", "POST").body == "fine");
+    cr_assert(fixture.ask("r3", "POST").body == "fine");
+    cr_assert(gone.requests.size() == 1, "one that is gone is not asked again");
+}
+
+Test(SingleRequest, refusesWithATrueNotRunWhenNobodyIsThere)
+{
+    GatewayFixture fixture;
+    makeSingle(fixture, false, Core::milliseconds(50));
+    const auto answer = fixture.ask("r1", "POST");
+    cr_assert(answer.status == 503);
+    cr_assert(header(answer, "Retry-After") != nullptr);
+    cr_assert(fixture.summary->outcome == Gateway::RequestOutcome::NotRun);
+}
+
+Test(FanOutRequest, mergesAllShardsAndNamesTheirSignatures)
+{
+    GatewayFixture fixture;
+    makeSearch(fixture, {Core::ServiceName("a"), Core::ServiceName("b")}, 1.0);
+    fixture.add("a", "a1", answering(record('a') + record('c')));
+    fixture.add("b", "b1", answering(record('b')));
+    const auto answer = fixture.ask("r1");
+    cr_assert(answer.status == 200);
+    cr_assert(answer.body == record('c') + record('b') + record('a'));
+    cr_assert(*header(answer, "Part-Stamps") == "signature-a, signature-b");
+    cr_assert(*header(answer, "Missing-Parts") == "0");
+}
+
+Test(FanOutRequest, leavesWithWhatIsInWhenTheTargetIsDue)
+{
+    GatewayFixture fixture;
+    makeSearch(fixture, {Core::ServiceName("a"), Core::ServiceName("b")}, 0.5);
+    fixture.add("a", "a1", answering(record('a')));
+    fixture.add("b", "b1", Silent);
+    const auto answer = fixture.ask("r1");
+    cr_assert(answer.status == 200);
+    cr_assert(*header(answer, "Missing-Parts") == "1");
+    cr_assert(answer.body == record('a'));
+}
+
+Test(FanOutRequest, givesUpAtOnceWhenCoverageCanNotBeReached)
+{
+    GatewayFixture fixture;
+    makeSearch(fixture, {Core::ServiceName("a"), Core::ServiceName("b")}, 1.0);
+    const auto &sound = fixture.add("a", "a1", Silent);
+    fixture.add("b", "b1", failing(500, false));
+    const auto answer = fixture.ask("r1");
+    cr_assert(answer.status == 502, "something ran, so it must not say otherwise");
+    cr_assert(sound.requests.size() <= 1);
+    cr_assert(fixture.summary->took < Core::seconds(9), "nobody waited for the silent one");
+}
+
+Test(FanOutRequest, hedgesAShardThatIsLateOnAnotherBackendServer)
+{
+    GatewayFixture fixture;
+    makeSearch(fixture, {Core::ServiceName("a")}, 1.0);
+    bool first = true;
+    const auto script = [&first](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+        if (!std::exchange(first, false)) {
+            exchange->respond(goodAnswer(request, "sig", record('z')));
+        }
+    };
+    fixture.add("a", "a1", script);
+    fixture.add("a", "a2", script);
+    const auto answer = fixture.ask("r1");
+    cr_assert(answer.body == record('z'));
+    cr_assert(fixture.summary->hedges == 1);
+}
+
+Test(FanOutRequest, countsNoFailureAsAPartEvenWithASignature)
+{
+    GatewayFixture fixture;
+    makeSearch(fixture, {Core::ServiceName("a"), Core::ServiceName("b")}, 0.5);
+    fixture.add("a", "a1", answering(record('a')));
+    fixture.add("b", "b1", [](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+        auto response = badAnswer(request, 500, false);
+        response.headers.push_back({"Response-Signature", "forged"});
+        exchange->respond(response);
+    });
+    const auto answer = fixture.ask("r1");
+    cr_assert(*header(answer, "Part-Stamps") == "signature-a");
+    cr_assert(*header(answer, "Missing-Parts") == "1");
+}
+
+Test(FanOutRequest, sendsNothingMoreOnceTheCallerHasGone)
+{
+    GatewayFixture fixture;
+    makeSearch(fixture, {Core::ServiceName("a")}, 1.0);
+    const auto &one = fixture.add("a", "a1", Silent);
+    const auto &two = fixture.add("a", "a2", Silent);
+    fixture.begin("r1");
+    cr_assert(fixture.runUntil([&] {
+        return one.requests.size() + two.requests.size() == 1;
+    }));
+    fixture.request->callerGone();
+    fixture.settle(Core::milliseconds(400));
+    cr_assert(one.requests.size() + two.requests.size() == 1);
+    cr_assert_not(fixture.answer.has_value());
+    cr_assert(fixture.pool.counters().cancelled == 1, "the backend server hears of it by the close");
+}
--- a/Tests/LibWire/TestClientConnection.cpp
+++ b/Tests/LibWire/TestClientConnection.cpp
@@ -19,7 +19,8 @@
 class ByteServer : public Core::EventHandler
 {
 public:
-    explicit ByteServer(LoopFixture &fixture) : fixture(fixture), endpoint(TestSupport::freeEndpoint()), listener(std::move(Wire::Socket::listenOn(this->endpoint, 4).value()))
+    explicit ByteServer(LoopFixture &fixture)
+        : fixture(fixture), endpoint(TestSupport::freeEndpoint()), listener(std::move(Wire::Socket::listenOn(this->endpoint, 4).value()))
     {
     }
 
--- /dev/null
+++ b/Tests/LibWire/TestServer.cpp
@@ -0,0 +1,145 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// The server against raw bytes on real connections.
+
+#include <LibWire/Server.h>
+#include <Support/LoopFixture.h>
+
+#include <criterion/criterion.h>
+
+using TestSupport::LoopFixture;
+
+namespace
+{
+
+/** A server whose requests a test answers when it likes, and one caller. */
+class Served
+{
+public:
+    explicit Served(Wire::ServerLimits limits = {}) : endpoint(TestSupport::freeEndpoint())
+    {
+        this->server = Wire::Server::create({.name = "test",
+                                                .endpoint = this->endpoint,
+                                                .handler =
+                                                    [this](Wire::Request request, const auto &exchange) {
+                                                        this->requests.push_back(std::move(request));
+                                                        this->exchanges.push_back(exchange);
+                                                    },
+                                                .limits = limits},
+            *this->fixture.poll,
+            this->fixture.timers)
+                           .value();
+        this->caller = Wire::Socket::connectTo(this->endpoint, Core::seconds(5)).value();
+        this->fixture.settle();
+    }
+
+    void send(std::string_view bytes)
+    {
+        std::size_t offset = 0;
+        (void)this->caller.write(bytes, offset);
+    }
+
+    [[nodiscard]] bool hasRequests(std::size_t count)
+    {
+        return this->fixture.runUntil([this, count] {
+            return this->requests.size() >= count;
+        });
+    }
+
+    [[nodiscard]] bool callerReads(const std::string &text)
+    {
+        return this->fixture.runUntil([this, &text] {
+            this->ended = this->caller.read(this->received, 65536) != Wire::Transfer::Open || this->ended;
+            g_main_context_iteration(this->fixture.context, FALSE);
+            return this->received.find(text) != std::string::npos;
+        });
+    }
+
+    LoopFixture fixture;
+    Core::Endpoint endpoint;
+    std::vector<Wire::Request> requests;
+    std::vector<Wire::ExchangePointer> exchanges;
+    std::shared_ptr<Wire::Server> server;
+    Wire::Socket caller;
+    std::string received;
+    bool ended{false};
+};
+
+Wire::Response respondWith(const std::string &body)
+{
+    return Wire::Response{.status = 200, .headers = {}, .body = body};
+}
+
+}
+
+Test(Server, answersRequestsThatCameTogetherInTheirOrder)
+{
+    Served served;
+    served.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    cr_assert(served.hasRequests(1));
+    served.fixture.settle();
+    cr_assert(served.requests.size() == 1, "the second waits for the first one's answer");
+    served.exchanges[0]->respond(respondWith("one"));
+    cr_assert(served.hasRequests(2));
+    served.exchanges[1]->respond(respondWith("two"));
+    cr_assert(served.callerReads("two"));
+    cr_assert(served.received.find("one") < served.received.find("two"));
+}
+
+Test(Server, tellsWhenTheCallerGoesAway)
+{
+    Served served;
+    served.send("GET /1 HTTP/1.1\r\n\r\n");
+    cr_assert(served.hasRequests(1));
+    bool aborted = false;
+    served.exchanges[0]->aborted = [&aborted] {
+        aborted = true;
+    };
+    served.caller = Wire::Socket();
+    cr_assert(served.fixture.runUntil([&aborted] {
+        return aborted;
+    }));
+    cr_assert_not(served.exchanges[0]->isOpen());
+    served.exchanges[0]->respond(respondWith("nobody"));
+    cr_assert(served.server->underWay() == 0);
+}
+
+Test(Server, refusesWhatBreaksItsLimits)
+{
+    struct Case {
+        const char *name;
+        std::string bytes;
+        const char *status;
+    };
+    const std::vector<Case> cases{
+        {"no HTTP", "garbage\r\n\r\n", "400"},
+        {"headers", "GET / HTTP/1.1\r\nA: " + std::string(400, 'x') + "\r\n\r\n", "431"},
+        {"body", "POST / HTTP/1.1\r\nContent-Length: 99\r\n\r\n", "413"},
+        {"time", "GET / HTTP/1.1\r\nA: ", "408"},
+    };
+    for (const auto &item : cases) {
+        Served served({.message = {.headerBytes = 300, .bodyBytes = 50}, .requestTimeout = Core::milliseconds(50)});
+        served.send(item.bytes);
+        cr_assert(served.callerReads(std::string("HTTP/1.1 ") + item.status), "%s", item.name);
+        cr_assert(served.callerReads("Connection: close"), "%s", item.name);
+        cr_assert(served.requests.empty(), "%s", item.name);
+    }
+}
+
+Test(Server, endsConnectionsOnceItDrains)
+{
+    Served served;
+    served.send("GET /1 HTTP/1.1\r\n\r\n");
+    cr_assert(served.hasRequests(1));
+    served.server->endConnectionsAfterResponse();
+    served.exchanges[0]->respond(respondWith("last"));
+    cr_assert(served.callerReads("Connection: close"));
+    cr_assert(served.callerReads("last"));
+    cr_assert(served.fixture.runUntil([&served] {
+        std::string more;
+        return served.caller.read(more, 100) == Wire::Transfer::Ended;
+    }));
+}
--- /dev/null
+++ b/Tests/Platform/TestCodecs.cpp
@@ -0,0 +1,205 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// Documents, headers and settings of the platform, good and bad.
+
+#include <platform/ConfigurationCodec.h>
+#include <platform/HeartbeatCodec.h>
+#include <platform/RequestDialect.h>
+#include <platform/SettingsFile.h>
+
+#include <LibCore/Json.h>
+
+#include <criterion/criterion.h>
+
+namespace
+{
+
+nlohmann::json goodConfiguration()
+{
+    return nlohmann::json::parse(R"({"version": 7,
+        "routes": [
+            {"name": "search", "host": "h.example", "path_prefix": "/s/", "route_type": "idempotent", "timeout_ms": 500, "target_latency_ms": 80,
+             "priority": 2, "gather": ["a", "b"], "max_attempts": 2, "top_k": 5, "min_coverage": 0.75},
+            {"name": "split", "host": "h.example", "path_prefix": "/t/", "route_type": "non_idempotent", "timeout_ms": 900,
+             "targets": [{"service": "a", "weight": 3}, {"service": "b", "weight": 1}]},
+            {"name": "one", "host": "h.example", "path_prefix": "/o/", "timeout_ms": 900, "service": "a", "new_field": [1]}],
+        "services": [{"name": "a", "max_conns": 26}, {"name": "b"}],
+        "limits": {"max_header_bytes": 100, "max_body_bytes": 200, "header_timeout_ms": 300, "idle_timeout_ms": 400}})");
+}
+
+}
+
+Test(ConfigurationCodec, readsAWholeDocument)
+{
+    const auto read = Platform::readConfiguration(goodConfiguration().dump());
+    cr_assert(read.has_value());
+    const auto &declaration = *read.value();
+    cr_assert(declaration.version.value() == 7);
+    cr_assert(declaration.routes.size() == 3);
+    const auto &search = declaration.routes[0];
+    cr_assert(search.isFanOut() && search.idempotent && search.shards.size() == 2 && search.topRecords == 5 && search.maximumAttempts == 2);
+    cr_assert(search.timeout == Core::milliseconds(500) && search.targetLatency == Core::milliseconds(80));
+    cr_assert_not(declaration.routes[1].idempotent);
+    cr_assert(declaration.routes[1].targets[0].weight == 3.0);
+    cr_assert(declaration.services.at(Core::ServiceName("a")).connectionCap == 26);
+    cr_assert(declaration.limits.idleTimeout == Core::milliseconds(400));
+}
+
+Test(ConfigurationCodec, refusesWhatIsNotWholeOrContradictsItself)
+{
+    const std::string good = goodConfiguration().dump();
+    for (std::size_t length = 0; length < good.size(); length += 7) {
+        cr_assert_not(Platform::readConfiguration(good.substr(0, length)).has_value(), "cut at %zu", length);
+    }
+    struct Case {
+        const char *name;
+        std::function<void(nlohmann::json &document)> spoil;
+    };
+    const std::vector<Case> cases{
+        {"no version",
+            [](auto &document) {
+                document.erase("version");
+            }},
+        {"version is text",
+            [](auto &document) {
+                document["version"] = "7";
+            }},
+        {"no routes",
+            [](auto &document) {
+                document.erase("routes");
+            }},
+        {"no services",
+            [](auto &document) {
+                document.erase("services");
+            }},
+        {"unknown service",
+            [](auto &document) {
+                document["routes"][2]["service"] = "z";
+            }},
+        {"unknown target",
+            [](auto &document) {
+                document["routes"][1]["targets"][0]["service"] = "z";
+            }},
+        {"unknown shard",
+            [](auto &document) {
+                document["routes"][0]["gather"][1] = "z";
+            }},
+        {"one place twice",
+            [](auto &document) {
+                document["routes"][2]["path_prefix"] = "/s/";
+            }},
+        {"no weight",
+            [](auto &document) {
+                document["routes"][1]["targets"] = {{{"service", "a"}, {"weight", 0}}, {{"service", "b"}, {"weight", 0}}};
+            }},
+        {"negative weight",
+            [](auto &document) {
+                document["routes"][1]["targets"][0]["weight"] = -1;
+            }},
+        {"no timeout",
+            [](auto &document) {
+                document["routes"][0]["timeout_ms"] = 0;
+            }},
+        {"timeout missing",
+            [](auto &document) {
+                document["routes"][0].erase("timeout_ms");
+            }},
+        {"no destination",
+            [](auto &document) {
+                document["routes"][2].erase("service");
+            }},
+        {"limit is text",
+            [](auto &document) {
+                document["limits"]["max_body_bytes"] = "x";
+            }},
+    };
+    for (const auto &item : cases) {
+        auto document = goodConfiguration();
+        item.spoil(document);
+        cr_assert_not(Platform::readConfiguration(document.dump()).has_value(), "%s", item.name);
+    }
+}
+
+Test(HeartbeatCodec, readsAndRefuses)
+{
+    const std::string good
+        = R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","capacity":2,"state":"ready","warmup_left_ms":9,"sequence":4})";
+    const auto read = Platform::readHeartbeat("i-1", good);
+    cr_assert(read.has_value() && read->phase == Protocol::BackendPhase::READY && read->sequence == 4 && read->slots == 2);
+    for (const char *bad : {"", "{}", "[]", R"({"service":"s"})", "{\"service\":"}) {
+        cr_assert_not(Platform::readHeartbeat("i-1", bad).has_value(), "%s", bad);
+    }
+    cr_assert_not(Platform::readHeartbeat("", good).has_value());
+    auto document = nlohmann::json::parse(good);
+    document["state"] = "resting";
+    cr_assert_not(Platform::readHeartbeat("i-1", document.dump()).has_value());
+    document["state"] = "draining";
+    document["address"] = "nowhere";
+    cr_assert_not(Platform::readHeartbeat("i-1", document.dump()).has_value());
+}
+
+Test(RequestDialect, passesOnWhatIsTheCallersAndSetsItsOwn)
+{
+    const auto dialect = Platform::makeDialect();
+    Wire::Request message{.method = "POST",
+        .target = "/a/b?c=1",
+        .headers = {{"Host", "h.example"},
+            {"Request-Id", "id-1"},
+            {"Deadline-Ms", "500"},
+            {"Target-Instance", "forged"},
+            {"Connection", "keep-alive, X-Hop"},
+            {"X-Hop", "1"},
+            {"X-Other", "2"},
+            {"Transfer-Encoding", "chunked"}},
+        .body = "body"};
+    const auto request = dialect.readRequest(std::move(message));
+    cr_assert(request.id.value() == "id-1" && request.host == "h.example" && request.patience == Core::milliseconds(500));
+    std::string bytes;
+    dialect.writeRequest(bytes, {.caller = &request, .backend = Gateway::BackendName("i-9"), .timeLeft = Core::milliseconds(321)});
+    cr_assert(bytes.starts_with("POST /a/b?c=1 HTTP/1.1\r\n"));
+    for (const char *there :
+        {"Host: h.example\r\n", "Request-Id: id-1\r\n", "X-Other: 2\r\n", "Deadline-Ms: 321\r\n", "Target-Instance: i-9\r\n", "Content-Length: 4\r\n"}) {
+        cr_assert(bytes.find(there) != std::string::npos, "%s", there);
+    }
+    for (const char *absent : {"forged", "X-Hop", "Deadline-Ms: 500", "chunked", "keep-alive"}) {
+        cr_assert(bytes.find(absent) == std::string::npos, "%s", absent);
+    }
+}
+
+Test(RequestDialect, saysNotRunOnlyWhereNothingRan)
+{
+    const auto dialect = Platform::makeDialect();
+    struct Case {
+        Gateway::Refusal refusal;
+        int status;
+        bool comeBack;
+    };
+    const std::vector<Case> cases{{Gateway::Refusal::NotRun, 503, true},
+        {Gateway::Refusal::TimedOut, 504, false},
+        {Gateway::Refusal::Failed, 502, false},
+        {Gateway::Refusal::NoRoute, 404, false}};
+    for (const auto &item : cases) {
+        const auto response = dialect.writeRefusal(item.refusal, Core::RequestId("id"), Core::milliseconds(150));
+        cr_assert(response.status == item.status);
+        const auto *retryAfter = Wire::findHeader(response.headers, "Retry-After");
+        cr_assert((retryAfter != nullptr) == item.comeBack);
+        cr_assert(retryAfter == nullptr || *retryAfter == "0.150");
+    }
+}
+
+Test(SettingsFile, readsWhatItKnowsAndPassesOverTheRest)
+{
+    const auto read = Platform::parseProcessSettings(
+        "node_name=n1\nip=10.1.0.9\nzone=z1\nzones.z1=r1\nzones.z2=r2\nlisten_addrs.frontend=10.1.0.9:8104\ninternal_ports=7380,7395\n"
+        "seed_nodes=10.1.0.9:8106,10.2.0.21:8106\nbootstrap=true\nfault_tolerance.machines=2\nbounds.retry_budget_ratio=0.2\nfuture.field=x\nno equals sign\n");
+    cr_assert(read.has_value());
+    cr_assert(read->regions.size() == 2 && read->seeds.size() == 2 && read->firstStart && read->tolerableLosses == 2);
+    cr_assert(Platform::watchEndpoints(read.value())[1].toString() == "10.2.0.21:7380");
+    cr_assert_not(read->readinessListen.has_value());
+    for (const char *bad : {"", "ip=10.1.0.9\n", "ip=1.2.3.4\ninternal_ports=x\n", "ip=1.2.3.4\ninternal_ports=7000,7001\nseed_nodes=nowhere\n"}) {
+        cr_assert_not(Platform::parseProcessSettings(bad).has_value(), "%s", bad);
+    }
+}
--- /dev/null
+++ b/Tests/Support/GatewayFixture.h
@@ -0,0 +1,170 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// A pool of backend servers on the loopback interface whose every answer a test
+// decides, and requests over them.
+
+#pragma once
+
+#include <LibGateway/FanOutRequest.h>
+#include <LibGateway/SingleRequest.h>
+#include <Support/LoopFixture.h>
+#include <platform/RequestDialect.h>
+
+#include <map>
+
+namespace TestSupport
+{
+
+/** A stand-in backend server: notes requests and answers each as its script says. */
+class ScriptedBackend
+{
+public:
+    using Script = std::function<void(const Wire::Request &request, const Wire::ExchangePointer &exchange)>;
+
+    ScriptedBackend(LoopFixture &fixture, std::string id, Script script) : id(std::move(id)), endpoint(freeEndpoint()), script(std::move(script))
+    {
+        this->server = Wire::Server::create({.name = this->id,
+                                                .endpoint = this->endpoint,
+                                                .handler =
+                                                    [this](Wire::Request request, const auto &exchange) {
+                                                        this->requests.push_back(request);
+                                                        this->script(request, exchange);
+                                                    },
+                                                .limits = {}},
+            *fixture.poll,
+            fixture.timers)
+                           .value();
+    }
+
+    std::string id;
+    Core::Endpoint endpoint;
+    Script script;
+    std::vector<Wire::Request> requests;
+    std::shared_ptr<Wire::Server> server;
+};
+
+/** An answer as a backend server of the platform gives it. */
+[[nodiscard]] inline Wire::Response goodAnswer(const Wire::Request &request, const std::string &signature, const std::string &body)
+{
+    return Wire::Response{
+        .status = 200, .headers = {{"Request-Id", *Wire::findHeader(request.headers, "Request-Id")}, {"Response-Signature", signature}}, .body = body};
+}
+
+/** A failure; with `notExecuted` the backend server says that it did not run the request. */
+[[nodiscard]] inline Wire::Response badAnswer(const Wire::Request &request, int status, bool notExecuted)
+{
+    Wire::Response response{.status = status, .headers = {{"Request-Id", *Wire::findHeader(request.headers, "Request-Id")}}, .body = {}};
+    if (notExecuted) {
+        response.headers.push_back({"Not-Executed", "1"});
+    }
+    return response;
+}
+
+/** Pool, route and settings; a test adds backend servers and starts requests. */
+class GatewayFixture : public LoopFixture
+{
+public:
+    GatewayFixture()
+        : dialect(Platform::makeDialect())
+        , pool(poolOptions(), this->dialect, *this->poll, this->timers)
+        , relays(poolOptions(), this->dialect, *this->poll, this->timers)
+    {
+        auto made = std::make_shared<Fleet::Declaration>();
+        made->routes.resize(1);
+        this->route().timeout = Core::seconds(10);
+        this->declaration = made;
+    }
+
+    static Gateway::BackendPoolOptions poolOptions()
+    {
+        Gateway::BackendPoolOptions options;
+        options.zone = Core::ZoneName("here");
+        options.budget.slack = 100.0;
+        options.undeclaredCap = 4;
+        return options;
+    }
+
+    /** The one route; to be changed before the first request. */
+    Fleet::Route &route()
+    {
+        return this->editableRoute;
+    }
+
+    ScriptedBackend &add(const std::string &service, const std::string &id, ScriptedBackend::Script script)
+    {
+        this->backends.push_back(std::make_unique<ScriptedBackend>(*this, id, std::move(script)));
+        Fleet::BackendRecord record;
+        record.announcement.id = id;
+        record.announcement.serviceName = service;
+        record.announcement.address = this->backends.back()->endpoint.toString();
+        record.announcement.zone = "here";
+        record.announcement.slots = 2;
+        record.announcement.phase = Protocol::BackendPhase::READY;
+        this->pool.update(record);
+        return *this->backends.back();
+    }
+
+    /** Starts a request for the route and returns when it has its answer. */
+    Wire::Response ask(const std::string &id, const std::string &method = "GET")
+    {
+        this->begin(id, method);
+        (void)this->runUntil([this] {
+            return this->answer.has_value();
+        });
+        return this->answer.value_or(Wire::Response{});
+    }
+
+    void begin(const std::string &id, const std::string &method = "GET")
+    {
+        this->answer.reset();
+        this->summary.reset();
+        auto made = std::make_shared<Fleet::Declaration>();
+        made->routes = {this->editableRoute};
+        this->declaration = made;
+        this->table = std::make_shared<const Fleet::RouteTable>(this->declaration);
+        Wire::Request message{.method = method, .target = "/x/1", .headers = {{"Host", "h"}, {"Request-Id", id}, {"Deadline-Ms", "10000"}}, .body = {}};
+        const Gateway::RequestContext context{.pool = &this->pool,
+            .relays = &this->relays,
+            .timers = &this->timers,
+            .dialect = &this->dialect,
+            .settings = &this->settings,
+            .latencies = &this->latencies,
+            .relayLatencies = &this->relayLatencies,
+            .targetLeft = std::nullopt};
+        const auto &used = this->declaration->routes.front();
+        auto request = this->dialect.readRequest(std::move(message));
+        if (used.isFanOut()) {
+            Gateway::RelayPlan plan;
+            plan.direct = used.shards;
+            this->request = std::make_unique<Gateway::FanOutRequest>(context, this->table, used, std::move(request), std::move(plan), Gateway::Asker::Caller);
+        } else {
+            this->request = std::make_unique<Gateway::SingleRequest>(context, this->table, used, std::move(request), used.targets.front().service);
+        }
+        this->request->start(
+            [this](Wire::Response response) {
+                this->answer = std::move(response);
+            },
+            [this](const Gateway::RequestSummary &ended) {
+                this->summary = ended;
+            });
+    }
+
+    Gateway::Dialect dialect;
+    Gateway::BackendPool pool;
+    Gateway::BackendPool relays;
+    Gateway::RequestSettings settings;
+    Core::LatencyDigest latencies;
+    Core::LatencyDigest relayLatencies;
+    Fleet::Route editableRoute;
+    std::shared_ptr<const Fleet::Declaration> declaration;
+    std::shared_ptr<const Fleet::RouteTable> table;
+    std::vector<std::unique_ptr<ScriptedBackend>> backends;
+    std::unique_ptr<Gateway::RoutedRequest> request;
+    std::optional<Wire::Response> answer;
+    std::optional<Gateway::RequestSummary> summary;
+};
+
+}
--- a/Tests/Support/LoopFixture.h
+++ b/Tests/Support/LoopFixture.h
@@ -24,7 +24,11 @@
 class LoopFixture
 {
 public:
-    LoopFixture() : context(g_main_context_default()), timers(Core::systemClock()), loopTimer(this->timers, this->context), poll(std::move(Core::EventPoll::create(this->context).value()))
+    LoopFixture()
+        : context(g_main_context_default())
+        , timers(Core::systemClock())
+        , loopTimer(this->timers, this->context)
+        , poll(std::move(Core::EventPoll::create(this->context).value()))
     {
     }
 
