LibWire: Pass over offers of another protocol

The check for them never took effect, since the message is whole by then; an offer may be passed over.

--- a/Libraries/LibWire/MessageParser.cpp
+++ b/Libraries/LibWire/MessageParser.cpp
@@ -72,9 +72,6 @@
         this->currentState = ParseState::HeadersTooLarge;
     } else if (error != HPE_OK && this->currentState == ParseState::Partial) {
         this->currentState = ParseState::Malformed;
-    } else if (this->parser.upgrade != 0) {
-        // Changing the protocol of a connection is not offered.
-        this->currentState = ParseState::Malformed;
     }
     return consumed;
 }
--- a/Tests/LibWire/TestMessageParser.cpp
+++ b/Tests/LibWire/TestMessageParser.cpp
@@ -54,7 +54,8 @@
             "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n15\r\n123456789012345678901\r\n0\r\n\r\n",
             ParseState::BodyTooLarge,
             ""},
-        {"another protocol", "GET / HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n", ParseState::Malformed, ""},
+        // An offer of another protocol may be passed over (RFC 9110, section 7.8).
+        {"another protocol", "GET / HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n", ParseState::Whole, ""},
     };
     for (const auto &item : cases) {
         const std::string_view bytes(item.bytes);
