Everywhere: Log every request, bounded and never blocking; serve metrics

log4cxx with an appender of our own: lines leave only while standard output takes them, 400 a second on average, what was left out is counted in a line. Counters, gauges and latency histograms by prometheus-cpp at the addresses of deploy/system.toml.

--- a/Libraries/LibCoordinator/CoordinatorNode.cpp
+++ b/Libraries/LibCoordinator/CoordinatorNode.cpp
@@ -8,6 +8,7 @@
 #include <LibConsensus/Membership.h>
 #include <LibCore/Identity.h>
 #include <LibCore/Log.h>
+#include <LibMetrics/MetricsPage.h>
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -519,6 +520,26 @@
     }
 }
 
+std::string CoordinatorNode::metrics() const
+{
+    Metrics::MetricsPage page;
+    const auto *replicated = this->log->log();
+    page.gauge("crankrudder_folder_usable", "Whether the data folder can be used.", replicated != nullptr ? 1 : 0);
+    page.gauge("crankrudder_leader", "Whether this coordinator leads.", this->log->isLeader() ? 1 : 0);
+    page.gauge("crankrudder_has_leader", "Whether this coordinator hears from a leader.", replicated != nullptr && replicated->leader() != nullptr ? 1 : 0);
+    page.gauge("crankrudder_declaration_version", "The newest committed declaration.", static_cast<double>(this->log->current().version));
+    page.gauge("crankrudder_backends_ready", "Backend servers that take work.", this->registry.readyCount());
+    page.gauge("crankrudder_gateways", "Gateways that take requests.", this->gateways.readyCount());
+    page.gauge("crankrudder_watchers", "Questions that are held for news.", static_cast<double>(this->watchers.size()));
+    page.gauge("crankrudder_coordinators_in_reach", "Other coordinators that answer.", static_cast<double>(this->peers->inReach()));
+    page.counter("crankrudder_disk_syncs_total", "Writes that were made last.", static_cast<double>(this->log->syncCount()));
+    if (replicated != nullptr) {
+        page.gauge("crankrudder_log_term", "Election term.", static_cast<double>(replicated->term()));
+        page.gauge("crankrudder_log_commit_index", "Last committed entry.", static_cast<double>(replicated->commitIndex()));
+    }
+    return page.text();
+}
+
 std::string CoordinatorNode::dump() const
 {
     nlohmann::json document;
--- a/Libraries/LibCoordinator/CoordinatorNode.h
+++ b/Libraries/LibCoordinator/CoordinatorNode.h
@@ -95,6 +95,8 @@
 
     [[nodiscard]] const DeclarationLog &declarations() const;
     [[nodiscard]] const Fleet::BackendRegistry &backends() const;
+    /** Gauges in the Prometheus text format; docs/OPERATIONS.md tells what they mean. */
+    [[nodiscard]] std::string metrics() const;
     /** The state as JSON, for people. */
     [[nodiscard]] std::string dump() const;
 
--- a/Libraries/LibCore/Daemon.cpp
+++ b/Libraries/LibCore/Daemon.cpp
@@ -97,7 +97,7 @@
     settings.add(std::move(option));
 }
 
-int runProgram(Settings &settings, int argumentCount, char **arguments, const LogLevel &logLevel, const std::function<Result<void>()> &program)
+int runProgram(Settings &settings, int argumentCount, char **arguments, const LogLevel &logLevel, const std::function<Result<void>()> &program, LogStream stream)
 {
     const auto rest = settings.parse(argumentCount, arguments);
     if (!rest.has_value()) {
@@ -112,7 +112,7 @@
         std::fprintf(stderr, "unexpected argument: %s\n", rest->front().c_str());
         return static_cast<int>(ExitCode::Usage);
     }
-    startLogging(arguments[0], logLevel);
+    startLogging(arguments[0], logLevel, stream);
     const auto outcome = program();
     if (!outcome.has_value()) {
         logEvent(LogLevel::Error, "daemon.failed", {{"kind", errorKindName(outcome.error().kind)}, {"error", outcome.error().message}});
--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -5,11 +5,14 @@
 
 #include <LibCore/Log.h>
 
+#include <LibCore/BoundedLogAppender.h>
+
 #include <fmt/core.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <unistd.h>
 
 namespace Core
 {
@@ -66,12 +69,21 @@
     return log4cxx::Level::getError();
 }
 
-void startLogging(std::string_view programName, LogLevel lowestLevel)
+static log4cxx::AppenderPtr makeAppender(const log4cxx::LayoutPtr &layout, LogStream stream)
+{
+    if (stream == LogStream::Error) {
+        return log4cxx::AppenderPtr(new log4cxx::ConsoleAppender(layout, log4cxx::ConsoleAppender::getSystemErr()));
+    }
+    return log4cxx::AppenderPtr(new BoundedLogAppender(layout, STDOUT_FILENO));
+}
+
+void startLogging(std::string_view programName, LogLevel lowestLevel, LogStream stream)
 {
-    const std::string pattern = fmt::format("time=%d{{yyyy-MM-dd'T'HH:mm:ss.SSS}} level=%p program={} %m%n", programName);
+    const auto lastSlash = programName.rfind('/');
+    const auto shortName = lastSlash == std::string_view::npos ? programName : programName.substr(lastSlash + 1);
+    const std::string pattern = fmt::format("time=%d{{yyyy-MM-ddTHH:mm:ss.SSS}} level=%p program={} %m%n", shortName);
     const log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(pattern));
-    const log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(layout, log4cxx::ConsoleAppender::getSystemErr()));
-    log4cxx::BasicConfigurator::configure(appender);
+    log4cxx::BasicConfigurator::configure(makeAppender(layout, stream));
     programLogger()->setLevel(toLibraryLevel(lowestLevel));
 }
 
--- a/Libraries/LibCore/Log.h
+++ b/Libraries/LibCore/Log.h
@@ -42,8 +42,16 @@
     std::string value;
 };
 
-/** Sets up log4cxx to write to standard error. Called once, before any other part starts. */
-void startLogging(std::string_view programName, LogLevel lowestLevel);
+/** Where a program logs. */
+enum class LogStream {
+    /** For daemons: lines go out without ever blocking, and only so many a second. */
+    Output,
+    /** For commands, whose output is their result. */
+    Error,
+};
+
+/** Sets up log4cxx. Called once, before any other part starts. */
+void startLogging(std::string_view programName, LogLevel lowestLevel, LogStream stream);
 
 /** Writes `event=<name> key=value …`. Values with blanks or quotes are quoted. */
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
--- a/Libraries/LibEntry/EntryNode.cpp
+++ b/Libraries/LibEntry/EntryNode.cpp
@@ -10,7 +10,7 @@
 #include <LibCore/Log.h>
 #include <LibEntry/Announcement.h>
 #include <LibEntry/CallerInterface.h>
-#include <LibEntry/MetricsPage.h>
+#include <LibMetrics/MetricsPage.h>
 
 namespace Entry
 {
@@ -254,7 +254,7 @@
 
 std::string EntryNode::metrics() const
 {
-    MetricsPage page;
+    Metrics::MetricsPage page;
     const auto &requests = this->state.counters;
     const auto &dispatcher = this->state.dispatcher.counters();
     const auto requestKind = [&page](const char *kind, std::uint64_t value) {
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -8,6 +8,7 @@
 #include <LibCore/Identity.h>
 #include <LibCore/Log.h>
 #include <LibGateway/SingleRequest.h>
+#include <LibMetrics/MetricsPage.h>
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -329,6 +330,7 @@
 void GatewayNode::count(const RequestSummary &summary)
 {
     this->counts.hedges += static_cast<std::uint64_t>(summary.hedges);
+    (summary.route->isFanOut() ? this->searchLatencies : this->singleLatencies).add(summary.took);
     switch (summary.outcome) {
     case RequestOutcome::Answered:
         ++this->counts.answered;
@@ -352,9 +354,7 @@
 
 void GatewayNode::log(const RequestSummary &summary)
 {
-    const bool inTime = summary.took <= summary.route->targetLatency;
-    const bool clean = inTime && summary.answered == summary.shards;
-    Core::logEvent(clean ? Core::LogLevel::Debug : Core::LogLevel::Information,
+    Core::logEvent(Core::LogLevel::Information,
         "request.finished",
         {{"request", summary.request->id.value()},
             {"route", summary.route->name},
@@ -370,6 +370,43 @@
             {"missing", summary.detail}});
 }
 
+std::string GatewayNode::metrics() const
+{
+    Metrics::MetricsPage page;
+    const auto outcome = [&page](const char *name, std::uint64_t value) {
+        page.counter("crankrudder_requests_total", "Requests by outcome.", static_cast<double>(value), {{"outcome", name}});
+    };
+    outcome("answered", this->counts.answered);
+    outcome("partial", this->counts.partial);
+    outcome("not-run", this->counts.refused);
+    outcome("failed", this->counts.failed);
+    outcome("caller-gone", this->counts.callersGone);
+    outcome("no-route", this->counts.unrouted);
+    const auto &sends = this->pool.counters();
+    const auto counter = [&page](const char *name, const char *help, std::uint64_t value) {
+        page.counter(name, help, static_cast<double>(value));
+    };
+    counter("crankrudder_sends_total", "Requests sent to backend servers.", sends.attempts);
+    counter("crankrudder_sends_other_region_total", "Of these, to another region.", sends.attemptsToOtherRegion);
+    counter("crankrudder_sends_broken_total", "Sends whose answer was lost.", sends.broken);
+    counter("crankrudder_sends_refused_total", "Sends that backend servers refused to run.", sends.notExecuted);
+    counter("crankrudder_sends_cancelled_total", "Sends that were cancelled.", sends.cancelled);
+    counter("crankrudder_hedges_total", "Second sends for late ones.", this->counts.hedges);
+    counter("crankrudder_parts_given_total", "Parts of searches that other gateways were asked for.", this->counts.relayed);
+    counter("crankrudder_parts_taken_total", "Parts of searches that other gateways asked for.", this->counts.takenForOthers);
+    counter("crankrudder_connections_opened_total", "Connections opened to backend servers.", sends.connectionsOpened);
+    page.gauge("crankrudder_connections", "Connections to backend servers.", static_cast<double>(this->pool.connectionCount()));
+    page.gauge("crankrudder_requests_under_way", "Requests that wait for their answer.", static_cast<double>(this->requests.size()));
+    page.gauge("crankrudder_ready", "Whether callers should come here.", this->isReady() ? 1 : 0);
+    page.gauge("crankrudder_coordinators_in_reach", "Coordinators that answer.", static_cast<double>(this->watcher.inReach()));
+    page.gauge("crankrudder_gateways", "Gateways that are known to be ready.", this->pool.gatewayCount());
+    page.gauge("crankrudder_backends", "Backend servers that are known.", static_cast<double>(this->pool.backendCount()));
+    page.gauge("crankrudder_declaration_version", "The declaration in force.", this->routes ? static_cast<double>(this->routes->declaration().version.value()) : -1.0);
+    page.histogram("crankrudder_request_seconds", "Time until the answer.", this->searchLatencies, {{"kind", "search"}});
+    page.histogram("crankrudder_request_seconds", "Time until the answer.", this->singleLatencies, {{"kind", "single"}});
+    return page.text();
+}
+
 std::string GatewayNode::dump() const
 {
     nlohmann::json document;
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -10,6 +10,7 @@
 
 #include <LibFleet/FleetWatcher.h>
 #include <LibGateway/FanOutRequest.h>
+#include <LibMetrics/LatencyHistogram.h>
 #include <LibWire/Server.h>
 
 namespace Gateway
@@ -75,6 +76,9 @@
     [[nodiscard]] const BackendPool &backends() const;
     [[nodiscard]] std::string dump() const;
 
+    /** Counters and latencies in the Prometheus text format; docs/OPERATIONS.md tells what they mean. */
+    [[nodiscard]] std::string metrics() const;
+
     /** A declaration came into force whose limits may differ. */
     std::function<void(const Fleet::CallerLimits &limits)> limitsChanged;
 
@@ -117,6 +121,8 @@
     std::int64_t presenceSequence{0};
     bool draining{false};
     GatewayCounters counts;
+    Metrics::LatencyHistogram searchLatencies;
+    Metrics::LatencyHistogram singleLatencies;
     Core::TimerSubscription housekeeping;
     Core::TimerSubscription counterTimer;
 };
--- /dev/null
+++ b/Libraries/LibMetrics/LatencyHistogram.cpp
@@ -0,0 +1,30 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibMetrics/LatencyHistogram.h>
+
+#include <algorithm>
+
+namespace Metrics
+{
+
+void LatencyHistogram::add(Core::Duration latency)
+{
+    const auto bucket = std::lower_bound(UpperEnds.begin(), UpperEnds.end(), Core::toFractionalMilliseconds(latency));
+    ++this->buckets[static_cast<std::size_t>(bucket - UpperEnds.begin())];
+    this->sum += latency;
+}
+
+const std::array<std::uint64_t, LatencyHistogram::UpperEnds.size() + 1> &LatencyHistogram::counts() const
+{
+    return this->buckets;
+}
+
+double LatencyHistogram::sumSeconds() const
+{
+    return Core::toFractionalMilliseconds(this->sum) / 1000.0;
+}
+
+}
--- a/Libraries/LibEntry/MetricsPage.h
+++ b/Libraries/LibMetrics/MetricsPage.h
@@ -4,10 +4,12 @@
  */
 
 // Numbers for a monitoring system, in the Prometheus text format.
-// docs/OPERATING.md says what each means and when to be woken.
+// docs/OPERATIONS.md says what each means and when to be woken.
 
 #pragma once
 
+#include <LibMetrics/LatencyHistogram.h>
+
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -15,7 +17,7 @@
 #include <string>
 #include <vector>
 
-namespace Entry
+namespace Metrics
 {
 
 /** Collects families and writes them with the prometheus-cpp serializer. */
@@ -27,9 +29,12 @@
     void counter(const std::string &name, const std::string &help, double value, const Labels &labels = {});
     void gauge(const std::string &name, const std::string &help, double value, const Labels &labels = {});
 
+    void histogram(const std::string &name, const std::string &help, const LatencyHistogram &histogram, const Labels &labels = {});
+
     [[nodiscard]] std::string text() const;
 
 private:
+    [[nodiscard]] prometheus::ClientMetric &metricOf(const std::string &name, const std::string &help, prometheus::MetricType type, const Labels &labels);
     void add(const std::string &name, const std::string &help, prometheus::MetricType type, const Labels &labels, double value);
 
     std::vector<prometheus::MetricFamily> families;
--- a/Services/coordinatord/main.cpp
+++ b/Services/coordinatord/main.cpp
@@ -15,6 +15,7 @@
 #include <LibRpc/RpcServer.h>
 #include <platform/ConfigurationCodec.h>
 #include <platform/ControlInterface.h>
+#include <platform/MetricsListener.h>
 #include <platform/SettingsFile.h>
 #include <platform/SettingsWatch.h>
 
@@ -132,6 +133,14 @@
     const Platform::SettingsWatch settingsWatch(timers, [&coordinator](const Platform::ProcessSettings &changed) {
         coordinator.addSeeds(Platform::watchEndpoints(changed));
     });
+    const auto metrics = Platform::serveMetrics(
+        settings.value(),
+        Platform::MetricsPort::Coordinator,
+        [&coordinator] {
+            return coordinator.metrics();
+        },
+        *poll.value(),
+        timers);
     Core::TimerSubscription flushTimer;
     daemon.onStop([&coordinator, &daemon, &flushTimer] {
         coordinator.drain([&daemon, &flushTimer] {
@@ -159,5 +168,5 @@
     Core::LogLevel logLevel{Core::LogLevel::Information};
     Core::Settings settings("coordinatord", "a coordinator of crankrudder on the platform: declaration and registry");
     Core::addLogLevelSetting(settings, logLevel);
-    return Core::runProgram(settings, argumentCount, arguments, logLevel, run);
+    return Core::runProgram(settings, argumentCount, arguments, logLevel, run, Core::LogStream::Output);
 }
--- a/Services/gatewayd/main.cpp
+++ b/Services/gatewayd/main.cpp
@@ -11,6 +11,7 @@
 #include <LibCore/Log.h>
 #include <LibGateway/GatewayNode.h>
 #include <platform/ConfigurationCodec.h>
+#include <platform/MetricsListener.h>
 #include <platform/Names.h>
 #include <platform/RequestDialect.h>
 #include <platform/SettingsFile.h>
@@ -150,6 +151,14 @@
     const Platform::SettingsWatch settingsWatch(timers, [&node](const Platform::ProcessSettings &changed) {
         node.addCoordinators(Platform::watchEndpoints(changed));
     });
+    const auto metrics = Platform::serveMetrics(
+        settings.value(),
+        Platform::MetricsPort::Gateway,
+        [&node] {
+            return node.metrics();
+        },
+        *poll.value(),
+        timers);
     PlannedStop stop(daemon, node, *callers.value(), settings->stopTime);
     daemon.onStop([&stop] {
         stop.begin();
@@ -170,5 +179,5 @@
     Core::LogLevel logLevel{Core::LogLevel::Information};
     Core::Settings settings("gatewayd", "a gateway of crankrudder on the platform: answers callers out of many shards");
     Core::addLogLevelSetting(settings, logLevel);
-    return Core::runProgram(settings, argumentCount, arguments, logLevel, run);
+    return Core::runProgram(settings, argumentCount, arguments, logLevel, run, Core::LogStream::Output);
 }
