--- a/Libraries/LibCoordinator/CoordinatorNode.cpp
+++ b/Libraries/LibCoordinator/CoordinatorNode.cpp
@@ -124,7 +124,7 @@
         return;
     }
     outcome.version = version->value();
-    if (outcome.version <= this->log->current().version) {
+    if (outcome.version <= this->log->version()) {
         // What is applied here is on a quorum's disks already, so no leader is needed to say so.
         outcome.status = DeclareStatus::Accepted;
         done(outcome);
@@ -136,10 +136,7 @@
         done(outcome);
         return;
     }
-    Protocol::StoredDeclaration declaration;
-    declaration.version = outcome.version;
-    declaration.content = content;
-    this->log->propose(declaration, [outcome, done](ProposalEnd end) mutable {
+    this->log->propose(outcome.version, content, [outcome, done](ProposalEnd end) mutable {
         switch (end) {
         case ProposalEnd::Committed:
             outcome.status = DeclareStatus::Accepted;
@@ -162,7 +159,8 @@
         outcome.confirmed = confirmed;
         outcome.leaderAddress = this->leaderOperatorAddress();
         if (confirmed) {
-            outcome.declaration = this->log->current();
+            outcome.version = this->log->version();
+            outcome.content = this->log->content();
         }
         done(outcome);
     });
@@ -206,7 +204,7 @@
 {
     const bool otherLife = request.coordinatorIncarnation != this->incarnation;
     const bool membersChanged = request.cursor < this->registry.position() || request.gatewayCursor < this->gateways.position();
-    return otherLife || membersChanged || request.declarationVersion < this->log->current().version;
+    return otherLife || membersChanged || request.declarationVersion < this->log->version();
 }
 
 void CoordinatorNode::watch(const Protocol::WatchRequest &request, const std::function<void(const Protocol::WatchReply &reply)> &done)
@@ -247,6 +245,16 @@
     return heard;
 }
 
+void CoordinatorNode::addDeclaration(Protocol::WatchReply &reply, std::int64_t heldVersion)
+{
+    const auto *delta = this->log->deltaFrom(heldVersion);
+    if (delta != nullptr && delta->size() < this->log->compressed().size()) {
+        reply.__set_declarationDelta(*delta);
+    } else {
+        reply.__set_declaration(this->log->compressed());
+    }
+}
+
 void CoordinatorNode::answerWatcher(const WaitingWatcher &watcher, bool confirmed)
 {
     const auto &request = watcher.request;
@@ -261,10 +269,9 @@
     if (request.wantsHeard) {
         reply.heard = this->heardFor(request.watcherName);
     }
-    const auto &declaration = this->log->current();
-    reply.declarationVersion = declaration.version;
-    if (request.wantsDeclaration && declaration.version > request.declarationVersion) {
-        reply.__set_declaration(declaration.content);
+    reply.declarationVersion = this->log->version();
+    if (request.wantsDeclaration && reply.declarationVersion > request.declarationVersion) {
+        this->addDeclaration(reply, request.declarationVersion);
     }
     reply.confirmed = confirmed;
     const auto *replicated = this->log->log();
@@ -527,7 +534,7 @@
     page.gauge("crankrudder_folder_usable", "Whether the data folder can be used.", replicated != nullptr ? 1 : 0);
     page.gauge("crankrudder_leader", "Whether this coordinator leads.", this->log->isLeader() ? 1 : 0);
     page.gauge("crankrudder_has_leader", "Whether this coordinator hears from a leader.", replicated != nullptr && replicated->leader() != nullptr ? 1 : 0);
-    page.gauge("crankrudder_declaration_version", "The newest committed declaration.", static_cast<double>(this->log->current().version));
+    page.gauge("crankrudder_declaration_version", "The newest committed declaration.", static_cast<double>(this->log->version()));
     page.gauge("crankrudder_backends_ready", "Backend servers that take work.", this->registry.readyCount());
     page.gauge("crankrudder_gateways", "Gateways that take requests.", this->gateways.readyCount());
     page.gauge("crankrudder_watchers", "Questions that are held for news.", static_cast<double>(this->watchers.size()));
@@ -544,7 +551,7 @@
 {
     nlohmann::json document;
     const auto *replicated = this->log->log();
-    document["declaration_version"] = this->log->current().version;
+    document["declaration_version"] = this->log->version();
     document["backends"] = this->registry.size();
     document["gateways"] = this->gateways.readyCount();
     document["watchers"] = this->watchers.size();
--- a/Libraries/LibCoordinator/CoordinatorNode.h
+++ b/Libraries/LibCoordinator/CoordinatorNode.h
@@ -61,9 +61,10 @@
 
 /** What a reader gets. */
 struct ReadOutcome {
-    /** Whether `declaration` is the newest, confirmed by a quorum after the question came. */
+    /** Whether `content` is the newest, confirmed by a quorum after the question came. */
     bool confirmed{false};
-    Protocol::StoredDeclaration declaration;
+    std::int64_t version{-1};
+    std::string content;
     std::string leaderAddress;
 };
 
@@ -110,6 +111,7 @@
     CoordinatorNode(CoordinatorOptions options, Core::TimerService &timers);
     void startTimers();
     void answerWatcher(const WaitingWatcher &watcher, bool confirmed);
+    void addDeclaration(Protocol::WatchReply &reply, std::int64_t heldVersion);
     [[nodiscard]] bool hasNewsFor(const Protocol::WatchRequest &request) const;
     void scheduleNews();
     void answerWatchersWithNews();
--- a/Libraries/LibCoordinator/DeclarationLog.cpp
+++ b/Libraries/LibCoordinator/DeclarationLog.cpp
@@ -6,13 +6,20 @@
 #include <LibCoordinator/DeclarationLog.h>
 
 #include <LibCore/Log.h>
+#include <LibFleet/TextDelta.h>
 #include <LibRpc/Serialization.h>
 
+#include <algorithm>
+
 namespace Coordinator
 {
 
 // Elections are decided to within a quarter of the heartbeat period.
 static constexpr int TicksPerHeartbeat = 4;
+// Earlier texts that are kept compressed for deltas: a watcher that misses more gets the whole text.
+static constexpr std::size_t EarlierVersions = 12;
+// The longest text; operators' documents are bounded by the same figure where they come in.
+static constexpr std::size_t MaximumContentBytes = 16 * 1024 * 1024;
 
 DeclarationLog::DeclarationLog(DeclarationLogOptions options, Core::TimerService &timers) : options(std::move(options)), timers(timers)
 {
@@ -142,8 +149,23 @@
     if (declaration.version <= this->newest.version) {
         return;
     }
+    auto content = Fleet::expandText(declaration.compressed, MaximumContentBytes);
+    if (!content.has_value()) {
+        Core::logEvent(Core::LogLevel::Error, "declaration.unreadable", {{"version", declaration.version}, {"error", content.error().message}});
+        return;
+    }
+    if (this->newest.version >= 0) {
+        this->earlier.emplace_back(this->newest.version, std::move(this->newest.compressed));
+    }
+    if (this->earlier.size() > EarlierVersions) {
+        this->earlier.pop_front();
+    }
+    this->deltas.clear();
     this->newest = std::move(declaration);
-    Core::logEvent(Core::LogLevel::Information, "declaration.committed", {{"version", this->newest.version}, {"bytes", this->newest.content.size()}});
+    this->newestContent = std::move(content.value());
+    Core::logEvent(Core::LogLevel::Information,
+        "declaration.committed",
+        {{"version", this->newest.version}, {"bytes", this->newestContent.size()}, {"compressed", this->newest.compressed.size()}});
     if (this->changed) {
         this->changed();
     }
@@ -169,12 +191,15 @@
     finished.done(finished.term == entry.term ? ProposalEnd::Committed : ProposalEnd::Unknown);
 }
 
-void DeclarationLog::propose(const Protocol::StoredDeclaration &declaration, ProposalHook done)
+void DeclarationLog::propose(std::int64_t version, const std::string &content, ProposalHook done)
 {
     if (!this->isLeader()) {
         done(ProposalEnd::NotLeader);
         return;
     }
+    Protocol::StoredDeclaration declaration;
+    declaration.version = version;
+    declaration.compressed = Fleet::compressText(content);
     const auto index = this->replicatedLog->propose(Rpc::serialize(declaration));
     if (!index.has_value()) {
         done(ProposalEnd::NotLeader);
@@ -192,9 +217,38 @@
     this->replicatedLog->confirmLeadership(hook);
 }
 
-const Protocol::StoredDeclaration &DeclarationLog::current() const
+std::int64_t DeclarationLog::version() const
 {
-    return this->newest;
+    return this->newest.version;
+}
+
+const std::string &DeclarationLog::content() const
+{
+    return this->newestContent;
+}
+
+const std::string &DeclarationLog::compressed() const
+{
+    return this->newest.compressed;
+}
+
+const std::string *DeclarationLog::deltaFrom(std::int64_t earlierVersion)
+{
+    const auto known = this->deltas.find(earlierVersion);
+    if (known != this->deltas.end()) {
+        return &known->second;
+    }
+    const auto held = std::find_if(this->earlier.begin(), this->earlier.end(), [earlierVersion](const auto &item) {
+        return item.first == earlierVersion;
+    });
+    if (held == this->earlier.end()) {
+        return nullptr;
+    }
+    const auto before = Fleet::expandText(held->second, MaximumContentBytes);
+    if (!before.has_value()) {
+        return nullptr;
+    }
+    return &(this->deltas[earlierVersion] = Fleet::makeTextDelta(before.value(), this->newestContent));
 }
 
 Consensus::ReplicatedLog *DeclarationLog::log()
--- a/Libraries/LibCoordinator/DeclarationLog.h
+++ b/Libraries/LibCoordinator/DeclarationLog.h
@@ -15,6 +15,7 @@
 #include <LibProtocol/Generated/fleet_types.h>
 #include <LibStorage/PosixFolder.h>
 
+#include <deque>
 #include <map>
 
 namespace Coordinator
@@ -49,13 +50,19 @@
     [[nodiscard]] static Core::Result<std::unique_ptr<DeclarationLog>> create(DeclarationLogOptions options, Core::TimerService &timers);
 
     /** Puts a declaration into the log. The hook is called exactly once. */
-    void propose(const Protocol::StoredDeclaration &declaration, ProposalHook done);
+    void propose(std::int64_t version, const std::string &content, ProposalHook done);
 
     /** Asks a quorum whether this coordinator leads, so that current() is the newest. The hook is called exactly once. */
     void confirm(const std::function<void(bool confirmed)> &hook);
 
-    /** The newest committed declaration as far as this coordinator knows; version -1 for none. */
-    [[nodiscard]] const Protocol::StoredDeclaration &current() const;
+    /** The version of the newest committed declaration as far as this coordinator knows; -1 for none. */
+    [[nodiscard]] std::int64_t version() const;
+    /** Its text, as the operator sent it. */
+    [[nodiscard]] const std::string &content() const;
+    /** Its text, compressed. */
+    [[nodiscard]] const std::string &compressed() const;
+    /** The delta that leads to it from an earlier version, or nullptr when that one is too long ago. */
+    [[nodiscard]] const std::string *deltaFrom(std::int64_t earlierVersion);
 
     void receive(const std::vector<Protocol::LogMessage> &messages);
 
@@ -88,6 +95,10 @@
     DeclarationLogOptions options;
     Core::TimerService &timers;
     Protocol::StoredDeclaration newest;
+    std::string newestContent;
+    // Texts of the versions before, newest last, and the deltas from them that were asked for since the newest one came.
+    std::deque<std::pair<std::int64_t, std::string>> earlier;
+    std::map<std::int64_t, std::string> deltas;
     std::unique_ptr<Storage::PosixFolder> folder;
     std::unique_ptr<Storage::WriteAheadLog> writeAheadLog;
     std::unique_ptr<Consensus::ReplicatedLog> replicatedLog;
--- a/Libraries/LibFleet/FleetWatcher.cpp
+++ b/Libraries/LibFleet/FleetWatcher.cpp
@@ -6,6 +6,7 @@
 #include <LibFleet/FleetWatcher.h>
 
 #include <LibCore/Log.h>
+#include <LibFleet/TextDelta.h>
 
 #include <algorithm>
 #include <functional>
@@ -13,6 +14,9 @@
 namespace Fleet
 {
 
+// The longest declaration that is taken.
+static constexpr std::size_t MaximumTextBytes = 16 * 1024 * 1024;
+
 FleetWatcher::FleetWatcher(WatcherOptions options, BackendRegistry &backends, BackendRegistry &gateways, Core::TimerService &timers)
     : options(std::move(options)), backends(backends), gateways(gateways), timers(timers)
 {
@@ -135,7 +139,7 @@
     const auto first = this->chosen().front();
     const bool overdue = this->newestKnown > this->held() && this->timers.now() - this->newestKnownSince >= this->options.declarationPatience;
     request.wantsDeclaration = this->options.wantsDeclarations && (first == &watched || overdue || this->wantsConfirmation);
-    request.declarationVersion = request.wantsDeclaration ? this->held() : std::max(this->held(), this->newestKnown);
+    request.declarationVersion = request.wantsDeclaration ? this->heldTextVersion : std::max(this->held(), this->newestKnown);
     if (!this->options.wantsDeclarations) {
         request.declarationVersion = INT64_MAX;
     }
@@ -243,9 +247,7 @@
         this->newestKnown = reply.declarationVersion;
         this->newestKnownSince = now;
     }
-    if (reply.__isset.declaration && this->declarationArrived) {
-        this->declarationArrived(DeclarationVersion(reply.declarationVersion), reply.declaration);
-    }
+    this->takeDeclaration(reply);
     for (const auto &place : reply.coordinators) {
         const auto endpoint = Core::Endpoint::parse(place.address);
         if (endpoint.has_value() && endpoint.value() != this->options.own) {
@@ -255,6 +257,30 @@
     this->askChosen();
 }
 
+void FleetWatcher::takeDeclaration(const Protocol::WatchReply &reply)
+{
+    const bool carries = reply.__isset.declaration || reply.__isset.declarationDelta;
+    if (!carries || reply.declarationVersion <= this->heldTextVersion) {
+        return;
+    }
+    const auto base = reply.__isset.declaration ? Core::Result<std::string>(std::string()) : expandText(this->heldText, MaximumTextBytes);
+    auto text = reply.__isset.declaration ? expandText(reply.declaration, MaximumTextBytes) : base.and_then([&reply](const std::string &before) {
+        return applyTextDelta(before, reply.declarationDelta);
+    });
+    if (!text.has_value()) {
+        // Asked for whole next time.
+        Core::logEvent(Core::LogLevel::Error, "declaration.unreadable", {{"version", reply.declarationVersion}, {"error", text.error().message}});
+        this->heldText.clear();
+        this->heldTextVersion = -1;
+        return;
+    }
+    this->heldText = reply.__isset.declaration ? reply.declaration : compressText(text.value());
+    this->heldTextVersion = reply.declarationVersion;
+    if (this->declarationArrived) {
+        this->declarationArrived(DeclarationVersion(reply.declarationVersion), text.value());
+    }
+}
+
 void FleetWatcher::failed(Watched &watched, const std::string &reason)
 {
     const auto endpoint = watched.endpoint;
--- a/Libraries/LibFleet/FleetWatcher.h
+++ b/Libraries/LibFleet/FleetWatcher.h
@@ -102,6 +102,7 @@
     [[nodiscard]] Protocol::WatchRequest makeRequest(Watched &watched);
     void takeAnswer(const Core::Endpoint &endpoint, const Core::Result<Protocol::WatchReply> &answer, bool askedForConfirmation);
     void takeNews(Watched &watched, const Protocol::WatchReply &reply);
+    void takeDeclaration(const Protocol::WatchReply &reply);
     void failed(Watched &watched, const std::string &reason);
     [[nodiscard]] std::int64_t held() const;
 
@@ -113,6 +114,9 @@
     bool wantsConfirmation{false};
     bool isCurrent{false};
     bool anyAnswer{false};
+    // The text of the version that is held, as a base for deltas; compressed, since it may be long.
+    std::string heldText;
+    std::int64_t heldTextVersion{-1};
     // The newest version that any coordinator told of, and since when.
     std::int64_t newestKnown{-1};
     Core::Instant newestKnownSince;
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -226,8 +226,10 @@
     Core::EventPoll &poll;
     Core::TimerService &timers;
     std::mt19937_64 random;
-    int gateways{1};
-    int gatewaysInZone{1};
+    // Until the registry tells, so many that nothing is taken out of what all share but a connection each.
+    int gateways{AssumedGateways};
+    int gatewaysInZone{AssumedGateways};
+    static constexpr int AssumedGateways = 10'000;
     std::shared_ptr<const Fleet::Declaration> declaration;
     std::unordered_map<Core::ServiceName, Service> services;
     std::unordered_map<std::string, std::unique_ptr<Backend>> backends;
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -17,6 +17,8 @@
 {
 
 static constexpr Core::Duration HousekeepingPeriod = Core::seconds(1);
+// How long a larger number of gateways is remembered: a little over the window of the repeat budget.
+static constexpr Core::Duration GatewayCountMemory = Core::seconds(15);
 // How often the counters are logged: a bound for how long ago the last line before a crash was.
 static constexpr Core::Duration CounterLogPeriod = Core::seconds(10);
 
@@ -77,6 +79,23 @@
     }
     this->registry.forget(now);
     this->gateways.forget(now);
+    this->countGateways(now);
+}
+
+// The largest count of the last while: some that are not heard of just now still send, and those of a herd that starts come one by one.
+void GatewayNode::countGateways(Core::Instant now)
+{
+    const int all = this->gateways.readyCount();
+    const int inZone = this->gateways.readyCountIn(this->options.pool.zone.value());
+    if (all >= this->countedGateways || now - this->countedAt >= GatewayCountMemory) {
+        this->countedGateways = all;
+        this->countedInZone = inZone;
+        this->countedAt = now;
+    }
+    const bool known = this->isReady() && all > 0;
+    if (known) {
+        this->pool.setGatewayCount(this->countedGateways, this->countedInZone);
+    }
 }
 
 void GatewayNode::logCounters() const
@@ -125,7 +144,6 @@
 
 void GatewayNode::updateRelays(const Fleet::BackendRecord &record)
 {
-    this->pool.setGatewayCount(this->gateways.readyCount(), this->gateways.readyCountIn(this->options.pool.zone.value()));
     if (record.announcement.id == this->incarnationName) {
         return;
     }
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -90,6 +90,7 @@
     [[nodiscard]] std::optional<Protocol::BackendAnnouncement> makePresence();
     void updateRelays(const Fleet::BackendRecord &record);
     void housekeep(Core::Instant now);
+    void countGateways(Core::Instant now);
     void refuse(Refusal refusal, const CallerRequest &request, const Wire::ExchangePointer &exchange, const char *outcome);
     [[nodiscard]] Core::ServiceName chooseTarget(const Fleet::Route &route);
     [[nodiscard]] bool knowsEveryService() const;
@@ -119,6 +120,9 @@
     // Names this life of the gateway towards the others.
     std::string incarnationName;
     std::int64_t presenceSequence{0};
+    int countedGateways{0};
+    int countedInZone{0};
+    Core::Instant countedAt;
     bool draining{false};
     GatewayCounters counts;
     Metrics::LatencyHistogram searchLatencies;
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -34,7 +34,14 @@
 void ShardCall::start(std::function<void()> finishedHook)
 {
     this->finished = std::move(finishedHook);
-    this->pool.budget(this->serviceName).noteRequest(this->timers.now());
+    auto &budget = this->pool.budget(this->serviceName);
+    if (this->executionCount == 0) {
+        budget.noteRequest(this->timers.now());
+    } else if (!budget.takeRepeat(this->timers.now(), this->pool.gatewayCount())) {
+        this->reason = "no repeat left in the budget";
+        this->finish(CallState::Failed);
+        return;
+    }
     this->tryNext(false);
 }
 
--- a/Libraries/LibProtocol/Generated/fleet_types.cpp
+++ b/Libraries/LibProtocol/Generated/fleet_types.cpp
@@ -299,6 +299,290 @@
 }
 
 
+TextPiece::~TextPiece() noexcept {
+}
+
+
+void TextPiece::__set_literal(const std::string& val) {
+  this->literal = val;
+}
+
+void TextPiece::__set_copyFrom(const int64_t val) {
+  this->copyFrom = val;
+}
+
+void TextPiece::__set_copyLength(const int64_t val) {
+  this->copyLength = val;
+}
+std::ostream& operator<<(std::ostream& out, const TextPiece& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TextPiece::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->literal);
+          this->__isset.literal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->copyFrom);
+          this->__isset.copyFrom = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->copyLength);
+          this->__isset.copyLength = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TextPiece::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TextPiece");
+
+  xfer += oprot->writeFieldBegin("literal", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeBinary(this->literal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("copyFrom", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->copyFrom);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("copyLength", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->copyLength);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TextPiece &a, TextPiece &b) {
+  using ::std::swap;
+  swap(a.literal, b.literal);
+  swap(a.copyFrom, b.copyFrom);
+  swap(a.copyLength, b.copyLength);
+  swap(a.__isset, b.__isset);
+}
+
+TextPiece::TextPiece(const TextPiece& other3) {
+  literal = other3.literal;
+  copyFrom = other3.copyFrom;
+  copyLength = other3.copyLength;
+  __isset = other3.__isset;
+}
+TextPiece& TextPiece::operator=(const TextPiece& other4) {
+  literal = other4.literal;
+  copyFrom = other4.copyFrom;
+  copyLength = other4.copyLength;
+  __isset = other4.__isset;
+  return *this;
+}
+void TextPiece::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TextPiece(";
+  out << "literal=" << to_string(literal);
+  out << ", " << "copyFrom=" << to_string(copyFrom);
+  out << ", " << "copyLength=" << to_string(copyLength);
+  out << ")";
+}
+
+
+TextDelta::~TextDelta() noexcept {
+}
+
+
+void TextDelta::__set_length(const int64_t val) {
+  this->length = val;
+}
+
+void TextDelta::__set_checksum(const int64_t val) {
+  this->checksum = val;
+}
+
+void TextDelta::__set_pieces(const std::vector<TextPiece> & val) {
+  this->pieces = val;
+}
+std::ostream& operator<<(std::ostream& out, const TextDelta& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TextDelta::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->length);
+          this->__isset.length = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->checksum);
+          this->__isset.checksum = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->pieces.clear();
+            uint32_t _size5;
+            ::apache::thrift::protocol::TType _etype8;
+            xfer += iprot->readListBegin(_etype8, _size5);
+            this->pieces.resize(_size5);
+            uint32_t _i9;
+            for (_i9 = 0; _i9 < _size5; ++_i9)
+            {
+              xfer += this->pieces[_i9].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.pieces = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TextDelta::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TextDelta");
+
+  xfer += oprot->writeFieldBegin("length", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->length);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checksum", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->checksum);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pieces", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pieces.size()));
+    std::vector<TextPiece> ::const_iterator _iter10;
+    for (_iter10 = this->pieces.begin(); _iter10 != this->pieces.end(); ++_iter10)
+    {
+      xfer += (*_iter10).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TextDelta &a, TextDelta &b) {
+  using ::std::swap;
+  swap(a.length, b.length);
+  swap(a.checksum, b.checksum);
+  swap(a.pieces, b.pieces);
+  swap(a.__isset, b.__isset);
+}
+
+TextDelta::TextDelta(const TextDelta& other11) {
+  length = other11.length;
+  checksum = other11.checksum;
+  pieces = other11.pieces;
+  __isset = other11.__isset;
+}
+TextDelta& TextDelta::operator=(const TextDelta& other12) {
+  length = other12.length;
+  checksum = other12.checksum;
+  pieces = other12.pieces;
+  __isset = other12.__isset;
+  return *this;
+}
+void TextDelta::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TextDelta(";
+  out << "length=" << to_string(length);
+  out << ", " << "checksum=" << to_string(checksum);
+  out << ", " << "pieces=" << to_string(pieces);
+  out << ")";
+}
+
+
 WatchRequest::~WatchRequest() noexcept {
 }
 
@@ -512,29 +796,29 @@
   swap(a.__isset, b.__isset);
 }
 
-WatchRequest::WatchRequest(const WatchRequest& other3) {
-  watcherName = other3.watcherName;
-  coordinatorIncarnation = other3.coordinatorIncarnation;
-  cursor = other3.cursor;
-  gatewayCursor = other3.gatewayCursor;
-  declarationVersion = other3.declarationVersion;
-  wantsDeclaration = other3.wantsDeclaration;
-  confirm = other3.confirm;
-  gateway = other3.gateway;
-  wantsHeard = other3.wantsHeard;
-  __isset = other3.__isset;
-}
-WatchRequest& WatchRequest::operator=(const WatchRequest& other4) {
-  watcherName = other4.watcherName;
-  coordinatorIncarnation = other4.coordinatorIncarnation;
-  cursor = other4.cursor;
-  gatewayCursor = other4.gatewayCursor;
-  declarationVersion = other4.declarationVersion;
-  wantsDeclaration = other4.wantsDeclaration;
-  confirm = other4.confirm;
-  gateway = other4.gateway;
-  wantsHeard = other4.wantsHeard;
-  __isset = other4.__isset;
+WatchRequest::WatchRequest(const WatchRequest& other13) {
+  watcherName = other13.watcherName;
+  coordinatorIncarnation = other13.coordinatorIncarnation;
+  cursor = other13.cursor;
+  gatewayCursor = other13.gatewayCursor;
+  declarationVersion = other13.declarationVersion;
+  wantsDeclaration = other13.wantsDeclaration;
+  confirm = other13.confirm;
+  gateway = other13.gateway;
+  wantsHeard = other13.wantsHeard;
+  __isset = other13.__isset;
+}
+WatchRequest& WatchRequest::operator=(const WatchRequest& other14) {
+  watcherName = other14.watcherName;
+  coordinatorIncarnation = other14.coordinatorIncarnation;
+  cursor = other14.cursor;
+  gatewayCursor = other14.gatewayCursor;
+  declarationVersion = other14.declarationVersion;
+  wantsDeclaration = other14.wantsDeclaration;
+  confirm = other14.confirm;
+  gateway = other14.gateway;
+  wantsHeard = other14.wantsHeard;
+  __isset = other14.__isset;
   return *this;
 }
 void WatchRequest::printTo(std::ostream& out) const {
@@ -645,15 +929,15 @@
   swap(a.__isset, b.__isset);
 }
 
-CoordinatorPlace::CoordinatorPlace(const CoordinatorPlace& other5) {
-  address = other5.address;
-  zone = other5.zone;
-  __isset = other5.__isset;
+CoordinatorPlace::CoordinatorPlace(const CoordinatorPlace& other15) {
+  address = other15.address;
+  zone = other15.zone;
+  __isset = other15.__isset;
 }
-CoordinatorPlace& CoordinatorPlace::operator=(const CoordinatorPlace& other6) {
-  address = other6.address;
-  zone = other6.zone;
-  __isset = other6.__isset;
+CoordinatorPlace& CoordinatorPlace::operator=(const CoordinatorPlace& other16) {
+  address = other16.address;
+  zone = other16.zone;
+  __isset = other16.__isset;
   return *this;
 }
 void CoordinatorPlace::printTo(std::ostream& out) const {
@@ -698,6 +982,11 @@
 __isset.declaration = true;
 }
 
+void WatchReply::__set_declarationDelta(const std::string& val) {
+  this->declarationDelta = val;
+__isset.declarationDelta = true;
+}
+
 void WatchReply::__set_confirmed(const bool val) {
   this->confirmed = val;
 }
@@ -761,14 +1050,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changed.clear();
-            uint32_t _size7;
-            ::apache::thrift::protocol::TType _etype10;
-            xfer += iprot->readListBegin(_etype10, _size7);
-            this->changed.resize(_size7);
-            uint32_t _i11;
-            for (_i11 = 0; _i11 < _size7; ++_i11)
+            uint32_t _size17;
+            ::apache::thrift::protocol::TType _etype20;
+            xfer += iprot->readListBegin(_etype20, _size17);
+            this->changed.resize(_size17);
+            uint32_t _i21;
+            for (_i21 = 0; _i21 < _size17; ++_i21)
             {
-              xfer += this->changed[_i11].read(iprot);
+              xfer += this->changed[_i21].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -789,14 +1078,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changedGateways.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->changedGateways.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->changedGateways.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
             {
-              xfer += this->changedGateways[_i16].read(iprot);
+              xfer += this->changedGateways[_i26].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -821,6 +1110,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->declarationDelta);
+          this->__isset.declarationDelta = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 8:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->confirmed);
@@ -833,14 +1130,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coordinators.clear();
-            uint32_t _size17;
-            ::apache::thrift::protocol::TType _etype20;
-            xfer += iprot->readListBegin(_etype20, _size17);
-            this->coordinators.resize(_size17);
-            uint32_t _i21;
-            for (_i21 = 0; _i21 < _size17; ++_i21)
+            uint32_t _size27;
+            ::apache::thrift::protocol::TType _etype30;
+            xfer += iprot->readListBegin(_etype30, _size27);
+            this->coordinators.resize(_size27);
+            uint32_t _i31;
+            for (_i31 = 0; _i31 < _size27; ++_i31)
             {
-              xfer += this->coordinators[_i21].read(iprot);
+              xfer += this->coordinators[_i31].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -853,14 +1150,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heard.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->heard.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->heard.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              xfer += iprot->readString(this->heard[_i26]);
+              xfer += iprot->readString(this->heard[_i36]);
             }
             xfer += iprot->readListEnd();
           }
@@ -905,10 +1202,10 @@
   xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<BackendAnnouncement> ::const_iterator _iter27;
-    for (_iter27 = this->changed.begin(); _iter27 != this->changed.end(); ++_iter27)
+    std::vector<BackendAnnouncement> ::const_iterator _iter37;
+    for (_iter37 = this->changed.begin(); _iter37 != this->changed.end(); ++_iter37)
     {
-      xfer += (*_iter27).write(oprot);
+      xfer += (*_iter37).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -921,10 +1218,10 @@
   xfer += oprot->writeFieldBegin("changedGateways", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changedGateways.size()));
-    std::vector<BackendAnnouncement> ::const_iterator _iter28;
-    for (_iter28 = this->changedGateways.begin(); _iter28 != this->changedGateways.end(); ++_iter28)
+    std::vector<BackendAnnouncement> ::const_iterator _iter38;
+    for (_iter38 = this->changedGateways.begin(); _iter38 != this->changedGateways.end(); ++_iter38)
     {
-      xfer += (*_iter28).write(oprot);
+      xfer += (*_iter38).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -946,10 +1243,10 @@
   xfer += oprot->writeFieldBegin("coordinators", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coordinators.size()));
-    std::vector<CoordinatorPlace> ::const_iterator _iter29;
-    for (_iter29 = this->coordinators.begin(); _iter29 != this->coordinators.end(); ++_iter29)
+    std::vector<CoordinatorPlace> ::const_iterator _iter39;
+    for (_iter39 = this->coordinators.begin(); _iter39 != this->coordinators.end(); ++_iter39)
     {
-      xfer += (*_iter29).write(oprot);
+      xfer += (*_iter39).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -958,10 +1255,10 @@
   xfer += oprot->writeFieldBegin("heard", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->heard.size()));
-    std::vector<std::string> ::const_iterator _iter30;
-    for (_iter30 = this->heard.begin(); _iter30 != this->heard.end(); ++_iter30)
+    std::vector<std::string> ::const_iterator _iter40;
+    for (_iter40 = this->heard.begin(); _iter40 != this->heard.end(); ++_iter40)
     {
-      xfer += oprot->writeString((*_iter30));
+      xfer += oprot->writeString((*_iter40));
     }
     xfer += oprot->writeListEnd();
   }
@@ -971,6 +1268,11 @@
   xfer += oprot->writeBool(this->hasLeader);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.declarationDelta) {
+    xfer += oprot->writeFieldBegin("declarationDelta", ::apache::thrift::protocol::T_STRING, 12);
+    xfer += oprot->writeBinary(this->declarationDelta);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -985,6 +1287,7 @@
   swap(a.changedGateways, b.changedGateways);
   swap(a.declarationVersion, b.declarationVersion);
   swap(a.declaration, b.declaration);
+  swap(a.declarationDelta, b.declarationDelta);
   swap(a.confirmed, b.confirmed);
   swap(a.coordinators, b.coordinators);
   swap(a.heard, b.heard);
@@ -992,33 +1295,35 @@
   swap(a.__isset, b.__isset);
 }
 
-WatchReply::WatchReply(const WatchReply& other31) {
-  coordinatorIncarnation = other31.coordinatorIncarnation;
-  cursor = other31.cursor;
-  changed = other31.changed;
-  gatewayCursor = other31.gatewayCursor;
-  changedGateways = other31.changedGateways;
-  declarationVersion = other31.declarationVersion;
-  declaration = other31.declaration;
-  confirmed = other31.confirmed;
-  coordinators = other31.coordinators;
-  heard = other31.heard;
-  hasLeader = other31.hasLeader;
-  __isset = other31.__isset;
-}
-WatchReply& WatchReply::operator=(const WatchReply& other32) {
-  coordinatorIncarnation = other32.coordinatorIncarnation;
-  cursor = other32.cursor;
-  changed = other32.changed;
-  gatewayCursor = other32.gatewayCursor;
-  changedGateways = other32.changedGateways;
-  declarationVersion = other32.declarationVersion;
-  declaration = other32.declaration;
-  confirmed = other32.confirmed;
-  coordinators = other32.coordinators;
-  heard = other32.heard;
-  hasLeader = other32.hasLeader;
-  __isset = other32.__isset;
+WatchReply::WatchReply(const WatchReply& other41) {
+  coordinatorIncarnation = other41.coordinatorIncarnation;
+  cursor = other41.cursor;
+  changed = other41.changed;
+  gatewayCursor = other41.gatewayCursor;
+  changedGateways = other41.changedGateways;
+  declarationVersion = other41.declarationVersion;
+  declaration = other41.declaration;
+  declarationDelta = other41.declarationDelta;
+  confirmed = other41.confirmed;
+  coordinators = other41.coordinators;
+  heard = other41.heard;
+  hasLeader = other41.hasLeader;
+  __isset = other41.__isset;
+}
+WatchReply& WatchReply::operator=(const WatchReply& other42) {
+  coordinatorIncarnation = other42.coordinatorIncarnation;
+  cursor = other42.cursor;
+  changed = other42.changed;
+  gatewayCursor = other42.gatewayCursor;
+  changedGateways = other42.changedGateways;
+  declarationVersion = other42.declarationVersion;
+  declaration = other42.declaration;
+  declarationDelta = other42.declarationDelta;
+  confirmed = other42.confirmed;
+  coordinators = other42.coordinators;
+  heard = other42.heard;
+  hasLeader = other42.hasLeader;
+  __isset = other42.__isset;
   return *this;
 }
 void WatchReply::printTo(std::ostream& out) const {
@@ -1031,6 +1336,7 @@
   out << ", " << "changedGateways=" << to_string(changedGateways);
   out << ", " << "declarationVersion=" << to_string(declarationVersion);
   out << ", " << "declaration="; (__isset.declaration ? (out << to_string(declaration)) : (out << "<null>"));
+  out << ", " << "declarationDelta="; (__isset.declarationDelta ? (out << to_string(declarationDelta)) : (out << "<null>"));
   out << ", " << "confirmed=" << to_string(confirmed);
   out << ", " << "coordinators=" << to_string(coordinators);
   out << ", " << "heard=" << to_string(heard);
@@ -1148,17 +1454,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Introduction::Introduction(const Introduction& other33) {
-  member = other33.member;
-  initialised = other33.initialised;
-  mayFound = other33.mayFound;
-  __isset = other33.__isset;
+Introduction::Introduction(const Introduction& other43) {
+  member = other43.member;
+  initialised = other43.initialised;
+  mayFound = other43.mayFound;
+  __isset = other43.__isset;
 }
-Introduction& Introduction::operator=(const Introduction& other34) {
-  member = other34.member;
-  initialised = other34.initialised;
-  mayFound = other34.mayFound;
-  __isset = other34.__isset;
+Introduction& Introduction::operator=(const Introduction& other44) {
+  member = other44.member;
+  initialised = other44.initialised;
+  mayFound = other44.mayFound;
+  __isset = other44.__isset;
   return *this;
 }
 void Introduction::printTo(std::ostream& out) const {
@@ -1280,17 +1586,17 @@
   swap(a.__isset, b.__isset);
 }
 
-IntroductionReply::IntroductionReply(const IntroductionReply& other35) {
-  callee = other35.callee;
-  membership = other35.membership;
-  leaderAddress = other35.leaderAddress;
-  __isset = other35.__isset;
+IntroductionReply::IntroductionReply(const IntroductionReply& other45) {
+  callee = other45.callee;
+  membership = other45.membership;
+  leaderAddress = other45.leaderAddress;
+  __isset = other45.__isset;
 }
-IntroductionReply& IntroductionReply::operator=(const IntroductionReply& other36) {
-  callee = other36.callee;
-  membership = other36.membership;
-  leaderAddress = other36.leaderAddress;
-  __isset = other36.__isset;
+IntroductionReply& IntroductionReply::operator=(const IntroductionReply& other46) {
+  callee = other46.callee;
+  membership = other46.membership;
+  leaderAddress = other46.leaderAddress;
+  __isset = other46.__isset;
   return *this;
 }
 void IntroductionReply::printTo(std::ostream& out) const {
@@ -1311,8 +1617,8 @@
   this->version = val;
 }
 
-void StoredDeclaration::__set_content(const std::string& val) {
-  this->content = val;
+void StoredDeclaration::__set_compressed(const std::string& val) {
+  this->compressed = val;
 }
 std::ostream& operator<<(std::ostream& out, const StoredDeclaration& obj)
 {
@@ -1352,8 +1658,8 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->content);
-          this->__isset.content = true;
+          xfer += iprot->readBinary(this->compressed);
+          this->__isset.compressed = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1379,8 +1685,8 @@
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("content", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeBinary(this->content);
+  xfer += oprot->writeFieldBegin("compressed", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->compressed);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1391,26 +1697,26 @@
 void swap(StoredDeclaration &a, StoredDeclaration &b) {
   using ::std::swap;
   swap(a.version, b.version);
-  swap(a.content, b.content);
+  swap(a.compressed, b.compressed);
   swap(a.__isset, b.__isset);
 }
 
-StoredDeclaration::StoredDeclaration(const StoredDeclaration& other37) {
-  version = other37.version;
-  content = other37.content;
-  __isset = other37.__isset;
+StoredDeclaration::StoredDeclaration(const StoredDeclaration& other47) {
+  version = other47.version;
+  compressed = other47.compressed;
+  __isset = other47.__isset;
 }
-StoredDeclaration& StoredDeclaration::operator=(const StoredDeclaration& other38) {
-  version = other38.version;
-  content = other38.content;
-  __isset = other38.__isset;
+StoredDeclaration& StoredDeclaration::operator=(const StoredDeclaration& other48) {
+  version = other48.version;
+  compressed = other48.compressed;
+  __isset = other48.__isset;
   return *this;
 }
 void StoredDeclaration::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "StoredDeclaration(";
   out << "version=" << to_string(version);
-  out << ", " << "content=" << to_string(content);
+  out << ", " << "compressed=" << to_string(compressed);
   out << ")";
 }
 
@@ -1507,15 +1813,15 @@
   swap(a.__isset, b.__isset);
 }
 
-MissingShard::MissingShard(const MissingShard& other39) {
-  serviceName = other39.serviceName;
-  executions = other39.executions;
-  __isset = other39.__isset;
+MissingShard::MissingShard(const MissingShard& other49) {
+  serviceName = other49.serviceName;
+  executions = other49.executions;
+  __isset = other49.__isset;
 }
-MissingShard& MissingShard::operator=(const MissingShard& other40) {
-  serviceName = other40.serviceName;
-  executions = other40.executions;
-  __isset = other40.__isset;
+MissingShard& MissingShard::operator=(const MissingShard& other50) {
+  serviceName = other50.serviceName;
+  executions = other50.executions;
+  __isset = other50.__isset;
   return *this;
 }
 void MissingShard::printTo(std::ostream& out) const {
@@ -1574,14 +1880,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->signatures.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->signatures.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->signatures.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += iprot->readString(this->signatures[_i45]);
+              xfer += iprot->readString(this->signatures[_i55]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1602,14 +1908,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->missing.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->missing.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->missing.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->missing[_i50].read(iprot);
+              xfer += this->missing[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1638,10 +1944,10 @@
   xfer += oprot->writeFieldBegin("signatures", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->signatures.size()));
-    std::vector<std::string> ::const_iterator _iter51;
-    for (_iter51 = this->signatures.begin(); _iter51 != this->signatures.end(); ++_iter51)
+    std::vector<std::string> ::const_iterator _iter61;
+    for (_iter61 = this->signatures.begin(); _iter61 != this->signatures.end(); ++_iter61)
     {
-      xfer += oprot->writeString((*_iter51));
+      xfer += oprot->writeString((*_iter61));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1654,10 +1960,10 @@
   xfer += oprot->writeFieldBegin("missing", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->missing.size()));
-    std::vector<MissingShard> ::const_iterator _iter52;
-    for (_iter52 = this->missing.begin(); _iter52 != this->missing.end(); ++_iter52)
+    std::vector<MissingShard> ::const_iterator _iter62;
+    for (_iter62 = this->missing.begin(); _iter62 != this->missing.end(); ++_iter62)
     {
-      xfer += (*_iter52).write(oprot);
+      xfer += (*_iter62).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1676,17 +1982,17 @@
   swap(a.__isset, b.__isset);
 }
 
-PartialAnswer::PartialAnswer(const PartialAnswer& other53) {
-  signatures = other53.signatures;
-  records = other53.records;
-  missing = other53.missing;
-  __isset = other53.__isset;
+PartialAnswer::PartialAnswer(const PartialAnswer& other63) {
+  signatures = other63.signatures;
+  records = other63.records;
+  missing = other63.missing;
+  __isset = other63.__isset;
 }
-PartialAnswer& PartialAnswer::operator=(const PartialAnswer& other54) {
-  signatures = other54.signatures;
-  records = other54.records;
-  missing = other54.missing;
-  __isset = other54.__isset;
+PartialAnswer& PartialAnswer::operator=(const PartialAnswer& other64) {
+  signatures = other64.signatures;
+  records = other64.records;
+  missing = other64.missing;
+  __isset = other64.__isset;
   return *this;
 }
 void PartialAnswer::printTo(std::ostream& out) const {
--- a/Libraries/LibProtocol/Generated/fleet_types.h
+++ b/Libraries/LibProtocol/Generated/fleet_types.h
@@ -51,6 +51,10 @@
 
 class BackendAnnouncement;
 
+class TextPiece;
+
+class TextDelta;
+
 class WatchRequest;
 
 class CoordinatorPlace;
@@ -178,6 +182,128 @@
 
 std::ostream& operator<<(std::ostream& out, const BackendAnnouncement& obj);
 
+typedef struct _TextPiece__isset {
+  _TextPiece__isset() : literal(false), copyFrom(false), copyLength(false) {}
+  bool literal :1;
+  bool copyFrom :1;
+  bool copyLength :1;
+} _TextPiece__isset;
+
+/**
+ * Bytes of their own, then a part of the earlier text.
+ */
+class TextPiece : public virtual ::apache::thrift::TBase {
+ public:
+
+  TextPiece(const TextPiece&);
+  TextPiece& operator=(const TextPiece&);
+  TextPiece() noexcept
+            : literal(),
+              copyFrom(0),
+              copyLength(0) {
+  }
+
+  virtual ~TextPiece() noexcept;
+  std::string literal;
+  int64_t copyFrom;
+  int64_t copyLength;
+
+  _TextPiece__isset __isset;
+
+  void __set_literal(const std::string& val);
+
+  void __set_copyFrom(const int64_t val);
+
+  void __set_copyLength(const int64_t val);
+
+  bool operator == (const TextPiece & rhs) const
+  {
+    if (!(literal == rhs.literal))
+      return false;
+    if (!(copyFrom == rhs.copyFrom))
+      return false;
+    if (!(copyLength == rhs.copyLength))
+      return false;
+    return true;
+  }
+  bool operator != (const TextPiece &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TextPiece & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TextPiece &a, TextPiece &b);
+
+std::ostream& operator<<(std::ostream& out, const TextPiece& obj);
+
+typedef struct _TextDelta__isset {
+  _TextDelta__isset() : length(false), checksum(false), pieces(false) {}
+  bool length :1;
+  bool checksum :1;
+  bool pieces :1;
+} _TextDelta__isset;
+
+/**
+ * What turns one text into a later one.
+ */
+class TextDelta : public virtual ::apache::thrift::TBase {
+ public:
+
+  TextDelta(const TextDelta&);
+  TextDelta& operator=(const TextDelta&);
+  TextDelta() noexcept
+            : length(0),
+              checksum(0) {
+  }
+
+  virtual ~TextDelta() noexcept;
+  /**
+   * Of the later text, to know that the outcome is right.
+   */
+  int64_t length;
+  int64_t checksum;
+  std::vector<TextPiece>  pieces;
+
+  _TextDelta__isset __isset;
+
+  void __set_length(const int64_t val);
+
+  void __set_checksum(const int64_t val);
+
+  void __set_pieces(const std::vector<TextPiece> & val);
+
+  bool operator == (const TextDelta & rhs) const
+  {
+    if (!(length == rhs.length))
+      return false;
+    if (!(checksum == rhs.checksum))
+      return false;
+    if (!(pieces == rhs.pieces))
+      return false;
+    return true;
+  }
+  bool operator != (const TextDelta &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TextDelta & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TextDelta &a, TextDelta &b);
+
+std::ostream& operator<<(std::ostream& out, const TextDelta& obj);
+
 typedef struct _WatchRequest__isset {
   _WatchRequest__isset() : watcherName(false), coordinatorIncarnation(false), cursor(false), gatewayCursor(false), declarationVersion(false), wantsDeclaration(false), confirm(false), gateway(false), wantsHeard(false) {}
   bool watcherName :1;
@@ -359,7 +485,7 @@
 std::ostream& operator<<(std::ostream& out, const CoordinatorPlace& obj);
 
 typedef struct _WatchReply__isset {
-  _WatchReply__isset() : coordinatorIncarnation(false), cursor(false), changed(false), gatewayCursor(false), changedGateways(false), declarationVersion(false), declaration(false), confirmed(false), coordinators(false), heard(false), hasLeader(false) {}
+  _WatchReply__isset() : coordinatorIncarnation(false), cursor(false), changed(false), gatewayCursor(false), changedGateways(false), declarationVersion(false), declaration(false), declarationDelta(false), confirmed(false), coordinators(false), heard(false), hasLeader(false) {}
   bool coordinatorIncarnation :1;
   bool cursor :1;
   bool changed :1;
@@ -367,6 +493,7 @@
   bool changedGateways :1;
   bool declarationVersion :1;
   bool declaration :1;
+  bool declarationDelta :1;
   bool confirmed :1;
   bool coordinators :1;
   bool heard :1;
@@ -384,6 +511,7 @@
                gatewayCursor(0),
                declarationVersion(0),
                declaration(),
+               declarationDelta(),
                confirmed(0),
                hasLeader(0) {
   }
@@ -396,9 +524,13 @@
   std::vector<BackendAnnouncement>  changedGateways;
   int64_t declarationVersion;
   /**
-   * There when it was wanted and the watcher's version is older.
+   * The whole text, compressed; there when it was wanted and the watcher's version is older, unless the delta is.
    */
   std::string declaration;
+  /**
+   * A TextDelta from the watcher's version.
+   */
+  std::string declarationDelta;
   /**
    * The version was the newest when the question was asked.
    */
@@ -429,6 +561,8 @@
 
   void __set_declaration(const std::string& val);
 
+  void __set_declarationDelta(const std::string& val);
+
   void __set_confirmed(const bool val);
 
   void __set_coordinators(const std::vector<CoordinatorPlace> & val);
@@ -455,6 +589,10 @@
       return false;
     else if (__isset.declaration && !(declaration == rhs.declaration))
       return false;
+    if (__isset.declarationDelta != rhs.__isset.declarationDelta)
+      return false;
+    else if (__isset.declarationDelta && !(declarationDelta == rhs.declarationDelta))
+      return false;
     if (!(confirmed == rhs.confirmed))
       return false;
     if (!(coordinators == rhs.coordinators))
@@ -602,13 +740,13 @@
 std::ostream& operator<<(std::ostream& out, const IntroductionReply& obj);
 
 typedef struct _StoredDeclaration__isset {
-  _StoredDeclaration__isset() : version(false), content(false) {}
+  _StoredDeclaration__isset() : version(false), compressed(false) {}
   bool version :1;
-  bool content :1;
+  bool compressed :1;
 } _StoredDeclaration__isset;
 
 /**
- * What coordinators keep in their log and snapshots: the declaration as the operator sent it.
+ * What coordinators keep in their log and snapshots: the declaration as the operator sent it, compressed.
  */
 class StoredDeclaration : public virtual ::apache::thrift::TBase {
  public:
@@ -617,24 +755,24 @@
   StoredDeclaration& operator=(const StoredDeclaration&);
   StoredDeclaration() noexcept
                     : version(0),
-                      content() {
+                      compressed() {
   }
 
   virtual ~StoredDeclaration() noexcept;
   int64_t version;
-  std::string content;
+  std::string compressed;
 
   _StoredDeclaration__isset __isset;
 
   void __set_version(const int64_t val);
 
-  void __set_content(const std::string& val);
+  void __set_compressed(const std::string& val);
 
   bool operator == (const StoredDeclaration & rhs) const
   {
     if (!(version == rhs.version))
       return false;
-    if (!(content == rhs.content))
+    if (!(compressed == rhs.compressed))
       return false;
     return true;
   }
--- a/Libraries/LibProtocol/fleet.thrift
+++ b/Libraries/LibProtocol/fleet.thrift
@@ -32,6 +32,21 @@
   8: i64 sequence,
 }
 
+/** Bytes of their own, then a part of the earlier text. */
+struct TextPiece {
+  1: binary literal,
+  2: i64 copyFrom,
+  3: i64 copyLength,
+}
+
+/** What turns one text into a later one. */
+struct TextDelta {
+  /** Of the later text, to know that the outcome is right. */
+  1: i64 length,
+  2: i64 checksum,
+  3: list<TextPiece> pieces,
+}
+
 struct WatchRequest {
   1: string watcherName,
   /** Which life of the coordinator the cursors belong to; 0 at first. */
@@ -66,8 +81,10 @@
   4: i64 gatewayCursor,
   5: list<BackendAnnouncement> changedGateways,
   6: i64 declarationVersion,
-  /** There when it was wanted and the watcher's version is older. */
+  /** The whole text, compressed; there when it was wanted and the watcher's version is older, unless the delta is. */
   7: optional binary declaration,
+  /** A TextDelta from the watcher's version. */
+  12: optional binary declarationDelta,
   /** The version was the newest when the question was asked. */
   8: bool confirmed,
   9: list<CoordinatorPlace> coordinators,
@@ -99,10 +116,10 @@
   IntroductionReply introduce(1: Introduction introduction),
 }
 
-/** What coordinators keep in their log and snapshots: the declaration as the operator sent it. */
+/** What coordinators keep in their log and snapshots: the declaration as the operator sent it, compressed. */
 struct StoredDeclaration {
   1: i64 version,
-  2: binary content,
+  2: binary compressed,
 }
 
 /** A shard that a gateway was asked for and has no answer of. */
--- a/Meta/CMake/Targets.cmake
+++ b/Meta/CMake/Targets.cmake
@@ -1,7 +1,8 @@
 # Functions with which every folder declares its targets alike.
 
 function(crankrudder_set_warnings target)
-    target_compile_options(${target} PRIVATE -Wall -Wextra -Wpedantic -Wshadow=local -Wno-missing-field-initializers -Werror)
+    # GCC 12 reports -Wrestrict falsely for replacements within std::string when it optimises (GCC bug 105329).
+    target_compile_options(${target} PRIVATE -Wall -Wextra -Wpedantic -Wno-restrict -Wshadow=local -Wno-missing-field-initializers -Werror)
 endfunction()
 
 # A static library made of all sources in its folder.
