--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -58,7 +58,9 @@
     part.terms.giveUpAt = std::min(part.terms.giveUpAt, this->arrivedAt + this->plan.targetsHeld * this->route.targetLatency);
     part.call = std::make_unique<ShardCall>(part.terms, this->plan.relays, *this->context.relays, *this->context.timers);
     part.call->start([this] {
-        this->takeRelayedAnswer();
+        this->withoutCompleting([this] {
+            this->takeRelayedAnswer();
+        });
         this->callFinished();
     });
 }
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -84,20 +84,27 @@
 {
     this->answerHook = std::move(answer);
     this->finishedHook = std::move(finished);
-    this->starting = true;
-    this->startCalls();
-    this->starting = false;
+    this->withoutCompleting([this] {
+        this->startCalls();
+    });
     this->scheduleLook(this->arrivedAt + this->terms.hedgeDelay);
     this->callFinished();
 }
 
 void RoutedRequest::callFinished()
 {
-    if (!this->starting && !this->done) {
+    if (!this->completionHeld && !this->done) {
         this->check();
     }
 }
 
+void RoutedRequest::withoutCompleting(const std::function<void()> &steps)
+{
+    const bool heldBefore = std::exchange(this->completionHeld, true);
+    steps();
+    this->completionHeld = heldBefore;
+}
+
 bool RoutedRequest::isTargetDue() const
 {
     return this->now() >= this->targetAt;
@@ -126,10 +133,10 @@
         this->callFinished();
         return;
     }
-    const auto next = this->lookAtCalls();
-    if (this->done) {
-        return;
-    }
+    auto next = this->terms.giveUpAt;
+    this->withoutCompleting([this, &next] {
+        next = this->lookAtCalls();
+    });
     // NOTE: The next look is planned first, because the last line may end this request.
     this->scheduleLook(next);
     this->callFinished();
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -99,6 +99,8 @@
     virtual void describe(RequestSummary &summary) const = 0;
 
     void callFinished();
+    /** Runs steps that may end calls at once; the request itself is not completed, and so not dropped, before they are done. */
+    void withoutCompleting(const std::function<void()> &steps);
     void complete(Wire::Response response, RequestOutcome outcome);
     void refuse(bool mayHaveRun);
     [[nodiscard]] std::unique_ptr<ShardCall> makeCall(const Core::ServiceName &service);
@@ -120,7 +122,7 @@
     void look();
     void scheduleLook(Core::Instant due);
 
-    bool starting{false};
+    bool completionHeld{false};
     bool done{false};
     AnswerHook answerHook;
     FinishedHook finishedHook;
--- a/Tests/LibGateway/TestRequests.cpp
+++ b/Tests/LibGateway/TestRequests.cpp
@@ -5,6 +5,7 @@
 
 // Requests over backend servers that answer, refuse, stay silent and break off.
 
+#include <LibRpc/Serialization.h>
 #include <Support/GatewayFixture.h>
 
 #include <criterion/criterion.h>
@@ -56,6 +57,22 @@
     return std::string(16, letter);
 }
 
+/** What another gateway answers. */
+Wire::Response partOf(const Wire::Request &request, const Protocol::PartialAnswer &part)
+{
+    return Wire::Response{.status = 200,
+        .headers = {{"Request-Id", *Wire::findHeader(request.headers, "Request-Id")}, {Gateway::RelayHeader::Partial, "1"}},
+        .body = Rpc::serialize(part)};
+}
+
+Protocol::MissingShard missingShard(const std::string &name, int executions)
+{
+    Protocol::MissingShard missing;
+    missing.serviceName = name;
+    missing.executions = executions;
+    return missing;
+}
+
 const std::string *header(const Wire::Response &response, const char *name)
 {
     return Wire::findHeader(response.headers, name);
@@ -248,3 +265,76 @@
     cr_assert_not(fixture.answer.has_value());
     cr_assert(fixture.pool.counters().cancelled == 1, "the backend server hears of it by the close");
 }
+
+Test(FanOutRequest, takesThePartOfAnotherGateway)
+{
+    GatewayFixture fixture;
+    makeSearch(fixture, {Core::ServiceName("a"), Core::ServiceName("b"), Core::ServiceName("c")}, 1.0);
+    fixture.relayed = {Core::ServiceName("b"), Core::ServiceName("c")};
+    fixture.add("a", "a1", answering(record('a')));
+    fixture.addGateway([](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+        Protocol::PartialAnswer part;
+        part.signatures = {"signature-b", "signature-c"};
+        part.records = record('c') + record('b');
+        exchange->respond(partOf(request, part));
+    });
+    const auto answer = fixture.ask("r1");
+    cr_assert(answer.status == 200);
+    cr_assert(answer.body == record('c') + record('b') + record('a'));
+    cr_assert(*header(answer, "Part-Stamps") == "signature-a, signature-b, signature-c");
+    cr_assert(*header(answer, "Missing-Parts") == "0");
+}
+
+Test(FanOutRequest, asksForWhatAnotherGatewayLacksWithinBudgetAndAttempts)
+{
+    struct Case {
+        const char *name;
+        int executions;
+        double slack;
+        bool asked;
+    };
+    // With no budget left the call ends at once, while the part is still being taken over: this crashed once.
+    const std::vector<Case> cases{{"never run", 0, 0.0, true}, {"run once", 1, 1000.0, true}, {"run once, no budget", 1, 0.0, false}, {"run as often as allowed", 2, 1000.0, false}};
+    for (const auto &item : cases) {
+        GatewayFixture fixture(item.slack);
+        fixture.pool.setGatewayCount(1, 1);
+        makeSearch(fixture, {Core::ServiceName("a"), Core::ServiceName("b")}, 1.0);
+        fixture.relayed = {Core::ServiceName("b")};
+        fixture.add("a", "a1", answering(record('a')));
+        const auto &direct = fixture.add("b", "b1", answering(record('b')));
+        fixture.addGateway([&item](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+            Protocol::PartialAnswer part;
+            part.missing = {missingShard("b", item.executions)};
+            exchange->respond(partOf(request, part));
+        });
+        const auto answer = fixture.ask("r1");
+        cr_assert(direct.requests.size() == (item.asked ? 1 : 0), "%s", item.name);
+        cr_assert(answer.status == (item.asked ? 200 : 502), "%s: %d", item.name, answer.status);
+    }
+}
+
+Test(FanOutRequest, doesTheWorkItselfWhenNoOtherGatewayTakesIt)
+{
+    GatewayFixture fixture;
+    makeSearch(fixture, {Core::ServiceName("a"), Core::ServiceName("b")}, 1.0);
+    fixture.relayed = {Core::ServiceName("b")};
+    fixture.add("a", "a1", answering(record('a')));
+    fixture.add("b", "b1", answering(record('b')));
+    fixture.addGateway(failing(503, false));
+    cr_assert(fixture.ask("r1").body == record('b') + record('a'));
+}
+
+Test(FanOutRequest, neverAsksAgainForAPartThatAnotherGatewayLost)
+{
+    GatewayFixture fixture;
+    makeSearch(fixture, {Core::ServiceName("a"), Core::ServiceName("b")}, 0.5);
+    fixture.relayed = {Core::ServiceName("b")};
+    fixture.add("a", "a1", answering(record('a')));
+    const auto &direct = fixture.add("b", "b1", answering(record('b')));
+    fixture.addGateway([](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+        exchange->respond(badAnswer(request, 502, false));
+    });
+    const auto answer = fixture.ask("r1");
+    cr_assert(answer.status == 200 && *header(answer, "Missing-Parts") == "1");
+    cr_assert(direct.requests.empty(), "it may have run as often as the route allows");
+}
--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -67,22 +67,21 @@
 class GatewayFixture : public LoopFixture
 {
 public:
-    GatewayFixture()
+    explicit GatewayFixture(double repeatSlack = 100.0)
         : dialect(Platform::makeDialect())
-        , pool(poolOptions(), this->dialect, *this->poll, this->timers)
-        , relays(poolOptions(), this->dialect, *this->poll, this->timers)
+        , pool(poolOptions(repeatSlack), this->dialect, *this->poll, this->timers)
+        , relays(poolOptions(repeatSlack), this->relayDialect, *this->poll, this->timers)
     {
-        auto made = std::make_shared<Fleet::Declaration>();
-        made->routes.resize(1);
         this->route().timeout = Core::seconds(10);
-        this->declaration = made;
+        this->pool.setGatewayCount(1, 1);
+        this->relays.setGatewayCount(1, 1);
     }
 
-    static Gateway::BackendPoolOptions poolOptions()
+    static Gateway::BackendPoolOptions poolOptions(double repeatSlack)
     {
         Gateway::BackendPoolOptions options;
         options.zone = Core::ZoneName("here");
-        options.budget.slack = 100.0;
+        options.budget.slack = repeatSlack;
         options.undeclaredCap = 4;
         return options;
     }
@@ -94,6 +93,17 @@
     }
 
     ScriptedBackend &add(const std::string &service, const std::string &id, ScriptedBackend::Script script)
+    {
+        return this->addTo(this->pool, service, id, std::move(script));
+    }
+
+    /** Another gateway, which is asked for the shards that `relayed` names. */
+    ScriptedBackend &addGateway(ScriptedBackend::Script script)
+    {
+        return this->addTo(this->relays, Gateway::relayService("there").value(), "gateway", std::move(script));
+    }
+
+    ScriptedBackend &addTo(Gateway::BackendPool &target, const std::string &service, const std::string &id, ScriptedBackend::Script script)
     {
         this->backends.push_back(std::make_unique<ScriptedBackend>(*this, id, std::move(script)));
         Fleet::BackendRecord record;
@@ -103,7 +113,7 @@
         record.announcement.zone = "here";
         record.announcement.slots = 2;
         record.announcement.phase = Protocol::BackendPhase::READY;
-        this->pool.update(record);
+        target.update(record);
         return *this->backends.back();
     }
 
@@ -138,7 +148,11 @@
         auto request = this->dialect.readRequest(std::move(message));
         if (used.isFanOut()) {
             Gateway::RelayPlan plan;
-            plan.direct = used.shards;
+            plan.relayed = this->relayed;
+            plan.relays = Gateway::relayService("there");
+            std::copy_if(used.shards.begin(), used.shards.end(), std::back_inserter(plan.direct), [this](const auto &shard) {
+                return std::find(this->relayed.begin(), this->relayed.end(), shard) == this->relayed.end();
+            });
             this->request = std::make_unique<Gateway::FanOutRequest>(context, this->table, used, std::move(request), std::move(plan), Gateway::Asker::Caller);
         } else {
             this->request = std::make_unique<Gateway::SingleRequest>(context, this->table, used, std::move(request), used.targets.front().service);
@@ -153,6 +167,8 @@
     }
 
     Gateway::Dialect dialect;
+    Gateway::Dialect relayDialect{Gateway::makeRelayDialect(this->dialect)};
+    std::vector<Core::ServiceName> relayed;
     Gateway::BackendPool pool;
     Gateway::BackendPool relays;
     Gateway::RequestSettings settings;
