Tests: Inject faults into the real programs and check the promises

A soak in Python over real processes: kills, pauses, rolls, all coordinators at once, lost folders; backend servers that crash, drain, lose and garble answers; a proxy that delays, resets, silences and cuts one way; operators who race.

--- /dev/null
+++ b/Tests/Soak/backends.py
@@ -0,0 +1,201 @@
+# SPDX-FileCopyrightText: 2026 the crankrudder developers
+# SPDX-License-Identifier: BSD-2-Clause
+"""Stand-in backend servers of the fault soak: they run requests, remember each
+run, and break off, stall, refuse, drain and crash as they are told."""
+
+import asyncio
+import hashlib
+import json
+import time
+
+RECORD_BYTES = 16
+SLOTS = 4
+
+
+class Run:
+    """One request that a backend server has begun to work on."""
+
+    def __init__(self, request_id, service, backend, target, body):
+        self.request_id = request_id
+        self.service = service
+        self.backend = backend
+        self.target = target
+        self.body = body
+        self.at = time.monotonic()
+
+
+class Journal:
+    """What all backend servers saw, for the checks."""
+
+    def __init__(self):
+        self.runs = {}
+        # (backend, time) of requests that came after a drain was acknowledged.
+        self.late_arrivals = []
+
+    def add(self, run):
+        self.runs.setdefault(run.request_id, []).append(run)
+
+
+def signature_of(service, request_id):
+    return hashlib.sha256(f"{service}/{request_id}".encode()).hexdigest()[:24]
+
+
+def part_of(service, request_id, count=8):
+    """The records that a shard holds for a request: the same at every replica."""
+    return b"".join(hashlib.md5(f"{service}/{request_id}/{index}".encode()).digest() for index in range(count))
+
+
+def single_answer(service, request_id):
+    return f"answer of {service} to {request_id}".encode() * 4
+
+
+async def read_message(reader):
+    """A whole HTTP message: first line, headers by lower-case name, body. None at the end of the stream."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return lines[0], headers, body
+
+
+async def call(host, port, method, path, body=b"", headers=None, timeout=1.0):
+    """One call on a connection of its own. Returns status, headers and body, or None without a clear answer."""
+
+    async def run():
+        reader, writer = await asyncio.open_connection(host, port)
+        try:
+            lines = [f"{method} {path} HTTP/1.1", f"Host: {host}:{port}", f"Content-Length: {len(body)}", "Connection: close"]
+            lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+            first, answer_headers, answer = await read_message(reader)
+            return int(first.split(" ")[1]), answer_headers, answer
+        finally:
+            writer.close()
+
+    try:
+        return await asyncio.wait_for(run(), timeout)
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError, IndexError):
+        return None
+
+
+class Backend:
+    """One incarnation of a backend server."""
+
+    counter = 0
+
+    def __init__(self, soak, service, zone, is_shard):
+        Backend.counter += 1
+        self.soak = soak
+        self.service = service
+        self.zone = zone
+        self.is_shard = is_shard
+        self.id = f"b{soak.seed}-{Backend.counter}"
+        self.state = "ready"
+        self.sequence = 0
+        self.running = 0
+        self.drain_acknowledged = None
+        self.gone = False
+        # Faults, as shares of the requests.
+        self.lose = 0.0
+        self.garble = 0.0
+        self.slow = 1.0
+        self.tasks = []
+        self.writers = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.tasks.append(asyncio.create_task(self.beat()))
+
+    async def beat(self):
+        while not self.gone:
+            await self.send_heartbeat()
+            await asyncio.sleep(self.soak.random.uniform(0.3, 0.5))
+
+    async def send_heartbeat(self):
+        self.sequence += 1
+        document = {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": self.zone, "version": "v1", "capacity": SLOTS,
+                    "state": self.state, "warmup_left_ms": 0, "sequence": self.sequence}
+        return await self.soak.control_call("PUT", f"/crankrudder/instances/{self.id}", json.dumps(document).encode())
+
+    async def drain(self):
+        """Says that it leaves, serves on for a while, says farewell and ends."""
+        self.state = "draining"
+        if await self.send_heartbeat() is not None:
+            self.drain_acknowledged = time.monotonic()
+        await asyncio.sleep(self.soak.drain_seconds + 1.5)
+        await self.soak.control_call("DELETE", f"/crankrudder/instances/{self.id}")
+        self.crash()
+
+    def crash(self):
+        self.gone = True
+        for task in self.tasks:
+            task.cancel()
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                first, headers, body = await read_message(reader)
+                if not await self.answer(writer, first.split(" "), headers, body):
+                    break
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError, asyncio.CancelledError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def answer(self, writer, words, headers, body):
+        """Runs one request. Returns whether the connection stays."""
+        request_id = headers.get("request-id", "")
+        if self.drain_acknowledged is not None:
+            self.soak.journal.late_arrivals.append((self, time.monotonic() - self.drain_acknowledged))
+        if headers.get("target-instance") != self.id:
+            await self.write(writer, 421, request_id, b"", {"Instance-Id": self.id})
+            return True
+        if self.running >= SLOTS * 2:
+            await self.write(writer, 503, request_id, b"", {"Not-Executed": "1"})
+            return True
+        self.soak.journal.add(Run(request_id, self.service, self.id, words[1], body))
+        self.running += 1
+        try:
+            await asyncio.sleep(self.soak.random.uniform(0.002, 0.012) * self.slow)
+        finally:
+            self.running -= 1
+        chance = self.soak.random.random()
+        if chance < self.lose:
+            writer.transport.abort()
+            return False
+        content = part_of(self.service, request_id) if self.is_shard else single_answer(self.service, request_id)
+        extra = {"Response-Signature": signature_of(self.service, request_id), "Server-Load": f"{self.running},0,{SLOTS}"}
+        if chance < self.lose + self.garble:
+            await self.write_garbled(writer, request_id, content, extra)
+            return False
+        await self.write(writer, 200, request_id, content, extra)
+        return True
+
+    async def write(self, writer, status, request_id, content, extra):
+        lines = [f"HTTP/1.1 {status} Any", f"Request-Id: {request_id}", f"Content-Length: {len(content)}"]
+        lines += [f"{name}: {value}" for name, value in extra.items()]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + content)
+        await writer.drain()
+
+    async def write_garbled(self, writer, request_id, content, extra):
+        kind = self.soak.random.choice(["cut", "surplus", "noise"])
+        if kind == "cut":
+            lines = ["HTTP/1.1 200 OK", f"Request-Id: {request_id}", f"Content-Length: {len(content) + 40}"]
+            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + content)
+        elif kind == "surplus":
+            await self.write(writer, 200, "an-older-request", b"not yours" * 7, extra)
+            await self.write(writer, 200, request_id, content, extra)
+            await self.write(writer, 200, request_id, b"behind it", extra)
+        else:
+            writer.write(b"\x00\x01 this is no answer \r\n\r\n")
+        await writer.drain()
--- /dev/null
+++ b/Tests/Soak/soak.py
@@ -0,0 +1,509 @@
+#!/usr/bin/env python3
+# SPDX-FileCopyrightText: 2026 the crankrudder developers
+# SPDX-License-Identifier: BSD-2-Clause
+"""Fault soak: runs the real gateways and coordinators as processes on the
+loopback interface, injects faults from outside, and checks the promises from
+what callers, operators and backend servers see.
+
+    Tests/Soak/soak.py --binaries target --seeds 1-5 --seconds 20
+
+Ends with `N passed, N failed` and a directory of logs for each seed that failed."""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+from backends import Backend, Journal, RECORD_BYTES, call, part_of, read_message, signature_of, single_answer
+from proxy import FaultProxy
+
+ZONES = ["zone-a", "zone-b", "zone-c"]
+SHARDS = 6
+TOP = 10
+MINIMUM_COVERAGE = 0.5
+# What the pages promise, as the settings files of the processes say.
+DRAIN_SECONDS = 3.0
+APPLY_SECONDS = 3.0
+CONTACT_SECONDS = 4.0
+GRACE_SECONDS = 6.0
+
+
+class Process:
+    """A gateway or coordinator that is started again when it ends."""
+
+    def __init__(self, soak, program, name, address, zone, folder):
+        self.soak = soak
+        self.program = program
+        self.name = name
+        self.address = address
+        self.zone = zone
+        self.folder = folder
+        self.process = None
+        self.first = True
+        # Faults of this process end at this time; promises with a time bound count only well after.
+        self.disturbed_until = 0.0
+        self.stopped = False
+
+    def write_settings(self):
+        base = self.soak.port
+        lines = {"node_name": self.name, "ip": self.address, "zone": self.zone, "internal_ports": f"{base + 10},{base + 20}",
+                 "listen_addrs.frontend": f"{self.address}:{base}", "listen_addrs.readiness": f"{self.address}:{base + 1}",
+                 "listen_addrs.control": f"{self.address}:{base + 2}", "data_dir": os.path.join(self.folder, "data"),
+                 "seed_nodes": ",".join(f"{address}:{base + 2}" for address in self.soak.seeds_addresses),
+                 "bootstrap": "true" if self.first else "false", "fault_tolerance.machines": "1", "heartbeat_ms": "400",
+                 "bounds.grace_s": str(int(GRACE_SECONDS)), "bounds.retry_budget_ratio": "0.2", "bounds.retry_window_s": "10", "bounds.retry_slack": "60"}
+        lines.update({f"zones.{zone}": zone.replace("zone", "region") for zone in ZONES})
+        path = os.path.join(self.folder, "settings.conf")
+        with open(path, "w", encoding="utf-8") as file:
+            file.writelines(f"{name}={value}\n" for name, value in lines.items())
+        return path
+
+    async def start(self):
+        environment = dict(os.environ, CRANKRUDDER_CONFIG=self.write_settings())
+        log = open(os.path.join(self.folder, "log.txt"), "ab")
+        self.process = await asyncio.create_subprocess_exec(self.program, env=environment, stdout=log, stderr=log)
+        log.close()
+        self.first = False
+        asyncio.create_task(self.watch(self.process))
+
+    async def watch(self, process):
+        code = await process.wait()
+        if self.soak.ending:
+            return
+        if code not in (0, -signal.SIGKILL):
+            self.soak.fail("crash", f"{self.name} ended with {code}")
+        self.disturb(0.5)
+        await asyncio.sleep(self.soak.random.uniform(0.05, 0.6))
+        await self.start()
+
+    def disturb(self, seconds):
+        self.disturbed_until = max(self.disturbed_until, time.monotonic() + seconds)
+
+    def send(self, number):
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    def was_calm(self, since):
+        return self.disturbed_until < since - CONTACT_SECONDS
+
+
+class Soak:
+    """One seed."""
+
+    def __init__(self, options, seed):
+        self.options = options
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.port = 20000 + (seed * 37) % 20000
+        self.journal = Journal()
+        self.failures = []
+        self.ending = False
+        self.drain_seconds = DRAIN_SECONDS
+        self.folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
+        self.seeds_addresses = [f"127.0.1.{index + 1}" for index in range(3)]
+        self.backends = []
+        self.proxies = []
+        self.version = 0
+        # (version, time of the acknowledgement) in their order, and all versions that were sent.
+        self.acknowledged = []
+        self.sent = {}
+        self.counts = {"answered": 0, "partial": 0, "not_run": 0, "failed": 0, "no_answer": 0, "unrouted": 0}
+        self.non_idempotent = set()
+
+    def fail(self, promise, detail):
+        self.failures.append(f"{promise}: {detail}")
+        print(f"event=promise.broken seed={self.seed} promise={promise} detail=\"{detail}\"", flush=True)
+
+    # ---- The deployment
+
+    async def start_processes(self):
+        self.coordinators = []
+        self.gateways = []
+        for index, address in enumerate(self.seeds_addresses):
+            self.coordinators.append(self.make_process("coordinatord", index, address))
+            self.gateways.append(self.make_process("gatewayd", index, address))
+        for process in self.coordinators + self.gateways:
+            await process.start()
+
+    def make_process(self, kind, index, address):
+        folder = os.path.join(self.folder, f"{kind}-{index}")
+        os.makedirs(os.path.join(folder, "data"))
+        program = os.path.join(self.options.binaries, "Services", kind, kind)
+        return Process(self, program, f"{kind}-{index}", address, ZONES[index], folder)
+
+    async def start_backends(self):
+        for shard in range(SHARDS):
+            for replica in range(2):
+                await self.add_backend(f"shard-{shard}", ZONES[(shard + replica) % 3], True)
+        for index in range(3):
+            await self.add_backend("records", ZONES[index], False)
+
+    async def add_backend(self, service, zone, is_shard):
+        backend = Backend(self, service, zone, is_shard)
+        await backend.start()
+        # Every other one is reached through a proxy that can hold, cut and reset.
+        if self.random.random() < 0.5:
+            proxy = FaultProxy(self.random, "127.0.0.1", backend.port)
+            backend.port = await proxy.start()
+            backend.proxy = proxy
+            self.proxies.append(proxy)
+        self.backends.append(backend)
+        return backend
+
+    async def control_call(self, method, path, body=b"", timeout=1.0):
+        """A call on any coordinator, following redirections, as backend servers and operators make it."""
+        order = self.random.sample(self.seeds_addresses, len(self.seeds_addresses))
+        for address in order:
+            host, port = address, self.port + 2
+            for _ in range(3):
+                answer = await call(host, port, method, path, body, timeout=timeout)
+                if answer is None or answer[0] != 307:
+                    break
+                host, port = answer[1]["location"].split("/")[2].split(":")
+            if answer is not None and (answer[0] < 300 or answer[0] == 400):
+                return answer
+        return None
+
+    # ---- Operators
+
+    def configuration(self, version):
+        shards = [f"shard-{index}" for index in range(SHARDS)]
+        routes = [
+            {"name": "search", "host": "h.example", "path_prefix": "/search/", "route_type": "idempotent", "timeout_ms": 2000, "target_latency_ms": 200,
+             "priority": 1, "gather": shards, "max_attempts": 2, "top_k": TOP, "min_coverage": MINIMUM_COVERAGE},
+            {"name": "record", "host": "h.example", "path_prefix": "/record/", "route_type": "idempotent", "timeout_ms": 2000, "target_latency_ms": 300,
+             "priority": 2, "service": "records", "max_attempts": 2},
+            {"name": "action", "host": "h.example", "path_prefix": "/action/", "route_type": "non_idempotent", "timeout_ms": 2000, "target_latency_ms": 300,
+             "priority": 2, "service": "records", "max_attempts": 2},
+            {"name": "current", "host": "h.example", "path_prefix": f"/v{version}/", "route_type": "idempotent", "timeout_ms": 2000, "target_latency_ms": 300,
+             "priority": 2, "service": "records", "max_attempts": 2}]
+        services = [{"name": name, "health_path": "/health", "max_conns": 60, "protocol": "h1", "tls": False} for name in shards + ["records"]]
+        limits = {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+        return {"version": version, "routes": routes, "services": services, "limits": limits}
+
+    async def declare(self, version):
+        document = self.configuration(version)
+        self.sent[version] = document
+        body = json.dumps(document).encode()
+        deadline = time.monotonic() + 20
+        while time.monotonic() < deadline and not self.ending:
+            answer = await self.control_call("PUT", "/crankrudder/config", body, timeout=2.0)
+            if answer is not None and answer[0] == 200:
+                self.acknowledged.append((version, time.monotonic()))
+                return True
+            if answer is not None and answer[0] == 400:
+                self.fail("valid-refused", f"version {version}")
+                return False
+            await asyncio.sleep(0.2)
+        return False
+
+    async def operate(self):
+        while not self.ending:
+            await asyncio.sleep(self.random.uniform(0.5, 2.5))
+            self.version += self.random.randint(1, 4)
+            kind = self.random.random()
+            if kind < 0.2:
+                # Two operators at once with different content under one version.
+                await asyncio.gather(self.declare(self.version), self.declare(self.version))
+            elif kind < 0.3:
+                await self.send_invalid()
+            else:
+                await self.declare(self.version)
+
+    async def send_invalid(self):
+        document = self.configuration(self.version)
+        document["routes"][0]["timeout_ms"] = 0
+        answer = await self.control_call("PUT", "/crankrudder/config", json.dumps(document).encode())
+        if answer is not None and answer[0] < 300:
+            self.fail("invalid-accepted", f"version {self.version}")
+
+    async def read_back(self):
+        """A reader never gets an older version than was acknowledged before it asked."""
+        while not self.ending:
+            await asyncio.sleep(self.random.uniform(0.3, 1.0))
+            newest = self.newest_acknowledged(time.monotonic() - APPLY_SECONDS)
+            answer = await self.control_call("GET", "/crankrudder/config")
+            if answer is None or answer[0] != 200:
+                continue
+            document = json.loads(answer[2])
+            if document["version"] < newest:
+                self.fail("old-read", f"{document['version']} though {newest} was acknowledged")
+            if document != self.sent.get(document["version"]):
+                self.fail("other-content", f"version {document['version']}")
+
+    def newest_acknowledged(self, before):
+        return max([version for version, at in self.acknowledged if at <= before], default=-1)
+
+    # ---- Callers
+
+    async def probe_current(self):
+        """A route that came with an acknowledged version is served by every gateway that was calm, and none goes back."""
+        while not self.ending:
+            await asyncio.sleep(0.4)
+            began = time.monotonic()
+            newest = self.newest_acknowledged(began - APPLY_SECONDS)
+            calm_core = all(process.was_calm(began) for process in self.coordinators)
+            gateway = self.random.choice(self.gateways)
+            if newest < 0 or newest != self.version or not calm_core or not gateway.was_calm(began):
+                continue
+            answer = await call(gateway.address, self.port, "GET", f"/v{newest}/x", headers={"Host": "h.example", "Request-Id": f"probe-{self.seed}-{began}"})
+            if answer is not None and answer[0] == 404 and gateway.was_calm(began) and newest == self.version:
+                self.fail("not-in-force", f"{gateway.name} does not know version {newest}")
+
+    async def caller(self, number):
+        count = 0
+        while not self.ending:
+            gateway = self.random.choice(self.gateways)
+            try:
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(gateway.address, self.port), 1.0)
+            except (OSError, asyncio.TimeoutError):
+                await asyncio.sleep(0.1)
+                continue
+            # A connection is used until the gateway closes it or some requests are done.
+            for _ in range(self.random.randint(1, 30)):
+                count += 1
+                alive = await self.one_request(gateway, reader, writer, f"{self.seed}-{number}-{count}")
+                if not alive or self.ending:
+                    break
+                await asyncio.sleep(self.random.uniform(0.0, 0.05))
+            writer.close()
+
+    async def one_request(self, gateway, reader, writer, request_id):
+        kind = self.random.choices(["search", "record", "action"], [6, 2, 3])[0]
+        method = "POST" if kind == "action" else "GET"
+        body = os.urandom(20).hex().encode() if kind == "action" else b""
+        patience = self.random.choice([300, 800, 2000])
+        lines = [f"{method} /{kind}/{request_id} HTTP/1.1", "Host: h.example", f"Request-Id: {request_id}", f"Deadline-Ms: {patience}", f"Content-Length: {len(body)}"]
+        if kind == "action":
+            self.non_idempotent.add(request_id)
+        try:
+            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+            if self.random.random() < 0.03:
+                return False
+            first, headers, content = await asyncio.wait_for(read_message(reader), patience / 1000 + 1.0)
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+            self.counts["no_answer"] += 1
+            return False
+        self.check_answer(gateway, kind, request_id, int(first.split(" ")[1]), headers, content)
+        return headers.get("connection") != "close"
+
+    def check_answer(self, gateway, kind, request_id, status, headers, content):
+        if headers.get("request-id", request_id) != request_id:
+            self.fail("another-callers-answer", request_id)
+        if status == 200 and kind == "search":
+            self.check_search(request_id, headers, content)
+        elif status == 200:
+            self.counts["answered"] += 1
+            if content != single_answer("records", request_id) or headers.get("response-signature") != signature_of("records", request_id):
+                self.fail("wrong-answer", request_id)
+        elif status in (503, 429):
+            self.counts["not_run"] += 1
+            if kind == "action":
+                asyncio.create_task(self.check_never_ran(request_id))
+        elif status == 404 and self.acknowledged:
+            self.counts["unrouted"] += 1
+            self.fail("route-denied", f"{gateway.name} {request_id}")
+        else:
+            self.counts["failed"] += 1
+
+    def check_search(self, request_id, headers, content):
+        names = {signature_of(f"shard-{index}", request_id): f"shard-{index}" for index in range(SHARDS)}
+        stamps = [stamp.strip() for stamp in headers.get("part-stamps", "").split(",")]
+        if any(stamp not in names for stamp in stamps) or len(set(stamps)) != len(stamps):
+            self.fail("coverage-untrue", request_id)
+            return
+        missing = int(headers.get("missing-parts", "0"))
+        if len(stamps) + missing != SHARDS or len(stamps) < MINIMUM_COVERAGE * SHARDS:
+            self.fail("coverage-untrue", f"{request_id}: {len(stamps)} in, {missing} missing")
+        records = b"".join(part_of(names[stamp], request_id) for stamp in stamps)
+        rows = sorted((records[offset:offset + RECORD_BYTES] for offset in range(0, len(records), RECORD_BYTES)), reverse=True)
+        if content != b"".join(rows[:TOP]):
+            self.fail("wrong-merge", request_id)
+        self.counts["partial" if missing else "answered"] += 1
+
+    async def check_never_ran(self, request_id):
+        await asyncio.sleep(2.5)
+        if request_id in self.journal.runs:
+            self.fail("not-run-but-ran", request_id)
+
+    # ---- Faults
+
+    async def disturb(self):
+        while not self.ending:
+            await asyncio.sleep(self.random.uniform(0.2, 2.0))
+            fault = self.random.choice([self.kill, self.kill, self.pause, self.roll, self.kill_core, self.slow_backend, self.lose_answers, self.garble_answers,
+                                        self.crash_backend, self.drain_backend, self.drain_backend, self.disturb_proxy, self.wipe_coordinator])
+            asyncio.create_task(fault())
+
+    async def kill(self):
+        process = self.random.choice(self.gateways + self.coordinators)
+        process.disturb(1.0)
+        process.send(signal.SIGKILL)
+
+    async def kill_core(self):
+        for process in self.coordinators:
+            process.disturb(1.0)
+            process.send(signal.SIGKILL)
+
+    async def pause(self):
+        process = self.random.choice(self.gateways + self.coordinators)
+        seconds = self.random.uniform(0.2, 4.0)
+        process.disturb(seconds)
+        process.send(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        process.send(signal.SIGCONT)
+
+    async def roll(self):
+        process = self.random.choice(self.gateways + self.coordinators)
+        process.disturb(GRACE_SECONDS)
+        process.send(signal.SIGTERM)
+
+    async def wipe_coordinator(self):
+        """One folder is lost; no other one while it is being replaced."""
+        now = time.monotonic()
+        if any(not process.was_calm(now) for process in self.coordinators):
+            return
+        process = self.random.choice(self.coordinators)
+        process.disturb(8.0)
+        process.send(signal.SIGKILL)
+        shutil.rmtree(os.path.join(process.folder, "data"))
+        os.makedirs(os.path.join(process.folder, "data"))
+
+    def some_backend(self):
+        ready = [backend for backend in self.backends if backend.state == "ready" and not backend.gone]
+        return self.random.choice(ready)
+
+    async def slow_backend(self):
+        backend = self.some_backend()
+        backend.slow = self.random.uniform(5, 60)
+        await asyncio.sleep(self.random.uniform(1, 4))
+        backend.slow = 1.0
+
+    async def lose_answers(self):
+        backend = self.some_backend()
+        backend.lose = self.random.uniform(0.02, 0.5)
+        await asyncio.sleep(self.random.uniform(1, 4))
+        backend.lose = 0.0
+
+    async def garble_answers(self):
+        backend = self.some_backend()
+        backend.garble = self.random.uniform(0.02, 0.5)
+        await asyncio.sleep(self.random.uniform(1, 4))
+        backend.garble = 0.0
+
+    async def crash_backend(self):
+        backend = self.some_backend()
+        backend.crash()
+        await asyncio.sleep(self.random.uniform(0.5, 3))
+        await self.add_backend(backend.service, backend.zone, backend.is_shard)
+
+    async def drain_backend(self):
+        backend = self.some_backend()
+        await self.add_backend(backend.service, backend.zone, backend.is_shard)
+        await asyncio.sleep(0.8)
+        if not backend.gone:
+            await backend.drain()
+
+    async def disturb_proxy(self):
+        await self.random.choice(self.proxies).disturb()
+
+    # ---- The whole
+
+    def check_runs(self):
+        for request_id in self.non_idempotent:
+            runs = self.journal.runs.get(request_id, [])
+            if len(runs) > 1:
+                self.fail("ran-twice", f"{request_id} at {[run.backend for run in runs]}")
+        for request_id, runs in self.journal.runs.items():
+            for service in {run.service for run in runs}:
+                if len({run.backend for run in runs if run.service == service}) > 2:
+                    self.fail("too-many-attempts", f"{request_id} at {service}")
+
+    def check_drains(self):
+        late = [(backend, after) for backend, after in self.journal.late_arrivals if after > DRAIN_SECONDS]
+        for backend, after in late:
+            began = backend.drain_acknowledged
+            if all(process.was_calm(began) and process.disturbed_until < began for process in self.coordinators + self.gateways):
+                self.fail("work-after-drain", f"{backend.id} {after:.1f} s after the acknowledgement")
+
+    async def run(self):
+        await self.start_processes()
+        await self.start_backends()
+        self.version = 1
+        if not await self.declare(1):
+            self.fail("never-started", "the first declaration was not acknowledged")
+        tasks = [asyncio.create_task(work) for work in
+                 [self.operate(), self.read_back(), self.probe_current(), self.disturb()] + [self.caller(number) for number in range(self.options.callers)]]
+        await asyncio.sleep(self.options.seconds)
+        await self.finish(tasks)
+        return not self.failures
+
+    async def finish(self, tasks):
+        """Faults end; what was acknowledged has to be there, and requests have to be served again."""
+        tasks[3].cancel()
+        for process in self.coordinators + self.gateways:
+            process.send(signal.SIGCONT)
+        before = self.counts["answered"] + self.counts["partial"]
+        await asyncio.sleep(8.0)
+        if self.counts["answered"] + self.counts["partial"] == before:
+            self.fail("not-recovered", "no request was served in 8 s after the last fault")
+        newest = self.newest_acknowledged(time.monotonic())
+        answer = await self.control_call("GET", "/crankrudder/config", timeout=2.0)
+        if answer is None or json.loads(answer[2])["version"] < newest:
+            self.fail("acknowledged-lost", f"version {newest}, read {None if answer is None else answer[2][:40]}")
+        self.ending = True
+        await asyncio.sleep(0.3)
+        for task in tasks:
+            task.cancel()
+        self.check_runs()
+        self.check_drains()
+        await self.stop_processes()
+
+    async def stop_processes(self):
+        for backend in self.backends:
+            if not backend.gone:
+                backend.crash()
+        for process in self.coordinators + self.gateways:
+            process.send(signal.SIGKILL)
+        await asyncio.sleep(0.1)
+
+
+def parse_seeds(text):
+    seeds = []
+    for part in text.split(","):
+        first, _, last = part.partition("-")
+        seeds += range(int(first), int(last or first) + 1)
+    return seeds
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--binaries", default="target", help="the build folder with the daemons")
+    parser.add_argument("--seeds", default="1", help="as in 1-5,9; 0 draws one from the clock")
+    parser.add_argument("--seconds", type=float, default=20.0, help="how long faults are injected for each seed")
+    parser.add_argument("--callers", type=int, default=8, help="callers at the same time")
+    options = parser.parse_args()
+    options.binaries = os.path.abspath(options.binaries)
+    passed = failed = 0
+    for seed in parse_seeds(options.seeds):
+        seed = seed or int(time.time())
+        soak = Soak(options, seed)
+        good = asyncio.run(soak.run())
+        passed += good
+        failed += not good
+        print(f"event=soak.finished seed={seed} outcome={'passed' if good else 'failed'} " + " ".join(f"{name}={value}" for name, value in soak.counts.items())
+              + (f" logs={soak.folder}" if not good else ""), flush=True)
+        if good:
+            shutil.rmtree(soak.folder)
+    print(f"{passed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
