LibConsensus, LibFleet, LibGateway: Come back sooner after all were stopped

Cause: after all processes lost power the first election waited for the usual timeout (0.9 to 1.8 s) with nobody to wait for, and callers used up their one retry after 0.15 s of a start that takes longer. Gateways watched three coordinators, one of them always in another region.

--- a/Libraries/LibConsensus/ReplicatedLog.cpp
+++ b/Libraries/LibConsensus/ReplicatedLog.cpp
@@ -53,7 +53,7 @@
         this->ownMember.name += '.';
         this->ownMember.name += recovered.storageId.substr(0, FolderSuffixLength);
     }
-    this->resetElectionTimer(now);
+    this->startElectionTimer(now);
 }
 
 Core::Result<std::unique_ptr<ReplicatedLog>> ReplicatedLog::create(
@@ -194,6 +194,18 @@
     this->electionDue = now + Core::Duration(base + spread(this->random));
 }
 
+// A log whose instances all start at once has no leader to wait for. Where there is one, E2 keeps it from being unseated.
+void ReplicatedLog::startElectionTimer(Core::Instant now)
+{
+    if (!this->options.firstElectionTimeout.has_value()) {
+        this->resetElectionTimer(now);
+        return;
+    }
+    const auto longest = this->options.firstElectionTimeout->count();
+    std::uniform_int_distribution<Core::Duration::rep> spread(longest / 4, longest);
+    this->electionDue = now + Core::Duration(spread(this->random));
+}
+
 bool ReplicatedLog::canStand() const
 {
     return isVoter(this->store.membership(), this->ownMember.name, this->ownMember.storageId);
--- a/Libraries/LibConsensus/ReplicatedLog.h
+++ b/Libraries/LibConsensus/ReplicatedLog.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -45,6 +46,8 @@
     Core::Duration heartbeatPeriod{Core::milliseconds(100)};
     /** Nobody stands for election within this time of hearing from a leader. */
     Core::Duration electionTimeout{Core::milliseconds(500)};
+    /** A process that has just started stands within this time if it hears from no leader; nothing when the usual timeout holds from the start. */
+    std::optional<Core::Duration> firstElectionTimeout;
     std::size_t maximumBytesPerMessage{1024 * 1024};
     std::int64_t entriesBetweenSnapshots{4096};
     std::size_t snapshotPieceBytes{256 * 1024};
@@ -147,6 +150,7 @@
     void becomeFollower(std::int64_t newTerm, const std::string &leader, Core::Instant now);
     void setTerm(std::int64_t newTerm, const std::string &vote);
     void resetElectionTimer(Core::Instant now);
+    void startElectionTimer(Core::Instant now);
     [[nodiscard]] bool canStand() const;
     [[nodiscard]] bool isUpToDate(const Protocol::LogMessage &request) const;
     [[nodiscard]] bool heardLeaderRecently(Core::Instant now) const;
--- a/Libraries/LibFleet/FleetWatcher.h
+++ b/Libraries/LibFleet/FleetWatcher.h
@@ -30,7 +30,7 @@
     /** Never watched: the watcher itself. */
     Core::Endpoint own;
     /** How many coordinators are watched at once; any more are known, but asked only when these fail. */
-    std::size_t watchedAtOnce{3};
+    std::size_t watchedAtOnce{2};
     /** Whether declarations are wanted, and whose heartbeats coordinators heard. */
     bool wantsDeclarations{true};
     bool wantsHeard{false};
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -252,7 +252,9 @@
             {"target", request.message.target},
             {"declaration", this->routes ? this->routes->declaration().version.value() : -1},
             {"confirmed", this->watcher.isConfirmed() ? 1 : 0}});
-    exchange->respond(this->options.dialect.writeRefusal(refusal, request.id, this->options.requests.comeBackAfter));
+    const auto &settings = this->options.requests;
+    const auto comeBackAfter = this->watcher.isConfirmed() ? settings.comeBackAfter : settings.comeBackAfterStart;
+    exchange->respond(this->options.dialect.writeRefusal(refusal, request.id, comeBackAfter));
 }
 
 Core::ServiceName GatewayNode::chooseTarget(const Fleet::Route &route)
--- a/Meta/crankrudder.sh
+++ b/Meta/crankrudder.sh
@@ -14,6 +14,7 @@
   format                       formats all sources in place
   lint                         runs the linter alone
   models                       checks the protocol models with Spin
+  soak [--seeds 1-5] [--seconds 20]   injects faults into the real programs, checks the promises
   measure tail|control|capacity   measures; figures go to standard output
 TEXT
 }
@@ -71,6 +72,11 @@
     install
     exec Meta/models.sh
     ;;
+soak)
+    install
+    build
+    exec Tests/Soak/soak.py --binaries "$BUILD" "$@"
+    ;;
 measure)
     install
     build
--- a/Meta/install-dependencies.sh
+++ b/Meta/install-dependencies.sh
@@ -7,7 +7,7 @@
     libglib2.0-dev libsoup-3.0-dev glib-networking
     libthrift-dev libboost-dev
     prometheus-cpp-dev liblog4cxx-dev libfmt-dev libexpected-dev
-    nlohmann-json3-dev zlib1g-dev libcriterion-dev
+    nlohmann-json3-dev zlib1g-dev libcriterion-dev libhttp-parser-dev
     spin curl gnuplot-nox python3
 )
 
