--- a/Libraries/LibGateway/RequestSettings.h
+++ b/Libraries/LibGateway/RequestSettings.h
@@ -16,6 +16,8 @@
 struct RequestSettings {
     /** The part of the target latency that is kept for the way back to the caller and for a new connection of it. */
     double returnShare{0.13};
+    /** … but at least this long: four times the one-way time of the farthest callers that we know of (3 ms), and some for both programs. */
+    Core::Duration returnFloor{Core::milliseconds(16)};
     /** An attempt without a reply is hedged after this many times the usual latency … */
     double hedgeFactor{2.2};
     /** … and at least this long, which is about what a round trip to the farthest region takes. */
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -41,6 +41,13 @@
     return Core::Duration(static_cast<Core::Duration::rep>(static_cast<double>(duration.count()) * factor));
 }
 
+// How long after its arrival an answer should leave to reach the caller in time.
+static Core::Duration timeToTarget(const RequestSettings &settings, const Fleet::Route &route)
+{
+    const auto reserve = std::max(scaled(route.targetLatency, settings.returnShare), settings.returnFloor);
+    return std::max(route.targetLatency - reserve, route.targetLatency / 2);
+}
+
 CallTerms makeTerms(
     const RequestSettings &settings, const Fleet::Route &route, const CallerRequest &request, const Core::LatencyDigest &latencies, Core::Instant now)
 {
@@ -64,7 +71,7 @@
     , request(std::move(request))
     , terms(makeTerms(*context.settings, route, this->request, *context.latencies, context.timers->now()))
     , arrivedAt(context.timers->now())
-    , targetAt(this->arrivedAt + context.targetLeft.value_or(scaled(route.targetLatency, 1.0 - context.settings->returnShare)))
+    , targetAt(this->arrivedAt + context.targetLeft.value_or(timeToTarget(*context.settings, route)))
 {
 }
 
