--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -14,6 +14,11 @@
 namespace Gateway
 {
 
+// The shortest round trip is what was measured; queues and a connection that has to be opened make it longer.
+static constexpr double RelayWayFactor = 1.3;
+// Two programs and two links more than without the other gateway.
+static constexpr Core::Duration RelayOverhead = Core::milliseconds(4);
+
 FanOutRequest::RelayedShards::RelayedShards(const Fleet::Route &route, const RelayPlan &plan, const CallerRequest &request, Core::Duration targetLeft)
     : shards(plan.relayed), route(makeRelayRoute(route, plan.relays)), request(request)
 {
@@ -51,7 +56,8 @@
 void FanOutRequest::startRelayed()
 {
     // The other gateway answers so early that its part is here when the whole answer should leave.
-    const auto target = std::max(Core::Duration(0), this->targetAt - this->now() - this->context.relays->roundTripTo(this->plan.relays));
+    const auto way = scaled(this->context.relays->roundTripTo(this->plan.relays), RelayWayFactor) + RelayOverhead;
+    const auto target = std::max(Core::Duration(0), this->targetAt - this->now() - way);
     this->relayed = std::make_unique<RelayedShards>(this->route, this->plan, this->request, target);
     auto &part = *this->relayed;
     part.terms = makeTerms(*this->context.settings, *part.route, part.request, *this->context.relayLatencies, this->now());
