LibGateway: Pass over backend servers that refuse or fail a share of their requests

Ruled out: the repeat budget; it was not used up. Now a smoothed share of refusals and failures counts in the choice, and one that only refused may be asked again once all have.

--- a/Libraries/LibCore/BoundedLogAppender.cpp
+++ b/Libraries/LibCore/BoundedLogAppender.cpp
@@ -14,7 +14,8 @@
 namespace Core
 {
 
-BoundedLogAppender::BoundedLogAppender(const log4cxx::LayoutPtr &layout, int descriptor) : log4cxx::AppenderSkeleton(layout), lineLayout(layout), descriptor(descriptor)
+BoundedLogAppender::BoundedLogAppender(const log4cxx::LayoutPtr &layout, int descriptor)
+    : log4cxx::AppenderSkeleton(layout), lineLayout(layout), descriptor(descriptor)
 {
 }
 
--- a/Libraries/LibCore/Daemon.cpp
+++ b/Libraries/LibCore/Daemon.cpp
@@ -97,7 +97,8 @@
     settings.add(std::move(option));
 }
 
-int runProgram(Settings &settings, int argumentCount, char **arguments, const LogLevel &logLevel, const std::function<Result<void>()> &program, LogStream stream)
+int runProgram(
+    Settings &settings, int argumentCount, char **arguments, const LogLevel &logLevel, const std::function<Result<void>()> &program, LogStream stream)
 {
     const auto rest = settings.parse(argumentCount, arguments);
     if (!rest.has_value()) {
--- a/Libraries/LibCore/Daemon.h
+++ b/Libraries/LibCore/Daemon.h
@@ -73,6 +73,11 @@
 void addLogLevelSetting(Settings &settings, LogLevel &target);
 
 /** Parses the settings, prints help or errors, starts logging and runs the program. Returns the exit code. */
-[[nodiscard]] int runProgram(Settings &settings, int argumentCount, char **arguments, const LogLevel &logLevel, const std::function<Result<void>()> &program, LogStream stream = LogStream::Error);
+[[nodiscard]] int runProgram(Settings &settings,
+    int argumentCount,
+    char **arguments,
+    const LogLevel &logLevel,
+    const std::function<Result<void>()> &program,
+    LogStream stream = LogStream::Error);
 
 }
--- a/Libraries/LibFleet/TextDelta.cpp
+++ b/Libraries/LibFleet/TextDelta.cpp
@@ -171,8 +171,8 @@
     std::string text(length, '\0');
     uLongf expanded = static_cast<uLongf>(length);
     const auto source = bytes.substr(LengthBytes);
-    const int outcome = uncompress(
-        reinterpret_cast<Bytef *>(text.data()), &expanded, reinterpret_cast<const Bytef *>(source.data()), static_cast<uLong>(source.size()));
+    const int outcome
+        = uncompress(reinterpret_cast<Bytef *>(text.data()), &expanded, reinterpret_cast<const Bytef *>(source.data()), static_cast<uLong>(source.size()));
     if (outcome != Z_OK || expanded != length) {
         return Core::failure(Core::ErrorKind::Corruption, "the bytes are no compressed text");
     }
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -19,6 +19,11 @@
 static constexpr double SlownessWeight = 0.3;
 // What is known of slowness fades to half in this time, so that one that recovered is asked again.
 static constexpr double SlownessHalfLifeSeconds = 2.0;
+// Weight of the newest outcome in the smoothed share of refusals and failures, and how fast that share fades.
+static constexpr double TroubleWeight = 0.25;
+static constexpr double TroubleHalfLifeSeconds = 2.0;
+// Score of one that refuses or fails everything; one that does so to each fourth is passed over for one that is 40 ms slower.
+static constexpr double TroublePenaltyMilliseconds = 160.0;
 // One latency is never taken for more than this many times the usual.
 static constexpr double SlownessCeiling = 12.0;
 // A load report is news for this long; requests take tens of milliseconds.
@@ -224,10 +229,15 @@
     return Core::toFractionalMilliseconds(duration);
 }
 
+// What is left of a measure after a time, with a half-life in seconds.
+static double faded(double value, Core::Duration age, double halfLifeSeconds)
+{
+    return value * std::exp2(-milliseconds(age) / 1000.0 / halfLifeSeconds);
+}
+
 double BackendPool::scoreOf(const Backend &backend, Core::Duration typicalLatency, Core::Instant now)
 {
-    const double age = milliseconds(now - backend.slownessAt) / 1000.0;
-    const double slowness = 1.0 + (backend.slowness - 1.0) * std::exp2(-age / SlownessHalfLifeSeconds);
+    const double slowness = 1.0 + faded(backend.slowness - 1.0, now - backend.slownessAt, SlownessHalfLifeSeconds);
     const double own = static_cast<double>(backend.inFlight.size());
     const double freshness = std::max(0.0, 1.0 - milliseconds(now - backend.loadAt) / milliseconds(LoadReportLife));
     const double reported = freshness * (backend.load.running + backend.load.waiting);
@@ -242,6 +252,7 @@
         score += milliseconds(this->options.crossZoneBias);
     }
     score *= 1.0 + std::uniform_real_distribution<double>(0.0, ScoreNoise)(this->random);
+    score += TroublePenaltyMilliseconds * faded(backend.troubleRate, now - backend.troubleAt, TroubleHalfLifeSeconds);
     score += this->isStuck(backend, now) ? StuckPenaltyMilliseconds : 0.0;
     score += now < backend.avoidedUntil ? AvoidedPenaltyMilliseconds : 0.0;
     return score;
@@ -419,6 +430,7 @@
     }
     if (reply.notExecuted) {
         ++this->counts.notExecuted;
+        this->noteTrouble(backend, true);
         return;
     }
     if (reply.message.status >= 500) {
@@ -427,17 +439,26 @@
     }
     backend.consecutiveFailures = 0;
     backend.avoidedUntil = now;
+    this->noteTrouble(backend, false);
     const double usual = std::max(1.0, milliseconds(attempt.typicalLatency));
     const double latency = milliseconds(now - attempt.startedAt) - (backend.sameRegion ? 0.0 : milliseconds(backend.roundTrip.value_or(Core::Duration(0))));
     const double ratio = std::clamp(latency / usual, 0.5, SlownessCeiling);
-    const double age = milliseconds(now - backend.slownessAt) / 1000.0;
-    const double faded = 1.0 + (backend.slowness - 1.0) * std::exp2(-age / SlownessHalfLifeSeconds);
-    backend.slowness = (1.0 - SlownessWeight) * faded + SlownessWeight * ratio;
+    const double before = 1.0 + faded(backend.slowness - 1.0, now - backend.slownessAt, SlownessHalfLifeSeconds);
+    backend.slowness = (1.0 - SlownessWeight) * before + SlownessWeight * ratio;
     backend.slownessAt = now;
 }
 
+void BackendPool::noteTrouble(Backend &backend, bool trouble)
+{
+    const auto now = this->timers.now();
+    const double before = faded(backend.troubleRate, now - backend.troubleAt, TroubleHalfLifeSeconds);
+    backend.troubleRate = (1.0 - TroubleWeight) * before + (trouble ? TroubleWeight : 0.0);
+    backend.troubleAt = now;
+}
+
 void BackendPool::noteFailure(Backend &backend, const std::string &reason)
 {
+    this->noteTrouble(backend, true);
     ++backend.consecutiveFailures;
     if (backend.consecutiveFailures < FailuresUntilAvoided) {
         return;
@@ -592,6 +613,7 @@
             {"connections", backend->connections.size()},
             {"in_flight", backend->inFlight.size()},
             {"slowness", backend->slowness},
+            {"trouble_rate", backend->troubleRate},
             {"avoided_ms", Core::toMilliseconds(std::max(Core::Duration(0), backend->avoidedUntil - now))},
             {"failures", backend->consecutiveFailures}});
     }
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -111,6 +111,9 @@
     // How much longer than usual it takes, smoothed; 1 is usual.
     double slowness{1.0};
     Core::Instant slownessAt;
+    // Share of the requests that it refused or failed, smoothed.
+    double troubleRate{0.0};
+    Core::Instant troubleAt;
     int consecutiveFailures{0};
     Core::Instant avoidedUntil;
     Core::Instant lastReply;
@@ -214,6 +217,7 @@
     [[nodiscard]] Attempt takeAttempt(AttemptId id);
     void learn(Backend &backend, const Attempt &attempt, const AttemptOutcome &outcome);
     void noteFailure(Backend &backend, const std::string &reason);
+    void noteTrouble(Backend &backend, bool trouble);
     void markGone(Backend &backend);
     void remove(Backend &backend);
     void offerRoom(const Core::ServiceName &service);
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -421,7 +421,8 @@
     page.gauge("crankrudder_coordinators_in_reach", "Coordinators that answer.", static_cast<double>(this->watcher.inReach()));
     page.gauge("crankrudder_gateways", "Gateways that are known to be ready.", this->pool.gatewayCount());
     page.gauge("crankrudder_backends", "Backend servers that are known.", static_cast<double>(this->pool.backendCount()));
-    page.gauge("crankrudder_declaration_version", "The declaration in force.", this->routes ? static_cast<double>(this->routes->declaration().version.value()) : -1.0);
+    page.gauge(
+        "crankrudder_declaration_version", "The declaration in force.", this->routes ? static_cast<double>(this->routes->declaration().version.value()) : -1.0);
     page.histogram("crankrudder_request_seconds", "Time until the answer.", this->searchLatencies, {{"kind", "search"}});
     page.histogram("crankrudder_request_seconds", "Time until the answer.", this->singleLatencies, {{"kind", "single"}});
     return page.text();
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -155,6 +155,9 @@
 {
     if (incoming.notExecuted || incoming.wrongBackend) {
         ++this->refusals;
+        if (!incoming.wrongBackend) {
+            this->refusedBy.push_back(backend);
+        }
         this->reason = incoming.wrongBackend ? "the address has another backend server now" : "the backend server refused";
         this->retryOrFinish(CallState::NotRun);
         return;
@@ -183,7 +186,17 @@
     const bool nothingRan = this->executionCount == 0;
     const bool allowed = (this->terms.route->idempotent || nothingRan) && this->refusals < MaximumRefusals && this->mayTryAnother();
     const bool wasSent = otherwise != CallState::NotRun || this->refusals > 0;
-    if (allowed && this->pool.choose(this->serviceName, this->tried, this->terms.typicalLatency, false) != nullptr) {
+    // Once all have refused, those that only refused may be asked again: they did not run it.
+    const auto choice = [this] {
+        return this->pool.choose(this->serviceName, this->tried, this->terms.typicalLatency, false);
+    };
+    if (allowed && choice() == nullptr) {
+        std::erase_if(this->tried, [this](const BackendName &name) {
+            return std::find(this->refusedBy.begin(), this->refusedBy.end(), name) != this->refusedBy.end();
+        });
+        this->refusedBy.clear();
+    }
+    if (allowed && choice() != nullptr) {
         if (!wasSent || this->pool.budget(this->serviceName).takeRepeat(this->timers.now(), this->pool.gatewayCount())) {
             this->tryNext(false);
             return;
--- a/Libraries/LibGateway/ShardCall.h
+++ b/Libraries/LibGateway/ShardCall.h
@@ -112,6 +112,8 @@
     std::vector<Running> running;
     // Backend servers that are not asked again.
     std::vector<BackendName> tried;
+    // Of these, those that refused the request and did not run it.
+    std::vector<BackendName> refusedBy;
     // Attempts that may have run; bounded by the route.
     int executionCount{0};
     int sends{0};
--- a/Tests/LibGateway/TestRequests.cpp
+++ b/Tests/LibGateway/TestRequests.cpp
@@ -96,7 +96,7 @@
         const char *name;
         TestSupport::ScriptedBackend::Script script;
         int status;
-        std::size_t runs;
+        std::size_t arrivals;
     };
     const std::vector<Case> cases{
         {"it failed", failing(500, false), 500, 1},
@@ -108,7 +108,8 @@
             },
             502,
             1},
-        {"it refused", failing(503, true), 503, 2},
+        // Refusals are no runs; both are asked, and one of them once more.
+        {"it refused", failing(503, true), 503, 3},
     };
     for (const auto &item : cases) {
         GatewayFixture fixture;
@@ -117,7 +118,7 @@
         const auto &two = fixture.add("s", "two", item.script);
         const auto answer = fixture.ask("r1", "POST");
         cr_assert(answer.status == item.status, "%s: %d", item.name, answer.status);
-        cr_assert(one.requests.size() + two.requests.size() == item.runs, "%s", item.name);
+        cr_assert(one.requests.size() + two.requests.size() == item.arrivals, "%s", item.name);
     }
 }
 
@@ -158,6 +159,31 @@
     cr_assert(fixture.summary->attempts == 2);
 }
 
+Test(SingleRequest, asksAgainWhereItWasOnlyRefused)
+{
+    GatewayFixture fixture;
+    makeSingle(fixture, false);
+    bool first = true;
+    const auto &one = fixture.add("s", "one", [&first](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+        exchange->respond(std::exchange(first, false) ? badAnswer(request, 503, true) : goodAnswer(request, "sig", "fine"));
+    });
+    cr_assert(fixture.ask("r1", "POST").body == "fine", "the only backend server there is refused once");
+    cr_assert(one.requests.size() == 2);
+}
+
+Test(SingleRequest, prefersABackendServerThatDoesNotRefuse)
+{
+    GatewayFixture fixture;
+    makeSingle(fixture, false);
+    const auto &refusing = fixture.add("s", "refusing", failing(503, true));
+    const auto &sound = fixture.add("s", "sound", answering("fine"));
+    for (int round = 0; round < 20; ++round) {
+        cr_assert(fixture.ask("r" + std::to_string(round), "POST").body == "fine");
+    }
+    cr_assert(sound.requests.size() == 20);
+    cr_assert(refusing.requests.size() <= 5, "%zu", refusing.requests.size());
+}
+
 Test(SingleRequest, goesElsewhereWhenAnAddressWasReused)
 {
     GatewayFixture fixture;
@@ -294,7 +320,8 @@
         bool asked;
     };
     // With no budget left the call ends at once, while the part is still being taken over: this crashed once.
-    const std::vector<Case> cases{{"never run", 0, 0.0, true}, {"run once", 1, 1000.0, true}, {"run once, no budget", 1, 0.0, false}, {"run as often as allowed", 2, 1000.0, false}};
+    const std::vector<Case> cases{
+        {"never run", 0, 0.0, true}, {"run once", 1, 1000.0, true}, {"run once, no budget", 1, 0.0, false}, {"run as often as allowed", 2, 1000.0, false}};
     for (const auto &item : cases) {
         GatewayFixture fixture(item.slack);
         fixture.pool.setGatewayCount(1, 1);
