LibGateway: Notice silent machines at once, hedge only where it can be in time

Now bytes that stay unacknowledged for 80 ms end a part's connection and its shards are asked from here (an attempt counted for it); silence counts at the first time; a hedge goes only where it is expected to answer before the target; 0.85 instead of 0.75 of the repeat budget is used.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -36,8 +36,7 @@
 static constexpr double AvoidedPenaltyMilliseconds = 10'000.0;
 // A cold backend server takes about this much longer.
 static constexpr double ColdFactor = 1.6;
-// Failures in a row after which a backend server is avoided, and for how long at first and at most.
-static constexpr int FailuresUntilAvoided = 2;
+// For how long one that fails is avoided at first and at most.
 static constexpr Core::Duration FirstAvoidance = Core::milliseconds(500);
 static constexpr Core::Duration LongestAvoidance = Core::seconds(4);
 // Scores differ by up to this share at random, so that gateways don't all choose the same one.
@@ -235,30 +234,39 @@
     return value * std::exp2(-milliseconds(age) / 1000.0 / halfLifeSeconds);
 }
 
-double BackendPool::scoreOf(const Backend &backend, Core::Duration typicalLatency, Core::Instant now)
+double BackendPool::expectedMilliseconds(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const
 {
     const double slowness = 1.0 + faded(backend.slowness - 1.0, now - backend.slownessAt, SlownessHalfLifeSeconds);
     const double own = static_cast<double>(backend.inFlight.size());
     const double freshness = std::max(0.0, 1.0 - milliseconds(now - backend.loadAt) / milliseconds(LoadReportLife));
     const double reported = freshness * (backend.load.running + backend.load.waiting);
     const double queueing = std::max(0.0, std::max(own, reported) + 1.0 - backend.slots) / backend.slots;
-    double score = milliseconds(typicalLatency) * slowness * (1.0 + queueing);
+    double expected = milliseconds(typicalLatency) * slowness * (1.0 + queueing);
     if (now < backend.warmUntil) {
-        score *= ColdFactor;
+        expected *= ColdFactor;
     }
     if (!backend.sameRegion) {
-        score += milliseconds(backend.roundTrip.value_or(this->options.assumedRegionRoundTrip) + this->options.crossRegionBias);
+        expected += milliseconds(backend.roundTrip.value_or(this->options.assumedRegionRoundTrip));
+    }
+    expected += this->isStuck(backend, now) ? StuckPenaltyMilliseconds : 0.0;
+    expected += now < backend.avoidedUntil ? AvoidedPenaltyMilliseconds : 0.0;
+    return expected;
+}
+
+// What goes into the choice besides the expected time.
+double BackendPool::biasMilliseconds(const Backend &backend, Core::Instant now)
+{
+    double bias = TroublePenaltyMilliseconds * faded(backend.troubleRate, now - backend.troubleAt, TroubleHalfLifeSeconds);
+    if (!backend.sameRegion) {
+        bias += milliseconds(this->options.crossRegionBias);
     } else if (!backend.sameZone) {
-        score += milliseconds(this->options.crossZoneBias);
+        bias += milliseconds(this->options.crossZoneBias);
     }
-    score *= 1.0 + std::uniform_real_distribution<double>(0.0, ScoreNoise)(this->random);
-    score += TroublePenaltyMilliseconds * faded(backend.troubleRate, now - backend.troubleAt, TroubleHalfLifeSeconds);
-    score += this->isStuck(backend, now) ? StuckPenaltyMilliseconds : 0.0;
-    score += now < backend.avoidedUntil ? AvoidedPenaltyMilliseconds : 0.0;
-    return score;
+    return bias;
 }
 
-Backend *BackendPool::choose(const Core::ServiceName &service, const std::vector<BackendName> &tried, Core::Duration typicalLatency, bool soundOnly)
+Backend *BackendPool::choose(
+    const Core::ServiceName &service, const std::vector<BackendName> &tried, Core::Duration typicalLatency, std::optional<Core::Duration> within)
 {
     auto &row = this->serviceOf(service);
     const auto now = this->timers.now();
@@ -269,10 +277,12 @@
         if (backend->phase != Protocol::BackendPhase::READY || wasTried || !this->hasRoom(*backend, row)) {
             continue;
         }
-        const double score = this->scoreOf(*backend, typicalLatency, now);
-        if (soundOnly && score >= StuckPenaltyMilliseconds + milliseconds(typicalLatency)) {
+        const double expected = this->expectedMilliseconds(*backend, typicalLatency, now);
+        if (within.has_value() && expected > milliseconds(within.value())) {
             continue;
         }
+        const double noise = 1.0 + std::uniform_real_distribution<double>(0.0, ScoreNoise)(this->random);
+        const double score = expected * noise + this->biasMilliseconds(*backend, now);
         if (best == nullptr || score < bestScore) {
             best = backend;
             bestScore = score;
@@ -285,8 +295,8 @@
 
 std::shared_ptr<Wire::ClientConnection> BackendPool::openConnection(Backend &backend)
 {
-    auto opened = Wire::ClientConnection::create(
-        {.endpoint = backend.endpoint, .silenceLimit = this->options.connectPatience * 2, .limits = {}}, this->poll, this->timers);
+    auto opened
+        = Wire::ClientConnection::create({.endpoint = backend.endpoint, .silenceLimit = this->options.silenceLimit, .limits = {}}, this->poll, this->timers);
     if (!opened.has_value()) {
         Core::logEvent(Core::LogLevel::Warning, "backend.connect_failed", {{"backend", backend.name.value()}, {"reason", opened.error().message}});
         return nullptr;
@@ -395,6 +405,9 @@
     case Wire::ClientEnd::Broken:
         outcome.end = AttemptEnd::Broken;
         break;
+    case Wire::ClientEnd::Unacknowledged:
+        outcome.end = AttemptEnd::Unacknowledged;
+        break;
     }
     this->learn(backend, attempt, outcome);
     const auto service = backend.service;
@@ -410,6 +423,9 @@
     if (outcome.end != AttemptEnd::Replied) {
         (outcome.end == AttemptEnd::NotSent ? this->counts.notSent : this->counts.broken) += 1;
         this->noteFailure(backend, outcome.reason);
+        if (outcome.end == AttemptEnd::Unacknowledged) {
+            this->avoid(backend, outcome.reason);
+        }
         return;
     }
     const auto &reply = outcome.reply;
@@ -460,11 +476,15 @@
 {
     this->noteTrouble(backend, true);
     ++backend.consecutiveFailures;
-    if (backend.consecutiveFailures < FailuresUntilAvoided) {
-        return;
+    if (backend.consecutiveFailures >= this->options.failuresUntilAvoided) {
+        this->avoid(backend, reason);
     }
+}
+
+void BackendPool::avoid(Backend &backend, const std::string &reason)
+{
     const auto now = this->timers.now();
-    const int doublings = std::min(backend.consecutiveFailures - FailuresUntilAvoided, 3);
+    const int doublings = std::clamp(backend.consecutiveFailures - this->options.failuresUntilAvoided, 0, 3);
     const auto duration = std::min(FirstAvoidance * (1 << doublings), LongestAvoidance);
     if (now >= backend.avoidedUntil) {
         Core::logEvent(Core::LogLevel::Information,
@@ -475,7 +495,7 @@
                 {"for_ms", Core::toMilliseconds(duration)},
                 {"reason", reason}});
     }
-    backend.avoidedUntil = now + duration;
+    backend.avoidedUntil = std::max(backend.avoidedUntil, now + duration);
 }
 
 void BackendPool::abandon(AttemptId id, bool callerGone)
@@ -563,7 +583,9 @@
         const bool sent = attempt.connection && attempt.connection->isConnected();
         ++this->counts.cancelled;
         if (sent && now - backend.lastReply >= this->options.abandonPatience) {
+            // Longer than any pause, so it is no pause.
             this->noteFailure(backend, "silent");
+            this->avoid(backend, "silent");
         } else if (!sent) {
             this->noteFailure(backend, "no connection in time");
         }
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -33,6 +33,10 @@
     RepeatBudgetOptions budget;
     /** A server that is not silent answers a new connection within this time, also across regions. */
     Core::Duration connectPatience{Core::milliseconds(600)};
+    /** Sent bytes that stay unacknowledged for this long break a connection; a machine that runs acknowledges within a round trip. */
+    Core::Duration silenceLimit{Core::milliseconds(1200)};
+    /** Failures in a row after which one is avoided. Silence counts at once. */
+    int failuresUntilAvoided{2};
     /** An abandoned attempt is cancelled, by closing its connection, after this time. Longer than a pause, so that a connection survives one. */
     Core::Duration abandonPatience{Core::milliseconds(300)};
     /** Once the caller has gone nobody needs the answer: cancelled well within half a second. */
@@ -67,6 +71,8 @@
     NotSent,
     /** It may have run. */
     Broken,
+    /** It has most likely not arrived, since its bytes stayed unacknowledged. */
+    Unacknowledged,
 };
 
 struct AttemptOutcome {
@@ -161,8 +167,11 @@
     void setGatewayCount(int all, int inZone);
     [[nodiscard]] int gatewayCount() const;
 
-    /** The best backend server that has room and is none of `tried`, or nullptr. `soundOnly` passes over those that seem stuck. */
-    [[nodiscard]] Backend *choose(const Core::ServiceName &service, const std::vector<BackendName> &tried, Core::Duration typicalLatency, bool soundOnly);
+    /** The best backend server that has room and is none of `tried`, or nullptr. With `within`, only one that is expected to answer in that time. */
+    [[nodiscard]] Backend *choose(const Core::ServiceName &service,
+        const std::vector<BackendName> &tried,
+        Core::Duration typicalLatency,
+        std::optional<Core::Duration> within = std::nullopt);
 
     /** Sends. `done` is called exactly once, from the loop, unless the attempt is abandoned. */
     AttemptId send(Backend &backend, AttemptOptions options);
@@ -209,7 +218,8 @@
     [[nodiscard]] std::size_t connectionLimit(const Backend &backend, const Service &service) const;
     [[nodiscard]] bool hasRoom(const Backend &backend, const Service &service) const;
     [[nodiscard]] bool isStuck(const Backend &backend, Core::Instant now) const;
-    [[nodiscard]] double scoreOf(const Backend &backend, Core::Duration typicalLatency, Core::Instant now);
+    [[nodiscard]] double expectedMilliseconds(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const;
+    [[nodiscard]] double biasMilliseconds(const Backend &backend, Core::Instant now);
     [[nodiscard]] std::shared_ptr<Wire::ClientConnection> connectionFor(Backend &backend);
     [[nodiscard]] std::shared_ptr<Wire::ClientConnection> openConnection(Backend &backend);
     void connectionClosed(Backend &backend, const Wire::ClientConnection *connection);
@@ -217,6 +227,7 @@
     [[nodiscard]] Attempt takeAttempt(AttemptId id);
     void learn(Backend &backend, const Attempt &attempt, const AttemptOutcome &outcome);
     void noteFailure(Backend &backend, const std::string &reason);
+    void avoid(Backend &backend, const std::string &reason);
     void noteTrouble(Backend &backend, bool trouble);
     void markGone(Backend &backend);
     void remove(Backend &backend);
--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -57,7 +57,7 @@
 {
     // The other gateway answers so early that its part is here when the whole answer should leave.
     const auto way = scaled(this->context.relays->roundTripTo(this->plan.relays), RelayWayFactor) + RelayOverhead;
-    const auto target = std::max(Core::Duration(0), this->targetAt - this->now() - way);
+    const auto target = std::max(Core::Duration(0), this->terms.targetAt - this->now() - way);
     this->relayed = std::make_unique<RelayedShards>(this->route, this->plan, this->request, target);
     auto &part = *this->relayed;
     part.terms = makeTerms(*this->context.settings, *part.route, part.request, *this->context.relayLatencies, this->now());
@@ -91,10 +91,13 @@
         break;
     }
     case CallState::NotRun:
-        // No other gateway has taken it, so it is all asked from here, in the time that is left.
+    case CallState::FailedUnacknowledged:
+        // No other gateway has taken it, so it is all asked from here, in the time that is left. One whose machine fell silent most likely has
+        // not either; an attempt at each shard is counted for it all the same.
         for (const auto &shard : part.shards) {
             missing.emplace_back();
             missing.back().serviceName = shard.value();
+            missing.back().executions = part.call->executions();
         }
         break;
     default:
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -27,6 +27,8 @@
     BackendPoolOptions relays = options.pool;
     relays.undeclaredCap = options.relayConnections;
     relays.connectPatience = options.relay.connectPatience;
+    relays.silenceLimit = options.relay.silenceLimit;
+    relays.failuresUntilAvoided = 1;
     return relays;
 }
 
--- a/Libraries/LibGateway/RelayPlan.h
+++ b/Libraries/LibGateway/RelayPlan.h
@@ -22,6 +22,8 @@
     int targetsHeld{2};
     /** Another gateway that is sound accepts a connection within this time. */
     Core::Duration connectPatience{Core::milliseconds(100)};
+    /** Another gateway's machine that runs acknowledges within a round trip, 24 ms between the farthest regions that we know of. */
+    Core::Duration silenceLimit{Core::milliseconds(80)};
 };
 
 /** How a search is divided. */
--- a/Libraries/LibGateway/RepeatBudget.h
+++ b/Libraries/LibGateway/RepeatBudget.h
@@ -25,7 +25,7 @@
     double slack{60.0};
     Core::Duration window{Core::seconds(10)};
     /** The part of the budget that is used, since clocks, arrivals and gateway counts are known only roughly. */
-    double usedShare{0.75};
+    double usedShare{0.85};
 };
 
 /** Counts requests and repeats in a sliding window. */
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -57,6 +57,7 @@
     terms.route = &route;
     terms.settings = &settings;
     terms.deadline = now + patience;
+    terms.targetAt = now + timeToTarget(settings, route);
     terms.giveUpAt = now + std::min(patience, route.timeout) - settings.answerReserve;
     terms.typicalLatency = latencies.quantile(0.5, scaled(route.targetLatency, settings.assumedLatencyShare), FewestLatencies);
     const auto ceiling = std::max(settings.hedgeFloor, scaled(route.targetLatency, settings.hedgeCeilingShare));
@@ -71,8 +72,8 @@
     , request(std::move(request))
     , terms(makeTerms(*context.settings, route, this->request, *context.latencies, context.timers->now()))
     , arrivedAt(context.timers->now())
-    , targetAt(this->arrivedAt + context.targetLeft.value_or(timeToTarget(*context.settings, route)))
 {
+    this->terms.targetAt = this->arrivedAt + context.targetLeft.value_or(timeToTarget(*context.settings, route));
 }
 
 RoutedRequest::~RoutedRequest() = default;
@@ -114,7 +115,7 @@
 
 bool RoutedRequest::isTargetDue() const
 {
-    return this->now() >= this->targetAt;
+    return this->now() >= this->terms.targetAt;
 }
 
 bool RoutedRequest::isTimeUp() const
@@ -126,7 +127,7 @@
 {
     auto wanted = std::min(due, this->terms.giveUpAt);
     if (!this->isTargetDue()) {
-        wanted = std::min(wanted, this->targetAt);
+        wanted = std::min(wanted, this->terms.targetAt);
     }
     this->lookTimer = this->context.timers->once(std::max(Core::Duration(0), wanted - this->now()), [this](Core::Instant) {
         this->look();
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -115,8 +115,6 @@
     CallerRequest request;
     CallTerms terms;
     Core::Instant arrivedAt;
-    // When an answer should leave to be in time.
-    Core::Instant targetAt;
 
 private:
     void look();
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -12,6 +12,8 @@
 
 // Backend servers that may refuse one request before it is given up; each refusal is a send that the budget pays for.
 static constexpr int MaximumRefusals = 3;
+// What a hedge may be expected to take once the target has passed; less than the penalty of one that looks stuck.
+static constexpr Core::Duration LateHedgeLimit = Core::milliseconds(250);
 
 ShardCall::ShardCall(const CallTerms &terms, Core::ServiceName service, BackendPool &pool, Core::TimerService &timers)
     : terms(terms), serviceName(std::move(service)), pool(pool), timers(timers)
@@ -42,12 +44,12 @@
         this->finish(CallState::Failed);
         return;
     }
-    this->tryNext(false);
+    this->tryNext();
 }
 
-void ShardCall::tryNext(bool soundOnly)
+void ShardCall::tryNext()
 {
-    auto *backend = this->pool.choose(this->serviceName, this->tried, this->terms.typicalLatency, soundOnly);
+    auto *backend = this->pool.choose(this->serviceName, this->tried, this->terms.typicalLatency);
     if (backend != nullptr) {
         this->sendTo(*backend);
     } else if (this->running.empty()) {
@@ -63,7 +65,7 @@
     }
     this->waiter = this->pool.waitForRoom(this->serviceName, this->terms.route->priority, [this] {
         this->waiter.reset();
-        this->tryNext(false);
+        this->tryNext();
     });
 }
 
@@ -104,7 +106,9 @@
     if (now < due) {
         return due;
     }
-    auto *backend = this->pool.choose(this->serviceName, this->tried, this->terms.typicalLatency, true);
+    // Worth a repeat only where it is expected to be in time; after the target, anywhere that does not look stuck.
+    const auto within = now < this->terms.targetAt ? this->terms.targetAt - now : LateHedgeLimit;
+    auto *backend = this->pool.choose(this->serviceName, this->tried, this->terms.typicalLatency, within);
     if (backend == nullptr) {
         // Nobody sound has room just now; worth another look soon.
         return now + this->terms.hedgeDelay / 2;
@@ -144,9 +148,10 @@
         this->retryOrFinish(CallState::NotRun);
         break;
     case AttemptEnd::Broken:
+    case AttemptEnd::Unacknowledged:
         ++this->executionCount;
         this->reason = outcome.reason;
-        this->retryOrFinish(CallState::Failed);
+        this->retryOrFinish(outcome.end == AttemptEnd::Broken ? CallState::Failed : CallState::FailedUnacknowledged);
         break;
     }
 }
@@ -188,7 +193,7 @@
     const bool wasSent = otherwise != CallState::NotRun || this->refusals > 0;
     // Once all have refused, those that only refused may be asked again: they did not run it.
     const auto choice = [this] {
-        return this->pool.choose(this->serviceName, this->tried, this->terms.typicalLatency, false);
+        return this->pool.choose(this->serviceName, this->tried, this->terms.typicalLatency);
     };
     if (allowed && choice() == nullptr) {
         std::erase_if(this->tried, [this](const BackendName &name) {
@@ -198,7 +203,7 @@
     }
     if (allowed && choice() != nullptr) {
         if (!wasSent || this->pool.budget(this->serviceName).takeRepeat(this->timers.now(), this->pool.gatewayCount())) {
-            this->tryNext(false);
+            this->tryNext();
             return;
         }
     }
--- a/Libraries/LibGateway/ShardCall.h
+++ b/Libraries/LibGateway/ShardCall.h
@@ -23,6 +23,8 @@
     Core::Instant deadline;
     /** Nothing is held for longer than until then. */
     Core::Instant giveUpAt;
+    /** An answer should leave then to be in time. */
+    Core::Instant targetAt;
     /** What such a request usually takes. */
     Core::Duration typicalLatency{0};
     /** After this long without a reply an attempt is hedged. */
@@ -40,6 +42,8 @@
     FailedWithReply,
     /** No reply; it may have run. */
     Failed,
+    /** As Failed, but the request has most likely not arrived. */
+    FailedUnacknowledged,
     /** It did not run anywhere and will not. */
     NotRun,
 };
@@ -92,7 +96,7 @@
         Core::Instant startedAt;
     };
 
-    void tryNext(bool soundOnly);
+    void tryNext();
     void sendTo(Backend &backend);
     void waitForRoom();
     void takeOutcome(const BackendName &backend, const AttemptOutcome &outcome);
--- a/Libraries/LibGateway/SingleRequest.cpp
+++ b/Libraries/LibGateway/SingleRequest.cpp
@@ -37,6 +37,7 @@
         this->complete(this->context.dialect->passOn(std::move(this->call->reply())), RequestOutcome::FailedByBackend);
         break;
     case CallState::Failed:
+    case CallState::FailedUnacknowledged:
     case CallState::NotRun:
         this->refuse(this->call->executions() > 0);
         break;
--- a/Libraries/LibWire/ClientConnection.cpp
+++ b/Libraries/LibWire/ClientConnection.cpp
@@ -154,7 +154,9 @@
 
 void ClientConnection::writeMore()
 {
-    if (this->socket.write(this->output, this->written) == Transfer::Broken) {
+    const auto transfer = this->socket.write(this->output, this->written);
+    if (transfer != Transfer::Open) {
+        this->unacknowledged = transfer == Transfer::Unacknowledged;
         this->fail("the connection broke while the request was sent");
         return;
     }
@@ -191,7 +193,13 @@
             this->responseWhole();
         }
     }
-    if (!this->gone) {
+    if (this->gone) {
+        return;
+    }
+    this->unacknowledged = transfer == Transfer::Unacknowledged;
+    if (this->unacknowledged) {
+        this->fail("what was sent stayed unacknowledged");
+    } else {
         this->fail(transfer == Transfer::Ended ? "the server closed the connection" : "the connection was reset");
     }
 }
@@ -275,7 +283,8 @@
 
 void ClientConnection::fail(const std::string &reason)
 {
-    this->finish(ClientResult{.end = ClientEnd::Broken, .response = {}, .reason = reason}, false);
+    const auto end = this->unacknowledged ? ClientEnd::Unacknowledged : ClientEnd::Broken;
+    this->finish(ClientResult{.end = end, .response = {}, .reason = reason}, false);
 }
 
 }
--- a/Libraries/LibWire/ClientConnection.h
+++ b/Libraries/LibWire/ClientConnection.h
@@ -28,6 +28,8 @@
     NotSent,
     /** The connection broke, or what came was no response. The request may have run. */
     Broken,
+    /** As Broken, but the other side's machine has most likely never had the request. */
+    Unacknowledged,
 };
 
 /** Handed to the owner when a request has ended. */
@@ -109,6 +111,7 @@
     ResultHook done;
     bool up{false};
     bool gone{false};
+    bool unacknowledged{false};
     bool wantsWrite{true};
     std::uint64_t answers{0};
     Core::Instant startedAt;
--- a/Libraries/LibWire/Server.cpp
+++ b/Libraries/LibWire/Server.cpp
@@ -296,7 +296,7 @@
 
 void ServerConnection::writeMore()
 {
-    if (this->socket.write(this->output, this->written) == Transfer::Broken) {
+    if (this->socket.write(this->output, this->written) != Transfer::Open) {
         this->close();
         return;
     }
--- a/Libraries/LibWire/Socket.cpp
+++ b/Libraries/LibWire/Socket.cpp
@@ -122,6 +122,15 @@
     return this->descriptor >= 0;
 }
 
+// What a failed call says of the connection.
+static Transfer transferAfterError(int error)
+{
+    if (error == EAGAIN || error == EWOULDBLOCK) {
+        return Transfer::Open;
+    }
+    return error == ETIMEDOUT ? Transfer::Unacknowledged : Transfer::Broken;
+}
+
 Transfer Socket::read(std::string &bytes, std::size_t limit) const
 {
     std::array<char, ReadPieceBytes> piece{};
@@ -137,7 +146,7 @@
         } else if (count == 0) {
             return Transfer::Ended;
         } else if (errno != EINTR) {
-            return errno == EAGAIN || errno == EWOULDBLOCK ? Transfer::Open : Transfer::Broken;
+            return transferAfterError(errno);
         }
     }
     return Transfer::Open;
@@ -150,7 +159,7 @@
         if (count >= 0) {
             offset += static_cast<std::size_t>(count);
         } else if (errno != EINTR) {
-            return errno == EAGAIN || errno == EWOULDBLOCK ? Transfer::Open : Transfer::Broken;
+            return transferAfterError(errno);
         }
     }
     return Transfer::Open;
--- a/Libraries/LibWire/Socket.h
+++ b/Libraries/LibWire/Socket.h
@@ -23,8 +23,10 @@
     Open,
     /** The other side sent its end of the stream. */
     Ended,
-    /** The connection was reset, or timed out. */
+    /** The connection was reset. */
     Broken,
+    /** Bytes that were sent stayed unacknowledged for the silence limit: the other side's machine has most likely never had them. */
+    Unacknowledged,
 };
 
 /** Owns a descriptor. */
