--- a/Libraries/LibFleet/FleetWatcher.cpp
+++ b/Libraries/LibFleet/FleetWatcher.cpp
@@ -205,7 +205,7 @@
     auto &watched = found->second;
     watched.asking = false;
     if (!answer.has_value()) {
-        this->failed(watched, answer.error().message);
+        this->failed(watched, watched.channel->lastFailure());
         return;
     }
     watched.lastAnswer = this->timers.now();
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -8,39 +8,24 @@
 #include <LibCore/Log.h>
 
 #include <algorithm>
-#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace Gateway
 {
 
 static constexpr Core::Duration SweepPeriod = Core::milliseconds(50);
-// Weight of the newest latency in the smoothed slowness; three samples decide.
-static constexpr double SlownessWeight = 0.3;
-// What is known of slowness fades to half in this time, so that one that recovered is asked again.
-static constexpr double SlownessHalfLifeSeconds = 2.0;
-// Weight of the newest outcome in the smoothed share of refusals and failures, and how fast that share fades.
-static constexpr double TroubleWeight = 0.25;
-static constexpr double TroubleHalfLifeSeconds = 2.0;
-// Score of one that refuses or fails everything; one that does so to each fourth is passed over for one that is 40 ms slower.
+// Time added for one that refuses or fails everything; one that does so to each fourth is passed over for one that is 40 ms slower.
 static constexpr double TroublePenaltyMilliseconds = 160.0;
-// One latency is never taken for more than this many times the usual.
-static constexpr double SlownessCeiling = 12.0;
-// A load report is news for this long; requests take tens of milliseconds.
-static constexpr Core::Duration LoadReportLife = Core::milliseconds(250);
 // An attempt that takes this many times the usual latency, and at least the floor, makes its backend server look stuck.
 static constexpr int StuckFactor = 3;
 static constexpr Core::Duration StuckFloor = Core::milliseconds(25);
-// Score added for one that looks stuck: more than any usual difference, less than what is avoided after failures.
+// Time added for one that looks stuck: more than any usual difference, less than what is avoided after failures.
 static constexpr double StuckPenaltyMilliseconds = 300.0;
 static constexpr double AvoidedPenaltyMilliseconds = 10'000.0;
 // A cold backend server takes about this much longer.
 static constexpr double ColdFactor = 1.6;
-// For how long one that fails is avoided at first and at most.
-static constexpr Core::Duration FirstAvoidance = Core::milliseconds(500);
-static constexpr Core::Duration LongestAvoidance = Core::seconds(4);
-// Scores differ by up to this share at random, so that gateways don't all choose the same one.
-static constexpr double ScoreNoise = 0.15;
+// Expected times differ by up to this share at random, so that gateways don't all choose the same one.
+static constexpr double ChoiceNoise = 0.15;
 
 BackendPool::BackendPool(BackendPoolOptions options, const Dialect &dialect, Core::EventPoll &poll, Core::TimerService &timers)
     : options(std::move(options)), dialect(dialect), poll(poll), timers(timers), random(this->options.seed)
@@ -153,7 +138,7 @@
     }
     const auto now = this->timers.now();
     for (const auto *backend : found->second.backends) {
-        if (backend->phase == Protocol::BackendPhase::READY && now >= backend->avoidedUntil) {
+        if (backend->phase == Protocol::BackendPhase::READY && !backend->evidence.isAvoided(now)) {
             zones.push_back(backend->zone);
         }
     }
@@ -219,7 +204,7 @@
     return std::any_of(backend.inFlight.begin(), backend.inFlight.end(), [&backend, now](const Attempt *attempt) {
         const auto limit = std::max(StuckFloor, StuckFactor * attempt->typicalLatency);
         // A reply that came later than the attempt began shows that the server works, if slowly on this one.
-        return now - std::max(attempt->startedAt, backend.lastReply) >= limit;
+        return now - std::max(attempt->startedAt, backend.evidence.lastReply()) >= limit;
     });
 }
 
@@ -228,20 +213,9 @@
     return Core::toFractionalMilliseconds(duration);
 }
 
-// What is left of a measure after a time, with a half-life in seconds.
-static double faded(double value, Core::Duration age, double halfLifeSeconds)
-{
-    return value * std::exp2(-milliseconds(age) / 1000.0 / halfLifeSeconds);
-}
-
 double BackendPool::expectedMilliseconds(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const
 {
-    const double slowness = 1.0 + faded(backend.slowness - 1.0, now - backend.slownessAt, SlownessHalfLifeSeconds);
-    const double own = static_cast<double>(backend.inFlight.size());
-    const double freshness = std::max(0.0, 1.0 - milliseconds(now - backend.loadAt) / milliseconds(LoadReportLife));
-    const double reported = freshness * (backend.load.running + backend.load.waiting);
-    const double queueing = std::max(0.0, std::max(own, reported) + 1.0 - backend.slots) / backend.slots;
-    double expected = milliseconds(typicalLatency) * slowness * (1.0 + queueing);
+    double expected = milliseconds(typicalLatency) * backend.evidence.expectedFactor(backend.inFlight.size(), backend.slots, now);
     if (now < backend.warmUntil) {
         expected *= ColdFactor;
     }
@@ -249,14 +223,14 @@
         expected += milliseconds(backend.roundTrip.value_or(this->options.assumedRegionRoundTrip));
     }
     expected += this->isStuck(backend, now) ? StuckPenaltyMilliseconds : 0.0;
-    expected += now < backend.avoidedUntil ? AvoidedPenaltyMilliseconds : 0.0;
+    expected += backend.evidence.isAvoided(now) ? AvoidedPenaltyMilliseconds : 0.0;
     return expected;
 }
 
 // What goes into the choice besides the expected time.
-double BackendPool::biasMilliseconds(const Backend &backend, Core::Instant now)
+double BackendPool::biasMilliseconds(const Backend &backend, Core::Instant now) const
 {
-    double bias = TroublePenaltyMilliseconds * faded(backend.troubleRate, now - backend.troubleAt, TroubleHalfLifeSeconds);
+    double bias = TroublePenaltyMilliseconds * backend.evidence.troubleRate(now);
     if (!backend.sameRegion) {
         bias += milliseconds(this->options.crossRegionBias);
     } else if (!backend.sameZone) {
@@ -281,7 +255,7 @@
         if (within.has_value() && expected > milliseconds(within.value())) {
             continue;
         }
-        const double noise = 1.0 + std::uniform_real_distribution<double>(0.0, ScoreNoise)(this->random);
+        const double noise = 1.0 + std::uniform_real_distribution<double>(0.0, ChoiceNoise)(this->random);
         const double score = expected * noise + this->biasMilliseconds(*backend, now);
         if (best == nullptr || score < bestScore) {
             best = backend;
@@ -422,18 +396,15 @@
     const auto now = this->timers.now();
     if (outcome.end != AttemptEnd::Replied) {
         (outcome.end == AttemptEnd::NotSent ? this->counts.notSent : this->counts.broken) += 1;
-        this->noteFailure(backend, outcome.reason);
         if (outcome.end == AttemptEnd::Unacknowledged) {
-            this->avoid(backend, outcome.reason);
+            this->noteSilence(backend, outcome.reason);
+        } else {
+            this->noteFailure(backend, outcome.reason);
         }
         return;
     }
     const auto &reply = outcome.reply;
-    backend.lastReply = now;
-    if (reply.load.has_value()) {
-        backend.load = reply.load.value();
-        backend.loadAt = now;
-    }
+    backend.evidence.noteReply(reply.load, now);
     if (attempt.connection->connectTime() > Core::Duration(0)) {
         const auto measured = attempt.connection->connectTime();
         backend.roundTrip = std::min(backend.roundTrip.value_or(measured), measured);
@@ -446,56 +417,41 @@
     }
     if (reply.notExecuted) {
         ++this->counts.notExecuted;
-        this->noteTrouble(backend, true);
+        backend.evidence.noteRefusal(now);
         return;
     }
     if (reply.message.status >= 500) {
         this->noteFailure(backend, "status " + std::to_string(reply.message.status));
         return;
     }
-    backend.consecutiveFailures = 0;
-    backend.avoidedUntil = now;
-    this->noteTrouble(backend, false);
     const double usual = std::max(1.0, milliseconds(attempt.typicalLatency));
     const double latency = milliseconds(now - attempt.startedAt) - (backend.sameRegion ? 0.0 : milliseconds(backend.roundTrip.value_or(Core::Duration(0))));
-    const double ratio = std::clamp(latency / usual, 0.5, SlownessCeiling);
-    const double before = 1.0 + faded(backend.slowness - 1.0, now - backend.slownessAt, SlownessHalfLifeSeconds);
-    backend.slowness = (1.0 - SlownessWeight) * before + SlownessWeight * ratio;
-    backend.slownessAt = now;
+    backend.evidence.noteAnswer(latency / usual, now);
 }
 
-void BackendPool::noteTrouble(Backend &backend, bool trouble)
+void BackendPool::noteFailure(Backend &backend, const std::string &reason)
 {
-    const auto now = this->timers.now();
-    const double before = faded(backend.troubleRate, now - backend.troubleAt, TroubleHalfLifeSeconds);
-    backend.troubleRate = (1.0 - TroubleWeight) * before + (trouble ? TroubleWeight : 0.0);
-    backend.troubleAt = now;
+    if (backend.evidence.noteFailure(this->options.failuresUntilAvoided, this->timers.now())) {
+        this->logAvoidance(backend, reason);
+    }
 }
 
-void BackendPool::noteFailure(Backend &backend, const std::string &reason)
+void BackendPool::noteSilence(Backend &backend, const std::string &reason)
 {
-    this->noteTrouble(backend, true);
-    ++backend.consecutiveFailures;
-    if (backend.consecutiveFailures >= this->options.failuresUntilAvoided) {
-        this->avoid(backend, reason);
+    if (backend.evidence.noteSilence(this->timers.now())) {
+        this->logAvoidance(backend, reason);
     }
 }
 
-void BackendPool::avoid(Backend &backend, const std::string &reason)
+void BackendPool::logAvoidance(const Backend &backend, const std::string &reason) const
 {
-    const auto now = this->timers.now();
-    const int doublings = std::clamp(backend.consecutiveFailures - this->options.failuresUntilAvoided, 0, 3);
-    const auto duration = std::min(FirstAvoidance * (1 << doublings), LongestAvoidance);
-    if (now >= backend.avoidedUntil) {
-        Core::logEvent(Core::LogLevel::Information,
-            "backend.avoided",
-            {{"backend", backend.name.value()},
-                {"service", backend.service.value()},
-                {"failures", backend.consecutiveFailures},
-                {"for_ms", Core::toMilliseconds(duration)},
-                {"reason", reason}});
-    }
-    backend.avoidedUntil = std::max(backend.avoidedUntil, now + duration);
+    Core::logEvent(Core::LogLevel::Information,
+        "backend.avoided",
+        {{"backend", backend.name.value()},
+            {"service", backend.service.value()},
+            {"failures", backend.evidence.consecutiveFailures()},
+            {"for_ms", Core::toMilliseconds(backend.evidence.avoidedUntil() - this->timers.now())},
+            {"reason", reason}});
 }
 
 void BackendPool::abandon(AttemptId id, bool callerGone)
@@ -582,10 +538,9 @@
         auto &backend = *attempt.backend;
         const bool sent = attempt.connection && attempt.connection->isConnected();
         ++this->counts.cancelled;
-        if (sent && now - backend.lastReply >= this->options.abandonPatience) {
+        if (sent && now - backend.evidence.lastReply() >= this->options.abandonPatience) {
             // Longer than any pause, so it is no pause.
-            this->noteFailure(backend, "silent");
-            this->avoid(backend, "silent");
+            this->noteSilence(backend, "silent");
         } else if (!sent) {
             this->noteFailure(backend, "no connection in time");
         }
@@ -634,10 +589,9 @@
             {"phase", static_cast<int>(backend->phase)},
             {"connections", backend->connections.size()},
             {"in_flight", backend->inFlight.size()},
-            {"slowness", backend->slowness},
-            {"trouble_rate", backend->troubleRate},
-            {"avoided_ms", Core::toMilliseconds(std::max(Core::Duration(0), backend->avoidedUntil - now))},
-            {"failures", backend->consecutiveFailures}});
+            {"trouble_rate", backend->evidence.troubleRate(now)},
+            {"avoided_ms", Core::toMilliseconds(std::max(Core::Duration(0), backend->evidence.avoidedUntil() - now))},
+            {"failures", backend->evidence.consecutiveFailures()}});
     }
     return rows.dump(2);
 }
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -13,6 +13,7 @@
 #include <LibCore/TimerService.h>
 #include <LibFleet/BackendRegistry.h>
 #include <LibFleet/Declaration.h>
+#include <LibGateway/BackendEvidence.h>
 #include <LibGateway/Dialect.h>
 #include <LibGateway/RepeatBudget.h>
 #include <LibWire/ClientConnection.h>
@@ -114,17 +115,7 @@
     Protocol::BackendPhase::type phase{Protocol::BackendPhase::READY};
     Core::Instant warmUntil;
 
-    // How much longer than usual it takes, smoothed; 1 is usual.
-    double slowness{1.0};
-    Core::Instant slownessAt;
-    // Share of the requests that it refused or failed, smoothed.
-    double troubleRate{0.0};
-    Core::Instant troubleAt;
-    int consecutiveFailures{0};
-    Core::Instant avoidedUntil;
-    Core::Instant lastReply;
-    LoadReport load;
-    Core::Instant loadAt;
+    BackendEvidence evidence;
     std::optional<Core::Duration> roundTrip;
 
     std::vector<std::shared_ptr<Wire::ClientConnection>> connections;
@@ -219,7 +210,7 @@
     [[nodiscard]] bool hasRoom(const Backend &backend, const Service &service) const;
     [[nodiscard]] bool isStuck(const Backend &backend, Core::Instant now) const;
     [[nodiscard]] double expectedMilliseconds(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const;
-    [[nodiscard]] double biasMilliseconds(const Backend &backend, Core::Instant now);
+    [[nodiscard]] double biasMilliseconds(const Backend &backend, Core::Instant now) const;
     [[nodiscard]] std::shared_ptr<Wire::ClientConnection> connectionFor(Backend &backend);
     [[nodiscard]] std::shared_ptr<Wire::ClientConnection> openConnection(Backend &backend);
     void connectionClosed(Backend &backend, const Wire::ClientConnection *connection);
@@ -227,8 +218,8 @@
     [[nodiscard]] Attempt takeAttempt(AttemptId id);
     void learn(Backend &backend, const Attempt &attempt, const AttemptOutcome &outcome);
     void noteFailure(Backend &backend, const std::string &reason);
-    void avoid(Backend &backend, const std::string &reason);
-    void noteTrouble(Backend &backend, bool trouble);
+    void noteSilence(Backend &backend, const std::string &reason);
+    void logAvoidance(const Backend &backend, const std::string &reason) const;
     void markGone(Backend &backend);
     void remove(Backend &backend);
     void offerRoom(const Core::ServiceName &service);
--- a/Libraries/LibRpc/RpcChannel.cpp
+++ b/Libraries/LibRpc/RpcChannel.cpp
@@ -65,6 +65,11 @@
     return this->options.endpoint;
 }
 
+const std::string &RpcChannel::lastFailure() const
+{
+    return this->failureReason;
+}
+
 void RpcChannel::sendMessage(const VoidCallback &, TMemoryBuffer *)
 {
     // None of our procedures is one-way, so the generated clients never get here.
@@ -180,6 +185,7 @@
 void RpcChannel::failAll(const std::string &reason)
 {
     const auto keepAlive = this->shared_from_this();
+    this->failureReason = reason;
     if (this->connecting) {
         g_cancellable_cancel(this->connecting.get());
         this->connecting.reset();
--- a/Libraries/LibRpc/RpcChannel.h
+++ b/Libraries/LibRpc/RpcChannel.h
@@ -54,6 +54,9 @@
     /** Bytes that this channel has sent and received since it was made. */
     [[nodiscard]] std::uint64_t bytesMoved() const;
 
+    /** Why the last calls that failed did; empty before any has. Thrift's own error only says that no answer was there. */
+    [[nodiscard]] const std::string &lastFailure() const;
+
     /** Whom this channel calls. */
     [[nodiscard]] const Core::Endpoint &endpoint() const;
 
@@ -82,6 +85,7 @@
     std::deque<WaitingCall> waiting;
     Core::TimerSubscription timeout;
     std::uint64_t closedBytes{0};
+    std::string failureReason;
 };
 
 /**
