--- a/Libraries/LibRpc/RpcChannel.cpp
+++ b/Libraries/LibRpc/RpcChannel.cpp
@@ -103,6 +103,9 @@
         return;
     }
     this->connecting.reset(g_cancellable_new());
+    this->connectTimer = this->timers.once(this->options.connectTimeout, [this](Core::Instant) {
+        this->failAll("no connection in time");
+    });
     const Core::ObjectPointer<GSocketClient> client(g_socket_client_new());
     // Instances talk by IP number. Looking for a proxy would load the desktop's settings, which costs time and writes below the home folder.
     g_socket_client_set_enable_proxy(client.get(), FALSE);
@@ -126,6 +129,7 @@
         return;
     }
     self->connecting.reset();
+    self->connectTimer.cancel();
     if (error) {
         self->failAll(error->message);
         return;
@@ -189,6 +193,7 @@
     if (this->connecting) {
         g_cancellable_cancel(this->connecting.get());
         this->connecting.reset();
+        this->connectTimer.cancel();
     }
     const auto closing = std::exchange(this->stream, nullptr);
     if (closing) {
--- a/Libraries/LibRpc/RpcChannel.h
+++ b/Libraries/LibRpc/RpcChannel.h
@@ -25,6 +25,8 @@
 struct ChannelOptions {
     Core::Endpoint endpoint;
     Core::Duration callTimeout{Core::seconds(2)};
+    /** A connection that is not up after this long is tried anew; the first packet to a machine that is just starting is lost, and is sent again only after a second. */
+    Core::Duration connectTimeout{Core::milliseconds(300)};
     FrameLimits limits;
 };
 
@@ -84,6 +86,7 @@
     // Invariant: in the order in which the requests were, or will be, written.
     std::deque<WaitingCall> waiting;
     Core::TimerSubscription timeout;
+    Core::TimerSubscription connectTimer;
     std::uint64_t closedBytes{0};
     std::string failureReason;
 };
