--- a/Libraries/LibGateway/RepeatBudget.cpp
+++ b/Libraries/LibGateway/RepeatBudget.cpp
@@ -17,7 +17,7 @@
 RepeatBudget::Slice &RepeatBudget::sliceAt(Core::Instant now)
 {
     const std::int64_t number = now.sinceStart() / (this->options.window / SliceCount);
-    auto &slice = this->slices[static_cast<std::size_t>(number) % SliceCount];
+    auto &slice = this->slices[static_cast<std::size_t>(number % SliceCount)];
     if (slice.number != number) {
         slice = Slice{.number = number, .requests = 0, .repeats = 0};
     }
@@ -35,7 +35,7 @@
     double requests = 0.0;
     double repeats = 0.0;
     for (const auto &slice : this->slices) {
-        if (slice.number > current.number - static_cast<std::int64_t>(SliceCount)) {
+        if (slice.number > current.number - SliceCount) {
             requests += slice.requests;
             repeats += slice.repeats;
         }
--- a/Libraries/LibGateway/RepeatBudget.h
+++ b/Libraries/LibGateway/RepeatBudget.h
@@ -40,7 +40,7 @@
     [[nodiscard]] bool takeRepeat(Core::Instant now, int gateways);
 
 private:
-    static constexpr std::size_t SliceCount = 10;
+    static constexpr std::int64_t SliceCount = 10;
     struct Slice {
         std::int64_t number{-1};
         std::uint32_t requests{0};
@@ -50,7 +50,7 @@
     [[nodiscard]] Slice &sliceAt(Core::Instant now);
 
     RepeatBudgetOptions options;
-    std::array<Slice, SliceCount> slices{};
+    std::array<Slice, static_cast<std::size_t>(SliceCount)> slices{};
 };
 
 }
--- a/Tests/LibGateway/TestRequests.cpp
+++ b/Tests/LibGateway/TestRequests.cpp
@@ -17,8 +17,9 @@
 namespace
 {
 
-const auto Silent = [](const Wire::Request &, const Wire::ExchangePointer &) {
-};
+void silent(const Wire::Request &, const Wire::ExchangePointer &)
+{
+}
 
 TestSupport::ScriptedBackend::Script answering(const std::string &body)
 {
@@ -126,8 +127,8 @@
 {
     GatewayFixture fixture;
     makeSingle(fixture, true, Core::milliseconds(100));
-    const auto &one = fixture.add("s", "one", Silent);
-    const auto &two = fixture.add("s", "two", Silent);
+    const auto &one = fixture.add("s", "one", silent);
+    const auto &two = fixture.add("s", "two", silent);
     fixture.begin("r1");
     cr_assert(fixture.runUntil([&] {
         return one.requests.size() == 1 && two.requests.size() == 1;
@@ -138,8 +139,8 @@
 {
     GatewayFixture fixture;
     makeSingle(fixture, false, Core::milliseconds(100));
-    const auto &one = fixture.add("s", "one", Silent);
-    const auto &two = fixture.add("s", "two", Silent);
+    const auto &one = fixture.add("s", "one", silent);
+    const auto &two = fixture.add("s", "two", silent);
     fixture.begin("r1");
     fixture.settle(Core::milliseconds(400));
     cr_assert(one.requests.size() + two.requests.size() == 1);
@@ -224,7 +225,7 @@
     GatewayFixture fixture;
     makeSearch(fixture, {Core::ServiceName("a"), Core::ServiceName("b")}, 0.5);
     fixture.add("a", "a1", answering(record('a')));
-    fixture.add("b", "b1", Silent);
+    fixture.add("b", "b1", silent);
     const auto answer = fixture.ask("r1");
     cr_assert(answer.status == 200);
     cr_assert(*header(answer, "Missing-Parts") == "1");
@@ -235,7 +236,7 @@
 {
     GatewayFixture fixture;
     makeSearch(fixture, {Core::ServiceName("a"), Core::ServiceName("b")}, 1.0);
-    const auto &sound = fixture.add("a", "a1", Silent);
+    const auto &sound = fixture.add("a", "a1", silent);
     fixture.add("b", "b1", failing(500, false));
     const auto answer = fixture.ask("r1");
     cr_assert(answer.status == 502, "something ran, so it must not say otherwise");
@@ -279,8 +280,8 @@
 {
     GatewayFixture fixture;
     makeSearch(fixture, {Core::ServiceName("a")}, 1.0);
-    const auto &one = fixture.add("a", "a1", Silent);
-    const auto &two = fixture.add("a", "a2", Silent);
+    const auto &one = fixture.add("a", "a1", silent);
+    const auto &two = fixture.add("a", "a2", silent);
     fixture.begin("r1");
     cr_assert(fixture.runUntil([&] {
         return one.requests.size() + two.requests.size() == 1;
