--- a/Libraries/LibControl/ControlNode.cpp
+++ b/Libraries/LibControl/ControlNode.cpp
@@ -145,21 +145,13 @@
             Core::logEvent(Core::LogLevel::Error, "control.command_unreadable", {{"index", entry.index}, {"error", command.error().message}});
         }
     }
-    const auto found = this->waiting.find(entry.index);
-    if (found == this->waiting.end()) {
-        return;
+    const auto decided = this->waiting.take(entry);
+    if (decided.has_value()) {
+        decided->hook(decided->isOwn ? &outcome : nullptr);
     }
-    const Waiting finished = std::move(found->second);
-    this->waiting.erase(found);
-    finished.done(finished.term == entry.term ? &outcome : nullptr);
-}
-
-void ControlNode::wait(std::int64_t index, std::function<void(const CommandOutcome *outcome)> done)
-{
-    this->waiting[index] = Waiting{.term = this->replicatedLog->term(), .done = std::move(done)};
 }
 
-void ControlNode::propose(Protocol::Command command, std::function<void(const CommandOutcome *outcome)> done)
+void ControlNode::propose(Protocol::Command command, OutcomeHook done)
 {
     command.timeMilliseconds = this->clock.wallTime().count();
     const auto index = this->replicatedLog->propose(Rpc::serialize(command));
@@ -167,13 +159,13 @@
         done(nullptr);
         return;
     }
-    this->wait(index.value(), std::move(done));
+    this->waiting.add(index.value(), this->replicatedLog->term(), std::move(done));
 }
 
 void ControlNode::failWaiting()
 {
-    for (const auto &[index, entry] : std::exchange(this->waiting, {})) {
-        entry.done(nullptr);
+    for (const auto &hook : this->waiting.takeAll()) {
+        hook(nullptr);
     }
 }
 
@@ -337,7 +329,7 @@
         done(outcome);
         return;
     }
-    this->wait(index.value(), [outcome, done = std::move(done)](const CommandOutcome *committed) mutable {
+    this->waiting.add(index.value(), this->replicatedLog->term(), [outcome, done = std::move(done)](const CommandOutcome *committed) mutable {
         outcome.status = committed != nullptr ? Protocol::MemberStatus::DONE : Protocol::MemberStatus::UNKNOWN;
         done(outcome);
     });
@@ -512,7 +504,7 @@
 
 void ControlNode::finishDrain()
 {
-    if (!this->waiting.empty()) {
+    if (this->waiting.size() > 0) {
         return;
     }
     if (this->replicatedLog->role() == Consensus::Role::Leader && this->replicatedLog->transferLeadership(this->timers.now())) {
--- a/Libraries/LibControl/ControlNode.h
+++ b/Libraries/LibControl/ControlNode.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <LibConsensus/ReplicatedLog.h>
+#include <LibConsensus/WaitingProposals.h>
 #include <LibControl/ControlState.h>
 #include <LibControl/RepairPolicy.h>
 #include <LibCore/TimerService.h>
@@ -71,11 +72,8 @@
     [[nodiscard]] std::uint64_t bytesWritten() const;
 
 private:
-    struct Waiting {
-        std::int64_t term{0};
-        // `outcome` is nullptr when it is not known what became of the entry.
-        std::function<void(const CommandOutcome *outcome)> done;
-    };
+    // `outcome` is nullptr when it is not known what became of the entry.
+    using OutcomeHook = std::function<void(const CommandOutcome *outcome)>;
     struct Follower {
         std::int64_t incarnation{0};
         std::int64_t revision{0};
@@ -88,8 +86,7 @@
     void tick();
     void scheduleFlush();
     void applyEntry(const Protocol::LogEntry &entry);
-    void propose(Protocol::Command command, std::function<void(const CommandOutcome *outcome)> done);
-    void wait(std::int64_t index, std::function<void(const CommandOutcome *outcome)> done);
+    void propose(Protocol::Command command, OutcomeHook done);
     void failWaiting();
     void repair();
     void forgetOldFollowers();
@@ -106,8 +103,7 @@
     ControlState state;
     std::unique_ptr<Storage::WriteAheadLog> writeAheadLog;
     std::unique_ptr<Consensus::ReplicatedLog> replicatedLog;
-    // Invariant: only entries that this instance proposed as leader and that are not committed yet.
-    std::map<std::int64_t, Waiting> waiting;
+    Consensus::WaitingProposals<OutcomeHook> waiting;
     // Entry instances that asked this instance while it led.
     std::map<std::string, Follower> followers;
     bool draining{false};
--- a/Libraries/LibCoordinator/DeclarationLog.cpp
+++ b/Libraries/LibCoordinator/DeclarationLog.cpp
@@ -182,13 +182,10 @@
             Core::logEvent(Core::LogLevel::Error, "log.command_unreadable", {{"index", entry.index}, {"error", declaration.error().message}});
         }
     }
-    const auto found = this->waiting.find(entry.index);
-    if (found == this->waiting.end()) {
-        return;
+    const auto decided = this->waiting.take(entry);
+    if (decided.has_value()) {
+        decided->hook(decided->isOwn ? ProposalEnd::Committed : ProposalEnd::Unknown);
     }
-    const Waiting finished = std::move(found->second);
-    this->waiting.erase(found);
-    finished.done(finished.term == entry.term ? ProposalEnd::Committed : ProposalEnd::Unknown);
 }
 
 void DeclarationLog::propose(std::int64_t version, const std::string &content, ProposalHook done)
@@ -205,7 +202,7 @@
         done(ProposalEnd::NotLeader);
         return;
     }
-    this->waiting[index.value()] = Waiting{.term = this->replicatedLog->term(), .done = std::move(done)};
+    this->waiting.add(index.value(), this->replicatedLog->term(), std::move(done));
 }
 
 void DeclarationLog::confirm(const std::function<void(bool confirmed)> &hook)
@@ -278,8 +275,8 @@
 
 void DeclarationLog::failWaiting()
 {
-    for (const auto &[index, entry] : std::exchange(this->waiting, {})) {
-        entry.done(ProposalEnd::Unknown);
+    for (const auto &hook : this->waiting.takeAll()) {
+        hook(ProposalEnd::Unknown);
     }
 }
 
--- a/Libraries/LibCoordinator/DeclarationLog.h
+++ b/Libraries/LibCoordinator/DeclarationLog.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <LibConsensus/ReplicatedLog.h>
+#include <LibConsensus/WaitingProposals.h>
 #include <LibCore/TimerService.h>
 #include <LibFleet/Declaration.h>
 #include <LibProtocol/Generated/fleet_types.h>
@@ -77,11 +78,6 @@
     std::function<void()> changed;
 
 private:
-    struct Waiting {
-        std::int64_t term{0};
-        ProposalHook done;
-    };
-
     DeclarationLog(DeclarationLogOptions options, Core::TimerService &timers);
     [[nodiscard]] Core::Result<void> open();
     void closeAndReopen();
@@ -102,8 +98,7 @@
     std::unique_ptr<Storage::PosixFolder> folder;
     std::unique_ptr<Storage::WriteAheadLog> writeAheadLog;
     std::unique_ptr<Consensus::ReplicatedLog> replicatedLog;
-    // Invariant: only entries that this coordinator proposed as leader and that are not committed yet.
-    std::map<std::int64_t, Waiting> waiting;
+    Consensus::WaitingProposals<ProposalHook> waiting;
     Core::TimerSubscription tickTimer;
     Core::TimerSubscription flushTimer;
     Core::TimerSubscription reopenTimer;
--- a/Libraries/LibRpc/RpcChannel.h
+++ b/Libraries/LibRpc/RpcChannel.h
@@ -25,7 +25,8 @@
 struct ChannelOptions {
     Core::Endpoint endpoint;
     Core::Duration callTimeout{Core::seconds(2)};
-    /** A connection that is not up after this long is tried anew; the first packet to a machine that is just starting is lost, and is sent again only after a second. */
+    /** A connection that is not up after this long is tried anew; the first packet to a machine that is just starting is lost, and is sent again only after a
+     * second. */
     Core::Duration connectTimeout{Core::milliseconds(300)};
     FrameLimits limits;
 };
--- a/Tests/LibRpc/TestHostileInput.cpp
+++ b/Tests/LibRpc/TestHostileInput.cpp
@@ -7,6 +7,7 @@
 #include <LibRpc/RpcChannel.h>
 #include <LibRpc/RpcServer.h>
 #include <Support/FakeFolder.h>
+#include <Support/LoopFixture.h>
 
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
@@ -19,15 +20,7 @@
 // Tests run side by side, so each asks the kernel for a port that is free.
 static std::uint16_t freePort()
 {
-    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-    socklen_t length = sizeof(address);
-    cr_assert_eq(bind(descriptor, reinterpret_cast<sockaddr *>(&address), length), 0);
-    cr_assert_eq(getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &length), 0);
-    close(descriptor);
-    return ntohs(address.sin_port);
+    return TestSupport::freeEndpoint().port;
 }
 
 namespace
--- a/Tests/LibRpc/TestRpcChannel.cpp
+++ b/Tests/LibRpc/TestRpcChannel.cpp
@@ -23,8 +23,8 @@
         queue.push_back(Wire::Socket::connectTo(endpoint, Core::seconds(60)).value());
     }
     fixture.settle();
-    const auto channel
-        = Rpc::RpcChannel::create({.endpoint = endpoint, .callTimeout = Core::seconds(60), .connectTimeout = Core::milliseconds(100), .limits = {}}, fixture.timers);
+    const auto channel = Rpc::RpcChannel::create(
+        {.endpoint = endpoint, .callTimeout = Core::seconds(60), .connectTimeout = Core::milliseconds(100), .limits = {}}, fixture.timers);
     std::optional<bool> answered;
     Rpc::call<Protocol::CoordinatorCobClient, Protocol::WatchReply>(
         channel,
