--- a/Meta/crankrudder.sh
+++ b/Meta/crankrudder.sh
@@ -43,6 +43,20 @@
     echo "event=lint.checked files=$(sources | grep -c '\.cpp$')"
 }
 
+# Names of the tests in KNOWN-RED.txt, a line each as "Test: cause, issue", joined for ctest. Empty without the file.
+known_red() { [ -f KNOWN-RED.txt ] && sed -n 's/^\([A-Za-z0-9]*\):.*/\1/p' KNOWN-RED.txt | paste -sd'|' || true; }
+
+run_tests() {
+    local red
+    red=$(known_red)
+    if [ -n "$red" ]; then
+        sed 's/^/known red, passed over: /' KNOWN-RED.txt
+        ctest --test-dir "$BUILD" --output-on-failure -E "^(${red})\$"
+    else
+        ctest --test-dir "$BUILD" --output-on-failure
+    fi
+}
+
 command=${1:-help}
 [ "$#" -gt 0 ] && shift
 case "$command" in
@@ -56,7 +70,7 @@
     check_format
     build
     lint
-    ctest --test-dir "$BUILD" --output-on-failure
+    run_tests
     ;;
 build)
     install
