LibFleet, LibCoordinator: Take registry and declaration from near coordinators

Now far ones only confirm; a confirmation counts once the text of the confirmed version is held.

Test: appliesNoDeltaToAnotherTextThanItWasMadeFor, red without the check. - A coordinator was taken for leaderless long after it had said so.

--- a/Libraries/LibCoordinator/CoordinatorNode.cpp
+++ b/Libraries/LibCoordinator/CoordinatorNode.cpp
@@ -203,8 +203,8 @@
 bool CoordinatorNode::hasNewsFor(const Protocol::WatchRequest &request) const
 {
     const bool otherLife = request.coordinatorIncarnation != this->incarnation;
-    const bool membersChanged = request.cursor < this->registry.position() || request.gatewayCursor < this->gateways.position();
-    return otherLife || membersChanged || request.declarationVersion < this->log->version();
+    const bool registryChanged = request.cursor < this->registry.position() || request.gatewayCursor < this->gateways.position();
+    return otherLife || (request.wantsRegistry && registryChanged) || request.declarationVersion < this->log->version();
 }
 
 void CoordinatorNode::watch(const Protocol::WatchRequest &request, const std::function<void(const Protocol::WatchReply &reply)> &done)
@@ -245,6 +245,21 @@
     return heard;
 }
 
+void CoordinatorNode::addRegistry(Protocol::WatchReply &reply, const Protocol::WatchRequest &request) const
+{
+    const bool sameLife = request.coordinatorIncarnation == this->incarnation;
+    reply.cursor = sameLife ? request.cursor : 0;
+    reply.gatewayCursor = sameLife ? request.gatewayCursor : 0;
+    if (!request.wantsRegistry) {
+        return;
+    }
+    const auto now = this->timers.now();
+    reply.changed = this->registry.changedSince(reply.cursor, now);
+    reply.cursor = this->registry.position();
+    reply.changedGateways = this->gateways.changedSince(reply.gatewayCursor, now);
+    reply.gatewayCursor = this->gateways.position();
+}
+
 void CoordinatorNode::addDeclaration(Protocol::WatchReply &reply, std::int64_t heldVersion)
 {
     const auto *delta = this->log->deltaFrom(heldVersion);
@@ -260,12 +275,7 @@
     const auto &request = watcher.request;
     Protocol::WatchReply reply;
     reply.coordinatorIncarnation = this->incarnation;
-    reply.cursor = this->registry.position();
-    const std::int64_t known = request.coordinatorIncarnation == this->incarnation ? request.cursor : 0;
-    reply.changed = this->registry.changedSince(known, this->timers.now());
-    const std::int64_t knownGateways = request.coordinatorIncarnation == this->incarnation ? request.gatewayCursor : 0;
-    reply.gatewayCursor = this->gateways.position();
-    reply.changedGateways = this->gateways.changedSince(knownGateways, this->timers.now());
+    this->addRegistry(reply, request);
     if (request.wantsHeard) {
         reply.heard = this->heardFor(request.watcherName);
     }
--- a/Libraries/LibCoordinator/CoordinatorNode.h
+++ b/Libraries/LibCoordinator/CoordinatorNode.h
@@ -111,6 +111,7 @@
     CoordinatorNode(CoordinatorOptions options, Core::TimerService &timers);
     void startTimers();
     void answerWatcher(const WaitingWatcher &watcher, bool confirmed);
+    void addRegistry(Protocol::WatchReply &reply, const Protocol::WatchRequest &request) const;
     void addDeclaration(Protocol::WatchReply &reply, std::int64_t heldVersion);
     [[nodiscard]] bool hasNewsFor(const Protocol::WatchRequest &request) const;
     void scheduleNews();
--- a/Libraries/LibFleet/FleetWatcher.cpp
+++ b/Libraries/LibFleet/FleetWatcher.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <tuple>
 
 namespace Fleet
 {
@@ -27,6 +28,8 @@
     const auto [position, isNew] = this->table.try_emplace(endpoint);
     if (isNew) {
         position->second.endpoint = endpoint;
+        position->second.order = std::hash<std::string>{}(this->options.name + endpoint.toString());
+        position->second.addedAt = this->timers.now();
         position->second.lastAnswer = this->timers.now();
     }
     return position->second;
@@ -45,12 +48,12 @@
 void FleetWatcher::wantConfirmation()
 {
     this->wantsConfirmation = true;
-    this->isCurrent = false;
+    this->confirmedVersion.reset();
 }
 
 bool FleetWatcher::isConfirmed() const
 {
-    return this->isCurrent;
+    return this->confirmedVersion.has_value() && this->held() >= this->confirmedVersion.value();
 }
 
 bool FleetWatcher::hasNews() const
@@ -94,15 +97,13 @@
 }
 
 // The near ones that work go first; among equals each watcher has an order of its own, so that watchers spread.
-std::vector<FleetWatcher::Watched *> FleetWatcher::chosen()
+std::vector<FleetWatcher::Watched *> FleetWatcher::ranked()
 {
-    const auto rank = [this](const Watched &watched) {
+    const auto now = this->timers.now();
+    const auto rank = [this, now](const Watched &watched) {
         const bool doubtful = !watched.hasLeader;
-        return std::tuple(watched.failing,
-            !watched.reachable,
-            doubtful,
-            this->distanceOf(watched),
-            std::hash<std::string>{}(this->options.name + watched.endpoint.toString()));
+        const bool unanswered = !watched.reachable && now - watched.addedAt >= this->options.nearPatience;
+        return std::tuple(watched.failing, unanswered, doubtful, this->distanceOf(watched), watched.order);
     };
     std::vector<Watched *> rows;
     for (auto &[endpoint, watched] : this->table) {
@@ -111,6 +112,12 @@
     std::sort(rows.begin(), rows.end(), [&rank](const Watched *left, const Watched *right) {
         return rank(*left) < rank(*right);
     });
+    return rows;
+}
+
+std::vector<FleetWatcher::Watched *> FleetWatcher::chosen()
+{
+    auto rows = this->ranked();
     // Only the leader confirms, and a watcher does not know which one that is.
     if (!this->wantsConfirmation && rows.size() > this->options.watchedAtOnce) {
         rows.resize(this->options.watchedAtOnce);
@@ -118,6 +125,19 @@
     return rows;
 }
 
+// Those that are asked for a confirmation only send nothing else, since the registry and the declaration come from these.
+bool FleetWatcher::isNewsSource(const Watched &watched)
+{
+    const auto rows = this->ranked();
+    if (rows.size() <= this->options.watchedAtOnce) {
+        return true;
+    }
+    const auto end = rows.begin() + static_cast<std::ptrdiff_t>(this->options.watchedAtOnce);
+    // Until a coordinator has told where it and the others are, the near ones can't be known.
+    const bool mayBeFar = watched.zone.empty() && this->timers.now() - watched.addedAt < this->options.nearPatience;
+    return !mayBeFar && std::find(rows.begin(), end, &watched) != end;
+}
+
 void FleetWatcher::askChosen()
 {
     for (auto *watched : this->chosen()) {
@@ -136,9 +156,10 @@
     request.gatewayCursor = watched.gatewayCursor;
     request.confirm = this->wantsConfirmation;
     request.wantsHeard = this->options.wantsHeard;
-    const auto first = this->chosen().front();
+    request.wantsRegistry = this->isNewsSource(watched);
+    const auto first = this->ranked().front();
     const bool overdue = this->newestKnown > this->held() && this->timers.now() - this->newestKnownSince >= this->options.declarationPatience;
-    request.wantsDeclaration = this->options.wantsDeclarations && (first == &watched || overdue || this->wantsConfirmation);
+    request.wantsDeclaration = this->options.wantsDeclarations && ((first == &watched && request.wantsRegistry) || overdue);
     request.declarationVersion = request.wantsDeclaration ? this->heldTextVersion : std::max(this->held(), this->newestKnown);
     if (!this->options.wantsDeclarations) {
         request.declarationVersion = INT64_MAX;
@@ -170,9 +191,9 @@
         [](auto &client, auto &reply) {
             client.recv_watch(reply);
         },
-        [this, weak, endpoint, confirm = request.confirm](const Core::Result<Protocol::WatchReply> &answer) {
+        [this, weak, endpoint, request](const Core::Result<Protocol::WatchReply> &answer) {
             if (!weak.expired()) {
-                this->takeAnswer(endpoint, answer, confirm);
+                this->takeAnswer(endpoint, answer, request);
             }
         });
 }
@@ -189,14 +210,17 @@
         // One that fails is asked now and then all the same, to notice that it is back.
         if (wanted || !found->second.reachable) {
             this->ask(found->second);
-        } else {
+        } else if (!found->second.asking) {
+            // NOTE: A channel that is dropped with a question under way never tells how that ended.
             found->second.channel.reset();
+            // What it said of its leader is out of date by the time that it is needed again.
+            found->second.hasLeader = true;
         }
         this->askChosen();
     });
 }
 
-void FleetWatcher::takeAnswer(const Core::Endpoint &endpoint, const Core::Result<Protocol::WatchReply> &answer, bool askedForConfirmation)
+void FleetWatcher::takeAnswer(const Core::Endpoint &endpoint, const Core::Result<Protocol::WatchReply> &answer, const Protocol::WatchRequest &request)
 {
     const auto found = this->table.find(endpoint);
     if (found == this->table.end()) {
@@ -213,19 +237,20 @@
     if (!std::exchange(watched.reachable, true)) {
         Core::logEvent(Core::LogLevel::Information, "coordinator.reached", {{"coordinator", endpoint.toString()}});
     }
-    this->takeNews(watched, answer.value());
-    if (askedForConfirmation && answer->confirmed && this->wantsConfirmation) {
+    this->takeNews(watched, answer.value(), request.declarationVersion);
+    if (request.confirm && answer->confirmed && this->wantsConfirmation) {
         this->wantsConfirmation = false;
-        this->isCurrent = true;
+        this->confirmedVersion = answer->declarationVersion;
         Core::logEvent(Core::LogLevel::Information, "declaration.confirmed", {{"version", answer->declarationVersion}, {"coordinator", endpoint.toString()}});
     }
     // NOTE: Asked from the loop, so that a coordinator that answers at once can't keep this function from returning. One that told of a
     //       declaration without its text is asked after a pause, to want the text from it if it has not come from the first one by then.
     const bool textMissing = this->options.wantsDeclarations && this->newestKnown > this->held();
     this->askLater(endpoint, textMissing ? this->options.declarationPatience : Core::Duration(0));
+    this->askChosen();
 }
 
-void FleetWatcher::takeNews(Watched &watched, const Protocol::WatchReply &reply)
+void FleetWatcher::takeNews(Watched &watched, const Protocol::WatchReply &reply, std::int64_t askedFrom)
 {
     const auto now = this->timers.now();
     this->anyAnswer = true;
@@ -247,22 +272,25 @@
         this->newestKnown = reply.declarationVersion;
         this->newestKnownSince = now;
     }
-    this->takeDeclaration(reply);
+    this->takeDeclaration(reply, askedFrom);
     for (const auto &place : reply.coordinators) {
         const auto endpoint = Core::Endpoint::parse(place.address);
         if (endpoint.has_value() && endpoint.value() != this->options.own) {
             this->add(endpoint.value()).zone = place.zone;
         }
     }
-    this->askChosen();
 }
 
-void FleetWatcher::takeDeclaration(const Protocol::WatchReply &reply)
+void FleetWatcher::takeDeclaration(const Protocol::WatchReply &reply, std::int64_t askedFrom)
 {
     const bool carries = reply.__isset.declaration || reply.__isset.declarationDelta;
     if (!carries || reply.declarationVersion <= this->heldTextVersion) {
         return;
     }
+    if (!reply.__isset.declaration && askedFrom != this->heldTextVersion) {
+        // Another coordinator's answer came in between, so the delta is not from the text that is held now. The next question says which one is.
+        return;
+    }
     const auto base = reply.__isset.declaration ? Core::Result<std::string>(std::string()) : expandText(this->heldText, MaximumTextBytes);
     auto text = reply.__isset.declaration ? expandText(reply.declaration, MaximumTextBytes) : base.and_then([&reply](const std::string &before) {
         return applyTextDelta(before, reply.declarationDelta);
--- a/Libraries/LibFleet/FleetWatcher.h
+++ b/Libraries/LibFleet/FleetWatcher.h
@@ -43,6 +43,11 @@
     Core::Duration retryPause{Core::milliseconds(200)};
     /** A declaration that the first coordinator has not sent after this long is wanted of the others, too. */
     Core::Duration declarationPatience{Core::milliseconds(300)};
+    /**
+     * A fresh watcher waits this long for near coordinators before it takes the registry from far ones, whose bytes are dear: they
+     * answer a connection within a round trip once they listen, and a first packet that is lost is tried again after 0.3 s.
+     */
+    Core::Duration nearPatience{Core::milliseconds(500)};
     /** One that is no longer named by others is given up after this long without an answer. */
     Core::Duration giveUpAfter{Core::seconds(20)};
 };
@@ -61,6 +66,7 @@
     /** Asks from now on for an answer that is confirmed to be current, until one came. */
     void wantConfirmation();
 
+    /** Whether what is held was confirmed to be the newest after the confirmation was wanted. */
     [[nodiscard]] bool isConfirmed() const;
     /** Coordinators that answered lately. */
     [[nodiscard]] std::size_t inReach() const;
@@ -89,20 +95,25 @@
         bool failing{false};
         // Whether it hears from a leader; one that does not may miss declarations.
         bool hasLeader{true};
+        // This watcher's own order among coordinators that are equally near.
+        std::size_t order{0};
+        Core::Instant addedAt;
         Core::Instant lastAnswer;
         Core::TimerSubscription retry;
     };
 
     Watched &add(const Core::Endpoint &endpoint);
     void askChosen();
+    [[nodiscard]] std::vector<Watched *> ranked();
     [[nodiscard]] std::vector<Watched *> chosen();
+    [[nodiscard]] bool isNewsSource(const Watched &watched);
     [[nodiscard]] int distanceOf(const Watched &watched) const;
     void ask(Watched &watched);
     void askLater(const Core::Endpoint &endpoint, Core::Duration pause);
     [[nodiscard]] Protocol::WatchRequest makeRequest(Watched &watched);
-    void takeAnswer(const Core::Endpoint &endpoint, const Core::Result<Protocol::WatchReply> &answer, bool askedForConfirmation);
-    void takeNews(Watched &watched, const Protocol::WatchReply &reply);
-    void takeDeclaration(const Protocol::WatchReply &reply);
+    void takeAnswer(const Core::Endpoint &endpoint, const Core::Result<Protocol::WatchReply> &answer, const Protocol::WatchRequest &request);
+    void takeNews(Watched &watched, const Protocol::WatchReply &reply, std::int64_t askedFrom);
+    void takeDeclaration(const Protocol::WatchReply &reply, std::int64_t askedFrom);
     void failed(Watched &watched, const std::string &reason);
     [[nodiscard]] std::int64_t held() const;
 
@@ -112,7 +123,8 @@
     Core::TimerService &timers;
     std::map<Core::Endpoint, Watched> table;
     bool wantsConfirmation{false};
-    bool isCurrent{false};
+    // The version that a quorum confirmed to be the newest; its text may still be on the way.
+    std::optional<std::int64_t> confirmedVersion;
     bool anyAnswer{false};
     // The text of the version that is held, as a base for deltas; compressed, since it may be long.
     std::string heldText;
--- a/Libraries/LibProtocol/Generated/fleet_types.cpp
+++ b/Libraries/LibProtocol/Generated/fleet_types.cpp
@@ -623,6 +623,10 @@
 void WatchRequest::__set_wantsHeard(const bool val) {
   this->wantsHeard = val;
 }
+
+void WatchRequest::__set_wantsRegistry(const bool val) {
+  this->wantsRegistry = val;
+}
 std::ostream& operator<<(std::ostream& out, const WatchRequest& obj)
 {
   obj.printTo(out);
@@ -723,6 +727,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wantsRegistry);
+          this->__isset.wantsRegistry = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -777,6 +789,10 @@
   xfer += oprot->writeBool(this->wantsHeard);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("wantsRegistry", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->wantsRegistry);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -793,6 +809,7 @@
   swap(a.confirm, b.confirm);
   swap(a.gateway, b.gateway);
   swap(a.wantsHeard, b.wantsHeard);
+  swap(a.wantsRegistry, b.wantsRegistry);
   swap(a.__isset, b.__isset);
 }
 
@@ -806,6 +823,7 @@
   confirm = other13.confirm;
   gateway = other13.gateway;
   wantsHeard = other13.wantsHeard;
+  wantsRegistry = other13.wantsRegistry;
   __isset = other13.__isset;
 }
 WatchRequest& WatchRequest::operator=(const WatchRequest& other14) {
@@ -818,6 +836,7 @@
   confirm = other14.confirm;
   gateway = other14.gateway;
   wantsHeard = other14.wantsHeard;
+  wantsRegistry = other14.wantsRegistry;
   __isset = other14.__isset;
   return *this;
 }
@@ -833,6 +852,7 @@
   out << ", " << "confirm=" << to_string(confirm);
   out << ", " << "gateway="; (__isset.gateway ? (out << to_string(gateway)) : (out << "<null>"));
   out << ", " << "wantsHeard=" << to_string(wantsHeard);
+  out << ", " << "wantsRegistry=" << to_string(wantsRegistry);
   out << ")";
 }
 
--- a/Libraries/LibProtocol/Generated/fleet_types.h
+++ b/Libraries/LibProtocol/Generated/fleet_types.h
@@ -305,7 +305,7 @@
 std::ostream& operator<<(std::ostream& out, const TextDelta& obj);
 
 typedef struct _WatchRequest__isset {
-  _WatchRequest__isset() : watcherName(false), coordinatorIncarnation(false), cursor(false), gatewayCursor(false), declarationVersion(false), wantsDeclaration(false), confirm(false), gateway(false), wantsHeard(false) {}
+  _WatchRequest__isset() : watcherName(false), coordinatorIncarnation(false), cursor(false), gatewayCursor(false), declarationVersion(false), wantsDeclaration(false), confirm(false), gateway(false), wantsHeard(false), wantsRegistry(true) {}
   bool watcherName :1;
   bool coordinatorIncarnation :1;
   bool cursor :1;
@@ -315,6 +315,7 @@
   bool confirm :1;
   bool gateway :1;
   bool wantsHeard :1;
+  bool wantsRegistry :1;
 } _WatchRequest__isset;
 
 class WatchRequest : public virtual ::apache::thrift::TBase {
@@ -330,7 +331,8 @@
                  declarationVersion(0),
                  wantsDeclaration(0),
                  confirm(0),
-                 wantsHeard(0) {
+                 wantsHeard(0),
+                 wantsRegistry(true) {
   }
 
   virtual ~WatchRequest() noexcept;
@@ -367,6 +369,10 @@
    * The watcher is a coordinator and wants to know whose heartbeats came here.
    */
   bool wantsHeard;
+  /**
+   * Changes of backend servers and gateways are wanted. A watcher that only waits for a confirmation has them from others.
+   */
+  bool wantsRegistry;
 
   _WatchRequest__isset __isset;
 
@@ -388,6 +394,8 @@
 
   void __set_wantsHeard(const bool val);
 
+  void __set_wantsRegistry(const bool val);
+
   bool operator == (const WatchRequest & rhs) const
   {
     if (!(watcherName == rhs.watcherName))
@@ -410,6 +418,8 @@
       return false;
     if (!(wantsHeard == rhs.wantsHeard))
       return false;
+    if (!(wantsRegistry == rhs.wantsRegistry))
+      return false;
     return true;
   }
   bool operator != (const WatchRequest &rhs) const {
@@ -528,7 +538,7 @@
    */
   std::string declaration;
   /**
-   * A TextDelta from the watcher's version.
+   * A TextDelta from the version that the request named.
    */
   std::string declarationDelta;
   /**
--- a/Libraries/LibProtocol/fleet.thrift
+++ b/Libraries/LibProtocol/fleet.thrift
@@ -65,6 +65,8 @@
   8: optional BackendAnnouncement gateway,
   /** The watcher is a coordinator and wants to know whose heartbeats came here. */
   9: bool wantsHeard,
+  /** Changes of backend servers and gateways are wanted. A watcher that only waits for a confirmation has them from others. */
+  10: bool wantsRegistry = true,
 }
 
 /** Where a coordinator can be watched. */
@@ -83,7 +85,7 @@
   6: i64 declarationVersion,
   /** The whole text, compressed; there when it was wanted and the watcher's version is older, unless the delta is. */
   7: optional binary declaration,
-  /** A TextDelta from the watcher's version. */
+  /** A TextDelta from the version that the request named. */
   12: optional binary declarationDelta,
   /** The version was the newest when the question was asked. */
   8: bool confirmed,
--- /dev/null
+++ b/Tests/LibFleet/TestFleetWatcher.cpp
@@ -0,0 +1,306 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// What a watcher asks of which coordinator, and what it makes of their answers.
+
+#include <LibFleet/FleetWatcher.h>
+#include <LibFleet/TextDelta.h>
+#include <LibRpc/RpcServer.h>
+#include <Support/LoopFixture.h>
+
+#include <criterion/criterion.h>
+
+namespace
+{
+
+using Protocol::WatchReply;
+using Protocol::WatchRequest;
+
+/** A stand-in for a coordinator whose every answer a test decides. */
+class ScriptedCoordinator : public Protocol::CoordinatorCobSvIf
+{
+public:
+    using Script = std::function<std::optional<WatchReply>(const WatchRequest &request)>;
+
+    ScriptedCoordinator(TestSupport::LoopFixture &fixture, Script script) : endpoint(TestSupport::freeEndpoint()), script(std::move(script))
+    {
+        // The server must not own what owns it.
+        const std::shared_ptr<ScriptedCoordinator> unowned(this, [](ScriptedCoordinator *) {
+        });
+        this->server = Rpc::RpcServer::create(
+            {.name = "watch", .endpoint = this->endpoint, .processor = std::make_shared<Protocol::CoordinatorAsyncProcessor>(unowned), .limits = {}},
+            fixture.timers)
+                           .value();
+    }
+
+    void watch(std::function<void(WatchReply const &)> callback, const WatchRequest &request) override
+    {
+        this->requests.push_back(request);
+        const auto reply = this->script(request);
+        if (reply.has_value()) {
+            callback(reply.value());
+        } else {
+            this->held.push_back(std::move(callback));
+        }
+    }
+
+    void introduce(std::function<void(Protocol::IntroductionReply const &)> callback, const Protocol::Introduction &) override
+    {
+        callback(Protocol::IntroductionReply());
+    }
+
+    Core::Endpoint endpoint;
+    Script script;
+    std::vector<WatchRequest> requests;
+    std::vector<std::function<void(WatchReply const &)>> held;
+    std::unique_ptr<Rpc::RpcServer> server;
+};
+
+/** A watcher in one region, with coordinators that a test adds. */
+class WatcherFixture : public TestSupport::LoopFixture
+{
+public:
+    explicit WatcherFixture(std::size_t watchedAtOnce = 1)
+        : watcher(Fleet::WatcherOptions{.name = "gateway",
+                      .zone = "near",
+                      .regions = {{"near", "one"}, {"far-1", "two"}, {"far-2", "three"}},
+                      .own = {},
+                      .watchedAtOnce = watchedAtOnce,
+                      .declarationPatience = Core::milliseconds(20)},
+            this->backends,
+            this->gateways,
+            this->timers)
+    {
+        this->watcher.heldVersion = [this] {
+            return Fleet::DeclarationVersion(this->version);
+        };
+        this->watcher.declarationArrived = [this](Fleet::DeclarationVersion arrived, const std::string &content) {
+            this->version = arrived.value();
+            this->text = content;
+        };
+    }
+
+    ScriptedCoordinator &add(const std::string &zone, ScriptedCoordinator::Script script)
+    {
+        this->coordinators.push_back(std::make_unique<ScriptedCoordinator>(*this, std::move(script)));
+        Protocol::CoordinatorPlace place;
+        place.address = this->coordinators.back()->endpoint.toString();
+        place.zone = zone;
+        this->places.push_back(place);
+        return *this->coordinators.back();
+    }
+
+    void start()
+    {
+        std::vector<Core::Endpoint> endpoints;
+        for (const auto &coordinator : this->coordinators) {
+            endpoints.push_back(coordinator->endpoint);
+        }
+        this->watcher.addCoordinators(endpoints);
+    }
+
+    /** An answer that names all coordinators. */
+    [[nodiscard]] WatchReply reply(std::int64_t declared) const
+    {
+        WatchReply made;
+        made.coordinatorIncarnation = 1;
+        made.coordinators = this->places;
+        made.declarationVersion = declared;
+        made.hasLeader = true;
+        return made;
+    }
+
+    Fleet::BackendRegistry backends;
+    Fleet::BackendRegistry gateways;
+    std::vector<std::unique_ptr<ScriptedCoordinator>> coordinators;
+    std::vector<Protocol::CoordinatorPlace> places;
+    std::int64_t version{-1};
+    std::string text;
+    Fleet::FleetWatcher watcher;
+};
+
+/** Answers the first question of a watcher at once and holds the others, as a coordinator without news does. */
+ScriptedCoordinator::Script answeringOnce(const WatcherFixture &fixture, std::int64_t declared)
+{
+    return [&fixture, declared](const WatchRequest &request) -> std::optional<WatchReply> {
+        return request.coordinatorIncarnation == 0 ? std::optional(fixture.reply(declared)) : std::nullopt;
+    };
+}
+
+bool asksForRegistry(const ScriptedCoordinator &coordinator)
+{
+    return std::any_of(coordinator.requests.begin(), coordinator.requests.end(), [](const WatchRequest &request) {
+        return request.wantsRegistry || request.wantsDeclaration;
+    });
+}
+
+/** Texts whose common part is at another place in each. */
+std::string longText(const std::string &name)
+{
+    std::string text = name + "\n";
+    for (int line = 0; line < 200; ++line) {
+        text += "route number " + std::to_string(line * 7919) + "\n";
+    }
+    return text;
+}
+
+}
+
+Test(FleetWatcher, takesRegistryAndDeclarationFromTheNearCoordinatorOnly)
+{
+    WatcherFixture fixture;
+    const auto &near = fixture.add("near", answeringOnce(fixture, -1));
+    const auto &far = fixture.add("far-1", answeringOnce(fixture, -1));
+    const auto &farther = fixture.add("far-2", answeringOnce(fixture, -1));
+    fixture.watcher.wantConfirmation();
+    fixture.start();
+    cr_assert(fixture.runUntil([&] {
+        return asksForRegistry(near) && far.requests.size() >= 2 && farther.requests.size() >= 2;
+    }));
+    cr_assert_not(asksForRegistry(far));
+    cr_assert_not(asksForRegistry(farther));
+}
+
+Test(FleetWatcher, takesThemFromAFarOneWhenNoNearOneAnswers)
+{
+    WatcherFixture fixture;
+    const auto &far = fixture.add("far-1", [&fixture](const WatchRequest &) -> std::optional<WatchReply> {
+        return fixture.reply(-1);
+    });
+    fixture.add("far-2", answeringOnce(fixture, -1));
+    fixture.add("near", [](const WatchRequest &) -> std::optional<WatchReply> {
+        return std::nullopt;
+    });
+    fixture.watcher.wantConfirmation();
+    fixture.start();
+    cr_assert(fixture.runUntil([&] {
+        return asksForRegistry(far) || asksForRegistry(*fixture.coordinators[1]);
+    }));
+}
+
+Test(FleetWatcher, isConfirmedOnlyOnceItHoldsWhatWasConfirmed)
+{
+    WatcherFixture fixture;
+    auto &near = fixture.add("near", answeringOnce(fixture, -1));
+    fixture.add("far-1", [&fixture](const WatchRequest &) -> std::optional<WatchReply> {
+        auto reply = fixture.reply(7);
+        reply.confirmed = true;
+        return reply;
+    });
+    fixture.add("far-2", answeringOnce(fixture, -1));
+    fixture.watcher.wantConfirmation();
+    fixture.start();
+    cr_assert(fixture.runUntil([&] {
+        return asksForRegistry(near);
+    }));
+    fixture.settle(Core::milliseconds(50));
+    cr_assert_not(fixture.watcher.isConfirmed(), "version 7 is confirmed, but its text is not here");
+    near.script = [&fixture](const WatchRequest &request) -> std::optional<WatchReply> {
+        if (!request.wantsDeclaration) {
+            return std::nullopt;
+        }
+        auto reply = fixture.reply(7);
+        reply.__set_declaration(Fleet::compressText("seven"));
+        return reply;
+    };
+    for (const auto &answer : std::exchange(near.held, {})) {
+        answer(fixture.reply(7));
+    }
+    cr_assert(fixture.runUntil([&] {
+        return fixture.watcher.isConfirmed();
+    }));
+    cr_assert(fixture.version == 7 && fixture.text == "seven");
+}
+
+// A gateway once fell silent for good: a question was asked twice, and the channel of one of them was dropped when the order changed.
+Test(FleetWatcher, goesOnAskingWhenTheOrderOfCoordinatorsChanges)
+{
+    WatcherFixture fixture;
+    bool nearHasLeader = true;
+    auto &near = fixture.add("near", [&](const WatchRequest &) -> std::optional<WatchReply> {
+        auto reply = fixture.reply(-1);
+        reply.hasLeader = nearHasLeader;
+        return reply;
+    });
+    const auto &far = fixture.add("far-1", [&fixture](const WatchRequest &) -> std::optional<WatchReply> {
+        return fixture.reply(-1);
+    });
+    fixture.start();
+    for (int round = 0; round < 5; ++round) {
+        nearHasLeader = false;
+        const auto askedFar = far.requests.size();
+        cr_assert(fixture.runUntil([&] {
+            return far.requests.size() > askedFar + 2;
+        }),
+            "round %d: the far one has a leader",
+            round);
+        // It is asked again only once the far one loses its leader too.
+        nearHasLeader = true;
+        fixture.coordinators[1]->script = [&fixture](const WatchRequest &) -> std::optional<WatchReply> {
+            auto reply = fixture.reply(-1);
+            reply.hasLeader = false;
+            return reply;
+        };
+        const auto askedNear = near.requests.size();
+        cr_assert(fixture.runUntil([&] {
+            return near.requests.size() > askedNear + 2;
+        }),
+            "round %d: the near one has a leader again",
+            round);
+        fixture.coordinators[1]->script = [&fixture](const WatchRequest &) -> std::optional<WatchReply> {
+            return fixture.reply(-1);
+        };
+    }
+}
+
+// Two coordinators answered with deltas from the same text, and the second one was applied to what the first had led to.
+Test(FleetWatcher, appliesNoDeltaToAnotherTextThanItWasMadeFor)
+{
+    WatcherFixture fixture(2);
+    const std::vector<std::string> texts{"", longText("one"), longText("the second"), longText("three")};
+    std::size_t wholeTexts = 0;
+    const auto answer = [&](const WatchRequest &request, std::int64_t version) {
+        auto reply = fixture.reply(version);
+        const auto &text = texts.at(static_cast<std::size_t>(version));
+        if (request.declarationVersion < 0) {
+            ++wholeTexts;
+            reply.__set_declaration(Fleet::compressText(text));
+        } else {
+            reply.__set_declarationDelta(Fleet::makeTextDelta(texts.at(static_cast<std::size_t>(request.declarationVersion)), text));
+        }
+        return reply;
+    };
+    auto &near = fixture.add("near", [&](const WatchRequest &request) -> std::optional<WatchReply> {
+        if (!request.wantsDeclaration) {
+            // It is asked for the text once it is known to be the nearest.
+            return fixture.reply(1);
+        }
+        return request.declarationVersion < 1 ? std::optional(answer(request, 1)) : std::nullopt;
+    });
+    auto &far = fixture.add("far-1", answeringOnce(fixture, 1));
+    fixture.start();
+    cr_assert(fixture.runUntil([&] {
+        return fixture.version == 1 && near.held.size() == 1 && far.held.size() == 1;
+    }));
+    cr_assert(near.requests.back().declarationVersion == 1);
+    const auto fromOne = answer(near.requests.back(), 3);
+    near.script = [&](const WatchRequest &request) -> std::optional<WatchReply> {
+        return request.declarationVersion < 3 ? std::optional(answer(request, 3)) : std::nullopt;
+    };
+    // The far one tells of version 2, and is asked for its text when the near one keeps silent about it.
+    far.script = [&](const WatchRequest &request) -> std::optional<WatchReply> {
+        return request.wantsDeclaration && request.declarationVersion < 2 ? std::optional(answer(request, 2)) : std::nullopt;
+    };
+    far.held.front()(fixture.reply(2));
+    cr_assert(fixture.runUntil([&] {
+        return fixture.version == 2;
+    }));
+    near.held.front()(fromOne);
+    cr_assert(fixture.runUntil([&] {
+        return fixture.version == 3;
+    }));
+    cr_assert(fixture.text == texts[3]);
+    cr_assert(wholeTexts == 1, "no text was wanted whole again");
+}
