--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -8,6 +8,7 @@
 #include <LibCore/Log.h>
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace Gateway
@@ -24,6 +25,8 @@
 static constexpr double AvoidedPenaltyMilliseconds = 10'000.0;
 // A cold backend server takes about this much longer.
 static constexpr double ColdFactor = 1.6;
+// Backend servers whose expected times differ by less are equally good; about half a round trip between regions.
+static constexpr double EquallyGoodMilliseconds = 10.0;
 // Expected times differ by up to this share at random, so that gateways don't all choose the same one.
 static constexpr double ChoiceNoise = 0.15;
 
@@ -129,17 +132,28 @@
     });
 }
 
-std::vector<std::string> BackendPool::zonesOf(const Core::ServiceName &service) const
+std::vector<std::string> BackendPool::goodZonesOf(const Core::ServiceName &service, Core::Duration typicalLatency) const
 {
-    std::vector<std::string> zones;
     const auto found = this->services.find(service);
     if (found == this->services.end()) {
-        return zones;
+        return {};
     }
     const auto now = this->timers.now();
+    std::map<std::string, double> scoreOfZone;
+    double best = std::numeric_limits<double>::max();
     for (const auto *backend : found->second.backends) {
-        if (backend->phase == Protocol::BackendPhase::READY && !backend->evidence.isAvoided(now)) {
-            zones.push_back(backend->zone);
+        if (backend->phase != Protocol::BackendPhase::READY || !this->hasRoom(*backend, found->second)) {
+            continue;
+        }
+        const double score = this->expectedMilliseconds(*backend, typicalLatency, now) + this->biasMilliseconds(*backend, now);
+        const auto [position, isNew] = scoreOfZone.try_emplace(backend->zone, score);
+        position->second = std::min(position->second, score);
+        best = std::min(best, score);
+    }
+    std::vector<std::string> zones;
+    for (const auto &[zone, score] : scoreOfZone) {
+        if (score <= best + EquallyGoodMilliseconds) {
+            zones.push_back(zone);
         }
     }
     return zones;
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -179,8 +179,8 @@
 
     [[nodiscard]] RepeatBudget &budget(const Core::ServiceName &service);
     [[nodiscard]] bool hasReady(const Core::ServiceName &service) const;
-    /** The availability zones in which a service has backend servers that take work and seem sound. */
-    [[nodiscard]] std::vector<std::string> zonesOf(const Core::ServiceName &service) const;
+    /** The availability zones whose backend servers are about as good a choice as the best one, each once. Empty when none takes work. */
+    [[nodiscard]] std::vector<std::string> goodZonesOf(const Core::ServiceName &service, Core::Duration typicalLatency) const;
     /** The shortest round trip to a backend server of a service; an assumption before one was measured. */
     [[nodiscard]] Core::Duration roundTripTo(const Core::ServiceName &service) const;
     [[nodiscard]] const PoolCounters &counters() const;
--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -14,17 +14,6 @@
 namespace Gateway
 {
 
-// The shortest round trip is what was measured; queues and a connection that has to be opened make it longer.
-static constexpr double RelayWayFactor = 1.3;
-// Two programs and two links more than without the other gateway.
-static constexpr Core::Duration RelayOverhead = Core::milliseconds(4);
-
-FanOutRequest::RelayedShards::RelayedShards(const Fleet::Route &route, const RelayPlan &plan, const CallerRequest &request, Core::Duration targetLeft)
-    : shards(plan.relayed), route(makeRelayRoute(route, plan.relays)), request(request)
-{
-    addRelayTerms(this->request.message.headers, RelayTerms{.targetLeft = targetLeft, .shards = this->shards});
-}
-
 FanOutRequest::FanOutRequest(
     RequestContext context, std::shared_ptr<const Fleet::RouteTable> routes, const Fleet::Route &route, CallerRequest request, RelayPlan plan, Asker asker)
     : RoutedRequest(context, std::move(routes), route, std::move(request)), plan(std::move(plan)), asker(asker)
@@ -36,124 +25,133 @@
 void FanOutRequest::startCalls()
 {
     for (const auto &shard : this->plan.direct) {
-        this->startDirect(shard, Protocol::MissingShard());
+        this->addRow(shard);
+    }
+    std::vector<std::vector<std::size_t>> rowNumbers;
+    for (const auto &part : this->plan.parts) {
+        rowNumbers.emplace_back();
+        for (const auto &shard : part.shards) {
+            rowNumbers.back().push_back(this->rows.size());
+            this->addRow(shard);
+        }
     }
-    if (!this->plan.relayed.empty()) {
-        this->startRelayed();
+    // NOTE: Parts first, since they have the longer way.
+    for (std::size_t number = 0; number < this->plan.parts.size(); ++number) {
+        this->startPart(this->plan.parts[number], std::move(rowNumbers[number]));
     }
+    for (std::size_t number = 0; number < this->plan.direct.size(); ++number) {
+        this->startDirect(this->rows[number], Protocol::MissingShard());
+    }
+}
+
+void FanOutRequest::addRow(const Core::ServiceName &shard)
+{
+    this->rows.push_back(Row{.shard = shard, .call = nullptr, .part = nullptr, .inPart = false, .lost = {}});
 }
 
 // `before` is what another gateway did for the shard.
-void FanOutRequest::startDirect(const Core::ServiceName &shard, const Protocol::MissingShard &before)
+void FanOutRequest::startDirect(Row &row, const Protocol::MissingShard &before)
 {
-    this->calls.push_back(this->makeCall(shard));
-    auto &call = *this->calls.back();
-    call.countEarlier(before.executions, before.sends);
-    call.start([this] {
+    row.call = this->makeCall(row.shard);
+    row.call->countEarlier(before.executions, before.sends);
+    row.call->start([this] {
         this->callFinished();
     });
 }
 
-void FanOutRequest::startRelayed()
+void FanOutRequest::startPart(const PartPlan &partPlan, std::vector<std::size_t> rowNumbers)
 {
-    // The other gateway answers so early that its part is here when the whole answer should leave.
-    const auto way = scaled(this->context.relays->roundTripTo(this->plan.relays), RelayWayFactor) + RelayOverhead;
-    const auto target = std::max(Core::Duration(0), this->terms.targetAt - this->now() - way);
-    this->relayed = std::make_unique<RelayedShards>(this->route, this->plan, this->request, target);
-    auto &part = *this->relayed;
-    part.terms = makeTerms(*this->context.settings, *part.route, part.request, *this->context.relayLatencies, this->now());
-    part.terms.giveUpAt = std::min(part.terms.giveUpAt, this->arrivedAt + this->plan.targetsHeld * this->route.targetLatency);
-    part.call = std::make_unique<ShardCall>(part.terms, this->plan.relays, *this->context.relays, *this->context.timers);
-    part.call->start([this] {
-        this->withoutCompleting([this] {
-            this->takeRelayedAnswer();
+    // Each part gets its share of what may be missing, rounded up.
+    const PartTerms partTerms{.targetAt = this->terms.targetAt,
+        .giveUpAt = std::min(this->terms.giveUpAt, this->arrivedAt + this->plan.targetsHeld * this->route.targetLatency),
+        .mayMiss = (this->mayMiss() * partPlan.shards.size() + this->rows.size() - 1) / this->rows.size()};
+    this->parts.push_back(std::make_unique<AskedPart>());
+    auto &asked = *this->parts.back();
+    asked.part = std::make_unique<RelayedPart>(this->context, this->route, this->request, partPlan, partTerms);
+    asked.rowNumbers = std::move(rowNumbers);
+    for (const auto number : asked.rowNumbers) {
+        this->rows[number].part = asked.part.get();
+    }
+    asked.part->start([this, &asked] {
+        this->withoutCompleting([this, &asked] {
+            this->takePart(asked);
         });
         this->callFinished();
     });
 }
 
-void FanOutRequest::takeRelayedAnswer()
+void FanOutRequest::takePart(const AskedPart &asked)
 {
-    auto &part = *this->relayed;
-    if (std::exchange(part.taken, true)) {
-        return;
-    }
-    std::vector<Protocol::MissingShard> missing;
-    switch (part.call->state()) {
-    case CallState::Answered: {
-        auto answer = Rpc::deserialize<Protocol::PartialAnswer>(part.call->reply().message.body);
-        if (answer.has_value()) {
-            this->context.relayLatencies->add(part.call->latency());
-            part.answer = std::move(answer.value());
-            missing = part.answer.missing;
-        } else {
-            part.lost = part.shards.size();
-        }
-        break;
-    }
-    case CallState::NotRun:
-    case CallState::FailedUnacknowledged:
-        // No other gateway has taken it, so it is all asked from here, in the time that is left. One whose machine fell silent most likely has
-        // not either; an attempt at each shard is counted for it all the same.
-        for (const auto &shard : part.shards) {
-            missing.emplace_back();
-            missing.back().serviceName = shard.value();
-            missing.back().executions = part.call->executions();
-            missing.back().sends = part.call->executions();
+    const auto missing = asked.part->missing();
+    for (const auto number : asked.rowNumbers) {
+        auto &row = this->rows[number];
+        const auto found = std::find_if(missing.begin(), missing.end(), [&row](const Protocol::MissingShard &shard) {
+            return shard.serviceName == row.shard.value();
+        });
+        row.inPart = found == missing.end();
+        if (!row.inPart) {
+            this->askMissing(row, *found);
         }
-        break;
-    default:
-        // What ran for the other gateway is not known, so nothing may be sent in its place.
-        part.lost = part.shards.size();
-        break;
     }
-    this->askMissingDirectly(missing);
 }
 
-void FanOutRequest::askMissingDirectly(const std::vector<Protocol::MissingShard> &missing)
+void FanOutRequest::askMissing(Row &row, const Protocol::MissingShard &missing)
 {
-    for (const auto &shard : missing) {
-        const bool allowed = shard.executions < this->route.maximumAttempts && !this->isTimeUp();
-        if (allowed) {
-            this->startDirect(Core::ServiceName(shard.serviceName), shard);
-        } else {
-            ++this->relayed->lost;
-        }
+    row.lost = missing;
+    if (missing.executions < this->route.maximumAttempts && !this->isTimeUp()) {
+        this->startDirect(row, missing);
     }
 }
 
 Core::Instant FanOutRequest::lookAtCalls()
 {
     auto next = this->terms.giveUpAt;
-    // NOTE: By number, since a call that fails at once may add others.
-    for (std::size_t index = 0; index < this->calls.size(); ++index) {
-        next = std::min(next, this->calls[index]->hedgeIfDue().value_or(next));
-    }
-    if (!this->relayed || this->relayed->taken) {
-        return next;
+    for (auto &row : this->rows) {
+        if (row.call) {
+            next = std::min(next, row.call->hedgeIfDue().value_or(next));
+        }
     }
-    if (this->now() >= this->relayed->terms.giveUpAt) {
-        this->relayed->call->giveUp(false);
-        this->takeRelayedAnswer();
-        return next;
+    for (const auto &asked : this->parts) {
+        auto &part = *asked->part;
+        if (!part.isOpen()) {
+            continue;
+        }
+        if (this->now() >= part.giveUpAt()) {
+            part.giveUp(false);
+            this->takePart(*asked);
+        } else {
+            next = std::min(next, part.giveUpAt());
+        }
     }
-    return std::min(next, this->relayed->terms.giveUpAt);
+    return next;
 }
 
 void FanOutRequest::giveUpCalls(bool callerIsGone)
 {
-    for (const auto &call : this->calls) {
-        call->giveUp(callerIsGone);
+    for (const auto &row : this->rows) {
+        if (row.call) {
+            row.call->giveUp(callerIsGone);
+        }
     }
-    if (this->relayed && !this->relayed->taken) {
-        this->relayed->call->giveUp(callerIsGone);
-        this->relayed->taken = true;
-        this->relayed->lost = this->relayed->shards.size();
+    for (const auto &asked : this->parts) {
+        asked->part->giveUp(callerIsGone);
     }
 }
 
 // ---- Coverage
 
+bool FanOutRequest::isAnswered(const Row &row)
+{
+    return row.inPart || (row.call && row.call->state() == CallState::Answered);
+}
+
+bool FanOutRequest::isOpen(const Row &row)
+{
+    const bool byPart = row.part != nullptr && row.part->isOpen();
+    const bool byCall = row.call && !isFinished(row.call->state());
+    return !isAnswered(row) && (byPart || byCall);
+}
+
 std::size_t FanOutRequest::needed() const
 {
     // A hair less, so that 0.89 of 100 shards are 89 of them whatever the rounding of the product.
@@ -161,29 +159,30 @@
     return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(exact)));
 }
 
+std::size_t FanOutRequest::mayMiss() const
+{
+    return this->context.relayTerms.has_value() ? this->context.relayTerms->mayMiss : this->route.shards.size() - this->needed();
+}
+
 std::size_t FanOutRequest::answeredCount() const
 {
-    const auto direct = std::count_if(this->calls.begin(), this->calls.end(), [](const auto &call) {
-        return call->state() == CallState::Answered;
-    });
-    return static_cast<std::size_t>(direct) + (this->relayed ? this->relayed->answer.signatures.size() : 0);
+    return static_cast<std::size_t>(std::count_if(this->rows.begin(), this->rows.end(), isAnswered));
 }
 
 std::size_t FanOutRequest::openCount() const
 {
-    const auto direct = std::count_if(this->calls.begin(), this->calls.end(), [](const auto &call) {
-        return !isFinished(call->state());
-    });
-    return static_cast<std::size_t>(direct) + (this->relayed && !this->relayed->taken ? this->relayed->shards.size() : 0);
+    return static_cast<std::size_t>(std::count_if(this->rows.begin(), this->rows.end(), isOpen));
 }
 
 bool FanOutRequest::mayHaveRun() const
 {
-    const bool direct = std::any_of(this->calls.begin(), this->calls.end(), [](const auto &call) {
-        return call->executions() > 0;
+    const bool byRow = std::any_of(this->rows.begin(), this->rows.end(), [](const Row &row) {
+        return row.inPart || row.lost.executions > 0 || (row.call && row.call->executions() > 0);
     });
-    const bool byOther = this->relayed && this->relayed->call->executions() > 0;
-    return direct || byOther;
+    const bool byPart = std::any_of(this->parts.begin(), this->parts.end(), [](const auto &asked) {
+        return asked->part->mayHaveRun();
+    });
+    return byRow || byPart;
 }
 
 void FanOutRequest::check()
@@ -209,26 +208,45 @@
     }
 }
 
+// A part leaves when all shards are in or lost; when the target is due and few are missing; and after the target as soon as few are.
 void FanOutRequest::checkForOtherGateway()
 {
-    if (this->openCount() == 0 || this->isTargetDue()) {
+    const auto missing = this->rows.size() - this->answeredCount();
+    if (this->openCount() == 0 || (this->isTargetDue() && missing <= this->mayMiss())) {
         this->answerOtherGateway();
     }
 }
 
+// ---- Answers
+
 std::string FanOutRequest::mergedRecords()
 {
-    std::vector<std::string_view> parts;
-    for (const auto &call : this->calls) {
-        if (call->state() == CallState::Answered) {
-            parts.emplace_back(call->reply().message.body);
-            this->context.latencies->add(call->latency());
+    std::vector<std::string_view> merged;
+    for (const auto &row : this->rows) {
+        if (isAnswered(row) && !row.inPart) {
+            merged.emplace_back(row.call->reply().message.body);
+            this->context.latencies->add(row.call->latency());
         }
     }
-    if (this->relayed) {
-        parts.emplace_back(this->relayed->answer.records);
+    for (const auto &asked : this->parts) {
+        merged.emplace_back(asked->part->answer().records);
     }
-    return mergeGreatest(parts, this->route.topRecords);
+    return mergeGreatest(merged, this->route.topRecords);
+}
+
+std::vector<std::string> FanOutRequest::signatures() const
+{
+    std::vector<std::string> all;
+    for (const auto &row : this->rows) {
+        if (isAnswered(row) && !row.inPart) {
+            all.push_back(row.call->reply().signature);
+        }
+    }
+    for (const auto &asked : this->parts) {
+        const auto &others = asked->part->answer().signatures;
+        all.insert(all.end(), others.begin(), others.end());
+    }
+    return all;
 }
 
 void FanOutRequest::answerCaller()
@@ -236,36 +254,36 @@
     MergedAnswer answer;
     answer.id = this->request.id;
     answer.body = this->mergedRecords();
-    for (const auto &call : this->calls) {
-        if (call->state() == CallState::Answered) {
-            answer.signatures.push_back(call->reply().signature);
-        }
-    }
-    if (this->relayed) {
-        const auto &others = this->relayed->answer.signatures;
-        answer.signatures.insert(answer.signatures.end(), others.begin(), others.end());
-    }
+    answer.signatures = this->signatures();
     answer.missing = this->route.shards.size() - answer.signatures.size();
     this->giveUpCalls(false);
     this->complete(this->context.dialect->writeMerged(answer), answer.missing == 0 ? RequestOutcome::Answered : RequestOutcome::Partial);
 }
 
+Protocol::MissingShard FanOutRequest::describeMissing(const Row &row) const
+{
+    Protocol::MissingShard missing = row.lost;
+    missing.serviceName = row.shard.value();
+    if (row.call) {
+        missing.executions = row.call->executions();
+        missing.sends = row.call->attempts();
+    } else if (row.part != nullptr && row.part->mayHaveRun()) {
+        // What ran for the other gateway is not known.
+        missing.executions = this->route.maximumAttempts;
+        missing.sends = 1;
+    }
+    return missing;
+}
+
 void FanOutRequest::answerOtherGateway()
 {
     Protocol::PartialAnswer answer;
     answer.records = this->mergedRecords();
-    for (const auto &call : this->calls) {
-        if (call->state() == CallState::Answered) {
-            answer.signatures.push_back(call->reply().signature);
-        }
-    }
+    answer.signatures = this->signatures();
     this->giveUpCalls(false);
-    for (const auto &call : this->calls) {
-        if (call->state() != CallState::Answered) {
-            answer.missing.emplace_back();
-            answer.missing.back().serviceName = call->service().value();
-            answer.missing.back().executions = call->executions();
-            answer.missing.back().sends = call->attempts();
+    for (const auto &row : this->rows) {
+        if (!isAnswered(row)) {
+            answer.missing.push_back(this->describeMissing(row));
         }
     }
     const auto outcome = answer.missing.empty() ? RequestOutcome::Answered : RequestOutcome::Partial;
@@ -274,14 +292,16 @@
 
 void FanOutRequest::describe(RequestSummary &summary) const
 {
-    summary.shards = this->asker == Asker::Caller ? this->route.shards.size() : this->plan.direct.size();
+    summary.shards = this->asker == Asker::Caller ? this->route.shards.size() : this->rows.size();
     summary.answered = this->answeredCount();
-    summary.relayed = this->plan.relayed.size();
-    for (const auto &call : this->calls) {
-        describeCall(summary, *call);
+    for (const auto &row : this->rows) {
+        if (row.call) {
+            describeCall(summary, *row.call);
+        }
     }
-    if (this->relayed) {
-        describeCall(summary, *this->relayed->call);
+    for (const auto &asked : this->parts) {
+        summary.relayed += asked->rowNumbers.size();
+        describeCall(summary, asked->part->call());
     }
 }
 
--- a/Libraries/LibGateway/FanOutRequest.h
+++ b/Libraries/LibGateway/FanOutRequest.h
@@ -9,9 +9,7 @@
 
 #pragma once
 
-#include <LibGateway/RelayPlan.h>
-#include <LibGateway/RoutedRequest.h>
-#include <LibProtocol/Generated/fleet_types.h>
+#include <LibGateway/RelayedPart.h>
 
 namespace Gateway
 {
@@ -39,40 +37,52 @@
     void describe(RequestSummary &summary) const override;
 
 private:
-    /** Shards that another gateway asks for us. */
-    struct RelayedShards {
-        RelayedShards(const Fleet::Route &route, const RelayPlan &plan, const CallerRequest &request, Core::Duration targetLeft);
-
-        std::vector<Core::ServiceName> shards;
-        std::shared_ptr<const Fleet::Route> route;
-        CallerRequest request;
-        CallTerms terms;
+    /** A shard, and who is asked for it. */
+    struct Row {
+        Core::ServiceName shard;
+        // There when it is asked for from here.
         std::unique_ptr<ShardCall> call;
-        bool taken{false};
-        // Shards that the partial answer holds.
-        Protocol::PartialAnswer answer;
-        // Shards of it that nobody can answer any more.
-        std::size_t lost{0};
+        // There when another gateway was asked for it.
+        RelayedPart *part{nullptr};
+        // The part holds its answer.
+        bool inPart{false};
+        // What may have run for it elsewhere when nobody asks for it any more.
+        Protocol::MissingShard lost;
+    };
+
+    void addRow(const Core::ServiceName &shard);
+    void startDirect(Row &row, const Protocol::MissingShard &before);
+    /** What another gateway is asked for, and the rows that it is asked for, by number. */
+    struct AskedPart {
+        std::unique_ptr<RelayedPart> part;
+        std::vector<std::size_t> rowNumbers;
     };
 
-    void startDirect(const Core::ServiceName &shard, const Protocol::MissingShard &before);
-    void startRelayed();
-    void takeRelayedAnswer();
-    void askMissingDirectly(const std::vector<Protocol::MissingShard> &missing);
+    void startPart(const PartPlan &partPlan, std::vector<std::size_t> rowNumbers);
+    void takePart(const AskedPart &asked);
+    void askMissing(Row &row, const Protocol::MissingShard &missing);
     void checkForCaller();
     void checkForOtherGateway();
     void answerCaller();
     void answerOtherGateway();
+    [[nodiscard]] static bool isAnswered(const Row &row);
+    [[nodiscard]] static bool isOpen(const Row &row);
+    [[nodiscard]] Protocol::MissingShard describeMissing(const Row &row) const;
     [[nodiscard]] std::size_t needed() const;
+    /** How many shards may be missing from what this gateway was asked for. */
+    [[nodiscard]] std::size_t mayMiss() const;
     [[nodiscard]] std::size_t answeredCount() const;
     [[nodiscard]] std::size_t openCount() const;
     [[nodiscard]] bool mayHaveRun() const;
+    /** Takes the answers of all rows and parts together. */
     [[nodiscard]] std::string mergedRecords();
+    [[nodiscard]] std::vector<std::string> signatures() const;
 
     RelayPlan plan;
     Asker asker;
-    std::vector<std::unique_ptr<ShardCall>> calls;
-    std::unique_ptr<RelayedShards> relayed;
+    // Invariant: one row for each shard that this gateway was asked for, in no order; none is added once the calls have started.
+    std::vector<Row> rows;
+    std::vector<std::unique_ptr<AskedPart>> parts;
 };
 
 }
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -294,13 +294,17 @@
         return;
     }
     RelayPlan plan;
-    plan.direct = std::move(terms->shards);
+    if (terms->mayDivide) {
+        plan = planRelay(terms->shards, this->relayView(*route, true), this->options.relay);
+    } else {
+        plan.direct = terms->shards;
+    }
     this->run(std::make_unique<FanOutRequest>(
-                  this->contextFor(*route, terms->targetLeft), this->routes, *route, std::move(request), std::move(plan), Asker::OtherGateway),
+                  this->contextFor(*route, std::move(terms)), this->routes, *route, std::move(request), std::move(plan), Asker::OtherGateway),
         exchange);
 }
 
-RequestContext GatewayNode::contextFor(const Fleet::Route &route, std::optional<Core::Duration> targetLeft)
+RequestContext GatewayNode::contextFor(const Fleet::Route &route, std::optional<RelayTerms> relayTerms)
 {
     return RequestContext{.pool = &this->pool,
         .relays = &this->relays,
@@ -309,7 +313,18 @@
         .settings = &this->options.requests,
         .latencies = &this->latencies[route.name],
         .relayLatencies = &this->relayLatencies[route.name],
-        .targetLeft = targetLeft};
+        .relayTerms = std::move(relayTerms)};
+}
+
+RelayView GatewayNode::relayView(const Fleet::Route &route, bool onlyOtherRegions)
+{
+    return RelayView{.pool = this->pool,
+        .relays = this->relays,
+        .ownZone = this->options.pool.zone.value(),
+        .regions = this->options.pool.regions,
+        .typicalLatency = typicalLatencyOf(this->options.requests, route, this->latencies[route.name]),
+        .number = this->nextRequest,
+        .onlyOtherRegions = onlyOtherRegions};
 }
 
 void GatewayNode::startRequest(const Fleet::Route &route, CallerRequest request, const Wire::ExchangePointer &exchange)
@@ -321,9 +336,8 @@
         this->run(std::make_unique<SingleRequest>(context, this->routes, route, std::move(request), this->chooseTarget(route)), exchange);
         return;
     }
-    auto plan = planRelay(
-        route.shards, this->pool, this->relays, this->options.pool.zone.value(), this->options.pool.regions, this->nextRequest, this->options.relay);
-    this->counts.relayed += plan.relayed.empty() ? 0 : 1;
+    auto plan = planRelay(route.shards, this->relayView(route, false), this->options.relay);
+    this->counts.relayed += plan.parts.size();
     this->run(std::make_unique<FanOutRequest>(context, this->routes, route, std::move(request), std::move(plan), Asker::Caller), exchange);
 }
 
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -85,7 +85,8 @@
 private:
     void adopt(Fleet::DeclarationVersion version, const std::string &content);
     void startRequest(const Fleet::Route &route, CallerRequest request, const Wire::ExchangePointer &exchange);
-    [[nodiscard]] RequestContext contextFor(const Fleet::Route &route, std::optional<Core::Duration> targetLeft);
+    [[nodiscard]] RequestContext contextFor(const Fleet::Route &route, std::optional<RelayTerms> relayTerms);
+    [[nodiscard]] RelayView relayView(const Fleet::Route &route, bool onlyOtherRegions);
     void run(std::unique_ptr<RoutedRequest> request, const Wire::ExchangePointer &exchange);
     [[nodiscard]] std::optional<Protocol::BackendAnnouncement> makePresence();
     void updateRelays(const Fleet::BackendRecord &record);
--- a/Libraries/LibGateway/RelayPlan.cpp
+++ b/Libraries/LibGateway/RelayPlan.cpp
@@ -12,7 +12,7 @@
 namespace Gateway
 {
 
-static constexpr std::int64_t LongestTargetMilliseconds = 3'600'000;
+static constexpr std::int64_t LongestMilliseconds = 3'600'000;
 static constexpr int NotRunStatus = 503;
 
 Core::ServiceName relayService(const std::string &zone)
@@ -27,66 +27,116 @@
     return leftRegion != regions.end() && rightRegion != regions.end() && leftRegion->second == rightRegion->second;
 }
 
-RelayPlan planRelay(const std::vector<Core::ServiceName> &shards,
-    const BackendPool &pool,
-    const BackendPool &relays,
-    const std::string &ownZone,
-    const std::map<std::string, std::string> &regions,
-    std::uint64_t number,
-    const RelayOptions &options)
+namespace
 {
-    RelayPlan plan;
-    plan.targetsHeld = options.targetsHeld;
-    // Shards without a backend server in this zone, and the zones where they have some.
-    std::map<std::string, std::vector<Core::ServiceName>> byZone;
+
+/** A shard that is better asked for by another gateway. */
+struct FarShard {
+    Core::ServiceName name;
+    std::vector<std::string> zones;
+};
+
+}
+
+// The zones whose gateways can be asked for a shard; none when it is best asked from here.
+static std::vector<std::string> zonesToAsk(const Core::ServiceName &shard, const RelayView &view)
+{
+    auto zones = view.pool.goodZonesOf(shard, view.typicalLatency);
+    if (std::find(zones.begin(), zones.end(), view.ownZone) != zones.end()) {
+        return {};
+    }
+    std::erase_if(zones, [&view](const std::string &zone) {
+        const bool passedOver = view.onlyOtherRegions && inSameRegion(view.regions, zone, view.ownZone);
+        return passedOver || !view.relays.hasReady(relayService(zone));
+    });
+    return zones;
+}
+
+// A zone of this region goes first, then the one that covers most; among equals searches are spread.
+static std::string chooseZone(const std::vector<FarShard> &shards, const RelayView &view)
+{
+    std::map<std::string, std::size_t> covered;
     for (const auto &shard : shards) {
-        auto zones = pool.zonesOf(shard);
-        std::sort(zones.begin(), zones.end());
-        zones.erase(std::unique(zones.begin(), zones.end()), zones.end());
-        const bool near = std::find(zones.begin(), zones.end(), ownZone) != zones.end();
-        for (const auto &zone : zones) {
-            if (!near && relays.hasReady(relayService(zone))) {
-                byZone[zone].push_back(shard);
-            }
+        for (const auto &zone : shard.zones) {
+            ++covered[zone];
         }
     }
-    // The zone of this region that covers most goes first, then any that covers most; among equals searches are spread.
-    std::vector<std::string> best;
     const auto rank = [&](const std::string &zone) {
-        return std::pair(inSameRegion(regions, zone, ownZone), byZone.at(zone).size());
+        return std::pair(inSameRegion(view.regions, zone, view.ownZone), covered.at(zone));
     };
-    for (const auto &[zone, covered] : byZone) {
-        if (covered.size() < options.fewestShards || (!best.empty() && rank(zone) < rank(best.front()))) {
-            continue;
-        }
+    std::vector<std::string> best;
+    for (const auto &[zone, count] : covered) {
         if (!best.empty() && rank(zone) > rank(best.front())) {
             best.clear();
         }
-        best.push_back(zone);
-    }
-    if (best.empty()) {
-        plan.direct = shards;
-        return plan;
+        if (best.empty() || rank(zone) == rank(best.front())) {
+            best.push_back(zone);
+        }
     }
-    const auto &zone = best[number % best.size()];
-    plan.relays = relayService(zone);
-    plan.relayed = byZone.at(zone);
+    return best[view.number % best.size()];
+}
+
+RelayPlan planRelay(const std::vector<Core::ServiceName> &shards, const RelayView &view, const RelayOptions &options)
+{
+    RelayPlan plan;
+    plan.targetsHeld = options.targetsHeld;
+    std::vector<FarShard> far;
     for (const auto &shard : shards) {
-        if (std::find(plan.relayed.begin(), plan.relayed.end(), shard) == plan.relayed.end()) {
+        auto zones = zonesToAsk(shard, view);
+        if (zones.empty()) {
             plan.direct.push_back(shard);
+        } else {
+            far.push_back({.name = shard, .zones = std::move(zones)});
+        }
+    }
+    while (!far.empty()) {
+        const auto zone = chooseZone(far, view);
+        const auto rest = std::stable_partition(far.begin(), far.end(), [&zone](const FarShard &shard) {
+            return std::find(shard.zones.begin(), shard.zones.end(), zone) != shard.zones.end();
+        });
+        PartPlan part{.relays = relayService(zone), .shards = {}, .mayDivide = inSameRegion(view.regions, zone, view.ownZone)};
+        for (auto shard = far.begin(); shard != rest; ++shard) {
+            part.shards.push_back(shard->name);
+        }
+        far.erase(far.begin(), rest);
+        const auto fewest = part.mayDivide ? options.fewestShards : options.fewestFarShards;
+        if (part.shards.size() >= fewest) {
+            plan.parts.push_back(std::move(part));
+        } else {
+            plan.direct.insert(plan.direct.end(), part.shards.begin(), part.shards.end());
         }
     }
     return plan;
 }
 
+// Nothing when the text is not all of it, or out of bounds.
+static std::optional<RelayTerms> readTerms(const std::string &text)
+{
+    std::vector<std::int64_t> numbers;
+    for (const auto &word : Core::splitList(text)) {
+        const auto number = Core::parseInteger(word, 0, LongestMilliseconds);
+        if (!number.has_value()) {
+            return std::nullopt;
+        }
+        numbers.push_back(number.value());
+    }
+    if (numbers.size() != 4) {
+        return std::nullopt;
+    }
+    return RelayTerms{.targetLeft = Core::milliseconds(numbers[0]),
+        .holdLeft = Core::milliseconds(numbers[1]),
+        .mayMiss = static_cast<std::size_t>(numbers[2]),
+        .mayDivide = numbers[3] != 0,
+        .shards = {}};
+}
+
 std::optional<RelayTerms> takeRelayTerms(Wire::Headers &headers)
 {
-    std::optional<std::int64_t> targetLeft;
+    std::optional<RelayTerms> terms;
     std::vector<Core::ServiceName> shards;
-    std::erase_if(headers, [&targetLeft, &shards](const Wire::Header &header) {
-        if (Wire::sameName(header.name, RelayHeader::TargetLeft)) {
-            const auto value = Core::parseInteger(header.value, 0, LongestTargetMilliseconds);
-            targetLeft = value.has_value() ? std::optional(value.value()) : std::nullopt;
+    std::erase_if(headers, [&terms, &shards](const Wire::Header &header) {
+        if (Wire::sameName(header.name, RelayHeader::Terms)) {
+            terms = readTerms(header.value);
             return true;
         }
         if (Wire::sameName(header.name, RelayHeader::Shards)) {
@@ -97,10 +147,11 @@
         }
         return false;
     });
-    if (!targetLeft.has_value() || shards.empty()) {
+    if (!terms.has_value() || shards.empty()) {
         return std::nullopt;
     }
-    return RelayTerms{.targetLeft = Core::milliseconds(targetLeft.value()), .shards = std::move(shards)};
+    terms->shards = std::move(shards);
+    return terms;
 }
 
 void addRelayTerms(Wire::Headers &headers, const RelayTerms &terms)
@@ -110,7 +161,9 @@
         names += names.empty() ? "" : ",";
         names += shard.value();
     }
-    headers.push_back({RelayHeader::TargetLeft, std::to_string(Core::toMilliseconds(terms.targetLeft))});
+    auto numbers = std::to_string(Core::toMilliseconds(terms.targetLeft)) + "," + std::to_string(Core::toMilliseconds(terms.holdLeft));
+    numbers += "," + std::to_string(terms.mayMiss) + "," + (terms.mayDivide ? "1" : "0");
+    headers.push_back({RelayHeader::Terms, std::move(numbers)});
     headers.push_back({RelayHeader::Shards, std::move(names)});
 }
 
--- a/Libraries/LibGateway/RelayPlan.h
+++ b/Libraries/LibGateway/RelayPlan.h
@@ -16,44 +16,63 @@
 
 /** When shards are asked by another gateway. */
 struct RelayOptions {
-    /** Fewer shards are asked from here: a hop more costs as much as it saves. */
+    /** Fewer shards of another zone of this region are asked from here: a hop more costs as much as it saves. */
     std::size_t fewestShards{3};
-    /** A relayed part is given up after this many target latencies: its gateway is gone or stands still. */
-    int targetsHeld{2};
+    /** The same for another region: two whole replies are more bytes than one part with their greatest records and signatures. */
+    std::size_t fewestFarShards{2};
+    /** A relayed part is given up after this many target latencies: its gateway is gone or stands still. Long enough for late answers. */
+    int targetsHeld{4};
     /** Another gateway that is sound accepts a connection within this time. */
     Core::Duration connectPatience{Core::milliseconds(100)};
     /** Another gateway's machine that runs acknowledges within a round trip, 24 ms between the farthest regions that we know of. */
     Core::Duration silenceLimit{Core::milliseconds(80)};
 };
 
+/** A part of a search that one other gateway is asked for. */
+struct PartPlan {
+    /** The gateways of one zone; relayService(). */
+    Core::ServiceName relays;
+    std::vector<Core::ServiceName> shards;
+    /** Whether that gateway may give shards away in its turn; only one of the same region may, so that nothing goes in a circle. */
+    bool mayDivide{false};
+};
+
 /** How a search is divided. */
 struct RelayPlan {
     /** Asked from here. */
     std::vector<Core::ServiceName> direct;
-    /** Asked by a gateway of the zone that `relays` stands for. */
-    std::vector<Core::ServiceName> relayed;
-    Core::ServiceName relays;
+    std::vector<PartPlan> parts;
     /** See RelayOptions. */
-    int targetsHeld{2};
+    int targetsHeld{4};
+};
+
+/** What a plan is made from. */
+struct RelayView {
+    const BackendPool &pool;
+    /** Other gateways, by zone. */
+    const BackendPool &relays;
+    std::string ownZone;
+    /** Region of each availability zone. */
+    const std::map<std::string, std::string> &regions;
+    /** What a reply usually takes. */
+    Core::Duration typicalLatency{0};
+    /** Spreads searches over zones that are equally good. */
+    std::uint64_t number{0};
+    /** Only gateways of other regions are asked, because this one was asked itself by one of its own region. */
+    bool onlyOtherRegions{false};
 };
 
 /** Gateways of one zone, as a service of the pool of relays. */
 [[nodiscard]] Core::ServiceName relayService(const std::string &zone);
 
-/** Divides a search. `number` spreads searches over zones that are equally good. */
-[[nodiscard]] RelayPlan planRelay(const std::vector<Core::ServiceName> &shards,
-    const BackendPool &pool,
-    const BackendPool &relays,
-    const std::string &ownZone,
-    const std::map<std::string, std::string> &regions,
-    std::uint64_t number,
-    const RelayOptions &options);
+/** Divides a search: a shard goes to a zone where its best backend servers are, and shards that can go to the same zone go together. */
+[[nodiscard]] RelayPlan planRelay(const std::vector<Core::ServiceName> &shards, const RelayView &view, const RelayOptions &options);
 
 /** Headers between gateways. They never go to a backend server, and callers' headers of these names are not trusted. */
 namespace RelayHeader
 {
-/** Milliseconds after which the answer should leave. */
-constexpr const char *TargetLeft = "Crankrudder-Target-Left-Ms";
+/** Numbers with commas between them: the fields of RelayTerms in their order, times in milliseconds. */
+constexpr const char *Terms = "Crankrudder-Part-Terms";
 /** The services that are asked for, with commas between them. */
 constexpr const char *Shards = "Crankrudder-Shards";
 /** The body is a partial answer. */
@@ -62,7 +81,14 @@
 
 /** What one gateway asks of another besides the request itself. */
 struct RelayTerms {
+    /** After this long the answer should leave, if no more shards are missing than may be. */
     Core::Duration targetLeft{0};
+    /** After this long it has to leave, whatever is missing. */
+    Core::Duration holdLeft{0};
+    /** With more shards missing the whole search has most likely too few, so a late answer is worth more than one in time. */
+    std::size_t mayMiss{0};
+    /** See PartPlan. */
+    bool mayDivide{false};
     std::vector<Core::ServiceName> shards;
 };
 
--- /dev/null
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -0,0 +1,134 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibGateway/RelayedPart.h>
+
+#include <LibCore/Log.h>
+#include <LibRpc/Serialization.h>
+
+#include <algorithm>
+
+namespace Gateway
+{
+
+// The shortest round trip is what was measured; queues and a connection that has to be opened make it longer.
+static constexpr double RelayWayFactor = 1.3;
+// A hop more: two gateways on small shares of a core.
+static constexpr Core::Duration RelayOverhead = Core::milliseconds(4);
+
+RelayedPart::RelayedPart(
+    const RequestContext &context, const Fleet::Route &route, const CallerRequest &request, const PartPlan &plan, const PartTerms &partTerms)
+    : context(context), route(route), plan(plan), relayRoute(makeRelayRoute(route, plan.relays)), request(request)
+{
+    const auto now = context.timers->now();
+    // The other gateway answers so early that its part is here when the whole answer should leave.
+    const auto way = scaled(context.relays->roundTripTo(plan.relays), RelayWayFactor) + RelayOverhead;
+    this->terms = makeTerms(*context.settings, *this->relayRoute, this->request, *context.relayLatencies, now);
+    this->terms.giveUpAt = std::min(this->terms.giveUpAt, partTerms.giveUpAt);
+    addRelayTerms(this->request.message.headers,
+        RelayTerms{.targetLeft = std::max(Core::Duration(0), partTerms.targetAt - now - way),
+            .holdLeft = std::max(Core::Duration(0), this->terms.giveUpAt - now - way),
+            .mayMiss = partTerms.mayMiss,
+            .mayDivide = plan.mayDivide,
+            .shards = plan.shards});
+    this->relayCall = std::make_unique<ShardCall>(this->terms, plan.relays, *context.relays, *context.timers);
+}
+
+void RelayedPart::start(std::function<void()> finished)
+{
+    this->relayCall->start([this, finished = std::move(finished)] {
+        this->takeOutcome();
+        finished();
+    });
+}
+
+void RelayedPart::takeOutcome()
+{
+    this->open = false;
+    if (this->relayCall->state() != CallState::Answered) {
+        return;
+    }
+    auto answer = Rpc::deserialize<Protocol::PartialAnswer>(this->relayCall->reply().message.body);
+    if (!answer.has_value()) {
+        Core::logEvent(Core::LogLevel::Error, "part.unreadable", {{"request", this->request.id.value()}, {"error", answer.error().message}});
+        return;
+    }
+    if (answer->signatures.size() + answer->missing.size() != this->plan.shards.size()) {
+        Core::logEvent(Core::LogLevel::Error,
+            "part.incomplete",
+            {{"request", this->request.id.value()},
+                {"shards", this->plan.shards.size()},
+                {"signatures", answer->signatures.size()},
+                {"missing", answer->missing.size()}});
+        return;
+    }
+    this->context.relayLatencies->add(this->relayCall->latency());
+    this->partial = std::move(answer.value());
+}
+
+void RelayedPart::giveUp(bool callerGone)
+{
+    if (this->open) {
+        this->open = false;
+        this->relayCall->giveUp(callerGone);
+    }
+}
+
+bool RelayedPart::isOpen() const
+{
+    return this->open;
+}
+
+Core::Instant RelayedPart::giveUpAt() const
+{
+    return this->terms.giveUpAt;
+}
+
+bool RelayedPart::mayHaveRun() const
+{
+    return this->relayCall->executions() > 0;
+}
+
+const ShardCall &RelayedPart::call() const
+{
+    return *this->relayCall;
+}
+
+const Protocol::PartialAnswer &RelayedPart::answer() const
+{
+    return this->partial;
+}
+
+std::vector<Protocol::MissingShard> RelayedPart::missing() const
+{
+    const bool wasRead = this->partial.signatures.size() + this->partial.missing.size() > 0;
+    switch (this->relayCall->state()) {
+    case CallState::Answered:
+        // What ran for an answer that can't be read is not known.
+        return wasRead ? this->partial.missing : this->allMissing(this->route.maximumAttempts, 1);
+    case CallState::NotRun:
+        return this->allMissing(0, 0);
+    case CallState::FailedUnacknowledged:
+        // Its machine fell silent, so it most likely has not taken the part either; an attempt at each shard is counted for it all the same.
+        return this->allMissing(this->relayCall->executions(), this->relayCall->executions());
+    default:
+        // What ran for the other gateway is not known, so nothing may be sent in its place.
+        return this->allMissing(this->route.maximumAttempts, 1);
+    }
+}
+
+std::vector<Protocol::MissingShard> RelayedPart::allMissing(int executions, int sends) const
+{
+    std::vector<Protocol::MissingShard> all;
+    for (const auto &shard : this->plan.shards) {
+        all.emplace_back();
+        all.back().serviceName = shard.value();
+        all.back().executions = executions;
+        all.back().sends = sends;
+    }
+    return all;
+}
+
+}
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -48,6 +48,11 @@
     return std::max(route.targetLatency - reserve, route.targetLatency / 2);
 }
 
+Core::Duration typicalLatencyOf(const RequestSettings &settings, const Fleet::Route &route, const Core::LatencyDigest &latencies)
+{
+    return latencies.quantile(0.5, scaled(route.targetLatency, settings.assumedLatencyShare), FewestLatencies);
+}
+
 CallTerms makeTerms(
     const RequestSettings &settings, const Fleet::Route &route, const CallerRequest &request, const Core::LatencyDigest &latencies, Core::Instant now)
 {
@@ -59,7 +64,7 @@
     terms.deadline = now + patience;
     terms.targetAt = now + timeToTarget(settings, route);
     terms.giveUpAt = now + std::min(patience, route.timeout) - settings.answerReserve;
-    terms.typicalLatency = latencies.quantile(0.5, scaled(route.targetLatency, settings.assumedLatencyShare), FewestLatencies);
+    terms.typicalLatency = typicalLatencyOf(settings, route, latencies);
     const auto ceiling = std::max(settings.hedgeFloor, scaled(route.targetLatency, settings.hedgeCeilingShare));
     terms.hedgeDelay = std::clamp(scaled(terms.typicalLatency, settings.hedgeFactor), settings.hedgeFloor, ceiling);
     return terms;
@@ -73,7 +78,10 @@
     , terms(makeTerms(*context.settings, route, this->request, *context.latencies, context.timers->now()))
     , arrivedAt(context.timers->now())
 {
-    this->terms.targetAt = this->arrivedAt + context.targetLeft.value_or(timeToTarget(*context.settings, route));
+    if (context.relayTerms.has_value()) {
+        this->terms.targetAt = this->arrivedAt + context.relayTerms->targetLeft;
+        this->terms.giveUpAt = std::min(this->terms.giveUpAt, this->arrivedAt + context.relayTerms->holdLeft);
+    }
 }
 
 RoutedRequest::~RoutedRequest() = default;
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <LibCore/LatencyDigest.h>
+#include <LibGateway/RelayPlan.h>
 #include <LibGateway/ShardCall.h>
 
 namespace Gateway
@@ -63,8 +64,8 @@
     /** Latencies of this route's replies, and of the other gateways' partial answers. */
     Core::LatencyDigest *latencies{nullptr};
     Core::LatencyDigest *relayLatencies{nullptr};
-    /** When the answer should leave, if whoever asks said so; otherwise the route tells. */
-    std::optional<Core::Duration> targetLeft;
+    /** What another gateway wants that asks for a part of a search. */
+    std::optional<RelayTerms> relayTerms;
 };
 
 /** Lives until it is answered; its owner drops it when `finished` is called. */
@@ -130,6 +131,9 @@
 /** A part of a duration. */
 [[nodiscard]] Core::Duration scaled(Core::Duration duration, double factor);
 
+/** What a reply usually takes: the median, or an assumption before enough are known. */
+[[nodiscard]] Core::Duration typicalLatencyOf(const RequestSettings &settings, const Fleet::Route &route, const Core::LatencyDigest &latencies);
+
 /** The terms of a request's calls. */
 [[nodiscard]] CallTerms makeTerms(
     const RequestSettings &settings, const Fleet::Route &route, const CallerRequest &request, const Core::LatencyDigest &latencies, Core::Instant now);
--- a/Tests/LibGateway/TestPureParts.cpp
+++ b/Tests/LibGateway/TestPureParts.cpp
@@ -92,12 +92,18 @@
 Test(RelayTerms, comeBackAsTheyWereAddedAndAreAllNeeded)
 {
     Wire::Headers headers{{"Host", "h"}};
-    Gateway::addRelayTerms(headers, {.targetLeft = Core::milliseconds(42), .shards = {Core::ServiceName("a"), Core::ServiceName("b")}});
+    Gateway::addRelayTerms(headers,
+        {.targetLeft = Core::milliseconds(42),
+            .holdLeft = Core::milliseconds(99),
+            .mayMiss = 3,
+            .mayDivide = true,
+            .shards = {Core::ServiceName("a"), Core::ServiceName("b")}});
     auto copy = headers;
     const auto terms = Gateway::takeRelayTerms(copy);
-    cr_assert(terms.has_value() && terms->targetLeft == Core::milliseconds(42) && terms->shards.size() == 2);
+    cr_assert(terms.has_value() && terms->shards.size() == 2 && terms->mayMiss == 3 && terms->mayDivide);
+    cr_assert(terms->targetLeft == Core::milliseconds(42) && terms->holdLeft == Core::milliseconds(99));
     cr_assert(copy.size() == 1, "nothing of them reaches a backend server");
-    for (const char *missing : {Gateway::RelayHeader::TargetLeft, Gateway::RelayHeader::Shards}) {
+    for (const char *missing : {Gateway::RelayHeader::Terms, Gateway::RelayHeader::Shards}) {
         auto spoilt = headers;
         std::erase_if(spoilt, [missing](const auto &header) {
             return header.name == missing;
@@ -105,4 +111,9 @@
         cr_assert_not(Gateway::takeRelayTerms(spoilt).has_value());
         cr_assert(spoilt.size() == 1);
     }
+    for (const char *text : {"", "1,2,3", "1,2,3,4,5", "1,2,x,0", "-1,2,3,0", "1,2,3,99999999999"}) {
+        Wire::Headers spoilt{{Gateway::RelayHeader::Terms, text}, {Gateway::RelayHeader::Shards, "a"}};
+        cr_assert_not(Gateway::takeRelayTerms(spoilt).has_value(), "%s", text);
+        cr_assert(spoilt.empty());
+    }
 }
--- a/Tests/LibGateway/TestRequests.cpp
+++ b/Tests/LibGateway/TestRequests.cpp
@@ -376,3 +376,95 @@
     cr_assert(answer.status == 200 && *header(answer, "Missing-Parts") == "1");
     cr_assert(direct.requests.empty(), "it may have run as often as the route allows");
 }
+
+Test(FanOutRequest, answersAnotherGatewayLateRatherThanWithTooFewShards)
+{
+    struct Case {
+        const char *name;
+        std::size_t mayMiss;
+        bool waits;
+    };
+    // Parts that left at their target whatever they lacked made whole searches fail that would have been late (edz-parts-grown trouble-3).
+    for (const auto &item : std::vector<Case>{{"one may be missing", 1, false}, {"none may be missing", 0, true}}) {
+        GatewayFixture fixture;
+        makeSearch(fixture, {Core::ServiceName("a"), Core::ServiceName("b")}, 0.5);
+        fixture.relayTerms = Gateway::RelayTerms{
+            .targetLeft = Core::milliseconds(20), .holdLeft = Core::seconds(5), .mayMiss = item.mayMiss, .mayDivide = false, .shards = {}};
+        fixture.add("a", "a1", answering(record('a')));
+        Wire::ExchangePointer late;
+        std::optional<Wire::Request> lateRequest;
+        fixture.add("b", "b1", [&](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+            late = exchange;
+            lateRequest = request;
+        });
+        fixture.begin("r1");
+        cr_assert(fixture.runUntil([&] {
+            return late != nullptr;
+        }));
+        fixture.settle(Core::milliseconds(150));
+        cr_assert(fixture.answer.has_value() != item.waits, "%s", item.name);
+        if (!item.waits) {
+            continue;
+        }
+        late->respond(goodAnswer(*lateRequest, "signature-b", record('b')));
+        cr_assert(fixture.runUntil([&] {
+            return fixture.answer.has_value();
+        }));
+        const auto part = Rpc::deserialize<Protocol::PartialAnswer>(fixture.answer->body);
+        cr_assert(part.has_value() && part->signatures.size() == 2 && part->missing.empty());
+    }
+}
+
+Test(FanOutRequest, answersAnotherGatewayWithWhatItHasWhenItsTimeIsUp)
+{
+    GatewayFixture fixture;
+    makeSearch(fixture, {Core::ServiceName("a"), Core::ServiceName("b")}, 0.5);
+    fixture.relayTerms
+        = Gateway::RelayTerms{.targetLeft = Core::milliseconds(10), .holdLeft = Core::milliseconds(60), .mayMiss = 0, .mayDivide = false, .shards = {}};
+    fixture.add("a", "a1", answering(record('a')));
+    fixture.add("b", "b1", silent);
+    const auto part = Rpc::deserialize<Protocol::PartialAnswer>(fixture.ask("r1").body);
+    cr_assert(part.has_value() && part->signatures.size() == 1 && part->missing.size() == 1);
+    cr_assert(part->missing.front().serviceName == "b" && part->missing.front().executions == 1);
+}
+
+Test(RelayPlan, givesEachShardToAZoneWhereItsBestBackendServersAre)
+{
+    GatewayFixture fixture;
+    std::vector<Core::ServiceName> shards;
+    const auto add = [&](const std::string &shard, std::initializer_list<const char *> zones) {
+        shards.emplace_back(shard);
+        for (const auto *zone : zones) {
+            fixture.addTo(fixture.pool, shard, shard + "-" + zone, silent, zone);
+        }
+    };
+    add("near", {"here", "there"});
+    add("beside-1", {"beside", "there"});
+    add("beside-2", {"beside", "yonder"});
+    add("beside-3", {"beside"});
+    add("away-1", {"there"});
+    add("away-2", {"there", "yonder"});
+    add("away-3", {"yonder"});
+    for (const auto *zone : {"beside", "there", "yonder"}) {
+        fixture.addTo(fixture.relays, Gateway::relayService(zone).value(), std::string("gateway-") + zone, silent, zone);
+    }
+    const auto regions = GatewayFixture::poolOptions(0.0).regions;
+    const auto plan = [&](bool onlyOtherRegions) {
+        const Gateway::RelayView view{.pool = fixture.pool,
+            .relays = fixture.relays,
+            .ownZone = "here",
+            .regions = regions,
+            .typicalLatency = Core::milliseconds(20),
+            .number = 0,
+            .onlyOtherRegions = onlyOtherRegions};
+        return Gateway::planRelay(shards, view, {});
+    };
+    const auto whole = plan(false);
+    cr_assert(whole.parts.size() == 2);
+    cr_assert(whole.parts[0].relays == Gateway::relayService("beside") && whole.parts[0].shards.size() == 3 && whole.parts[0].mayDivide);
+    cr_assert(whole.parts[1].relays == Gateway::relayService("there") && whole.parts[1].shards.size() == 2 && !whole.parts[1].mayDivide);
+    cr_assert(whole.direct == (std::vector{Core::ServiceName("near"), Core::ServiceName("away-3")}), "a single far shard is asked from here");
+    const auto second = plan(true);
+    cr_assert(second.parts.size() == 1 && second.parts[0].relays == Gateway::relayService("there"), "a part is not sent on within its region");
+    cr_assert(second.direct.size() == 5);
+}
--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -81,6 +81,7 @@
     {
         Gateway::BackendPoolOptions options;
         options.zone = Core::ZoneName("here");
+        options.regions = {{"here", "home"}, {"beside", "home"}, {"there", "away"}, {"yonder", "far away"}};
         options.budget.slack = repeatSlack;
         options.undeclaredCap = 4;
         return options;
@@ -103,14 +104,15 @@
         return this->addTo(this->relays, Gateway::relayService("there").value(), "gateway", std::move(script));
     }
 
-    ScriptedBackend &addTo(Gateway::BackendPool &target, const std::string &service, const std::string &id, ScriptedBackend::Script script)
+    ScriptedBackend &addTo(
+        Gateway::BackendPool &target, const std::string &service, const std::string &id, ScriptedBackend::Script script, const std::string &zone = "here")
     {
         this->backends.push_back(std::make_unique<ScriptedBackend>(*this, id, std::move(script)));
         Fleet::BackendRecord record;
         record.announcement.id = id;
         record.announcement.serviceName = service;
         record.announcement.address = this->backends.back()->endpoint.toString();
-        record.announcement.zone = "here";
+        record.announcement.zone = zone;
         record.announcement.slots = 2;
         record.announcement.phase = Protocol::BackendPhase::READY;
         target.update(record);
@@ -143,17 +145,23 @@
             .settings = &this->settings,
             .latencies = &this->latencies,
             .relayLatencies = &this->relayLatencies,
-            .targetLeft = std::nullopt};
+            .relayTerms = this->relayTerms};
         const auto &used = this->declaration->routes.front();
         auto request = this->dialect.readRequest(std::move(message));
         if (used.isFanOut()) {
             Gateway::RelayPlan plan;
-            plan.relayed = this->relayed;
-            plan.relays = Gateway::relayService("there");
+            if (!this->relayed.empty()) {
+                plan.parts.push_back({.relays = Gateway::relayService("there"), .shards = this->relayed, .mayDivide = false});
+            }
             std::copy_if(used.shards.begin(), used.shards.end(), std::back_inserter(plan.direct), [this](const auto &shard) {
                 return std::find(this->relayed.begin(), this->relayed.end(), shard) == this->relayed.end();
             });
-            this->request = std::make_unique<Gateway::FanOutRequest>(context, this->table, used, std::move(request), std::move(plan), Gateway::Asker::Caller);
+            this->request = std::make_unique<Gateway::FanOutRequest>(context,
+                this->table,
+                used,
+                std::move(request),
+                std::move(plan),
+                this->relayTerms.has_value() ? Gateway::Asker::OtherGateway : Gateway::Asker::Caller);
         } else {
             this->request = std::make_unique<Gateway::SingleRequest>(context, this->table, used, std::move(request), used.targets.front().service);
         }
@@ -169,6 +177,8 @@
     Gateway::Dialect dialect;
     Gateway::Dialect relayDialect{Gateway::makeRelayDialect(this->dialect)};
     std::vector<Core::ServiceName> relayed;
+    // Set when another gateway asks.
+    std::optional<Gateway::RelayTerms> relayTerms;
     Gateway::BackendPool pool;
     Gateway::BackendPool relays;
     Gateway::RequestSettings settings;
