LibGateway: Learn from parts which shards were missing where

Now a part that came back counts as an answer of usual length for each shard that is in, and as one of eight times that for each that is missing. Test: asksElsewhereForShardsThatWereMissingInAPart.

--- a/Libraries/LibGateway/BackendEvidence.cpp
+++ b/Libraries/LibGateway/BackendEvidence.cpp
@@ -55,6 +55,11 @@
     this->failures = 0;
     this->avoidEnd = now;
     this->noteOutcome(false, now);
+    this->noteAnswerElsewhere(ratio, now);
+}
+
+void BackendEvidence::noteAnswerElsewhere(double ratio, Core::Instant now)
+{
     this->slowness = (1.0 - SlownessWeight) * this->slownessAt(now) + SlownessWeight * std::clamp(ratio, SlownessFloor, SlownessCeiling);
     this->slownessTime = now;
 }
--- a/Libraries/LibGateway/BackendEvidence.h
+++ b/Libraries/LibGateway/BackendEvidence.h
@@ -23,6 +23,9 @@
     /** It answered, `ratio` times as late as such requests usually are. */
     void noteAnswer(double ratio, Core::Instant now);
 
+    /** As noteAnswer(), but another gateway saw it: says nothing of failures and of connections from here. */
+    void noteAnswerElsewhere(double ratio, Core::Instant now);
+
     /** It refused a request that it did not run. */
     void noteRefusal(Core::Instant now);
 
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -159,6 +159,20 @@
     return zones;
 }
 
+void BackendPool::learnFromPart(const Core::ServiceName &service, const std::string &zone, double ratio)
+{
+    const auto found = this->services.find(service);
+    if (found == this->services.end()) {
+        return;
+    }
+    for (auto *backend : found->second.backends) {
+        // NOTE: Which one of several in that zone was asked is not told, so it counts for all of them.
+        if (backend->zone == zone) {
+            backend->evidence.noteAnswerElsewhere(ratio, this->timers.now());
+        }
+    }
+}
+
 Core::Duration BackendPool::roundTripTo(const Core::ServiceName &service) const
 {
     Core::Duration shortest = this->options.assumedRegionRoundTrip;
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -181,6 +181,8 @@
     [[nodiscard]] bool hasReady(const Core::ServiceName &service) const;
     /** The availability zones whose backend servers are about as good a choice as the best one, each once. Empty when none takes work. */
     [[nodiscard]] std::vector<std::string> goodZonesOf(const Core::ServiceName &service, Core::Duration typicalLatency) const;
+    /** Another gateway asked the backend servers of a service in a zone; `ratio` as in BackendEvidence::noteAnswer(). */
+    void learnFromPart(const Core::ServiceName &service, const std::string &zone, double ratio);
     /** The shortest round trip to a backend server of a service; an assumption before one was measured. */
     [[nodiscard]] Core::Duration roundTripTo(const Core::ServiceName &service) const;
     [[nodiscard]] const PoolCounters &counters() const;
--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -14,6 +14,9 @@
 namespace Gateway
 {
 
+// How many times the usual latency a backend server is taken to need that another gateway got no answer from before its part left.
+static constexpr double MissedRatio = 8.0;
+
 FanOutRequest::FanOutRequest(
     RequestContext context, std::shared_ptr<const Fleet::RouteTable> routes, const Fleet::Route &route, CallerRequest request, RelayPlan plan, Asker asker)
     : RoutedRequest(context, std::move(routes), route, std::move(request)), plan(std::move(plan)), asker(asker)
@@ -89,6 +92,9 @@
             return shard.serviceName == row.shard.value();
         });
         row.inPart = found == missing.end();
+        if (asked.part->call().state() == CallState::Answered) {
+            this->context.pool->learnFromPart(row.shard, asked.part->zone(), row.inPart ? 1.0 : MissedRatio);
+        }
         if (!row.inPart) {
             this->askMissing(row, *found);
         }
--- a/Libraries/LibGateway/RelayPlan.cpp
+++ b/Libraries/LibGateway/RelayPlan.cpp
@@ -94,7 +94,7 @@
         const auto rest = std::stable_partition(far.begin(), far.end(), [&zone](const FarShard &shard) {
             return std::find(shard.zones.begin(), shard.zones.end(), zone) != shard.zones.end();
         });
-        PartPlan part{.relays = relayService(zone), .shards = {}, .mayDivide = inSameRegion(view.regions, zone, view.ownZone)};
+        PartPlan part{.zone = zone, .shards = {}, .mayDivide = inSameRegion(view.regions, zone, view.ownZone)};
         for (auto shard = far.begin(); shard != rest; ++shard) {
             part.shards.push_back(shard->name);
         }
--- a/Libraries/LibGateway/RelayPlan.h
+++ b/Libraries/LibGateway/RelayPlan.h
@@ -30,8 +30,8 @@
 
 /** A part of a search that one other gateway is asked for. */
 struct PartPlan {
-    /** The gateways of one zone; relayService(). */
-    Core::ServiceName relays;
+    /** Where the gateways are that may be asked. */
+    std::string zone;
     std::vector<Core::ServiceName> shards;
     /** Whether that gateway may give shards away in its turn; only one of the same region may, so that nothing goes in a circle. */
     bool mayDivide{false};
--- a/Libraries/LibGateway/RelayedPart.cpp
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -20,11 +20,11 @@
 
 RelayedPart::RelayedPart(
     const RequestContext &context, const Fleet::Route &route, const CallerRequest &request, const PartPlan &plan, const PartTerms &partTerms)
-    : context(context), route(route), plan(plan), relayRoute(makeRelayRoute(route, plan.relays)), request(request)
+    : context(context), route(route), plan(plan), relays(relayService(plan.zone)), relayRoute(makeRelayRoute(route, this->relays)), request(request)
 {
     const auto now = context.timers->now();
     // The other gateway answers so early that its part is here when the whole answer should leave.
-    const auto way = scaled(context.relays->roundTripTo(plan.relays), RelayWayFactor) + RelayOverhead;
+    const auto way = scaled(context.relays->roundTripTo(this->relays), RelayWayFactor) + RelayOverhead;
     this->terms = makeTerms(*context.settings, *this->relayRoute, this->request, *context.relayLatencies, now);
     this->terms.giveUpAt = std::min(this->terms.giveUpAt, partTerms.giveUpAt);
     addRelayTerms(this->request.message.headers,
@@ -33,7 +33,7 @@
             .mayMiss = partTerms.mayMiss,
             .mayDivide = plan.mayDivide,
             .shards = plan.shards});
-    this->relayCall = std::make_unique<ShardCall>(this->terms, plan.relays, *context.relays, *context.timers);
+    this->relayCall = std::make_unique<ShardCall>(this->terms, this->relays, *context.relays, *context.timers);
 }
 
 void RelayedPart::start(std::function<void()> finished)
@@ -91,6 +91,11 @@
     return this->relayCall->executions() > 0;
 }
 
+const std::string &RelayedPart::zone() const
+{
+    return this->plan.zone;
+}
+
 const ShardCall &RelayedPart::call() const
 {
     return *this->relayCall;
--- a/Libraries/LibGateway/RelayedPart.h
+++ b/Libraries/LibGateway/RelayedPart.h
@@ -41,6 +41,7 @@
     [[nodiscard]] Core::Instant giveUpAt() const;
     /** Whether any of its shards may have run there. */
     [[nodiscard]] bool mayHaveRun() const;
+    [[nodiscard]] const std::string &zone() const;
     [[nodiscard]] const ShardCall &call() const;
 
     /** Signatures and records of the shards that are in; empty while it is open, and when it failed. */
@@ -56,6 +57,7 @@
     RequestContext context;
     const Fleet::Route &route;
     PartPlan plan;
+    Core::ServiceName relays;
     std::shared_ptr<const Fleet::Route> relayRoute;
     CallerRequest request;
     CallTerms terms;
--- a/Tests/LibGateway/TestRequests.cpp
+++ b/Tests/LibGateway/TestRequests.cpp
@@ -461,10 +461,36 @@
     };
     const auto whole = plan(false);
     cr_assert(whole.parts.size() == 2);
-    cr_assert(whole.parts[0].relays == Gateway::relayService("beside") && whole.parts[0].shards.size() == 3 && whole.parts[0].mayDivide);
-    cr_assert(whole.parts[1].relays == Gateway::relayService("there") && whole.parts[1].shards.size() == 2 && !whole.parts[1].mayDivide);
+    cr_assert(whole.parts[0].zone == "beside" && whole.parts[0].shards.size() == 3 && whole.parts[0].mayDivide);
+    cr_assert(whole.parts[1].zone == "there" && whole.parts[1].shards.size() == 2 && !whole.parts[1].mayDivide);
     cr_assert(whole.direct == (std::vector{Core::ServiceName("near"), Core::ServiceName("away-3")}), "a single far shard is asked from here");
     const auto second = plan(true);
-    cr_assert(second.parts.size() == 1 && second.parts[0].relays == Gateway::relayService("there"), "a part is not sent on within its region");
+    cr_assert(second.parts.size() == 1 && second.parts[0].zone == "there", "a part is not sent on within its region");
     cr_assert(second.direct.size() == 5);
 }
+
+Test(RelayPlan, asksElsewhereForShardsThatWereMissingInAPart)
+{
+    GatewayFixture fixture;
+    makeSearch(fixture, {Core::ServiceName("a"), Core::ServiceName("b")}, 0.5);
+    fixture.relayed = fixture.route().shards;
+    for (const auto &shard : fixture.relayed) {
+        for (const auto *zone : {"there", "yonder"}) {
+            fixture.addTo(fixture.pool, shard.value(), shard.value() + zone, silent, zone);
+        }
+    }
+    fixture.addGateway([](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+        Protocol::PartialAnswer part;
+        part.signatures = {"signature-a"};
+        part.records = record('a');
+        part.missing = {missingShard("b", 2, 2)};
+        exchange->respond(partOf(request, part));
+    });
+    const auto zones = [&](const char *shard) {
+        return fixture.pool.goodZonesOf(Core::ServiceName(shard), Core::milliseconds(20));
+    };
+    cr_assert(zones("b").size() == 2);
+    cr_assert(*header(fixture.ask("r1"), "Missing-Parts") == "1");
+    cr_assert(zones("a").size() == 2);
+    cr_assert(zones("b") == std::vector<std::string>{"yonder"});
+}
--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -151,7 +151,7 @@
         if (used.isFanOut()) {
             Gateway::RelayPlan plan;
             if (!this->relayed.empty()) {
-                plan.parts.push_back({.relays = Gateway::relayService("there"), .shards = this->relayed, .mayDivide = false});
+                plan.parts.push_back({.zone = "there", .shards = this->relayed, .mayDivide = false});
             }
             std::copy_if(used.shards.begin(), used.shards.end(), std::back_inserter(plan.direct), [this](const auto &shard) {
                 return std::find(this->relayed.begin(), this->relayed.end(), shard) == this->relayed.end();
