LibGateway: Let a gateway of another region send hedges of several shards

Now hedges that are due together and go to the same zone of another region leave as one part: the asker pays the repeats and counts the sends, the other gateway sends only where it is near itself, and its part counts in place of an answer that came here meanwhile, since its records can't be told apart. Tests: hedgesShardsOfOneRegionTogether, countsAShardOnceThatIsInAPartAndHere, goesOnWaitingHereForWhatAHedgePartLacks, hedgesNothingElsewhereWithoutARepeatLeft, runsAPaidHedgeOnlyWhereItIsNear.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -79,7 +79,7 @@
     backend->endpoint = endpoint.value();
     backend->zone = announcement.zone;
     backend->sameZone = announcement.zone == this->options.zone.value();
-    backend->sameRegion = backend->sameZone || this->options.regions[announcement.zone] == this->options.regions[this->options.zone.value()];
+    backend->sameRegion = this->isInRegion(announcement.zone);
     backend->slots = std::max(1, announcement.slots);
     backend->warmUntil = record.warmUntil;
     const auto service = backend->service;
@@ -159,6 +159,22 @@
     return zones;
 }
 
+bool BackendPool::isGoodInRegion(const Core::ServiceName &service, Core::Duration typicalLatency) const
+{
+    const auto zones = this->goodZonesOf(service, typicalLatency);
+    return std::any_of(zones.begin(), zones.end(), [this](const std::string &zone) {
+        return this->isInRegion(zone);
+    });
+}
+
+bool BackendPool::isInRegion(const std::string &zone) const
+{
+    const auto own = this->options.regions.find(this->options.zone.value());
+    const auto other = this->options.regions.find(zone);
+    const bool sameZone = zone == this->options.zone.value();
+    return sameZone || (own != this->options.regions.end() && other != this->options.regions.end() && own->second == other->second);
+}
+
 void BackendPool::learnFromPart(const Core::ServiceName &service, const std::string &zone, double ratio)
 {
     const auto found = this->services.find(service);
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -181,6 +181,8 @@
     [[nodiscard]] bool hasReady(const Core::ServiceName &service) const;
     /** The availability zones whose backend servers are about as good a choice as the best one, each once. Empty when none takes work. */
     [[nodiscard]] std::vector<std::string> goodZonesOf(const Core::ServiceName &service, Core::Duration typicalLatency) const;
+    /** Whether one of the best backend servers is in this region. */
+    [[nodiscard]] bool isGoodInRegion(const Core::ServiceName &service, Core::Duration typicalLatency) const;
     /** Another gateway asked the backend servers of a service in a zone; `ratio` as in BackendEvidence::noteAnswer(). */
     void learnFromPart(const Core::ServiceName &service, const std::string &zone, double ratio);
     /** The shortest round trip to a backend server of a service; an assumption before one was measured. */
@@ -208,6 +210,7 @@
     };
 
     [[nodiscard]] Service &serviceOf(const Core::ServiceName &name);
+    [[nodiscard]] bool isInRegion(const std::string &zone) const;
     [[nodiscard]] std::size_t connectionLimit(const Backend &backend, const Service &service) const;
     [[nodiscard]] bool hasRoom(const Backend &backend, const Service &service) const;
     [[nodiscard]] bool isStuck(const Backend &backend, Core::Instant now) const;
--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -14,6 +14,10 @@
 namespace Gateway
 {
 
+// A hedge goes out for one send that may have run.
+static constexpr int HedgedExecutions = 1;
+// A single hedge is sent from here: a part saves nothing.
+static constexpr std::size_t FewestHedgesTogether = 2;
 // How many times the usual latency a backend server is taken to need that another gateway got no answer from before its part left.
 static constexpr double MissedRatio = 8.0;
 
@@ -42,8 +46,13 @@
     for (std::size_t number = 0; number < this->plan.parts.size(); ++number) {
         this->startPart(this->plan.parts[number], std::move(rowNumbers[number]));
     }
+    const bool isHedge = this->context.relayTerms.has_value() && this->context.relayTerms->isHedge;
     for (std::size_t number = 0; number < this->plan.direct.size(); ++number) {
-        this->startDirect(this->rows[number], Protocol::MissingShard());
+        if (isHedge) {
+            this->startHedged(this->rows[number]);
+        } else {
+            this->startDirect(this->rows[number], Protocol::MissingShard());
+        }
     }
 }
 
@@ -62,12 +71,27 @@
     });
 }
 
+// For a gateway whose own send is late. It is asked for here only where it is near, since the asker knows the far ones as well as this one does.
+void FanOutRequest::startHedged(Row &row)
+{
+    row.lost.executions = HedgedExecutions;
+    if (!this->context.pool->isGoodInRegion(row.shard, this->terms.typicalLatency)) {
+        return;
+    }
+    row.call = this->makeCall(row.shard);
+    row.call->countPaidRepeat(HedgedExecutions);
+    row.call->start([this] {
+        this->callFinished();
+    });
+}
+
 void FanOutRequest::startPart(const PartPlan &partPlan, std::vector<std::size_t> rowNumbers)
 {
-    // Each part gets its share of what may be missing, rounded up.
+    // Each part gets its share of what may be missing, rounded up. Of hedges any that is in is of use.
+    const auto share = (this->mayMiss() * partPlan.shards.size() + this->rows.size() - 1) / this->rows.size();
     const PartTerms partTerms{.targetAt = this->terms.targetAt,
         .giveUpAt = std::min(this->terms.giveUpAt, this->arrivedAt + this->plan.targetsHeld * this->route.targetLatency),
-        .mayMiss = (this->mayMiss() * partPlan.shards.size() + this->rows.size() - 1) / this->rows.size()};
+        .mayMiss = partPlan.isHedge ? partPlan.shards.size() - 1 : share};
     this->parts.push_back(std::make_unique<AskedPart>());
     auto &asked = *this->parts.back();
     asked.part = std::make_unique<RelayedPart>(this->context, this->route, this->request, partPlan, partTerms);
@@ -91,16 +115,43 @@
         const auto found = std::find_if(missing.begin(), missing.end(), [&row](const Protocol::MissingShard &shard) {
             return shard.serviceName == row.shard.value();
         });
-        row.inPart = found == missing.end();
+        const bool isIn = found == missing.end();
         if (asked.part->call().state() == CallState::Answered) {
-            this->context.pool->learnFromPart(row.shard, asked.part->zone(), row.inPart ? 1.0 : MissedRatio);
+            this->context.pool->learnFromPart(row.shard, asked.part->zone(), isIn ? 1.0 : MissedRatio);
         }
-        if (!row.inPart) {
+        if (asked.part->isHedge()) {
+            this->takeHedged(asked, row, isIn ? nullptr : &*found);
+        } else if (isIn) {
+            row.inPart = true;
+        } else {
             this->askMissing(row, *found);
         }
     }
 }
 
+// `missing` is nullptr when the other gateway has the shard's answer.
+void FanOutRequest::takeHedged(const AskedPart &asked, Row &row, const Protocol::MissingShard *missing)
+{
+    if (missing == nullptr) {
+        // NOTE: Also when the answer from here has come meanwhile: records of a part can't be told apart by shard, so the part's count.
+        row.inPart = true;
+        row.call->cameBack(1);
+        row.call->giveUp(false);
+        return;
+    }
+    switch (asked.part->call().state()) {
+    case CallState::Answered:
+        row.call->cameBack(std::max(0, missing->executions - HedgedExecutions));
+        break;
+    case CallState::NotRun:
+        row.call->cameBack(0);
+        break;
+    default:
+        row.call->cameBack(1);
+        break;
+    }
+}
+
 void FanOutRequest::askMissing(Row &row, const Protocol::MissingShard &missing)
 {
     row.lost = missing;
@@ -109,22 +160,68 @@
     }
 }
 
-Core::Instant FanOutRequest::lookAtCalls()
+// Hedges that go to the same zone of another region go together, since each reply of its own costs as many bytes as all of them in one part.
+bool FanOutRequest::mayHedgeTogether(const Row &row, const Backend &candidate) const
+{
+    const bool isAskedElsewhere = row.part != nullptr && row.part->isOpen();
+    return !candidate.sameRegion && !isAskedElsewhere && !this->isTargetDue() && this->context.relays->hasReady(relayService(candidate.zone));
+}
+
+Core::Instant FanOutRequest::hedgeLateCalls()
 {
     auto next = this->terms.giveUpAt;
-    for (auto &row : this->rows) {
-        if (row.call) {
-            next = std::min(next, row.call->hedgeIfDue().value_or(next));
+    std::map<std::string, std::vector<std::size_t>> together;
+    for (std::size_t number = 0; number < this->rows.size(); ++number) {
+        auto &row = this->rows[number];
+        if (!row.call) {
+            continue;
+        }
+        const auto look = row.call->lookForHedge();
+        if (look.candidate == nullptr) {
+            next = std::min(next, look.lookAgainAt.value_or(next));
+        } else if (this->mayHedgeTogether(row, *look.candidate)) {
+            together[look.candidate->zone].push_back(number);
+        } else {
+            row.call->hedge(*look.candidate);
         }
     }
-    for (const auto &asked : this->parts) {
-        auto &part = *asked->part;
+    for (const auto &[zone, rowNumbers] : together) {
+        this->hedgeTogether(zone, rowNumbers);
+    }
+    return next;
+}
+
+void FanOutRequest::hedgeTogether(const std::string &zone, const std::vector<std::size_t> &rowNumbers)
+{
+    PartPlan hedges{.zone = zone, .shards = {}, .mayDivide = false, .isHedge = true};
+    std::vector<std::size_t> hedged;
+    for (const auto number : rowNumbers) {
+        auto &row = this->rows[number];
+        if (rowNumbers.size() >= FewestHedgesTogether && row.call->hedgeElsewhere()) {
+            hedges.shards.push_back(row.shard);
+            hedged.push_back(number);
+        } else {
+            (void)row.call->hedgeIfDue();
+        }
+    }
+    if (!hedged.empty()) {
+        this->startPart(hedges, std::move(hedged));
+    }
+}
+
+Core::Instant FanOutRequest::lookAtCalls()
+{
+    auto next = this->hedgeLateCalls();
+    // NOTE: By number, since a part that is taken may start others.
+    for (std::size_t index = 0; index < this->parts.size(); ++index) {
+        const auto &asked = *this->parts[index];
+        auto &part = *asked.part;
         if (!part.isOpen()) {
             continue;
         }
         if (this->now() >= part.giveUpAt()) {
             part.giveUp(false);
-            this->takePart(*asked);
+            this->takePart(asked);
         } else {
             next = std::min(next, part.giveUpAt());
         }
--- a/Libraries/LibGateway/FanOutRequest.h
+++ b/Libraries/LibGateway/FanOutRequest.h
@@ -52,6 +52,7 @@
 
     void addRow(const Core::ServiceName &shard);
     void startDirect(Row &row, const Protocol::MissingShard &before);
+    void startHedged(Row &row);
     /** What another gateway is asked for, and the rows that it is asked for, by number. */
     struct AskedPart {
         std::unique_ptr<RelayedPart> part;
@@ -60,6 +61,10 @@
 
     void startPart(const PartPlan &partPlan, std::vector<std::size_t> rowNumbers);
     void takePart(const AskedPart &asked);
+    void takeHedged(const AskedPart &asked, Row &row, const Protocol::MissingShard *missing);
+    [[nodiscard]] bool mayHedgeTogether(const Row &row, const Backend &candidate) const;
+    void hedgeTogether(const std::string &zone, const std::vector<std::size_t> &rowNumbers);
+    [[nodiscard]] Core::Instant hedgeLateCalls();
     void askMissing(Row &row, const Protocol::MissingShard &missing);
     void checkForCaller();
     void checkForOtherGateway();
--- a/Libraries/LibGateway/RelayPlan.cpp
+++ b/Libraries/LibGateway/RelayPlan.cpp
@@ -14,6 +14,8 @@
 
 static constexpr std::int64_t LongestMilliseconds = 3'600'000;
 static constexpr int NotRunStatus = 503;
+// RelayTerms has so many fields but for the shards.
+static constexpr std::size_t TermNumbers = 5;
 
 Core::ServiceName relayService(const std::string &zone)
 {
@@ -120,13 +122,14 @@
         }
         numbers.push_back(number.value());
     }
-    if (numbers.size() != 4) {
+    if (numbers.size() != TermNumbers) {
         return std::nullopt;
     }
     return RelayTerms{.targetLeft = Core::milliseconds(numbers[0]),
         .holdLeft = Core::milliseconds(numbers[1]),
         .mayMiss = static_cast<std::size_t>(numbers[2]),
         .mayDivide = numbers[3] != 0,
+        .isHedge = numbers[4] != 0,
         .shards = {}};
 }
 
@@ -162,7 +165,7 @@
         names += shard.value();
     }
     auto numbers = std::to_string(Core::toMilliseconds(terms.targetLeft)) + "," + std::to_string(Core::toMilliseconds(terms.holdLeft));
-    numbers += "," + std::to_string(terms.mayMiss) + "," + (terms.mayDivide ? "1" : "0");
+    numbers += "," + std::to_string(terms.mayMiss) + (terms.mayDivide ? ",1" : ",0") + (terms.isHedge ? ",1" : ",0");
     headers.push_back({RelayHeader::Terms, std::move(numbers)});
     headers.push_back({RelayHeader::Shards, std::move(names)});
 }
--- a/Libraries/LibGateway/RelayPlan.h
+++ b/Libraries/LibGateway/RelayPlan.h
@@ -35,6 +35,8 @@
     std::vector<Core::ServiceName> shards;
     /** Whether that gateway may give shards away in its turn; only one of the same region may, so that nothing goes in a circle. */
     bool mayDivide{false};
+    /** The shards are hedged: each was sent once already, and the repeat is paid for. */
+    bool isHedge{false};
 };
 
 /** How a search is divided. */
@@ -89,6 +91,7 @@
     std::size_t mayMiss{0};
     /** See PartPlan. */
     bool mayDivide{false};
+    bool isHedge{false};
     std::vector<Core::ServiceName> shards;
 };
 
--- a/Libraries/LibGateway/RelayedPart.cpp
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -32,6 +32,7 @@
             .holdLeft = std::max(Core::Duration(0), this->terms.giveUpAt - now - way),
             .mayMiss = partTerms.mayMiss,
             .mayDivide = plan.mayDivide,
+            .isHedge = plan.isHedge,
             .shards = plan.shards});
     this->relayCall = std::make_unique<ShardCall>(this->terms, this->relays, *context.relays, *context.timers);
 }
@@ -91,6 +92,11 @@
     return this->relayCall->executions() > 0;
 }
 
+bool RelayedPart::isHedge() const
+{
+    return this->plan.isHedge;
+}
+
 const std::string &RelayedPart::zone() const
 {
     return this->plan.zone;
--- a/Libraries/LibGateway/RelayedPart.h
+++ b/Libraries/LibGateway/RelayedPart.h
@@ -41,6 +41,8 @@
     [[nodiscard]] Core::Instant giveUpAt() const;
     /** Whether any of its shards may have run there. */
     [[nodiscard]] bool mayHaveRun() const;
+    /** Its shards are under way from here as well. */
+    [[nodiscard]] bool isHedge() const;
     [[nodiscard]] const std::string &zone() const;
     [[nodiscard]] const ShardCall &call() const;
 
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -60,7 +60,6 @@
     CallTerms terms;
     terms.request = &request;
     terms.route = &route;
-    terms.settings = &settings;
     terms.deadline = now + patience;
     terms.targetAt = now + timeToTarget(settings, route);
     terms.giveUpAt = now + std::min(patience, route.timeout) - settings.answerReserve;
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -34,11 +34,19 @@
     this->earlierSends = sentBefore;
 }
 
+void ShardCall::countPaidRepeat(int executions)
+{
+    this->executionCount = executions;
+    this->repeatIsPaid = true;
+}
+
 void ShardCall::start(std::function<void()> finishedHook)
 {
     this->finished = std::move(finishedHook);
     auto &budget = this->pool.budget(this->serviceName);
-    if (this->earlierSends == 0) {
+    if (this->repeatIsPaid) {
+        // The other gateway has counted it.
+    } else if (this->earlierSends == 0) {
         budget.noteRequest(this->timers.now());
     } else if (!budget.takeRepeat(this->timers.now(), this->pool.gatewayCount())) {
         this->reason = "no repeat left in the budget";
@@ -92,42 +100,80 @@
 
 bool ShardCall::mayTryAnother() const
 {
-    const bool attemptsLeft = this->executionCount + static_cast<int>(this->running.size()) < this->terms.route->maximumAttempts;
+    const bool attemptsLeft = this->executions() + static_cast<int>(this->running.size()) < this->terms.route->maximumAttempts;
     const bool timeLeft = this->timers.now() < std::min(this->terms.deadline, this->terms.giveUpAt);
     return attemptsLeft && timeLeft;
 }
 
+bool ShardCall::isLateHedgeable() const
+{
+    return this->current == CallState::UnderWay && !this->running.empty() && this->terms.route->idempotent && this->mayTryAnother();
+}
+
 std::optional<Core::Instant> ShardCall::hedgeIfDue()
 {
-    if (this->current != CallState::UnderWay || this->running.empty() || !this->terms.route->idempotent || !this->mayTryAnother()) {
-        return std::nullopt;
+    const auto look = this->lookForHedge();
+    if (look.candidate == nullptr) {
+        return look.lookAgainAt;
+    }
+    this->hedge(*look.candidate);
+    return std::nullopt;
+}
+
+HedgeLook ShardCall::lookForHedge()
+{
+    if (!this->isLateHedgeable()) {
+        return {};
     }
     const auto now = this->timers.now();
     const auto due = this->running.back().startedAt + this->terms.hedgeDelay;
     if (now < due) {
-        return due;
+        return {.candidate = nullptr, .lookAgainAt = due};
     }
     // Worth a repeat only where it is expected to be in time; after the target, anywhere that does not look stuck.
     const auto within = now < this->terms.targetAt ? this->terms.targetAt - now : LateHedgeLimit;
     auto *backend = this->pool.choose(this->serviceName, this->tried, this->terms.typicalLatency, within);
     if (backend == nullptr) {
         // Nobody sound has room just now; worth another look soon.
-        return now + this->terms.hedgeDelay / 2;
+        return {.candidate = nullptr, .lookAgainAt = now + this->terms.hedgeDelay / 2};
     }
+    return {.candidate = backend, .lookAgainAt = std::nullopt};
+}
+
+void ShardCall::hedge(Backend &candidate)
+{
     const auto late = this->running.back();
     if (!this->pool.mayHaveBeenSent(late.id)) {
         // The first one never left, so another place for it is no repeat.
         this->pool.abandon(late.id, false);
         this->running.pop_back();
-        this->sendTo(*backend);
-        return std::nullopt;
+        this->sendTo(candidate);
+        return;
+    }
+    if (this->pool.budget(this->serviceName).takeRepeat(this->timers.now(), this->pool.gatewayCount())) {
+        ++this->hedgeCount;
+        this->sendTo(candidate);
+    }
+}
+
+bool ShardCall::hedgeElsewhere()
+{
+    if (!this->pool.mayHaveBeenSent(this->running.back().id)) {
+        // Better sent from here, since it is no repeat then.
+        return false;
     }
-    if (!this->pool.budget(this->serviceName).takeRepeat(now, this->pool.gatewayCount())) {
-        return std::nullopt;
+    if (!this->pool.budget(this->serviceName).takeRepeat(this->timers.now(), this->pool.gatewayCount())) {
+        return false;
     }
     ++this->hedgeCount;
-    this->sendTo(*backend);
-    return std::nullopt;
+    ++this->elsewhere;
+    return true;
+}
+
+void ShardCall::cameBack(int executions)
+{
+    --this->elsewhere;
+    this->executionCount += executions;
 }
 
 void ShardCall::takeOutcome(const BackendName &backend, const AttemptOutcome &outcome)
@@ -173,7 +219,6 @@
     // What is no success is final for the caller when the request itself is at fault, and worth another try otherwise.
     const bool worthRetry = !goodSuccess && (incoming.isSuccess() || incoming.message.status >= 500);
     this->answer = incoming;
-    this->answerer = backend;
     this->answerLatency = this->timers.now() - startedAt;
     if (!worthRetry) {
         this->finish(goodSuccess ? CallState::Answered : CallState::FailedWithReply);
@@ -189,7 +234,7 @@
         // Another attempt is still under way.
         return;
     }
-    const bool nothingRan = this->executionCount == 0;
+    const bool nothingRan = this->executions() == 0;
     const bool allowed = (this->terms.route->idempotent || nothingRan) && this->refusals < MaximumRefusals && this->mayTryAnother();
     const bool wasSent = otherwise != CallState::NotRun || this->refusals > 0;
     // Once all have refused, those that only refused may be asked again: they did not run it.
@@ -243,7 +288,7 @@
         return;
     }
     this->countRunning();
-    this->current = this->executionCount > 0 ? CallState::Failed : CallState::NotRun;
+    this->current = this->executions() > 0 ? CallState::Failed : CallState::NotRun;
     this->finished = nullptr;
     this->abandonRunning(callerGone);
     if (this->waiter.has_value()) {
@@ -284,7 +329,7 @@
 
 int ShardCall::executions() const
 {
-    return this->executionCount;
+    return this->executionCount + this->elsewhere;
 }
 
 const std::string &ShardCall::failureReason() const
@@ -292,9 +337,4 @@
     return this->reason;
 }
 
-const BackendName &ShardCall::answeredBy() const
-{
-    return this->answerer;
-}
-
 }
--- a/Libraries/LibGateway/ShardCall.h
+++ b/Libraries/LibGateway/ShardCall.h
@@ -18,7 +18,6 @@
 struct CallTerms {
     const CallerRequest *request{nullptr};
     const Fleet::Route *route{nullptr};
-    const RequestSettings *settings{nullptr};
     /** The caller gives up then. */
     Core::Instant deadline;
     /** Nothing is held for longer than until then. */
@@ -54,6 +53,14 @@
     return state != CallState::Waiting && state != CallState::UnderWay;
 }
 
+/** What a look at a late call finds. */
+struct HedgeLook {
+    /** Where a hedge should go now, or nullptr. */
+    Backend *candidate{nullptr};
+    /** When to look again without one; nothing when there is nothing to wait for. */
+    std::optional<Core::Instant> lookAgainAt;
+};
+
 /** Runs until it is finished or cancelled. */
 class ShardCall
 {
@@ -69,12 +76,28 @@
      */
     void countEarlier(int executions, int sends);
 
+    /** As countEarlier() for a call that another gateway hedges here and has paid the repeat for. */
+    void countPaidRepeat(int executions);
+
     /** Sends the first attempt, or waits for room. `finishedHook` is called once, from here or later. */
     void start(std::function<void()> finishedHook);
 
     /** Sends a hedge if one is due. Returns when to look again; nothing when there is nothing to wait for. */
     std::optional<Core::Instant> hedgeIfDue();
 
+    /** Whether a hedge is due, and where it should go. */
+    [[nodiscard]] HedgeLook lookForHedge();
+    /** Sends a hedge to the candidate of a look, unless the budget is used up. */
+    void hedge(Backend &candidate);
+
+    /**
+     * Lets another gateway send the hedge: pays the repeat and counts a send that may run. Returns whether there was a
+     * repeat left. cameBack() tells how it ended.
+     */
+    [[nodiscard]] bool hedgeElsewhere();
+    /** `executions` of the hedge elsewhere may have run; none of it is under way any more. */
+    void cameBack(int executions);
+
     /** Gives up. Attempts under way are abandoned; the state says whether any may have run. */
     void giveUp(bool callerGone);
 
@@ -90,7 +113,6 @@
     [[nodiscard]] int executions() const;
     /** Why it failed, for logs. */
     [[nodiscard]] const std::string &failureReason() const;
-    [[nodiscard]] const BackendName &answeredBy() const;
 
 private:
     struct Running {
@@ -106,6 +128,7 @@
     void takeReply(const BackendName &backend, const BackendReply &incoming, Core::Instant startedAt);
     void retryOrFinish(CallState otherwise);
     void finish(CallState end);
+    [[nodiscard]] bool isLateHedgeable() const;
     void countRunning();
     void abandonRunning(bool callerGone);
     [[nodiscard]] bool mayTryAnother() const;
@@ -123,13 +146,15 @@
     std::vector<BackendName> refusedBy;
     // Attempts that may have run; bounded by the route.
     int executionCount{0};
+    // Hedges that another gateway has under way.
+    int elsewhere{0};
     int sends{0};
     int earlierSends{0};
+    bool repeatIsPaid{false};
     int hedgeCount{0};
     int refusals{0};
     std::optional<std::uint64_t> waiter;
     BackendReply answer;
-    BackendName answerer;
     Core::Duration answerLatency{0};
     std::string reason;
     std::shared_ptr<int> alive{std::make_shared<int>(0)};
--- a/Tests/LibGateway/TestPureParts.cpp
+++ b/Tests/LibGateway/TestPureParts.cpp
@@ -111,7 +111,7 @@
         cr_assert_not(Gateway::takeRelayTerms(spoilt).has_value());
         cr_assert(spoilt.size() == 1);
     }
-    for (const char *text : {"", "1,2,3", "1,2,3,4,5", "1,2,x,0", "-1,2,3,0", "1,2,3,99999999999"}) {
+    for (const char *text : {"", "1,2,3,0", "1,2,3,4,5,6", "1,2,x,0,0", "-1,2,3,0,0", "1,2,3,0,99999999999"}) {
         Wire::Headers spoilt{{Gateway::RelayHeader::Terms, text}, {Gateway::RelayHeader::Shards, "a"}};
         cr_assert_not(Gateway::takeRelayTerms(spoilt).has_value(), "%s", text);
         cr_assert(spoilt.empty());
--- a/Tests/LibGateway/TestRequests.cpp
+++ b/Tests/LibGateway/TestRequests.cpp
@@ -494,3 +494,134 @@
     cr_assert(zones("a").size() == 2);
     cr_assert(zones("b") == std::vector<std::string>{"yonder"});
 }
+
+namespace
+{
+
+/** Two shards whose near backend servers decide nothing by themselves, and a gateway beside the far ones. */
+class HedgeFixture : public GatewayFixture
+{
+public:
+    explicit HedgeFixture(double repeatSlack = 100.0) : GatewayFixture(repeatSlack)
+    {
+        makeSearch(*this, {Core::ServiceName("a"), Core::ServiceName("b")}, 0.5);
+        for (const auto *shard : {"a", "b"}) {
+            this->add(shard, std::string(shard) + "-near", [this](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+                this->nearRequests.emplace_back(request, exchange);
+            });
+            this->far.push_back(&this->addTo(this->pool, shard, std::string(shard) + "-far", silent, "there"));
+        }
+        this->gateway = &this->addGateway([this](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+            auto headers = request.headers;
+            this->terms = Gateway::takeRelayTerms(headers);
+            this->askedGateway.emplace_back(request, exchange);
+        });
+    }
+
+    /** Starts a search and waits until its hedges are out. */
+    void beginAndHedge()
+    {
+        this->begin("r1");
+        cr_assert(this->runUntil([this] {
+            return !this->askedGateway.empty();
+        }));
+    }
+
+    void answerPart(const Protocol::PartialAnswer &part)
+    {
+        const auto &[request, exchange] = this->askedGateway.front();
+        exchange->respond(partOf(request, part));
+    }
+
+    std::vector<std::pair<Wire::Request, Wire::ExchangePointer>> nearRequests;
+    std::vector<std::pair<Wire::Request, Wire::ExchangePointer>> askedGateway;
+    std::vector<TestSupport::ScriptedBackend *> far;
+    TestSupport::ScriptedBackend *gateway{nullptr};
+    std::optional<Gateway::RelayTerms> terms;
+};
+
+}
+
+Test(FanOutRequest, hedgesShardsOfOneRegionTogether)
+{
+    HedgeFixture fixture;
+    fixture.beginAndHedge();
+    cr_assert(fixture.terms.has_value() && fixture.terms->isHedge && fixture.terms->shards.size() == 2);
+    Protocol::PartialAnswer part;
+    part.signatures = {"signature-a", "signature-b"};
+    part.records = record('b') + record('a');
+    fixture.answerPart(part);
+    cr_assert(fixture.runUntil([&] {
+        return fixture.answer.has_value();
+    }));
+    cr_assert(fixture.answer->status == 200 && fixture.answer->body == record('b') + record('a'));
+    cr_assert(*header(*fixture.answer, "Part-Stamps") == "signature-a, signature-b");
+    cr_assert(fixture.summary->hedges == 2);
+    cr_assert(fixture.far[0]->requests.empty() && fixture.far[1]->requests.empty(), "the other gateway asks them");
+}
+
+Test(FanOutRequest, countsAShardOnceThatIsInAPartAndHere)
+{
+    HedgeFixture fixture;
+    fixture.beginAndHedge();
+    for (const auto &[request, exchange] : fixture.nearRequests) {
+        if (exchange == fixture.nearRequests.front().second) {
+            exchange->respond(goodAnswer(request, "signature-near", record('n')));
+        }
+    }
+    fixture.settle(Core::milliseconds(20));
+    Protocol::PartialAnswer part;
+    part.signatures = {"signature-a", "signature-b"};
+    part.records = record('b') + record('a');
+    fixture.answerPart(part);
+    cr_assert(fixture.runUntil([&] {
+        return fixture.answer.has_value();
+    }));
+    cr_assert(fixture.answer->body == record('b') + record('a'), "the part's records can't be told apart by shard");
+    cr_assert(*header(*fixture.answer, "Part-Stamps") == "signature-a, signature-b");
+    cr_assert(*header(*fixture.answer, "Missing-Parts") == "0");
+}
+
+Test(FanOutRequest, goesOnWaitingHereForWhatAHedgePartLacks)
+{
+    HedgeFixture fixture;
+    fixture.beginAndHedge();
+    Protocol::PartialAnswer part;
+    part.missing = {missingShard("a", 2, 1), missingShard("b", 1, 0)};
+    fixture.answerPart(part);
+    fixture.settle(Core::milliseconds(20));
+    for (const auto &[request, exchange] : fixture.nearRequests) {
+        exchange->respond(goodAnswer(request, "signature-" + std::to_string(request.headers.size()), record('n')));
+    }
+    cr_assert(fixture.runUntil([&] {
+        return fixture.answer.has_value();
+    }));
+    cr_assert(fixture.answer->status == 200 && *header(*fixture.answer, "Missing-Parts") == "0");
+    cr_assert(fixture.far[0]->requests.empty(), "a has run on two backend servers, which is all that the route allows");
+}
+
+Test(FanOutRequest, hedgesNothingElsewhereWithoutARepeatLeft)
+{
+    HedgeFixture fixture(0.0);
+    fixture.begin("r1");
+    cr_assert(fixture.runUntil([&] {
+        return fixture.nearRequests.size() == 2;
+    }));
+    fixture.settle(Core::milliseconds(400));
+    cr_assert(fixture.askedGateway.empty() && fixture.far[0]->requests.empty());
+}
+
+Test(FanOutRequest, runsAPaidHedgeOnlyWhereItIsNear)
+{
+    GatewayFixture fixture(0.0);
+    makeSearch(fixture, {Core::ServiceName("a"), Core::ServiceName("b")}, 0.5);
+    fixture.relayTerms = Gateway::RelayTerms{
+        .targetLeft = Core::milliseconds(100), .holdLeft = Core::seconds(5), .mayMiss = 1, .mayDivide = false, .isHedge = true, .shards = {}};
+    const auto &near = fixture.add("a", "a1", answering(record('a')));
+    const auto &far = fixture.addTo(fixture.pool, "b", "b1", silent, "there");
+    const auto part = Rpc::deserialize<Protocol::PartialAnswer>(fixture.ask("r1").body);
+    cr_assert(near.requests.size() == 1, "no repeat is left here, but this one is paid for");
+    cr_assert(far.requests.empty());
+    cr_assert(part.has_value() && part->signatures.size() == 1 && part->missing.size() == 1);
+    cr_assert(part->missing.front().executions == 1, "as often as before");
+}
