LibFleet, LibCoordinator: Take leavers only from the second coordinator

Now the nearest coordinator tells everything, the second one only of backend servers and gateways that leave (so none is missed when the first one hangs), and takes over from the beginning when the first fails; a question for a confirmation is held for 0.4 s, and confirmed as soon as the coordinator leads.

Questions have numbers now.

Tests: wantsOnlyLeaversOfTheSecondCoordinatorUntilTheFirstFails (red without the numbers), tellsOfLeaversAlone.

--- a/Libraries/LibCoordinator/CoordinatorNode.cpp
+++ b/Libraries/LibCoordinator/CoordinatorNode.cpp
@@ -19,6 +19,8 @@
 // News that arrives within this time travels together; far below the seconds in which it has to be in force.
 static constexpr Core::Duration NewsDelay = Core::milliseconds(5);
 static constexpr Core::Duration OverdueCheckPeriod = Core::milliseconds(100);
+// How long a question for a confirmation is held that only the leader can answer; about what an election takes.
+static constexpr Core::Duration ConfirmationHold = Core::milliseconds(400);
 static constexpr Core::Duration MemberCheckPeriod = Core::milliseconds(500);
 static constexpr Core::Duration IntroductionPeriod = Core::milliseconds(300);
 static constexpr Core::Duration IntroductionTimeout = Core::milliseconds(800);
@@ -75,6 +77,9 @@
 void CoordinatorNode::startTimers()
 {
     this->overdueTimer = this->timers.every(OverdueCheckPeriod, [this](Core::Instant) {
+        if (this->log->isLeader()) {
+            this->confirmWatchers();
+        }
         this->answerOverdueWatchers();
     });
     this->memberTimer = this->timers.every(MemberCheckPeriod, [this](Core::Instant) {
@@ -200,11 +205,22 @@
 
 // ---- Watchers
 
+bool CoordinatorNode::hasRegistryNewsFor(const Protocol::WatchRequest &request) const
+{
+    switch (request.registryInterest) {
+    case Protocol::RegistryInterest::EVERYTHING:
+        return request.cursor < this->registry.position() || request.gatewayCursor < this->gateways.position();
+    case Protocol::RegistryInterest::LEAVERS:
+        return request.cursor < this->registry.leaverPosition() || request.gatewayCursor < this->gateways.leaverPosition();
+    default:
+        return false;
+    }
+}
+
 bool CoordinatorNode::hasNewsFor(const Protocol::WatchRequest &request) const
 {
     const bool otherLife = request.coordinatorIncarnation != this->incarnation;
-    const bool registryChanged = request.cursor < this->registry.position() || request.gatewayCursor < this->gateways.position();
-    return otherLife || (request.wantsRegistry && registryChanged) || request.declarationVersion < this->log->version();
+    return otherLife || this->hasRegistryNewsFor(request) || request.declarationVersion < this->log->version();
 }
 
 void CoordinatorNode::watch(const Protocol::WatchRequest &request, const std::function<void(const Protocol::WatchReply &reply)> &done)
@@ -214,19 +230,9 @@
     }
     WaitingWatcher watcher{.request = request, .done = done, .answerBy = this->timers.now() + this->options.watchHold};
     if (request.confirm) {
-        const std::weak_ptr<int> weak = this->alive;
-        this->log->confirm([this, weak, watcher](bool confirmed) {
-            if (weak.expired()) {
-                return;
-            }
-            if (confirmed || this->hasNewsFor(watcher.request)) {
-                this->answerWatcher(watcher, confirmed);
-                return;
-            }
-            // Not the leader: a short wait, so that the asker does not ask without pause while there is none.
-            this->watchers.push_back(watcher);
-            this->watchers.back().answerBy = std::min(watcher.answerBy, this->timers.now() + OverdueCheckPeriod);
-        });
+        // Not the leader: held for a while, so that the asker does not ask without pause while there is none.
+        watcher.answerBy = std::min(watcher.answerBy, this->timers.now() + ConfirmationHold);
+        this->confirmWatcher(std::move(watcher));
         return;
     }
     if (this->hasNewsFor(request)) {
@@ -236,6 +242,36 @@
     this->watchers.push_back(std::move(watcher));
 }
 
+void CoordinatorNode::confirmWatcher(WaitingWatcher watcher)
+{
+    const std::weak_ptr<int> weak = this->alive;
+    this->log->confirm([this, weak, watcher = std::move(watcher)](bool confirmed) {
+        if (weak.expired()) {
+            return;
+        }
+        if (confirmed || this->hasNewsFor(watcher.request)) {
+            this->answerWatcher(watcher, confirmed);
+        } else {
+            this->watchers.push_back(watcher);
+        }
+    });
+}
+
+// One that leads since it was asked can confirm what it could not at first.
+void CoordinatorNode::confirmWatchers()
+{
+    std::list<WaitingWatcher> unconfirmed;
+    for (auto next = this->watchers.begin(); next != this->watchers.end();) {
+        const auto current = next++;
+        if (current->request.confirm) {
+            unconfirmed.splice(unconfirmed.end(), this->watchers, current);
+        }
+    }
+    for (auto &watcher : unconfirmed) {
+        this->confirmWatcher(std::move(watcher));
+    }
+}
+
 std::vector<std::string> CoordinatorNode::heardFor(const std::string &watcher)
 {
     const auto since = std::exchange(this->heardUntil[watcher], this->timers.now());
@@ -250,13 +286,14 @@
     const bool sameLife = request.coordinatorIncarnation == this->incarnation;
     reply.cursor = sameLife ? request.cursor : 0;
     reply.gatewayCursor = sameLife ? request.gatewayCursor : 0;
-    if (!request.wantsRegistry) {
+    if (request.registryInterest == Protocol::RegistryInterest::NOTHING) {
         return;
     }
     const auto now = this->timers.now();
-    reply.changed = this->registry.changedSince(reply.cursor, now);
+    const bool everything = request.registryInterest == Protocol::RegistryInterest::EVERYTHING;
+    reply.changed = everything ? this->registry.changedSince(reply.cursor, now) : this->registry.leaversSince(reply.cursor, now);
     reply.cursor = this->registry.position();
-    reply.changedGateways = this->gateways.changedSince(reply.gatewayCursor, now);
+    reply.changedGateways = everything ? this->gateways.changedSince(reply.gatewayCursor, now) : this->gateways.leaversSince(reply.gatewayCursor, now);
     reply.gatewayCursor = this->gateways.position();
 }
 
--- a/Libraries/LibCoordinator/CoordinatorNode.h
+++ b/Libraries/LibCoordinator/CoordinatorNode.h
@@ -113,6 +113,9 @@
     void answerWatcher(const WaitingWatcher &watcher, bool confirmed);
     void addRegistry(Protocol::WatchReply &reply, const Protocol::WatchRequest &request) const;
     void addDeclaration(Protocol::WatchReply &reply, std::int64_t heldVersion);
+    void confirmWatcher(WaitingWatcher watcher);
+    void confirmWatchers();
+    [[nodiscard]] bool hasRegistryNewsFor(const Protocol::WatchRequest &request) const;
     [[nodiscard]] bool hasNewsFor(const Protocol::WatchRequest &request) const;
     void scheduleNews();
     void answerWatchersWithNews();
--- a/Libraries/LibFleet/BackendRegistry.cpp
+++ b/Libraries/LibFleet/BackendRegistry.cpp
@@ -23,6 +23,11 @@
     return held.phase != incoming.phase || held.address != incoming.address || held.serviceName != incoming.serviceName || held.slots != incoming.slots;
 }
 
+static bool isLeaver(const BackendAnnouncement &announcement)
+{
+    return announcement.phase == BackendPhase::DRAINING || announcement.phase == BackendPhase::GONE;
+}
+
 // Silence is no step forward: a later heartbeat makes the backend server ready again.
 static int rankOf(BackendPhase::type phase)
 {
@@ -163,6 +168,20 @@
     return changed;
 }
 
+std::vector<BackendAnnouncement> BackendRegistry::leaversSince(std::int64_t position, Core::Instant now) const
+{
+    auto leavers = this->changedSince(position, now);
+    std::erase_if(leavers, [](const BackendAnnouncement &announcement) {
+        return !isLeaver(announcement);
+    });
+    return leavers;
+}
+
+std::int64_t BackendRegistry::leaverPosition() const
+{
+    return this->latestLeaver;
+}
+
 std::int64_t BackendRegistry::position() const
 {
     return this->changes;
@@ -178,6 +197,9 @@
     this->byChange.erase(record.changedAt);
     record.changedAt = ++this->changes;
     this->byChange[record.changedAt] = record.announcement.id;
+    if (isLeaver(record.announcement)) {
+        this->latestLeaver = record.changedAt;
+    }
     if (this->changed) {
         this->changed(record);
     }
--- a/Libraries/LibFleet/BackendRegistry.h
+++ b/Libraries/LibFleet/BackendRegistry.h
@@ -74,7 +74,11 @@
     [[nodiscard]] const BackendRecord *find(const std::string &id) const;
     /** Records that changed after a position. */
     [[nodiscard]] std::vector<Protocol::BackendAnnouncement> changedSince(std::int64_t position, Core::Instant now) const;
+    /** Of these, only those that drain or are gone. */
+    [[nodiscard]] std::vector<Protocol::BackendAnnouncement> leaversSince(std::int64_t position, Core::Instant now) const;
     [[nodiscard]] std::int64_t position() const;
+    /** Position of the latest change of one that drains or is gone. */
+    [[nodiscard]] std::int64_t leaverPosition() const;
     [[nodiscard]] std::size_t size() const;
 
     /** Called for each record that others have to know of, after it changed. */
@@ -88,6 +92,7 @@
     // Invariant: one item for each record, so that a watcher gets what it misses without a walk over all records.
     std::map<std::int64_t, std::string> byChange;
     std::int64_t changes{0};
+    std::int64_t latestLeaver{0};
 };
 
 }
--- a/Libraries/LibFleet/FleetWatcher.cpp
+++ b/Libraries/LibFleet/FleetWatcher.cpp
@@ -125,22 +125,33 @@
     return rows;
 }
 
-// Those that are asked for a confirmation only send nothing else, since the registry and the declaration come from these.
-bool FleetWatcher::isNewsSource(const Watched &watched)
+// The nearest one tells everything and the next ones of leavers; the others only confirm, since their bytes would be the same again.
+Protocol::RegistryInterest::type FleetWatcher::interestIn(const Watched &watched)
 {
-    const auto rows = this->ranked();
-    if (rows.size() <= this->options.watchedAtOnce) {
-        return true;
+    using Protocol::RegistryInterest;
+    if (this->options.wantsHeard) {
+        return RegistryInterest::EVERYTHING;
     }
-    const auto end = rows.begin() + static_cast<std::ptrdiff_t>(this->options.watchedAtOnce);
+    const auto rows = this->ranked();
     // Until a coordinator has told where it and the others are, the near ones can't be known.
-    const bool mayBeFar = watched.zone.empty() && this->timers.now() - watched.addedAt < this->options.nearPatience;
-    return !mayBeFar && std::find(rows.begin(), end, &watched) != end;
+    const bool mayBeFar = rows.size() > 1 && watched.zone.empty() && this->timers.now() - watched.addedAt < this->options.nearPatience;
+    if (mayBeFar) {
+        return RegistryInterest::NOTHING;
+    }
+    if (rows.front() == &watched) {
+        return RegistryInterest::EVERYTHING;
+    }
+    const auto end = rows.begin() + static_cast<std::ptrdiff_t>(std::min(rows.size(), this->options.watchedAtOnce));
+    return std::find(rows.begin(), end, &watched) != end ? RegistryInterest::LEAVERS : RegistryInterest::NOTHING;
 }
 
 void FleetWatcher::askChosen()
 {
     for (auto *watched : this->chosen()) {
+        if (watched->asking && watched->askedInterest != this->interestIn(*watched) && this->interestIn(*watched) == Protocol::RegistryInterest::EVERYTHING) {
+            // The nearest one has failed, and this one takes its place: it may hold the question that it has for long.
+            dropQuestion(*watched);
+        }
         if (!watched->retry.isActive()) {
             this->ask(*watched);
         }
@@ -156,10 +167,14 @@
     request.gatewayCursor = watched.gatewayCursor;
     request.confirm = this->wantsConfirmation;
     request.wantsHeard = this->options.wantsHeard;
-    request.wantsRegistry = this->isNewsSource(watched);
-    const auto first = this->ranked().front();
+    request.registryInterest = this->interestIn(watched);
+    const bool wantsEverything = request.registryInterest == Protocol::RegistryInterest::EVERYTHING;
+    if (wantsEverything && !watched.toldEverything) {
+        request.cursor = 0;
+        request.gatewayCursor = 0;
+    }
     const bool overdue = this->newestKnown > this->held() && this->timers.now() - this->newestKnownSince >= this->options.declarationPatience;
-    request.wantsDeclaration = this->options.wantsDeclarations && ((first == &watched && request.wantsRegistry) || overdue);
+    request.wantsDeclaration = this->options.wantsDeclarations && (wantsEverything || overdue);
     request.declarationVersion = request.wantsDeclaration ? this->heldTextVersion : std::max(this->held(), this->newestKnown);
     if (!this->options.wantsDeclarations) {
         request.declarationVersion = INT64_MAX;
@@ -182,6 +197,8 @@
         watched.channel = Rpc::RpcChannel::create({.endpoint = endpoint, .callTimeout = this->options.answerTimeout, .limits = {}}, this->timers);
     }
     const auto request = this->makeRequest(watched);
+    watched.askedInterest = request.registryInterest;
+    ++watched.question;
     const std::weak_ptr<int> weak = this->alive;
     Rpc::call<Protocol::CoordinatorCobClient, Protocol::WatchReply>(
         watched.channel,
@@ -191,13 +208,21 @@
         [](auto &client, auto &reply) {
             client.recv_watch(reply);
         },
-        [this, weak, endpoint, request](const Core::Result<Protocol::WatchReply> &answer) {
-            if (!weak.expired()) {
-                this->takeAnswer(endpoint, answer, request);
+        [this, weak, endpoint, request, number = watched.question](const Core::Result<Protocol::WatchReply> &answer) {
+            const bool isWanted = !weak.expired() && this->table.contains(endpoint) && this->table.at(endpoint).question == number;
+            if (isWanted) {
+                this->takeOutcome(endpoint, answer, request);
             }
         });
 }
 
+void FleetWatcher::dropQuestion(Watched &watched)
+{
+    watched.channel.reset();
+    watched.asking = false;
+    ++watched.question;
+}
+
 void FleetWatcher::askLater(const Core::Endpoint &endpoint, Core::Duration pause)
 {
     this->table.at(endpoint).retry = this->timers.once(pause, [this, endpoint](Core::Instant) {
@@ -210,9 +235,8 @@
         // One that fails is asked now and then all the same, to notice that it is back.
         if (wanted || !found->second.reachable) {
             this->ask(found->second);
-        } else if (!found->second.asking) {
-            // NOTE: A channel that is dropped with a question under way never tells how that ended.
-            found->second.channel.reset();
+        } else {
+            dropQuestion(found->second);
             // What it said of its leader is out of date by the time that it is needed again.
             found->second.hasLeader = true;
         }
@@ -220,28 +244,34 @@
     });
 }
 
-void FleetWatcher::takeAnswer(const Core::Endpoint &endpoint, const Core::Result<Protocol::WatchReply> &answer, const Protocol::WatchRequest &request)
+void FleetWatcher::takeOutcome(const Core::Endpoint &endpoint, const Core::Result<Protocol::WatchReply> &answer, const Protocol::WatchRequest &request)
 {
-    const auto found = this->table.find(endpoint);
-    if (found == this->table.end()) {
-        return;
-    }
-    auto &watched = found->second;
+    auto &watched = this->table.at(endpoint);
     watched.asking = false;
-    if (!answer.has_value()) {
+    if (answer.has_value()) {
+        this->takeAnswer(watched, answer.value(), request);
+    } else {
         this->failed(watched, watched.channel->lastFailure());
-        return;
     }
+}
+
+void FleetWatcher::takeAnswer(Watched &watched, const Protocol::WatchReply &answer, const Protocol::WatchRequest &request)
+{
+    using Protocol::RegistryInterest;
+    const auto endpoint = watched.endpoint;
     watched.lastAnswer = this->timers.now();
     watched.failing = false;
     if (!std::exchange(watched.reachable, true)) {
         Core::logEvent(Core::LogLevel::Information, "coordinator.reached", {{"coordinator", endpoint.toString()}});
     }
-    this->takeNews(watched, answer.value(), request.declarationVersion);
-    if (request.confirm && answer->confirmed && this->wantsConfirmation) {
+    const bool sameLife = watched.incarnation == answer.coordinatorIncarnation;
+    const bool skipped = request.registryInterest == RegistryInterest::LEAVERS;
+    watched.toldEverything = request.registryInterest == RegistryInterest::EVERYTHING || (sameLife && watched.toldEverything && !skipped);
+    this->takeNews(watched, answer, request.declarationVersion);
+    if (request.confirm && answer.confirmed && this->wantsConfirmation) {
         this->wantsConfirmation = false;
-        this->confirmedVersion = answer->declarationVersion;
-        Core::logEvent(Core::LogLevel::Information, "declaration.confirmed", {{"version", answer->declarationVersion}, {"coordinator", endpoint.toString()}});
+        this->confirmedVersion = answer.declarationVersion;
+        Core::logEvent(Core::LogLevel::Information, "declaration.confirmed", {{"version", answer.declarationVersion}, {"coordinator", endpoint.toString()}});
     }
     // NOTE: Asked from the loop, so that a coordinator that answers at once can't keep this function from returning. One that told of a
     //       declaration without its text is asked after a pause, to want the text from it if it has not come from the first one by then.
--- a/Libraries/LibFleet/FleetWatcher.h
+++ b/Libraries/LibFleet/FleetWatcher.h
@@ -89,7 +89,13 @@
         std::int64_t incarnation{0};
         std::int64_t cursor{0};
         std::int64_t gatewayCursor{0};
+        // Up to the cursors it has told of everything, not only of leavers.
+        bool toldEverything{false};
         bool asking{false};
+        // Counts questions. What comes for an earlier one is passed over, since a channel that is dropped lives on until its call has ended.
+        std::uint64_t question{0};
+        // Of the question that is under way.
+        Protocol::RegistryInterest::type askedInterest{Protocol::RegistryInterest::NOTHING};
         bool reachable{false};
         // The last question failed. One that was never asked is neither reachable nor failing.
         bool failing{false};
@@ -106,12 +112,14 @@
     void askChosen();
     [[nodiscard]] std::vector<Watched *> ranked();
     [[nodiscard]] std::vector<Watched *> chosen();
-    [[nodiscard]] bool isNewsSource(const Watched &watched);
+    [[nodiscard]] Protocol::RegistryInterest::type interestIn(const Watched &watched);
     [[nodiscard]] int distanceOf(const Watched &watched) const;
     void ask(Watched &watched);
+    static void dropQuestion(Watched &watched);
+    void takeOutcome(const Core::Endpoint &endpoint, const Core::Result<Protocol::WatchReply> &answer, const Protocol::WatchRequest &request);
     void askLater(const Core::Endpoint &endpoint, Core::Duration pause);
     [[nodiscard]] Protocol::WatchRequest makeRequest(Watched &watched);
-    void takeAnswer(const Core::Endpoint &endpoint, const Core::Result<Protocol::WatchReply> &answer, const Protocol::WatchRequest &request);
+    void takeAnswer(Watched &watched, const Protocol::WatchReply &answer, const Protocol::WatchRequest &request);
     void takeNews(Watched &watched, const Protocol::WatchReply &reply, std::int64_t askedFrom);
     void takeDeclaration(const Protocol::WatchReply &reply, std::int64_t askedFrom);
     void failed(Watched &watched, const std::string &reason);
--- a/Libraries/LibProtocol/Generated/fleet_types.cpp
+++ b/Libraries/LibProtocol/Generated/fleet_types.cpp
@@ -64,6 +64,49 @@
   }
 }
 
+int _kRegistryInterestValues[] = {
+  /**
+   * It only waits for a confirmation.
+   */
+  RegistryInterest::NOTHING,
+  /**
+   * Of those that leave: another coordinator tells it everything, and this one is there so that no leaver is missed.
+   */
+  RegistryInterest::LEAVERS,
+  RegistryInterest::EVERYTHING
+};
+const char* _kRegistryInterestNames[] = {
+  /**
+   * It only waits for a confirmation.
+   */
+  "NOTHING",
+  /**
+   * Of those that leave: another coordinator tells it everything, and this one is there so that no leaver is missed.
+   */
+  "LEAVERS",
+  "EVERYTHING"
+};
+const std::map<int, const char*> _RegistryInterest_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kRegistryInterestValues, _kRegistryInterestNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const RegistryInterest::type& val) {
+  std::map<int, const char*>::const_iterator it = _RegistryInterest_VALUES_TO_NAMES.find(val);
+  if (it != _RegistryInterest_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const RegistryInterest::type& val) {
+  std::map<int, const char*>::const_iterator it = _RegistryInterest_VALUES_TO_NAMES.find(val);
+  if (it != _RegistryInterest_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 BackendAnnouncement::~BackendAnnouncement() noexcept {
 }
@@ -624,8 +667,8 @@
   this->wantsHeard = val;
 }
 
-void WatchRequest::__set_wantsRegistry(const bool val) {
-  this->wantsRegistry = val;
+void WatchRequest::__set_registryInterest(const RegistryInterest::type val) {
+  this->registryInterest = val;
 }
 std::ostream& operator<<(std::ostream& out, const WatchRequest& obj)
 {
@@ -728,9 +771,11 @@
         }
         break;
       case 10:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->wantsRegistry);
-          this->__isset.wantsRegistry = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast13;
+          xfer += iprot->readI32(ecast13);
+          this->registryInterest = static_cast<RegistryInterest::type>(ecast13);
+          this->__isset.registryInterest = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -789,8 +834,8 @@
   xfer += oprot->writeBool(this->wantsHeard);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("wantsRegistry", ::apache::thrift::protocol::T_BOOL, 10);
-  xfer += oprot->writeBool(this->wantsRegistry);
+  xfer += oprot->writeFieldBegin("registryInterest", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->registryInterest));
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -809,24 +854,11 @@
   swap(a.confirm, b.confirm);
   swap(a.gateway, b.gateway);
   swap(a.wantsHeard, b.wantsHeard);
-  swap(a.wantsRegistry, b.wantsRegistry);
+  swap(a.registryInterest, b.registryInterest);
   swap(a.__isset, b.__isset);
 }
 
-WatchRequest::WatchRequest(const WatchRequest& other13) {
-  watcherName = other13.watcherName;
-  coordinatorIncarnation = other13.coordinatorIncarnation;
-  cursor = other13.cursor;
-  gatewayCursor = other13.gatewayCursor;
-  declarationVersion = other13.declarationVersion;
-  wantsDeclaration = other13.wantsDeclaration;
-  confirm = other13.confirm;
-  gateway = other13.gateway;
-  wantsHeard = other13.wantsHeard;
-  wantsRegistry = other13.wantsRegistry;
-  __isset = other13.__isset;
-}
-WatchRequest& WatchRequest::operator=(const WatchRequest& other14) {
+WatchRequest::WatchRequest(const WatchRequest& other14) {
   watcherName = other14.watcherName;
   coordinatorIncarnation = other14.coordinatorIncarnation;
   cursor = other14.cursor;
@@ -836,8 +868,21 @@
   confirm = other14.confirm;
   gateway = other14.gateway;
   wantsHeard = other14.wantsHeard;
-  wantsRegistry = other14.wantsRegistry;
+  registryInterest = other14.registryInterest;
   __isset = other14.__isset;
+}
+WatchRequest& WatchRequest::operator=(const WatchRequest& other15) {
+  watcherName = other15.watcherName;
+  coordinatorIncarnation = other15.coordinatorIncarnation;
+  cursor = other15.cursor;
+  gatewayCursor = other15.gatewayCursor;
+  declarationVersion = other15.declarationVersion;
+  wantsDeclaration = other15.wantsDeclaration;
+  confirm = other15.confirm;
+  gateway = other15.gateway;
+  wantsHeard = other15.wantsHeard;
+  registryInterest = other15.registryInterest;
+  __isset = other15.__isset;
   return *this;
 }
 void WatchRequest::printTo(std::ostream& out) const {
@@ -852,7 +897,7 @@
   out << ", " << "confirm=" << to_string(confirm);
   out << ", " << "gateway="; (__isset.gateway ? (out << to_string(gateway)) : (out << "<null>"));
   out << ", " << "wantsHeard=" << to_string(wantsHeard);
-  out << ", " << "wantsRegistry=" << to_string(wantsRegistry);
+  out << ", " << "registryInterest=" << to_string(registryInterest);
   out << ")";
 }
 
@@ -949,15 +994,15 @@
   swap(a.__isset, b.__isset);
 }
 
-CoordinatorPlace::CoordinatorPlace(const CoordinatorPlace& other15) {
-  address = other15.address;
-  zone = other15.zone;
-  __isset = other15.__isset;
-}
-CoordinatorPlace& CoordinatorPlace::operator=(const CoordinatorPlace& other16) {
+CoordinatorPlace::CoordinatorPlace(const CoordinatorPlace& other16) {
   address = other16.address;
   zone = other16.zone;
   __isset = other16.__isset;
+}
+CoordinatorPlace& CoordinatorPlace::operator=(const CoordinatorPlace& other17) {
+  address = other17.address;
+  zone = other17.zone;
+  __isset = other17.__isset;
   return *this;
 }
 void CoordinatorPlace::printTo(std::ostream& out) const {
@@ -1070,14 +1115,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changed.clear();
-            uint32_t _size17;
-            ::apache::thrift::protocol::TType _etype20;
-            xfer += iprot->readListBegin(_etype20, _size17);
-            this->changed.resize(_size17);
-            uint32_t _i21;
-            for (_i21 = 0; _i21 < _size17; ++_i21)
+            uint32_t _size18;
+            ::apache::thrift::protocol::TType _etype21;
+            xfer += iprot->readListBegin(_etype21, _size18);
+            this->changed.resize(_size18);
+            uint32_t _i22;
+            for (_i22 = 0; _i22 < _size18; ++_i22)
             {
-              xfer += this->changed[_i21].read(iprot);
+              xfer += this->changed[_i22].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1098,14 +1143,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changedGateways.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->changedGateways.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size23;
+            ::apache::thrift::protocol::TType _etype26;
+            xfer += iprot->readListBegin(_etype26, _size23);
+            this->changedGateways.resize(_size23);
+            uint32_t _i27;
+            for (_i27 = 0; _i27 < _size23; ++_i27)
             {
-              xfer += this->changedGateways[_i26].read(iprot);
+              xfer += this->changedGateways[_i27].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1150,14 +1195,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coordinators.clear();
-            uint32_t _size27;
-            ::apache::thrift::protocol::TType _etype30;
-            xfer += iprot->readListBegin(_etype30, _size27);
-            this->coordinators.resize(_size27);
-            uint32_t _i31;
-            for (_i31 = 0; _i31 < _size27; ++_i31)
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->coordinators.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
             {
-              xfer += this->coordinators[_i31].read(iprot);
+              xfer += this->coordinators[_i32].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1170,14 +1215,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heard.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->heard.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->heard.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
             {
-              xfer += iprot->readString(this->heard[_i36]);
+              xfer += iprot->readString(this->heard[_i37]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1222,10 +1267,10 @@
   xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<BackendAnnouncement> ::const_iterator _iter37;
-    for (_iter37 = this->changed.begin(); _iter37 != this->changed.end(); ++_iter37)
+    std::vector<BackendAnnouncement> ::const_iterator _iter38;
+    for (_iter38 = this->changed.begin(); _iter38 != this->changed.end(); ++_iter38)
     {
-      xfer += (*_iter37).write(oprot);
+      xfer += (*_iter38).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1238,10 +1283,10 @@
   xfer += oprot->writeFieldBegin("changedGateways", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changedGateways.size()));
-    std::vector<BackendAnnouncement> ::const_iterator _iter38;
-    for (_iter38 = this->changedGateways.begin(); _iter38 != this->changedGateways.end(); ++_iter38)
+    std::vector<BackendAnnouncement> ::const_iterator _iter39;
+    for (_iter39 = this->changedGateways.begin(); _iter39 != this->changedGateways.end(); ++_iter39)
     {
-      xfer += (*_iter38).write(oprot);
+      xfer += (*_iter39).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1263,10 +1308,10 @@
   xfer += oprot->writeFieldBegin("coordinators", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coordinators.size()));
-    std::vector<CoordinatorPlace> ::const_iterator _iter39;
-    for (_iter39 = this->coordinators.begin(); _iter39 != this->coordinators.end(); ++_iter39)
+    std::vector<CoordinatorPlace> ::const_iterator _iter40;
+    for (_iter40 = this->coordinators.begin(); _iter40 != this->coordinators.end(); ++_iter40)
     {
-      xfer += (*_iter39).write(oprot);
+      xfer += (*_iter40).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1275,10 +1320,10 @@
   xfer += oprot->writeFieldBegin("heard", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->heard.size()));
-    std::vector<std::string> ::const_iterator _iter40;
-    for (_iter40 = this->heard.begin(); _iter40 != this->heard.end(); ++_iter40)
+    std::vector<std::string> ::const_iterator _iter41;
+    for (_iter41 = this->heard.begin(); _iter41 != this->heard.end(); ++_iter41)
     {
-      xfer += oprot->writeString((*_iter40));
+      xfer += oprot->writeString((*_iter41));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1315,22 +1360,7 @@
   swap(a.__isset, b.__isset);
 }
 
-WatchReply::WatchReply(const WatchReply& other41) {
-  coordinatorIncarnation = other41.coordinatorIncarnation;
-  cursor = other41.cursor;
-  changed = other41.changed;
-  gatewayCursor = other41.gatewayCursor;
-  changedGateways = other41.changedGateways;
-  declarationVersion = other41.declarationVersion;
-  declaration = other41.declaration;
-  declarationDelta = other41.declarationDelta;
-  confirmed = other41.confirmed;
-  coordinators = other41.coordinators;
-  heard = other41.heard;
-  hasLeader = other41.hasLeader;
-  __isset = other41.__isset;
-}
-WatchReply& WatchReply::operator=(const WatchReply& other42) {
+WatchReply::WatchReply(const WatchReply& other42) {
   coordinatorIncarnation = other42.coordinatorIncarnation;
   cursor = other42.cursor;
   changed = other42.changed;
@@ -1344,6 +1374,21 @@
   heard = other42.heard;
   hasLeader = other42.hasLeader;
   __isset = other42.__isset;
+}
+WatchReply& WatchReply::operator=(const WatchReply& other43) {
+  coordinatorIncarnation = other43.coordinatorIncarnation;
+  cursor = other43.cursor;
+  changed = other43.changed;
+  gatewayCursor = other43.gatewayCursor;
+  changedGateways = other43.changedGateways;
+  declarationVersion = other43.declarationVersion;
+  declaration = other43.declaration;
+  declarationDelta = other43.declarationDelta;
+  confirmed = other43.confirmed;
+  coordinators = other43.coordinators;
+  heard = other43.heard;
+  hasLeader = other43.hasLeader;
+  __isset = other43.__isset;
   return *this;
 }
 void WatchReply::printTo(std::ostream& out) const {
@@ -1474,17 +1519,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Introduction::Introduction(const Introduction& other43) {
-  member = other43.member;
-  initialised = other43.initialised;
-  mayFound = other43.mayFound;
-  __isset = other43.__isset;
-}
-Introduction& Introduction::operator=(const Introduction& other44) {
+Introduction::Introduction(const Introduction& other44) {
   member = other44.member;
   initialised = other44.initialised;
   mayFound = other44.mayFound;
   __isset = other44.__isset;
+}
+Introduction& Introduction::operator=(const Introduction& other45) {
+  member = other45.member;
+  initialised = other45.initialised;
+  mayFound = other45.mayFound;
+  __isset = other45.__isset;
   return *this;
 }
 void Introduction::printTo(std::ostream& out) const {
@@ -1606,17 +1651,17 @@
   swap(a.__isset, b.__isset);
 }
 
-IntroductionReply::IntroductionReply(const IntroductionReply& other45) {
-  callee = other45.callee;
-  membership = other45.membership;
-  leaderAddress = other45.leaderAddress;
-  __isset = other45.__isset;
-}
-IntroductionReply& IntroductionReply::operator=(const IntroductionReply& other46) {
+IntroductionReply::IntroductionReply(const IntroductionReply& other46) {
   callee = other46.callee;
   membership = other46.membership;
   leaderAddress = other46.leaderAddress;
   __isset = other46.__isset;
+}
+IntroductionReply& IntroductionReply::operator=(const IntroductionReply& other47) {
+  callee = other47.callee;
+  membership = other47.membership;
+  leaderAddress = other47.leaderAddress;
+  __isset = other47.__isset;
   return *this;
 }
 void IntroductionReply::printTo(std::ostream& out) const {
@@ -1721,15 +1766,15 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredDeclaration::StoredDeclaration(const StoredDeclaration& other47) {
-  version = other47.version;
-  compressed = other47.compressed;
-  __isset = other47.__isset;
-}
-StoredDeclaration& StoredDeclaration::operator=(const StoredDeclaration& other48) {
+StoredDeclaration::StoredDeclaration(const StoredDeclaration& other48) {
   version = other48.version;
   compressed = other48.compressed;
   __isset = other48.__isset;
+}
+StoredDeclaration& StoredDeclaration::operator=(const StoredDeclaration& other49) {
+  version = other49.version;
+  compressed = other49.compressed;
+  __isset = other49.__isset;
   return *this;
 }
 void StoredDeclaration::printTo(std::ostream& out) const {
@@ -1850,17 +1895,17 @@
   swap(a.__isset, b.__isset);
 }
 
-MissingShard::MissingShard(const MissingShard& other49) {
-  serviceName = other49.serviceName;
-  executions = other49.executions;
-  sends = other49.sends;
-  __isset = other49.__isset;
-}
-MissingShard& MissingShard::operator=(const MissingShard& other50) {
+MissingShard::MissingShard(const MissingShard& other50) {
   serviceName = other50.serviceName;
   executions = other50.executions;
   sends = other50.sends;
   __isset = other50.__isset;
+}
+MissingShard& MissingShard::operator=(const MissingShard& other51) {
+  serviceName = other51.serviceName;
+  executions = other51.executions;
+  sends = other51.sends;
+  __isset = other51.__isset;
   return *this;
 }
 void MissingShard::printTo(std::ostream& out) const {
@@ -1920,14 +1965,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->signatures.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->signatures.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->signatures.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              xfer += iprot->readString(this->signatures[_i55]);
+              xfer += iprot->readString(this->signatures[_i56]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1948,14 +1993,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->missing.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->missing.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->missing.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
             {
-              xfer += this->missing[_i60].read(iprot);
+              xfer += this->missing[_i61].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1984,10 +2029,10 @@
   xfer += oprot->writeFieldBegin("signatures", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->signatures.size()));
-    std::vector<std::string> ::const_iterator _iter61;
-    for (_iter61 = this->signatures.begin(); _iter61 != this->signatures.end(); ++_iter61)
+    std::vector<std::string> ::const_iterator _iter62;
+    for (_iter62 = this->signatures.begin(); _iter62 != this->signatures.end(); ++_iter62)
     {
-      xfer += oprot->writeString((*_iter61));
+      xfer += oprot->writeString((*_iter62));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2000,10 +2045,10 @@
   xfer += oprot->writeFieldBegin("missing", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->missing.size()));
-    std::vector<MissingShard> ::const_iterator _iter62;
-    for (_iter62 = this->missing.begin(); _iter62 != this->missing.end(); ++_iter62)
+    std::vector<MissingShard> ::const_iterator _iter63;
+    for (_iter63 = this->missing.begin(); _iter63 != this->missing.end(); ++_iter63)
     {
-      xfer += (*_iter62).write(oprot);
+      xfer += (*_iter63).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2022,17 +2067,17 @@
   swap(a.__isset, b.__isset);
 }
 
-PartialAnswer::PartialAnswer(const PartialAnswer& other63) {
-  signatures = other63.signatures;
-  records = other63.records;
-  missing = other63.missing;
-  __isset = other63.__isset;
-}
-PartialAnswer& PartialAnswer::operator=(const PartialAnswer& other64) {
+PartialAnswer::PartialAnswer(const PartialAnswer& other64) {
   signatures = other64.signatures;
   records = other64.records;
   missing = other64.missing;
   __isset = other64.__isset;
+}
+PartialAnswer& PartialAnswer::operator=(const PartialAnswer& other65) {
+  signatures = other65.signatures;
+  records = other65.records;
+  missing = other65.missing;
+  __isset = other65.__isset;
   return *this;
 }
 void PartialAnswer::printTo(std::ostream& out) const {
--- a/Libraries/LibProtocol/Generated/fleet_types.h
+++ b/Libraries/LibProtocol/Generated/fleet_types.h
@@ -49,6 +49,29 @@
 
 std::string to_string(const BackendPhase::type& val);
 
+/**
+ * Which changes of backend servers and gateways a watcher wants from one coordinator.
+ */
+struct RegistryInterest {
+  enum type {
+    /**
+     * It only waits for a confirmation.
+     */
+    NOTHING = 0,
+    /**
+     * Of those that leave: another coordinator tells it everything, and this one is there so that no leaver is missed.
+     */
+    LEAVERS = 1,
+    EVERYTHING = 2
+  };
+};
+
+extern const std::map<int, const char*> _RegistryInterest_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const RegistryInterest::type& val);
+
+std::string to_string(const RegistryInterest::type& val);
+
 class BackendAnnouncement;
 
 class TextPiece;
@@ -305,7 +328,7 @@
 std::ostream& operator<<(std::ostream& out, const TextDelta& obj);
 
 typedef struct _WatchRequest__isset {
-  _WatchRequest__isset() : watcherName(false), coordinatorIncarnation(false), cursor(false), gatewayCursor(false), declarationVersion(false), wantsDeclaration(false), confirm(false), gateway(false), wantsHeard(false), wantsRegistry(true) {}
+  _WatchRequest__isset() : watcherName(false), coordinatorIncarnation(false), cursor(false), gatewayCursor(false), declarationVersion(false), wantsDeclaration(false), confirm(false), gateway(false), wantsHeard(false), registryInterest(true) {}
   bool watcherName :1;
   bool coordinatorIncarnation :1;
   bool cursor :1;
@@ -315,7 +338,7 @@
   bool confirm :1;
   bool gateway :1;
   bool wantsHeard :1;
-  bool wantsRegistry :1;
+  bool registryInterest :1;
 } _WatchRequest__isset;
 
 class WatchRequest : public virtual ::apache::thrift::TBase {
@@ -332,7 +355,7 @@
                  wantsDeclaration(0),
                  confirm(0),
                  wantsHeard(0),
-                 wantsRegistry(true) {
+                 registryInterest(static_cast<RegistryInterest::type>(2)) {
   }
 
   virtual ~WatchRequest() noexcept;
@@ -370,9 +393,10 @@
    */
   bool wantsHeard;
   /**
-   * Changes of backend servers and gateways are wanted. A watcher that only waits for a confirmation has them from others.
+   * 
+   * @see RegistryInterest
    */
-  bool wantsRegistry;
+  RegistryInterest::type registryInterest;
 
   _WatchRequest__isset __isset;
 
@@ -394,7 +418,7 @@
 
   void __set_wantsHeard(const bool val);
 
-  void __set_wantsRegistry(const bool val);
+  void __set_registryInterest(const RegistryInterest::type val);
 
   bool operator == (const WatchRequest & rhs) const
   {
@@ -418,7 +442,7 @@
       return false;
     if (!(wantsHeard == rhs.wantsHeard))
       return false;
-    if (!(wantsRegistry == rhs.wantsRegistry))
+    if (!(registryInterest == rhs.registryInterest))
       return false;
     return true;
   }
--- a/Libraries/LibProtocol/fleet.thrift
+++ b/Libraries/LibProtocol/fleet.thrift
@@ -47,6 +47,15 @@
   3: list<TextPiece> pieces,
 }
 
+/** Which changes of backend servers and gateways a watcher wants from one coordinator. */
+enum RegistryInterest {
+  /** It only waits for a confirmation. */
+  NOTHING = 0,
+  /** Of those that leave: another coordinator tells it everything, and this one is there so that no leaver is missed. */
+  LEAVERS = 1,
+  EVERYTHING = 2,
+}
+
 struct WatchRequest {
   1: string watcherName,
   /** Which life of the coordinator the cursors belong to; 0 at first. */
@@ -65,8 +74,7 @@
   8: optional BackendAnnouncement gateway,
   /** The watcher is a coordinator and wants to know whose heartbeats came here. */
   9: bool wantsHeard,
-  /** Changes of backend servers and gateways are wanted. A watcher that only waits for a confirmation has them from others. */
-  10: bool wantsRegistry = true,
+  10: RegistryInterest registryInterest = RegistryInterest.EVERYTHING,
 }
 
 /** Where a coordinator can be watched. */
--- a/Tests/LibFleet/TestBackendRegistry.cpp
+++ b/Tests/LibFleet/TestBackendRegistry.cpp
@@ -121,3 +121,21 @@
     registry.forget(at(2000));
     cr_assert(registry.size() == 0);
 }
+
+Test(BackendRegistry, tellsOfLeaversAlone)
+{
+    BackendRegistry registry;
+    registry.merge(announcement(BackendPhase::READY, 1), at(1));
+    cr_assert(registry.leaverPosition() == 0 && registry.leaversSince(0, at(1)).empty());
+    registry.merge(announcement(BackendPhase::DRAINING, 2), at(1));
+    const auto position = registry.position();
+    cr_assert(registry.leaverPosition() == position);
+    cr_assert(registry.leaversSince(0, at(1)).size() == 1);
+    auto other = announcement(BackendPhase::READY, 1);
+    other.id = "other";
+    registry.merge(other, at(1));
+    cr_assert(registry.leaverPosition() == position && registry.leaversSince(position, at(1)).empty());
+    cr_assert(registry.changedSince(position, at(1)).size() == 1);
+    registry.markGone("one", at(2));
+    cr_assert(registry.leaversSince(position, at(2)).size() == 1);
+}
--- a/Tests/LibFleet/TestFleetWatcher.cpp
+++ b/Tests/LibFleet/TestFleetWatcher.cpp
@@ -132,7 +132,7 @@
 bool asksForRegistry(const ScriptedCoordinator &coordinator)
 {
     return std::any_of(coordinator.requests.begin(), coordinator.requests.end(), [](const WatchRequest &request) {
-        return request.wantsRegistry || request.wantsDeclaration;
+        return request.registryInterest != Protocol::RegistryInterest::NOTHING || request.wantsDeclaration;
     });
 }
 
@@ -214,6 +214,40 @@
     cr_assert(fixture.version == 7 && fixture.text == "seven");
 }
 
+Test(FleetWatcher, wantsOnlyLeaversOfTheSecondCoordinatorUntilTheFirstFails)
+{
+    using Protocol::RegistryInterest;
+    WatcherFixture fixture(2);
+    auto &near = fixture.add("near", answeringOnce(fixture, -1));
+    auto &far = fixture.add("far-1", answeringOnce(fixture, -1));
+    fixture.add("far-2", answeringOnce(fixture, -1));
+    fixture.start();
+    const auto lastInterest = [](const ScriptedCoordinator &coordinator) {
+        return coordinator.requests.empty() ? RegistryInterest::NOTHING : coordinator.requests.back().registryInterest;
+    };
+    const auto &farther = *fixture.coordinators[2];
+    const auto second = [&]() -> const ScriptedCoordinator & {
+        return lastInterest(far) == RegistryInterest::LEAVERS ? far : farther;
+    };
+    cr_assert(fixture.runUntil([&] {
+        return lastInterest(near) == RegistryInterest::EVERYTHING && lastInterest(second()) == RegistryInterest::LEAVERS;
+    }));
+    near.server.reset();
+    cr_assert(fixture.runUntil([&] {
+        return lastInterest(far) == RegistryInterest::EVERYTHING || lastInterest(farther) == RegistryInterest::EVERYTHING;
+    }),
+        "although it holds the question for leavers");
+    auto &heir = *fixture.coordinators[lastInterest(far) == RegistryInterest::EVERYTHING ? 1 : 2];
+    cr_assert(heir.requests.back().cursor == 0, "from the beginning");
+    // Two questions are under way to it, and the first of them was dropped. Its answer was taken for one to the second, which was asked once more
+    // and in the end dropped with its channel: a failure that came for it ended the process.
+    cr_assert(heir.held.size() == 2);
+    const auto asked = heir.requests.size();
+    heir.held.front()(fixture.reply(-1));
+    fixture.settle(Core::milliseconds(100));
+    cr_assert(heir.requests.size() == asked);
+}
+
 // A gateway once fell silent for good: a question was asked twice, and the channel of one of them was dropped when the order changed.
 Test(FleetWatcher, goesOnAskingWhenTheOrderOfCoordinatorsChanges)
 {
