LibGateway: Ask for no records in hedges that can't be among the greatest

Now a hedge part says the least record that can still count, and the other gateway leaves out what is less (equal ones stay). So a single hedge goes this way, too, where the records wanted are 400 bytes or more. Tests: dropsWhatIsLess, asksForNoRecordsThatCanNotBeAmongTheGreatest, sendsAnotherGatewayOnlyTheRecordsThatItNeeds.

--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -16,8 +16,10 @@
 
 // A hedge goes out for one send that may have run.
 static constexpr int HedgedExecutions = 1;
-// A single hedge is sent from here: a part saves nothing.
+// A single hedge is sent from here, where a part saves nothing: unless the reply is large and most of it need not come.
 static constexpr std::size_t FewestHedgesTogether = 2;
+// Larger than what a part adds to a reply.
+static constexpr std::size_t LargeReplyBytes = 400;
 // How many times the usual latency a backend server is taken to need that another gateway got no answer from before its part left.
 static constexpr double MissedRatio = 8.0;
 
@@ -193,11 +195,13 @@
 
 void FanOutRequest::hedgeTogether(const std::string &zone, const std::vector<std::size_t> &rowNumbers)
 {
-    PartPlan hedges{.zone = zone, .shards = {}, .mayDivide = false, .isHedge = true};
+    PartPlan hedges{.zone = zone, .shards = {}, .mayDivide = false, .isHedge = true, .leastRecord = this->leastRecord()};
+    const bool savesReply = !hedges.leastRecord.empty() && this->route.topRecords * RecordBytes >= LargeReplyBytes;
+    const bool asPart = rowNumbers.size() >= FewestHedgesTogether || savesReply;
     std::vector<std::size_t> hedged;
     for (const auto number : rowNumbers) {
         auto &row = this->rows[number];
-        if (rowNumbers.size() >= FewestHedgesTogether && row.call->hedgeElsewhere()) {
+        if (asPart && row.call->hedgeElsewhere()) {
             hedges.shards.push_back(row.shard);
             hedged.push_back(number);
         } else {
@@ -322,13 +326,28 @@
 
 // ---- Answers
 
-std::string FanOutRequest::mergedRecords()
+void FanOutRequest::noteLatencies() const
+{
+    for (const auto &row : this->rows) {
+        if (isAnswered(row) && !row.inPart) {
+            this->context.latencies->add(row.call->latency());
+        }
+    }
+}
+
+// The answers that are in stay in, so what is less than all of as many records as are wanted can't be wanted any more.
+std::string FanOutRequest::leastRecord() const
+{
+    const auto records = this->mergedRecords();
+    return records.size() < this->route.topRecords * RecordBytes ? std::string() : records.substr(records.size() - RecordBytes);
+}
+
+std::string FanOutRequest::mergedRecords() const
 {
     std::vector<std::string_view> merged;
     for (const auto &row : this->rows) {
         if (isAnswered(row) && !row.inPart) {
             merged.emplace_back(row.call->reply().message.body);
-            this->context.latencies->add(row.call->latency());
         }
     }
     for (const auto &asked : this->parts) {
@@ -356,6 +375,7 @@
 {
     MergedAnswer answer;
     answer.id = this->request.id;
+    this->noteLatencies();
     answer.body = this->mergedRecords();
     answer.signatures = this->signatures();
     answer.missing = this->route.shards.size() - answer.signatures.size();
@@ -381,7 +401,11 @@
 void FanOutRequest::answerOtherGateway()
 {
     Protocol::PartialAnswer answer;
+    this->noteLatencies();
     answer.records = this->mergedRecords();
+    if (this->context.relayTerms.has_value()) {
+        dropLessThan(answer.records, this->context.relayTerms->leastRecord);
+    }
     answer.signatures = this->signatures();
     this->giveUpCalls(false);
     for (const auto &row : this->rows) {
--- a/Libraries/LibGateway/FanOutRequest.h
+++ b/Libraries/LibGateway/FanOutRequest.h
@@ -80,7 +80,9 @@
     [[nodiscard]] std::size_t openCount() const;
     [[nodiscard]] bool mayHaveRun() const;
     /** Takes the answers of all rows and parts together. */
-    [[nodiscard]] std::string mergedRecords();
+    [[nodiscard]] std::string mergedRecords() const;
+    void noteLatencies() const;
+    [[nodiscard]] std::string leastRecord() const;
     [[nodiscard]] std::vector<std::string> signatures() const;
 
     RelayPlan plan;
--- a/Libraries/LibGateway/RelayPlan.cpp
+++ b/Libraries/LibGateway/RelayPlan.cpp
@@ -8,6 +8,8 @@
 #include <LibCore/Settings.h>
 
 #include <algorithm>
+#include <charconv>
+#include <fmt/format.h>
 
 namespace Gateway
 {
@@ -133,11 +135,38 @@
         .shards = {}};
 }
 
+static std::string toHexadecimal(std::string_view bytes)
+{
+    std::string text;
+    for (const char byte : bytes) {
+        text += fmt::format("{:02x}", static_cast<unsigned char>(byte));
+    }
+    return text;
+}
+
+// Empty when it is not hexadecimal: nothing is left out then.
+static std::string fromHexadecimal(std::string_view text)
+{
+    static constexpr int Base = 16;
+    std::string bytes;
+    for (std::size_t offset = 0; offset < text.size(); offset += 2) {
+        unsigned int value = 0;
+        const auto *end = text.data() + std::min(offset + 2, text.size());
+        const auto read = std::from_chars(text.data() + offset, end, value, Base);
+        if (read.ec != std::errc() || read.ptr != text.data() + offset + 2) {
+            return {};
+        }
+        bytes += static_cast<char>(value);
+    }
+    return bytes;
+}
+
 std::optional<RelayTerms> takeRelayTerms(Wire::Headers &headers)
 {
     std::optional<RelayTerms> terms;
     std::vector<Core::ServiceName> shards;
-    std::erase_if(headers, [&terms, &shards](const Wire::Header &header) {
+    std::string leastRecord;
+    std::erase_if(headers, [&terms, &shards, &leastRecord](const Wire::Header &header) {
         if (Wire::sameName(header.name, RelayHeader::Terms)) {
             terms = readTerms(header.value);
             return true;
@@ -148,12 +177,17 @@
             }
             return true;
         }
+        if (Wire::sameName(header.name, RelayHeader::LeastRecord)) {
+            leastRecord = fromHexadecimal(header.value);
+            return true;
+        }
         return false;
     });
     if (!terms.has_value() || shards.empty()) {
         return std::nullopt;
     }
     terms->shards = std::move(shards);
+    terms->leastRecord = std::move(leastRecord);
     return terms;
 }
 
@@ -168,6 +202,9 @@
     numbers += "," + std::to_string(terms.mayMiss) + (terms.mayDivide ? ",1" : ",0") + (terms.isHedge ? ",1" : ",0");
     headers.push_back({RelayHeader::Terms, std::move(numbers)});
     headers.push_back({RelayHeader::Shards, std::move(names)});
+    if (!terms.leastRecord.empty()) {
+        headers.push_back({RelayHeader::LeastRecord, toHexadecimal(terms.leastRecord)});
+    }
 }
 
 std::shared_ptr<const Fleet::Route> makeRelayRoute(const Fleet::Route &route, const Core::ServiceName &relays)
--- a/Libraries/LibGateway/RelayPlan.h
+++ b/Libraries/LibGateway/RelayPlan.h
@@ -37,6 +37,8 @@
     bool mayDivide{false};
     /** The shards are hedged: each was sent once already, and the repeat is paid for. */
     bool isHedge{false};
+    /** Lesser records can't be among the greatest any more; empty when that is not known. */
+    std::string leastRecord;
 };
 
 /** How a search is divided. */
@@ -77,6 +79,8 @@
 constexpr const char *Terms = "Crankrudder-Part-Terms";
 /** The services that are asked for, with commas between them. */
 constexpr const char *Shards = "Crankrudder-Shards";
+/** A record in hexadecimal: the answer needs none that is less. May be left out. */
+constexpr const char *LeastRecord = "Crankrudder-Least-Record";
 /** The body is a partial answer. */
 constexpr const char *Partial = "Crankrudder-Partial";
 }
@@ -93,6 +97,8 @@
     bool mayDivide{false};
     bool isHedge{false};
     std::vector<Core::ServiceName> shards;
+    /** See PartPlan. */
+    std::string leastRecord;
 };
 
 /** Takes the terms out of a request's headers; nothing when they are not all there. */
--- a/Libraries/LibGateway/RelayedPart.cpp
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -33,7 +33,8 @@
             .mayMiss = partTerms.mayMiss,
             .mayDivide = plan.mayDivide,
             .isHedge = plan.isHedge,
-            .shards = plan.shards});
+            .shards = plan.shards,
+            .leastRecord = plan.leastRecord});
     this->relayCall = std::make_unique<ShardCall>(this->terms, this->relays, *context.relays, *context.timers);
 }
 
--- a/Tests/LibGateway/TestPureParts.cpp
+++ b/Tests/LibGateway/TestPureParts.cpp
@@ -37,6 +37,20 @@
     cr_assert(Gateway::mergeGreatest({one}, 0).empty());
 }
 
+Test(RecordMerge, dropsWhatIsLess)
+{
+    const auto records = record('c', 'a') + record('b', 'b') + record('b', 'a');
+    const auto after = [&records](const std::string &least) {
+        auto left = records;
+        Gateway::dropLessThan(left, least);
+        return left.size() / Gateway::RecordBytes;
+    };
+    cr_assert(after(record('a', 'a')) == 3);
+    cr_assert(after(record('b', 'b')) == 2, "an equal one counts");
+    cr_assert(after(record('d', 'a')) == 0);
+    cr_assert(after("") == 3 && after("short") == 3);
+}
+
 Test(RepeatBudget, staysWithinItsPartInEveryWindow)
 {
     Gateway::RepeatBudget budget({.ratio = 0.2, .slack = 40.0, .window = Core::seconds(10), .usedShare = 1.0});
@@ -97,10 +111,12 @@
             .holdLeft = Core::milliseconds(99),
             .mayMiss = 3,
             .mayDivide = true,
-            .shards = {Core::ServiceName("a"), Core::ServiceName("b")}});
+            .shards = {Core::ServiceName("a"), Core::ServiceName("b")},
+            .leastRecord = record('\xff', 'a')});
     auto copy = headers;
     const auto terms = Gateway::takeRelayTerms(copy);
     cr_assert(terms.has_value() && terms->shards.size() == 2 && terms->mayMiss == 3 && terms->mayDivide);
+    cr_assert(terms->leastRecord == record('\xff', 'a'), "all bytes come back");
     cr_assert(terms->targetLeft == Core::milliseconds(42) && terms->holdLeft == Core::milliseconds(99));
     cr_assert(copy.size() == 1, "nothing of them reaches a backend server");
     for (const char *missing : {Gateway::RelayHeader::Terms, Gateway::RelayHeader::Shards}) {
--- a/Tests/LibGateway/TestRequests.cpp
+++ b/Tests/LibGateway/TestRequests.cpp
@@ -635,3 +635,41 @@
     cr_assert(part.has_value() && part->signatures.size() == 1 && part->missing.size() == 1);
     cr_assert(part->missing.front().executions == 1, "as often as before");
 }
+
+Test(FanOutRequest, asksForNoRecordsThatCanNotBeAmongTheGreatest)
+{
+    HedgeFixture fixture;
+    fixture.route().topRecords = 2;
+    fixture.route().shards.emplace_back("c");
+    fixture.add("c", "c-near", answering(record('c') + record('e') + record('d')));
+    // Hedges come only after this shard has long been in.
+    for (int count = 0; count < 100; ++count) {
+        fixture.latencies.add(Core::milliseconds(150));
+    }
+    fixture.beginAndHedge();
+    cr_assert(fixture.terms.has_value() && fixture.terms->leastRecord == record('d'), "the second greatest that is in");
+    Protocol::PartialAnswer part;
+    part.signatures = {"signature-a", "signature-b"};
+    part.records = record('x');
+    fixture.answerPart(part);
+    cr_assert(fixture.runUntil([&] {
+        return fixture.answer.has_value();
+    }));
+    cr_assert(fixture.answer->body == record('x') + record('e'));
+}
+
+Test(FanOutRequest, sendsAnotherGatewayOnlyTheRecordsThatItNeeds)
+{
+    GatewayFixture fixture;
+    makeSearch(fixture, {Core::ServiceName("a")}, 1.0);
+    fixture.relayTerms = Gateway::RelayTerms{.targetLeft = Core::seconds(5),
+        .holdLeft = Core::seconds(5),
+        .mayMiss = 0,
+        .mayDivide = false,
+        .isHedge = true,
+        .shards = {},
+        .leastRecord = record('b')};
+    fixture.add("a", "a1", answering(record('a') + record('c') + record('b')));
+    const auto part = Rpc::deserialize<Protocol::PartialAnswer>(fixture.ask("r1").body);
+    cr_assert(part.has_value() && part->records == record('c') + record('b') && part->signatures.size() == 1);
+}
