--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -5,6 +5,7 @@
 
 #include <LibGateway/FanOutRequest.h>
 
+#include <LibGateway/PackedSignatures.h>
 #include <LibGateway/RecordMerge.h>
 #include <LibRpc/Serialization.h>
 
@@ -413,6 +414,7 @@
             answer.missing.push_back(this->describeMissing(row));
         }
     }
+    packSignatures(answer);
     const auto outcome = answer.missing.empty() ? RequestOutcome::Answered : RequestOutcome::Partial;
     this->complete(this->context.dialect->writePartial(this->request.id, Rpc::serialize(answer)), outcome);
 }
--- a/Libraries/LibGateway/RelayedPart.cpp
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -6,6 +6,7 @@
 #include <LibGateway/RelayedPart.h>
 
 #include <LibCore/Log.h>
+#include <LibGateway/PackedSignatures.h>
 #include <LibRpc/Serialization.h>
 
 #include <algorithm>
@@ -53,6 +54,9 @@
         return;
     }
     auto answer = Rpc::deserialize<Protocol::PartialAnswer>(this->relayCall->reply().message.body);
+    if (const auto unpacked = answer.has_value() ? unpackSignatures(answer.value()) : Core::Result<void>(); !unpacked.has_value()) {
+        answer = tl::make_unexpected(unpacked.error());
+    }
     if (!answer.has_value()) {
         Core::logEvent(Core::LogLevel::Error, "part.unreadable", {{"request", this->request.id.value()}, {"error", answer.error().message}});
         return;
--- a/Libraries/LibProtocol/Generated/fleet_types.cpp
+++ b/Libraries/LibProtocol/Generated/fleet_types.cpp
@@ -1933,6 +1933,11 @@
 void PartialAnswer::__set_missing(const std::vector<MissingShard> & val) {
   this->missing = val;
 }
+
+void PartialAnswer::__set_packedSignatures(const std::string& val) {
+  this->packedSignatures = val;
+__isset.packedSignatures = true;
+}
 std::ostream& operator<<(std::ostream& out, const PartialAnswer& obj)
 {
   obj.printTo(out);
@@ -2009,6 +2014,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->packedSignatures);
+          this->__isset.packedSignatures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2054,6 +2067,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.packedSignatures) {
+    xfer += oprot->writeFieldBegin("packedSignatures", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeBinary(this->packedSignatures);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2064,6 +2082,7 @@
   swap(a.signatures, b.signatures);
   swap(a.records, b.records);
   swap(a.missing, b.missing);
+  swap(a.packedSignatures, b.packedSignatures);
   swap(a.__isset, b.__isset);
 }
 
@@ -2071,12 +2090,14 @@
   signatures = other64.signatures;
   records = other64.records;
   missing = other64.missing;
+  packedSignatures = other64.packedSignatures;
   __isset = other64.__isset;
 }
 PartialAnswer& PartialAnswer::operator=(const PartialAnswer& other65) {
   signatures = other65.signatures;
   records = other65.records;
   missing = other65.missing;
+  packedSignatures = other65.packedSignatures;
   __isset = other65.__isset;
   return *this;
 }
@@ -2086,6 +2107,7 @@
   out << "signatures=" << to_string(signatures);
   out << ", " << "records=" << to_string(records);
   out << ", " << "missing=" << to_string(missing);
+  out << ", " << "packedSignatures="; (__isset.packedSignatures ? (out << to_string(packedSignatures)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibProtocol/Generated/fleet_types.h
+++ b/Libraries/LibProtocol/Generated/fleet_types.h
@@ -893,10 +893,11 @@
 std::ostream& operator<<(std::ostream& out, const MissingShard& obj);
 
 typedef struct _PartialAnswer__isset {
-  _PartialAnswer__isset() : signatures(false), records(false), missing(false) {}
+  _PartialAnswer__isset() : signatures(false), records(false), missing(false), packedSignatures(false) {}
   bool signatures :1;
   bool records :1;
   bool missing :1;
+  bool packedSignatures :1;
 } _PartialAnswer__isset;
 
 /**
@@ -908,12 +909,13 @@
   PartialAnswer(const PartialAnswer&);
   PartialAnswer& operator=(const PartialAnswer&);
   PartialAnswer() noexcept
-                : records() {
+                : records(),
+                  packedSignatures() {
   }
 
   virtual ~PartialAnswer() noexcept;
   /**
-   * One for each shard that is in.
+   * One for each shard that is in; empty when they are packed.
    */
   std::vector<std::string>  signatures;
   /**
@@ -921,6 +923,10 @@
    */
   std::string records;
   std::vector<MissingShard>  missing;
+  /**
+   * The signatures in fewer bytes: compressed, with a line feed after each.
+   */
+  std::string packedSignatures;
 
   _PartialAnswer__isset __isset;
 
@@ -930,6 +936,8 @@
 
   void __set_missing(const std::vector<MissingShard> & val);
 
+  void __set_packedSignatures(const std::string& val);
+
   bool operator == (const PartialAnswer & rhs) const
   {
     if (!(signatures == rhs.signatures))
@@ -938,6 +946,10 @@
       return false;
     if (!(missing == rhs.missing))
       return false;
+    if (__isset.packedSignatures != rhs.__isset.packedSignatures)
+      return false;
+    else if (__isset.packedSignatures && !(packedSignatures == rhs.packedSignatures))
+      return false;
     return true;
   }
   bool operator != (const PartialAnswer &rhs) const {
--- a/Libraries/LibProtocol/fleet.thrift
+++ b/Libraries/LibProtocol/fleet.thrift
@@ -143,9 +143,11 @@
 
 /** What one gateway answers another that brought it a part of a search. */
 struct PartialAnswer {
-  /** One for each shard that is in. */
+  /** One for each shard that is in; empty when they are packed. */
   1: list<string> signatures,
   /** The greatest records of these shards, greatest first. */
   2: binary records,
   3: list<MissingShard> missing,
+  /** The signatures in fewer bytes: compressed, with a line feed after each. */
+  4: optional binary packedSignatures,
 }
--- a/Tests/LibGateway/TestPureParts.cpp
+++ b/Tests/LibGateway/TestPureParts.cpp
@@ -5,6 +5,7 @@
 
 // The parts of a gateway that are functions of what they are told.
 
+#include <LibGateway/PackedSignatures.h>
 #include <LibGateway/RecordMerge.h>
 #include <LibGateway/RelayPlan.h>
 #include <LibGateway/RepeatBudget.h>
@@ -51,6 +52,24 @@
     cr_assert(after("") == 3 && after("short") == 3);
 }
 
+Test(PackedSignatures, comeBackAsTheyWereInFewerBytes)
+{
+    for (const std::size_t count : {0U, 1U, 3U, 4U, 90U}) {
+        Protocol::PartialAnswer answer;
+        for (std::size_t number = 0; number < count; ++number) {
+            answer.signatures.push_back(std::to_string(number * 7919) + ".07.5a2.600.0." + std::to_string(number * 104729));
+        }
+        const auto before = answer.signatures;
+        Gateway::packSignatures(answer);
+        cr_assert((answer.__isset.packedSignatures && answer.packedSignatures.size() < 90U * 20U) || count < 90U);
+        cr_assert(Gateway::unpackSignatures(answer).has_value());
+        cr_assert(answer.signatures == before, "%zu", count);
+    }
+    Protocol::PartialAnswer spoilt;
+    spoilt.__set_packedSignatures("no compressed text");
+    cr_assert_not(Gateway::unpackSignatures(spoilt).has_value());
+}
+
 Test(RepeatBudget, staysWithinItsPartInEveryWindow)
 {
     Gateway::RepeatBudget budget({.ratio = 0.2, .slack = 40.0, .window = Core::seconds(10), .usedShare = 1.0});
