--- a/Libraries/LibCoordinator/CoordinatorNode.cpp
+++ b/Libraries/LibCoordinator/CoordinatorNode.cpp
@@ -16,11 +16,6 @@
 namespace Coordinator
 {
 
-// News that arrives within this time travels together; far below the seconds in which it has to be in force.
-static constexpr Core::Duration NewsDelay = Core::milliseconds(5);
-static constexpr Core::Duration OverdueCheckPeriod = Core::milliseconds(100);
-// How long a question for a confirmation is held that only the leader can answer; about what an election takes.
-static constexpr Core::Duration ConfirmationHold = Core::milliseconds(400);
 static constexpr Core::Duration MemberCheckPeriod = Core::milliseconds(500);
 static constexpr Core::Duration IntroductionPeriod = Core::milliseconds(300);
 static constexpr Core::Duration IntroductionTimeout = Core::milliseconds(800);
@@ -42,8 +37,10 @@
         return tl::make_unexpected(log.error());
     }
     node->log = std::move(log.value());
+    node->desk = std::make_unique<WatchDesk>(
+        WatchDeskOptions{.incarnation = node->incarnation, .hold = node->options.watchHold}, *node->log, node->registry, node->gateways, timers);
     node->log->changed = [raw = node.get()] {
-        raw->scheduleNews();
+        raw->desk->scheduleNews();
     };
     node->registry.changed = [raw = node.get()](const Fleet::BackendRecord &record) {
         const auto &announcement = record.announcement;
@@ -54,10 +51,10 @@
                 {"address", announcement.address},
                 {"phase", static_cast<int>(announcement.phase)},
                 {"sequence", announcement.sequence}});
-        raw->scheduleNews();
+        raw->desk->scheduleNews();
     };
     node->gateways.changed = [raw = node.get()](const Fleet::BackendRecord &) {
-        raw->scheduleNews();
+        raw->desk->scheduleNews();
     };
     // Coordinators watch all others, and get declarations through the log only.
     node->peers = std::make_unique<Fleet::FleetWatcher>(Fleet::WatcherOptions{.name = node->options.log.log.identity.name,
@@ -76,12 +73,6 @@
 
 void CoordinatorNode::startTimers()
 {
-    this->overdueTimer = this->timers.every(OverdueCheckPeriod, [this](Core::Instant) {
-        if (this->log->isLeader()) {
-            this->confirmWatchers();
-        }
-        this->answerOverdueWatchers();
-    });
     this->memberTimer = this->timers.every(MemberCheckPeriod, [this](Core::Instant) {
         this->changeMembers();
     });
@@ -205,172 +196,12 @@
 
 // ---- Watchers
 
-bool CoordinatorNode::hasRegistryNewsFor(const Protocol::WatchRequest &request) const
-{
-    switch (request.registryInterest) {
-    case Protocol::RegistryInterest::EVERYTHING:
-        return request.cursor < this->registry.position() || request.gatewayCursor < this->gateways.position();
-    case Protocol::RegistryInterest::LEAVERS:
-        return request.cursor < this->registry.leaverPosition() || request.gatewayCursor < this->gateways.leaverPosition();
-    default:
-        return false;
-    }
-}
-
-bool CoordinatorNode::hasNewsFor(const Protocol::WatchRequest &request) const
-{
-    const bool otherLife = request.coordinatorIncarnation != this->incarnation;
-    return otherLife || this->hasRegistryNewsFor(request) || request.declarationVersion < this->log->version();
-}
-
 void CoordinatorNode::watch(const Protocol::WatchRequest &request, const std::function<void(const Protocol::WatchReply &reply)> &done)
 {
     if (request.__isset.gateway) {
         this->gateways.merge(request.gateway, this->timers.now());
     }
-    WaitingWatcher watcher{.request = request, .done = done, .answerBy = this->timers.now() + this->options.watchHold};
-    if (request.confirm) {
-        // Not the leader: held for a while, so that the asker does not ask without pause while there is none.
-        watcher.answerBy = std::min(watcher.answerBy, this->timers.now() + ConfirmationHold);
-        this->confirmWatcher(std::move(watcher));
-        return;
-    }
-    if (this->hasNewsFor(request)) {
-        this->answerWatcher(watcher, false);
-        return;
-    }
-    this->watchers.push_back(std::move(watcher));
-}
-
-void CoordinatorNode::confirmWatcher(WaitingWatcher watcher)
-{
-    const std::weak_ptr<int> weak = this->alive;
-    this->log->confirm([this, weak, watcher = std::move(watcher)](bool confirmed) {
-        if (weak.expired()) {
-            return;
-        }
-        if (confirmed || this->hasNewsFor(watcher.request)) {
-            this->answerWatcher(watcher, confirmed);
-        } else {
-            this->watchers.push_back(watcher);
-        }
-    });
-}
-
-// One that leads since it was asked can confirm what it could not at first.
-void CoordinatorNode::confirmWatchers()
-{
-    std::list<WaitingWatcher> unconfirmed;
-    for (auto next = this->watchers.begin(); next != this->watchers.end();) {
-        const auto current = next++;
-        if (current->request.confirm) {
-            unconfirmed.splice(unconfirmed.end(), this->watchers, current);
-        }
-    }
-    for (auto &watcher : unconfirmed) {
-        this->confirmWatcher(std::move(watcher));
-    }
-}
-
-std::vector<std::string> CoordinatorNode::heardFor(const std::string &watcher)
-{
-    const auto since = std::exchange(this->heardUntil[watcher], this->timers.now());
-    auto heard = this->registry.mergedSince(since);
-    const auto gatewaysHeard = this->gateways.mergedSince(since);
-    heard.insert(heard.end(), gatewaysHeard.begin(), gatewaysHeard.end());
-    return heard;
-}
-
-void CoordinatorNode::addRegistry(Protocol::WatchReply &reply, const Protocol::WatchRequest &request) const
-{
-    const bool sameLife = request.coordinatorIncarnation == this->incarnation;
-    reply.cursor = sameLife ? request.cursor : 0;
-    reply.gatewayCursor = sameLife ? request.gatewayCursor : 0;
-    if (request.registryInterest == Protocol::RegistryInterest::NOTHING) {
-        return;
-    }
-    const auto now = this->timers.now();
-    const bool everything = request.registryInterest == Protocol::RegistryInterest::EVERYTHING;
-    reply.changed = everything ? this->registry.changedSince(reply.cursor, now) : this->registry.leaversSince(reply.cursor, now);
-    reply.cursor = this->registry.position();
-    reply.changedGateways = everything ? this->gateways.changedSince(reply.gatewayCursor, now) : this->gateways.leaversSince(reply.gatewayCursor, now);
-    reply.gatewayCursor = this->gateways.position();
-}
-
-void CoordinatorNode::addDeclaration(Protocol::WatchReply &reply, std::int64_t heldVersion)
-{
-    const auto *delta = this->log->deltaFrom(heldVersion);
-    if (delta != nullptr && delta->size() < this->log->compressed().size()) {
-        reply.__set_declarationDelta(*delta);
-    } else {
-        reply.__set_declaration(this->log->compressed());
-    }
-}
-
-void CoordinatorNode::answerWatcher(const WaitingWatcher &watcher, bool confirmed)
-{
-    const auto &request = watcher.request;
-    Protocol::WatchReply reply;
-    reply.coordinatorIncarnation = this->incarnation;
-    this->addRegistry(reply, request);
-    if (request.wantsHeard) {
-        reply.heard = this->heardFor(request.watcherName);
-    }
-    reply.declarationVersion = this->log->version();
-    if (request.wantsDeclaration && reply.declarationVersion > request.declarationVersion) {
-        this->addDeclaration(reply, request.declarationVersion);
-    }
-    reply.confirmed = confirmed;
-    const auto *replicated = this->log->log();
-    if (replicated != nullptr) {
-        reply.hasLeader = replicated->leader() != nullptr;
-        for (const auto &member : replicated->membership().members) {
-            Protocol::CoordinatorPlace place;
-            place.address = member.entryAddress;
-            place.zone = member.zone;
-            reply.coordinators.push_back(std::move(place));
-        }
-    }
-    watcher.done(reply);
-}
-
-void CoordinatorNode::scheduleNews()
-{
-    if (this->newsTimer.isActive()) {
-        return;
-    }
-    this->newsTimer = this->timers.once(NewsDelay, [this](Core::Instant) {
-        this->answerWatchersWithNews();
-    });
-}
-
-void CoordinatorNode::answerWatchersWithNews()
-{
-    std::list<WaitingWatcher> ready;
-    for (auto next = this->watchers.begin(); next != this->watchers.end();) {
-        const auto current = next++;
-        if (this->hasNewsFor(current->request)) {
-            ready.splice(ready.end(), this->watchers, current);
-        }
-    }
-    for (const auto &watcher : ready) {
-        this->answerWatcher(watcher, false);
-    }
-}
-
-void CoordinatorNode::answerOverdueWatchers()
-{
-    const auto now = this->timers.now();
-    std::list<WaitingWatcher> ready;
-    for (auto next = this->watchers.begin(); next != this->watchers.end();) {
-        const auto current = next++;
-        if (current->answerBy <= now) {
-            ready.splice(ready.end(), this->watchers, current);
-        }
-    }
-    for (const auto &watcher : ready) {
-        this->answerWatcher(watcher, false);
-    }
+    this->desk->watch(request, done);
 }
 
 // ---- Membership
@@ -584,7 +415,7 @@
     page.gauge("crankrudder_declaration_version", "The newest committed declaration.", static_cast<double>(this->log->version()));
     page.gauge("crankrudder_backends_ready", "Backend servers that take work.", this->registry.readyCount());
     page.gauge("crankrudder_gateways", "Gateways that take requests.", this->gateways.readyCount());
-    page.gauge("crankrudder_watchers", "Questions that are held for news.", static_cast<double>(this->watchers.size()));
+    page.gauge("crankrudder_watchers", "Questions that are held for news.", static_cast<double>(this->desk->waitingCount()));
     page.gauge("crankrudder_coordinators_in_reach", "Other coordinators that answer.", static_cast<double>(this->peers->inReach()));
     page.counter("crankrudder_disk_syncs_total", "Writes that were made last.", static_cast<double>(this->log->syncCount()));
     if (replicated != nullptr) {
@@ -601,7 +432,7 @@
     document["declaration_version"] = this->log->version();
     document["backends"] = this->registry.size();
     document["gateways"] = this->gateways.readyCount();
-    document["watchers"] = this->watchers.size();
+    document["watchers"] = this->desk->waitingCount();
     document["peers_in_reach"] = this->peers->inReach();
     document["folder_usable"] = replicated != nullptr;
     if (replicated != nullptr) {
--- a/Libraries/LibCoordinator/CoordinatorNode.h
+++ b/Libraries/LibCoordinator/CoordinatorNode.h
@@ -10,11 +10,10 @@
 
 #include <LibCoordinator/DeclarationLog.h>
 #include <LibCoordinator/MembershipPolicy.h>
+#include <LibCoordinator/WatchDesk.h>
 #include <LibFleet/BackendRegistry.h>
 #include <LibFleet/FleetWatcher.h>
 
-#include <list>
-
 namespace Coordinator
 {
 
@@ -102,24 +101,8 @@
     [[nodiscard]] std::string dump() const;
 
 private:
-    struct WaitingWatcher {
-        Protocol::WatchRequest request;
-        std::function<void(const Protocol::WatchReply &reply)> done;
-        Core::Instant answerBy;
-    };
-
     CoordinatorNode(CoordinatorOptions options, Core::TimerService &timers);
     void startTimers();
-    void answerWatcher(const WaitingWatcher &watcher, bool confirmed);
-    void addRegistry(Protocol::WatchReply &reply, const Protocol::WatchRequest &request) const;
-    void addDeclaration(Protocol::WatchReply &reply, std::int64_t heldVersion);
-    void confirmWatcher(WaitingWatcher watcher);
-    void confirmWatchers();
-    [[nodiscard]] bool hasRegistryNewsFor(const Protocol::WatchRequest &request) const;
-    [[nodiscard]] bool hasNewsFor(const Protocol::WatchRequest &request) const;
-    void scheduleNews();
-    void answerWatchersWithNews();
-    void answerOverdueWatchers();
     void changeMembers();
     void seekMembership();
     void introduceTo(const Core::Endpoint &endpoint);
@@ -128,7 +111,6 @@
     [[nodiscard]] bool isMember() const;
     [[nodiscard]] Protocol::Introduction ownIntroduction() const;
     [[nodiscard]] std::string leaderOperatorAddress() const;
-    [[nodiscard]] std::vector<std::string> heardFor(const std::string &watcher);
     void expireBackends();
     void finishDrain();
 
@@ -138,19 +120,16 @@
     Fleet::BackendRegistry registry;
     std::unique_ptr<Fleet::FleetWatcher> peers;
     std::unique_ptr<DeclarationLog> log;
-    std::list<WaitingWatcher> watchers;
     // Gateways that take requests.
     Fleet::BackendRegistry gateways;
-    // Up to when each coordinator knows whose heartbeats came here.
-    std::map<std::string, Core::Instant> heardUntil;
+    // NOTE: After what it looks at.
+    std::unique_ptr<WatchDesk> desk;
     // Coordinators that introduced themselves, by address; only used until a log is founded.
     std::map<Core::Endpoint, Protocol::Introduction> introduced;
     std::map<Core::Endpoint, std::shared_ptr<Rpc::RpcChannel>> introductionChannels;
     Core::Instant lastExpiry;
     bool draining{false};
     std::function<void()> stopped;
-    Core::TimerSubscription newsTimer;
-    Core::TimerSubscription overdueTimer;
     Core::TimerSubscription memberTimer;
     Core::TimerSubscription introductionTimer;
     Core::TimerSubscription expiryTimer;
--- /dev/null
+++ b/Libraries/LibCoordinator/WatchDesk.cpp
@@ -0,0 +1,199 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibCoordinator/WatchDesk.h>
+
+namespace Coordinator
+{
+
+// News that arrives within this time travels together; far below the seconds in which it has to be in force.
+static constexpr Core::Duration NewsDelay = Core::milliseconds(5);
+static constexpr Core::Duration OverdueCheckPeriod = Core::milliseconds(100);
+// How long a question for a confirmation is held that only the leader can answer; about what an election takes.
+static constexpr Core::Duration ConfirmationHold = Core::milliseconds(400);
+
+WatchDesk::WatchDesk(
+    WatchDeskOptions options, DeclarationLog &log, const Fleet::BackendRegistry &registry, const Fleet::BackendRegistry &gateways, Core::TimerService &timers)
+    : options(options), log(log), registry(registry), gateways(gateways), timers(timers)
+{
+    this->overdueTimer = timers.every(OverdueCheckPeriod, [this](Core::Instant) {
+        if (this->log.isLeader()) {
+            this->confirmWatchers();
+        }
+        this->answerOverdueWatchers();
+    });
+}
+
+std::size_t WatchDesk::waitingCount() const
+{
+    return this->watchers.size();
+}
+
+bool WatchDesk::hasRegistryNewsFor(const Protocol::WatchRequest &request) const
+{
+    switch (request.registryInterest) {
+    case Protocol::RegistryInterest::EVERYTHING:
+        return request.cursor < this->registry.position() || request.gatewayCursor < this->gateways.position();
+    case Protocol::RegistryInterest::LEAVERS:
+        return request.cursor < this->registry.leaverPosition() || request.gatewayCursor < this->gateways.leaverPosition();
+    default:
+        return false;
+    }
+}
+
+bool WatchDesk::hasNewsFor(const Protocol::WatchRequest &request) const
+{
+    const bool otherLife = request.coordinatorIncarnation != this->options.incarnation;
+    return otherLife || this->hasRegistryNewsFor(request) || request.declarationVersion < this->log.version();
+}
+
+void WatchDesk::watch(const Protocol::WatchRequest &request, const std::function<void(const Protocol::WatchReply &reply)> &done)
+{
+    WaitingWatcher watcher{.request = request, .done = done, .answerBy = this->timers.now() + this->options.hold};
+    if (request.confirm) {
+        // Not the leader: held for a while, so that the asker does not ask without pause while there is none.
+        watcher.answerBy = std::min(watcher.answerBy, this->timers.now() + ConfirmationHold);
+        this->confirmWatcher(std::move(watcher));
+        return;
+    }
+    if (this->hasNewsFor(request)) {
+        this->answerWatcher(watcher, false);
+        return;
+    }
+    this->watchers.push_back(std::move(watcher));
+}
+
+void WatchDesk::confirmWatcher(WaitingWatcher watcher)
+{
+    const std::weak_ptr<int> weak = this->alive;
+    this->log.confirm([this, weak, watcher = std::move(watcher)](bool confirmed) {
+        if (weak.expired()) {
+            return;
+        }
+        if (confirmed || this->hasNewsFor(watcher.request)) {
+            this->answerWatcher(watcher, confirmed);
+        } else {
+            this->watchers.push_back(watcher);
+        }
+    });
+}
+
+// One that leads since it was asked can confirm what it could not at first.
+void WatchDesk::confirmWatchers()
+{
+    std::list<WaitingWatcher> unconfirmed;
+    for (auto next = this->watchers.begin(); next != this->watchers.end();) {
+        const auto current = next++;
+        if (current->request.confirm) {
+            unconfirmed.splice(unconfirmed.end(), this->watchers, current);
+        }
+    }
+    for (auto &watcher : unconfirmed) {
+        this->confirmWatcher(std::move(watcher));
+    }
+}
+
+std::vector<std::string> WatchDesk::heardFor(const std::string &watcher)
+{
+    const auto since = std::exchange(this->heardUntil[watcher], this->timers.now());
+    auto heard = this->registry.mergedSince(since);
+    const auto gatewaysHeard = this->gateways.mergedSince(since);
+    heard.insert(heard.end(), gatewaysHeard.begin(), gatewaysHeard.end());
+    return heard;
+}
+
+void WatchDesk::addRegistry(Protocol::WatchReply &reply, const Protocol::WatchRequest &request) const
+{
+    const bool sameLife = request.coordinatorIncarnation == this->options.incarnation;
+    reply.cursor = sameLife ? request.cursor : 0;
+    reply.gatewayCursor = sameLife ? request.gatewayCursor : 0;
+    if (request.registryInterest == Protocol::RegistryInterest::NOTHING) {
+        return;
+    }
+    const auto now = this->timers.now();
+    const bool everything = request.registryInterest == Protocol::RegistryInterest::EVERYTHING;
+    reply.changed = everything ? this->registry.changedSince(reply.cursor, now) : this->registry.leaversSince(reply.cursor, now);
+    reply.cursor = this->registry.position();
+    reply.changedGateways = everything ? this->gateways.changedSince(reply.gatewayCursor, now) : this->gateways.leaversSince(reply.gatewayCursor, now);
+    reply.gatewayCursor = this->gateways.position();
+}
+
+void WatchDesk::addDeclaration(Protocol::WatchReply &reply, std::int64_t heldVersion)
+{
+    const auto *delta = this->log.deltaFrom(heldVersion);
+    if (delta != nullptr && delta->size() < this->log.compressed().size()) {
+        reply.__set_declarationDelta(*delta);
+    } else {
+        reply.__set_declaration(this->log.compressed());
+    }
+}
+
+void WatchDesk::answerWatcher(const WaitingWatcher &watcher, bool confirmed)
+{
+    const auto &request = watcher.request;
+    Protocol::WatchReply reply;
+    reply.coordinatorIncarnation = this->options.incarnation;
+    this->addRegistry(reply, request);
+    if (request.wantsHeard) {
+        reply.heard = this->heardFor(request.watcherName);
+    }
+    reply.declarationVersion = this->log.version();
+    if (request.wantsDeclaration && reply.declarationVersion > request.declarationVersion) {
+        this->addDeclaration(reply, request.declarationVersion);
+    }
+    reply.confirmed = confirmed;
+    const auto *replicated = this->log.log();
+    if (replicated != nullptr) {
+        reply.hasLeader = replicated->leader() != nullptr;
+        for (const auto &member : replicated->membership().members) {
+            Protocol::CoordinatorPlace place;
+            place.address = member.entryAddress;
+            place.zone = member.zone;
+            reply.coordinators.push_back(std::move(place));
+        }
+    }
+    watcher.done(reply);
+}
+
+void WatchDesk::scheduleNews()
+{
+    if (this->newsTimer.isActive()) {
+        return;
+    }
+    this->newsTimer = this->timers.once(NewsDelay, [this](Core::Instant) {
+        this->answerWatchersWithNews();
+    });
+}
+
+void WatchDesk::answerWatchersWithNews()
+{
+    std::list<WaitingWatcher> ready;
+    for (auto next = this->watchers.begin(); next != this->watchers.end();) {
+        const auto current = next++;
+        if (this->hasNewsFor(current->request)) {
+            ready.splice(ready.end(), this->watchers, current);
+        }
+    }
+    for (const auto &watcher : ready) {
+        this->answerWatcher(watcher, false);
+    }
+}
+
+void WatchDesk::answerOverdueWatchers()
+{
+    const auto now = this->timers.now();
+    std::list<WaitingWatcher> ready;
+    for (auto next = this->watchers.begin(); next != this->watchers.end();) {
+        const auto current = next++;
+        if (current->answerBy <= now) {
+            ready.splice(ready.end(), this->watchers, current);
+        }
+    }
+    for (const auto &watcher : ready) {
+        this->answerWatcher(watcher, false);
+    }
+}
+
+}
--- a/Libraries/LibFleet/FleetWatcher.cpp
+++ b/Libraries/LibFleet/FleetWatcher.cpp
@@ -90,10 +90,7 @@
     if (watched.zone == this->options.zone) {
         return 0;
     }
-    const auto own = this->options.regions.find(this->options.zone);
-    const auto other = this->options.regions.find(watched.zone);
-    const bool sameRegion = own != this->options.regions.end() && other != this->options.regions.end() && own->second == other->second;
-    return sameRegion ? 1 : 2;
+    return inSameRegion(this->options.regions, this->options.zone, watched.zone) ? 1 : 2;
 }
 
 // The near ones that work go first; among equals each watcher has an order of its own, so that watchers spread.
--- a/Libraries/LibFleet/FleetWatcher.h
+++ b/Libraries/LibFleet/FleetWatcher.h
@@ -12,6 +12,7 @@
 #include <LibCore/Settings.h>
 #include <LibFleet/BackendRegistry.h>
 #include <LibFleet/Declaration.h>
+#include <LibFleet/Regions.h>
 #include <LibProtocol/Generated/Coordinator.h>
 #include <LibRpc/RpcChannel.h>
 
@@ -25,8 +26,7 @@
 struct WatcherOptions {
     std::string name;
     std::string zone;
-    /** Region of each availability zone. */
-    std::map<std::string, std::string> regions;
+    RegionOfZone regions;
     /** Never watched: the watcher itself. */
     Core::Endpoint own;
     /** How many coordinators are watched at once; any more are known, but asked only when these fail. */
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -164,10 +164,7 @@
 
 bool BackendPool::isInRegion(const std::string &zone) const
 {
-    const auto own = this->options.regions.find(this->options.zone.value());
-    const auto other = this->options.regions.find(zone);
-    const bool sameZone = zone == this->options.zone.value();
-    return sameZone || (own != this->options.regions.end() && other != this->options.regions.end() && own->second == other->second);
+    return Fleet::inSameRegion(this->options.regions, this->options.zone.value(), zone);
 }
 
 void BackendPool::learnFromPart(const Core::ServiceName &service, const std::string &zone, double ratio)
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -13,6 +13,7 @@
 #include <LibCore/TimerService.h>
 #include <LibFleet/BackendRegistry.h>
 #include <LibFleet/Declaration.h>
+#include <LibFleet/Regions.h>
 #include <LibGateway/BackendEvidence.h>
 #include <LibGateway/Dialect.h>
 #include <LibGateway/RepeatBudget.h>
@@ -29,8 +30,7 @@
 /** Where this gateway is, and what it takes into account. Times are as measured on the deployments; docs/QUERY-PATH.md. */
 struct BackendPoolOptions {
     Core::ZoneName zone;
-    /** Region of each availability zone. */
-    std::map<std::string, std::string> regions;
+    Fleet::RegionOfZone regions;
     RepeatBudgetOptions budget;
     /** A server that is not silent answers a new connection within this time, also across regions. */
     Core::Duration connectPatience{Core::milliseconds(600)};
--- a/Libraries/LibGateway/RelayPlan.cpp
+++ b/Libraries/LibGateway/RelayPlan.cpp
@@ -24,13 +24,6 @@
     return Core::ServiceName("gateways/" + zone);
 }
 
-static bool inSameRegion(const std::map<std::string, std::string> &regions, const std::string &left, const std::string &right)
-{
-    const auto leftRegion = regions.find(left);
-    const auto rightRegion = regions.find(right);
-    return leftRegion != regions.end() && rightRegion != regions.end() && leftRegion->second == rightRegion->second;
-}
-
 namespace
 {
 
@@ -50,7 +43,7 @@
         return {};
     }
     std::erase_if(zones, [&view](const std::string &zone) {
-        const bool passedOver = view.onlyOtherRegions && inSameRegion(view.regions, zone, view.ownZone);
+        const bool passedOver = view.onlyOtherRegions && Fleet::inSameRegion(view.regions, zone, view.ownZone);
         return passedOver || !view.relays.hasReady(relayService(zone));
     });
     return zones;
@@ -66,7 +59,7 @@
         }
     }
     const auto rank = [&](const std::string &zone) {
-        return std::pair(inSameRegion(view.regions, zone, view.ownZone), covered.at(zone));
+        return std::pair(Fleet::inSameRegion(view.regions, zone, view.ownZone), covered.at(zone));
     };
     std::vector<std::string> best;
     for (const auto &[zone, count] : covered) {
@@ -98,7 +91,7 @@
         const auto rest = std::stable_partition(far.begin(), far.end(), [&zone](const FarShard &shard) {
             return std::find(shard.zones.begin(), shard.zones.end(), zone) != shard.zones.end();
         });
-        PartPlan part{.zone = zone, .shards = {}, .mayDivide = inSameRegion(view.regions, zone, view.ownZone)};
+        PartPlan part{.zone = zone, .shards = {}, .mayDivide = Fleet::inSameRegion(view.regions, zone, view.ownZone)};
         for (auto shard = far.begin(); shard != rest; ++shard) {
             part.shards.push_back(shard->name);
         }
--- a/Libraries/LibGateway/RelayPlan.h
+++ b/Libraries/LibGateway/RelayPlan.h
@@ -56,8 +56,7 @@
     /** Other gateways, by zone. */
     const BackendPool &relays;
     std::string ownZone;
-    /** Region of each availability zone. */
-    const std::map<std::string, std::string> &regions;
+    const Fleet::RegionOfZone &regions;
     /** What a reply usually takes. */
     Core::Duration typicalLatency{0};
     /** Spreads searches over zones that are equally good. */
