--- /dev/null
+++ b/Tests/LibCoordinator/TestWatchDesk.cpp
@@ -0,0 +1,147 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// Which questions of watchers are answered when.
+
+#include <LibCoordinator/WatchDesk.h>
+#include <Support/LoopFixture.h>
+
+#include <criterion/criterion.h>
+
+using Protocol::BackendPhase;
+using Protocol::RegistryInterest;
+
+namespace
+{
+
+constexpr std::int64_t Incarnation = 7;
+
+/** A desk over a log that holds nothing, since its folder can't be opened. */
+class DeskFixture : public TestSupport::LoopFixture
+{
+public:
+    DeskFixture()
+        : log(Coordinator::DeclarationLog::create({.log = {}, .dataFolder = "/proc/no-folder", .send = nullptr}, this->timers).value())
+        , desk({.incarnation = Incarnation, .hold = Core::seconds(60)}, *this->log, this->registry, this->gateways, this->timers)
+    {
+    }
+
+    /** A question of a watcher that knows all that has happened so far. */
+    [[nodiscard]] Protocol::WatchRequest question(RegistryInterest::type interest) const
+    {
+        Protocol::WatchRequest request;
+        request.watcherName = "watcher";
+        request.coordinatorIncarnation = Incarnation;
+        request.cursor = this->registry.position();
+        request.gatewayCursor = this->gateways.position();
+        request.declarationVersion = this->log->version();
+        request.registryInterest = interest;
+        return request;
+    }
+
+    void ask(const Protocol::WatchRequest &request)
+    {
+        this->answer.reset();
+        this->desk.watch(request, [this](const Protocol::WatchReply &reply) {
+            this->answer = reply;
+        });
+    }
+
+    void change(const std::string &id, BackendPhase::type phase)
+    {
+        Protocol::BackendAnnouncement announcement;
+        announcement.id = id;
+        announcement.serviceName = "service";
+        announcement.address = "127.0.0.1:1";
+        announcement.phase = phase;
+        announcement.sequence = ++this->sequence;
+        this->registry.merge(announcement, this->timers.now());
+        this->desk.scheduleNews();
+    }
+
+    [[nodiscard]] bool isAnswered()
+    {
+        return this->runUntil([this] {
+            return this->answer.has_value();
+        });
+    }
+
+    Fleet::BackendRegistry registry;
+    Fleet::BackendRegistry gateways;
+    std::unique_ptr<Coordinator::DeclarationLog> log;
+    Coordinator::WatchDesk desk;
+    std::optional<Protocol::WatchReply> answer;
+    std::int64_t sequence{0};
+};
+
+}
+
+Test(WatchDesk, tellsEachWatcherWhatItIsInterestedIn)
+{
+    struct Case {
+        RegistryInterest::type interest;
+        BackendPhase::type phase;
+        bool told;
+    };
+    const std::vector<Case> cases{
+        {RegistryInterest::EVERYTHING, BackendPhase::READY, true},
+        {RegistryInterest::EVERYTHING, BackendPhase::DRAINING, true},
+        {RegistryInterest::LEAVERS, BackendPhase::READY, false},
+        {RegistryInterest::LEAVERS, BackendPhase::DRAINING, true},
+        {RegistryInterest::NOTHING, BackendPhase::READY, false},
+        {RegistryInterest::NOTHING, BackendPhase::DRAINING, false},
+    };
+    for (const auto &item : cases) {
+        DeskFixture fixture;
+        fixture.ask(fixture.question(item.interest));
+        fixture.change("one", item.phase);
+        if (item.told) {
+            cr_assert(fixture.isAnswered());
+            cr_assert(fixture.answer->changed.size() == 1 && fixture.answer->cursor == fixture.registry.position());
+        } else {
+            fixture.settle();
+            cr_assert_not(fixture.answer.has_value());
+            cr_assert(fixture.desk.waitingCount() == 1);
+        }
+    }
+}
+
+Test(WatchDesk, tellsALeaverToOneThatWasToldNothingElse)
+{
+    DeskFixture fixture;
+    const auto before = fixture.question(RegistryInterest::LEAVERS);
+    fixture.change("one", BackendPhase::READY);
+    fixture.change("two", BackendPhase::READY);
+    fixture.change("one", BackendPhase::DRAINING);
+    fixture.ask(before);
+    cr_assert(fixture.isAnswered());
+    cr_assert(fixture.answer->changed.size() == 1 && fixture.answer->changed.front().id == "one");
+}
+
+Test(WatchDesk, takesNoCursorOfAnotherLife)
+{
+    DeskFixture fixture;
+    fixture.change("one", BackendPhase::READY);
+    auto request = fixture.question(RegistryInterest::EVERYTHING);
+    request.coordinatorIncarnation = Incarnation - 1;
+    fixture.ask(request);
+    cr_assert(fixture.isAnswered());
+    cr_assert(fixture.answer->coordinatorIncarnation == Incarnation && fixture.answer->changed.size() == 1);
+    request.registryInterest = RegistryInterest::NOTHING;
+    fixture.ask(request);
+    cr_assert(fixture.isAnswered());
+    cr_assert(fixture.answer->cursor == 0 && fixture.answer->changed.empty(), "what it was not told it can still ask for");
+}
+
+Test(WatchDesk, neverConfirmsWithoutLeading)
+{
+    DeskFixture fixture;
+    auto request = fixture.question(RegistryInterest::NOTHING);
+    request.confirm = true;
+    fixture.ask(request);
+    cr_assert_not(fixture.answer.has_value(), "held for a while, so that the watcher does not ask without pause");
+    cr_assert(fixture.isAnswered());
+    cr_assert_not(fixture.answer->confirmed);
+}
