--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -106,7 +106,9 @@
         self.ending = False
         self.drain_seconds = DRAIN_SECONDS
         self.folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
-        self.seeds_addresses = [f"127.0.1.{index + 1}" for index in range(3)]
+        # Coordinators beyond the seeds are found through them; gateways then have near and far ones to choose from.
+        self.addresses = [f"127.0.1.{index + 1}" for index in range(options.coordinators)]
+        self.seeds_addresses = self.addresses[:3]
         self.backends = []
         self.proxies = []
         self.version = 0
@@ -125,7 +127,7 @@
     async def start_processes(self):
         self.coordinators = []
         self.gateways = []
-        for index, address in enumerate(self.seeds_addresses):
+        for index, address in enumerate(self.addresses):
             self.coordinators.append(self.make_process("coordinatord", index, address))
             self.gateways.append(self.make_process("gatewayd", index, address))
         for process in self.coordinators + self.gateways:
@@ -135,7 +137,7 @@
         folder = os.path.join(self.folder, f"{kind}-{index}")
         os.makedirs(os.path.join(folder, "data"))
         program = os.path.join(self.options.binaries, "Services", kind, kind)
-        return Process(self, program, f"{kind}-{index}", address, ZONES[index], folder)
+        return Process(self, program, f"{kind}-{index}", address, ZONES[index % len(ZONES)], folder)
 
     async def start_backends(self):
         for shard in range(SHARDS):
@@ -487,6 +489,7 @@
     parser.add_argument("--binaries", default="target", help="the build folder with the daemons")
     parser.add_argument("--seeds", default="1", help="as in 1-5,9; 0 draws one from the clock")
     parser.add_argument("--seconds", type=float, default=20.0, help="how long faults are injected for each seed")
+    parser.add_argument("--coordinators", type=int, default=3, choices=range(3, 10), metavar="3-9", help="coordinators, and gateways beside them")
     parser.add_argument("--callers", type=int, default=8, help="callers at the same time")
     options = parser.parse_args()
     options.binaries = os.path.abspath(options.binaries)
