LibGateway: Take no limit for records from an answer that may be replaced

Found by reading the change, not seen in a run: a shard whose hedge was under way could answer here, give the limit below which other hedges leave records out, and then be replaced by the hedge's answer from another backend server, which need not hold the same records. The body could then lack records. Now only rows without an open part give the limit. Test: takesNoLimitFromAnAnswerThatMayBeReplaced, red before.

--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -248,6 +248,11 @@
 
 // ---- Coverage
 
+bool FanOutRequest::everyRow(const Row &)
+{
+    return true;
+}
+
 bool FanOutRequest::isAnswered(const Row &row)
 {
     return row.inPart || (row.call && row.call->state() == CallState::Answered);
@@ -336,18 +341,21 @@
     }
 }
 
-// The answers that are in stay in, so what is less than all of as many records as are wanted can't be wanted any more.
+// What is less than as many records as are wanted can't be wanted any more, if these stay. The answer of a row whose hedge is under way may yet
+// be replaced by that of another backend server, which need not hold the same records.
 std::string FanOutRequest::leastRecord() const
 {
-    const auto records = this->mergedRecords();
+    const auto records = this->mergedRecords([](const Row &row) {
+        return row.part == nullptr || !row.part->isOpen();
+    });
     return records.size() < this->route.topRecords * RecordBytes ? std::string() : records.substr(records.size() - RecordBytes);
 }
 
-std::string FanOutRequest::mergedRecords() const
+std::string FanOutRequest::mergedRecords(const std::function<bool(const Row &row)> &counts) const
 {
     std::vector<std::string_view> merged;
     for (const auto &row : this->rows) {
-        if (isAnswered(row) && !row.inPart) {
+        if (isAnswered(row) && !row.inPart && counts(row)) {
             merged.emplace_back(row.call->reply().message.body);
         }
     }
@@ -377,7 +385,7 @@
     MergedAnswer answer;
     answer.id = this->request.id;
     this->noteLatencies();
-    answer.body = this->mergedRecords();
+    answer.body = this->mergedRecords(everyRow);
     answer.signatures = this->signatures();
     answer.missing = this->route.shards.size() - answer.signatures.size();
     this->giveUpCalls(false);
@@ -403,7 +411,7 @@
 {
     Protocol::PartialAnswer answer;
     this->noteLatencies();
-    answer.records = this->mergedRecords();
+    answer.records = this->mergedRecords(everyRow);
     if (this->context.relayTerms.has_value()) {
         dropLessThan(answer.records, this->context.relayTerms->leastRecord);
     }
--- a/Libraries/LibGateway/FanOutRequest.h
+++ b/Libraries/LibGateway/FanOutRequest.h
@@ -70,6 +70,7 @@
     void checkForOtherGateway();
     void answerCaller();
     void answerOtherGateway();
+    [[nodiscard]] static bool everyRow(const Row &row);
     [[nodiscard]] static bool isAnswered(const Row &row);
     [[nodiscard]] static bool isOpen(const Row &row);
     [[nodiscard]] Protocol::MissingShard describeMissing(const Row &row) const;
@@ -79,8 +80,8 @@
     [[nodiscard]] std::size_t answeredCount() const;
     [[nodiscard]] std::size_t openCount() const;
     [[nodiscard]] bool mayHaveRun() const;
-    /** Takes the answers of all rows and parts together. */
-    [[nodiscard]] std::string mergedRecords() const;
+    /** The greatest records of all parts, and of the rows that count. */
+    [[nodiscard]] std::string mergedRecords(const std::function<bool(const Row &row)> &counts) const;
     void noteLatencies() const;
     [[nodiscard]] std::string leastRecord() const;
     [[nodiscard]] std::vector<std::string> signatures() const;
--- a/Tests/LibGateway/TestRequests.cpp
+++ b/Tests/LibGateway/TestRequests.cpp
@@ -673,3 +673,26 @@
     const auto part = Rpc::deserialize<Protocol::PartialAnswer>(fixture.ask("r1").body);
     cr_assert(part.has_value() && part->records == record('c') + record('b') && part->signatures.size() == 1);
 }
+
+// The answer of a row whose hedge is under way may be replaced, and with it the records that a limit was taken from.
+Test(FanOutRequest, takesNoLimitFromAnAnswerThatMayBeReplaced)
+{
+    HedgeFixture fixture;
+    fixture.route().topRecords = 2;
+    for (const auto *shard : {"c", "d"}) {
+        fixture.route().shards.emplace_back(shard);
+        fixture.add(shard, std::string(shard) + "-near", silent);
+    }
+    fixture.beginAndHedge();
+    cr_assert(fixture.terms->shards.size() == 2, "the others have no second backend server yet");
+    const auto &[request, exchange] = fixture.nearRequests.front();
+    exchange->respond(goodAnswer(request, "signature-near", record('y') + record('z')));
+    fixture.settle(Core::milliseconds(50));
+    for (const auto *shard : {"c", "d"}) {
+        fixture.addTo(fixture.pool, shard, std::string(shard) + "-far", silent, "there");
+    }
+    cr_assert(fixture.runUntil([&] {
+        return fixture.askedGateway.size() == 2;
+    }));
+    cr_assert(fixture.terms->shards.size() == 2 && fixture.terms->leastRecord.empty());
+}
