LibGateway, platform: Keep more time for the way back on a small share of a core

What an answer needs after its target (merging, writing, waiting for its turn) takes twice as long on 0.12 of a core as on the quarter on which 16 ms were measured. Ruled out: connections of callers, which are the same without charge. Tests: keepsMoreTimeBackOnASmallerShareOfACore, readsWhatItKnowsAndPassesOverTheRest.

--- a/Libraries/LibGateway/RequestSettings.h
+++ b/Libraries/LibGateway/RequestSettings.h
@@ -18,6 +18,8 @@
     double returnShare{0.13};
     /** … but at least this long: four times the one-way time of the farthest callers that we know of (3 ms), and some for both programs. */
     Core::Duration returnFloor{Core::milliseconds(16)};
+    /** The processor time of a whole core that an answer takes from its target on: merging, writing, and what waits at the same time. */
+    Core::Duration returnWork{Core::milliseconds(1)};
     /** An attempt without a reply is hedged after this many times the usual latency … */
     double hedgeFactor{2.2};
     /** … and at least this long, which is about what a round trip to the farthest region takes. */
@@ -38,4 +40,7 @@
     Core::Duration defaultPatience{Core::seconds(10)};
 };
 
+/** The return floor on a part of a core, which takes longer for the same work. A quarter of a core is in the floor itself, which was measured there. */
+[[nodiscard]] Core::Duration returnFloorFor(const RequestSettings &settings, double processorShare);
+
 }
--- a/Services/gatewayd/main.cpp
+++ b/Services/gatewayd/main.cpp
@@ -82,6 +82,7 @@
     options.pool.budget.window = settings.repeatWindow;
     options.pool.budget.slackFrom = now + settings.repeatWindow;
     options.pool.seed = Core::randomNumber();
+    options.requests.returnFloor = Gateway::returnFloorFor(options.requests, settings.processorShare);
     options.coordinators = Platform::watchEndpoints(settings);
     options.relayEndpoint = Platform::internalEndpoint(settings, Platform::InternalPort::Relay);
     options.dialect = Platform::makeDialect();
--- a/Tests/LibGateway/TestPureParts.cpp
+++ b/Tests/LibGateway/TestPureParts.cpp
@@ -9,6 +9,7 @@
 #include <LibGateway/RecordMerge.h>
 #include <LibGateway/RelayPlan.h>
 #include <LibGateway/RepeatBudget.h>
+#include <LibGateway/RequestSettings.h>
 
 #include <criterion/criterion.h>
 
@@ -70,6 +71,15 @@
     cr_assert_not(Gateway::unpackSignatures(spoilt).has_value());
 }
 
+Test(RequestSettings, keepsMoreTimeBackOnASmallerShareOfACore)
+{
+    const Gateway::RequestSettings settings{.returnFloor = Core::milliseconds(16), .returnWork = Core::milliseconds(1)};
+    cr_assert(Gateway::returnFloorFor(settings, 1.0) == settings.returnFloor);
+    cr_assert(Gateway::returnFloorFor(settings, 0.25) == settings.returnFloor);
+    cr_assert(Gateway::returnFloorFor(settings, 0.125) == Core::milliseconds(20));
+    cr_assert(Gateway::returnFloorFor(settings, 0.0) == Core::milliseconds(32), "no setting makes it endless");
+}
+
 Test(RepeatBudget, staysWithinItsPartInEveryWindow)
 {
     Gateway::RepeatBudget budget({.ratio = 0.2, .slack = 40.0, .window = Core::seconds(10), .usedShare = 1.0});
--- a/Tests/Platform/TestCodecs.cpp
+++ b/Tests/Platform/TestCodecs.cpp
@@ -194,9 +194,11 @@
 {
     const auto read = Platform::parseProcessSettings(
         "node_name=n1\nip=10.1.0.9\nzone=z1\nzones.z1=r1\nzones.z2=r2\nlisten_addrs.frontend=10.1.0.9:8104\ninternal_ports=7380,7395\n"
-        "seed_nodes=10.1.0.9:8106,10.2.0.21:8106\nbootstrap=true\nfault_tolerance.machines=2\nbounds.retry_budget_ratio=0.2\nfuture.field=x\nno equals sign\n");
+        "seed_nodes=10.1.0.9:8106,10.2.0.21:8106\nbootstrap=true\nlimits.cpu_quota=0.12\nfault_tolerance.machines=2\nbounds.retry_budget_ratio=0.2\nfuture."
+        "field=x\nno equals sign\n");
     cr_assert(read.has_value());
     cr_assert(read->regions.size() == 2 && read->seeds.size() == 2 && read->firstStart && read->tolerableLosses == 2);
+    cr_assert(read->processorShare == 0.12);
     cr_assert(Platform::watchEndpoints(read.value())[1].toString() == "10.2.0.21:7380");
     cr_assert_not(read->readinessListen.has_value());
     for (const char *bad : {"", "ip=10.1.0.9\n", "ip=1.2.3.4\ninternal_ports=x\n", "ip=1.2.3.4\ninternal_ports=7000,7001\nseed_nodes=nowhere\n"}) {
