LibGateway, LibFleet: Tell apart in one place what a call from here answered

Cause, found by reading the change once more: three loops of FanOutRequest asked "answered, and not in a part" in the same two conditions, two ways to start a call ended in the same hook, and FleetWatcher sorted all coordinators for a row whose question already asks for everything, and twice for others. Now isAnsweredHere() and startCall() serve all, and interestIn() is asked once and only where it can matter. Behaviour is the same.

--- a/Libraries/LibFleet/FleetWatcher.cpp
+++ b/Libraries/LibFleet/FleetWatcher.cpp
@@ -145,7 +145,8 @@
 void FleetWatcher::askChosen()
 {
     for (auto *watched : this->chosen()) {
-        if (watched->asking && watched->askedInterest != this->interestIn(*watched) && this->interestIn(*watched) == Protocol::RegistryInterest::EVERYTHING) {
+        const bool toldLess = watched->asking && watched->askedInterest != Protocol::RegistryInterest::EVERYTHING;
+        if (toldLess && this->interestIn(*watched) == Protocol::RegistryInterest::EVERYTHING) {
             // The nearest one has failed, and this one takes its place: it may hold the question that it has for long.
             dropQuestion(*watched);
         }
--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -69,9 +69,7 @@
 {
     row.call = this->makeCall(row.shard);
     row.call->countEarlier(before.executions, before.sends);
-    row.call->start([this] {
-        this->callFinished();
-    });
+    this->startCall(row);
 }
 
 // For a gateway whose own send is late. It is asked for here only where it is near, since the asker knows the far ones as well as this one does.
@@ -83,6 +81,11 @@
     }
     row.call = this->makeCall(row.shard);
     row.call->countPaidRepeat(HedgedExecutions);
+    this->startCall(row);
+}
+
+void FanOutRequest::startCall(const Row &row)
+{
     row.call->start([this] {
         this->callFinished();
     });
@@ -253,9 +256,14 @@
     return true;
 }
 
+bool FanOutRequest::isAnsweredHere(const Row &row)
+{
+    return !row.inPart && row.call && row.call->state() == CallState::Answered;
+}
+
 bool FanOutRequest::isAnswered(const Row &row)
 {
-    return row.inPart || (row.call && row.call->state() == CallState::Answered);
+    return row.inPart || isAnsweredHere(row);
 }
 
 bool FanOutRequest::isOpen(const Row &row)
@@ -335,7 +343,7 @@
 void FanOutRequest::noteLatencies() const
 {
     for (const auto &row : this->rows) {
-        if (isAnswered(row) && !row.inPart) {
+        if (isAnsweredHere(row)) {
             this->context.latencies->add(row.call->latency());
         }
     }
@@ -355,7 +363,7 @@
 {
     std::vector<std::string_view> merged;
     for (const auto &row : this->rows) {
-        if (isAnswered(row) && !row.inPart && counts(row)) {
+        if (isAnsweredHere(row) && counts(row)) {
             merged.emplace_back(row.call->reply().message.body);
         }
     }
@@ -369,7 +377,7 @@
 {
     std::vector<std::string> all;
     for (const auto &row : this->rows) {
-        if (isAnswered(row) && !row.inPart) {
+        if (isAnsweredHere(row)) {
             all.push_back(row.call->reply().signature);
         }
     }
--- a/Libraries/LibGateway/FanOutRequest.h
+++ b/Libraries/LibGateway/FanOutRequest.h
@@ -53,6 +53,7 @@
     void addRow(const Core::ServiceName &shard);
     void startDirect(Row &row, const Protocol::MissingShard &before);
     void startHedged(Row &row);
+    void startCall(const Row &row);
     /** What another gateway is asked for, and the rows that it is asked for, by number. */
     struct AskedPart {
         std::unique_ptr<RelayedPart> part;
@@ -71,6 +72,8 @@
     void answerCaller();
     void answerOtherGateway();
     [[nodiscard]] static bool everyRow(const Row &row);
+    /** By a call from here, and not by a part. */
+    [[nodiscard]] static bool isAnsweredHere(const Row &row);
     [[nodiscard]] static bool isAnswered(const Row &row);
     [[nodiscard]] static bool isOpen(const Row &row);
     [[nodiscard]] Protocol::MissingShard describeMissing(const Row &row) const;
