LibConsensus, LibFleet: Let the log's members stand in turns after a start, confirm without a pause

All three coordinators started within a millisecond, drew election timeouts that the tick of 50 ms made equal, split their votes and waited for the usual timeout (log: three pre-votes at 36.602 s, the leader at 37.708). Gateways then asked for their confirmation 300 ms late, because the leader, being far, had told of a declaration without its text.

Ruled out: the transport (all messages arrived), the storage (1 ms), a doubt about a leader (none was heard of).

Now voters that have heard of no leader since their start stand in turns of 100 ms in the order of the membership, and the wait for a text does not delay a confirmation.

--- a/Libraries/LibConsensus/Membership.cpp
+++ b/Libraries/LibConsensus/Membership.cpp
@@ -35,6 +35,17 @@
     }));
 }
 
+std::size_t votersBefore(const Protocol::Membership &membership, const std::string &name)
+{
+    const auto &members = membership.members;
+    const auto own = std::find_if(members.begin(), members.end(), [&name](const Protocol::Member &member) {
+        return member.name == name;
+    });
+    return static_cast<std::size_t>(std::count_if(members.begin(), own, [](const Protocol::Member &member) {
+        return member.voter;
+    }));
+}
+
 std::size_t quorumSize(const Protocol::Membership &membership)
 {
     return voterCount(membership) / 2 + 1;
--- a/Libraries/LibConsensus/Membership.h
+++ b/Libraries/LibConsensus/Membership.h
@@ -24,6 +24,9 @@
 
 [[nodiscard]] std::size_t voterCount(const Protocol::Membership &membership);
 
+/** How many voters stand before the one with this name in the membership. */
+[[nodiscard]] std::size_t votersBefore(const Protocol::Membership &membership, const std::string &name);
+
 /** The smallest number of voters that is more than half of them. */
 [[nodiscard]] std::size_t quorumSize(const Protocol::Membership &membership);
 
--- a/Libraries/LibConsensus/ReplicatedLog.cpp
+++ b/Libraries/LibConsensus/ReplicatedLog.cpp
@@ -187,23 +187,31 @@
 
 // ---- Time
 
+// A log whose instances all start at once has no leader to wait for. Where there is one, E2 keeps it from being unseated.
+bool ReplicatedLog::takesTurns() const
+{
+    return this->options.firstElectionTurn.has_value() && !this->everHeardLeader && this->canStand();
+}
+
 void ReplicatedLog::resetElectionTimer(Core::Instant now)
 {
+    if (this->takesTurns()) {
+        this->electionDue = now + voterCount(this->store.membership()) * this->options.firstElectionTurn.value();
+        return;
+    }
     const auto base = this->options.electionTimeout.count();
     std::uniform_int_distribution<Core::Duration::rep> spread(0, base);
     this->electionDue = now + Core::Duration(base + spread(this->random));
 }
 
-// A log whose instances all start at once has no leader to wait for. Where there is one, E2 keeps it from being unseated.
 void ReplicatedLog::startElectionTimer(Core::Instant now)
 {
-    if (!this->options.firstElectionTimeout.has_value()) {
+    if (!this->takesTurns()) {
         this->resetElectionTimer(now);
         return;
     }
-    const auto longest = this->options.firstElectionTimeout->count();
-    std::uniform_int_distribution<Core::Duration::rep> spread(longest / 4, longest);
-    this->electionDue = now + Core::Duration(spread(this->random));
+    const auto earlierTurns = votersBefore(this->store.membership(), this->ownMember.name);
+    this->electionDue = now + (earlierTurns + 1) * this->options.firstElectionTurn.value();
 }
 
 bool ReplicatedLog::canStand() const
--- a/Libraries/LibConsensus/ReplicatedLog.h
+++ b/Libraries/LibConsensus/ReplicatedLog.h
@@ -46,8 +46,12 @@
     Core::Duration heartbeatPeriod{Core::milliseconds(100)};
     /** Nobody stands for election within this time of hearing from a leader. */
     Core::Duration electionTimeout{Core::milliseconds(500)};
-    /** A process that has just started stands within this time if it hears from no leader; nothing when the usual timeout holds from the start. */
-    std::optional<Core::Duration> firstElectionTimeout;
+    /**
+     * While a process has heard from no leader since its start, the voters stand in turns that are this long, in the order of the
+     * membership, so that those that start together don't split their votes. Longer than an election; nothing when the usual timeout holds
+     * from the start.
+     */
+    std::optional<Core::Duration> firstElectionTurn;
     std::size_t maximumBytesPerMessage{1024 * 1024};
     std::int64_t entriesBetweenSnapshots{4096};
     std::size_t snapshotPieceBytes{256 * 1024};
@@ -151,6 +155,7 @@
     void setTerm(std::int64_t newTerm, const std::string &vote);
     void resetElectionTimer(Core::Instant now);
     void startElectionTimer(Core::Instant now);
+    [[nodiscard]] bool takesTurns() const;
     [[nodiscard]] bool canStand() const;
     [[nodiscard]] bool isUpToDate(const Protocol::LogMessage &request) const;
     [[nodiscard]] bool heardLeaderRecently(Core::Instant now) const;
--- a/Libraries/LibFleet/FleetWatcher.cpp
+++ b/Libraries/LibFleet/FleetWatcher.cpp
@@ -272,8 +272,9 @@
         Core::logEvent(Core::LogLevel::Information, "declaration.confirmed", {{"version", answer.declarationVersion}, {"coordinator", endpoint.toString()}});
     }
     // NOTE: Asked from the loop, so that a coordinator that answers at once can't keep this function from returning. One that told of a
-    //       declaration without its text is asked after a pause, to want the text from it if it has not come from the first one by then.
-    const bool textMissing = this->options.wantsDeclarations && this->newestKnown > this->held();
+    //       declaration without its text is asked after a pause, to want the text from it if it has not come from the first one by then. But a
+    //       confirmation is not to wait for that, since nothing is answered before there is one.
+    const bool textMissing = this->options.wantsDeclarations && this->newestKnown > this->held() && !this->wantsConfirmation;
     this->askLater(endpoint, textMissing ? this->options.declarationPatience : Core::Duration(0));
     this->askChosen();
 }
--- a/Services/coordinatord/main.cpp
+++ b/Services/coordinatord/main.cpp
@@ -29,8 +29,8 @@
 // A leader that is gone is noticed after one to two seconds, well inside the operators' patience; short periods cost processor time on every coordinator.
 constexpr Core::Duration HeartbeatPeriod = Core::milliseconds(200);
 constexpr Core::Duration ElectionTimeout = Core::milliseconds(900);
-// After all were killed they start within some tenths of a second of each other.
-constexpr Core::Duration FirstElectionTimeout = Core::milliseconds(400);
+// Longer than an election between the farthest regions that we know of: two round trips of 24 ms, syncs and two ticks.
+constexpr Core::Duration FirstElectionTurn = Core::milliseconds(100);
 constexpr Core::Duration ResponseFlushTime = Core::milliseconds(300);
 // Operators' documents with thousands of routes.
 constexpr std::size_t MaximumDocumentBytes = 8 * 1024 * 1024;
@@ -80,7 +80,7 @@
     log.nameWithFolder = true;
     log.heartbeatPeriod = HeartbeatPeriod;
     log.electionTimeout = ElectionTimeout;
-    log.firstElectionTimeout = FirstElectionTimeout;
+    log.firstElectionTurn = FirstElectionTurn;
     log.entriesBetweenSnapshots = EntriesBetweenSnapshots;
     log.seed = Core::randomNumber();
     return options;
--- a/Tests/LibFleet/TestFleetWatcher.cpp
+++ b/Tests/LibFleet/TestFleetWatcher.cpp
@@ -62,13 +62,13 @@
 class WatcherFixture : public TestSupport::LoopFixture
 {
 public:
-    explicit WatcherFixture(std::size_t watchedAtOnce = 1)
+    explicit WatcherFixture(std::size_t watchedAtOnce = 1, Core::Duration declarationPatience = Core::milliseconds(20))
         : watcher(Fleet::WatcherOptions{.name = "gateway",
                       .zone = "near",
                       .regions = {{"near", "one"}, {"far-1", "two"}, {"far-2", "three"}},
                       .own = {},
                       .watchedAtOnce = watchedAtOnce,
-                      .declarationPatience = Core::milliseconds(20)},
+                      .declarationPatience = declarationPatience},
             this->backends,
             this->gateways,
             this->timers)
@@ -338,3 +338,28 @@
     cr_assert(fixture.text == texts[3]);
     cr_assert(wholeTexts == 1, "no text was wanted whole again");
 }
+
+// After a stop of everything the far leader tells of the declaration before the near coordinator has brought its text. All callers are refused
+// until the confirmation is there, so it is asked for at once.
+Test(FleetWatcher, confirmationDoesNotWaitForTheTextOfTheDeclaration)
+{
+    WatcherFixture fixture(1, Core::seconds(60));
+    fixture.add("near", [](const WatchRequest &) {
+        return std::nullopt;
+    });
+    fixture.add("far-1", [&fixture](const WatchRequest &request) -> std::optional<WatchReply> {
+        auto reply = fixture.reply(7);
+        reply.confirmed = request.coordinatorIncarnation != 0;
+        return reply;
+    });
+    fixture.watcher.wantConfirmation();
+    fixture.start();
+    const auto &leader = *fixture.coordinators.back();
+    cr_assert(fixture.runUntil([&leader] {
+        return leader.requests.size() >= 2;
+    }));
+    fixture.version = 7;
+    cr_assert(fixture.runUntil([&fixture] {
+        return fixture.watcher.isConfirmed();
+    }));
+}
