--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -105,13 +105,12 @@
 
 void BackendPool::setGatewayCount(int all, int inZone)
 {
-    this->gateways = std::max(1, all);
-    this->gatewaysInZone = std::max(1, inZone);
+    this->gateways = GatewayCount{.all = std::max(1, all), .inZone = std::max(1, inZone)};
 }
 
 int BackendPool::gatewayCount() const
 {
-    return this->gateways;
+    return this->gateways.all;
 }
 
 RepeatBudget &BackendPool::budget(const Core::ServiceName &service)
@@ -220,14 +219,13 @@
     if (service.connectionCap == 0) {
         return static_cast<std::size_t>(this->options.undeclaredCap);
     }
-    const double near = this->options.nearConnectionShare * service.connectionCap / this->gatewaysInZone;
-    const double far = this->options.farConnectionShare * service.connectionCap / this->gateways;
-    return std::max<std::size_t>(1, static_cast<std::size_t>(backend.sameZone ? near : far));
+    return Gateway::connectionLimit(this->options.connections, service.connectionCap, backend.sameZone, this->gateways);
 }
 
 bool BackendPool::hasRoom(const Backend &backend, const Service &service) const
 {
-    if (backend.connections.size() < this->connectionLimit(backend, service)) {
+    const bool takesMore = backend.turnedAway.isOver(this->timers.now());
+    if (takesMore && backend.connections.size() < this->connectionLimit(backend, service)) {
         return true;
     }
     return std::any_of(backend.connections.begin(), backend.connections.end(), [](const auto &connection) {
@@ -305,8 +303,10 @@
 
 std::shared_ptr<Wire::ClientConnection> BackendPool::openConnection(Backend &backend)
 {
-    auto opened
-        = Wire::ClientConnection::create({.endpoint = backend.endpoint, .silenceLimit = this->options.silenceLimit, .limits = {}}, this->poll, this->timers);
+    auto opened = Wire::ClientConnection::create(
+        {.endpoint = backend.endpoint, .silenceLimit = this->options.silenceLimit, .trialMargin = this->options.trialMargin, .limits = {}},
+        this->poll,
+        this->timers);
     if (!opened.has_value()) {
         Core::logEvent(Core::LogLevel::Warning, "backend.connect_failed", {{"backend", backend.name.value()}, {"reason", opened.error().message}});
         return nullptr;
@@ -412,6 +412,10 @@
     case Wire::ClientEnd::NotSent:
         outcome.end = AttemptEnd::NotSent;
         break;
+    case Wire::ClientEnd::TurnedAway:
+        outcome.end = AttemptEnd::NotSent;
+        this->noteTurnedAway(backend);
+        break;
     case Wire::ClientEnd::Broken:
         outcome.end = AttemptEnd::Broken;
         break;
@@ -419,7 +423,9 @@
         outcome.end = AttemptEnd::Unacknowledged;
         break;
     }
-    this->learn(backend, attempt, outcome);
+    if (result.end != Wire::ClientEnd::TurnedAway) {
+        this->learn(backend, attempt, outcome);
+    }
     const auto service = backend.service;
     if (attempt.done) {
         attempt.done(outcome);
@@ -441,6 +447,7 @@
     }
     const auto &reply = outcome.reply;
     backend.evidence.noteReply(reply.load, now);
+    backend.turnedAway.noteReply();
     if (attempt.connection->connectTime() > Core::Duration(0)) {
         const auto measured = attempt.connection->connectTime();
         backend.roundTrip = std::min(backend.roundTrip.value_or(measured), measured);
@@ -465,6 +472,13 @@
     backend.evidence.noteAnswer(latency / usual, now);
 }
 
+// It has as many connections as it takes, from here and from elsewhere, which says nothing of how it works.
+void BackendPool::noteTurnedAway(Backend &backend)
+{
+    ++this->counts.turnedAway;
+    backend.turnedAway.noteTurnedAway(this->options.turnedAway, this->timers.now());
+}
+
 void BackendPool::noteFailure(Backend &backend, const std::string &reason)
 {
     if (backend.evidence.noteFailure(this->options.failuresUntilAvoided, this->timers.now())) {
@@ -548,11 +562,26 @@
 
 // ---- Each tick
 
+// Time alone may have made room.
+void BackendPool::offerRoomToWaiters()
+{
+    std::vector<Core::ServiceName> awaited;
+    for (const auto &[name, service] : this->services) {
+        if (!service.waiters.empty()) {
+            awaited.push_back(name);
+        }
+    }
+    for (const auto &name : awaited) {
+        this->offerRoom(name);
+    }
+}
+
 void BackendPool::sweep()
 {
     const auto now = this->timers.now();
     this->cancelOverdue(now);
     this->closeResting(now);
+    this->offerRoomToWaiters();
 }
 
 void BackendPool::cancelOverdue(Core::Instant now)
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -15,6 +15,7 @@
 #include <LibFleet/Declaration.h>
 #include <LibFleet/Regions.h>
 #include <LibGateway/BackendEvidence.h>
+#include <LibGateway/ConnectionAllowance.h>
 #include <LibGateway/Dialect.h>
 #include <LibGateway/RepeatBudget.h>
 #include <LibWire/ClientConnection.h>
@@ -38,6 +39,9 @@
     Core::Duration silenceLimit{Core::milliseconds(1200)};
     /** Failures in a row after which one is avoided. Silence counts at once. */
     int failuresUntilAvoided{2};
+    /** See Wire::ClientConnectionOptions; for what a small share of a core adds to a round trip. */
+    std::optional<Core::Duration> trialMargin{Core::milliseconds(1)};
+    TurnedAwayOptions turnedAway;
     /** An abandoned attempt is cancelled, by closing its connection, after this time. Longer than a pause, so that a connection survives one. */
     Core::Duration abandonPatience{Core::milliseconds(300)};
     /** Once the caller has gone nobody needs the answer: cancelled well within half a second. */
@@ -50,10 +54,7 @@
     Core::Duration crossZoneBias{Core::milliseconds(2)};
     /** Round trip that is assumed to another region before one was measured. */
     Core::Duration assumedRegionRoundTrip{Core::milliseconds(20)};
-    /** The part of a backend server's connections that gateways of its own zone may open together; most requests come from there. */
-    double nearConnectionShare{0.6};
-    /** The part that all other gateways may open together. What is left is for counts of gateways that are out of date. */
-    double farConnectionShare{0.3};
+    ConnectionShares connections;
     /** Connections to a backend server of a service that is not declared. */
     int undeclaredCap{1};
     std::uint64_t seed{1};
@@ -117,6 +118,7 @@
 
     BackendEvidence evidence;
     std::optional<Core::Duration> roundTrip;
+    TurnedAwayPause turnedAway;
 
     std::vector<std::shared_ptr<Wire::ClientConnection>> connections;
     // Invariant: exactly the attempts of the pool that name this backend.
@@ -132,6 +134,8 @@
     std::uint64_t connectionsOpened{0};
     std::uint64_t broken{0};
     std::uint64_t notSent{0};
+    /** Connections that were accepted and reset before a request was sent. */
+    std::uint64_t turnedAway{0};
     std::uint64_t notExecuted{0};
     std::uint64_t cancelled{0};
     std::uint64_t wrongBackend{0};
@@ -222,11 +226,13 @@
     void finish(AttemptId id, Wire::ClientResult result);
     [[nodiscard]] Attempt takeAttempt(AttemptId id);
     void learn(Backend &backend, const Attempt &attempt, const AttemptOutcome &outcome);
+    void noteTurnedAway(Backend &backend);
     void noteFailure(Backend &backend, const std::string &reason);
     void noteSilence(Backend &backend, const std::string &reason);
     void logAvoidance(const Backend &backend, const std::string &reason) const;
     void remove(Backend &backend);
     void offerRoom(const Core::ServiceName &service);
+    void offerRoomToWaiters();
     void sweep();
     void cancelOverdue(Core::Instant now);
     void closeResting(Core::Instant now);
@@ -237,8 +243,7 @@
     Core::TimerService &timers;
     std::mt19937_64 random;
     // Until the registry tells, so many that nothing is taken out of what all share but a connection each.
-    int gateways{AssumedGateways};
-    int gatewaysInZone{AssumedGateways};
+    GatewayCount gateways{.all = AssumedGateways, .inZone = AssumedGateways};
     static constexpr int AssumedGateways = 10'000;
     std::shared_ptr<const Fleet::Declaration> declaration;
     std::unordered_map<Core::ServiceName, Service> services;
--- /dev/null
+++ b/Libraries/LibGateway/ConnectionAllowance.cpp
@@ -0,0 +1,35 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibGateway/ConnectionAllowance.h>
+
+#include <algorithm>
+
+namespace Gateway
+{
+
+std::size_t connectionLimit(const ConnectionShares &shares, int cap, bool sameZone, GatewayCount gateways)
+{
+    const double part = sameZone ? shares.near / gateways.inZone : shares.far / gateways.all;
+    return std::max<std::size_t>(1, static_cast<std::size_t>(part * cap));
+}
+
+void TurnedAwayPause::noteTurnedAway(const TurnedAwayOptions &options, Core::Instant now)
+{
+    this->pause = std::clamp(2 * this->pause, options.firstPause, options.longestPause);
+    this->end = now + this->pause;
+}
+
+void TurnedAwayPause::noteReply()
+{
+    this->pause = Core::Duration(0);
+}
+
+bool TurnedAwayPause::isOver(Core::Instant now) const
+{
+    return now >= this->end;
+}
+
+}
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -26,6 +26,8 @@
 {
     BackendPoolOptions relays = options.pool;
     relays.undeclaredCap = options.relayConnections;
+    // Gateways take as many connections as come.
+    relays.trialMargin.reset();
     relays.connectPatience = options.relay.connectPatience;
     relays.silenceLimit = options.relay.silenceLimit;
     relays.failuresUntilAvoided = 1;
@@ -119,6 +121,7 @@
             {"sends_other_region", sends.attemptsToOtherRegion},
             {"broken", sends.broken},
             {"not_sent", sends.notSent},
+            {"turned_away", sends.turnedAway},
             {"not_executed", sends.notExecuted},
             {"cancelled", sends.cancelled},
             {"connections_opened", sends.connectionsOpened},
@@ -430,6 +433,7 @@
     counter("crankrudder_hedges_total", "Second sends for late ones.", this->counts.hedges);
     counter("crankrudder_parts_given_total", "Parts of searches that other gateways were asked for.", this->counts.relayed);
     counter("crankrudder_parts_taken_total", "Parts of searches that other gateways asked for.", this->counts.takenForOthers);
+    counter("crankrudder_connections_turned_away_total", "New connections that backend servers reset at once, having as many as they take.", sends.turnedAway);
     counter("crankrudder_connections_opened_total", "Connections opened to backend servers.", sends.connectionsOpened);
     page.gauge("crankrudder_connections", "Connections to backend servers.", static_cast<double>(this->pool.connectionCount()));
     page.gauge("crankrudder_requests_under_way", "Requests that wait for their answer.", static_cast<double>(this->requests.size()));
--- a/Libraries/LibWire/ClientConnection.cpp
+++ b/Libraries/LibWire/ClientConnection.cpp
@@ -105,6 +105,7 @@
     this->gone = true;
     this->done = nullptr;
     this->recognise = nullptr;
+    this->trialTimer.cancel();
     this->poll.remove(this->socket.number());
     this->socket = Socket();
     const auto hook = std::exchange(this->closed, nullptr);
@@ -127,6 +128,10 @@
 
 void ClientConnection::handleEvents(std::uint32_t events)
 {
+    if (this->accepted) {
+        this->turnedAway("the server reset the new connection");
+        return;
+    }
     if (!this->up) {
         this->connected();
         if (this->gone || !this->up) {
@@ -148,8 +153,33 @@
         this->finish(ClientResult{.end = ClientEnd::NotSent, .response = {}, .reason = std::string("connect: ") + std::strerror(error)}, false);
         return;
     }
-    this->up = true;
     this->connecting = this->timers.now() - this->startedAt;
+    if (!this->options.trialMargin.has_value()) {
+        this->up = true;
+        return;
+    }
+    this->accepted = true;
+    this->setWantsWrite(false);
+    const auto trial = this->connecting + this->options.trialMargin.value();
+    this->trialTimer = this->timers.once(trial, [this](Core::Instant) {
+        this->endTrial();
+    });
+}
+
+void ClientConnection::endTrial()
+{
+    const auto keepAlive = this->shared_from_this();
+    this->accepted = false;
+    this->up = true;
+    if (this->done) {
+        this->writeMore();
+    }
+}
+
+// Anything that the server does before a request is there ends the connection; only a request that was sent may have run.
+void ClientConnection::turnedAway(const std::string &reason)
+{
+    this->finish(ClientResult{.end = ClientEnd::TurnedAway, .response = {}, .reason = reason}, false);
 }
 
 void ClientConnection::writeMore()
@@ -267,6 +297,7 @@
     this->recognise = nullptr;
     if (!keep) {
         this->gone = true;
+        this->trialTimer.cancel();
         this->poll.remove(this->socket.number());
         this->socket = Socket();
     }
--- a/Libraries/LibWire/ClientConnection.h
+++ b/Libraries/LibWire/ClientConnection.h
@@ -26,6 +26,8 @@
     Answered,
     /** The connection did not come up, so the server can't have seen the request. */
     NotSent,
+    /** The server took the connection and reset it before a request was sent on it, as one does that has as many as it takes. */
+    TurnedAway,
     /** The connection broke, or what came was no response. The request may have run. */
     Broken,
     /** As Broken, but the other side's machine has most likely never had the request. */
@@ -45,6 +47,11 @@
     Core::Endpoint endpoint;
     /** Sent bytes that stay unacknowledged for this long break the connection. */
     Core::Duration silenceLimit{Core::milliseconds(1500)};
+    /**
+     * A server that has as many connections as it takes accepts one more and resets it at once. Requests wait on a new connection until that
+     * reset would be here, a round trip and this margin, since one that was sent may have run. Nothing where servers have no such limit.
+     */
+    std::optional<Core::Duration> trialMargin;
     MessageLimits limits;
 };
 
@@ -89,6 +96,8 @@
 private:
     ClientConnection(ClientConnectionOptions options, Socket socket, Core::EventPoll &poll, Core::TimerService &timers);
     void connected();
+    void endTrial();
+    void turnedAway(const std::string &reason);
     void writeMore();
     void readMore();
     void parse();
@@ -109,7 +118,10 @@
     RecogniseHook recognise;
     // Invariant: set exactly while a request is under way.
     ResultHook done;
+    // Requests may be sent.
     bool up{false};
+    // The server has accepted the connection, and the trial is on.
+    bool accepted{false};
     bool gone{false};
     bool unacknowledged{false};
     bool wantsWrite{true};
@@ -118,6 +130,7 @@
     Core::Instant lastUse;
     Core::Instant keptUntil;
     Core::Duration connecting{0};
+    Core::TimerSubscription trialTimer;
 };
 
 }
--- a/Tests/LibGateway/TestRequests.cpp
+++ b/Tests/LibGateway/TestRequests.cpp
@@ -198,6 +198,23 @@
     cr_assert(gone.requests.size() == 1, "one that is gone is not asked again");
 }
 
+// One that turns connections away is neither asked nor blamed: the request goes elsewhere, which is no repeat.
+Test(SingleRequest, goesElsewhereForFreeWhenABackendServerIsFull)
+{
+    GatewayFixture fixture(0.0);
+    makeSingle(fixture, false);
+    const auto &full = fixture.addFull("s", "full");
+    fixture.add("s", "other", answering("other"));
+    for (int number = 0; number < 8; ++number) {
+        const auto answer = fixture.ask("r" + std::to_string(number));
+        cr_assert_eq(answer.status, 200);
+        cr_assert_eq(answer.body, std::string("other"));
+    }
+    cr_assert_gt(full.turnedAway, 0);
+    cr_assert_gt(fixture.pool.counters().turnedAway, 0);
+    cr_assert_eq(fixture.pool.counters().broken, 0);
+}
+
 Test(SingleRequest, refusesWithATrueNotRunWhenNobodyIsThere)
 {
     GatewayFixture fixture;
--- a/Tests/LibWire/TestClientConnection.cpp
+++ b/Tests/LibWire/TestClientConnection.cpp
@@ -63,8 +63,10 @@
 class Client
 {
 public:
-    Client(LoopFixture &fixture, const ByteServer &server)
-        : fixture(fixture), connection(Wire::ClientConnection::create({.endpoint = server.endpoint, .limits = {}}, *fixture.poll, fixture.timers).value())
+    Client(LoopFixture &fixture, const ByteServer &server, std::optional<Core::Duration> trialMargin = std::nullopt)
+        : fixture(fixture)
+        , connection(
+              Wire::ClientConnection::create({.endpoint = server.endpoint, .trialMargin = trialMargin, .limits = {}}, *fixture.poll, fixture.timers).value())
     {
     }
 
@@ -199,6 +201,37 @@
     }
 }
 
+// Backend servers that have as many connections as they take accept one more and reset it. A request that was sent on it would have to be taken
+// for one that may have run.
+Test(ClientConnection, sendsNothingOnANewConnectionThatTheServerResets)
+{
+    LoopFixture fixture;
+    ByteServer server(fixture);
+    Client client(fixture, server, Core::seconds(60));
+    client.send("first");
+    cr_assert(server.accept());
+    server.socket = Wire::Socket();
+    cr_assert(client.hasResults(1));
+    cr_assert(client.results[0].end == Wire::ClientEnd::TurnedAway);
+    cr_assert(client.connection->isClosed());
+}
+
+Test(ClientConnection, sendsOnANewConnectionOnceItsTrialIsOver)
+{
+    LoopFixture fixture;
+    ByteServer server(fixture);
+    Client client(fixture, server, Core::milliseconds(1));
+    client.send("first");
+    cr_assert_not(client.connection->isConnected(), "nothing has left yet");
+    cr_assert(server.accept());
+    cr_assert(fixture.runUntil([&server] {
+        return server.received().find("first") != std::string::npos;
+    }));
+    server.send(answerTo("first", "mine"));
+    cr_assert(client.hasResults(1));
+    cr_assert(client.results[0].end == Wire::ClientEnd::Answered);
+}
+
 Test(ClientConnection, knowsThatNothingWasSentWithoutAConnection)
 {
     LoopFixture fixture;
--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -14,6 +14,7 @@
 #include <platform/RequestDialect.h>
 
 #include <map>
+#include <sys/epoll.h>
 
 namespace TestSupport
 {
@@ -46,6 +47,31 @@
     std::shared_ptr<Wire::Server> server;
 };
 
+/** A stand-in for a backend server that has as many connections as it takes: accepts each new one and ends it. */
+class FullBackend : public Core::EventHandler, public std::enable_shared_from_this<FullBackend>
+{
+public:
+    FullBackend() : endpoint(freeEndpoint()), listener(std::move(Wire::Socket::listenOn(this->endpoint, 4).value()))
+    {
+    }
+
+    void listen(LoopFixture &fixture)
+    {
+        fixture.poll->add(this->listener.number(), EPOLLIN, this->shared_from_this());
+    }
+
+    void handleEvents(std::uint32_t) override
+    {
+        while (this->listener.acceptOne().isOpen()) {
+            ++this->turnedAway;
+        }
+    }
+
+    Core::Endpoint endpoint;
+    Wire::Socket listener;
+    int turnedAway{0};
+};
+
 /** An answer as a backend server of the platform gives it. */
 [[nodiscard]] inline Wire::Response goodAnswer(const Wire::Request &request, const std::string &signature, const std::string &body)
 {
@@ -108,15 +134,29 @@
         Gateway::BackendPool &target, const std::string &service, const std::string &id, ScriptedBackend::Script script, const std::string &zone = "here")
     {
         this->backends.push_back(std::make_unique<ScriptedBackend>(*this, id, std::move(script)));
+        announce(target, service, id, this->backends.back()->endpoint, zone);
+        return *this->backends.back();
+    }
+
+    FullBackend &addFull(const std::string &service, const std::string &id)
+    {
+        this->fullBackends.push_back(std::make_shared<FullBackend>());
+        this->fullBackends.back()->listen(*this);
+        announce(this->pool, service, id, this->fullBackends.back()->endpoint, "here");
+        return *this->fullBackends.back();
+    }
+
+    static void announce(
+        Gateway::BackendPool &target, const std::string &service, const std::string &id, const Core::Endpoint &endpoint, const std::string &zone)
+    {
         Fleet::BackendRecord record;
         record.announcement.id = id;
         record.announcement.serviceName = service;
-        record.announcement.address = this->backends.back()->endpoint.toString();
+        record.announcement.address = endpoint.toString();
         record.announcement.zone = zone;
         record.announcement.slots = 2;
         record.announcement.phase = Protocol::BackendPhase::READY;
         target.update(record);
-        return *this->backends.back();
     }
 
     /** Starts a request for the route and returns when it has its answer. */
@@ -188,6 +228,7 @@
     std::shared_ptr<const Fleet::Declaration> declaration;
     std::shared_ptr<const Fleet::RouteTable> table;
     std::vector<std::unique_ptr<ScriptedBackend>> backends;
+    std::vector<std::shared_ptr<FullBackend>> fullBackends;
     std::unique_ptr<Gateway::RoutedRequest> request;
     std::optional<Wire::Response> answer;
     std::optional<Gateway::RequestSummary> summary;
