LibGateway: Refuse at once what too few backend servers can serve

A search with fewer shards that have a ready backend server than its coverage needs, and a single request whose service has none, are refused as not run with Retry-After before anything is sent. Tests are red without it.

--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -33,8 +33,25 @@
 
 // ---- Calls
 
+bool FanOutRequest::canBeServed() const
+{
+    // What another gateway is asked for was found to have a backend server when the search was divided.
+    std::size_t shards = 0;
+    for (const auto &part : this->plan.parts) {
+        shards += part.shards.size();
+    }
+    for (const auto &shard : this->plan.direct) {
+        shards += this->context.pool->hasReady(shard) ? 1 : 0;
+    }
+    return shards >= this->needed();
+}
+
 void FanOutRequest::startCalls()
 {
+    if (this->asker == Asker::Caller && !this->canBeServed()) {
+        // Nothing is asked, so check() refuses it as not run, at once.
+        return;
+    }
     for (const auto &shard : this->plan.direct) {
         this->addRow(shard);
     }
--- a/Libraries/LibGateway/FanOutRequest.h
+++ b/Libraries/LibGateway/FanOutRequest.h
@@ -50,6 +50,8 @@
         Protocol::MissingShard lost;
     };
 
+    /** Whether enough shards have a backend server at all. */
+    [[nodiscard]] bool canBeServed() const;
     void addRow(const Core::ServiceName &shard);
     void startDirect(Row &row, const Protocol::MissingShard &before);
     void startHedged(Row &row);
--- a/Libraries/LibGateway/SingleRequest.cpp
+++ b/Libraries/LibGateway/SingleRequest.cpp
@@ -18,6 +18,11 @@
 
 void SingleRequest::startCalls()
 {
+    if (!this->context.pool->hasReady(this->call->service())) {
+        // Nobody could run it; check() refuses it at once.
+        this->call->giveUp(false);
+        return;
+    }
     this->call->start([this] {
         this->callFinished();
     });
--- a/Tests/LibGateway/TestRequests.cpp
+++ b/Tests/LibGateway/TestRequests.cpp
@@ -262,6 +262,31 @@
     cr_assert(fixture.summary->took < Core::seconds(9), "nobody waited for the silent one");
 }
 
+// After a loss of power searches waited out their patience for shards of which no backend server was known.
+Test(FanOutRequest, refusesAtOnceWhatTooFewShardsCanServe)
+{
+    GatewayFixture fixture;
+    makeSearch(fixture, {Core::ServiceName("a"), Core::ServiceName("b"), Core::ServiceName("c")}, 0.6);
+    auto &only = fixture.add("a", "a1", answering(record('a')));
+    fixture.begin("r1");
+    cr_assert(fixture.answer.has_value(), "before anything was waited for");
+    cr_assert_eq(fixture.answer->status, 503);
+    cr_assert_not_null(header(*fixture.answer, "Retry-After"));
+    cr_assert(only.requests.empty(), "nothing ran");
+    fixture.add("b", "b1", answering(record('b')));
+    cr_assert_eq(fixture.ask("r2").status, 200);
+}
+
+Test(SingleRequest, refusesAtOnceWhatNobodyCanServe)
+{
+    GatewayFixture fixture;
+    makeSingle(fixture, false);
+    fixture.begin("r1");
+    cr_assert(fixture.answer.has_value());
+    cr_assert_eq(fixture.answer->status, 503);
+    cr_assert_not_null(header(*fixture.answer, "Retry-After"));
+}
+
 Test(FanOutRequest, hedgesAShardThatIsLateOnAnotherBackendServer)
 {
     GatewayFixture fixture;
