LibGateway: Divide the shards of a zone among a few owners where gateways are many

Cause: on 300 gateways each sees a search in six seconds. Ruled out: backend servers (12 ms for a part of a few shards) and the bytes.

Change: CellMap. Shards of a zone in cells of about 20, a few gateways own each cell, as many as the rate of searches asks for, and searches bring a cell's shards to one owner in a part. Several work side by side, each knows its backend servers and keeps its connections.

--- a/Libraries/LibFleet/BackendRegistry.cpp
+++ b/Libraries/LibFleet/BackendRegistry.cpp
@@ -96,6 +96,17 @@
     return ids;
 }
 
+std::vector<const BackendAnnouncement *> BackendRegistry::ready() const
+{
+    std::vector<const BackendAnnouncement *> rows;
+    for (const auto &[id, record] : this->records) {
+        if (record.announcement.phase == BackendPhase::READY) {
+            rows.push_back(&record.announcement);
+        }
+    }
+    return rows;
+}
+
 int BackendRegistry::readyCount() const
 {
     return static_cast<int>(std::count_if(this->records.begin(), this->records.end(), [](const auto &item) {
--- a/Libraries/LibFleet/BackendRegistry.h
+++ b/Libraries/LibFleet/BackendRegistry.h
@@ -72,6 +72,8 @@
     /** Ids whose heartbeats were taken over by merge() after a time, whether or not they were news. */
     [[nodiscard]] std::vector<std::string> mergedSince(Core::Instant time) const;
 
+    /** Those that are ready, in no order. Valid until the next change. */
+    [[nodiscard]] std::vector<const Protocol::BackendAnnouncement *> ready() const;
     /** How many are ready, and how many of these are in one availability zone. */
     [[nodiscard]] int readyCount() const;
     [[nodiscard]] int readyCountIn(const std::string &zone) const;
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -299,6 +299,24 @@
     return best;
 }
 
+Backend *BackendPool::firstSound(const std::vector<BackendName> &names, const std::vector<BackendName> &tried)
+{
+    const auto now = this->timers.now();
+    for (const auto &name : names) {
+        const auto found = this->backends.find(name.value());
+        const bool wasTried = std::find(tried.begin(), tried.end(), name) != tried.end();
+        if (found == this->backends.end() || wasTried) {
+            continue;
+        }
+        auto &backend = *found->second;
+        const bool takesWork = backend.phase == Protocol::BackendPhase::READY && this->hasRoom(backend, this->serviceOf(backend.service));
+        if (takesWork && !backend.evidence.isAvoided(now) && !this->isStuck(backend, now)) {
+            return &backend;
+        }
+    }
+    return nullptr;
+}
+
 // ---- Connections
 
 std::optional<Core::Duration> BackendPool::trialMargin() const
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -168,6 +168,9 @@
         Core::Duration typicalLatency,
         std::optional<Core::Duration> within = std::nullopt);
 
+    /** The first of `names` that is none of `tried`, has room, and neither failed lately nor looks stuck; nullptr when there is none. */
+    [[nodiscard]] Backend *firstSound(const std::vector<BackendName> &names, const std::vector<BackendName> &tried);
+
     /** Sends. `done` is called exactly once, from the loop, unless the attempt is abandoned. */
     AttemptId send(Backend &backend, AttemptOptions options);
 
--- /dev/null
+++ b/Libraries/LibGateway/CellMap.cpp
@@ -0,0 +1,153 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibGateway/CellMap.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Gateway
+{
+
+// Memory of the rate of searches. At a search in six seconds it holds five of them, and it follows a rising load within the time of a few.
+static constexpr double RateMemorySeconds = 30.0;
+
+// FNV-1a, which is the same in every build, and a last mixing step (of SplitMix64), since names that differ in their last digit have to differ
+// in the high bits, too.
+static std::uint64_t hashOf(const std::string &text)
+{
+    std::uint64_t hash = 0xcbf29ce484222325U;
+    for (const char byte : text) {
+        hash = (hash ^ static_cast<unsigned char>(byte)) * 0x100000001b3U;
+    }
+    hash = (hash ^ (hash >> 30U)) * 0xbf58476d1ce4e5b9U;
+    hash = (hash ^ (hash >> 27U)) * 0x94d049bb133111ebU;
+    return hash ^ (hash >> 31U);
+}
+
+CellMap::CellMap(CellOptions options, std::string ownZone, Fleet::RegionOfZone regions, std::string ownAddress)
+    : options(options), ownZone(std::move(ownZone)), regions(std::move(regions)), ownAddress(std::move(ownAddress))
+{
+}
+
+void CellMap::setGateways(std::map<std::string, std::vector<CellGateway>> gatewaysByZone)
+{
+    this->gateways = std::move(gatewaysByZone);
+}
+
+void CellMap::setSearchRate(double perSecond)
+{
+    this->searchRate = perSecond;
+}
+
+std::size_t CellMap::ownerCount(const std::string &zone) const
+{
+    // Each search of the region brings each of its cells one part.
+    std::size_t inRegion = 0;
+    for (const auto &[name, row] : this->gateways) {
+        inRegion += Fleet::inSameRegion(this->regions, name, zone) ? row.size() : 0;
+    }
+    const double parts = this->searchRate * static_cast<double>(inRegion);
+    return std::max(this->options.fewestOwners, static_cast<std::size_t>(std::ceil(parts / this->options.partsPerSecond)));
+}
+
+bool CellMap::isDivided(const std::string &zone) const
+{
+    const auto found = this->gateways.find(zone);
+    if (found == this->gateways.end() || found->second.size() < this->options.fewestGateways) {
+        return false;
+    }
+    // With half of the zone's gateways as owners of each cell nothing is gained by asking one.
+    return 2 * this->ownerCount(zone) <= found->second.size();
+}
+
+std::size_t CellMap::cellCount(std::size_t shardsInSearch, const std::string &zone) const
+{
+    const auto zones = std::count_if(this->regions.begin(), this->regions.end(), [this, &zone](const auto &item) {
+        return Fleet::inSameRegion(this->regions, item.first, zone);
+    });
+    const auto shardsOfOneCell = this->options.shardsInCell * static_cast<std::size_t>(std::max<std::ptrdiff_t>(1, zones));
+    return std::max<std::size_t>(1, (shardsInSearch + shardsOfOneCell - 1) / shardsOfOneCell);
+}
+
+std::size_t CellMap::cellOf(const Core::ServiceName &shard, std::size_t shardsInSearch, const std::string &zone) const
+{
+    return hashOf(shard.value()) % this->cellCount(shardsInSearch, zone);
+}
+
+// Rendezvous hashing: one that comes or goes changes the cells that it owns, and no others.
+std::vector<const CellGateway *> CellMap::rankedOwners(std::size_t cell, std::size_t shardsInSearch, const std::string &zone) const
+{
+    if (!this->isDivided(zone)) {
+        return {};
+    }
+    const auto cellName = zone + "/" + std::to_string(this->cellCount(shardsInSearch, zone)) + "/" + std::to_string(cell) + "/";
+    std::vector<std::pair<std::uint64_t, const CellGateway *>> ranked;
+    for (const auto &gateway : this->gateways.at(zone)) {
+        ranked.emplace_back(hashOf(cellName + gateway.address), &gateway);
+    }
+    const auto owners = std::min(this->ownerCount(zone), ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(owners), ranked.end());
+    std::vector<const CellGateway *> chosen;
+    for (std::size_t rank = 0; rank < owners; ++rank) {
+        chosen.push_back(ranked[rank].second);
+    }
+    return chosen;
+}
+
+std::vector<BackendName> CellMap::ownersOf(std::size_t cell, std::size_t shardsInSearch, const std::string &zone) const
+{
+    auto owners = this->rankedOwners(cell, shardsInSearch, zone);
+    if (owners.empty()) {
+        return {};
+    }
+    // Gateways spread over the owners, and each keeps to its own, to which its connections are open.
+    const auto first = hashOf(this->ownAddress + "/" + std::to_string(cell)) % owners.size();
+    std::rotate(owners.begin(), owners.begin() + static_cast<std::ptrdiff_t>(first), owners.end());
+    std::vector<BackendName> names;
+    for (const auto *owner : owners) {
+        names.push_back(owner->name);
+    }
+    return names;
+}
+
+std::vector<BackendName> CellMap::commonOwnersOf(const std::vector<Core::ServiceName> &shards, std::size_t shardsInSearch, const std::string &zone) const
+{
+    if (shards.empty() || !this->isDivided(zone)) {
+        return {};
+    }
+    const auto cell = this->cellOf(shards.front(), shardsInSearch, zone);
+    const bool common = std::all_of(shards.begin(), shards.end(), [&](const Core::ServiceName &shard) {
+        return this->cellOf(shard, shardsInSearch, zone) == cell;
+    });
+    return common ? this->ownersOf(cell, shardsInSearch, zone) : std::vector<BackendName>();
+}
+
+bool CellMap::isOwnCell(std::size_t cell, std::size_t shardsInSearch) const
+{
+    const auto owners = this->rankedOwners(cell, shardsInSearch, this->ownZone);
+    return std::any_of(owners.begin(), owners.end(), [this](const CellGateway *owner) {
+        return owner->address == this->ownAddress;
+    });
+}
+
+void SmoothedRate::note()
+{
+    this->events += 1.0;
+}
+
+void SmoothedRate::advance(double seconds)
+{
+    const double kept = std::exp(-seconds / RateMemorySeconds);
+    this->rate = kept * this->rate + (1.0 - kept) * this->events / seconds;
+    this->events = 0.0;
+}
+
+double SmoothedRate::perSecond() const
+{
+    return this->rate;
+}
+
+}
--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -111,8 +111,10 @@
 
 void FanOutRequest::startPart(const PartPlan &partPlan, std::vector<std::size_t> rowNumbers)
 {
-    // Each part gets its share of what may be missing, rounded up. Of hedges any that is in is of use.
-    const auto share = (this->mayMiss() * partPlan.shards.size() + this->rows.size() - 1) / this->rows.size();
+    // Each part may lack its share of what may be missing, or half of all that may: it can't know what the others lack, and one that waits for
+    // its own late shards keeps all of its shards from a search that could leave. Of hedges any that is in is of use.
+    const auto bySize = (this->mayMiss() * partPlan.shards.size() + this->rows.size() - 1) / this->rows.size();
+    const auto share = std::max(bySize, this->mayMiss() / 2);
     const PartTerms partTerms{.targetAt = this->terms.targetAt,
         .giveUpAt = std::min(this->terms.giveUpAt, this->arrivedAt + this->plan.targetsHeld * this->route.targetLatency),
         .mayMiss = partPlan.isHedge ? partPlan.shards.size() - 1 : share};
@@ -217,9 +219,15 @@
 
 void FanOutRequest::hedgeTogether(const std::string &zone, const std::vector<std::size_t> &rowNumbers)
 {
-    PartPlan hedges{.zone = zone, .shards = {}, .mayDivide = false, .isHedge = true, .leastRecord = this->leastRecord()};
+    PartPlan hedges{.zone = zone, .shards = {}, .mayDivide = false, .isHedge = true, .leastRecord = this->leastRecord(), .owners = {}};
+    std::vector<Core::ServiceName> late;
+    for (const auto number : rowNumbers) {
+        late.push_back(this->rows[number].shard);
+    }
+    hedges.owners = this->context.cells->commonOwnersOf(late, this->route.shards.size(), zone);
     const bool savesReply = !hedges.leastRecord.empty() && this->route.topRecords * RecordBytes >= LargeReplyBytes;
-    const bool asPart = rowNumbers.size() >= FewestHedgesTogether || savesReply;
+    // An owner has connections to the backend servers, which take a round trip and more to open from here.
+    const bool asPart = rowNumbers.size() >= FewestHedgesTogether || savesReply || !hedges.owners.empty();
     std::vector<std::size_t> hedged;
     for (const auto number : rowNumbers) {
         auto &row = this->rows[number];
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -44,6 +44,7 @@
           this->registry,
           this->gateways,
           timers)
+    , cells(this->options.cells, this->options.pool.zone.value(), this->options.pool.regions, this->options.relayEndpoint.toString())
     , incarnationName(this->options.name + "/" + Core::randomToken().substr(0, 8))
 {
     this->registry.changed = [this](const Fleet::BackendRecord &record) {
@@ -84,6 +85,20 @@
     this->registry.forget(now);
     this->gateways.forget(now);
     this->countGateways(now);
+    this->searchRate.advance(Core::toFractionalMilliseconds(HousekeepingPeriod) / 1000.0);
+    this->cells.setSearchRate(this->searchRate.perSecond());
+}
+
+void GatewayNode::divideZones()
+{
+    if (std::exchange(this->dividedAt, this->gateways.position()) == this->gateways.position()) {
+        return;
+    }
+    std::map<std::string, std::vector<CellGateway>> byZone;
+    for (const auto *gateway : this->gateways.ready()) {
+        byZone[gateway->zone].push_back({.name = BackendName(gateway->id), .address = gateway->address});
+    }
+    this->cells.setGateways(std::move(byZone));
 }
 
 // The largest count of the last while: some that are not heard of just now still send, and those of a herd that starts come one by one.
@@ -317,17 +332,21 @@
         .latencies = &this->latencies[route.name],
         .relayLatencies = &this->relayLatencies[route.name],
         .workLimit = &this->workLimits[route.name],
+        .cells = &this->cells,
         .relayTerms = std::move(relayTerms)};
 }
 
 RelayView GatewayNode::relayView(const Fleet::Route &route, bool onlyOtherRegions)
 {
+    this->divideZones();
     return RelayView{.pool = this->pool,
         .relays = this->relays,
         .ownZone = this->options.pool.zone.value(),
         .regions = this->options.pool.regions,
         .typicalLatency = typicalLatencyOf(this->options.requests, route, this->latencies[route.name]),
         .number = this->nextRequest,
+        .cells = this->cells,
+        .shardsInSearch = route.shards.size(),
         .onlyOtherRegions = onlyOtherRegions};
 }
 
@@ -340,6 +359,7 @@
         this->run(std::make_unique<SingleRequest>(context, this->routes, route, std::move(request), this->chooseTarget(route)), exchange);
         return;
     }
+    this->searchRate.note();
     auto plan = planRelay(route.shards, this->relayView(route, false), this->options.relay);
     this->counts.relayed += plan.parts.size();
     this->run(std::make_unique<FanOutRequest>(context, this->routes, route, std::move(request), std::move(plan), Asker::Caller), exchange);
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -26,6 +26,7 @@
     /** Where other gateways bring searches. */
     Core::Endpoint relayEndpoint;
     RelayOptions relay;
+    CellOptions cells;
     /** Connections to each other gateway, one request at a time on each. */
     int relayConnections{8};
     /** Reads a declaration's text. */
@@ -92,6 +93,7 @@
     void updateRelays(const Fleet::BackendRecord &record);
     void housekeep(Core::Instant now);
     void countGateways(Core::Instant now);
+    void divideZones();
     void refuse(Refusal refusal, const CallerRequest &request, const Wire::ExchangePointer &exchange, const char *outcome);
     [[nodiscard]] Core::ServiceName chooseTarget(const Fleet::Route &route);
     [[nodiscard]] bool knowsEveryService() const;
@@ -108,6 +110,11 @@
     Fleet::BackendRegistry registry;
     Fleet::BackendRegistry gateways;
     Fleet::FleetWatcher watcher;
+    // Who owns the shards of a zone, and the callers' searches that it is worked out from.
+    CellMap cells;
+    // The position in the changes of gateways for which the zones are divided.
+    std::int64_t dividedAt{-1};
+    SmoothedRate searchRate;
     // The newest declaration that came; in force once it is confirmed that it was current.
     std::shared_ptr<const Fleet::RouteTable> routes;
     // How far each part of a split route is behind its share.
--- a/Libraries/LibGateway/RelayPlan.cpp
+++ b/Libraries/LibGateway/RelayPlan.cpp
@@ -35,12 +35,12 @@
 
 }
 
-// The zones whose gateways can be asked for a shard; none when it is best asked from here.
+// The zones whose gateways can be asked for a shard; this one alone where that is as good as any, none where nobody can be asked.
 static std::vector<std::string> zonesToAsk(const Core::ServiceName &shard, const RelayView &view)
 {
     auto zones = view.pool.goodZonesOf(shard, view.typicalLatency);
     if (std::find(zones.begin(), zones.end(), view.ownZone) != zones.end()) {
-        return {};
+        return {view.ownZone};
     }
     std::erase_if(zones, [&view](const std::string &zone) {
         const bool passedOver = view.onlyOtherRegions && Fleet::inSameRegion(view.regions, zone, view.ownZone);
@@ -73,19 +73,52 @@
     return best[view.number % best.size()];
 }
 
+static void addPart(RelayPlan &plan, PartPlan part, std::size_t fewest)
+{
+    if (part.shards.size() >= fewest) {
+        plan.parts.push_back(std::move(part));
+    } else {
+        plan.direct.insert(plan.direct.end(), part.shards.begin(), part.shards.end());
+    }
+}
+
+// Shards of a divided zone go to the owners of their cells. What this gateway owns itself, or what is too little for a part, is asked from here.
+static void addCells(RelayPlan &plan, const PartPlan &whole, const RelayView &view, const RelayOptions &options)
+{
+    std::map<std::size_t, std::vector<Core::ServiceName>> cells;
+    for (const auto &shard : whole.shards) {
+        cells[view.cells.cellOf(shard, view.shardsInSearch, whole.zone)].push_back(shard);
+    }
+    for (auto &[cell, shards] : cells) {
+        if (whole.zone == view.ownZone && view.cells.isOwnCell(cell, view.shardsInSearch)) {
+            plan.direct.insert(plan.direct.end(), shards.begin(), shards.end());
+            continue;
+        }
+        PartPlan part = whole;
+        part.shards = std::move(shards);
+        part.owners = view.cells.ownersOf(cell, view.shardsInSearch, whole.zone);
+        addPart(plan, std::move(part), options.fewestShards);
+    }
+}
+
 RelayPlan planRelay(const std::vector<Core::ServiceName> &shards, const RelayView &view, const RelayOptions &options)
 {
     RelayPlan plan;
     plan.targetsHeld = options.targetsHeld;
     std::vector<FarShard> far;
+    PartPlan own{.zone = view.ownZone, .shards = {}, .mayDivide = true};
+    const bool ownCells = !view.onlyOtherRegions && view.cells.isDivided(view.ownZone);
     for (const auto &shard : shards) {
         auto zones = zonesToAsk(shard, view);
         if (zones.empty()) {
             plan.direct.push_back(shard);
+        } else if (zones.front() == view.ownZone) {
+            (ownCells ? own.shards : plan.direct).push_back(shard);
         } else {
             far.push_back({.name = shard, .zones = std::move(zones)});
         }
     }
+    addCells(plan, own, view, options);
     while (!far.empty()) {
         const auto zone = chooseZone(far, view);
         const auto rest = std::stable_partition(far.begin(), far.end(), [&zone](const FarShard &shard) {
@@ -96,11 +129,11 @@
             part.shards.push_back(shard->name);
         }
         far.erase(far.begin(), rest);
-        const auto fewest = part.mayDivide ? options.fewestShards : options.fewestFarShards;
-        if (part.shards.size() >= fewest) {
-            plan.parts.push_back(std::move(part));
+        if (part.mayDivide && view.cells.isDivided(zone)) {
+            addCells(plan, part, view, options);
         } else {
-            plan.direct.insert(plan.direct.end(), part.shards.begin(), part.shards.end());
+            const auto fewest = part.mayDivide ? options.fewestShards : options.fewestFarShards;
+            addPart(plan, std::move(part), fewest);
         }
     }
     return plan;
--- a/Libraries/LibGateway/RelayPlan.h
+++ b/Libraries/LibGateway/RelayPlan.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <LibGateway/BackendPool.h>
+#include <LibGateway/CellMap.h>
 
 namespace Gateway
 {
@@ -39,6 +40,8 @@
     bool isHedge{false};
     /** Lesser records can't be among the greatest any more; empty when that is not known. */
     std::string leastRecord;
+    /** The gateways that should be asked, the first of them first; any of the zone where there are none. */
+    std::vector<BackendName> owners;
 };
 
 /** How a search is divided. */
@@ -61,6 +64,10 @@
     Core::Duration typicalLatency{0};
     /** Spreads searches over zones that are equally good. */
     std::uint64_t number{0};
+    /** Who owns the shards of a zone. */
+    const CellMap &cells;
+    /** Shards of the whole search. */
+    std::size_t shardsInSearch{0};
     /** Only gateways of other regions are asked, because this one was asked itself by one of its own region. */
     bool onlyOtherRegions{false};
 };
--- a/Libraries/LibGateway/RelayedPart.cpp
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -28,6 +28,7 @@
     const auto way = scaled(context.relays->roundTripTo(this->relays), RelayWayFactor) + RelayOverhead;
     this->terms = makeTerms(*context.settings, *this->relayRoute, this->request, *context.relayLatencies, now);
     this->terms.giveUpAt = std::min(this->terms.giveUpAt, partTerms.giveUpAt);
+    this->terms.preferred = plan.owners;
     addRelayTerms(this->request.message.headers,
         RelayTerms{.targetLeft = std::max(Core::Duration(0), partTerms.targetAt - now - way),
             .holdLeft = std::max(Core::Duration(0), this->terms.giveUpAt - now - way),
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -66,6 +66,8 @@
     Core::LatencyDigest *relayLatencies{nullptr};
     /** How long backend servers are told that this route's searches wait; may be nullptr. */
     WorkLimit *workLimit{nullptr};
+    /** Who owns the shards of a zone. */
+    const CellMap *cells{nullptr};
     /** What another gateway wants that asks for a part of a search. */
     std::optional<RelayTerms> relayTerms;
 };
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -61,7 +61,10 @@
 
 void ShardCall::tryNext()
 {
-    auto *backend = this->pool.choose(this->serviceName, this->tried, this->terms.typicalLatency);
+    auto *backend = this->pool.firstSound(this->terms.preferred, this->tried);
+    if (backend == nullptr) {
+        backend = this->pool.choose(this->serviceName, this->tried, this->terms.typicalLatency);
+    }
     if (backend != nullptr) {
         this->sendTo(*backend);
     } else if (this->running.empty()) {
--- a/Libraries/LibGateway/ShardCall.h
+++ b/Libraries/LibGateway/ShardCall.h
@@ -31,6 +31,8 @@
     Core::Duration hedgeDelay{0};
     /** Where a search leaves without those of its shards that are late; nullptr elsewhere. */
     WorkLimit *workLimit{nullptr};
+    /** Those that are asked before any others while they are sound, in this order. */
+    std::vector<BackendName> preferred;
 };
 
 /** Where a call stands. */
--- a/Tests/LibGateway/TestRequests.cpp
+++ b/Tests/LibGateway/TestRequests.cpp
@@ -518,6 +518,7 @@
         fixture.addTo(fixture.relays, Gateway::relayService(zone).value(), std::string("gateway-") + zone, silent, zone);
     }
     const auto regions = GatewayFixture::poolOptions(0.0).regions;
+    const Gateway::CellMap cells({}, "here", regions, {});
     const auto plan = [&](bool onlyOtherRegions) {
         const Gateway::RelayView view{.pool = fixture.pool,
             .relays = fixture.relays,
@@ -525,6 +526,8 @@
             .regions = regions,
             .typicalLatency = Core::milliseconds(20),
             .number = 0,
+            .cells = cells,
+            .shardsInSearch = shards.size(),
             .onlyOtherRegions = onlyOtherRegions};
         return Gateway::planRelay(shards, view, {});
     };
@@ -760,3 +763,83 @@
     }));
     cr_assert(fixture.terms->shards.size() == 2 && fixture.terms->leastRecord.empty());
 }
+
+// The load pattern of TestCellMap: a search's shards go in parts to the owners of their cells, several of which work side by side.
+Test(RelayPlan, bringsTheShardsOfADividedZoneToTheOwnersOfTheirCells)
+{
+    constexpr std::size_t Shards = 180;
+    constexpr std::size_t Gateways = 50;
+    GatewayFixture fixture;
+    const auto silent = [](const Wire::Request &, const Wire::ExchangePointer &) {
+    };
+    const auto regions = GatewayFixture::poolOptions(0.0).regions;
+    auto &backend = fixture.add("unused", "unused", silent);
+    std::vector<Core::ServiceName> shards;
+    for (std::size_t number = 0; number < Shards; ++number) {
+        shards.emplace_back("shard-" + std::to_string(number));
+        const auto *zone = number % 2 == 0 ? "here" : "beside";
+        GatewayFixture::announce(fixture.pool, shards.back().value(), "server-" + std::to_string(number), backend.endpoint, zone);
+    }
+    std::map<std::string, std::vector<Gateway::CellGateway>> gateways;
+    for (const auto *zone : {"here", "beside"}) {
+        for (std::size_t number = 0; number < Gateways; ++number) {
+            const auto name = std::string(zone) + std::to_string(number);
+            gateways[zone].push_back({.name = Gateway::BackendName(name), .address = name});
+            GatewayFixture::announce(fixture.relays, Gateway::relayService(zone).value(), name, backend.endpoint, zone);
+        }
+    }
+    Gateway::CellMap cells({}, "here", regions, "here0");
+    cells.setGateways(gateways);
+    const auto plan = [&](bool onlyOtherRegions) {
+        const Gateway::RelayView view{.pool = fixture.pool,
+            .relays = fixture.relays,
+            .ownZone = "here",
+            .regions = regions,
+            .typicalLatency = Core::milliseconds(20),
+            .number = 0,
+            .cells = cells,
+            .shardsInSearch = Shards,
+            .onlyOtherRegions = onlyOtherRegions};
+        return Gateway::planRelay(shards, view, {});
+    };
+    const auto whole = plan(false);
+    std::size_t asked = whole.direct.size();
+    for (const auto &part : whole.parts) {
+        asked += part.shards.size();
+        cr_assert(part.mayDivide, "the owner sends on what is better asked for in another region");
+        cr_assert_not(part.owners.empty());
+        cr_assert(part.shards.size() <= 40, "%zu shards for one owner", part.shards.size());
+        cr_assert(cells.commonOwnersOf(part.shards, Shards, part.zone) == part.owners);
+    }
+    cr_assert_eq(asked, Shards);
+    cr_assert(whole.parts.size() >= 8);
+    const auto atOwner = plan(true);
+    cr_assert(atOwner.parts.empty(), "an owner does not divide its own zone again");
+    cr_assert_eq(atOwner.direct.size(), Shards);
+}
+
+Test(BackendPool, prefersTheFirstThatIsSound)
+{
+    GatewayFixture fixture;
+    const auto silent = [](const Wire::Request &, const Wire::ExchangePointer &) {
+    };
+    fixture.add("service", "one", silent);
+    fixture.add("service", "two", silent);
+    const Gateway::BackendName one("one");
+    const Gateway::BackendName two("two");
+    const Gateway::BackendName unknown("unknown");
+    const auto first = [&](const std::vector<Gateway::BackendName> &names, const std::vector<Gateway::BackendName> &tried = {}) {
+        const auto *found = fixture.pool.firstSound(names, tried);
+        return found == nullptr ? std::string() : found->name.value();
+    };
+    cr_assert_eq(first({two, one}), "two");
+    cr_assert_eq(first({unknown, one}), "one");
+    cr_assert_eq(first({two, one}, {two}), "one");
+    cr_assert_eq(first({}), "");
+    Fleet::BackendRecord leaving;
+    leaving.announcement.id = "two";
+    leaving.announcement.phase = Protocol::BackendPhase::DRAINING;
+    fixture.pool.update(leaving);
+    cr_assert_eq(first({two, one}), "one");
+    cr_assert_eq(first({two}), "");
+}
--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -185,6 +185,7 @@
             .settings = &this->settings,
             .latencies = &this->latencies,
             .relayLatencies = &this->relayLatencies,
+            .cells = &this->cells,
             .relayTerms = this->relayTerms};
         const auto &used = this->declaration->routes.front();
         auto request = this->dialect.readRequest(std::move(message));
@@ -221,6 +222,7 @@
     std::optional<Gateway::RelayTerms> relayTerms;
     Gateway::BackendPool pool;
     Gateway::BackendPool relays;
+    Gateway::CellMap cells{{}, "here", poolOptions(0.0).regions, "here:1"};
     Gateway::RequestSettings settings;
     Core::LatencyDigest latencies;
     Core::LatencyDigest relayLatencies;
