LibGateway: Give half of the slack of repeats to the owners of a cell

Change: SlackShares. Half of the slack for four owners of a cell in each zone that has the shard's backend servers, the other half for all alike. An owner has its part once it was one for a whole window, and loses it at once.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -83,7 +83,9 @@
     backend->slots = std::max(1, announcement.slots);
     backend->warmUntil = record.warmUntil;
     const auto service = backend->service;
-    this->serviceOf(service).backends.push_back(backend.get());
+    auto &row = this->serviceOf(service);
+    row.backends.push_back(backend.get());
+    row.zones.insert(backend->zone);
     this->backends[announcement.id] = std::move(backend);
     this->offerRoom(service);
 }
@@ -113,9 +115,16 @@
     return this->gateways.all;
 }
 
-RepeatBudget &BackendPool::budget(const Core::ServiceName &service)
+void BackendPool::noteRequest(const Core::ServiceName &service)
 {
-    return *this->serviceOf(service).budget;
+    this->serviceOf(service).budget->noteRequest(this->timers.now());
+}
+
+bool BackendPool::takeRepeat(const Core::ServiceName &service)
+{
+    auto &row = this->serviceOf(service);
+    const double share = this->slackShare ? this->slackShare(service, row.zones) : 1.0 / this->gateways.all;
+    return row.budget->takeRepeat(this->timers.now(), share);
 }
 
 bool BackendPool::hasReady(const Core::ServiceName &service) const
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -23,6 +23,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <unordered_map>
 
 namespace Gateway
@@ -184,7 +185,10 @@
     std::uint64_t waitForRoom(const Core::ServiceName &service, int priority, RoomHook hook);
     void stopWaiting(const Core::ServiceName &service, std::uint64_t number);
 
-    [[nodiscard]] RepeatBudget &budget(const Core::ServiceName &service);
+    /** Counts a first send in the service's budget of repeats. */
+    void noteRequest(const Core::ServiceName &service);
+    /** Takes a repeat out of that budget; false when there is none left. */
+    [[nodiscard]] bool takeRepeat(const Core::ServiceName &service);
     [[nodiscard]] bool hasReady(const Core::ServiceName &service) const;
     /** The availability zones whose backend servers are about as good a choice as the best one, each once. Empty when none takes work. */
     [[nodiscard]] std::vector<std::string> goodZonesOf(const Core::ServiceName &service, Core::Duration typicalLatency) const;
@@ -201,6 +205,9 @@
     /** The rows as JSON, for people. */
     [[nodiscard]] std::string dump() const;
 
+    /** This gateway's part of a service's slack of repeats, told the zones that have or had its backend servers; an equal part when there is none. */
+    std::function<double(const Core::ServiceName &service, const std::set<std::string> &zones)> slackShare;
+
 private:
     struct Waiter {
         std::uint64_t number{0};
@@ -215,6 +222,8 @@
         // 0 when the service is not declared.
         int connectionCap{0};
         std::unique_ptr<RepeatBudget> budget;
+        // Of all backend servers that it ever had: a zone that loses its last one still counts, so that no part grows when one does.
+        std::set<std::string> zones;
     };
 
     [[nodiscard]] Service &serviceOf(const Core::ServiceName &name);
--- a/Libraries/LibGateway/CellMap.cpp
+++ b/Libraries/LibGateway/CellMap.cpp
@@ -78,17 +78,14 @@
 }
 
 // Rendezvous hashing: one that comes or goes changes the cells that it owns, and no others.
-std::vector<const CellGateway *> CellMap::rankedOwners(std::size_t cell, std::size_t shardsInSearch, const std::string &zone) const
+std::vector<const CellGateway *> CellMap::rankedOwners(std::size_t cell, std::size_t shardsInSearch, const std::string &zone, std::size_t count) const
 {
-    if (!this->isDivided(zone)) {
-        return {};
-    }
     const auto cellName = zone + "/" + std::to_string(this->cellCount(shardsInSearch, zone)) + "/" + std::to_string(cell) + "/";
     std::vector<std::pair<std::uint64_t, const CellGateway *>> ranked;
     for (const auto &gateway : this->gateways.at(zone)) {
         ranked.emplace_back(hashOf(cellName + gateway.address), &gateway);
     }
-    const auto owners = std::min(this->ownerCount(zone), ranked.size());
+    const auto owners = std::min(count, ranked.size());
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(owners), ranked.end());
     std::vector<const CellGateway *> chosen;
     for (std::size_t rank = 0; rank < owners; ++rank) {
@@ -99,10 +96,10 @@
 
 std::vector<BackendName> CellMap::ownersOf(std::size_t cell, std::size_t shardsInSearch, const std::string &zone) const
 {
-    auto owners = this->rankedOwners(cell, shardsInSearch, zone);
-    if (owners.empty()) {
+    if (!this->isDivided(zone)) {
         return {};
     }
+    auto owners = this->rankedOwners(cell, shardsInSearch, zone, this->ownerCount(zone));
     // Gateways spread over the owners, and each keeps to its own, to which its connections are open.
     const auto first = hashOf(this->ownAddress + "/" + std::to_string(cell)) % owners.size();
     std::rotate(owners.begin(), owners.begin() + static_cast<std::ptrdiff_t>(first), owners.end());
@@ -127,7 +124,34 @@
 
 bool CellMap::isOwnCell(std::size_t cell, std::size_t shardsInSearch) const
 {
-    const auto owners = this->rankedOwners(cell, shardsInSearch, this->ownZone);
+    return this->isDivided(this->ownZone) && this->isAmong(this->rankedOwners(cell, shardsInSearch, this->ownZone, this->ownerCount(this->ownZone)));
+}
+
+bool CellMap::cellsHaveOwners() const
+{
+    std::size_t all = 0;
+    for (const auto &[zone, row] : this->gateways) {
+        all += row.size();
+    }
+    return all > 0 && all >= this->options.fewestGateways * this->gateways.size();
+}
+
+std::vector<std::size_t> CellMap::ownCells(std::size_t shardsInSearch, std::size_t ranks) const
+{
+    std::vector<std::size_t> own;
+    if (!this->gateways.contains(this->ownZone)) {
+        return own;
+    }
+    for (std::size_t cell = 0; cell < this->cellCount(shardsInSearch, this->ownZone); ++cell) {
+        if (this->isAmong(this->rankedOwners(cell, shardsInSearch, this->ownZone, ranks))) {
+            own.push_back(cell);
+        }
+    }
+    return own;
+}
+
+bool CellMap::isAmong(const std::vector<const CellGateway *> &owners) const
+{
     return std::any_of(owners.begin(), owners.end(), [this](const CellGateway *owner) {
         return owner->address == this->ownAddress;
     });
--- a/Libraries/LibGateway/CellMap.h
+++ b/Libraries/LibGateway/CellMap.h
@@ -61,6 +61,12 @@
     /** Searches that callers bring to one gateway, a second; with the number of gateways an estimate of all. */
     void setSearchRate(double perSecond);
 
+    /** Whether gateways are so many that zones are divided, unless searches are too frequent for it. */
+    [[nodiscard]] bool cellsHaveOwners() const;
+
+    /** The cells of this zone for searches over so many shards whose first `ranks` owners include this gateway. */
+    [[nodiscard]] std::vector<std::size_t> ownCells(std::size_t shardsInSearch, std::size_t ranks) const;
+
     /** Whether searches for a zone's shards go to owners of cells. */
     [[nodiscard]] bool isDivided(const std::string &zone) const;
 
@@ -80,7 +86,8 @@
 private:
     [[nodiscard]] std::size_t cellCount(std::size_t shardsInSearch, const std::string &zone) const;
     [[nodiscard]] std::size_t ownerCount(const std::string &zone) const;
-    [[nodiscard]] std::vector<const CellGateway *> rankedOwners(std::size_t cell, std::size_t shardsInSearch, const std::string &zone) const;
+    [[nodiscard]] std::vector<const CellGateway *> rankedOwners(std::size_t cell, std::size_t shardsInSearch, const std::string &zone, std::size_t count) const;
+    [[nodiscard]] bool isAmong(const std::vector<const CellGateway *> &owners) const;
 
     CellOptions options;
     std::string ownZone;
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -19,6 +19,9 @@
 static constexpr Core::Duration HousekeepingPeriod = Core::seconds(1);
 // How long a larger number of gateways is remembered: a little over the window of the repeat budget.
 static constexpr Core::Duration GatewayCountMemory = Core::seconds(15);
+// For how long a gateway that no coordinator answers goes on as an owner: less than coordinators take to give a silent gateway up (12 s), after
+// which another one owns its cells.
+static constexpr Core::Duration OwnershipWithoutNews = Core::seconds(5);
 // How often the counters are logged: a bound for how long ago the last line before a crash was.
 static constexpr Core::Duration CounterLogPeriod = Core::seconds(10);
 
@@ -45,6 +48,8 @@
           this->gateways,
           timers)
     , cells(this->options.cells, this->options.pool.zone.value(), this->options.pool.regions, this->options.relayEndpoint.toString())
+    , slackShares(this->options.slackShares, timers.now())
+    , lastInReach(timers.now())
     , incarnationName(this->options.name + "/" + Core::randomToken().substr(0, 8))
 {
     this->registry.changed = [this](const Fleet::BackendRecord &record) {
@@ -53,6 +58,9 @@
     this->gateways.changed = [this](const Fleet::BackendRecord &record) {
         this->updateRelays(record);
     };
+    this->pool.slackShare = [this](const Core::ServiceName &service, const std::set<std::string> &zones) {
+        return this->slackShareOf(service, zones);
+    };
     this->watcher.heldVersion = [this] {
         return this->routes ? this->routes->declaration().version : Fleet::DeclarationVersion(-1);
     };
@@ -87,6 +95,54 @@
     this->countGateways(now);
     this->searchRate.advance(Core::toFractionalMilliseconds(HousekeepingPeriod) / 1000.0);
     this->cells.setSearchRate(this->searchRate.perSecond());
+    this->divideZones();
+    this->divideSlack(now);
+}
+
+// An owner that hears from no coordinator may have been replaced by another one that it does not know of.
+void GatewayNode::divideSlack(Core::Instant now)
+{
+    if (this->watcher.inReach() > 0) {
+        this->lastInReach = now;
+    }
+    this->slackShares.setGateways(this->pool.gatewayCount(), this->cells.cellsHaveOwners(), now);
+    const bool mayOwn = !this->draining && now - this->lastInReach < OwnershipWithoutNews;
+    std::set<std::size_t> sizes;
+    for (const auto &[service, shards] : this->shardsInSearch) {
+        sizes.insert(shards);
+    }
+    std::set<CellKey> own;
+    for (const auto shards : sizes) {
+        for (const auto cell : this->cells.ownCells(shards, this->options.slackShares.ownersInZone)) {
+            own.emplace(shards, cell);
+        }
+    }
+    this->slackShares.setOwnCells(mayOwn ? own : std::set<CellKey>(), now);
+}
+
+double GatewayNode::slackShareOf(const Core::ServiceName &service, const std::set<std::string> &zones) const
+{
+    const auto found = this->shardsInSearch.find(service);
+    if (found == this->shardsInSearch.end()) {
+        return this->slackShares.shareOfOther();
+    }
+    const auto &zone = this->options.pool.zone.value();
+    const CellKey cell(found->second, this->cells.cellOf(service, found->second, zone));
+    return this->slackShares.shareOfShard(cell, zones.size(), zones.contains(zone), this->timers.now());
+}
+
+void GatewayNode::countShards()
+{
+    std::unordered_map<Core::ServiceName, std::size_t> declared;
+    for (const auto &route : this->routes->declaration().routes) {
+        for (const auto &shard : route.shards) {
+            auto &shards = declared[shard];
+            shards = std::max(shards, route.shards.size());
+        }
+    }
+    // NOTE: What is no shard any more stays one here, since searches of the declaration before may still ask it.
+    declared.insert(this->shardsInSearch.begin(), this->shardsInSearch.end());
+    this->shardsInSearch = std::move(declared);
 }
 
 void GatewayNode::divideZones()
@@ -190,6 +246,7 @@
     }
     this->routes = std::make_shared<const Fleet::RouteTable>(declaration.value());
     this->pool.setDeclaration(declaration.value());
+    this->countShards();
     this->credits.clear();
     Core::logEvent(Core::LogLevel::Information,
         "declaration.in_force",
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -10,6 +10,7 @@
 
 #include <LibFleet/FleetWatcher.h>
 #include <LibGateway/FanOutRequest.h>
+#include <LibGateway/SlackShares.h>
 #include <LibMetrics/LatencyHistogram.h>
 #include <LibWire/Server.h>
 
@@ -27,6 +28,7 @@
     Core::Endpoint relayEndpoint;
     RelayOptions relay;
     CellOptions cells;
+    SlackShareOptions slackShares;
     /** Connections to each other gateway, one request at a time on each. */
     int relayConnections{8};
     /** Reads a declaration's text. */
@@ -94,6 +96,9 @@
     void housekeep(Core::Instant now);
     void countGateways(Core::Instant now);
     void divideZones();
+    void divideSlack(Core::Instant now);
+    void countShards();
+    [[nodiscard]] double slackShareOf(const Core::ServiceName &service, const std::set<std::string> &zones) const;
     void refuse(Refusal refusal, const CallerRequest &request, const Wire::ExchangePointer &exchange, const char *outcome);
     [[nodiscard]] Core::ServiceName chooseTarget(const Fleet::Route &route);
     [[nodiscard]] bool knowsEveryService() const;
@@ -115,6 +120,11 @@
     // The position in the changes of gateways for which the zones are divided.
     std::int64_t dividedAt{-1};
     SmoothedRate searchRate;
+    SlackShares slackShares;
+    // How many shards the largest search has that asks a service.
+    std::unordered_map<Core::ServiceName, std::size_t> shardsInSearch;
+    // When a coordinator last answered.
+    Core::Instant lastInReach;
     // The newest declaration that came; in force once it is confirmed that it was current.
     std::shared_ptr<const Fleet::RouteTable> routes;
     // How far each part of a split route is behind its share.
--- a/Libraries/LibGateway/RelayPlan.cpp
+++ b/Libraries/LibGateway/RelayPlan.cpp
@@ -132,6 +132,7 @@
         if (part.mayDivide && view.cells.isDivided(zone)) {
             addCells(plan, part, view, options);
         } else {
+            part.owners = view.cells.commonOwnersOf(part.shards, view.shardsInSearch, zone);
             const auto fewest = part.mayDivide ? options.fewestShards : options.fewestFarShards;
             addPart(plan, std::move(part), fewest);
         }
--- a/Libraries/LibGateway/RepeatBudget.cpp
+++ b/Libraries/LibGateway/RepeatBudget.cpp
@@ -5,8 +5,6 @@
 
 #include <LibGateway/RepeatBudget.h>
 
-#include <algorithm>
-
 namespace Gateway
 {
 
@@ -29,7 +27,7 @@
     ++this->sliceAt(now).requests;
 }
 
-bool RepeatBudget::takeRepeat(Core::Instant now, int gateways)
+bool RepeatBudget::takeRepeat(Core::Instant now, double slackShare)
 {
     auto &current = this->sliceAt(now);
     double requests = 0.0;
@@ -40,7 +38,7 @@
             repeats += slice.repeats;
         }
     }
-    const double slack = now < this->options.slackFrom ? 0.0 : this->options.slack / std::max(1, gateways);
+    const double slack = now < this->options.slackFrom ? 0.0 : this->options.slack * slackShare;
     const double allowed = this->options.ratio * requests + slack;
     if (repeats + 1.0 > this->options.usedShare * allowed) {
         return false;
--- a/Libraries/LibGateway/RepeatBudget.h
+++ b/Libraries/LibGateway/RepeatBudget.h
@@ -38,8 +38,8 @@
 
     void noteRequest(Core::Instant now);
 
-    /** Takes one repeat out of the budget; false when there is none left. `gateways` share the slack. */
-    [[nodiscard]] bool takeRepeat(Core::Instant now, int gateways);
+    /** Takes one repeat out of the budget; false when there is none left. `slackShare` is the part of the slack that is this gateway's, up to 1. */
+    [[nodiscard]] bool takeRepeat(Core::Instant now, double slackShare);
 
 private:
     // One slice more than a window has, so that each span of its length lies within what is counted.
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -44,14 +44,13 @@
 void ShardCall::start(std::function<void()> finishedHook)
 {
     this->finished = std::move(finishedHook);
-    auto &budget = this->pool.budget(this->serviceName);
     if (this->repeatIsPaid) {
         // The other gateway has counted it.
     } else if (this->earlierSends == 0) {
         if (!this->countedEarlier) {
-            budget.noteRequest(this->timers.now());
+            this->pool.noteRequest(this->serviceName);
         }
-    } else if (!budget.takeRepeat(this->timers.now(), this->pool.gatewayCount())) {
+    } else if (!this->pool.takeRepeat(this->serviceName)) {
         this->reason = "no repeat left in the budget";
         this->finish(this->executionCount > 0 ? CallState::Failed : CallState::NotRun);
         return;
@@ -162,7 +161,7 @@
         this->sendTo(candidate);
         return;
     }
-    if (this->pool.budget(this->serviceName).takeRepeat(this->timers.now(), this->pool.gatewayCount())) {
+    if (this->pool.takeRepeat(this->serviceName)) {
         ++this->hedgeCount;
         this->sendTo(candidate);
     }
@@ -174,7 +173,7 @@
         // Better sent from here, since it is no repeat then.
         return false;
     }
-    if (!this->pool.budget(this->serviceName).takeRepeat(this->timers.now(), this->pool.gatewayCount())) {
+    if (!this->pool.takeRepeat(this->serviceName)) {
         return false;
     }
     ++this->hedgeCount;
@@ -274,7 +273,7 @@
         this->refusedBy.clear();
     }
     if (allowed && choice() != nullptr) {
-        if (!wasSent || this->pool.budget(this->serviceName).takeRepeat(this->timers.now(), this->pool.gatewayCount())) {
+        if (!wasSent || this->pool.takeRepeat(this->serviceName)) {
             this->tryNext();
             return;
         }
--- /dev/null
+++ b/Libraries/LibGateway/SlackShares.cpp
@@ -0,0 +1,59 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibGateway/SlackShares.h>
+
+#include <algorithm>
+
+namespace Gateway
+{
+
+SlackShares::SlackShares(SlackShareOptions options, Core::Instant start) : options(options), lastOwned(start)
+{
+}
+
+void SlackShares::setGateways(int all, bool cellsHaveOwners, Core::Instant now)
+{
+    this->gateways = std::max(1, all);
+    if (cellsHaveOwners) {
+        this->lastOwned = now;
+    } else {
+        this->ownSince.clear();
+    }
+}
+
+void SlackShares::setOwnCells(const std::set<CellKey> &cells, Core::Instant now)
+{
+    std::erase_if(this->ownSince, [&cells](const auto &item) {
+        return !cells.contains(item.first);
+    });
+    for (const auto &cell : cells) {
+        this->ownSince.try_emplace(cell, now);
+    }
+}
+
+double SlackShares::shareOfShard(const CellKey &cell, std::size_t zones, bool inOwnZone, Core::Instant now) const
+{
+    // S2
+    if (now - this->lastOwned >= 2 * this->options.window) {
+        return this->shareOfOther();
+    }
+    const double equalPart = (1.0 - this->options.ownersPart) / this->gateways;
+    // S1
+    const auto owned = this->ownSince.find(cell);
+    const bool isOwner = inOwnZone && owned != this->ownSince.end() && now - owned->second >= this->options.window;
+    if (!isOwner) {
+        return equalPart;
+    }
+    const auto owners = this->options.ownersInZone * std::max<std::size_t>(1, zones);
+    return equalPart + this->options.ownersPart / static_cast<double>(owners);
+}
+
+double SlackShares::shareOfOther() const
+{
+    return 1.0 / this->gateways;
+}
+
+}
--- a/Tests/LibGateway/TestPureParts.cpp
+++ b/Tests/LibGateway/TestPureParts.cpp
@@ -90,7 +90,7 @@
         if (busy && tick % 5 == 0) {
             budget.noteRequest(now);
         }
-        sent.emplace_back(tick, budget.takeRepeat(now, 4));
+        sent.emplace_back(tick, budget.takeRepeat(now, 1.0 / 4));
     }
     for (std::size_t start = 0; start + 1000 <= sent.size(); ++start) {
         int repeats = 0;
@@ -107,7 +107,7 @@
     const auto repeatsWith = [](int gateways) {
         Gateway::RepeatBudget budget({.ratio = 0.2, .slack = 60.0, .window = Core::seconds(10), .usedShare = 0.75});
         int taken = 0;
-        while (budget.takeRepeat(Core::Instant(Core::seconds(100)), gateways)) {
+        while (budget.takeRepeat(Core::Instant(Core::seconds(100)), 1.0 / gateways)) {
             ++taken;
         }
         return taken;
@@ -122,14 +122,14 @@
     // Five of ten gateways started again within a window had their part of the slack twice: 310 repeats of 308 (hunt of edz-parts).
     const Core::Instant started(Core::seconds(100));
     Gateway::RepeatBudget budget({.ratio = 0.2, .slack = 60.0, .window = Core::seconds(10), .slackFrom = started + Core::seconds(10), .usedShare = 1.0});
-    cr_assert_not(budget.takeRepeat(started + Core::seconds(1), 10));
+    cr_assert_not(budget.takeRepeat(started + Core::seconds(1), 0.1));
     for (int request = 0; request < 10; ++request) {
         budget.noteRequest(started + Core::seconds(2));
     }
-    cr_assert(budget.takeRepeat(started + Core::seconds(3), 10), "requests earn repeats all the same");
-    cr_assert(budget.takeRepeat(started + Core::seconds(3), 10));
-    cr_assert_not(budget.takeRepeat(started + Core::seconds(3), 10));
-    cr_assert(budget.takeRepeat(started + Core::seconds(11), 10));
+    cr_assert(budget.takeRepeat(started + Core::seconds(3), 0.1), "requests earn repeats all the same");
+    cr_assert(budget.takeRepeat(started + Core::seconds(3), 0.1));
+    cr_assert_not(budget.takeRepeat(started + Core::seconds(3), 0.1));
+    cr_assert(budget.takeRepeat(started + Core::seconds(11), 0.1));
 }
 
 Test(RelayTerms, comeBackAsTheyWereAddedAndAreAllNeeded)
