LibCoordinator: Tell watchers together of those that arrive

Cause: after a loss of power 300 gateways become ready one by one, each is news for all others, and a watcher asks again as soon as it is answered.

Change: who leaves and what is declared is told within 5 ms as before, who arrives within 100 ms. Coordinators tell each other everything at once.

--- a/Libraries/LibCoordinator/WatchDesk.cpp
+++ b/Libraries/LibCoordinator/WatchDesk.cpp
@@ -5,11 +5,16 @@
 
 #include <LibCoordinator/WatchDesk.h>
 
+#include <algorithm>
+
 namespace Coordinator
 {
 
-// News that arrives within this time travels together; far below the seconds in which it has to be in force.
+// Urgent news that comes within this time travels together; far below the seconds in which it has to be in force.
 static constexpr Core::Duration NewsDelay = Core::milliseconds(5);
+// The same for news of those that arrive, which nobody waits for. When hundreds of gateways start at the same moment each is news for all others:
+// told one by one, a hundred watchers of one coordinator keep it busy for as long as gateways arrive.
+static constexpr Core::Duration ArrivalDelay = Core::milliseconds(100);
 static constexpr Core::Duration OverdueCheckPeriod = Core::milliseconds(100);
 // How long a question for a confirmation is held while there is no leader; about what an election takes.
 static constexpr Core::Duration ConfirmationHold = Core::milliseconds(400);
@@ -49,6 +54,19 @@
     return otherLife || this->hasRegistryNewsFor(request) || request.declarationVersion < this->log.version();
 }
 
+// Coordinators tell each other everything at once, since what one hears is to reach the watchers of all.
+bool WatchDesk::hasUrgentNewsFor(const Protocol::WatchRequest &request) const
+{
+    const bool toldNoBackends = request.cursor == 0 && this->registry.position() > 0;
+    const bool toldNoGateways = request.gatewayCursor == 0 && this->gateways.position() > 0;
+    if (request.wantsHeard || toldNoBackends || toldNoGateways || request.coordinatorIncarnation != this->options.incarnation) {
+        return this->hasNewsFor(request);
+    }
+    const bool wantsLeavers = request.registryInterest != Protocol::RegistryInterest::NOTHING;
+    const bool leaver = request.cursor < this->registry.leaverPosition() || request.gatewayCursor < this->gateways.leaverPosition();
+    return (wantsLeavers && leaver) || request.declarationVersion < this->log.version();
+}
+
 void WatchDesk::watch(const Protocol::WatchRequest &request, const std::function<void(const Protocol::WatchReply &reply)> &done)
 {
     WaitingWatcher watcher{.request = request, .done = done, .answerBy = this->timers.now() + this->options.hold};
@@ -58,10 +76,13 @@
         this->confirmWatcher(std::move(watcher));
         return;
     }
-    if (this->hasNewsFor(request)) {
+    if (this->hasUrgentNewsFor(request)) {
         this->answerWatcher(watcher, false);
         return;
     }
+    if (this->hasNewsFor(request)) {
+        this->scheduleArrivals();
+    }
     this->watchers.push_back(std::move(watcher));
 }
 
@@ -72,7 +93,7 @@
         if (weak.expired()) {
             return;
         }
-        if (confirmed || this->hasNewsFor(watcher.request)) {
+        if (confirmed || this->hasUrgentNewsFor(watcher.request)) {
             this->answerWatcher(watcher, confirmed);
         } else {
             this->watchers.push_back(watcher);
@@ -167,27 +188,44 @@
     });
 }
 
-void WatchDesk::answerWatchersWithNews()
+void WatchDesk::scheduleArrivals()
 {
-    std::list<WaitingWatcher> ready;
-    for (auto next = this->watchers.begin(); next != this->watchers.end();) {
-        const auto current = next++;
-        if (this->hasNewsFor(current->request)) {
-            ready.splice(ready.end(), this->watchers, current);
-        }
+    if (this->arrivalTimer.isActive()) {
+        return;
     }
-    for (const auto &watcher : ready) {
-        this->answerWatcher(watcher, false);
+    this->arrivalTimer = this->timers.once(ArrivalDelay, [this](Core::Instant) {
+        this->answerWhere([this](const WaitingWatcher &watcher) {
+            return this->hasNewsFor(watcher.request);
+        });
+    });
+}
+
+void WatchDesk::answerWatchersWithNews()
+{
+    this->answerWhere([this](const WaitingWatcher &watcher) {
+        return this->hasUrgentNewsFor(watcher.request);
+    });
+    const bool othersHaveNews = std::any_of(this->watchers.begin(), this->watchers.end(), [this](const WaitingWatcher &watcher) {
+        return this->hasNewsFor(watcher.request);
+    });
+    if (othersHaveNews) {
+        this->scheduleArrivals();
     }
 }
 
 void WatchDesk::answerOverdueWatchers()
 {
-    const auto now = this->timers.now();
+    this->answerWhere([now = this->timers.now()](const WaitingWatcher &watcher) {
+        return watcher.answerBy <= now;
+    });
+}
+
+void WatchDesk::answerWhere(const std::function<bool(const WaitingWatcher &watcher)> &condition)
+{
     std::list<WaitingWatcher> ready;
     for (auto next = this->watchers.begin(); next != this->watchers.end();) {
         const auto current = next++;
-        if (current->answerBy <= now) {
+        if (condition(*current)) {
             ready.splice(ready.end(), this->watchers, current);
         }
     }
--- a/Libraries/LibCoordinator/WatchDesk.h
+++ b/Libraries/LibCoordinator/WatchDesk.h
@@ -39,7 +39,7 @@
     /** Calls `done` once, when there is news or the question was held for long enough. */
     void watch(const Protocol::WatchRequest &request, const std::function<void(const Protocol::WatchReply &reply)> &done);
 
-    /** Something changed that watchers may want to know. */
+    /** Something changed that watchers may want to know: at once who leaves and what is declared, a little later who arrives. */
     void scheduleNews();
 
     [[nodiscard]] std::size_t waitingCount() const;
@@ -58,8 +58,12 @@
     void confirmWatchers();
     [[nodiscard]] bool hasRegistryNewsFor(const Protocol::WatchRequest &request) const;
     [[nodiscard]] bool hasNewsFor(const Protocol::WatchRequest &request) const;
+    [[nodiscard]] bool hasUrgentNewsFor(const Protocol::WatchRequest &request) const;
+    void scheduleArrivals();
     void answerWatchersWithNews();
     void answerOverdueWatchers();
+    /** Answers those that a condition holds for, unconfirmed. */
+    void answerWhere(const std::function<bool(const WaitingWatcher &watcher)> &condition);
     [[nodiscard]] std::vector<std::string> heardFor(const std::string &watcher);
 
     WatchDeskOptions options;
@@ -71,6 +75,7 @@
     // Up to when each coordinator knows whose heartbeats came here.
     std::map<std::string, Core::Instant> heardUntil;
     Core::TimerSubscription newsTimer;
+    Core::TimerSubscription arrivalTimer;
     Core::TimerSubscription overdueTimer;
     std::shared_ptr<int> alive{std::make_shared<int>(0)};
 };
--- a/Tests/LibCoordinator/TestWatchDesk.cpp
+++ b/Tests/LibCoordinator/TestWatchDesk.cpp
@@ -61,6 +61,18 @@
         this->desk.scheduleNews();
     }
 
+    /** A gateway that becomes ready. */
+    void arrive(int number)
+    {
+        Protocol::BackendAnnouncement announcement;
+        announcement.id = "gateway-" + std::to_string(number);
+        announcement.address = "127.0.0.1:" + std::to_string(number + 1);
+        announcement.phase = BackendPhase::READY;
+        announcement.sequence = 1;
+        this->gateways.merge(announcement, this->timers.now());
+        this->desk.scheduleNews();
+    }
+
     [[nodiscard]] bool isAnswered()
     {
         return this->runUntil([this] {
@@ -135,6 +147,46 @@
     cr_assert(fixture.answer->cursor == 0 && fixture.answer->changed.empty(), "what it was not told it can still ask for");
 }
 
+// The load pattern: 300 gateways start at the same moment and become ready one by one. Each is news for all others, and a watcher asks again as soon
+// as it has its answer: told of each by itself, the watchers of one coordinator kept it busy for half a second.
+Test(WatchDesk, tellsOfThoseThatArriveTogetherInFewAnswers)
+{
+    constexpr int Arrivals = 100;
+    DeskFixture fixture;
+    fixture.arrive(0);
+    int answers = 0;
+    auto request = fixture.question(RegistryInterest::EVERYTHING);
+    std::function<void()> ask = [&] {
+        fixture.desk.watch(request, [&](const Protocol::WatchReply &reply) {
+            ++answers;
+            request.cursor = reply.cursor;
+            request.gatewayCursor = reply.gatewayCursor;
+            ask();
+        });
+    };
+    ask();
+    for (int number = 1; number <= Arrivals; ++number) {
+        fixture.arrive(number);
+        fixture.settle(Core::milliseconds(2));
+    }
+    cr_assert(fixture.runUntil([&] {
+        return request.gatewayCursor == fixture.gateways.position();
+    }));
+    cr_assert_lt(answers, Arrivals / 5, "%d answers", answers);
+}
+
+Test(WatchDesk, tellsOfALeaverAtOnceWhileOthersArrive)
+{
+    DeskFixture fixture;
+    fixture.arrive(1);
+    fixture.change("one", BackendPhase::READY);
+    fixture.ask(fixture.question(RegistryInterest::EVERYTHING));
+    fixture.arrive(2);
+    fixture.change("one", BackendPhase::DRAINING);
+    cr_assert(fixture.isAnswered());
+    cr_assert(fixture.answer->changed.size() == 1 && fixture.answer->changedGateways.size() == 1, "with it goes what has come so far");
+}
+
 Test(WatchDesk, neverConfirmsWithoutLeading)
 {
     DeskFixture fixture;
