LibGateway: Move what a gateway knows of its cells into CellOwnership

It hands CellOwnership the news and asks it; nothing is decided differently. The window of the slack comes from the settings, as the budget's does, and a line `cells.owned` says when a gateway's own cells change.

--- /dev/null
+++ b/Libraries/LibGateway/CellOwnership.cpp
@@ -0,0 +1,103 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibGateway/CellOwnership.h>
+
+#include <LibCore/Log.h>
+
+#include <algorithm>
+
+namespace Gateway
+{
+
+static constexpr double MillisecondsInASecond = 1000.0;
+
+CellOwnership::CellOwnership(
+    CellOwnershipOptions options, std::string ownZone, const Fleet::RegionOfZone &regions, const std::string &ownAddress, Core::Instant now)
+    : options(options), ownZone(std::move(ownZone)), map(options.cells, this->ownZone, regions, ownAddress), shares(options.slack, now)
+{
+}
+
+const CellMap &CellOwnership::cells() const
+{
+    return this->map;
+}
+
+void CellOwnership::noteSearch()
+{
+    this->searchRate.note();
+}
+
+void CellOwnership::takeGateways(const Fleet::BackendRegistry &gateways)
+{
+    if (std::exchange(this->mapPosition, gateways.position()) == gateways.position()) {
+        return;
+    }
+    std::map<std::string, std::vector<CellGateway>> byZone;
+    for (const auto *gateway : gateways.ready()) {
+        byZone[gateway->zone].push_back({.name = BackendName(gateway->id), .address = gateway->address});
+    }
+    this->map.setGateways(std::move(byZone));
+}
+
+void CellOwnership::takeDeclaration(const Fleet::Declaration &declaration)
+{
+    std::unordered_map<Core::ServiceName, std::size_t> declared;
+    for (const auto &route : declaration.routes) {
+        for (const auto &shard : route.shards) {
+            auto &shards = declared[shard];
+            shards = std::max(shards, route.shards.size());
+        }
+    }
+    declared.insert(this->shardsInSearch.begin(), this->shardsInSearch.end());
+    this->shardsInSearch = std::move(declared);
+}
+
+std::set<CellKey> CellOwnership::findOwnCells() const
+{
+    std::set<std::size_t> sizes;
+    for (const auto &[service, shards] : this->shardsInSearch) {
+        sizes.insert(shards);
+    }
+    std::set<CellKey> own;
+    for (const auto shards : sizes) {
+        for (const auto cell : this->map.ownCells(shards, this->options.slack.ownersInZone)) {
+            own.emplace(shards, cell);
+        }
+    }
+    return own;
+}
+
+void CellOwnership::advance(const OwnershipView &view, Core::Duration span, Core::Instant now)
+{
+    this->searchRate.advance(Core::toFractionalMilliseconds(span) / MillisecondsInASecond);
+    this->map.setSearchRate(this->searchRate.perSecond());
+    const bool haveOwners = this->map.cellsHaveOwners();
+    auto own = view.mayOwn && haveOwners ? this->findOwnCells() : std::set<CellKey>();
+    this->shares.setGateways(view.gateways, haveOwners, now);
+    this->shares.setOwnCells(own, now);
+    if (own != this->ownCells) {
+        Core::logEvent(Core::LogLevel::Information,
+            "cells.owned",
+            {{"cells", own.size()},
+                {"before", this->ownCells.size()},
+                {"gateways", view.gateways},
+                {"may_own", view.mayOwn ? 1 : 0},
+                {"zone_divided", this->map.isDivided(this->ownZone) ? 1 : 0}});
+        this->ownCells = std::move(own);
+    }
+}
+
+double CellOwnership::slackShareOf(const Core::ServiceName &service, const std::set<std::string> &zones, Core::Instant now) const
+{
+    const auto found = this->shardsInSearch.find(service);
+    if (found == this->shardsInSearch.end()) {
+        return this->shares.shareOfOther();
+    }
+    const CellKey cell(found->second, this->map.cellOf(service, found->second, this->ownZone));
+    return this->shares.shareOfShard(cell, zones.size(), zones.contains(this->ownZone), now);
+}
+
+}
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -47,8 +47,7 @@
           this->registry,
           this->gateways,
           timers)
-    , cells(this->options.cells, this->options.pool.zone.value(), this->options.pool.regions, this->options.relayEndpoint.toString())
-    , slackShares(this->options.slackShares, timers.now())
+    , ownership(this->options.ownership, this->options.pool.zone.value(), this->options.pool.regions, this->options.relayEndpoint.toString(), timers.now())
     , lastInReach(timers.now())
     , incarnationName(this->options.name + "/" + Core::randomToken().substr(0, 8))
 {
@@ -59,7 +58,7 @@
         this->updateRelays(record);
     };
     this->pool.slackShare = [this](const Core::ServiceName &service, const std::set<std::string> &zones) {
-        return this->slackShareOf(service, zones);
+        return this->ownership.slackShareOf(service, zones, this->timers.now());
     };
     this->watcher.heldVersion = [this] {
         return this->routes ? this->routes->declaration().version : Fleet::DeclarationVersion(-1);
@@ -93,68 +92,12 @@
     this->registry.forget(now);
     this->gateways.forget(now);
     this->countGateways(now);
-    this->searchRate.advance(Core::toFractionalMilliseconds(HousekeepingPeriod) / 1000.0);
-    this->cells.setSearchRate(this->searchRate.perSecond());
-    this->divideZones();
-    this->divideSlack(now);
-}
-
-// An owner that hears from no coordinator may have been replaced by another one that it does not know of.
-void GatewayNode::divideSlack(Core::Instant now)
-{
     if (this->watcher.inReach() > 0) {
         this->lastInReach = now;
     }
-    this->slackShares.setGateways(this->pool.gatewayCount(), this->cells.cellsHaveOwners(), now);
     const bool mayOwn = !this->draining && now - this->lastInReach < OwnershipWithoutNews;
-    std::set<std::size_t> sizes;
-    for (const auto &[service, shards] : this->shardsInSearch) {
-        sizes.insert(shards);
-    }
-    std::set<CellKey> own;
-    for (const auto shards : sizes) {
-        for (const auto cell : this->cells.ownCells(shards, this->options.slackShares.ownersInZone)) {
-            own.emplace(shards, cell);
-        }
-    }
-    this->slackShares.setOwnCells(mayOwn ? own : std::set<CellKey>(), now);
-}
-
-double GatewayNode::slackShareOf(const Core::ServiceName &service, const std::set<std::string> &zones) const
-{
-    const auto found = this->shardsInSearch.find(service);
-    if (found == this->shardsInSearch.end()) {
-        return this->slackShares.shareOfOther();
-    }
-    const auto &zone = this->options.pool.zone.value();
-    const CellKey cell(found->second, this->cells.cellOf(service, found->second, zone));
-    return this->slackShares.shareOfShard(cell, zones.size(), zones.contains(zone), this->timers.now());
-}
-
-void GatewayNode::countShards()
-{
-    std::unordered_map<Core::ServiceName, std::size_t> declared;
-    for (const auto &route : this->routes->declaration().routes) {
-        for (const auto &shard : route.shards) {
-            auto &shards = declared[shard];
-            shards = std::max(shards, route.shards.size());
-        }
-    }
-    // NOTE: What is no shard any more stays one here, since searches of the declaration before may still ask it.
-    declared.insert(this->shardsInSearch.begin(), this->shardsInSearch.end());
-    this->shardsInSearch = std::move(declared);
-}
-
-void GatewayNode::divideZones()
-{
-    if (std::exchange(this->dividedAt, this->gateways.position()) == this->gateways.position()) {
-        return;
-    }
-    std::map<std::string, std::vector<CellGateway>> byZone;
-    for (const auto *gateway : this->gateways.ready()) {
-        byZone[gateway->zone].push_back({.name = BackendName(gateway->id), .address = gateway->address});
-    }
-    this->cells.setGateways(std::move(byZone));
+    this->ownership.takeGateways(this->gateways);
+    this->ownership.advance({.gateways = this->pool.gatewayCount(), .mayOwn = mayOwn}, HousekeepingPeriod, now);
 }
 
 // The largest count of the last while: some that are not heard of just now still send, and those of a herd that starts come one by one.
@@ -246,7 +189,7 @@
     }
     this->routes = std::make_shared<const Fleet::RouteTable>(declaration.value());
     this->pool.setDeclaration(declaration.value());
-    this->countShards();
+    this->ownership.takeDeclaration(*declaration.value());
     this->credits.clear();
     Core::logEvent(Core::LogLevel::Information,
         "declaration.in_force",
@@ -390,20 +333,20 @@
         .latencies = &this->latencies[route.name],
         .relayLatencies = &this->relayLatencies[route.name],
         .workLimit = &this->workLimits[route.name],
-        .cells = &this->cells,
+        .cells = &this->ownership.cells(),
         .relayTerms = std::move(relayTerms)};
 }
 
 RelayView GatewayNode::relayView(const Fleet::Route &route, bool onlyOtherRegions)
 {
-    this->divideZones();
+    this->ownership.takeGateways(this->gateways);
     return RelayView{.pool = this->pool,
         .relays = this->relays,
         .ownZone = this->options.pool.zone.value(),
         .regions = this->options.pool.regions,
         .typicalLatency = typicalLatencyOf(this->options.requests, route, this->latencies[route.name]),
         .number = this->nextRequest,
-        .cells = this->cells,
+        .cells = this->ownership.cells(),
         .shardsInSearch = route.shards.size(),
         .onlyOtherRegions = onlyOtherRegions};
 }
@@ -417,7 +360,7 @@
         this->run(std::make_unique<SingleRequest>(context, this->routes, route, std::move(request), this->chooseTarget(route)), exchange);
         return;
     }
-    this->searchRate.note();
+    this->ownership.noteSearch();
     auto plan = planRelay(route.shards, this->relayView(route, false), this->options.relay);
     this->counts.relayed += plan.parts.size();
     this->run(std::make_unique<FanOutRequest>(context, this->routes, route, std::move(request), std::move(plan), Asker::Caller), exchange);
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -9,8 +9,8 @@
 #pragma once
 
 #include <LibFleet/FleetWatcher.h>
+#include <LibGateway/CellOwnership.h>
 #include <LibGateway/FanOutRequest.h>
-#include <LibGateway/SlackShares.h>
 #include <LibMetrics/LatencyHistogram.h>
 #include <LibWire/Server.h>
 
@@ -27,8 +27,7 @@
     /** Where other gateways bring searches. */
     Core::Endpoint relayEndpoint;
     RelayOptions relay;
-    CellOptions cells;
-    SlackShareOptions slackShares;
+    CellOwnershipOptions ownership;
     /** Connections to each other gateway, one request at a time on each. */
     int relayConnections{8};
     /** Reads a declaration's text. */
@@ -95,10 +94,6 @@
     void updateRelays(const Fleet::BackendRecord &record);
     void housekeep(Core::Instant now);
     void countGateways(Core::Instant now);
-    void divideZones();
-    void divideSlack(Core::Instant now);
-    void countShards();
-    [[nodiscard]] double slackShareOf(const Core::ServiceName &service, const std::set<std::string> &zones) const;
     void refuse(Refusal refusal, const CallerRequest &request, const Wire::ExchangePointer &exchange, const char *outcome);
     [[nodiscard]] Core::ServiceName chooseTarget(const Fleet::Route &route);
     [[nodiscard]] bool knowsEveryService() const;
@@ -115,14 +110,7 @@
     Fleet::BackendRegistry registry;
     Fleet::BackendRegistry gateways;
     Fleet::FleetWatcher watcher;
-    // Who owns the shards of a zone, and the callers' searches that it is worked out from.
-    CellMap cells;
-    // The position in the changes of gateways for which the zones are divided.
-    std::int64_t dividedAt{-1};
-    SmoothedRate searchRate;
-    SlackShares slackShares;
-    // How many shards the largest search has that asks a service.
-    std::unordered_map<Core::ServiceName, std::size_t> shardsInSearch;
+    CellOwnership ownership;
     // When a coordinator last answered.
     Core::Instant lastInReach;
     // The newest declaration that came; in force once it is confirmed that it was current.
--- a/Services/gatewayd/main.cpp
+++ b/Services/gatewayd/main.cpp
@@ -81,6 +81,7 @@
     options.pool.budget.slack = settings.repeatSlack;
     options.pool.budget.window = settings.repeatWindow;
     options.pool.budget.slackFrom = now + settings.repeatWindow;
+    options.ownership.slack.window = settings.repeatWindow;
     options.pool.seed = Core::randomNumber();
     options.requests.returnFloor = Gateway::returnFloorFor(options.requests, settings.processorShare);
     options.coordinators = Platform::watchEndpoints(settings);
