--- a/Tests/LibGateway/TestSlackShares.cpp
+++ b/Tests/LibGateway/TestSlackShares.cpp
@@ -24,7 +24,7 @@
 {
 
 constexpr std::size_t Shards = 180;
-const CellKey Cell(Shards, 3);
+const CellKey someCell(Shards, 3);
 constexpr std::size_t ZonesOfShard = 3;
 constexpr double Slack = 640.0;
 
@@ -42,39 +42,39 @@
     for (auto *shares : {&owner, &other}) {
         shares->setGateways(300, true, at(0.0));
     }
-    owner.setOwnCells({Cell}, at(0.0));
-    const double ownerRepeats = Slack * owner.shareOfShard(Cell, ZonesOfShard, true, at(10.0));
-    const double otherRepeats = Slack * other.shareOfShard(Cell, ZonesOfShard, true, at(10.0));
+    owner.setOwnCells({someCell}, at(0.0));
+    const double ownerRepeats = Slack * owner.shareOfShard(someCell, ZonesOfShard, true, at(10.0));
+    const double otherRepeats = Slack * other.shareOfShard(someCell, ZonesOfShard, true, at(10.0));
     cr_assert(ownerRepeats > 27.0 && ownerRepeats < 28.0, "%f", ownerRepeats);
     cr_assert(otherRepeats > 1.0 && otherRepeats < 1.1, "%f", otherRepeats);
     const auto owners = 4.0 * ZonesOfShard;
     cr_assert(owners * ownerRepeats + (300.0 - owners) * otherRepeats <= Slack + 0.001);
-    cr_assert_eq(owner.shareOfShard(Cell, ZonesOfShard, false, at(10.0)), other.shareOfShard(Cell, ZonesOfShard, true, at(10.0)));
+    cr_assert_eq(owner.shareOfShard(someCell, ZonesOfShard, false, at(10.0)), other.shareOfShard(someCell, ZonesOfShard, true, at(10.0)));
 }
 
 Test(SlackShares, aNewOwnerWaitsForAWindowAndAnOldOneStopsAtOnce)
 {
     SlackShares shares({}, at(0.0));
     shares.setGateways(300, true, at(0.0));
-    const double equalPart = shares.shareOfShard(Cell, ZonesOfShard, true, at(0.0));
-    shares.setOwnCells({Cell}, at(5.0));
-    cr_assert_eq(shares.shareOfShard(Cell, ZonesOfShard, true, at(14.9)), equalPart);
-    cr_assert_gt(shares.shareOfShard(Cell, ZonesOfShard, true, at(15.0)), equalPart);
+    const double equalPart = shares.shareOfShard(someCell, ZonesOfShard, true, at(0.0));
+    shares.setOwnCells({someCell}, at(5.0));
+    cr_assert_eq(shares.shareOfShard(someCell, ZonesOfShard, true, at(14.9)), equalPart);
+    cr_assert_gt(shares.shareOfShard(someCell, ZonesOfShard, true, at(15.0)), equalPart);
     shares.setGateways(300, true, at(20.0));
     shares.setOwnCells({}, at(20.0));
-    cr_assert_eq(shares.shareOfShard(Cell, ZonesOfShard, true, at(20.0)), equalPart);
-    shares.setOwnCells({Cell}, at(21.0));
-    cr_assert_eq(shares.shareOfShard(Cell, ZonesOfShard, true, at(30.0)), equalPart, "the wait begins anew");
+    cr_assert_eq(shares.shareOfShard(someCell, ZonesOfShard, true, at(20.0)), equalPart);
+    shares.setOwnCells({someCell}, at(21.0));
+    cr_assert_eq(shares.shareOfShard(someCell, ZonesOfShard, true, at(30.0)), equalPart, "the wait begins anew");
 }
 
 Test(SlackShares, fewGatewaysShareAlikeOnceThatIsSure)
 {
     SlackShares shares({}, at(0.0));
     shares.setGateways(11, false, at(1.0));
-    cr_assert_lt(shares.shareOfShard(Cell, ZonesOfShard, true, at(19.0)), 1.0 / 11);
-    cr_assert_eq(shares.shareOfShard(Cell, ZonesOfShard, true, at(20.0)), 1.0 / 11);
+    cr_assert_lt(shares.shareOfShard(someCell, ZonesOfShard, true, at(19.0)), 1.0 / 11);
+    cr_assert_eq(shares.shareOfShard(someCell, ZonesOfShard, true, at(20.0)), 1.0 / 11);
     shares.setGateways(60, true, at(30.0));
-    cr_assert_lt(shares.shareOfShard(Cell, ZonesOfShard, true, at(49.0)), 1.0 / 60);
+    cr_assert_lt(shares.shareOfShard(someCell, ZonesOfShard, true, at(49.0)), 1.0 / 60);
     cr_assert_eq(shares.shareOfOther(), 1.0 / 60);
 }
 
@@ -82,9 +82,9 @@
 {
 
 constexpr std::size_t GatewaysInZone = 10;
-const std::vector<std::string> ZoneNames{"a", "b", "c"};
-const Fleet::RegionOfZone Regions{{"a", "a"}, {"b", "b"}, {"c", "c"}};
-const Core::ServiceName Shard("shard-1");
+const std::vector<std::string> zoneNames{"a", "b", "c"};
+const Fleet::RegionOfZone regions{{"a", "a"}, {"b", "b"}, {"c", "c"}};
+const Core::ServiceName someShard("shard-1");
 constexpr double Tick = 0.25;
 constexpr double Length = 90.0;
 constexpr double Window = 10.0;
@@ -109,7 +109,7 @@
 public:
     explicit GreedyFleet(std::uint64_t seed) : random(seed)
     {
-        for (const auto &zone : ZoneNames) {
+        for (const auto &zone : zoneNames) {
             for (std::size_t number = 0; number < GatewaysInZone; ++number) {
                 this->gateways.push_back({.zone = zone, .address = zone + std::to_string(number), .cells = nullptr, .shares = nullptr, .budget = nullptr});
                 this->start(this->gateways.back(), 0.0);
@@ -155,7 +155,7 @@
         gateway.cutSince = -1.0;
         gateway.knownFrom = now + this->between(0.0, 2.0);
         gateway.unknownFrom = 1e9;
-        gateway.cells = std::make_unique<Gateway::CellMap>(Gateway::CellOptions{}, gateway.zone, Regions, gateway.address);
+        gateway.cells = std::make_unique<Gateway::CellMap>(Gateway::CellOptions{}, gateway.zone, regions, gateway.address);
         gateway.shares = std::make_unique<SlackShares>(Gateway::SlackShareOptions{}, at(now));
         gateway.budget = std::make_unique<Gateway::RepeatBudget>(
             Gateway::RepeatBudgetOptions{.ratio = 0.2, .slack = Slack, .window = Core::seconds(10), .slackFrom = at(now + Window)});
@@ -210,9 +210,9 @@
             own.emplace(Shards, cell);
         }
         gateway.shares->setOwnCells(mayOwn ? own : std::set<CellKey>(), at(now));
-        const CellKey cell(Shards, gateway.cells->cellOf(Shard, Shards, gateway.zone));
+        const CellKey cell(Shards, gateway.cells->cellOf(someShard, Shards, gateway.zone));
         int taken = 0;
-        while (gateway.budget->takeRepeat(at(now), gateway.shares->shareOfShard(cell, ZoneNames.size(), true, at(now)))) {
+        while (gateway.budget->takeRepeat(at(now), gateway.shares->shareOfShard(cell, zoneNames.size(), true, at(now)))) {
             ++taken;
         }
         return taken;
