--- a/Tests/LibGateway/TestRequests.cpp
+++ b/Tests/LibGateway/TestRequests.cpp
@@ -497,6 +497,27 @@
     cr_assert(part->missing.front().serviceName == "b" && part->missing.front().executions == 1);
 }
 
+namespace
+{
+
+/** How a gateway in the zone "here" divides a search. */
+Gateway::RelayPlan planHere(const GatewayFixture &fixture, const std::vector<Core::ServiceName> &shards, const Gateway::CellMap &cells, bool onlyOtherRegions)
+{
+    const auto regions = GatewayFixture::poolOptions(0.0).regions;
+    const Gateway::RelayView view{.pool = fixture.pool,
+        .relays = fixture.relays,
+        .ownZone = "here",
+        .regions = regions,
+        .typicalLatency = Core::milliseconds(20),
+        .number = 0,
+        .cells = cells,
+        .shardsInSearch = shards.size(),
+        .onlyOtherRegions = onlyOtherRegions};
+    return Gateway::planRelay(shards, view, {});
+}
+
+}
+
 Test(RelayPlan, givesEachShardToAZoneWhereItsBestBackendServersAre)
 {
     GatewayFixture fixture;
@@ -520,16 +541,7 @@
     const auto regions = GatewayFixture::poolOptions(0.0).regions;
     const Gateway::CellMap cells({}, "here", regions, {});
     const auto plan = [&](bool onlyOtherRegions) {
-        const Gateway::RelayView view{.pool = fixture.pool,
-            .relays = fixture.relays,
-            .ownZone = "here",
-            .regions = regions,
-            .typicalLatency = Core::milliseconds(20),
-            .number = 0,
-            .cells = cells,
-            .shardsInSearch = shards.size(),
-            .onlyOtherRegions = onlyOtherRegions};
-        return Gateway::planRelay(shards, view, {});
+        return planHere(fixture, shards, cells, onlyOtherRegions);
     };
     const auto whole = plan(false);
     cr_assert(whole.parts.size() == 2);
@@ -791,16 +803,7 @@
     Gateway::CellMap cells({}, "here", regions, "here0");
     cells.setGateways(gateways);
     const auto plan = [&](bool onlyOtherRegions) {
-        const Gateway::RelayView view{.pool = fixture.pool,
-            .relays = fixture.relays,
-            .ownZone = "here",
-            .regions = regions,
-            .typicalLatency = Core::milliseconds(20),
-            .number = 0,
-            .cells = cells,
-            .shardsInSearch = Shards,
-            .onlyOtherRegions = onlyOtherRegions};
-        return Gateway::planRelay(shards, view, {});
+        return planHere(fixture, shards, cells, onlyOtherRegions);
     };
     const auto whole = plan(false);
     std::size_t asked = whole.direct.size();
