LibGateway: Let a part of a cell lack half of what its search may, not all

Change: a part of a cell leaves at the target when it lacks at most half of what the search may; one that lacks more waits for its shards, since the search is late anyway. Ruled out: bytes and budget, which are the same.

--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -111,10 +111,11 @@
 
 void FanOutRequest::startPart(const PartPlan &partPlan, std::vector<std::size_t> rowNumbers)
 {
-    // Each part gets its share of what may be missing, rounded up. One of a cell leaves at the target with what it has, since it can't know what the
-    // many others lack, and the asker has what is late asked for again; after the target it is whole. Of hedges any that is in is of use.
+    // Each part gets its share of what may be missing, rounded up. One of a cell is small, and one that waits for its own late shards keeps all of
+    // them from a search that could leave; so it may lack half of all that may be missing, and one that lacks more makes the search late anyway. After
+    // the target it is whole. Of hedges any that is in is of use.
     const auto bySize = (this->mayMiss() * partPlan.shards.size() + this->rows.size() - 1) / this->rows.size();
-    const auto ofCell = this->canBeInTime() ? partPlan.shards.size() : 0;
+    const auto ofCell = this->canBeInTime() ? std::max(bySize, this->mayMiss() / 2) : 0;
     const auto share = partPlan.owners.empty() ? bySize : ofCell;
     const PartTerms partTerms{.targetAt = this->terms.targetAt,
         .giveUpAt = std::min(this->terms.giveUpAt, this->arrivedAt + this->plan.targetsHeld * this->route.targetLatency),
