--- a/Libraries/LibCoordinator/CoordinatorNode.cpp
+++ b/Libraries/LibCoordinator/CoordinatorNode.cpp
@@ -52,7 +52,9 @@
                 {"service", announcement.serviceName},
                 {"address", announcement.address},
                 {"phase", static_cast<int>(announcement.phase)},
-                {"sequence", announcement.sequence}});
+                {"sequence", announcement.sequence},
+                {"born", announcement.born},
+                {"cold_ms", announcement.warmupLeftMs}});
         raw->store.note(announcement);
         raw->desk->scheduleNews();
     };
@@ -64,7 +66,7 @@
                                                             .zone = node->options.log.log.identity.zone,
                                                             .own = node->options.watchEndpoint,
                                                             .watchedAtOnce = SIZE_MAX,
-                                                            .wantsDeclarations = false,
+                                                            .wantsOrders = false,
                                                             .wantsHeard = true},
         node->registry,
         node->gateways,
@@ -116,12 +118,12 @@
 
 // ---- Operators
 
-void CoordinatorNode::declare(const std::string &content, const std::function<void(const DeclareOutcome &outcome)> &done)
+void CoordinatorNode::declare(const std::string &content, const std::function<void(const OrderOutcome &outcome)> &done)
 {
-    DeclareOutcome outcome;
+    OrderOutcome outcome;
     const auto version = this->options.examine(content);
     if (!version.has_value()) {
-        outcome.status = DeclareStatus::Invalid;
+        outcome.status = OrderStatus::Invalid;
         outcome.problem = version.error().message;
         done(outcome);
         return;
@@ -129,30 +131,57 @@
     outcome.version = version->value();
     if (outcome.version <= this->log->version()) {
         // What is applied here is on a quorum's disks already, so no leader is needed to say so.
-        outcome.status = DeclareStatus::Accepted;
+        outcome.status = OrderStatus::Accepted;
         done(outcome);
         return;
     }
     outcome.leaderAddress = this->leaderOperatorAddress();
     if (this->draining) {
-        outcome.status = DeclareStatus::NotLeader;
+        outcome.status = OrderStatus::NotLeader;
         done(outcome);
         return;
     }
-    this->log->propose(outcome.version, content, [outcome, done](ProposalEnd end) mutable {
+    this->log->propose(outcome.version, content, answerTo(outcome, done));
+}
+
+void CoordinatorNode::evacuate(const std::string &zone, bool evacuate, const std::function<void(const OrderOutcome &outcome)> &done)
+{
+    OrderOutcome outcome;
+    if (!this->options.regions.contains(zone)) {
+        outcome.status = OrderStatus::Invalid;
+        outcome.problem = "there is no availability zone " + zone;
+        done(outcome);
+        return;
+    }
+    // NOTE: Always through the leader's log. What is applied here may be out of date, so it can't show that the order is in force already.
+    outcome.leaderAddress = this->leaderOperatorAddress();
+    if (this->draining) {
+        outcome.status = OrderStatus::NotLeader;
+        done(outcome);
+        return;
+    }
+    Protocol::EvacuationOrder order;
+    order.zone = zone;
+    order.evacuate = evacuate;
+    this->log->proposeEvacuation(order, answerTo(outcome, done));
+}
+
+DeclarationLog::ProposalHook CoordinatorNode::answerTo(OrderOutcome outcome, const std::function<void(const OrderOutcome &outcome)> &done)
+{
+    return [outcome = std::move(outcome), done](ProposalEnd end) mutable {
         switch (end) {
         case ProposalEnd::Committed:
-            outcome.status = DeclareStatus::Accepted;
+            outcome.status = OrderStatus::Accepted;
             break;
         case ProposalEnd::NotLeader:
-            outcome.status = DeclareStatus::NotLeader;
+            outcome.status = OrderStatus::NotLeader;
             break;
         case ProposalEnd::Unknown:
-            outcome.status = DeclareStatus::Unknown;
+            outcome.status = OrderStatus::Unknown;
             break;
         }
         done(outcome);
-    });
+    };
 }
 
 void CoordinatorNode::read(const std::function<void(const ReadOutcome &outcome)> &done)
@@ -173,12 +202,12 @@
 
 void CoordinatorNode::announce(const Protocol::BackendAnnouncement &announcement)
 {
-    this->registry.merge(announcement, this->timers.now());
+    this->registry.mergeHeartbeat(announcement, this->timers.now());
 }
 
-void CoordinatorNode::farewell(const std::string &id)
+void CoordinatorNode::farewell(const std::string &id, std::int64_t born)
 {
-    this->registry.markGone(id, this->timers.now());
+    this->registry.markGone(id, this->timers.now(), born);
 }
 
 void CoordinatorNode::restoreBackends()
@@ -450,6 +479,7 @@
     page.gauge("crankrudder_leader", "Whether this coordinator leads.", this->log->isLeader() ? 1 : 0);
     page.gauge("crankrudder_has_leader", "Whether this coordinator hears from a leader.", replicated != nullptr && replicated->leader() != nullptr ? 1 : 0);
     page.gauge("crankrudder_declaration_version", "The newest committed declaration.", static_cast<double>(this->log->version()));
+    page.gauge("crankrudder_evacuated_zones", "Availability zones that are evacuated.", static_cast<double>(this->log->evacuations().zones.size()));
     page.gauge("crankrudder_backends_ready", "Backend servers that take work.", this->registry.readyCount());
     page.gauge("crankrudder_gateways", "Gateways that take requests.", this->gateways.readyCount());
     page.gauge("crankrudder_watchers", "Questions that are held for news.", static_cast<double>(this->desk->waitingCount()));
@@ -467,6 +497,7 @@
     nlohmann::json document;
     const auto *replicated = this->log->log();
     document["declaration_version"] = this->log->version();
+    document["evacuated_zones"] = this->log->evacuations().zones;
     document["backends"] = this->registry.size();
     document["gateways"] = this->gateways.readyCount();
     document["watchers"] = this->desk->waitingCount();
--- a/Libraries/LibCoordinator/CoordinatorNode.h
+++ b/Libraries/LibCoordinator/CoordinatorNode.h
@@ -36,11 +36,13 @@
     Core::Duration gatewaySilence{Core::seconds(12)};
     /** Says what is wrong with a declaration's text, or which version it has. */
     std::function<Core::Result<Fleet::DeclarationVersion>(const std::string &content)> examine;
+    /** The availability zones of the deployment, which operators may evacuate. */
+    Fleet::RegionOfZone regions;
 };
 
-/** What becomes of an operator's declaration. */
-enum class DeclareStatus {
-    /** This version, or a higher one, is held by a quorum. */
+/** What becomes of an operator's order. */
+enum class OrderStatus {
+    /** A quorum holds it; a declaration also when a quorum holds a higher version. */
     Accepted,
     Invalid,
     /** Another coordinator has to be asked. */
@@ -49,9 +51,9 @@
     Unknown,
 };
 
-struct DeclareOutcome {
-    DeclareStatus status{DeclareStatus::Unknown};
-    /** The version of what was sent; -1 when it can't be read. */
+struct OrderOutcome {
+    OrderStatus status{OrderStatus::Unknown};
+    /** The version of a declaration; -1 when it can't be read. */
     std::int64_t version{-1};
     /** For Invalid: what is wrong. */
     std::string problem;
@@ -77,12 +79,15 @@
     CoordinatorNode &operator=(const CoordinatorNode &) = delete;
 
     // Operators.
-    void declare(const std::string &content, const std::function<void(const DeclareOutcome &outcome)> &done);
+    void declare(const std::string &content, const std::function<void(const OrderOutcome &outcome)> &done);
+    /** Nothing more goes to the backend servers of an availability zone, or they are used again. */
+    void evacuate(const std::string &zone, bool evacuate, const std::function<void(const OrderOutcome &outcome)> &done);
     void read(const std::function<void(const ReadOutcome &outcome)> &done);
 
     // Backend servers.
     void announce(const Protocol::BackendAnnouncement &announcement);
-    void farewell(const std::string &id);
+    /** `born` tells which life ends; 0 when the backend server did not say. */
+    void farewell(const std::string &id, std::int64_t born);
 
     // Gateways and other coordinators.
     void watch(const Protocol::WatchRequest &request, const std::function<void(const Protocol::WatchReply &reply)> &done);
@@ -104,6 +109,8 @@
 private:
     CoordinatorNode(CoordinatorOptions options, Core::TimerService &timers);
     void startTimers();
+    /** Tells how the log took an order. */
+    [[nodiscard]] static DeclarationLog::ProposalHook answerTo(OrderOutcome outcome, const std::function<void(const OrderOutcome &outcome)> &done);
     void changeMembers();
     void seekMembership();
     void introduceTo(const Core::Endpoint &endpoint);
--- a/Libraries/LibCoordinator/DeclarationLog.cpp
+++ b/Libraries/LibCoordinator/DeclarationLog.cpp
@@ -23,7 +23,6 @@
 
 DeclarationLog::DeclarationLog(DeclarationLogOptions options, Core::TimerService &timers) : options(std::move(options)), timers(timers)
 {
-    this->newest.version = -1;
 }
 
 Core::Result<std::unique_ptr<DeclarationLog>> DeclarationLog::create(DeclarationLogOptions options, Core::TimerService &timers)
@@ -65,7 +64,7 @@
         {{"member", this->replicatedLog->identity().name},
             {"initialised", this->replicatedLog->isInitialised() ? 1 : 0},
             {"last_index", this->replicatedLog->lastIndex()},
-            {"declaration", this->newest.version}});
+            {"declaration", this->newestVersion}});
     return {};
 }
 
@@ -96,14 +95,21 @@
             },
         .takeSnapshot =
             [this] {
-                return Rpc::serialize(this->newest);
+                Protocol::StoredState state;
+                state.version = this->newestVersion;
+                state.compressed = this->newestCompressed;
+                state.evacuations = this->evacuated.current();
+                return Rpc::serialize(state);
             },
         .restoreSnapshot = [this](const std::string &state) -> Core::Result<void> {
-            auto stored = Rpc::deserialize<Protocol::StoredDeclaration>(state);
+            const auto stored = Rpc::deserialize<Protocol::StoredState>(state);
             if (!stored.has_value()) {
                 return tl::make_unexpected(stored.error());
             }
-            this->adopt(std::move(stored.value()));
+            this->adopt(stored->version, stored->compressed);
+            if (this->evacuated.restore(stored->evacuations)) {
+                this->noteEvacuations();
+            }
             return {};
         },
         .flushNeeded =
@@ -144,42 +150,65 @@
     }
 }
 
-void DeclarationLog::adopt(Protocol::StoredDeclaration declaration)
+void DeclarationLog::adopt(std::int64_t version, const std::string &compressed)
 {
-    if (declaration.version <= this->newest.version) {
+    if (version <= this->newestVersion) {
         return;
     }
-    auto content = Fleet::expandText(declaration.compressed, MaximumContentBytes);
+    auto content = Fleet::expandText(compressed, MaximumContentBytes);
     if (!content.has_value()) {
-        Core::logEvent(Core::LogLevel::Error, "declaration.unreadable", {{"version", declaration.version}, {"error", content.error().message}});
+        Core::logEvent(Core::LogLevel::Error, "declaration.unreadable", {{"version", version}, {"error", content.error().message}});
         return;
     }
-    if (this->newest.version >= 0) {
-        this->earlier.emplace_back(this->newest.version, std::move(this->newest.compressed));
+    if (this->newestVersion >= 0) {
+        this->earlier.emplace_back(this->newestVersion, std::move(this->newestCompressed));
     }
     if (this->earlier.size() > EarlierVersions) {
         this->earlier.pop_front();
     }
     this->deltas.clear();
-    this->newest = std::move(declaration);
+    this->newestVersion = version;
+    this->newestCompressed = compressed;
     this->newestContent = std::move(content.value());
     Core::logEvent(Core::LogLevel::Information,
         "declaration.committed",
-        {{"version", this->newest.version}, {"bytes", this->newestContent.size()}, {"compressed", this->newest.compressed.size()}});
+        {{"version", this->newestVersion}, {"bytes", this->newestContent.size()}, {"compressed", this->newestCompressed.size()}});
     if (this->changed) {
         this->changed();
     }
 }
 
+void DeclarationLog::noteEvacuations()
+{
+    std::string zones;
+    for (const auto &zone : this->evacuated.current().zones) {
+        zones += (zones.empty() ? "" : ",") + zone;
+    }
+    Core::logEvent(Core::LogLevel::Information, "evacuations.committed", {{"revision", this->evacuated.current().revision}, {"zones", zones}});
+    if (this->changed) {
+        this->changed();
+    }
+}
+
+void DeclarationLog::applyOrder(const Protocol::StoredOrder &order)
+{
+    if (order.version >= 0) {
+        this->adopt(order.version, order.compressed);
+    }
+    if (order.__isset.evacuation && this->evacuated.apply(order.evacuation)) {
+        this->noteEvacuations();
+    }
+}
+
 void DeclarationLog::applyEntry(const Protocol::LogEntry &entry)
 {
     if (!entry.command.empty()) {
-        auto declaration = Rpc::deserialize<Protocol::StoredDeclaration>(entry.command);
-        if (declaration.has_value()) {
-            this->adopt(std::move(declaration.value()));
+        const auto order = Rpc::deserialize<Protocol::StoredOrder>(entry.command);
+        if (order.has_value()) {
+            this->applyOrder(order.value());
         } else {
             // Every coordinator meets the same bytes, so every one passes over them alike.
-            Core::logEvent(Core::LogLevel::Error, "log.command_unreadable", {{"index", entry.index}, {"error", declaration.error().message}});
+            Core::logEvent(Core::LogLevel::Error, "log.command_unreadable", {{"index", entry.index}, {"error", order.error().message}});
         }
     }
     const auto decided = this->waiting.take(entry);
@@ -189,15 +218,27 @@
 }
 
 void DeclarationLog::propose(std::int64_t version, const std::string &content, ProposalHook done)
+{
+    Protocol::StoredOrder order;
+    order.version = version;
+    order.compressed = Fleet::compressText(content);
+    this->proposeOrder(order, std::move(done));
+}
+
+void DeclarationLog::proposeEvacuation(const Protocol::EvacuationOrder &evacuation, ProposalHook done)
+{
+    Protocol::StoredOrder order;
+    order.__set_evacuation(evacuation);
+    this->proposeOrder(order, std::move(done));
+}
+
+void DeclarationLog::proposeOrder(const Protocol::StoredOrder &order, ProposalHook done)
 {
     if (!this->isLeader()) {
         done(ProposalEnd::NotLeader);
         return;
     }
-    Protocol::StoredDeclaration declaration;
-    declaration.version = version;
-    declaration.compressed = Fleet::compressText(content);
-    const auto index = this->replicatedLog->propose(Rpc::serialize(declaration));
+    const auto index = this->replicatedLog->propose(Rpc::serialize(order));
     if (!index.has_value()) {
         done(ProposalEnd::NotLeader);
         return;
@@ -205,6 +246,11 @@
     this->waiting.add(index.value(), this->replicatedLog->term(), std::move(done));
 }
 
+const Protocol::Evacuations &DeclarationLog::evacuations() const
+{
+    return this->evacuated.current();
+}
+
 void DeclarationLog::confirm(const std::function<void(bool confirmed)> &hook)
 {
     if (!this->replicatedLog) {
@@ -216,7 +262,7 @@
 
 std::int64_t DeclarationLog::version() const
 {
-    return this->newest.version;
+    return this->newestVersion;
 }
 
 const std::string &DeclarationLog::content() const
@@ -226,7 +272,7 @@
 
 const std::string &DeclarationLog::compressed() const
 {
-    return this->newest.compressed;
+    return this->newestCompressed;
 }
 
 const std::string *DeclarationLog::deltaFrom(std::int64_t earlierVersion)
--- a/Libraries/LibCoordinator/DeclarationLog.h
+++ b/Libraries/LibCoordinator/DeclarationLog.h
@@ -3,14 +3,19 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-// The declaration that operators sent, kept on a quorum of coordinators by the
-// replicated log. Of all accepted declarations the one with the highest version
-// counts; of two with one version, the one that the log holds first.
+// What operators ordered, kept on a quorum of coordinators by the replicated log:
+// the declaration, and which availability zones are evacuated. Of all accepted
+// declarations the one with the highest version counts; of two with one version,
+// the one that the log holds first. Of orders on a zone the last one in the log
+// counts. An order enters the log only at the leader that gets it from the
+// operator and waits nowhere else, so one whose sender has given up can't be
+// committed after a later one that was acknowledged.
 
 #pragma once
 
 #include <LibConsensus/ReplicatedLog.h>
 #include <LibConsensus/WaitingProposals.h>
+#include <LibCoordinator/EvacuatedZones.h>
 #include <LibCore/TimerService.h>
 #include <LibFleet/Declaration.h>
 #include <LibProtocol/Generated/fleet_types.h>
@@ -31,7 +36,7 @@
     std::function<void(const Protocol::Member &receiver, Protocol::LogMessage message)> send;
 };
 
-/** How a proposed declaration ended. */
+/** How a proposed order ended. */
 enum class ProposalEnd {
     /** The log holds it on a quorum. */
     Committed,
@@ -53,8 +58,11 @@
     /** Puts a declaration into the log. The hook is called exactly once. */
     void propose(std::int64_t version, const std::string &content, ProposalHook done);
 
+    /** Puts an operator's order to evacuate an availability zone, or to use it again, into the log. The hook is called exactly once. */
+    void proposeEvacuation(const Protocol::EvacuationOrder &order, ProposalHook done);
+
     /**
-     * Asks a quorum, through the leader, whether the newest declaration here is the newest of all. Any coordinator that hears from a leader can
+     * Asks a quorum, through the leader, whether what is held here is the newest of all. Any coordinator that hears from a leader can
      * confirm. The hook is called exactly once.
      */
     void confirm(const std::function<void(bool confirmed)> &hook);
@@ -68,6 +76,9 @@
     /** The delta that leads to it from an earlier version, or nullptr when that one is too long ago. */
     [[nodiscard]] const std::string *deltaFrom(std::int64_t earlierVersion);
 
+    /** The evacuated zones as far as this coordinator knows. */
+    [[nodiscard]] const Protocol::Evacuations &evacuations() const;
+
     void receive(const std::vector<Protocol::LogMessage> &messages);
 
     /** The data folder, for what else a coordinator keeps there, or nullptr while it can't be used. */
@@ -82,7 +93,7 @@
     [[nodiscard]] std::size_t waitingProposals() const;
     [[nodiscard]] std::uint64_t syncCount() const;
 
-    /** A newer declaration was committed. */
+    /** A newer declaration or evacuation was committed. */
     std::function<void()> changed;
 
 private:
@@ -90,16 +101,21 @@
     [[nodiscard]] Core::Result<void> open();
     void closeAndReopen();
     [[nodiscard]] Consensus::ReplicatedLogHooks makeHooks();
+    void proposeOrder(const Protocol::StoredOrder &order, ProposalHook done);
     void applyEntry(const Protocol::LogEntry &entry);
-    void adopt(Protocol::StoredDeclaration declaration);
+    void applyOrder(const Protocol::StoredOrder &order);
+    void adopt(std::int64_t version, const std::string &compressed);
+    void noteEvacuations();
     void tick();
     void scheduleFlush();
     void failWaiting();
 
     DeclarationLogOptions options;
     Core::TimerService &timers;
-    Protocol::StoredDeclaration newest;
+    std::int64_t newestVersion{-1};
+    std::string newestCompressed;
     std::string newestContent;
+    EvacuatedZones evacuated;
     // Texts of the versions before, newest last, and the deltas from them that were asked for since the newest one came.
     std::deque<std::pair<std::int64_t, std::string>> earlier;
     std::map<std::int64_t, std::string> deltas;
--- a/Libraries/LibCoordinator/WatchDesk.cpp
+++ b/Libraries/LibCoordinator/WatchDesk.cpp
@@ -48,10 +48,15 @@
     }
 }
 
+bool WatchDesk::hasOrdersFor(const Protocol::WatchRequest &request) const
+{
+    return request.declarationVersion < this->log.version() || request.evacuationRevision < this->log.evacuations().revision;
+}
+
 bool WatchDesk::hasNewsFor(const Protocol::WatchRequest &request) const
 {
     const bool otherLife = request.coordinatorIncarnation != this->options.incarnation;
-    return otherLife || this->hasRegistryNewsFor(request) || request.declarationVersion < this->log.version();
+    return otherLife || this->hasRegistryNewsFor(request) || this->hasOrdersFor(request);
 }
 
 // Coordinators tell each other everything at once, since what one hears is to reach the watchers of all.
@@ -64,7 +69,7 @@
     }
     const bool wantsLeavers = request.registryInterest != Protocol::RegistryInterest::NOTHING;
     const bool leaver = request.cursor < this->registry.leaverPosition() || request.gatewayCursor < this->gateways.leaverPosition();
-    return (wantsLeavers && leaver) || request.declarationVersion < this->log.version();
+    return (wantsLeavers && leaver) || this->hasOrdersFor(request);
 }
 
 void WatchDesk::watch(const Protocol::WatchRequest &request, const std::function<void(const Protocol::WatchReply &reply)> &done)
@@ -164,6 +169,9 @@
     if (request.wantsDeclaration && reply.declarationVersion > request.declarationVersion) {
         this->addDeclaration(reply, request.declarationVersion);
     }
+    if (request.evacuationRevision < this->log.evacuations().revision) {
+        reply.__set_evacuations(this->log.evacuations());
+    }
     reply.confirmed = confirmed;
     const auto *replicated = this->log.log();
     if (replicated != nullptr) {
--- a/Libraries/LibCoordinator/WatchDesk.h
+++ b/Libraries/LibCoordinator/WatchDesk.h
@@ -57,6 +57,8 @@
     void confirmWatcher(WaitingWatcher watcher);
     void confirmWatchers();
     [[nodiscard]] bool hasRegistryNewsFor(const Protocol::WatchRequest &request) const;
+    /** Operators' orders that the watcher does not hold. */
+    [[nodiscard]] bool hasOrdersFor(const Protocol::WatchRequest &request) const;
     [[nodiscard]] bool hasNewsFor(const Protocol::WatchRequest &request) const;
     [[nodiscard]] bool hasUrgentNewsFor(const Protocol::WatchRequest &request) const;
     void scheduleArrivals();
--- a/Libraries/LibFleet/BackendRegistry.cpp
+++ b/Libraries/LibFleet/BackendRegistry.cpp
@@ -34,29 +34,68 @@
     return phase == BackendPhase::SILENT ? static_cast<int>(BackendPhase::READY) : static_cast<int>(phase);
 }
 
+// Of a farewell that did not say which life it ends.
+static bool isFarewellOfAnyLife(const BackendAnnouncement &announcement)
+{
+    return announcement.born == 0 && announcement.phase == BackendPhase::GONE;
+}
+
+bool BackendRegistry::isCurrent(const BackendRecord &record, const BackendAnnouncement &announcement)
+{
+    const auto &held = record.announcement;
+    if (announcement.born > held.born) {
+        // G5. A later life replaces the earlier one, whatever phase that was in.
+        return true;
+    }
+    if (announcement.born < held.born && !isFarewellOfAnyLife(announcement)) {
+        // G5. What comes late of an earlier life changes nothing.
+        return false;
+    }
+    // G6. Nobody moves to another service within one life; it was written by somebody else.
+    const bool isForeign = !announcement.serviceName.empty() && !held.serviceName.empty() && announcement.serviceName != held.serviceName;
+    // G1. A phase never goes back, however new the heartbeat that says so.
+    const bool goesBack = rankOf(announcement.phase) < rankOf(held.phase);
+    // G2. Within one phase the higher sequence counts.
+    const bool samePhase = rankOf(announcement.phase) == rankOf(held.phase);
+    const bool outdated = samePhase && announcement.sequence <= held.sequence;
+    return !isForeign && !goesBack && !outdated;
+}
+
+bool BackendRegistry::mergeHeartbeat(const BackendAnnouncement &heartbeat, Core::Instant now)
+{
+    const auto found = this->records.find(heartbeat.id);
+    const bool mayBeLate = found != this->records.end() && now < found->second.farewellHoldsUntil.value_or(now);
+    return !mayBeLate && this->merge(heartbeat, now);
+}
+
 bool BackendRegistry::merge(const BackendAnnouncement &announcement, Core::Instant now)
 {
     const auto [position, isNew] = this->records.try_emplace(announcement.id);
     auto &record = position->second;
-    if (!isNew) {
-        // G1. A phase never goes back, however new the heartbeat that says so.
-        const bool goesBack = rankOf(announcement.phase) < rankOf(record.announcement.phase);
-        // G2. Within one phase the higher sequence counts.
-        const bool samePhase = rankOf(announcement.phase) == rankOf(record.announcement.phase);
-        const bool outdated = samePhase && announcement.sequence <= record.announcement.sequence;
-        if (goesBack || outdated) {
-            return false;
-        }
+    if (!isNew && !isCurrent(record, announcement)) {
+        return false;
+    }
+    const bool isNewLife = !isNew && announcement.born > record.announcement.born;
+    if (isNewLife) {
+        // Nothing of the earlier life holds on but the place in the row of changes.
+        record = BackendRecord{.announcement = {}, .farewellHoldsUntil = {}, .confirmBy = {}, .changedAt = record.changedAt};
     }
-    const bool news = isNew || differs(record.announcement, announcement);
+    const auto warmUntil = now + Core::milliseconds(announcement.warmupLeftMs);
+    const bool turnedCold = warmUntil > std::max(now, record.warmUntil) + this->options.coldNews;
+    const bool news = isNew || isNewLife || turnedCold || differs(record.announcement, announcement);
     const bool knowsPlace = !announcement.address.empty();
     const auto sequence = std::max(record.announcement.sequence, announcement.sequence);
-    if (isNew || knowsPlace) {
+    const auto born = std::max(record.announcement.born, announcement.born);
+    if (isNew || isNewLife || knowsPlace) {
         record.announcement = announcement;
     }
     record.announcement.phase = announcement.phase;
     record.announcement.sequence = sequence;
-    record.warmUntil = now + Core::milliseconds(announcement.warmupLeftMs);
+    record.announcement.born = born;
+    if (isNew && isFarewellOfAnyLife(announcement)) {
+        record.farewellHoldsUntil = now + this->options.farewellHold;
+    }
+    record.warmUntil = warmUntil;
     record.lastHeard = now;
     record.lastMerged = now;
     record.confirmBy.reset();
@@ -66,11 +105,12 @@
     return news;
 }
 
-bool BackendRegistry::markGone(const std::string &id, Core::Instant now)
+bool BackendRegistry::markGone(const std::string &id, Core::Instant now, std::int64_t born)
 {
     // G3. One that is not known is remembered all the same, since its heartbeats may still be on their way.
     BackendAnnouncement farewell;
     farewell.id = id;
+    farewell.born = born;
     farewell.phase = BackendPhase::GONE;
     farewell.sequence = INT64_MAX;
     return this->merge(farewell, now);
--- a/Libraries/LibFleet/BackendRegistry.h
+++ b/Libraries/LibFleet/BackendRegistry.h
@@ -5,7 +5,7 @@
 
 // The backend servers that announced themselves, as a coordinator or a gateway
 // knows them. News may come late, twice and in any order from several sides;
-// merging them gives the same table everywhere (docs/PLATFORM.md, rules G1 to G4).
+// merging them gives the same table everywhere (docs/PLATFORM.md, rules G1 to G6).
 
 #pragma once
 
@@ -22,7 +22,7 @@
 namespace Fleet
 {
 
-/** One incarnation of a backend server. */
+/** The latest known life of a backend server. */
 struct BackendRecord {
     Protocol::BackendAnnouncement announcement;
     /** Until when it runs slowly after its start. */
@@ -31,6 +31,8 @@
     Core::Instant lastHeard;
     /** When an announcement of it was last merged here. */
     Core::Instant lastMerged;
+    /** Set when only a farewell is known that did not say which life it ends: until when heartbeats may be late ones of that life. */
+    std::optional<Core::Instant> farewellHoldsUntil;
     /** Set while nothing but a coordinator's disk tells of it: until when a heartbeat has to come. */
     std::optional<Core::Instant> confirmBy;
     /** Position in the row of changes; grows with each change that others have to know. */
@@ -46,6 +48,16 @@
      * shorter than the time after a start in which one that left unnoticed could still get work that counts.
      */
     Core::Duration unconfirmedLife{Core::milliseconds(3500)};
+    /**
+     * For how long after the farewell of an unknown life heartbeats under its id are taken for late ones. Heartbeats come up to some seconds late;
+     * one that goes on for longer is of a life that started after the farewell.
+     */
+    Core::Duration farewellHold{Core::seconds(10)};
+    /**
+     * A backend server that has to run slowly for this much longer than was known turned cold again, which others have to know. More than a
+     * heartbeat is usually late, which moves the end of the same cold span.
+     */
+    Core::Duration coldNews{Core::milliseconds(500)};
 };
 
 /** Merges announcements. */
@@ -54,6 +66,9 @@
 public:
     explicit BackendRegistry(RegistryOptions options = {});
 
+    /** Takes a heartbeat over that came here from the backend server itself. Returns whether others have to know. */
+    bool mergeHeartbeat(const Protocol::BackendAnnouncement &heartbeat, Core::Instant now);
+
     /** Takes an announcement over. Returns whether others have to know. */
     bool merge(const Protocol::BackendAnnouncement &announcement, Core::Instant now);
 
@@ -63,8 +78,8 @@
     /** Marks those silent that were restored and made no heartbeat in time. Returns how many. */
     std::size_t expireUnconfirmed(Core::Instant now);
 
-    /** The backend server said that it ends, or is known to have ended. Returns whether that is news. */
-    bool markGone(const std::string &id, Core::Instant now);
+    /** The backend server said that it ends, or is known to have ended. `born` tells which life, 0 the known one. Returns whether that is news. */
+    bool markGone(const std::string &id, Core::Instant now, std::int64_t born = 0);
 
     /** A heartbeat of this one reached another coordinator. */
     void noteHeard(const std::string &id, Core::Instant now);
@@ -101,6 +116,8 @@
     std::function<void(const BackendRecord &record)> changed;
 
 private:
+    /** Whether an announcement may change what is held of its backend server. */
+    [[nodiscard]] static bool isCurrent(const BackendRecord &record, const Protocol::BackendAnnouncement &announcement);
     void noteChange(BackendRecord &record);
     void markSilent(Protocol::BackendAnnouncement announcement, Core::Instant now);
 
--- a/Libraries/LibFleet/Declaration.h
+++ b/Libraries/LibFleet/Declaration.h
@@ -10,6 +10,7 @@
 
 #include <LibCore/StrongValue.h>
 #include <LibCore/Time.h>
+#include <LibFleet/Regions.h>
 
 #include <map>
 #include <memory>
@@ -29,6 +30,10 @@
     Core::ServiceName name;
     /** Connections that one backend server takes from all callers together. */
     int connectionCap{1};
+    /** How long a backend server of it is cold after a start, and again at times. */
+    Core::Duration warmupTime{0};
+    /** Requests a second that a cold one bears from all callers together; 0 where nothing is declared, and then nothing bounds them. */
+    double coldRequestsPerSecond{0.0};
 };
 
 /** A service that gets a part of a route's requests. */
@@ -62,6 +67,8 @@
     std::size_t topRecords{0};
     /** The smallest share of the shards with which an answer counts. */
     double minimumCoverage{1.0};
+    /** Where its requests may be served. */
+    AllowedRegions allowedRegions;
 
     [[nodiscard]] bool isFanOut() const
     {
--- a/Libraries/LibFleet/FleetWatcher.cpp
+++ b/Libraries/LibFleet/FleetWatcher.cpp
@@ -171,10 +171,12 @@
         request.gatewayCursor = 0;
     }
     const bool overdue = this->newestKnown > this->held() && this->timers.now() - this->newestKnownSince >= this->options.declarationPatience;
-    request.wantsDeclaration = this->options.wantsDeclarations && (wantsEverything || overdue);
+    request.wantsDeclaration = this->options.wantsOrders && (wantsEverything || overdue);
     request.declarationVersion = request.wantsDeclaration ? this->heldTextVersion : std::max(this->held(), this->newestKnown);
-    if (!this->options.wantsDeclarations) {
+    request.evacuationRevision = this->evacuated.revision;
+    if (!this->options.wantsOrders) {
         request.declarationVersion = INT64_MAX;
+        request.evacuationRevision = INT64_MAX;
     }
     const auto own = this->presence ? this->presence() : std::nullopt;
     if (own.has_value()) {
@@ -273,7 +275,7 @@
     // NOTE: Asked from the loop, so that a coordinator that answers at once can't keep this function from returning. One that told of a
     //       declaration without its text is asked after a pause, to want the text from it if it has not come from the first one by then. But a
     //       confirmation is not to wait for that, since nothing is answered before there is one.
-    const bool textMissing = this->options.wantsDeclarations && this->newestKnown > this->held() && !this->wantsConfirmation;
+    const bool textMissing = this->options.wantsOrders && this->newestKnown > this->held() && !this->wantsConfirmation;
     this->askLater(endpoint, textMissing ? this->options.declarationPatience : Core::Duration(0));
     this->askChosen();
 }
@@ -300,6 +302,7 @@
         this->newestKnown = reply.declarationVersion;
         this->newestKnownSince = now;
     }
+    this->takeEvacuations(reply);
     this->takeDeclaration(reply, askedFrom);
     for (const auto &place : reply.coordinators) {
         const auto endpoint = Core::Endpoint::parse(place.address);
@@ -309,6 +312,23 @@
     }
 }
 
+const Protocol::Evacuations &FleetWatcher::evacuations() const
+{
+    return this->evacuated;
+}
+
+// They come whole with each answer to a question that named an older revision, so whoever was confirmed to be current holds them.
+void FleetWatcher::takeEvacuations(const Protocol::WatchReply &reply)
+{
+    if (!reply.__isset.evacuations || reply.evacuations.revision <= this->evacuated.revision) {
+        return;
+    }
+    this->evacuated = reply.evacuations;
+    if (this->evacuationsArrived) {
+        this->evacuationsArrived(this->evacuated);
+    }
+}
+
 void FleetWatcher::takeDeclaration(const Protocol::WatchReply &reply, std::int64_t askedFrom)
 {
     const bool carries = reply.__isset.declaration || reply.__isset.declarationDelta;
--- a/Libraries/LibFleet/FleetWatcher.h
+++ b/Libraries/LibFleet/FleetWatcher.h
@@ -31,8 +31,8 @@
     Core::Endpoint own;
     /** How many coordinators are watched at once; any more are known, but asked only when these fail. */
     std::size_t watchedAtOnce{2};
-    /** Whether declarations are wanted, and whose heartbeats coordinators heard. */
-    bool wantsDeclarations{true};
+    /** Whether operators' orders are wanted, and whose heartbeats coordinators heard. */
+    bool wantsOrders{true};
     bool wantsHeard{false};
     /**
      * A coordinator that does not answer for this long is asked over a new connection. Longer than coordinators
@@ -78,6 +78,11 @@
     std::function<DeclarationVersion()> heldVersion;
     /** What the watcher says of itself, when it is a gateway that takes requests. */
     std::function<std::optional<Protocol::BackendAnnouncement>()> presence;
+    /** The evacuated zones as far as this watcher knows. */
+    [[nodiscard]] const Protocol::Evacuations &evacuations() const;
+
+    /** The evacuated zones changed. */
+    std::function<void(const Protocol::Evacuations &evacuations)> evacuationsArrived;
     /** A newer declaration came. */
     std::function<void(DeclarationVersion version, const std::string &content)> declarationArrived;
 
@@ -121,6 +126,7 @@
     [[nodiscard]] Protocol::WatchRequest makeRequest(Watched &watched);
     void takeAnswer(Watched &watched, const Protocol::WatchReply &answer, const Protocol::WatchRequest &request);
     void takeNews(Watched &watched, const Protocol::WatchReply &reply, std::int64_t askedFrom);
+    void takeEvacuations(const Protocol::WatchReply &reply);
     void takeDeclaration(const Protocol::WatchReply &reply, std::int64_t askedFrom);
     void failed(Watched &watched, const std::string &reason);
     [[nodiscard]] std::int64_t held() const;
@@ -133,6 +139,7 @@
     bool wantsConfirmation{false};
     // The version that a quorum confirmed to be the newest; its text may still be on the way.
     std::optional<std::int64_t> confirmedVersion;
+    Protocol::Evacuations evacuated;
     bool anyAnswer{false};
     // The text of the version that is held, as a base for deltas; compressed, since it may be long.
     std::string heldText;
--- a/Libraries/LibProtocol/Generated/fleet_types.cpp
+++ b/Libraries/LibProtocol/Generated/fleet_types.cpp
@@ -143,6 +143,10 @@
 void BackendAnnouncement::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
+
+void BackendAnnouncement::__set_born(const int64_t val) {
+  this->born = val;
+}
 std::ostream& operator<<(std::ostream& out, const BackendAnnouncement& obj)
 {
   obj.printTo(out);
@@ -237,6 +241,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -286,6 +298,10 @@
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -301,6 +317,7 @@
   swap(a.phase, b.phase);
   swap(a.warmupLeftMs, b.warmupLeftMs);
   swap(a.sequence, b.sequence);
+  swap(a.born, b.born);
   swap(a.__isset, b.__isset);
 }
 
@@ -313,6 +330,7 @@
   phase = other1.phase;
   warmupLeftMs = other1.warmupLeftMs;
   sequence = other1.sequence;
+  born = other1.born;
   __isset = other1.__isset;
 }
 BackendAnnouncement& BackendAnnouncement::operator=(const BackendAnnouncement& other2) {
@@ -324,6 +342,7 @@
   phase = other2.phase;
   warmupLeftMs = other2.warmupLeftMs;
   sequence = other2.sequence;
+  born = other2.born;
   __isset = other2.__isset;
   return *this;
 }
@@ -338,6 +357,7 @@
   out << ", " << "phase=" << to_string(phase);
   out << ", " << "warmupLeftMs=" << to_string(warmupLeftMs);
   out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "born=" << to_string(born);
   out << ")";
 }
 
@@ -626,6 +646,138 @@
 }
 
 
+Evacuations::~Evacuations() noexcept {
+}
+
+
+void Evacuations::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void Evacuations::__set_zones(const std::vector<std::string> & val) {
+  this->zones = val;
+}
+std::ostream& operator<<(std::ostream& out, const Evacuations& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Evacuations::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->zones.clear();
+            uint32_t _size13;
+            ::apache::thrift::protocol::TType _etype16;
+            xfer += iprot->readListBegin(_etype16, _size13);
+            this->zones.resize(_size13);
+            uint32_t _i17;
+            for (_i17 = 0; _i17 < _size13; ++_i17)
+            {
+              xfer += iprot->readString(this->zones[_i17]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.zones = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Evacuations::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Evacuations");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zones", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->zones.size()));
+    std::vector<std::string> ::const_iterator _iter18;
+    for (_iter18 = this->zones.begin(); _iter18 != this->zones.end(); ++_iter18)
+    {
+      xfer += oprot->writeString((*_iter18));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Evacuations &a, Evacuations &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+  swap(a.zones, b.zones);
+  swap(a.__isset, b.__isset);
+}
+
+Evacuations::Evacuations(const Evacuations& other19) {
+  revision = other19.revision;
+  zones = other19.zones;
+  __isset = other19.__isset;
+}
+Evacuations& Evacuations::operator=(const Evacuations& other20) {
+  revision = other20.revision;
+  zones = other20.zones;
+  __isset = other20.__isset;
+  return *this;
+}
+void Evacuations::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Evacuations(";
+  out << "revision=" << to_string(revision);
+  out << ", " << "zones=" << to_string(zones);
+  out << ")";
+}
+
+
 WatchRequest::~WatchRequest() noexcept {
 }
 
@@ -670,6 +822,10 @@
 void WatchRequest::__set_registryInterest(const RegistryInterest::type val) {
   this->registryInterest = val;
 }
+
+void WatchRequest::__set_evacuationRevision(const int64_t val) {
+  this->evacuationRevision = val;
+}
 std::ostream& operator<<(std::ostream& out, const WatchRequest& obj)
 {
   obj.printTo(out);
@@ -772,14 +928,22 @@
         break;
       case 10:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast13;
-          xfer += iprot->readI32(ecast13);
-          this->registryInterest = static_cast<RegistryInterest::type>(ecast13);
+          int32_t ecast21;
+          xfer += iprot->readI32(ecast21);
+          this->registryInterest = static_cast<RegistryInterest::type>(ecast21);
           this->__isset.registryInterest = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->evacuationRevision);
+          this->__isset.evacuationRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -838,6 +1002,10 @@
   xfer += oprot->writeI32(static_cast<int32_t>(this->registryInterest));
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("evacuationRevision", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->evacuationRevision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -855,34 +1023,37 @@
   swap(a.gateway, b.gateway);
   swap(a.wantsHeard, b.wantsHeard);
   swap(a.registryInterest, b.registryInterest);
+  swap(a.evacuationRevision, b.evacuationRevision);
   swap(a.__isset, b.__isset);
 }
 
-WatchRequest::WatchRequest(const WatchRequest& other14) {
-  watcherName = other14.watcherName;
-  coordinatorIncarnation = other14.coordinatorIncarnation;
-  cursor = other14.cursor;
-  gatewayCursor = other14.gatewayCursor;
-  declarationVersion = other14.declarationVersion;
-  wantsDeclaration = other14.wantsDeclaration;
-  confirm = other14.confirm;
-  gateway = other14.gateway;
-  wantsHeard = other14.wantsHeard;
-  registryInterest = other14.registryInterest;
-  __isset = other14.__isset;
-}
-WatchRequest& WatchRequest::operator=(const WatchRequest& other15) {
-  watcherName = other15.watcherName;
-  coordinatorIncarnation = other15.coordinatorIncarnation;
-  cursor = other15.cursor;
-  gatewayCursor = other15.gatewayCursor;
-  declarationVersion = other15.declarationVersion;
-  wantsDeclaration = other15.wantsDeclaration;
-  confirm = other15.confirm;
-  gateway = other15.gateway;
-  wantsHeard = other15.wantsHeard;
-  registryInterest = other15.registryInterest;
-  __isset = other15.__isset;
+WatchRequest::WatchRequest(const WatchRequest& other22) {
+  watcherName = other22.watcherName;
+  coordinatorIncarnation = other22.coordinatorIncarnation;
+  cursor = other22.cursor;
+  gatewayCursor = other22.gatewayCursor;
+  declarationVersion = other22.declarationVersion;
+  wantsDeclaration = other22.wantsDeclaration;
+  confirm = other22.confirm;
+  gateway = other22.gateway;
+  wantsHeard = other22.wantsHeard;
+  registryInterest = other22.registryInterest;
+  evacuationRevision = other22.evacuationRevision;
+  __isset = other22.__isset;
+}
+WatchRequest& WatchRequest::operator=(const WatchRequest& other23) {
+  watcherName = other23.watcherName;
+  coordinatorIncarnation = other23.coordinatorIncarnation;
+  cursor = other23.cursor;
+  gatewayCursor = other23.gatewayCursor;
+  declarationVersion = other23.declarationVersion;
+  wantsDeclaration = other23.wantsDeclaration;
+  confirm = other23.confirm;
+  gateway = other23.gateway;
+  wantsHeard = other23.wantsHeard;
+  registryInterest = other23.registryInterest;
+  evacuationRevision = other23.evacuationRevision;
+  __isset = other23.__isset;
   return *this;
 }
 void WatchRequest::printTo(std::ostream& out) const {
@@ -898,6 +1069,7 @@
   out << ", " << "gateway="; (__isset.gateway ? (out << to_string(gateway)) : (out << "<null>"));
   out << ", " << "wantsHeard=" << to_string(wantsHeard);
   out << ", " << "registryInterest=" << to_string(registryInterest);
+  out << ", " << "evacuationRevision=" << to_string(evacuationRevision);
   out << ")";
 }
 
@@ -994,15 +1166,15 @@
   swap(a.__isset, b.__isset);
 }
 
-CoordinatorPlace::CoordinatorPlace(const CoordinatorPlace& other16) {
-  address = other16.address;
-  zone = other16.zone;
-  __isset = other16.__isset;
+CoordinatorPlace::CoordinatorPlace(const CoordinatorPlace& other24) {
+  address = other24.address;
+  zone = other24.zone;
+  __isset = other24.__isset;
 }
-CoordinatorPlace& CoordinatorPlace::operator=(const CoordinatorPlace& other17) {
-  address = other17.address;
-  zone = other17.zone;
-  __isset = other17.__isset;
+CoordinatorPlace& CoordinatorPlace::operator=(const CoordinatorPlace& other25) {
+  address = other25.address;
+  zone = other25.zone;
+  __isset = other25.__isset;
   return *this;
 }
 void CoordinatorPlace::printTo(std::ostream& out) const {
@@ -1067,6 +1239,11 @@
 void WatchReply::__set_hasLeader(const bool val) {
   this->hasLeader = val;
 }
+
+void WatchReply::__set_evacuations(const Evacuations& val) {
+  this->evacuations = val;
+__isset.evacuations = true;
+}
 std::ostream& operator<<(std::ostream& out, const WatchReply& obj)
 {
   obj.printTo(out);
@@ -1115,14 +1292,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changed.clear();
-            uint32_t _size18;
-            ::apache::thrift::protocol::TType _etype21;
-            xfer += iprot->readListBegin(_etype21, _size18);
-            this->changed.resize(_size18);
-            uint32_t _i22;
-            for (_i22 = 0; _i22 < _size18; ++_i22)
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->changed.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
             {
-              xfer += this->changed[_i22].read(iprot);
+              xfer += this->changed[_i30].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1143,14 +1320,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changedGateways.clear();
-            uint32_t _size23;
-            ::apache::thrift::protocol::TType _etype26;
-            xfer += iprot->readListBegin(_etype26, _size23);
-            this->changedGateways.resize(_size23);
-            uint32_t _i27;
-            for (_i27 = 0; _i27 < _size23; ++_i27)
+            uint32_t _size31;
+            ::apache::thrift::protocol::TType _etype34;
+            xfer += iprot->readListBegin(_etype34, _size31);
+            this->changedGateways.resize(_size31);
+            uint32_t _i35;
+            for (_i35 = 0; _i35 < _size31; ++_i35)
             {
-              xfer += this->changedGateways[_i27].read(iprot);
+              xfer += this->changedGateways[_i35].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1195,14 +1372,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coordinators.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->coordinators.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->coordinators.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->coordinators[_i32].read(iprot);
+              xfer += this->coordinators[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1215,14 +1392,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heard.clear();
-            uint32_t _size33;
-            ::apache::thrift::protocol::TType _etype36;
-            xfer += iprot->readListBegin(_etype36, _size33);
-            this->heard.resize(_size33);
-            uint32_t _i37;
-            for (_i37 = 0; _i37 < _size33; ++_i37)
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->heard.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
             {
-              xfer += iprot->readString(this->heard[_i37]);
+              xfer += iprot->readString(this->heard[_i45]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1239,6 +1416,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuations.read(iprot);
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1267,10 +1452,10 @@
   xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<BackendAnnouncement> ::const_iterator _iter38;
-    for (_iter38 = this->changed.begin(); _iter38 != this->changed.end(); ++_iter38)
+    std::vector<BackendAnnouncement> ::const_iterator _iter46;
+    for (_iter46 = this->changed.begin(); _iter46 != this->changed.end(); ++_iter46)
     {
-      xfer += (*_iter38).write(oprot);
+      xfer += (*_iter46).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1283,10 +1468,10 @@
   xfer += oprot->writeFieldBegin("changedGateways", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changedGateways.size()));
-    std::vector<BackendAnnouncement> ::const_iterator _iter39;
-    for (_iter39 = this->changedGateways.begin(); _iter39 != this->changedGateways.end(); ++_iter39)
+    std::vector<BackendAnnouncement> ::const_iterator _iter47;
+    for (_iter47 = this->changedGateways.begin(); _iter47 != this->changedGateways.end(); ++_iter47)
     {
-      xfer += (*_iter39).write(oprot);
+      xfer += (*_iter47).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1308,10 +1493,10 @@
   xfer += oprot->writeFieldBegin("coordinators", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coordinators.size()));
-    std::vector<CoordinatorPlace> ::const_iterator _iter40;
-    for (_iter40 = this->coordinators.begin(); _iter40 != this->coordinators.end(); ++_iter40)
+    std::vector<CoordinatorPlace> ::const_iterator _iter48;
+    for (_iter48 = this->coordinators.begin(); _iter48 != this->coordinators.end(); ++_iter48)
     {
-      xfer += (*_iter40).write(oprot);
+      xfer += (*_iter48).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1320,10 +1505,10 @@
   xfer += oprot->writeFieldBegin("heard", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->heard.size()));
-    std::vector<std::string> ::const_iterator _iter41;
-    for (_iter41 = this->heard.begin(); _iter41 != this->heard.end(); ++_iter41)
+    std::vector<std::string> ::const_iterator _iter49;
+    for (_iter49 = this->heard.begin(); _iter49 != this->heard.end(); ++_iter49)
     {
-      xfer += oprot->writeString((*_iter41));
+      xfer += oprot->writeString((*_iter49));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1338,6 +1523,11 @@
     xfer += oprot->writeBinary(this->declarationDelta);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.evacuations) {
+    xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->evacuations.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1357,38 +1547,41 @@
   swap(a.coordinators, b.coordinators);
   swap(a.heard, b.heard);
   swap(a.hasLeader, b.hasLeader);
+  swap(a.evacuations, b.evacuations);
   swap(a.__isset, b.__isset);
 }
 
-WatchReply::WatchReply(const WatchReply& other42) {
-  coordinatorIncarnation = other42.coordinatorIncarnation;
-  cursor = other42.cursor;
-  changed = other42.changed;
-  gatewayCursor = other42.gatewayCursor;
-  changedGateways = other42.changedGateways;
-  declarationVersion = other42.declarationVersion;
-  declaration = other42.declaration;
-  declarationDelta = other42.declarationDelta;
-  confirmed = other42.confirmed;
-  coordinators = other42.coordinators;
-  heard = other42.heard;
-  hasLeader = other42.hasLeader;
-  __isset = other42.__isset;
-}
-WatchReply& WatchReply::operator=(const WatchReply& other43) {
-  coordinatorIncarnation = other43.coordinatorIncarnation;
-  cursor = other43.cursor;
-  changed = other43.changed;
-  gatewayCursor = other43.gatewayCursor;
-  changedGateways = other43.changedGateways;
-  declarationVersion = other43.declarationVersion;
-  declaration = other43.declaration;
-  declarationDelta = other43.declarationDelta;
-  confirmed = other43.confirmed;
-  coordinators = other43.coordinators;
-  heard = other43.heard;
-  hasLeader = other43.hasLeader;
-  __isset = other43.__isset;
+WatchReply::WatchReply(const WatchReply& other50) {
+  coordinatorIncarnation = other50.coordinatorIncarnation;
+  cursor = other50.cursor;
+  changed = other50.changed;
+  gatewayCursor = other50.gatewayCursor;
+  changedGateways = other50.changedGateways;
+  declarationVersion = other50.declarationVersion;
+  declaration = other50.declaration;
+  declarationDelta = other50.declarationDelta;
+  confirmed = other50.confirmed;
+  coordinators = other50.coordinators;
+  heard = other50.heard;
+  hasLeader = other50.hasLeader;
+  evacuations = other50.evacuations;
+  __isset = other50.__isset;
+}
+WatchReply& WatchReply::operator=(const WatchReply& other51) {
+  coordinatorIncarnation = other51.coordinatorIncarnation;
+  cursor = other51.cursor;
+  changed = other51.changed;
+  gatewayCursor = other51.gatewayCursor;
+  changedGateways = other51.changedGateways;
+  declarationVersion = other51.declarationVersion;
+  declaration = other51.declaration;
+  declarationDelta = other51.declarationDelta;
+  confirmed = other51.confirmed;
+  coordinators = other51.coordinators;
+  heard = other51.heard;
+  hasLeader = other51.hasLeader;
+  evacuations = other51.evacuations;
+  __isset = other51.__isset;
   return *this;
 }
 void WatchReply::printTo(std::ostream& out) const {
@@ -1406,6 +1599,7 @@
   out << ", " << "coordinators=" << to_string(coordinators);
   out << ", " << "heard=" << to_string(heard);
   out << ", " << "hasLeader=" << to_string(hasLeader);
+  out << ", " << "evacuations="; (__isset.evacuations ? (out << to_string(evacuations)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1519,17 +1713,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Introduction::Introduction(const Introduction& other44) {
-  member = other44.member;
-  initialised = other44.initialised;
-  mayFound = other44.mayFound;
-  __isset = other44.__isset;
+Introduction::Introduction(const Introduction& other52) {
+  member = other52.member;
+  initialised = other52.initialised;
+  mayFound = other52.mayFound;
+  __isset = other52.__isset;
 }
-Introduction& Introduction::operator=(const Introduction& other45) {
-  member = other45.member;
-  initialised = other45.initialised;
-  mayFound = other45.mayFound;
-  __isset = other45.__isset;
+Introduction& Introduction::operator=(const Introduction& other53) {
+  member = other53.member;
+  initialised = other53.initialised;
+  mayFound = other53.mayFound;
+  __isset = other53.__isset;
   return *this;
 }
 void Introduction::printTo(std::ostream& out) const {
@@ -1651,17 +1845,17 @@
   swap(a.__isset, b.__isset);
 }
 
-IntroductionReply::IntroductionReply(const IntroductionReply& other46) {
-  callee = other46.callee;
-  membership = other46.membership;
-  leaderAddress = other46.leaderAddress;
-  __isset = other46.__isset;
+IntroductionReply::IntroductionReply(const IntroductionReply& other54) {
+  callee = other54.callee;
+  membership = other54.membership;
+  leaderAddress = other54.leaderAddress;
+  __isset = other54.__isset;
 }
-IntroductionReply& IntroductionReply::operator=(const IntroductionReply& other47) {
-  callee = other47.callee;
-  membership = other47.membership;
-  leaderAddress = other47.leaderAddress;
-  __isset = other47.__isset;
+IntroductionReply& IntroductionReply::operator=(const IntroductionReply& other55) {
+  callee = other55.callee;
+  membership = other55.membership;
+  leaderAddress = other55.leaderAddress;
+  __isset = other55.__isset;
   return *this;
 }
 void IntroductionReply::printTo(std::ostream& out) const {
@@ -1674,25 +1868,142 @@
 }
 
 
-StoredDeclaration::~StoredDeclaration() noexcept {
+EvacuationOrder::~EvacuationOrder() noexcept {
 }
 
 
-void StoredDeclaration::__set_version(const int64_t val) {
+void EvacuationOrder::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void EvacuationOrder::__set_evacuate(const bool val) {
+  this->evacuate = val;
+}
+std::ostream& operator<<(std::ostream& out, const EvacuationOrder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EvacuationOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->evacuate);
+          this->__isset.evacuate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EvacuationOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EvacuationOrder");
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuate", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->evacuate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EvacuationOrder &a, EvacuationOrder &b) {
+  using ::std::swap;
+  swap(a.zone, b.zone);
+  swap(a.evacuate, b.evacuate);
+  swap(a.__isset, b.__isset);
+}
+
+EvacuationOrder::EvacuationOrder(const EvacuationOrder& other56) {
+  zone = other56.zone;
+  evacuate = other56.evacuate;
+  __isset = other56.__isset;
+}
+EvacuationOrder& EvacuationOrder::operator=(const EvacuationOrder& other57) {
+  zone = other57.zone;
+  evacuate = other57.evacuate;
+  __isset = other57.__isset;
+  return *this;
+}
+void EvacuationOrder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EvacuationOrder(";
+  out << "zone=" << to_string(zone);
+  out << ", " << "evacuate=" << to_string(evacuate);
+  out << ")";
+}
+
+
+StoredOrder::~StoredOrder() noexcept {
+}
+
+
+void StoredOrder::__set_version(const int64_t val) {
   this->version = val;
 }
 
-void StoredDeclaration::__set_compressed(const std::string& val) {
+void StoredOrder::__set_compressed(const std::string& val) {
   this->compressed = val;
 }
-std::ostream& operator<<(std::ostream& out, const StoredDeclaration& obj)
+
+void StoredOrder::__set_evacuation(const EvacuationOrder& val) {
+  this->evacuation = val;
+__isset.evacuation = true;
+}
+std::ostream& operator<<(std::ostream& out, const StoredOrder& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t StoredDeclaration::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t StoredOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1729,6 +2040,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuation.read(iprot);
+          this->__isset.evacuation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1741,10 +2060,10 @@
   return xfer;
 }
 
-uint32_t StoredDeclaration::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t StoredOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("StoredDeclaration");
+  xfer += oprot->writeStructBegin("StoredOrder");
 
   xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->version);
@@ -1754,34 +2073,175 @@
   xfer += oprot->writeBinary(this->compressed);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.evacuation) {
+    xfer += oprot->writeFieldBegin("evacuation", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->evacuation.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(StoredDeclaration &a, StoredDeclaration &b) {
+void swap(StoredOrder &a, StoredOrder &b) {
   using ::std::swap;
   swap(a.version, b.version);
   swap(a.compressed, b.compressed);
+  swap(a.evacuation, b.evacuation);
   swap(a.__isset, b.__isset);
 }
 
-StoredDeclaration::StoredDeclaration(const StoredDeclaration& other48) {
-  version = other48.version;
-  compressed = other48.compressed;
-  __isset = other48.__isset;
+StoredOrder::StoredOrder(const StoredOrder& other58) {
+  version = other58.version;
+  compressed = other58.compressed;
+  evacuation = other58.evacuation;
+  __isset = other58.__isset;
 }
-StoredDeclaration& StoredDeclaration::operator=(const StoredDeclaration& other49) {
-  version = other49.version;
-  compressed = other49.compressed;
-  __isset = other49.__isset;
+StoredOrder& StoredOrder::operator=(const StoredOrder& other59) {
+  version = other59.version;
+  compressed = other59.compressed;
+  evacuation = other59.evacuation;
+  __isset = other59.__isset;
   return *this;
 }
-void StoredDeclaration::printTo(std::ostream& out) const {
+void StoredOrder::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "StoredDeclaration(";
+  out << "StoredOrder(";
   out << "version=" << to_string(version);
   out << ", " << "compressed=" << to_string(compressed);
+  out << ", " << "evacuation="; (__isset.evacuation ? (out << to_string(evacuation)) : (out << "<null>"));
+  out << ")";
+}
+
+
+StoredState::~StoredState() noexcept {
+}
+
+
+void StoredState::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void StoredState::__set_compressed(const std::string& val) {
+  this->compressed = val;
+}
+
+void StoredState::__set_evacuations(const Evacuations& val) {
+  this->evacuations = val;
+}
+std::ostream& operator<<(std::ostream& out, const StoredState& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoredState::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->compressed);
+          this->__isset.compressed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuations.read(iprot);
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoredState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoredState");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("compressed", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->compressed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->evacuations.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoredState &a, StoredState &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.compressed, b.compressed);
+  swap(a.evacuations, b.evacuations);
+  swap(a.__isset, b.__isset);
+}
+
+StoredState::StoredState(const StoredState& other60) {
+  version = other60.version;
+  compressed = other60.compressed;
+  evacuations = other60.evacuations;
+  __isset = other60.__isset;
+}
+StoredState& StoredState::operator=(const StoredState& other61) {
+  version = other61.version;
+  compressed = other61.compressed;
+  evacuations = other61.evacuations;
+  __isset = other61.__isset;
+  return *this;
+}
+void StoredState::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoredState(";
+  out << "version=" << to_string(version);
+  out << ", " << "compressed=" << to_string(compressed);
+  out << ", " << "evacuations=" << to_string(evacuations);
   out << ")";
 }
 
@@ -1912,19 +2372,19 @@
   swap(a.__isset, b.__isset);
 }
 
-MissingShard::MissingShard(const MissingShard& other50) {
-  serviceName = other50.serviceName;
-  executions = other50.executions;
-  sends = other50.sends;
-  counted = other50.counted;
-  __isset = other50.__isset;
+MissingShard::MissingShard(const MissingShard& other62) {
+  serviceName = other62.serviceName;
+  executions = other62.executions;
+  sends = other62.sends;
+  counted = other62.counted;
+  __isset = other62.__isset;
 }
-MissingShard& MissingShard::operator=(const MissingShard& other51) {
-  serviceName = other51.serviceName;
-  executions = other51.executions;
-  sends = other51.sends;
-  counted = other51.counted;
-  __isset = other51.__isset;
+MissingShard& MissingShard::operator=(const MissingShard& other63) {
+  serviceName = other63.serviceName;
+  executions = other63.executions;
+  sends = other63.sends;
+  counted = other63.counted;
+  __isset = other63.__isset;
   return *this;
 }
 void MissingShard::printTo(std::ostream& out) const {
@@ -1990,14 +2450,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->signatures.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->signatures.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->signatures.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              xfer += iprot->readString(this->signatures[_i56]);
+              xfer += iprot->readString(this->signatures[_i68]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2018,14 +2478,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->missing.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->missing.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->missing.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
             {
-              xfer += this->missing[_i61].read(iprot);
+              xfer += this->missing[_i73].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2062,10 +2522,10 @@
   xfer += oprot->writeFieldBegin("signatures", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->signatures.size()));
-    std::vector<std::string> ::const_iterator _iter62;
-    for (_iter62 = this->signatures.begin(); _iter62 != this->signatures.end(); ++_iter62)
+    std::vector<std::string> ::const_iterator _iter74;
+    for (_iter74 = this->signatures.begin(); _iter74 != this->signatures.end(); ++_iter74)
     {
-      xfer += oprot->writeString((*_iter62));
+      xfer += oprot->writeString((*_iter74));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2078,10 +2538,10 @@
   xfer += oprot->writeFieldBegin("missing", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->missing.size()));
-    std::vector<MissingShard> ::const_iterator _iter63;
-    for (_iter63 = this->missing.begin(); _iter63 != this->missing.end(); ++_iter63)
+    std::vector<MissingShard> ::const_iterator _iter75;
+    for (_iter75 = this->missing.begin(); _iter75 != this->missing.end(); ++_iter75)
     {
-      xfer += (*_iter63).write(oprot);
+      xfer += (*_iter75).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2106,19 +2566,19 @@
   swap(a.__isset, b.__isset);
 }
 
-PartialAnswer::PartialAnswer(const PartialAnswer& other64) {
-  signatures = other64.signatures;
-  records = other64.records;
-  missing = other64.missing;
-  packedSignatures = other64.packedSignatures;
-  __isset = other64.__isset;
+PartialAnswer::PartialAnswer(const PartialAnswer& other76) {
+  signatures = other76.signatures;
+  records = other76.records;
+  missing = other76.missing;
+  packedSignatures = other76.packedSignatures;
+  __isset = other76.__isset;
 }
-PartialAnswer& PartialAnswer::operator=(const PartialAnswer& other65) {
-  signatures = other65.signatures;
-  records = other65.records;
-  missing = other65.missing;
-  packedSignatures = other65.packedSignatures;
-  __isset = other65.__isset;
+PartialAnswer& PartialAnswer::operator=(const PartialAnswer& other77) {
+  signatures = other77.signatures;
+  records = other77.records;
+  missing = other77.missing;
+  packedSignatures = other77.packedSignatures;
+  __isset = other77.__isset;
   return *this;
 }
 void PartialAnswer::printTo(std::ostream& out) const {
--- a/Libraries/LibProtocol/Generated/fleet_types.h
+++ b/Libraries/LibProtocol/Generated/fleet_types.h
@@ -23,7 +23,7 @@
 namespace Protocol {
 
 /**
- * Phases only ever go forward within one incarnation of a backend server, but for silence, which a later heartbeat ends.
+ * Phases only ever go forward within one life of a backend server, but for silence, which a later heartbeat ends.
  */
 struct BackendPhase {
   enum type {
@@ -78,6 +78,8 @@
 
 class TextDelta;
 
+class Evacuations;
+
 class WatchRequest;
 
 class CoordinatorPlace;
@@ -88,14 +90,18 @@
 
 class IntroductionReply;
 
-class StoredDeclaration;
+class EvacuationOrder;
+
+class StoredOrder;
+
+class StoredState;
 
 class MissingShard;
 
 class PartialAnswer;
 
 typedef struct _BackendAnnouncement__isset {
-  _BackendAnnouncement__isset() : id(false), serviceName(false), address(false), zone(false), slots(false), phase(false), warmupLeftMs(false), sequence(false) {}
+  _BackendAnnouncement__isset() : id(false), serviceName(false), address(false), zone(false), slots(false), phase(false), warmupLeftMs(false), sequence(false), born(true) {}
   bool id :1;
   bool serviceName :1;
   bool address :1;
@@ -104,6 +110,7 @@
   bool phase :1;
   bool warmupLeftMs :1;
   bool sequence :1;
+  bool born :1;
 } _BackendAnnouncement__isset;
 
 /**
@@ -122,12 +129,13 @@
                         slots(0),
                         phase(static_cast<BackendPhase::type>(0)),
                         warmupLeftMs(0),
-                        sequence(0) {
+                        sequence(0),
+                        born(0LL) {
   }
 
   virtual ~BackendAnnouncement() noexcept;
   /**
-   * Differs at each start of a backend server, so it names an incarnation.
+   * Names a backend server. One that starts again may keep it.
    */
   std::string id;
   std::string serviceName;
@@ -147,9 +155,13 @@
    */
   int32_t warmupLeftMs;
   /**
-   * Grows with each heartbeat of one incarnation.
+   * Grows with each heartbeat of one life.
    */
   int64_t sequence;
+  /**
+   * Unix milliseconds of its start, which tell its lives apart; 0 on platforms that do not say it.
+   */
+  int64_t born;
 
   _BackendAnnouncement__isset __isset;
 
@@ -169,6 +181,8 @@
 
   void __set_sequence(const int64_t val);
 
+  void __set_born(const int64_t val);
+
   bool operator == (const BackendAnnouncement & rhs) const
   {
     if (!(id == rhs.id))
@@ -187,6 +201,8 @@
       return false;
     if (!(sequence == rhs.sequence))
       return false;
+    if (!(born == rhs.born))
+      return false;
     return true;
   }
   bool operator != (const BackendAnnouncement &rhs) const {
@@ -327,8 +343,63 @@
 
 std::ostream& operator<<(std::ostream& out, const TextDelta& obj);
 
+typedef struct _Evacuations__isset {
+  _Evacuations__isset() : revision(true), zones(false) {}
+  bool revision :1;
+  bool zones :1;
+} _Evacuations__isset;
+
+/**
+ * The availability zones whose backend servers get nothing, by operators' orders.
+ */
+class Evacuations : public virtual ::apache::thrift::TBase {
+ public:
+
+  Evacuations(const Evacuations&);
+  Evacuations& operator=(const Evacuations&);
+  Evacuations() noexcept
+              : revision(0LL) {
+  }
+
+  virtual ~Evacuations() noexcept;
+  /**
+   * Grows with each change; 0 before the first one.
+   */
+  int64_t revision;
+  std::vector<std::string>  zones;
+
+  _Evacuations__isset __isset;
+
+  void __set_revision(const int64_t val);
+
+  void __set_zones(const std::vector<std::string> & val);
+
+  bool operator == (const Evacuations & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(zones == rhs.zones))
+      return false;
+    return true;
+  }
+  bool operator != (const Evacuations &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Evacuations & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Evacuations &a, Evacuations &b);
+
+std::ostream& operator<<(std::ostream& out, const Evacuations& obj);
+
 typedef struct _WatchRequest__isset {
-  _WatchRequest__isset() : watcherName(false), coordinatorIncarnation(false), cursor(false), gatewayCursor(false), declarationVersion(false), wantsDeclaration(false), confirm(false), gateway(false), wantsHeard(false), registryInterest(true) {}
+  _WatchRequest__isset() : watcherName(false), coordinatorIncarnation(false), cursor(false), gatewayCursor(false), declarationVersion(false), wantsDeclaration(false), confirm(false), gateway(false), wantsHeard(false), registryInterest(true), evacuationRevision(true) {}
   bool watcherName :1;
   bool coordinatorIncarnation :1;
   bool cursor :1;
@@ -339,6 +410,7 @@
   bool gateway :1;
   bool wantsHeard :1;
   bool registryInterest :1;
+  bool evacuationRevision :1;
 } _WatchRequest__isset;
 
 class WatchRequest : public virtual ::apache::thrift::TBase {
@@ -355,7 +427,8 @@
                  wantsDeclaration(0),
                  confirm(0),
                  wantsHeard(0),
-                 registryInterest(static_cast<RegistryInterest::type>(2)) {
+                 registryInterest(static_cast<RegistryInterest::type>(2)),
+                 evacuationRevision(0LL) {
   }
 
   virtual ~WatchRequest() noexcept;
@@ -397,6 +470,10 @@
    * @see RegistryInterest
    */
   RegistryInterest::type registryInterest;
+  /**
+   * The newest revision of the evacuations that the watcher holds; the largest number of one that wants none.
+   */
+  int64_t evacuationRevision;
 
   _WatchRequest__isset __isset;
 
@@ -420,6 +497,8 @@
 
   void __set_registryInterest(const RegistryInterest::type val);
 
+  void __set_evacuationRevision(const int64_t val);
+
   bool operator == (const WatchRequest & rhs) const
   {
     if (!(watcherName == rhs.watcherName))
@@ -444,6 +523,8 @@
       return false;
     if (!(registryInterest == rhs.registryInterest))
       return false;
+    if (!(evacuationRevision == rhs.evacuationRevision))
+      return false;
     return true;
   }
   bool operator != (const WatchRequest &rhs) const {
@@ -519,7 +600,7 @@
 std::ostream& operator<<(std::ostream& out, const CoordinatorPlace& obj);
 
 typedef struct _WatchReply__isset {
-  _WatchReply__isset() : coordinatorIncarnation(false), cursor(false), changed(false), gatewayCursor(false), changedGateways(false), declarationVersion(false), declaration(false), declarationDelta(false), confirmed(false), coordinators(false), heard(false), hasLeader(false) {}
+  _WatchReply__isset() : coordinatorIncarnation(false), cursor(false), changed(false), gatewayCursor(false), changedGateways(false), declarationVersion(false), declaration(false), declarationDelta(false), confirmed(false), coordinators(false), heard(false), hasLeader(false), evacuations(false) {}
   bool coordinatorIncarnation :1;
   bool cursor :1;
   bool changed :1;
@@ -532,6 +613,7 @@
   bool coordinators :1;
   bool heard :1;
   bool hasLeader :1;
+  bool evacuations :1;
 } _WatchReply__isset;
 
 class WatchReply : public virtual ::apache::thrift::TBase {
@@ -566,7 +648,7 @@
    */
   std::string declarationDelta;
   /**
-   * The version was the newest when the question was asked.
+   * Version and evacuations were the newest when the question was asked.
    */
   bool confirmed;
   std::vector<CoordinatorPlace>  coordinators;
@@ -578,6 +660,10 @@
    * Whether this coordinator hears from a leader, so that news of declarations reach it.
    */
   bool hasLeader;
+  /**
+   * There when the watcher's revision is older.
+   */
+  Evacuations evacuations;
 
   _WatchReply__isset __isset;
 
@@ -605,6 +691,8 @@
 
   void __set_hasLeader(const bool val);
 
+  void __set_evacuations(const Evacuations& val);
+
   bool operator == (const WatchReply & rhs) const
   {
     if (!(coordinatorIncarnation == rhs.coordinatorIncarnation))
@@ -635,6 +723,10 @@
       return false;
     if (!(hasLeader == rhs.hasLeader))
       return false;
+    if (__isset.evacuations != rhs.__isset.evacuations)
+      return false;
+    else if (__isset.evacuations && !(evacuations == rhs.evacuations))
+      return false;
     return true;
   }
   bool operator != (const WatchReply &rhs) const {
@@ -773,48 +865,174 @@
 
 std::ostream& operator<<(std::ostream& out, const IntroductionReply& obj);
 
-typedef struct _StoredDeclaration__isset {
-  _StoredDeclaration__isset() : version(false), compressed(false) {}
+typedef struct _EvacuationOrder__isset {
+  _EvacuationOrder__isset() : zone(false), evacuate(false) {}
+  bool zone :1;
+  bool evacuate :1;
+} _EvacuationOrder__isset;
+
+/**
+ * An operator's order to evacuate an availability zone, or to use it again.
+ */
+class EvacuationOrder : public virtual ::apache::thrift::TBase {
+ public:
+
+  EvacuationOrder(const EvacuationOrder&);
+  EvacuationOrder& operator=(const EvacuationOrder&);
+  EvacuationOrder() noexcept
+                  : zone(),
+                    evacuate(0) {
+  }
+
+  virtual ~EvacuationOrder() noexcept;
+  std::string zone;
+  bool evacuate;
+
+  _EvacuationOrder__isset __isset;
+
+  void __set_zone(const std::string& val);
+
+  void __set_evacuate(const bool val);
+
+  bool operator == (const EvacuationOrder & rhs) const
+  {
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(evacuate == rhs.evacuate))
+      return false;
+    return true;
+  }
+  bool operator != (const EvacuationOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EvacuationOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EvacuationOrder &a, EvacuationOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const EvacuationOrder& obj);
+
+typedef struct _StoredOrder__isset {
+  _StoredOrder__isset() : version(true), compressed(false), evacuation(false) {}
   bool version :1;
   bool compressed :1;
-} _StoredDeclaration__isset;
+  bool evacuation :1;
+} _StoredOrder__isset;
 
 /**
- * What coordinators keep in their log and snapshots: the declaration as the operator sent it, compressed.
+ * An entry of the coordinators' log: the declaration as the operator sent it, compressed, or an order on a zone.
  */
-class StoredDeclaration : public virtual ::apache::thrift::TBase {
+class StoredOrder : public virtual ::apache::thrift::TBase {
  public:
 
-  StoredDeclaration(const StoredDeclaration&);
-  StoredDeclaration& operator=(const StoredDeclaration&);
-  StoredDeclaration() noexcept
-                    : version(0),
-                      compressed() {
+  StoredOrder(const StoredOrder&);
+  StoredOrder& operator=(const StoredOrder&);
+  StoredOrder() noexcept
+              : version(-1LL),
+                compressed() {
   }
 
-  virtual ~StoredDeclaration() noexcept;
+  virtual ~StoredOrder() noexcept;
+  /**
+   * -1 where there is no declaration.
+   */
   int64_t version;
   std::string compressed;
+  EvacuationOrder evacuation;
 
-  _StoredDeclaration__isset __isset;
+  _StoredOrder__isset __isset;
 
   void __set_version(const int64_t val);
 
   void __set_compressed(const std::string& val);
 
-  bool operator == (const StoredDeclaration & rhs) const
+  void __set_evacuation(const EvacuationOrder& val);
+
+  bool operator == (const StoredOrder & rhs) const
   {
     if (!(version == rhs.version))
       return false;
     if (!(compressed == rhs.compressed))
       return false;
+    if (__isset.evacuation != rhs.__isset.evacuation)
+      return false;
+    else if (__isset.evacuation && !(evacuation == rhs.evacuation))
+      return false;
+    return true;
+  }
+  bool operator != (const StoredOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StoredOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StoredOrder &a, StoredOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const StoredOrder& obj);
+
+typedef struct _StoredState__isset {
+  _StoredState__isset() : version(true), compressed(false), evacuations(false) {}
+  bool version :1;
+  bool compressed :1;
+  bool evacuations :1;
+} _StoredState__isset;
+
+/**
+ * What the coordinators' snapshots hold: all that the entries before came to.
+ */
+class StoredState : public virtual ::apache::thrift::TBase {
+ public:
+
+  StoredState(const StoredState&);
+  StoredState& operator=(const StoredState&);
+  StoredState() noexcept
+              : version(-1LL),
+                compressed() {
+  }
+
+  virtual ~StoredState() noexcept;
+  /**
+   * -1 before the first declaration.
+   */
+  int64_t version;
+  std::string compressed;
+  Evacuations evacuations;
+
+  _StoredState__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_compressed(const std::string& val);
+
+  void __set_evacuations(const Evacuations& val);
+
+  bool operator == (const StoredState & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(compressed == rhs.compressed))
+      return false;
+    if (!(evacuations == rhs.evacuations))
+      return false;
     return true;
   }
-  bool operator != (const StoredDeclaration &rhs) const {
+  bool operator != (const StoredState &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const StoredDeclaration & ) const;
+  bool operator < (const StoredState & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -822,9 +1040,9 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(StoredDeclaration &a, StoredDeclaration &b);
+void swap(StoredState &a, StoredState &b);
 
-std::ostream& operator<<(std::ostream& out, const StoredDeclaration& obj);
+std::ostream& operator<<(std::ostream& out, const StoredState& obj);
 
 typedef struct _MissingShard__isset {
   _MissingShard__isset() : serviceName(false), executions(false), sends(false), counted(false) {}
--- a/Libraries/LibProtocol/fleet.thrift
+++ b/Libraries/LibProtocol/fleet.thrift
@@ -5,7 +5,7 @@
 include "operator.thrift"
 namespace cpp Protocol
 
-/** Phases only ever go forward within one incarnation of a backend server, but for silence, which a later heartbeat ends. */
+/** Phases only ever go forward within one life of a backend server, but for silence, which a later heartbeat ends. */
 enum BackendPhase {
   /** Made no heartbeat for long; takes no new work until it does. */
   SILENT = 0,
@@ -18,7 +18,7 @@
 
 /** What a backend server said of itself in its latest heartbeat. */
 struct BackendAnnouncement {
-  /** Differs at each start of a backend server, so it names an incarnation. */
+  /** Names a backend server. One that starts again may keep it. */
   1: string id,
   2: string serviceName,
   /** IP:port. */
@@ -28,8 +28,10 @@
   6: BackendPhase phase,
   /** How long it still runs slowly after its start, from when this is sent. */
   7: i32 warmupLeftMs,
-  /** Grows with each heartbeat of one incarnation. */
+  /** Grows with each heartbeat of one life. */
   8: i64 sequence,
+  /** Unix milliseconds of its start, which tell its lives apart; 0 on platforms that do not say it. */
+  9: i64 born = 0,
 }
 
 /** Bytes of their own, then a part of the earlier text. */
@@ -56,6 +58,13 @@
   EVERYTHING = 2,
 }
 
+/** The availability zones whose backend servers get nothing, by operators' orders. */
+struct Evacuations {
+  /** Grows with each change; 0 before the first one. */
+  1: i64 revision = 0,
+  2: list<string> zones,
+}
+
 struct WatchRequest {
   1: string watcherName,
   /** Which life of the coordinator the cursors belong to; 0 at first. */
@@ -75,6 +84,8 @@
   /** The watcher is a coordinator and wants to know whose heartbeats came here. */
   9: bool wantsHeard,
   10: RegistryInterest registryInterest = RegistryInterest.EVERYTHING,
+  /** The newest revision of the evacuations that the watcher holds; the largest number of one that wants none. */
+  11: i64 evacuationRevision = 0,
 }
 
 /** Where a coordinator can be watched. */
@@ -95,13 +106,15 @@
   7: optional binary declaration,
   /** A TextDelta from the version that the request named. */
   12: optional binary declarationDelta,
-  /** The version was the newest when the question was asked. */
+  /** Version and evacuations were the newest when the question was asked. */
   8: bool confirmed,
   9: list<CoordinatorPlace> coordinators,
   /** Ids of backend servers and gateways that called this coordinator since its last answer to the watcher. */
   10: list<string> heard,
   /** Whether this coordinator hears from a leader, so that news of declarations reach it. */
   11: bool hasLeader,
+  /** There when the watcher's revision is older. */
+  13: optional Evacuations evacuations,
 }
 
 struct Introduction {
@@ -126,10 +139,26 @@
   IntroductionReply introduce(1: Introduction introduction),
 }
 
-/** What coordinators keep in their log and snapshots: the declaration as the operator sent it, compressed. */
-struct StoredDeclaration {
-  1: i64 version,
+/** An operator's order to evacuate an availability zone, or to use it again. */
+struct EvacuationOrder {
+  1: string zone,
+  2: bool evacuate,
+}
+
+/** An entry of the coordinators' log: the declaration as the operator sent it, compressed, or an order on a zone. */
+struct StoredOrder {
+  /** -1 where there is no declaration. */
+  1: i64 version = -1,
+  2: binary compressed,
+  3: optional EvacuationOrder evacuation,
+}
+
+/** What the coordinators' snapshots hold: all that the entries before came to. */
+struct StoredState {
+  /** -1 before the first declaration. */
+  1: i64 version = -1,
   2: binary compressed,
+  3: Evacuations evacuations,
 }
 
 /** A shard that a gateway was asked for and has no answer of. */
--- a/Services/coordinatord/main.cpp
+++ b/Services/coordinatord/main.cpp
@@ -60,11 +60,16 @@
     options.seeds = Platform::watchEndpoints(settings);
     options.mayFound = settings.firstStart;
     options.membership.wantedVoters = 2 * static_cast<std::size_t>(settings.tolerableLosses) + 1;
-    options.examine = [](const std::string &content) -> Core::Result<Fleet::DeclarationVersion> {
+    options.regions = settings.regions;
+    options.examine = [regions = settings.regions](const std::string &content) -> Core::Result<Fleet::DeclarationVersion> {
         const auto declaration = Platform::readConfiguration(content);
         if (!declaration.has_value()) {
             return tl::make_unexpected(declaration.error());
         }
+        const auto checked = Platform::checkRegions(*declaration.value(), regions);
+        if (!checked.has_value()) {
+            return tl::make_unexpected(checked.error());
+        }
         return declaration.value()->version;
     };
     options.log.dataFolder = settings.dataFolder;
--- /dev/null
+++ b/Tests/LibCoordinator/TestEvacuatedZones.cpp
@@ -0,0 +1,135 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// Which availability zones are evacuated, after any row of committed orders.
+
+#include <LibCoordinator/DeclarationLog.h>
+#include <LibCoordinator/EvacuatedZones.h>
+#include <Support/LoopFixture.h>
+
+#include <criterion/criterion.h>
+#include <filesystem>
+
+namespace
+{
+
+Protocol::EvacuationOrder order(const std::string &zone, bool evacuate)
+{
+    Protocol::EvacuationOrder made;
+    made.zone = zone;
+    made.evacuate = evacuate;
+    return made;
+}
+
+/** A coordinator's log that is a whole quorum by itself, over a folder that outlives it. */
+class LoneLog : public TestSupport::LoopFixture
+{
+public:
+    LoneLog() : folder(std::filesystem::temp_directory_path() / ("crankrudder-evacuations-" + std::to_string(getpid())))
+    {
+        std::filesystem::remove_all(this->folder);
+        std::filesystem::create_directories(this->folder);
+        this->open();
+        auto &log = *this->declarations->log();
+        Protocol::Membership founders;
+        founders.members = {log.identity()};
+        founders.members.front().voter = true;
+        cr_assert(log.bootstrap(founders).has_value());
+        this->waitForLeader();
+    }
+
+    ~LoneLog()
+    {
+        this->declarations.reset();
+        std::filesystem::remove_all(this->folder);
+    }
+
+    void open()
+    {
+        this->declarations.reset();
+        Coordinator::DeclarationLogOptions options{.log = {}, .dataFolder = this->folder, .send = [](const auto &, const auto &) {
+                                                   }};
+        options.log.identity.name = "lone";
+        options.log.entriesBetweenSnapshots = 4;
+        options.log.electionTimeout = Core::milliseconds(50);
+        this->declarations = Coordinator::DeclarationLog::create(options, this->timers).value();
+    }
+
+    void waitForLeader()
+    {
+        cr_assert(this->runUntil([this] {
+            return this->declarations->isLeader();
+        }));
+    }
+
+    void evacuate(const std::string &zone, bool evacuate)
+    {
+        std::optional<Coordinator::ProposalEnd> end;
+        this->declarations->proposeEvacuation(order(zone, evacuate), [&end](Coordinator::ProposalEnd ended) {
+            end = ended;
+        });
+        cr_assert(this->runUntil([&end] {
+            return end.has_value();
+        }));
+        cr_assert(end == Coordinator::ProposalEnd::Committed);
+    }
+
+    std::filesystem::path folder;
+    std::unique_ptr<Coordinator::DeclarationLog> declarations;
+};
+
+}
+
+Test(EvacuatedZones, anOrderThatIsSentAgainChangesNothing)
+{
+    Coordinator::EvacuatedZones zones;
+    cr_assert(zones.apply(order("a", true)));
+    cr_assert_not(zones.apply(order("a", true)));
+    cr_assert_not(zones.apply(order("b", false)), "one that was never evacuated");
+    cr_assert_eq(zones.current().revision, 1);
+    cr_assert(zones.apply(order("b", true)));
+    cr_assert(zones.apply(order("a", false)));
+    cr_assert(zones.current().zones == std::vector<std::string>{"b"});
+    cr_assert_eq(zones.current().revision, 3);
+}
+
+Test(EvacuatedZones, anOlderSnapshotTakesNothingBack)
+{
+    Coordinator::EvacuatedZones zones;
+    zones.apply(order("a", true));
+    const auto before = zones.current();
+    zones.apply(order("b", true));
+    cr_assert_not(zones.restore(before));
+    cr_assert_eq(zones.current().zones.size(), 2);
+    Coordinator::EvacuatedZones other;
+    cr_assert(other.restore(zones.current()));
+    cr_assert(other.current().zones == zones.current().zones);
+}
+
+// What was acknowledged has to be there after any loss of power, whether it stands in the log or in a snapshot only.
+Test(DeclarationLog, holdsEvacuationsThroughRestarts)
+{
+    LoneLog lone;
+    lone.evacuate("a", true);
+    lone.evacuate("b", true);
+    lone.open();
+    lone.waitForLeader();
+    cr_assert(lone.runUntil([&] {
+        return lone.declarations->evacuations().zones.size() == 2;
+    }));
+    // More orders than there are between two snapshots.
+    for (int round = 0; round < 4; ++round) {
+        lone.evacuate("a", false);
+        lone.evacuate("a", true);
+    }
+    lone.evacuate("b", false);
+    const auto revision = lone.declarations->evacuations().revision;
+    lone.open();
+    lone.waitForLeader();
+    cr_assert(lone.runUntil([&] {
+        return lone.declarations->evacuations().revision == revision;
+    }));
+    cr_assert(lone.declarations->evacuations().zones == std::vector<std::string>{"a"});
+}
--- a/Tests/LibFleet/TestBackendRegistry.cpp
+++ b/Tests/LibFleet/TestBackendRegistry.cpp
@@ -3,7 +3,7 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-// Merging of announcements: rules G1 to G4 of docs/PLATFORM.md.
+// Merging of announcements: rules G1 to G6 of docs/PLATFORM.md.
 
 #include <LibFleet/BackendRegistry.h>
 
@@ -139,3 +139,93 @@
     registry.markGone("one", at(2));
     cr_assert(registry.leaversSince(position, at(2)).size() == 1);
 }
+
+namespace
+{
+
+Protocol::BackendAnnouncement inLife(std::int64_t born, BackendPhase::type phase, std::int64_t sequence)
+{
+    auto made = announcement(phase, sequence);
+    made.born = born;
+    return made;
+}
+
+}
+
+// G5. A server that starts again under its name counts from the start, so its first heartbeat has a lower sequence than the last one before.
+Test(BackendRegistry, aLaterLifeReplacesTheEarlierOne)
+{
+    for (const auto held : {BackendPhase::SILENT, BackendPhase::READY, BackendPhase::DRAINING, BackendPhase::GONE}) {
+        BackendRegistry registry;
+        registry.merge(inLife(1000, held, 50), at(1));
+        cr_assert(registry.merge(inLife(2000, BackendPhase::READY, 1), at(2)), "others have to know");
+        const auto &record = *registry.find("one");
+        cr_assert(record.announcement.phase == BackendPhase::READY && record.announcement.sequence == 1 && record.announcement.born == 2000);
+        registry.merge(inLife(1000, BackendPhase::READY, 99), at(3));
+        registry.merge(inLife(1000, BackendPhase::GONE, INT64_MAX), at(3));
+        cr_assert(record.announcement.phase == BackendPhase::READY && record.announcement.born == 2000, "what comes late of the earlier life");
+        registry.markGone("one", at(4));
+        cr_assert(record.announcement.phase == BackendPhase::GONE && record.announcement.born == 2000);
+    }
+}
+
+Test(BackendRegistry, mergesNewsOfSeveralLivesInAnyOrderToTheSameState)
+{
+    std::vector<Protocol::BackendAnnouncement> news{inLife(1000, BackendPhase::READY, 7),
+        inLife(1000, BackendPhase::GONE, INT64_MAX),
+        inLife(2000, BackendPhase::READY, 1),
+        inLife(2000, BackendPhase::DRAINING, 3),
+        inLife(3000, BackendPhase::READY, 2)};
+    std::vector<std::size_t> order{0, 1, 2, 3, 4};
+    do {
+        BackendRegistry registry;
+        for (const auto index : order) {
+            registry.merge(news[index], at(1));
+        }
+        const auto &held = registry.find("one")->announcement;
+        cr_assert(held.born == 3000 && held.phase == BackendPhase::READY && held.sequence == 2);
+        cr_assert(registry.changedSince(0, at(1)).size() == 1);
+    } while (std::next_permutation(order.begin(), order.end()));
+}
+
+// A farewell need not say which life it ends, and nothing else may be known of the server here.
+Test(BackendRegistry, aLateHeartbeatDoesNotUndoAFarewellOfAnUnknownLife)
+{
+    BackendRegistry registry;
+    registry.markGone("one", at(1));
+    registry.mergeHeartbeat(inLife(1000, BackendPhase::READY, 7), at(4));
+    cr_assert(registry.find("one")->announcement.phase == BackendPhase::GONE);
+    cr_assert(registry.mergeHeartbeat(inLife(2000, BackendPhase::READY, 9), at(12)), "one that goes on is of a life that started since");
+    cr_assert(registry.find("one")->announcement.phase == BackendPhase::READY);
+}
+
+// G6.
+Test(BackendRegistry, nobodyMovesToAnotherServiceWithinALife)
+{
+    BackendRegistry registry;
+    registry.merge(inLife(1000, BackendPhase::READY, 1), at(1));
+    auto foreign = inLife(1000, BackendPhase::READY, 2);
+    foreign.serviceName = "another";
+    cr_assert_not(registry.merge(foreign, at(2)));
+    cr_assert(registry.find("one")->announcement.serviceName == "service");
+}
+
+Test(BackendRegistry, tellsOthersOfOneThatTurnsColdAgain)
+{
+    BackendRegistry registry;
+    auto heartbeat = inLife(1000, BackendPhase::READY, 1);
+    heartbeat.warmupLeftMs = 3000;
+    registry.merge(heartbeat, at(1));
+    heartbeat.sequence = 2;
+    heartbeat.warmupLeftMs = 2000;
+    cr_assert_not(registry.merge(heartbeat, at(2)), "the same cold span");
+    heartbeat.sequence = 3;
+    heartbeat.warmupLeftMs = 0;
+    cr_assert_not(registry.merge(heartbeat, at(5)));
+    heartbeat.sequence = 4;
+    heartbeat.warmupLeftMs = 2500;
+    const auto before = registry.position();
+    cr_assert(registry.merge(heartbeat, at(9)));
+    const auto told = registry.changedSince(before, at(10));
+    cr_assert(told.size() == 1 && told.front().warmupLeftMs == 1500);
+}
--- a/Tests/LibFleet/TestFleetWatcher.cpp
+++ b/Tests/LibFleet/TestFleetWatcher.cpp
@@ -388,3 +388,36 @@
         return fixture.watcher.isConfirmed();
     }));
 }
+
+// Whoever serves again after a start or a cut has to know what was evacuated meanwhile; the confirmation and the zones come in one answer.
+Test(FleetWatcher, holdsTheEvacuationsOnceItIsConfirmed)
+{
+    WatcherFixture fixture;
+    const auto &near = fixture.add("near", [&](const WatchRequest &request) -> std::optional<WatchReply> {
+        if (request.evacuationRevision >= 3) {
+            return std::nullopt;
+        }
+        auto reply = fixture.reply(-1);
+        reply.confirmed = request.confirm;
+        Protocol::Evacuations evacuations;
+        evacuations.revision = 3;
+        evacuations.zones = {"far-1"};
+        reply.__set_evacuations(evacuations);
+        return reply;
+    });
+    int arrivals = 0;
+    fixture.watcher.evacuationsArrived = [&](const Protocol::Evacuations &evacuations) {
+        arrivals += evacuations.zones == std::vector<std::string>{"far-1"} ? 1 : 100;
+        cr_assert_not(fixture.watcher.isConfirmed(), "the zones are in force before anything is served");
+    };
+    fixture.watcher.wantConfirmation();
+    fixture.start();
+    cr_assert(fixture.runUntil([&] {
+        return fixture.watcher.isConfirmed();
+    }));
+    cr_assert(fixture.runUntil([&] {
+        return near.requests.back().evacuationRevision == 3;
+    }));
+    cr_assert_eq(arrivals, 1);
+    cr_assert(fixture.watcher.evacuations().zones.size() == 1);
+}
