--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -8,30 +8,21 @@
 #include <LibCore/Log.h>
 
 #include <algorithm>
-#include <limits>
+#include <iterator>
 #include <nlohmann/json.hpp>
 
 namespace Gateway
 {
 
 static constexpr Core::Duration SweepPeriod = Core::milliseconds(50);
-// Time added for one that refuses or fails everything; one that does so to each fourth is passed over for one that is 40 ms slower.
-static constexpr double TroublePenaltyMilliseconds = 160.0;
-// An attempt that takes this many times the usual latency, and at least the floor, makes its backend server look stuck.
-static constexpr int StuckFactor = 3;
-static constexpr Core::Duration StuckFloor = Core::milliseconds(25);
-// Time added for one that looks stuck: more than any usual difference, less than what is avoided after failures.
-static constexpr double StuckPenaltyMilliseconds = 300.0;
-static constexpr double AvoidedPenaltyMilliseconds = 10'000.0;
-// A cold backend server takes about this much longer.
-static constexpr double ColdFactor = 1.6;
-// Backend servers whose expected times differ by less are equally good; about half a round trip between regions.
-static constexpr double EquallyGoodMilliseconds = 10.0;
-// Expected times differ by up to this share at random, so that gateways don't all choose the same one.
-static constexpr double ChoiceNoise = 0.15;
-
 BackendPool::BackendPool(BackendPoolOptions options, const Dialect &dialect, Core::EventPoll &poll, Core::TimerService &timers)
-    : options(std::move(options)), dialect(dialect), poll(poll), timers(timers), random(this->options.seed), trialPeriod(timers.now())
+    : options(std::move(options))
+    , dialect(dialect)
+    , poll(poll)
+    , timers(timers)
+    , choice(this->options.choice)
+    , coldAllowance(this->options.cold)
+    , trialPeriod(timers.now())
 {
     this->sweepTimer = timers.every(SweepPeriod, [this](Core::Instant) {
         this->sweep();
@@ -40,11 +31,17 @@
 
 BackendPool::~BackendPool()
 {
-    for (auto &[name, backend] : this->backends) {
-        for (const auto &connection : backend->connections) {
+    const auto closeAll = [](const Backend &backend) {
+        for (const auto &connection : backend.connections) {
             connection->closed = nullptr;
             connection->close();
         }
+    };
+    for (const auto &[name, backend] : this->backends) {
+        closeAll(*backend);
+    }
+    for (const auto &former : this->formerLives) {
+        closeAll(*former);
     }
 }
 
@@ -63,7 +60,14 @@
 {
     const auto &announcement = record.announcement;
     const auto found = this->backends.find(announcement.id);
-    if (found != this->backends.end()) {
+    const bool isNewLife = found != this->backends.end() && announcement.born > found->second->born;
+    if (isNewLife) {
+        this->retire(std::move(found->second));
+        this->backends.erase(found);
+    } else if (found != this->backends.end()) {
+        if (announcement.born < found->second->born) {
+            return;
+        }
         found->second->phase = announcement.phase;
         found->second->slots = std::max(1, announcement.slots);
         found->second->warmUntil = record.warmUntil;
@@ -80,6 +84,9 @@
     backend->zone = announcement.zone;
     backend->sameZone = announcement.zone == this->options.zone.value();
     backend->sameRegion = this->isInRegion(announcement.zone);
+    const auto region = this->options.regions.find(announcement.zone);
+    backend->region = region == this->options.regions.end() ? std::string() : region->second;
+    backend->born = announcement.born;
     backend->slots = std::max(1, announcement.slots);
     backend->warmUntil = record.warmUntil;
     const auto service = backend->service;
@@ -97,11 +104,22 @@
     this->backends.erase(backend.name.value());
 }
 
+// What is under way there still ends by itself; nothing else goes there, and nothing that was learnt there counts for the life after it.
+void BackendPool::retire(std::unique_ptr<Backend> former)
+{
+    former->phase = Protocol::BackendPhase::GONE;
+    std::erase(this->serviceOf(former->service).backends, former.get());
+    this->formerLives.push_back(std::move(former));
+}
+
 void BackendPool::setDeclaration(std::shared_ptr<const Fleet::Declaration> newDeclaration)
 {
     this->declaration = std::move(newDeclaration);
     for (const auto &[name, declared] : this->declaration->services) {
-        this->serviceOf(name).connectionCap = declared.connectionCap;
+        auto &row = this->serviceOf(name);
+        row.connectionCap = declared.connectionCap;
+        row.warmupTime = declared.warmupTime;
+        row.coldRequestsPerSecond = declared.coldRequestsPerSecond;
     }
 }
 
@@ -127,7 +145,7 @@
     return row.budget->takeRepeat(this->timers.now(), share);
 }
 
-bool BackendPool::hasReady(const Core::ServiceName &service) const
+bool BackendPool::knowsReady(const Core::ServiceName &service) const
 {
     const auto found = this->services.find(service);
     return found != this->services.end() && std::any_of(found->second.backends.begin(), found->second.backends.end(), [](const Backend *backend) {
@@ -135,36 +153,31 @@
     });
 }
 
-std::vector<std::string> BackendPool::goodZonesOf(const Core::ServiceName &service, Core::Duration typicalLatency) const
+bool BackendPool::hasEligible(const Core::ServiceName &service, const Fleet::AllowedRegions &allowedRegions) const
+{
+    const auto found = this->services.find(service);
+    return found != this->services.end() && std::any_of(found->second.backends.begin(), found->second.backends.end(), [&](const Backend *backend) {
+        return this->isEligible(*backend, allowedRegions);
+    });
+}
+
+std::vector<std::string> BackendPool::goodZonesOf(
+    const Core::ServiceName &service, Core::Duration typicalLatency, const Fleet::AllowedRegions &allowedRegions) const
 {
     const auto found = this->services.find(service);
     if (found == this->services.end()) {
         return {};
     }
-    const auto now = this->timers.now();
-    std::map<std::string, double> scoreOfZone;
-    double best = std::numeric_limits<double>::max();
-    for (const auto *backend : found->second.backends) {
-        if (backend->phase != Protocol::BackendPhase::READY || !this->hasRoom(*backend, found->second)) {
-            continue;
-        }
-        const double score = this->expectedMilliseconds(*backend, typicalLatency, now) + this->biasMilliseconds(*backend, now);
-        const auto [position, isNew] = scoreOfZone.try_emplace(backend->zone, score);
-        position->second = std::min(position->second, score);
-        best = std::min(best, score);
-    }
-    std::vector<std::string> zones;
-    for (const auto &[zone, score] : scoreOfZone) {
-        if (score <= best + EquallyGoodMilliseconds) {
-            zones.push_back(zone);
-        }
-    }
-    return zones;
+    std::vector<Backend *> candidates;
+    std::copy_if(found->second.backends.begin(), found->second.backends.end(), std::back_inserter(candidates), [&](const Backend *backend) {
+        return this->isEligible(*backend, allowedRegions) && this->hasRoom(*backend, found->second);
+    });
+    return this->choice.goodZones(candidates, typicalLatency, this->timers.now());
 }
 
-bool BackendPool::isGoodInRegion(const Core::ServiceName &service, Core::Duration typicalLatency) const
+bool BackendPool::isGoodInRegion(const Core::ServiceName &service, Core::Duration typicalLatency, const Fleet::AllowedRegions &allowedRegions) const
 {
-    const auto zones = this->goodZonesOf(service, typicalLatency);
+    const auto zones = this->goodZonesOf(service, typicalLatency, allowedRegions);
     return std::any_of(zones.begin(), zones.end(), [this](const std::string &zone) {
         return this->isInRegion(zone);
     });
@@ -191,7 +204,7 @@
 
 Core::Duration BackendPool::roundTripTo(const Core::ServiceName &service) const
 {
-    Core::Duration shortest = this->options.assumedRegionRoundTrip;
+    Core::Duration shortest = this->options.choice.assumedRegionRoundTrip;
     const auto found = this->services.find(service);
     if (found == this->services.end()) {
         return shortest;
@@ -233,6 +246,9 @@
 
 bool BackendPool::hasRoom(const Backend &backend, const Service &service) const
 {
+    if (!this->bearsMore(backend, service)) {
+        return false;
+    }
     const bool takesMore = backend.turnedAway.isOver(this->timers.now());
     if (takesMore && backend.connections.size() < this->connectionLimit(backend, service)) {
         return true;
@@ -242,84 +258,66 @@
     });
 }
 
-bool BackendPool::isStuck(const Backend &backend, Core::Instant now) const
+bool BackendPool::isEligible(const Backend &backend, const Fleet::AllowedRegions &allowedRegions) const
 {
-    return std::any_of(backend.inFlight.begin(), backend.inFlight.end(), [&backend, now](const Attempt *attempt) {
-        const auto limit = std::max(StuckFloor, StuckFactor * attempt->typicalLatency);
-        // A reply that came later than the attempt began shows that the server works, if slowly on this one.
-        return now - std::max(attempt->startedAt, backend.evidence.lastReply()) >= limit;
-    });
+    const bool takesWork = backend.phase == Protocol::BackendPhase::READY;
+    return takesWork && !this->evacuatedZones.contains(backend.zone) && allowedRegions.allows(backend.region);
 }
 
-static double milliseconds(Core::Duration duration)
+bool BackendPool::bearsMore(const Backend &backend, const Service &service) const
 {
-    return Core::toFractionalMilliseconds(duration);
+    const auto now = this->timers.now();
+    const bool isBounded = service.coldRequestsPerSecond > 0.0 && now < backend.warmUntil;
+    if (!isBounded) {
+        return true;
+    }
+    const int total = this->coldAllowance.total(service.coldRequestsPerSecond);
+    const int share = this->coldShare ? this->coldShare(backend.service, backend.zone, total) : 0;
+    return this->coldAllowance.isWithin(backend.name, share, now);
 }
 
-double BackendPool::expectedMilliseconds(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const
+void BackendPool::assumeCold(Backend &backend)
 {
-    double expected = milliseconds(typicalLatency) * backend.evidence.expectedFactor(backend.inFlight.size(), backend.slots, now);
-    if (now < backend.warmUntil) {
-        expected *= ColdFactor;
+    const auto &service = this->serviceOf(backend.service);
+    if (service.coldRequestsPerSecond > 0.0) {
+        backend.warmUntil = std::max(backend.warmUntil, this->timers.now() + service.warmupTime);
     }
-    if (!backend.sameRegion) {
-        expected += milliseconds(backend.roundTrip.value_or(this->options.assumedRegionRoundTrip));
-    }
-    expected += this->isStuck(backend, now) ? StuckPenaltyMilliseconds : 0.0;
-    expected += backend.evidence.isAvoided(now) ? AvoidedPenaltyMilliseconds : 0.0;
-    return expected;
 }
 
-// What goes into the choice besides the expected time.
-double BackendPool::biasMilliseconds(const Backend &backend, Core::Instant now) const
+void BackendPool::setEvacuatedZones(const std::vector<std::string> &zones)
 {
-    double bias = TroublePenaltyMilliseconds * backend.evidence.troubleRate(now);
-    if (!backend.sameRegion) {
-        bias += milliseconds(this->options.crossRegionBias);
-    } else if (!backend.sameZone) {
-        bias += milliseconds(this->options.crossZoneBias);
+    const auto before = std::exchange(this->evacuatedZones, std::set<std::string>(zones.begin(), zones.end()));
+    for (const auto &[name, backend] : this->backends) {
+        // Backend servers of a zone that is used again may have turned cold meanwhile, and say so with a heartbeat that is yet to come.
+        if (before.contains(backend->zone) && !this->evacuatedZones.contains(backend->zone)) {
+            this->assumeCold(*backend);
+        }
     }
-    return bias;
 }
 
-Backend *BackendPool::choose(
-    const Core::ServiceName &service, const std::vector<BackendName> &tried, Core::Duration typicalLatency, std::optional<Core::Duration> within)
+Backend *BackendPool::choose(const Wanted &wanted)
 {
-    auto &row = this->serviceOf(service);
-    const auto now = this->timers.now();
-    Backend *best = nullptr;
-    double bestScore = 0.0;
-    for (auto *backend : row.backends) {
-        const bool wasTried = std::find(tried.begin(), tried.end(), backend->name) != tried.end();
-        if (backend->phase != Protocol::BackendPhase::READY || wasTried || !this->hasRoom(*backend, row)) {
-            continue;
-        }
-        const double expected = this->expectedMilliseconds(*backend, typicalLatency, now);
-        if (within.has_value() && expected > milliseconds(within.value())) {
-            continue;
-        }
-        const double noise = 1.0 + std::uniform_real_distribution<double>(0.0, ChoiceNoise)(this->random);
-        const double score = expected * noise + this->biasMilliseconds(*backend, now);
-        if (best == nullptr || score < bestScore) {
-            best = backend;
-            bestScore = score;
-        }
-    }
-    return best;
+    const auto &row = this->serviceOf(wanted.service);
+    std::vector<Backend *> candidates;
+    std::copy_if(row.backends.begin(), row.backends.end(), std::back_inserter(candidates), [&](const Backend *backend) {
+        const bool wasTried = std::find(wanted.tried.begin(), wanted.tried.end(), backend->name) != wanted.tried.end();
+        return !wasTried && this->isEligible(*backend, wanted.allowedRegions) && this->hasRoom(*backend, row);
+    });
+    return this->choice.best(candidates, wanted.typicalLatency, wanted.within, this->timers.now());
 }
 
-Backend *BackendPool::firstSound(const std::vector<BackendName> &names, const std::vector<BackendName> &tried)
+Backend *BackendPool::firstSound(const std::vector<BackendName> &names, const Wanted &wanted)
 {
     const auto now = this->timers.now();
     for (const auto &name : names) {
         const auto found = this->backends.find(name.value());
-        const bool wasTried = std::find(tried.begin(), tried.end(), name) != tried.end();
+        const bool wasTried = std::find(wanted.tried.begin(), wanted.tried.end(), name) != wanted.tried.end();
         if (found == this->backends.end() || wasTried) {
             continue;
         }
         auto &backend = *found->second;
-        const bool takesWork = backend.phase == Protocol::BackendPhase::READY && this->hasRoom(backend, this->serviceOf(backend.service));
-        if (takesWork && !backend.evidence.isAvoided(now) && !this->isStuck(backend, now)) {
+        const bool takesWork = this->isEligible(backend, wanted.allowedRegions) && this->hasRoom(backend, this->serviceOf(backend.service));
+        if (takesWork && !backend.evidence.isAvoided(now) && !BackendChoice::isStuck(backend, now)) {
             return &backend;
         }
     }
@@ -343,11 +341,9 @@
     }
     ++this->counts.connectionsOpened;
     const auto &connection = opened.value();
-    connection->closed = [this, name = backend.name.value(), raw = connection.get()] {
-        const auto found = this->backends.find(name);
-        if (found != this->backends.end()) {
-            this->connectionClosed(*found->second, raw);
-        }
+    // NOTE: A row goes only once it has no connections any more, so it is there for as long as they are.
+    connection->closed = [this, &backend, raw = connection.get()] {
+        this->connectionClosed(backend, raw);
     };
     backend.connections.push_back(connection);
     return connection;
@@ -399,12 +395,19 @@
     attempt.typicalLatency = attemptOptions.typicalLatency;
     attempt.done = std::move(attemptOptions.done);
     backend.inFlight.push_back(&attempt);
-    attempt.connection = this->connectionFor(backend);
+    const bool eligible = this->isEligible(backend, attemptOptions.allowedRegions);
+    if (!eligible) {
+        Core::logEvent(Core::LogLevel::Error, "backend.not_eligible", {{"backend", backend.name.value()}, {"request", attemptOptions.caller->id.value()}});
+    }
+    attempt.connection = eligible ? this->connectionFor(backend) : nullptr;
     if (!attempt.connection) {
         // The outcome is told from the loop, as all outcomes are.
         attempt.cancelAt = attempt.startedAt;
         return id;
     }
+    if (this->timers.now() < backend.warmUntil) {
+        this->coldAllowance.note(backend.name, this->timers.now());
+    }
     std::string bytes;
     this->dialect.writeRequest(bytes, BackendRequest{.caller = attemptOptions.caller, .backend = backend.name, .timeLeft = attemptOptions.timeLeft});
     attempt.connection->send(
@@ -471,6 +474,8 @@
     const auto now = this->timers.now();
     if (outcome.end != AttemptEnd::Replied) {
         (outcome.end == AttemptEnd::NotSent ? this->counts.notSent : this->counts.broken) += 1;
+        // It may have started again, and answer the next request before it has said that it is cold.
+        this->assumeCold(backend);
         if (outcome.end == AttemptEnd::Unacknowledged) {
             this->noteSilence(backend, outcome.reason);
         } else {
@@ -500,9 +505,9 @@
         this->noteFailure(backend, "status " + std::to_string(reply.message.status));
         return;
     }
-    const double usual = std::max(1.0, milliseconds(attempt.typicalLatency));
-    const double latency = milliseconds(now - attempt.startedAt) - (backend.sameRegion ? 0.0 : milliseconds(backend.roundTrip.value_or(Core::Duration(0))));
-    backend.evidence.noteAnswer(latency / usual, now);
+    const double usual = std::max(1.0, Core::toFractionalMilliseconds(attempt.typicalLatency));
+    const auto way = backend.sameRegion ? Core::Duration(0) : backend.roundTrip.value_or(Core::Duration(0));
+    backend.evidence.noteAnswer(Core::toFractionalMilliseconds(now - attempt.startedAt - way) / usual, now);
 }
 
 // It has as many connections as it takes, from here and from elsewhere, which says nothing of how it works.
@@ -614,6 +619,7 @@
 {
     const auto now = this->timers.now();
     this->cancelOverdue(now);
+    this->coldAllowance.forget(now);
     this->closeResting(now);
     this->offerRoomToWaiters();
 }
@@ -652,29 +658,43 @@
     }
 }
 
+void BackendPool::findResting(const Backend &backend, Core::Instant now, std::vector<std::shared_ptr<Wire::ClientConnection>> &resting) const
+{
+    const bool isGone = backend.phase == Protocol::BackendPhase::GONE;
+    for (const auto &connection : backend.connections) {
+        const bool neverCameUp = !connection->isConnected() && now - connection->lastUsed() >= this->options.connectPatience;
+        const bool expired = neverCameUp || connection->idleUntil() <= now || now - connection->lastUsed() >= this->options.idleLimit;
+        if (connection->isIdle() && (expired || isGone)) {
+            resting.push_back(connection);
+        }
+    }
+}
+
 void BackendPool::closeResting(Core::Instant now)
 {
+    const auto isOver = [](const Backend &backend) {
+        return backend.phase == Protocol::BackendPhase::GONE && backend.connections.empty() && backend.inFlight.empty();
+    };
     std::vector<std::shared_ptr<Wire::ClientConnection>> resting;
     std::vector<Backend *> gone;
     for (const auto &[name, backend] : this->backends) {
-        const bool isGone = backend->phase == Protocol::BackendPhase::GONE;
-        for (const auto &connection : backend->connections) {
-            const bool neverCameUp = !connection->isConnected() && now - connection->lastUsed() >= this->options.connectPatience;
-            const bool expired = neverCameUp || connection->idleUntil() <= now || now - connection->lastUsed() >= this->options.idleLimit;
-            if (connection->isIdle() && (expired || isGone)) {
-                resting.push_back(connection);
-            }
-        }
-        if (isGone && backend->connections.empty() && backend->inFlight.empty()) {
+        this->findResting(*backend, now, resting);
+        if (isOver(*backend)) {
             gone.push_back(backend.get());
         }
     }
+    for (const auto &former : this->formerLives) {
+        this->findResting(*former, now, resting);
+    }
     for (const auto &connection : resting) {
         connection->close();
     }
     for (auto *backend : gone) {
         this->remove(*backend);
     }
+    std::erase_if(this->formerLives, [&isOver](const auto &former) {
+        return isOver(*former);
+    });
 }
 
 std::string BackendPool::dump() const
@@ -686,6 +706,9 @@
             {"service", backend->service.value()},
             {"address", backend->endpoint.toString()},
             {"phase", static_cast<int>(backend->phase)},
+            {"evacuated", this->evacuatedZones.contains(backend->zone)},
+            {"cold_ms", Core::toMilliseconds(std::max(Core::Duration(0), backend->warmUntil - now))},
+            {"born", backend->born},
             {"connections", backend->connections.size()},
             {"in_flight", backend->inFlight.size()},
             {"trouble_rate", backend->evidence.troubleRate(now)},
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -11,14 +11,10 @@
 #include <LibCore/EventPoll.h>
 #include <LibCore/StrongValue.h>
 #include <LibCore/TimerService.h>
-#include <LibFleet/BackendRegistry.h>
 #include <LibFleet/Declaration.h>
-#include <LibFleet/Regions.h>
-#include <LibGateway/BackendEvidence.h>
-#include <LibGateway/ConnectionAllowance.h>
-#include <LibGateway/Dialect.h>
+#include <LibGateway/BackendChoice.h>
+#include <LibGateway/ColdAllowance.h>
 #include <LibGateway/RepeatBudget.h>
-#include <LibWire/ClientConnection.h>
 
 #include <map>
 #include <memory>
@@ -49,39 +45,11 @@
     Core::Duration cancelPatience{Core::milliseconds(150)};
     /** A connection that was not used for this long is closed. */
     Core::Duration idleLimit{Core::seconds(20)};
-    /** Added to the expected latency of a backend server in another region, whose bytes are dear. */
-    Core::Duration crossRegionBias{Core::milliseconds(30)};
-    /** The same for another availability zone of this region. */
-    Core::Duration crossZoneBias{Core::milliseconds(2)};
-    /** Round trip that is assumed to another region before one was measured. */
-    Core::Duration assumedRegionRoundTrip{Core::milliseconds(20)};
+    BackendChoiceOptions choice;
+    ColdOptions cold;
     ConnectionShares connections;
     /** Connections to a backend server of a service that is not declared. */
     int undeclaredCap{1};
-    std::uint64_t seed{1};
-};
-
-class BackendPool;
-struct Backend;
-
-/** Names an attempt until it has ended. */
-using AttemptId = std::uint64_t;
-
-/** How a send to a backend server ended. */
-enum class AttemptEnd {
-    Replied,
-    /** It never left this gateway. */
-    NotSent,
-    /** It may have run. */
-    Broken,
-    /** It has most likely not arrived, since its bytes stayed unacknowledged. */
-    Unacknowledged,
-};
-
-struct AttemptOutcome {
-    AttemptEnd end{AttemptEnd::Broken};
-    BackendReply reply;
-    std::string reason;
 };
 
 /** What is sent, and what is expected of it. */
@@ -90,40 +58,20 @@
     Core::Duration timeLeft{0};
     /** Typical latency of such requests, for judging a backend server by. */
     Core::Duration typicalLatency{0};
+    /** Where the request may be served. */
+    Fleet::AllowedRegions allowedRegions;
     std::function<void(const AttemptOutcome &outcome)> done;
 };
 
-/** One send that is under way. */
-struct Attempt {
-    AttemptId id{0};
-    Backend *backend{nullptr};
-    std::shared_ptr<Wire::ClientConnection> connection;
-    Core::Instant startedAt;
+/** What a backend server is wanted for. */
+struct Wanted {
+    const Core::ServiceName &service;
+    /** Those that are not asked again. */
+    const std::vector<BackendName> &tried;
     Core::Duration typicalLatency{0};
-    // Set when nobody waits for the outcome any more.
-    std::optional<Core::Instant> cancelAt;
-    std::function<void(const AttemptOutcome &outcome)> done;
-};
-
-/** One incarnation of a backend server. */
-struct Backend {
-    BackendName name;
-    Core::ServiceName service;
-    Core::Endpoint endpoint;
-    std::string zone;
-    bool sameZone{false};
-    bool sameRegion{false};
-    int slots{1};
-    Protocol::BackendPhase::type phase{Protocol::BackendPhase::READY};
-    Core::Instant warmUntil;
-
-    BackendEvidence evidence;
-    std::optional<Core::Duration> roundTrip;
-    TurnedAwayPause turnedAway;
-
-    std::vector<std::shared_ptr<Wire::ClientConnection>> connections;
-    // Invariant: exactly the attempts of the pool that name this backend.
-    std::vector<Attempt *> inFlight;
+    const Fleet::AllowedRegions &allowedRegions;
+    /** Only one that is expected to answer in that time. */
+    std::optional<Core::Duration> within;
 };
 
 /** Counts for metrics. */
@@ -163,16 +111,17 @@
     void setGatewayCount(int all, int inZone);
     [[nodiscard]] int gatewayCount() const;
 
-    /** The best backend server that has room and is none of `tried`, or nullptr. With `within`, only one that is expected to answer in that time. */
-    [[nodiscard]] Backend *choose(const Core::ServiceName &service,
-        const std::vector<BackendName> &tried,
-        Core::Duration typicalLatency,
-        std::optional<Core::Duration> within = std::nullopt);
+    /** Nothing more is sent to the backend servers of these availability zones. */
+    void setEvacuatedZones(const std::vector<std::string> &zones);
+
+    /** The best backend server that may be asked and has room, or nullptr. */
+    [[nodiscard]] Backend *choose(const Wanted &wanted);
 
-    /** The first of `names` that is none of `tried`, has room, and neither failed lately nor looks stuck; nullptr when there is none. */
-    [[nodiscard]] Backend *firstSound(const std::vector<BackendName> &names, const std::vector<BackendName> &tried);
+    /** The first of `names` that may be asked, has room, and neither failed lately nor looks stuck; nullptr when there is none. */
+    [[nodiscard]] Backend *firstSound(const std::vector<BackendName> &names, const Wanted &wanted);
 
-    /** Sends. `done` is called exactly once, from the loop, unless the attempt is abandoned. */
+    /** Sends, unless the backend server may not be asked: then the outcome is NotSent. `done` is called exactly once, from the loop, unless the attempt is
+     * abandoned. */
     AttemptId send(Backend &backend, AttemptOptions options);
 
     /** Nobody waits for the outcome any more. `callerGone` asks for an early cancellation. */
@@ -189,11 +138,15 @@
     void noteRequest(const Core::ServiceName &service);
     /** Takes a repeat out of that budget; false when there is none left. */
     [[nodiscard]] bool takeRepeat(const Core::ServiceName &service);
-    [[nodiscard]] bool hasReady(const Core::ServiceName &service) const;
+    /** Whether a backend server of the service is ready, wherever it is. */
+    [[nodiscard]] bool knowsReady(const Core::ServiceName &service) const;
+    /** Whether one may be asked. */
+    [[nodiscard]] bool hasEligible(const Core::ServiceName &service, const Fleet::AllowedRegions &allowedRegions) const;
     /** The availability zones whose backend servers are about as good a choice as the best one, each once. Empty when none takes work. */
-    [[nodiscard]] std::vector<std::string> goodZonesOf(const Core::ServiceName &service, Core::Duration typicalLatency) const;
+    [[nodiscard]] std::vector<std::string> goodZonesOf(
+        const Core::ServiceName &service, Core::Duration typicalLatency, const Fleet::AllowedRegions &allowedRegions) const;
     /** Whether one of the best backend servers is in this region. */
-    [[nodiscard]] bool isGoodInRegion(const Core::ServiceName &service, Core::Duration typicalLatency) const;
+    [[nodiscard]] bool isGoodInRegion(const Core::ServiceName &service, Core::Duration typicalLatency, const Fleet::AllowedRegions &allowedRegions) const;
     /** Another gateway asked the backend servers of a service in a zone; `ratio` as in BackendEvidence::noteAnswer(). */
     void learnFromPart(const Core::ServiceName &service, const std::string &zone, double ratio);
     /** The shortest round trip to a backend server of a service; an assumption before one was measured. */
@@ -207,6 +160,8 @@
 
     /** This gateway's part of a service's slack of repeats, told the zones that have or had its backend servers; an equal part when there is none. */
     std::function<double(const Core::ServiceName &service, const std::set<std::string> &zones)> slackShare;
+    /** This gateway's part of `total` requests that a cold backend server of a service in a zone bears a second; none when there is no hook. */
+    std::function<int(const Core::ServiceName &service, const std::string &zone, int total)> coldShare;
 
 private:
     struct Waiter {
@@ -221,6 +176,9 @@
         std::vector<Waiter> waiters;
         // 0 when the service is not declared.
         int connectionCap{0};
+        // As declared.
+        Core::Duration warmupTime{0};
+        double coldRequestsPerSecond{0.0};
         std::unique_ptr<RepeatBudget> budget;
         // Of all backend servers that it ever had: a zone that loses its last one still counts, so that no part grows when one does.
         std::set<std::string> zones;
@@ -230,9 +188,13 @@
     [[nodiscard]] bool isInRegion(const std::string &zone) const;
     [[nodiscard]] std::size_t connectionLimit(const Backend &backend, const Service &service) const;
     [[nodiscard]] bool hasRoom(const Backend &backend, const Service &service) const;
-    [[nodiscard]] bool isStuck(const Backend &backend, Core::Instant now) const;
-    [[nodiscard]] double expectedMilliseconds(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const;
-    [[nodiscard]] double biasMilliseconds(const Backend &backend, Core::Instant now) const;
+    /** Whether it may be asked at all. The one place that decides; send() asks it again, so that nothing gets past it. */
+    [[nodiscard]] bool isEligible(const Backend &backend, const Fleet::AllowedRegions &allowedRegions) const;
+    /** Whether a cold backend server bears one more from here. */
+    [[nodiscard]] bool bearsMore(const Backend &backend, const Service &service) const;
+    /** It may have started again, or come back otherwise, and not have said yet that it is cold. */
+    void assumeCold(Backend &backend);
+    void retire(std::unique_ptr<Backend> former);
     [[nodiscard]] std::shared_ptr<Wire::ClientConnection> connectionFor(Backend &backend);
     [[nodiscard]] std::shared_ptr<Wire::ClientConnection> openConnection(Backend &backend);
     [[nodiscard]] std::optional<Core::Duration> trialMargin() const;
@@ -250,18 +212,23 @@
     void sweep();
     void cancelOverdue(Core::Instant now);
     void closeResting(Core::Instant now);
+    void findResting(const Backend &backend, Core::Instant now, std::vector<std::shared_ptr<Wire::ClientConnection>> &resting) const;
 
     BackendPoolOptions options;
     const Dialect &dialect;
     Core::EventPoll &poll;
     Core::TimerService &timers;
-    std::mt19937_64 random;
+    BackendChoice choice;
+    ColdAllowance coldAllowance;
     // Until the registry tells, so many that nothing is taken out of what all share but a connection each.
     GatewayCount gateways{.all = AssumedGateways, .inZone = AssumedGateways};
     static constexpr int AssumedGateways = 10'000;
     std::shared_ptr<const Fleet::Declaration> declaration;
     std::unordered_map<Core::ServiceName, Service> services;
     std::unordered_map<std::string, std::unique_ptr<Backend>> backends;
+    // Earlier lives of backend servers that started again under their id, until nothing of theirs is under way. Invariant: all of them are gone.
+    std::vector<std::unique_ptr<Backend>> formerLives;
+    std::set<std::string> evacuatedZones;
     std::unordered_map<AttemptId, Attempt> attempts;
     TrialPeriod trialPeriod;
     AttemptId nextAttempt{1};
--- a/Libraries/LibGateway/CellMap.cpp
+++ b/Libraries/LibGateway/CellMap.cpp
@@ -150,6 +150,25 @@
     return own;
 }
 
+std::size_t CellMap::gatewaysIn(const std::string &zone) const
+{
+    const auto found = this->gateways.find(zone);
+    return found == this->gateways.end() ? 0 : found->second.size();
+}
+
+std::optional<int> CellMap::ownRank(std::size_t cell, std::size_t shardsInSearch) const
+{
+    const auto all = this->gatewaysIn(this->ownZone);
+    if (all == 0) {
+        return std::nullopt;
+    }
+    const auto ranked = this->rankedOwners(cell, shardsInSearch, this->ownZone, all);
+    const auto own = std::find_if(ranked.begin(), ranked.end(), [this](const CellGateway *gateway) {
+        return gateway->address == this->ownAddress;
+    });
+    return own == ranked.end() ? std::nullopt : std::optional<int>(static_cast<int>(own - ranked.begin()));
+}
+
 bool CellMap::isAmong(const std::vector<const CellGateway *> &owners) const
 {
     return std::any_of(owners.begin(), owners.end(), [this](const CellGateway *owner) {
--- a/Libraries/LibGateway/CellMap.h
+++ b/Libraries/LibGateway/CellMap.h
@@ -16,6 +16,7 @@
 #include <LibGateway/Dialect.h>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -83,6 +84,11 @@
     /** Whether this gateway is one of the owners of a cell of its own zone. */
     [[nodiscard]] bool isOwnCell(std::size_t cell, std::size_t shardsInSearch) const;
 
+    [[nodiscard]] std::size_t gatewaysIn(const std::string &zone) const;
+
+    /** This gateway's place among all gateways of its zone, in the order in which they own a cell; nothing while it is not known there itself. */
+    [[nodiscard]] std::optional<int> ownRank(std::size_t cell, std::size_t shardsInSearch) const;
+
 private:
     [[nodiscard]] std::size_t cellCount(std::size_t shardsInSearch, const std::string &zone) const;
     [[nodiscard]] std::size_t ownerCount(const std::string &zone) const;
--- a/Libraries/LibGateway/CellOwnership.cpp
+++ b/Libraries/LibGateway/CellOwnership.cpp
@@ -6,6 +6,7 @@
 #include <LibGateway/CellOwnership.h>
 
 #include <LibCore/Log.h>
+#include <LibGateway/ColdAllowance.h>
 
 #include <algorithm>
 
@@ -13,10 +14,13 @@
 {
 
 static constexpr double MillisecondsInASecond = 1000.0;
+// Gateways may share by rank only once they have known the same ones for this long: until then one that has not heard of a change spends its
+// former part. News reach all that are in touch within a second; one that is cut off stops to share before the others give it up.
+static constexpr Core::Duration RankSettleTime = Core::seconds(3);
 
 CellOwnership::CellOwnership(
     CellOwnershipOptions options, std::string ownZone, const Fleet::RegionOfZone &regions, const std::string &ownAddress, Core::Instant now)
-    : options(options), ownZone(std::move(ownZone)), map(options.cells, this->ownZone, regions, ownAddress), shares(options.slack, now)
+    : options(options), ownZone(std::move(ownZone)), map(options.cells, this->ownZone, regions, ownAddress), shares(options.slack, now), gatewaysSince(now)
 {
 }
 
@@ -30,7 +34,7 @@
     this->searchRate.note();
 }
 
-void CellOwnership::takeGateways(const Fleet::BackendRegistry &gateways)
+void CellOwnership::takeGateways(const Fleet::BackendRegistry &gateways, Core::Instant now)
 {
     if (std::exchange(this->mapPosition, gateways.position()) == gateways.position()) {
         return;
@@ -40,6 +44,7 @@
         byZone[gateway->zone].push_back({.name = BackendName(gateway->id), .address = gateway->address});
     }
     this->map.setGateways(std::move(byZone));
+    this->gatewaysSince = now;
 }
 
 void CellOwnership::takeDeclaration(const Fleet::Declaration &declaration)
@@ -70,21 +75,22 @@
     return own;
 }
 
-void CellOwnership::advance(const OwnershipView &view, Core::Duration span, Core::Instant now)
+void CellOwnership::advance(const OwnershipView &newView, Core::Duration span, Core::Instant now)
 {
+    this->view = newView;
     this->searchRate.advance(Core::toFractionalMilliseconds(span) / MillisecondsInASecond);
     this->map.setSearchRate(this->searchRate.perSecond());
     const bool haveOwners = this->map.cellsHaveOwners();
-    auto own = view.mayOwn && haveOwners ? this->findOwnCells() : std::set<CellKey>();
-    this->shares.setGateways(view.gateways, haveOwners, now);
+    auto own = this->view.mayOwn && haveOwners ? this->findOwnCells() : std::set<CellKey>();
+    this->shares.setGateways(this->view.gateways, haveOwners, now);
     this->shares.setOwnCells(own, now);
     if (own != this->ownCells) {
         Core::logEvent(Core::LogLevel::Information,
             "cells.owned",
             {{"cells", own.size()},
                 {"before", this->ownCells.size()},
-                {"gateways", view.gateways},
-                {"may_own", view.mayOwn ? 1 : 0},
+                {"gateways", this->view.gateways},
+                {"may_own", this->view.mayOwn ? 1 : 0},
                 {"zone_divided", this->map.isDivided(this->ownZone) ? 1 : 0}});
         this->ownCells = std::move(own);
     }
@@ -100,4 +106,21 @@
     return this->shares.shareOfShard(cell, zones.size(), zones.contains(this->ownZone), now);
 }
 
+int CellOwnership::coldShareOf(const Core::ServiceName &service, const std::string &zone, int total, Core::Instant now) const
+{
+    if (!this->view.mayOwn) {
+        return 0;
+    }
+    ColdPart part{.total = total, .gateways = this->view.gateways, .inZone = 0, .rank = std::nullopt};
+    const bool isSettled = now - this->gatewaysSince >= RankSettleTime;
+    if (isSettled && zone == this->ownZone) {
+        const auto found = this->shardsInSearch.find(service);
+        // A service that is no shard is a cell of its own.
+        const auto shards = found == this->shardsInSearch.end() ? std::size_t(1) : found->second;
+        part.inZone = static_cast<int>(this->map.gatewaysIn(zone));
+        part.rank = this->map.ownRank(this->map.cellOf(service, shards, zone), shards);
+    }
+    return shareOfCold(part);
+}
+
 }
--- a/Libraries/LibGateway/CellOwnership.h
+++ b/Libraries/LibGateway/CellOwnership.h
@@ -38,7 +38,7 @@
     CellOwnership(CellOwnershipOptions options, std::string ownZone, const Fleet::RegionOfZone &regions, const std::string &ownAddress, Core::Instant now);
 
     /** Takes the ready gateways over if any has come or gone. */
-    void takeGateways(const Fleet::BackendRegistry &gateways);
+    void takeGateways(const Fleet::BackendRegistry &gateways, Core::Instant now);
     void takeDeclaration(const Fleet::Declaration &declaration);
     /** A caller brought a search. */
     void noteSearch();
@@ -50,6 +50,9 @@
     /** This gateway's part of a service's slack of repeats; `zones` have or had backend servers of it. */
     [[nodiscard]] double slackShareOf(const Core::ServiceName &service, const std::set<std::string> &zones, Core::Instant now) const;
 
+    /** This gateway's part of `total` requests a second that a cold backend server of a service in a zone bears. */
+    [[nodiscard]] int coldShareOf(const Core::ServiceName &service, const std::string &zone, int total, Core::Instant now) const;
+
 private:
     [[nodiscard]] std::set<CellKey> findOwnCells() const;
 
@@ -62,6 +65,10 @@
     // How many shards the largest search has that asks a service. What is no shard any more stays one here, since searches of the declaration
     // before may still ask it.
     std::unordered_map<Core::ServiceName, std::size_t> shardsInSearch;
+    // As of the last advance().
+    OwnershipView view;
+    // When the gateways last changed.
+    Core::Instant gatewaysSince;
     // The position in the changes of gateways that the map is of.
     std::int64_t mapPosition{-1};
 };
--- /dev/null
+++ b/Libraries/LibGateway/ColdAllowance.cpp
@@ -0,0 +1,66 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibGateway/ColdAllowance.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Gateway
+{
+
+// The platform counts a cold backend server's requests in any span of this length.
+static constexpr Core::Duration Window = Core::seconds(1);
+
+int shareOfCold(const ColdPart &part)
+{
+    const int equal = part.total / std::max(1, part.gateways);
+    if (equal >= 1) {
+        return equal;
+    }
+    const int sharers = std::min(part.total, part.inZone);
+    const bool shares = part.rank.has_value() && part.rank.value() < sharers;
+    return shares ? part.total / sharers : 0;
+}
+
+ColdAllowance::ColdAllowance(ColdOptions options) : options(options)
+{
+}
+
+int ColdAllowance::total(double requestsPerSecond) const
+{
+    return static_cast<int>(std::floor(requestsPerSecond * this->options.overshoot + this->options.slack));
+}
+
+bool ColdAllowance::isWithin(const BackendName &backend, int share, Core::Instant now) const
+{
+    const auto found = this->sends.find(backend);
+    if (found == this->sends.end()) {
+        return share > 0;
+    }
+    const auto inWindow = std::count_if(found->second.begin(), found->second.end(), [now](Core::Instant time) {
+        return now - time <= Window;
+    });
+    return inWindow < share;
+}
+
+void ColdAllowance::note(const BackendName &backend, Core::Instant now)
+{
+    this->sends[backend].push_back(now);
+}
+
+void ColdAllowance::forget(Core::Instant now)
+{
+    for (auto &[backend, times] : this->sends) {
+        while (!times.empty() && now - times.front() > Window) {
+            times.pop_front();
+        }
+    }
+    std::erase_if(this->sends, [](const auto &item) {
+        return item.second.empty();
+    });
+}
+
+}
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -38,6 +38,8 @@
     int running{0};
     int waiting{0};
     int slots{0};
+    /** How many times as long as usual work takes on its machine now; 1 where it does not say. */
+    double pace{1.0};
 };
 
 /** A backend server's reply, its envelope read. */
--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -41,7 +41,7 @@
         shards += part.shards.size();
     }
     for (const auto &shard : this->plan.direct) {
-        shards += this->context.pool->hasReady(shard) ? 1 : 0;
+        shards += this->context.pool->hasEligible(shard, this->terms.allowedRegions) ? 1 : 0;
     }
     return shards >= this->needed();
 }
@@ -94,7 +94,7 @@
 void FanOutRequest::startHedged(Row &row)
 {
     row.lost.executions = HedgedExecutions;
-    if (!this->context.pool->isGoodInRegion(row.shard, this->terms.typicalLatency)) {
+    if (!this->context.pool->isGoodInRegion(row.shard, this->terms.typicalLatency, this->terms.allowedRegions)) {
         return;
     }
     row.call = this->makeCall(row.shard);
@@ -119,7 +119,8 @@
     const auto share = partPlan.owners.empty() ? bySize : ofCell;
     const PartTerms partTerms{.targetAt = this->terms.targetAt,
         .giveUpAt = std::min(this->terms.giveUpAt, this->arrivedAt + this->plan.targetsHeld * this->route.targetLatency),
-        .mayMiss = partPlan.isHedge ? partPlan.shards.size() - 1 : share};
+        .mayMiss = partPlan.isHedge ? partPlan.shards.size() - 1 : share,
+        .allowedRegions = this->terms.allowedRegions};
     this->parts.push_back(std::make_unique<AskedPart>());
     auto &asked = *this->parts.back();
     asked.part = std::make_unique<RelayedPart>(this->context, this->route, this->request, partPlan, partTerms);
@@ -247,7 +248,7 @@
 bool FanOutRequest::mayHedgeTogether(const Row &row, const Backend &candidate) const
 {
     const bool isAskedElsewhere = row.part != nullptr && row.part->isOpen();
-    return !candidate.sameRegion && !isAskedElsewhere && !this->isTargetDue() && this->context.relays->hasReady(relayService(candidate.zone));
+    return !candidate.sameRegion && !isAskedElsewhere && !this->isTargetDue() && this->context.relays->knowsReady(relayService(candidate.zone));
 }
 
 Core::Instant FanOutRequest::hedgeLateCalls()
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -69,6 +69,12 @@
     this->watcher.declarationArrived = [this](Fleet::DeclarationVersion version, const std::string &content) {
         this->adopt(version, content);
     };
+    this->pool.coldShare = [this](const Core::ServiceName &service, const std::string &zone, int total) {
+        return this->ownership.coldShareOf(service, zone, total, this->timers.now());
+    };
+    this->watcher.evacuationsArrived = [this](const Protocol::Evacuations &evacuations) {
+        this->takeEvacuations(evacuations);
+    };
     this->watcher.wantConfirmation();
     this->watcher.addCoordinators(this->options.coordinators);
     this->counterTimer = timers.every(CounterLogPeriod, [this](Core::Instant) {
@@ -96,7 +102,7 @@
         this->lastInReach = now;
     }
     const bool mayOwn = !this->draining && now - this->lastInReach < OwnershipWithoutNews;
-    this->ownership.takeGateways(this->gateways);
+    this->ownership.takeGateways(this->gateways, this->timers.now());
     this->ownership.advance({.gateways = this->pool.gatewayCount(), .mayOwn = mayOwn}, HousekeepingPeriod, now);
 }
 
@@ -190,6 +196,9 @@
     this->routes = std::make_shared<const Fleet::RouteTable>(declaration.value());
     this->pool.setDeclaration(declaration.value());
     this->ownership.takeDeclaration(*declaration.value());
+    for (const auto &[id, request] : this->requests) {
+        request->keepTo(*this->routes);
+    }
     this->credits.clear();
     Core::logEvent(Core::LogLevel::Information,
         "declaration.in_force",
@@ -199,15 +208,25 @@
     }
 }
 
+void GatewayNode::takeEvacuations(const Protocol::Evacuations &evacuations)
+{
+    this->pool.setEvacuatedZones(evacuations.zones);
+    std::string zones;
+    for (const auto &zone : evacuations.zones) {
+        zones += (zones.empty() ? "" : ",") + zone;
+    }
+    Core::logEvent(Core::LogLevel::Information, "evacuations.in_force", {{"revision", evacuations.revision}, {"zones", zones}});
+}
+
 bool GatewayNode::knowsEveryService() const
 {
     const auto &routeList = this->routes->declaration().routes;
     return std::all_of(routeList.begin(), routeList.end(), [this](const Fleet::Route &route) {
         const bool targetsKnown = std::all_of(route.targets.begin(), route.targets.end(), [this](const auto &target) {
-            return target.weight <= 0.0 || this->pool.hasReady(target.service);
+            return target.weight <= 0.0 || this->pool.knowsReady(target.service);
         });
         const bool shardsKnown = std::all_of(route.shards.begin(), route.shards.end(), [this](const auto &shard) {
-            return this->pool.hasReady(shard);
+            return this->pool.knowsReady(shard);
         });
         return targetsKnown && shardsKnown;
     });
@@ -313,7 +332,9 @@
     }
     RelayPlan plan;
     if (terms->mayDivide) {
-        plan = planRelay(terms->shards, this->relayView(*route, true), this->options.relay);
+        auto view = this->relayView(*route, true);
+        view.allowedRegions = view.allowedRegions.intersectedWith(terms->allowedRegions);
+        plan = planRelay(terms->shards, view, this->options.relay);
     } else {
         plan.direct = terms->shards;
     }
@@ -339,7 +360,7 @@
 
 RelayView GatewayNode::relayView(const Fleet::Route &route, bool onlyOtherRegions)
 {
-    this->ownership.takeGateways(this->gateways);
+    this->ownership.takeGateways(this->gateways, this->timers.now());
     return RelayView{.pool = this->pool,
         .relays = this->relays,
         .ownZone = this->options.pool.zone.value(),
@@ -348,7 +369,8 @@
         .number = this->nextRequest,
         .cells = this->ownership.cells(),
         .shardsInSearch = route.shards.size(),
-        .onlyOtherRegions = onlyOtherRegions};
+        .onlyOtherRegions = onlyOtherRegions,
+        .allowedRegions = route.allowedRegions};
 }
 
 void GatewayNode::startRequest(const Fleet::Route &route, CallerRequest request, const Wire::ExchangePointer &exchange)
@@ -458,6 +480,7 @@
     counter("crankrudder_connections_turned_away_total", "New connections that backend servers reset at once, having as many as they take.", sends.turnedAway);
     counter("crankrudder_connections_opened_total", "Connections opened to backend servers.", sends.connectionsOpened);
     page.gauge("crankrudder_connections", "Connections to backend servers.", static_cast<double>(this->pool.connectionCount()));
+    page.gauge("crankrudder_evacuated_zones", "Availability zones that are evacuated.", static_cast<double>(this->watcher.evacuations().zones.size()));
     page.gauge("crankrudder_requests_under_way", "Requests that wait for their answer.", static_cast<double>(this->requests.size()));
     page.gauge("crankrudder_ready", "Whether callers should come here.", this->isReady() ? 1 : 0);
     page.gauge("crankrudder_coordinators_in_reach", "Coordinators that answer.", static_cast<double>(this->watcher.inReach()));
@@ -476,6 +499,7 @@
     document["name"] = this->options.name;
     document["ready"] = this->isReady();
     document["declaration_version"] = this->routes ? this->routes->declaration().version.value() : -1;
+    document["evacuated_zones"] = this->watcher.evacuations().zones;
     document["confirmed"] = this->watcher.isConfirmed();
     document["coordinators_in_reach"] = this->watcher.inReach();
     document["gateways"] = this->pool.gatewayCount();
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -86,6 +86,7 @@
 
 private:
     void adopt(Fleet::DeclarationVersion version, const std::string &content);
+    void takeEvacuations(const Protocol::Evacuations &evacuations);
     void startRequest(const Fleet::Route &route, CallerRequest request, const Wire::ExchangePointer &exchange);
     [[nodiscard]] RequestContext contextFor(const Fleet::Route &route, std::optional<RelayTerms> relayTerms);
     [[nodiscard]] RelayView relayView(const Fleet::Route &route, bool onlyOtherRegions);
--- a/Libraries/LibGateway/RelayPlan.cpp
+++ b/Libraries/LibGateway/RelayPlan.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
+#include <functional>
 
 namespace Gateway
 {
@@ -38,13 +39,13 @@
 // The zones whose gateways can be asked for a shard; this one alone where that is as good as any, none where nobody can be asked.
 static std::vector<std::string> zonesToAsk(const Core::ServiceName &shard, const RelayView &view)
 {
-    auto zones = view.pool.goodZonesOf(shard, view.typicalLatency);
+    auto zones = view.pool.goodZonesOf(shard, view.typicalLatency, view.allowedRegions);
     if (std::find(zones.begin(), zones.end(), view.ownZone) != zones.end()) {
         return {view.ownZone};
     }
     std::erase_if(zones, [&view](const std::string &zone) {
         const bool passedOver = view.onlyOtherRegions && Fleet::inSameRegion(view.regions, zone, view.ownZone);
-        return passedOver || !view.relays.hasReady(relayService(zone));
+        return passedOver || !view.relays.knowsReady(relayService(zone));
     });
     return zones;
 }
@@ -198,7 +199,8 @@
     std::optional<RelayTerms> terms;
     std::vector<Core::ServiceName> shards;
     std::string leastRecord;
-    std::erase_if(headers, [&terms, &shards, &leastRecord](const Wire::Header &header) {
+    Fleet::AllowedRegions allowedRegions;
+    std::erase_if(headers, [&](const Wire::Header &header) {
         if (Wire::sameName(header.name, RelayHeader::Terms)) {
             terms = readTerms(header.value);
             return true;
@@ -213,6 +215,11 @@
             leastRecord = fromHexadecimal(header.value);
             return true;
         }
+        if (Wire::sameName(header.name, RelayHeader::AllowedRegions)) {
+            const auto names = Core::splitList(header.value);
+            allowedRegions = Fleet::AllowedRegions::only({names.begin(), names.end()});
+            return true;
+        }
         return false;
     });
     if (!terms.has_value() || shards.empty()) {
@@ -220,21 +227,33 @@
     }
     terms->shards = std::move(shards);
     terms->leastRecord = std::move(leastRecord);
+    terms->allowedRegions = std::move(allowedRegions);
     return terms;
 }
 
-void addRelayTerms(Wire::Headers &headers, const RelayTerms &terms)
+static std::string joined(const auto &names, const auto &textOf)
 {
-    std::string names;
-    for (const auto &shard : terms.shards) {
-        names += names.empty() ? "" : ",";
-        names += shard.value();
+    std::string text;
+    for (const auto &name : names) {
+        text += text.empty() ? "" : ",";
+        text += textOf(name);
     }
+    return text;
+}
+
+void addRelayTerms(Wire::Headers &headers, const RelayTerms &terms)
+{
+    const auto nameOf = [](const Core::ServiceName &shard) {
+        return shard.value();
+    };
     auto numbers = std::to_string(Core::toMilliseconds(terms.targetLeft)) + "," + std::to_string(Core::toMilliseconds(terms.holdLeft));
     numbers += "," + std::to_string(terms.mayMiss) + (terms.mayDivide ? ",1" : ",0") + (terms.isHedge ? ",1" : ",0");
     numbers += "," + std::to_string(terms.before.executions) + "," + std::to_string(terms.before.sends) + (terms.before.counted ? ",1" : ",0");
     headers.push_back({RelayHeader::Terms, std::move(numbers)});
-    headers.push_back({RelayHeader::Shards, std::move(names)});
+    headers.push_back({RelayHeader::Shards, joined(terms.shards, nameOf)});
+    if (!terms.allowedRegions.isAnywhere()) {
+        headers.push_back({RelayHeader::AllowedRegions, joined(terms.allowedRegions.names().value(), std::identity())});
+    }
     if (!terms.leastRecord.empty()) {
         headers.push_back({RelayHeader::LeastRecord, toHexadecimal(terms.leastRecord)});
     }
--- a/Libraries/LibGateway/RelayPlan.h
+++ b/Libraries/LibGateway/RelayPlan.h
@@ -77,6 +77,8 @@
     std::size_t shardsInSearch{0};
     /** Only gateways of other regions are asked, because this one was asked itself by one of its own region. */
     bool onlyOtherRegions{false};
+    /** Where the search may be served. */
+    Fleet::AllowedRegions allowedRegions;
 };
 
 /** Gateways of one zone, as a service of the pool of relays. */
@@ -94,6 +96,8 @@
 constexpr const char *Shards = "Crankrudder-Shards";
 /** A record in hexadecimal: the answer needs none that is less. May be left out. */
 constexpr const char *LeastRecord = "Crankrudder-Least-Record";
+/** Regions with commas between them: the search may be served in no others. Left out where any region will do. */
+constexpr const char *AllowedRegions = "Crankrudder-Allowed-Regions";
 /** The body is a partial answer. */
 constexpr const char *Partial = "Crankrudder-Partial";
 }
@@ -113,6 +117,11 @@
     std::vector<Core::ServiceName> shards;
     /** See PartPlan. */
     std::string leastRecord;
+    /**
+     * Where the search may be served by the declaration that the asker routed it by. What the other gateway's own declaration allows binds, too:
+     * the two may differ for a moment after a change, and the request must not run where either forbids it.
+     */
+    Fleet::AllowedRegions allowedRegions;
 };
 
 /** Takes the terms out of a request's headers; nothing when they are not all there. */
--- a/Libraries/LibGateway/RelayedPart.cpp
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -29,6 +29,8 @@
     this->terms = makeTerms(*context.settings, *this->relayRoute, this->request, *context.relayLatencies, now);
     this->terms.giveUpAt = std::min(this->terms.giveUpAt, partTerms.giveUpAt);
     this->terms.preferred = plan.owners;
+    // The request's body is not to travel where it may not be served, either.
+    this->terms.allowedRegions = partTerms.allowedRegions;
     addRelayTerms(this->request.message.headers,
         RelayTerms{.targetLeft = std::max(Core::Duration(0), partTerms.targetAt - now - way),
             .holdLeft = std::max(Core::Duration(0), this->terms.giveUpAt - now - way),
@@ -37,7 +39,8 @@
             .isHedge = plan.isHedge,
             .before = plan.before,
             .shards = plan.shards,
-            .leastRecord = plan.leastRecord});
+            .leastRecord = plan.leastRecord,
+            .allowedRegions = partTerms.allowedRegions});
     this->relayCall = std::make_unique<ShardCall>(this->terms, this->relays, *context.relays, *context.timers);
 }
 
--- a/Libraries/LibGateway/RelayedPart.h
+++ b/Libraries/LibGateway/RelayedPart.h
@@ -22,6 +22,7 @@
     Core::Instant giveUpAt;
     /** See RelayTerms. */
     std::size_t mayMiss{0};
+    Fleet::AllowedRegions allowedRegions;
 };
 
 /** Open from start() until the other gateway has answered, failed, or was given up. */
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -64,6 +64,7 @@
     terms.targetAt = now + timeToTarget(settings, route);
     terms.giveUpAt = now + std::min(patience, route.timeout) - settings.answerReserve;
     terms.typicalLatency = typicalLatencyOf(settings, route, latencies);
+    terms.allowedRegions = route.allowedRegions;
     const auto ceiling = std::max(settings.hedgeFloor, scaled(route.targetLatency, settings.hedgeCeilingShare));
     terms.hedgeDelay = std::clamp(scaled(terms.typicalLatency, settings.hedgeFactor), settings.hedgeFloor, ceiling);
     return terms;
@@ -80,6 +81,7 @@
     if (context.relayTerms.has_value()) {
         this->terms.targetAt = this->arrivedAt + context.relayTerms->targetLeft;
         this->terms.giveUpAt = std::min(this->terms.giveUpAt, this->arrivedAt + context.relayTerms->holdLeft);
+        this->terms.allowedRegions = this->terms.allowedRegions.intersectedWith(context.relayTerms->allowedRegions);
     }
 }
 
@@ -157,6 +159,14 @@
     this->callFinished();
 }
 
+void RoutedRequest::keepTo(const Fleet::RouteTable &newer)
+{
+    const auto *same = newer.match(this->request.host, this->request.message.target);
+    if (same != nullptr) {
+        this->terms.allowedRegions = this->terms.allowedRegions.intersectedWith(same->allowedRegions);
+    }
+}
+
 void RoutedRequest::callerGone()
 {
     if (this->done) {
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -88,6 +88,9 @@
     /** `answer` is called once, `finished` after it. */
     void start(AnswerHook answer, FinishedHook finished);
 
+    /** A newer declaration has come into force: what is sent from now on keeps to what it allows for the route, too. */
+    void keepTo(const Fleet::RouteTable &newer);
+
     /** The caller went away: nothing is sent any more, and what runs is cancelled. */
     void callerGone();
 
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -58,11 +58,20 @@
     this->tryNext();
 }
 
+Wanted ShardCall::wanted(std::optional<Core::Duration> within) const
+{
+    return {.service = this->serviceName,
+        .tried = this->tried,
+        .typicalLatency = this->terms.typicalLatency,
+        .allowedRegions = this->terms.allowedRegions,
+        .within = within};
+}
+
 void ShardCall::tryNext()
 {
-    auto *backend = this->pool.firstSound(this->terms.preferred, this->tried);
+    auto *backend = this->pool.firstSound(this->terms.preferred, this->wanted());
     if (backend == nullptr) {
-        backend = this->pool.choose(this->serviceName, this->tried, this->terms.typicalLatency);
+        backend = this->pool.choose(this->wanted());
     }
     if (backend != nullptr) {
         this->sendTo(*backend);
@@ -100,6 +109,7 @@
         AttemptOptions{.caller = this->terms.request,
             .timeLeft = told,
             .typicalLatency = this->terms.typicalLatency,
+            .allowedRegions = this->terms.allowedRegions,
             .done = [this, weak, name](const AttemptOutcome &outcome) {
                 if (!weak.expired()) {
                     this->takeOutcome(name, outcome);
@@ -143,7 +153,7 @@
     }
     // Worth a repeat only where it is expected to be in time; after the target, anywhere that does not look stuck.
     const auto within = now < this->terms.targetAt ? this->terms.targetAt - now : LateHedgeLimit;
-    auto *backend = this->pool.choose(this->serviceName, this->tried, this->terms.typicalLatency, within);
+    auto *backend = this->pool.choose(this->wanted(within));
     if (backend == nullptr) {
         // Nobody sound has room just now; worth another look soon.
         return {.candidate = nullptr, .lookAgainAt = now + this->terms.hedgeDelay / 2};
@@ -264,7 +274,7 @@
     const bool wasSent = otherwise != CallState::NotRun || this->refusals > 0;
     // Once all have refused, those that only refused may be asked again: they did not run it.
     const auto choice = [this] {
-        return this->pool.choose(this->serviceName, this->tried, this->terms.typicalLatency);
+        return this->pool.choose(this->wanted());
     };
     if (allowed && choice() == nullptr) {
         std::erase_if(this->tried, [this](const BackendName &name) {
--- a/Libraries/LibGateway/ShardCall.h
+++ b/Libraries/LibGateway/ShardCall.h
@@ -33,6 +33,8 @@
     WorkLimit *workLimit{nullptr};
     /** Those that are asked before any others while they are sound, in this order. */
     std::vector<BackendName> preferred;
+    /** Where the request may be served. It may become narrower while the request is under way, never wider. */
+    Fleet::AllowedRegions allowedRegions;
 };
 
 /** Where a call stands. */
@@ -128,6 +130,7 @@
         std::optional<Core::Duration> limit;
     };
 
+    [[nodiscard]] Wanted wanted(std::optional<Core::Duration> within = std::nullopt) const;
     void tryNext();
     void sendTo(Backend &backend);
     void waitForRoom();
--- a/Libraries/LibGateway/SingleRequest.cpp
+++ b/Libraries/LibGateway/SingleRequest.cpp
@@ -18,7 +18,7 @@
 
 void SingleRequest::startCalls()
 {
-    if (!this->context.pool->hasReady(this->call->service())) {
+    if (!this->context.pool->hasEligible(this->call->service(), this->terms.allowedRegions)) {
         // Nobody could run it; check() refuses it at once.
         this->call->giveUp(false);
         return;
--- a/Services/gatewayd/main.cpp
+++ b/Services/gatewayd/main.cpp
@@ -82,7 +82,8 @@
     options.pool.budget.window = settings.repeatWindow;
     options.pool.budget.slackFrom = now + settings.repeatWindow;
     options.ownership.slack.window = settings.repeatWindow;
-    options.pool.seed = Core::randomNumber();
+    options.pool.cold = {.overshoot = settings.coldOvershoot, .slack = settings.coldSlack};
+    options.pool.choice.seed = Core::randomNumber();
     options.requests.returnFloor = Gateway::returnFloorFor(options.requests, settings.processorShare);
     options.coordinators = Platform::watchEndpoints(settings);
     options.relayEndpoint = Platform::internalEndpoint(settings, Platform::InternalPort::Relay);
--- /dev/null
+++ b/Tests/LibGateway/TestColdAllowance.cpp
@@ -0,0 +1,122 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// The load pattern: servers that are cold after a start bear a few requests a second
+// and fall over beyond, while up to 300 gateways that don't see each other serve a
+// search that asks each of them. Whoever gets which part, all together never exceed
+// what one bears.
+
+#include <LibGateway/CellOwnership.h>
+#include <LibGateway/ColdAllowance.h>
+
+#include <criterion/criterion.h>
+#include <random>
+
+using Gateway::ColdAllowance;
+using Gateway::shareOfCold;
+
+namespace
+{
+
+Core::Instant at(double seconds)
+{
+    return Core::Instant() + Core::milliseconds(static_cast<int>(seconds * 1000.0));
+}
+
+Protocol::BackendAnnouncement gateway(int number, const std::string &zone)
+{
+    Protocol::BackendAnnouncement made;
+    made.id = "gateway-" + std::to_string(number);
+    made.address = "10.0.0." + std::to_string(number) + ":1";
+    made.zone = zone;
+    made.phase = Protocol::BackendPhase::READY;
+    made.sequence = 1;
+    return made;
+}
+
+}
+
+Test(ColdAllowance, isAnEqualPartWhereThatIsOneAtLeast)
+{
+    cr_assert_eq(shareOfCold({.total = 20, .gateways = 9, .inZone = 3, .rank = 2}), 2);
+    cr_assert_eq(shareOfCold({.total = 20, .gateways = 9, .inZone = 3, .rank = std::nullopt}), 2);
+    cr_assert_eq(shareOfCold({.total = 8, .gateways = 9, .inZone = 3, .rank = 2}), 2);
+    cr_assert_eq(shareOfCold({.total = 8, .gateways = 9, .inZone = 3, .rank = std::nullopt}), 0);
+    cr_assert_eq(shareOfCold({.total = 5, .gateways = 65, .inZone = 11, .rank = 4}), 1);
+    cr_assert_eq(shareOfCold({.total = 5, .gateways = 65, .inZone = 11, .rank = 5}), 0);
+    cr_assert_eq(shareOfCold({.total = 0, .gateways = 65, .inZone = 11, .rank = 0}), 0);
+}
+
+Test(ColdAllowance, countsAnySecond)
+{
+    ColdAllowance allowance({.overshoot = 1.5, .slack = 5.0});
+    cr_assert_eq(allowance.total(4.0), 11);
+    const Gateway::BackendName backend("one");
+    for (const double time : {0.0, 0.4, 0.9}) {
+        cr_assert(allowance.isWithin(backend, 3, at(time)));
+        allowance.note(backend, at(time));
+    }
+    cr_assert_not(allowance.isWithin(backend, 3, at(0.95)));
+    cr_assert_not(allowance.isWithin(backend, 3, at(1.0)), "the first one is a second ago");
+    cr_assert(allowance.isWithin(backend, 3, at(1.1)));
+    allowance.forget(at(1.95));
+    cr_assert(allowance.isWithin(backend, 1, at(1.95)));
+    cr_assert_not(allowance.isWithin(backend, 0, at(1.95)));
+}
+
+// All gateways know the same ones here; what they may differ in is how many of them the busiest moment lately had.
+Test(ColdAllowance, neverAddsUpToMoreThanTheTotal)
+{
+    std::mt19937 random(7);
+    const std::vector<std::string> zones{"a", "b", "c"};
+    const Fleet::RegionOfZone regions{{"a", "one"}, {"b", "two"}, {"c", "three"}};
+    for (int round = 0; round < 60; ++round) {
+        const int count = 1 + static_cast<int>(random() % 80);
+        const int total = static_cast<int>(random() % 40);
+        Fleet::BackendRegistry registry;
+        for (int number = 0; number < count; ++number) {
+            registry.merge(gateway(number, zones[random() % zones.size()]), at(0.0));
+        }
+        const Core::ServiceName service("shard-" + std::to_string(random() % 90));
+        const auto serverZone = zones[random() % zones.size()];
+        int sum = 0;
+        for (const auto *own : registry.ready()) {
+            Gateway::CellOwnership ownership({}, own->zone, regions, own->address, at(0.0));
+            Fleet::Declaration declaration;
+            declaration.routes.emplace_back();
+            declaration.routes.back().shards.assign(90, service);
+            ownership.takeDeclaration(declaration);
+            ownership.takeGateways(registry, at(0.0));
+            // Some remember more gateways than there are now, which makes their part smaller.
+            const int known = count + static_cast<int>(random() % 3);
+            ownership.advance({.gateways = known, .mayOwn = random() % 5 != 0}, Core::seconds(1), at(1.0));
+            sum += ownership.coldShareOf(service, serverZone, total, at(1.0 + static_cast<double>(random() % 6)));
+        }
+        cr_assert_leq(sum, total, "%d gateways share %d", count, total);
+    }
+}
+
+// A gateway that has not heard yet of a change may still spend its former part, so nobody spends a new one by rank for a while.
+Test(ColdAllowance, isNotGivenByRankWhileGatewaysChange)
+{
+    Fleet::BackendRegistry registry;
+    for (int number = 0; number < 40; ++number) {
+        registry.merge(gateway(number, "a"), at(0.0));
+    }
+    const auto shareAt = [](const Gateway::CellOwnership &ownership, double time) {
+        return ownership.coldShareOf(Core::ServiceName("s"), "a", 39, at(time));
+    };
+    Gateway::CellOwnership ownership({}, "a", {{"a", "one"}}, "10.0.0.1:1", at(0.0));
+    ownership.takeGateways(registry, at(0.0));
+    ownership.advance({.gateways = 40, .mayOwn = true}, Core::seconds(1), at(0.0));
+    const int settled = shareAt(ownership, 3.0);
+    cr_assert_eq(shareAt(ownership, 2.9), 0);
+    registry.merge(gateway(40, "a"), at(5.0));
+    ownership.takeGateways(registry, at(5.0));
+    cr_assert_eq(shareAt(ownership, 7.9), 0);
+    cr_assert_geq(settled, 0);
+    ownership.advance({.gateways = 41, .mayOwn = false}, Core::seconds(1), at(9.0));
+    cr_assert_eq(shareAt(ownership, 20.0), 0, "one that no coordinator answers has no part");
+}
--- a/Tests/LibGateway/TestRequests.cpp
+++ b/Tests/LibGateway/TestRequests.cpp
@@ -571,7 +571,7 @@
         exchange->respond(partOf(request, part));
     });
     const auto zones = [&](const char *shard) {
-        return fixture.pool.goodZonesOf(Core::ServiceName(shard), Core::milliseconds(20));
+        return fixture.pool.goodZonesOf(Core::ServiceName(shard), Core::milliseconds(20), Fleet::AllowedRegions());
     };
     cr_assert(zones("b").size() == 2);
     cr_assert(*header(fixture.ask("r1"), "Missing-Parts") == "1");
@@ -832,7 +832,9 @@
     const Gateway::BackendName two("two");
     const Gateway::BackendName unknown("unknown");
     const auto first = [&](const std::vector<Gateway::BackendName> &names, const std::vector<Gateway::BackendName> &tried = {}) {
-        const auto *found = fixture.pool.firstSound(names, tried);
+        const Core::ServiceName service("service");
+        const Fleet::AllowedRegions anywhere;
+        const auto *found = fixture.pool.firstSound(names, {.service = service, .tried = tried, .allowedRegions = anywhere, .within = std::nullopt});
         return found == nullptr ? std::string() : found->name.value();
     };
     cr_assert_eq(first({two, one}), "two");
--- a/Tests/Platform/TestCodecs.cpp
+++ b/Tests/Platform/TestCodecs.cpp
@@ -12,7 +12,10 @@
 
 #include <LibCore/Json.h>
 
+#include <LibCore/Settings.h>
+
 #include <criterion/criterion.h>
+#include <random>
 
 namespace
 {
@@ -111,6 +114,18 @@
             [](auto &document) {
                 document["routes"][2].erase("service");
             }},
+        {"allowed regions are no list",
+            [](auto &document) {
+                document["routes"][0]["allowed_regions"] = "bern";
+            }},
+        {"an allowed region is no text",
+            [](auto &document) {
+                document["routes"][0]["allowed_regions"] = {"bern", 7};
+            }},
+        {"a warm-up is no number",
+            [](auto &document) {
+                document["services"][0]["warmup_s"] = "3";
+            }},
         {"limit is text",
             [](auto &document) {
                 document["limits"]["max_body_bytes"] = "x";
@@ -123,6 +138,76 @@
     }
 }
 
+Test(ConfigurationCodec, readsWhereARouteMayBeServedAndWhatColdServersBear)
+{
+    auto document = goodConfiguration();
+    document["routes"][0]["allowed_regions"] = {"bern", "zurich"};
+    document["routes"][1]["allowed_regions"] = nlohmann::json::array();
+    document["services"][0]["warmup_s"] = 3.5;
+    document["services"][0]["warmup_per_s"] = 4;
+    const auto read = Platform::readConfiguration(document.dump());
+    cr_assert(read.has_value());
+    const auto &routes = read.value()->routes;
+    cr_assert(routes[0].allowedRegions.allows("bern") && !routes[0].allowedRegions.allows("lausanne") && !routes[0].allowedRegions.allows(""));
+    cr_assert(routes[1].allowedRegions.isAnywhere() && routes[2].allowedRegions.isAnywhere(), "an empty list binds nothing");
+    const auto &service = read.value()->services.at(Core::ServiceName("a"));
+    cr_assert(service.warmupTime == Core::milliseconds(3500) && service.coldRequestsPerSecond == 4.0);
+    cr_assert(read.value()->services.at(Core::ServiceName("b")).coldRequestsPerSecond == 0.0);
+    cr_assert(Platform::checkRegions(*read.value(), {{"z1", "bern"}, {"z2", "zurich"}}).has_value());
+    cr_assert_not(Platform::checkRegions(*read.value(), {{"z1", "bern"}}).has_value());
+}
+
+// What another program wrote: fields that are missing or of another type, unknown states, bytes that can't be read. None of it names a server.
+Test(HeartbeatCodec, refusesWhatABackendServerDidNotWrite)
+{
+    const auto good = nlohmann::json::parse(
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","capacity":2,"state":"ready","warmup_left_ms":0,"sequence":4,"born":1790000000000})");
+    const auto read = Platform::readHeartbeat("i-1", good.dump());
+    cr_assert(read.has_value() && read->born == 1790000000000);
+    const std::vector<nlohmann::json> others{nullptr, true, -1, 2.5, "x", nlohmann::json::array(), nlohmann::json::object()};
+    for (const auto &[name, value] : good.items()) {
+        auto without = good;
+        without.erase(name);
+        cr_assert(Platform::readHeartbeat("i-1", without.dump()).has_value() == (name == "born"), "without %s", name.c_str());
+        for (const auto &other : others) {
+            auto document = good;
+            document[name] = other;
+            const bool isText = other.is_string() && value.is_string();
+            const bool mayBeRead = isText && name != "state" && name != "address";
+            cr_assert(Platform::readHeartbeat("i-1", document.dump()).has_value() == mayBeRead, "%s is %s", name.c_str(), other.dump().c_str());
+        }
+    }
+    const std::string text = good.dump();
+    std::mt19937 random(3);
+    for (int round = 0; round < 2000; ++round) {
+        auto bytes = text;
+        for (int change = 0; change < 3; ++change) {
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        }
+        // Whatever comes of it: no exception, and nothing that is no address or no service.
+        const auto spoiled = Platform::readHeartbeat("i-1", bytes);
+        cr_assert(!spoiled.has_value() || (!spoiled->serviceName.empty() && Core::Endpoint::parse(spoiled->address).has_value()));
+    }
+    cr_assert_eq(Platform::readBirth(R"({"born":5})"), 5);
+    for (const char *other : {"", "x", "{}", R"({"born":"5"})", R"({"born":0.5})"}) {
+        cr_assert_eq(Platform::readBirth(other), 0);
+    }
+}
+
+Test(RequestDialect, readsLoadWithAndWithoutThePaceOfTheMachine)
+{
+    const auto dialect = Platform::makeDialect();
+    const auto read = [&dialect](const char *text) {
+        return dialect.readReply(Wire::Response{.status = 200, .headers = {{"Server-Load", text}}, .body = {}}).load;
+    };
+    cr_assert(read("3,1,8").has_value() && read("3,1,8")->waiting == 1 && read("3,1,8")->pace == 1.0);
+    cr_assert(read("3,1,8,400").has_value() && read("3,1,8,400")->slots == 8 && read("3,1,8,400")->pace == 4.0);
+    cr_assert(read("3,1,8,100,7").has_value(), "more may follow");
+    for (const char *bad : {"", "3", "3,1", "3,1,x", "3,1,8,x", "3,1,8,-1"}) {
+        cr_assert_not(read(bad).has_value(), "%s", bad);
+    }
+}
+
 Test(HeartbeatCodec, readsAndRefuses)
 {
     const std::string good
