Soak, docs: Evacuations, allowed regions, lives and foreign writers

The soak evacuates zones and uses them again while faults go on, leaves one evacuated through the death of all coordinators, has a route that is served in one region, starts backend servers again under their ids, and lets another program write spoiled heartbeats.

Lives are rule G6 and foreign services G7 now, since G5 was taken.

--- a/Libraries/LibFleet/BackendRegistry.cpp
+++ b/Libraries/LibFleet/BackendRegistry.cpp
@@ -44,14 +44,14 @@
 {
     const auto &held = record.announcement;
     if (announcement.born > held.born) {
-        // G5. A later life replaces the earlier one, whatever phase that was in.
+        // G6. A later life replaces the earlier one, whatever phase that was in.
         return true;
     }
     if (announcement.born < held.born && !isFarewellOfAnyLife(announcement)) {
-        // G5. What comes late of an earlier life changes nothing.
+        // G6. What comes late of an earlier life changes nothing.
         return false;
     }
-    // G6. Nobody moves to another service within one life; it was written by somebody else.
+    // G7. Nobody moves to another service within one life; it was written by somebody else.
     const bool isForeign = !announcement.serviceName.empty() && !held.serviceName.empty() && announcement.serviceName != held.serviceName;
     // G1. A phase never goes back, however new the heartbeat that says so.
     const bool goesBack = rankOf(announcement.phase) < rankOf(held.phase);
--- a/Libraries/LibFleet/BackendRegistry.h
+++ b/Libraries/LibFleet/BackendRegistry.h
@@ -5,7 +5,7 @@
 
 // The backend servers that announced themselves, as a coordinator or a gateway
 // knows them. News may come late, twice and in any order from several sides;
-// merging them gives the same table everywhere (docs/PLATFORM.md, rules G1 to G6).
+// merging them gives the same table everywhere (docs/PLATFORM.md, rules G1 to G7).
 
 #pragma once
 
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -30,8 +30,6 @@
     std::string host;
     /** How long the caller waits; nothing when it did not say. */
     std::optional<Core::Duration> patience;
-    /** The caller opened a connection for it, which took a round trip of its time before the request left. */
-    bool onNewConnection{false};
     Wire::Request message;
 };
 
--- a/Tests/LibFleet/TestBackendRegistry.cpp
+++ b/Tests/LibFleet/TestBackendRegistry.cpp
@@ -3,7 +3,7 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-// Merging of announcements: rules G1 to G6 of docs/PLATFORM.md.
+// Merging of announcements: rules G1 to G7 of docs/PLATFORM.md.
 
 #include <LibFleet/BackendRegistry.h>
 
@@ -152,7 +152,7 @@
 
 }
 
-// G5. A server that starts again under its name counts from the start, so its first heartbeat has a lower sequence than the last one before.
+// G6. A server that starts again under its name counts from the start, so its first heartbeat has a lower sequence than the last one before.
 Test(BackendRegistry, aLaterLifeReplacesTheEarlierOne)
 {
     for (const auto held : {BackendPhase::SILENT, BackendPhase::READY, BackendPhase::DRAINING, BackendPhase::GONE}) {
@@ -199,7 +199,7 @@
     cr_assert(registry.find("one")->announcement.phase == BackendPhase::READY);
 }
 
-// G6.
+// G7.
 Test(BackendRegistry, nobodyMovesToAnotherServiceWithinALife)
 {
     BackendRegistry registry;
--- a/Tests/LibGateway/TestColdAllowance.cpp
+++ b/Tests/LibGateway/TestColdAllowance.cpp
@@ -80,7 +80,7 @@
             registry.merge(gateway(number, zones[random() % zones.size()]), at(0.0));
         }
         const Core::ServiceName service("shard-" + std::to_string(random() % 90));
-        const auto serverZone = zones[random() % zones.size()];
+        const auto &serverZone = zones[random() % zones.size()];
         int sum = 0;
         for (const auto *own : registry.ready()) {
             Gateway::CellOwnership ownership({}, own->zone, regions, own->address, at(0.0));
--- a/Tests/LibGateway/TestEligibility.cpp
+++ b/Tests/LibGateway/TestEligibility.cpp
@@ -249,7 +249,7 @@
                 allowed.insert(region);
             }
         }
-        const std::string evacuated = zones[random() % zones.size()];
+        const std::string &evacuated = zones[random() % zones.size()];
         fixture.pool.setEvacuatedZones({evacuated});
         const Gateway::RelayView view{.pool = fixture.pool,
             .relays = fixture.relays,
--- a/Tests/Soak/backends.py
+++ b/Tests/Soak/backends.py
@@ -31,6 +31,10 @@
         self.runs = {}
         # (backend, time) of requests that came after a drain was acknowledged.
         self.late_arrivals = []
+        # (backend, time of the acknowledgement, time of arrival) of requests that came while a zone was evacuated.
+        self.evacuated_arrivals = []
+        # (backend, request id) of requests that ran outside the regions that their route allows.
+        self.strayed = []
 
     def add(self, run):
         self.runs.setdefault(run.request_id, []).append(run)
@@ -83,17 +87,18 @@
 
 
 class Backend:
-    """One incarnation of a backend server."""
+    """One life of a backend server; with an `identity` it has the name of an earlier one."""
 
     counter = 0
 
-    def __init__(self, soak, service, zone, is_shard):
+    def __init__(self, soak, service, zone, is_shard, identity=None):
         Backend.counter += 1
         self.soak = soak
         self.service = service
         self.zone = zone
         self.is_shard = is_shard
-        self.id = f"b{soak.seed}-{Backend.counter}"
+        self.id = identity or f"b{soak.seed}-{Backend.counter}"
+        self.born = time.time_ns() // 1_000_000
         self.state = "ready"
         self.sequence = 0
         self.running = 0
@@ -119,7 +124,7 @@
     async def send_heartbeat(self):
         self.sequence += 1
         document = {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": self.zone, "version": "v1", "capacity": SLOTS,
-                    "state": self.state, "warmup_left_ms": 0, "sequence": self.sequence}
+                    "state": self.state, "warmup_left_ms": 0, "sequence": self.sequence, "born": self.born}
         return await self.soak.control_call("PUT", f"/crankrudder/instances/{self.id}", json.dumps(document).encode())
 
     async def drain(self):
@@ -164,6 +169,11 @@
             await self.write(writer, 503, request_id, b"", {"Not-Executed": "1"})
             return True
         self.soak.journal.add(Run(request_id, self.service, self.id, words[1], body))
+        evacuated_at = self.soak.evacuated.get(self.zone)
+        if evacuated_at is not None:
+            self.soak.journal.evacuated_arrivals.append((self, evacuated_at, time.monotonic()))
+        if words[1].startswith("/home/") and self.zone != self.soak.home_zone:
+            self.soak.journal.strayed.append((self, request_id))
         self.running += 1
         try:
             await asyncio.sleep(self.soak.random.uniform(0.002, 0.012) * self.slow)
@@ -174,7 +184,7 @@
             writer.transport.abort()
             return False
         content = part_of(self.service, request_id) if self.is_shard else single_answer(self.service, request_id)
-        extra = {"Response-Signature": signature_of(self.service, request_id), "Server-Load": f"{self.running},0,{SLOTS}"}
+        extra = {"Response-Signature": signature_of(self.service, request_id), "Server-Load": f"{self.running},0,{SLOTS},{int(100 * self.slow)}"}
         if chance < self.lose + self.garble:
             await self.write_garbled(writer, request_id, content, extra)
             return False
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -30,6 +30,7 @@
 # What the pages promise, as the settings files of the processes say.
 DRAIN_SECONDS = 3.0
 APPLY_SECONDS = 3.0
+EVACUATE_SECONDS = 3.0
 CONTACT_SECONDS = 4.0
 GRACE_SECONDS = 6.0
 
@@ -120,6 +121,10 @@
         self.sent = {}
         self.counts = {"answered": 0, "partial": 0, "not_run": 0, "failed": 0, "no_answer": 0, "unrouted": 0}
         self.non_idempotent = set()
+        # Requests on one route may be served in this zone's region only.
+        self.home_zone = ZONES[0]
+        # Evacuated zones, with the time of the acknowledgement.
+        self.evacuated = {}
 
     def fail(self, promise, detail):
         self.failures.append(f"{promise}: {detail}")
@@ -149,8 +154,8 @@
         for index in range(3):
             await self.add_backend("records", ZONES[index], False)
 
-    async def add_backend(self, service, zone, is_shard):
-        backend = Backend(self, service, zone, is_shard)
+    async def add_backend(self, service, zone, is_shard, identity=None):
+        backend = Backend(self, service, zone, is_shard, identity)
         await backend.start()
         # Every other one is reached through a proxy that can hold, cut and reset.
         if self.random.random() < 0.5:
@@ -186,6 +191,8 @@
              "priority": 2, "service": "records", "max_attempts": 2},
             {"name": "action", "host": "h.example", "path_prefix": "/action/", "route_type": "non_idempotent", "timeout_ms": 2000, "target_latency_ms": 300,
              "priority": 2, "service": "records", "max_attempts": 2},
+            {"name": "home", "host": "h.example", "path_prefix": "/home/", "route_type": "idempotent", "timeout_ms": 2000, "target_latency_ms": 300,
+             "priority": 2, "service": "records", "max_attempts": 2, "allowed_regions": [self.home_zone.replace("zone", "region")]},
             {"name": "current", "host": "h.example", "path_prefix": f"/v{version}/", "route_type": "idempotent", "timeout_ms": 2000, "target_latency_ms": 300,
              "priority": 2, "service": "records", "max_attempts": 2}]
         services = [{"name": name, "health_path": "/health", "max_conns": 60, "protocol": "h1", "tls": False} for name in shards + ["records"]]
@@ -228,6 +235,40 @@
         if answer is not None and answer[0] < 300:
             self.fail("invalid-accepted", f"version {self.version}")
 
+    async def order_evacuation(self, method, zone):
+        """Sends an order on a zone until it is acknowledged. Returns whether it was."""
+        deadline = time.monotonic() + 20
+        while time.monotonic() < deadline and not self.ending:
+            answer = await self.control_call(method, f"/crankrudder/evacuations/{zone}")
+            if answer is not None and answer[0] == 200:
+                return True
+            if answer is not None and answer[0] == 400:
+                self.fail("valid-refused", f"{method} {zone}")
+                return False
+            await asyncio.sleep(0.2)
+        return False
+
+    async def evacuate(self):
+        """A zone after the other is evacuated and used again."""
+        while not self.ending:
+            await asyncio.sleep(self.random.uniform(1.0, 4.0))
+            zone = self.random.choice(ZONES)
+            if await self.order_evacuation("POST", zone):
+                self.evacuated[zone] = time.monotonic()
+            await asyncio.sleep(self.random.uniform(1.0, 8.0))
+            # What may arrive again once the order to use the zone is on its way is nobody's fault.
+            self.evacuated.pop(zone, None)
+            while not self.ending and not await self.order_evacuation("DELETE", zone):
+                pass
+
+    async def write_foreign(self):
+        """Another program calls under ids of backend servers and others, with what is no heartbeat."""
+        spoiled = [b"", b"\xff\x00{", b"{}", b'{"service": 7}', b'{"service":"records","address":"127.0.0.1:9","zone":"zone-a","state":"odd"}']
+        while not self.ending:
+            await asyncio.sleep(self.random.uniform(0.1, 0.6))
+            name = self.random.choice(self.backends).id if self.random.random() < 0.7 else "somebody"
+            await self.control_call("PUT", f"/crankrudder/instances/{name}", self.random.choice(spoiled))
+
     async def read_back(self):
         """A reader never gets an older version than was acknowledged before it asked."""
         while not self.ending:
@@ -280,7 +321,7 @@
             writer.close()
 
     async def one_request(self, gateway, reader, writer, request_id):
-        kind = self.random.choices(["search", "record", "action"], [6, 2, 3])[0]
+        kind = self.random.choices(["search", "record", "action", "home"], [6, 2, 3, 1])[0]
         method = "POST" if kind == "action" else "GET"
         body = os.urandom(20).hex().encode() if kind == "action" else b""
         patience = self.random.choice([300, 800, 2000])
@@ -406,7 +447,8 @@
         backend = self.some_backend()
         backend.crash()
         await asyncio.sleep(self.random.uniform(0.5, 3))
-        await self.add_backend(backend.service, backend.zone, backend.is_shard)
+        identity = backend.id if self.random.random() < 0.5 else None
+        await self.add_backend(backend.service, backend.zone, backend.is_shard, identity)
 
     async def drain_backend(self):
         backend = self.some_backend()
@@ -437,6 +479,14 @@
             if all(process.was_calm(began) and process.disturbed_until < began for process in self.coordinators + self.gateways):
                 self.fail("work-after-drain", f"{backend.id} {after:.1f} s after the acknowledgement")
 
+    def check_places(self):
+        for backend, request_id in self.journal.strayed:
+            self.fail("out-of-its-regions", f"{request_id} at {backend.id} in {backend.zone}")
+        for backend, acknowledged, arrived in self.journal.evacuated_arrivals:
+            calm = all(process.was_calm(arrived) for process in self.coordinators + self.gateways)
+            if arrived - acknowledged > EVACUATE_SECONDS and calm:
+                self.fail("evacuated-zone-used", f"{backend.id} in {backend.zone}, {arrived - acknowledged:.1f} s after the acknowledgement")
+
     async def run(self):
         await self.start_processes()
         await self.start_backends()
@@ -444,16 +494,25 @@
         if not await self.declare(1):
             self.fail("never-started", "the first declaration was not acknowledged")
         tasks = [asyncio.create_task(work) for work in
-                 [self.operate(), self.read_back(), self.probe_current(), self.disturb()] + [self.caller(number) for number in range(self.options.callers)]]
+                 [self.operate(), self.read_back(), self.probe_current(), self.disturb(), self.evacuate(), self.write_foreign()] + [self.caller(number) for number in range(self.options.callers)]]
         await asyncio.sleep(self.options.seconds)
         await self.finish(tasks)
         return not self.failures
 
     async def finish(self, tasks):
         """Faults end; what was acknowledged has to be there, and requests have to be served again."""
-        tasks[3].cancel()
+        disturbances, evacuations = tasks[3], tasks[4]
+        disturbances.cancel()
+        evacuations.cancel()
         for process in self.coordinators + self.gateways:
             process.send(signal.SIGCONT)
+        # One zone stays evacuated through the death of all coordinators.
+        zone = self.random.choice(ZONES)
+        for other in ZONES:
+            self.evacuated.pop(other, None)
+            await self.order_evacuation("POST" if other == zone else "DELETE", other)
+        self.evacuated[zone] = time.monotonic()
+        await self.kill_core()
         before = self.counts["answered"] + self.counts["partial"]
         await asyncio.sleep(8.0)
         if self.counts["answered"] + self.counts["partial"] == before:
@@ -468,6 +527,7 @@
             task.cancel()
         self.check_runs()
         self.check_drains()
+        self.check_places()
         await self.stop_processes()
 
     async def stop_processes(self):
