LibGateway: Bound the parts of a cold server where counts of gateways differ

Cause, by reading: gateways that count each other differently for a moment may come to an equal part (total over gateways, one at least) and to a part by rank (none equal), side by side. Ten requests for ten gateways of which four of the server's zone count eleven: six by equal parts and eight by rank, fourteen in a second where ten are borne. Each way has half of the total now, so that both together stay within it. The property test over differing counts fails before.

Lists of names are joined in one place, Core::joinList().

--- a/Libraries/LibCoordinator/DeclarationLog.cpp
+++ b/Libraries/LibCoordinator/DeclarationLog.cpp
@@ -6,6 +6,7 @@
 #include <LibCoordinator/DeclarationLog.h>
 
 #include <LibCore/Log.h>
+#include <LibCore/Settings.h>
 #include <LibFleet/TextDelta.h>
 #include <LibRpc/Serialization.h>
 
@@ -180,11 +181,8 @@
 
 void DeclarationLog::noteEvacuations()
 {
-    std::string zones;
-    for (const auto &zone : this->evacuated.current().zones) {
-        zones += (zones.empty() ? "" : ",") + zone;
-    }
-    Core::logEvent(Core::LogLevel::Information, "evacuations.committed", {{"revision", this->evacuated.current().revision}, {"zones", zones}});
+    const auto &current = this->evacuated.current();
+    Core::logEvent(Core::LogLevel::Information, "evacuations.committed", {{"revision", current.revision}, {"zones", Core::joinList(current.zones)}});
     if (this->changed) {
         this->changed();
     }
--- a/Libraries/LibCore/Settings.cpp
+++ b/Libraries/LibCore/Settings.cpp
@@ -21,6 +21,18 @@
     return isVersion6 ? fmt::format("[{}]:{}", this->address, this->port) : fmt::format("{}:{}", this->address, this->port);
 }
 
+std::string joinList(const std::vector<std::string> &parts, char separator)
+{
+    std::string text;
+    for (const auto &part : parts) {
+        if (!text.empty()) {
+            text += separator;
+        }
+        text += part;
+    }
+    return text;
+}
+
 std::vector<std::string> splitList(std::string_view text, char separator)
 {
     std::vector<std::string> parts;
--- a/Libraries/LibCore/Settings.h
+++ b/Libraries/LibCore/Settings.h
@@ -82,6 +82,9 @@
 /** The parts of a comma-separated list, empty ones left out. */
 [[nodiscard]] std::vector<std::string> splitList(std::string_view text, char separator = ',');
 
+/** The opposite of splitList(). */
+[[nodiscard]] std::string joinList(const std::vector<std::string> &parts, char separator = ',');
+
 /** Reads a whole number within limits. */
 [[nodiscard]] Result<std::int64_t> parseInteger(std::string_view text, std::int64_t lowest, std::int64_t highest);
 
--- a/Libraries/LibGateway/ColdAllowance.cpp
+++ b/Libraries/LibGateway/ColdAllowance.cpp
@@ -16,13 +16,14 @@
 
 int shareOfCold(const ColdPart &part)
 {
-    const int equal = part.total / std::max(1, part.gateways);
+    const int half = part.total / 2;
+    const int equal = half / std::max(1, part.gateways);
     if (equal >= 1) {
         return equal;
     }
-    const int sharers = std::min(part.total, part.inZone);
+    const int sharers = std::min(half, part.inZone);
     const bool shares = part.rank.has_value() && part.rank.value() < sharers;
-    return shares ? part.total / sharers : 0;
+    return shares ? half / sharers : 0;
 }
 
 ColdAllowance::ColdAllowance(ColdOptions options) : options(options)
--- a/Libraries/LibGateway/ColdAllowance.h
+++ b/Libraries/LibGateway/ColdAllowance.h
@@ -36,8 +36,9 @@
 };
 
 /**
- * An equal part of the total where that is one request at least. Where there are more gateways than that, it is shared by the first ones in the
- * backend server's zone, who see most of its requests. The parts of all gateways that know the same ones add up to the total at most.
+ * An equal part of half of the total where that is one request at least. Where there are more gateways than that, the half is shared by the first
+ * ones in the backend server's zone, who see most of its requests. Gateways that count each other differently for a moment may come to the one way
+ * and to the other; each takes half of the total, so that the parts of all of them add up to the total at most.
  */
 [[nodiscard]] int shareOfCold(const ColdPart &part);
 
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -7,6 +7,7 @@
 
 #include <LibCore/Identity.h>
 #include <LibCore/Log.h>
+#include <LibCore/Settings.h>
 #include <LibGateway/SingleRequest.h>
 #include <LibMetrics/MetricsPage.h>
 
@@ -211,11 +212,7 @@
 void GatewayNode::takeEvacuations(const Protocol::Evacuations &evacuations)
 {
     this->pool.setEvacuatedZones(evacuations.zones);
-    std::string zones;
-    for (const auto &zone : evacuations.zones) {
-        zones += (zones.empty() ? "" : ",") + zone;
-    }
-    Core::logEvent(Core::LogLevel::Information, "evacuations.in_force", {{"revision", evacuations.revision}, {"zones", zones}});
+    Core::logEvent(Core::LogLevel::Information, "evacuations.in_force", {{"revision", evacuations.revision}, {"zones", Core::joinList(evacuations.zones)}});
 }
 
 bool GatewayNode::knowsEveryService() const
--- a/Libraries/LibGateway/RelayPlan.cpp
+++ b/Libraries/LibGateway/RelayPlan.cpp
@@ -10,7 +10,6 @@
 #include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
-#include <functional>
 
 namespace Gateway
 {
@@ -231,28 +230,20 @@
     return terms;
 }
 
-static std::string joined(const auto &names, const auto &textOf)
-{
-    std::string text;
-    for (const auto &name : names) {
-        text += text.empty() ? "" : ",";
-        text += textOf(name);
-    }
-    return text;
-}
-
 void addRelayTerms(Wire::Headers &headers, const RelayTerms &terms)
 {
-    const auto nameOf = [](const Core::ServiceName &shard) {
-        return shard.value();
-    };
+    std::vector<std::string> shards;
+    for (const auto &shard : terms.shards) {
+        shards.push_back(shard.value());
+    }
     auto numbers = std::to_string(Core::toMilliseconds(terms.targetLeft)) + "," + std::to_string(Core::toMilliseconds(terms.holdLeft));
     numbers += "," + std::to_string(terms.mayMiss) + (terms.mayDivide ? ",1" : ",0") + (terms.isHedge ? ",1" : ",0");
     numbers += "," + std::to_string(terms.before.executions) + "," + std::to_string(terms.before.sends) + (terms.before.counted ? ",1" : ",0");
     headers.push_back({RelayHeader::Terms, std::move(numbers)});
-    headers.push_back({RelayHeader::Shards, joined(terms.shards, nameOf)});
+    headers.push_back({RelayHeader::Shards, Core::joinList(shards)});
     if (!terms.allowedRegions.isAnywhere()) {
-        headers.push_back({RelayHeader::AllowedRegions, joined(terms.allowedRegions.names().value(), std::identity())});
+        const auto &names = terms.allowedRegions.names().value();
+        headers.push_back({RelayHeader::AllowedRegions, Core::joinList({names.begin(), names.end()})});
     }
     if (!terms.leastRecord.empty()) {
         headers.push_back({RelayHeader::LeastRecord, toHexadecimal(terms.leastRecord)});
--- a/Tests/LibGateway/TestColdAllowance.cpp
+++ b/Tests/LibGateway/TestColdAllowance.cpp
@@ -40,12 +40,12 @@
 
 Test(ColdAllowance, isAnEqualPartWhereThatIsOneAtLeast)
 {
-    cr_assert_eq(shareOfCold({.total = 20, .gateways = 9, .inZone = 3, .rank = 2}), 2);
-    cr_assert_eq(shareOfCold({.total = 20, .gateways = 9, .inZone = 3, .rank = std::nullopt}), 2);
-    cr_assert_eq(shareOfCold({.total = 8, .gateways = 9, .inZone = 3, .rank = 2}), 2);
-    cr_assert_eq(shareOfCold({.total = 8, .gateways = 9, .inZone = 3, .rank = std::nullopt}), 0);
-    cr_assert_eq(shareOfCold({.total = 5, .gateways = 65, .inZone = 11, .rank = 4}), 1);
-    cr_assert_eq(shareOfCold({.total = 5, .gateways = 65, .inZone = 11, .rank = 5}), 0);
+    cr_assert_eq(shareOfCold({.total = 40, .gateways = 9, .inZone = 3, .rank = 2}), 2);
+    cr_assert_eq(shareOfCold({.total = 40, .gateways = 9, .inZone = 3, .rank = std::nullopt}), 2);
+    cr_assert_eq(shareOfCold({.total = 16, .gateways = 9, .inZone = 3, .rank = 2}), 2);
+    cr_assert_eq(shareOfCold({.total = 16, .gateways = 9, .inZone = 3, .rank = std::nullopt}), 0);
+    cr_assert_eq(shareOfCold({.total = 11, .gateways = 65, .inZone = 11, .rank = 4}), 1);
+    cr_assert_eq(shareOfCold({.total = 11, .gateways = 65, .inZone = 11, .rank = 5}), 0);
     cr_assert_eq(shareOfCold({.total = 0, .gateways = 65, .inZone = 11, .rank = 0}), 0);
 }
 
@@ -98,6 +98,24 @@
     }
 }
 
+// One that counts a gateway more than the others may find that an equal part is none, and share by rank beside their equal parts.
+Test(ColdAllowance, neverAddsUpToMoreThanTheTotalWhereCountsDiffer)
+{
+    for (int total = 1; total <= 60; ++total) {
+        for (int gateways = 1; gateways <= 30; ++gateways) {
+            const int inZone = (gateways + 2) / 3;
+            int sum = 0;
+            for (int number = 0; number < gateways; ++number) {
+                const bool isInZone = number < inZone;
+                const int known = gateways + (isInZone ? 1 : 0);
+                const auto rank = isInZone ? std::optional(number) : std::nullopt;
+                sum += shareOfCold({.total = total, .gateways = known, .inZone = inZone, .rank = rank});
+            }
+            cr_assert_leq(sum, total, "%d gateways share %d", gateways, total);
+        }
+    }
+}
+
 // A gateway that has not heard yet of a change may still spend its former part, so nobody spends a new one by rank for a while.
 Test(ColdAllowance, isNotGivenByRankWhileGatewaysChange)
 {
@@ -106,7 +124,7 @@
         registry.merge(gateway(number, "a"), at(0.0));
     }
     const auto shareAt = [](const Gateway::CellOwnership &ownership, double time) {
-        return ownership.coldShareOf(Core::ServiceName("s"), "a", 39, at(time));
+        return ownership.coldShareOf(Core::ServiceName("s"), "a", 78, at(time));
     };
     Gateway::CellOwnership ownership({}, "a", {{"a", "one"}}, "10.0.0.1:1", at(0.0));
     ownership.takeGateways(registry, at(0.0));
