LibWire, LibGateway: Tell which connection carried a request before, and what was passed over

The hypotheses on an answer that was not whole could not be told apart by logs or metrics. Connections now know the ids that they carried. Two lines and counters: a send over a connection that had carried the same request, and an answer that was passed over as another request's. Two more lines show a merged answer that is wrong by our own fault: records left out by a part that were still wanted, and a signature that stands twice. No decision changes.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -408,20 +408,39 @@
     if (this->timers.now() < backend.warmUntil) {
         this->coldAllowance.note(backend.name, this->timers.now());
     }
+    const auto &requestId = attemptOptions.caller->id;
+    if (attempt.connection->hasCarried(requestId.value())) {
+        ++this->counts.sentAgain;
+        Core::logEvent(Core::LogLevel::Information, "attempt.same_connection", {{"request", requestId.value()}, {"backend", backend.name.value()}});
+    }
     std::string bytes;
     this->dialect.writeRequest(bytes, BackendRequest{.caller = attemptOptions.caller, .backend = backend.name, .timeLeft = attemptOptions.timeLeft});
-    attempt.connection->send(
-        std::move(bytes),
-        [this, expected = attemptOptions.caller->id](const Wire::Response &response) {
-            const auto answered = this->dialect.readReplyId(response);
-            return expected.value().empty() || answered.value().empty() || answered == expected;
-        },
-        [this, id](Wire::ClientResult result) {
-            this->finish(id, std::move(result));
-        });
+    attempt.connection->send({.bytes = std::move(bytes),
+        .id = requestId.value(),
+        .recognise =
+            [this, expected = requestId, name = backend.name](const Wire::Response &response) {
+                return this->isAnswerTo(expected, name, response);
+            },
+        .done =
+            [this, id](Wire::ClientResult result) {
+                this->finish(id, std::move(result));
+            }});
     return id;
 }
 
+bool BackendPool::isAnswerTo(const Core::RequestId &expected, const BackendName &backend, const Wire::Response &response)
+{
+    const auto answered = this->dialect.readReplyId(response);
+    if (expected.value().empty() || answered.value().empty() || answered == expected) {
+        return true;
+    }
+    ++this->counts.passedOver;
+    Core::logEvent(Core::LogLevel::Information,
+        "answer.passed_over",
+        {{"request", expected.value()}, {"answers", answered.value()}, {"backend", backend.value()}, {"status", response.status}});
+    return false;
+}
+
 Attempt BackendPool::takeAttempt(AttemptId id)
 {
     const auto found = this->attempts.find(id);
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -88,6 +88,10 @@
     std::uint64_t notExecuted{0};
     std::uint64_t cancelled{0};
     std::uint64_t wrongBackend{0};
+    /** Answers that were passed over, since they belong to another request. */
+    std::uint64_t passedOver{0};
+    /** Sends over a connection that had carried the same request before. */
+    std::uint64_t sentAgain{0};
 };
 
 /** Table of backends and of the attempts under way. */
@@ -199,6 +203,8 @@
     [[nodiscard]] std::shared_ptr<Wire::ClientConnection> openConnection(Backend &backend);
     [[nodiscard]] std::optional<Core::Duration> trialMargin() const;
     void connectionClosed(Backend &backend, const Wire::ClientConnection *connection);
+    /** Whether what came from `backend` is the answer to the request `expected`. */
+    [[nodiscard]] bool isAnswerTo(const Core::RequestId &expected, const BackendName &backend, const Wire::Response &response);
     void finish(AttemptId id, Wire::ClientResult result);
     [[nodiscard]] Attempt takeAttempt(AttemptId id);
     void learn(Backend &backend, const Attempt &attempt, const AttemptOutcome &outcome);
--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -5,6 +5,7 @@
 
 #include <LibGateway/FanOutRequest.h>
 
+#include <LibCore/Log.h>
 #include <LibGateway/PackedSignatures.h>
 #include <LibGateway/RecordMerge.h>
 #include <LibRpc/Serialization.h>
@@ -477,6 +478,28 @@
     return all;
 }
 
+// Parts left out what is less than the least record that they were told. If the answer ends with less, such records may be missing from it.
+void FanOutRequest::verifyLeastRecords(const std::string &records) const
+{
+    const bool isFull = records.size() == this->route.topRecords * RecordBytes;
+    for (const auto &asked : this->parts) {
+        const auto &least = asked->part->asked().leastRecord;
+        const bool leftOut = !least.empty() && !asked->part->answer().signatures.empty();
+        if (leftOut && (!isFull || records.compare(records.size() - RecordBytes, RecordBytes, least) < 0)) {
+            Core::logEvent(Core::LogLevel::Error, "answer.lacks_records", {{"request", this->request.id.value()}, {"zone", asked->part->zone()}});
+        }
+    }
+}
+
+// Each signature stands for one shard; one that stands twice shows that some shard was counted in two parts.
+void FanOutRequest::verifySignatures(std::vector<std::string> all) const
+{
+    std::sort(all.begin(), all.end());
+    if (const auto twice = std::adjacent_find(all.begin(), all.end()); twice != all.end()) {
+        Core::logEvent(Core::LogLevel::Error, "answer.signature_twice", {{"request", this->request.id.value()}, {"signature", *twice}});
+    }
+}
+
 void FanOutRequest::answerCaller()
 {
     MergedAnswer answer;
@@ -484,6 +507,8 @@
     this->noteLatencies();
     answer.body = this->mergedRecords(everyRow);
     answer.signatures = this->signatures();
+    this->verifyLeastRecords(answer.body);
+    this->verifySignatures(answer.signatures);
     answer.missing = this->route.shards.size() - answer.signatures.size();
     this->giveUpCalls(false);
     this->complete(this->context.dialect->writeMerged(answer), answer.missing == 0 ? RequestOutcome::Answered : RequestOutcome::Partial);
--- a/Libraries/LibGateway/FanOutRequest.h
+++ b/Libraries/LibGateway/FanOutRequest.h
@@ -105,6 +105,8 @@
     [[nodiscard]] std::string mergedRecords(const std::function<bool(const Row &row)> &counts) const;
     void noteLatencies() const;
     [[nodiscard]] std::string leastRecord() const;
+    void verifyLeastRecords(const std::string &records) const;
+    void verifySignatures(std::vector<std::string> all) const;
     [[nodiscard]] std::vector<std::string> signatures() const;
 
     RelayPlan plan;
--- a/Libraries/LibWire/ClientConnection.cpp
+++ b/Libraries/LibWire/ClientConnection.cpp
@@ -8,7 +8,9 @@
 #include <LibCore/Invariant.h>
 #include <LibCore/Settings.h>
 
+#include <algorithm>
 #include <cstring>
+#include <functional>
 #include <sys/epoll.h>
 #include <utility>
 
@@ -47,13 +49,14 @@
 
 ClientConnection::~ClientConnection() = default;
 
-void ClientConnection::send(std::string bytes, RecogniseHook recogniseHook, ResultHook doneHook)
+void ClientConnection::send(ClientRequest request)
 {
     Core::verify(this->isIdle(), "a request is sent on an idle connection only");
-    this->output = std::move(bytes);
+    this->carried.push_back(std::hash<std::string>{}(request.id));
+    this->output = std::move(request.bytes);
     this->written = 0;
-    this->recognise = std::move(recogniseHook);
-    this->done = std::move(doneHook);
+    this->recognise = std::move(request.recognise);
+    this->done = std::move(request.done);
     this->parser.reset(this->options.limits);
     this->lastUse = this->timers.now();
     if (this->up) {
@@ -61,6 +64,11 @@
     }
 }
 
+bool ClientConnection::hasCarried(const std::string &id) const
+{
+    return std::find(this->carried.begin(), this->carried.end(), std::hash<std::string>{}(id)) != this->carried.end();
+}
+
 bool ClientConnection::isIdle() const
 {
     return !this->gone && !this->done;
@@ -123,6 +131,7 @@
     this->written = 0;
     this->done = nullptr;
     this->recognise = nullptr;
+    this->carried.pop_back();
     return true;
 }
 
--- a/Libraries/LibWire/ClientConnection.h
+++ b/Libraries/LibWire/ClientConnection.h
@@ -16,6 +16,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace Wire
 {
@@ -42,6 +43,17 @@
     std::string reason;
 };
 
+/** What is sent, and how its answer is known. */
+struct ClientRequest {
+    std::string bytes;
+    /** Names the request that is sent. Answers carry it, so two sends of one request can't be told apart by it. */
+    std::string id;
+    /** Whether a response belongs to the request. One that does not is passed over. */
+    std::function<bool(const Response &response)> recognise;
+    /** Called once, unless close() or withdraw() comes first. */
+    std::function<void(ClientResult result)> done;
+};
+
 /** How a connection is made. */
 struct ClientConnectionOptions {
     Core::Endpoint endpoint;
@@ -59,16 +71,15 @@
 class ClientConnection : public Core::EventHandler, public std::enable_shared_from_this<ClientConnection>
 {
 public:
-    using ResultHook = std::function<void(ClientResult result)>;
-    /** Whether a response belongs to the request that is under way. One that does not is passed over. */
-    using RecogniseHook = std::function<bool(const Response &response)>;
-
     [[nodiscard]] static Core::Result<std::shared_ptr<ClientConnection>> create(
         ClientConnectionOptions options, Core::EventPoll &poll, Core::TimerService &timers);
     ~ClientConnection() override;
 
-    /** Only on a connection that is idle. `done` is called once, unless close() comes first. */
-    void send(std::string bytes, RecogniseHook recognise, ResultHook done);
+    /** Only on a connection that is idle. */
+    void send(ClientRequest request);
+
+    /** Whether a request of this id was sent here before, and its answer may yet come a second time. */
+    [[nodiscard]] bool hasCarried(const std::string &id) const;
 
     /** Ends the connection and drops the request under way without calling its hook. */
     void close();
@@ -115,9 +126,11 @@
     std::string output;
     std::size_t written{0};
     std::string input;
-    RecogniseHook recognise;
+    std::function<bool(const Response &response)> recognise;
     // Invariant: set exactly while a request is under way.
-    ResultHook done;
+    std::function<void(ClientResult result)> done;
+    // Hashes of the ids of all requests that were sent here, in their order.
+    std::vector<std::size_t> carried;
     // Requests may be sent.
     bool up{false};
     // The server has accepted the connection, and the trial is on.
--- a/Tests/LibWire/TestClientConnection.cpp
+++ b/Tests/LibWire/TestClientConnection.cpp
@@ -72,15 +72,17 @@
 
     void send(const std::string &id)
     {
-        this->connection->send(
-            "GET /" + id + " HTTP/1.1\r\nHost: h\r\n\r\n",
-            [id](const Wire::Response &response) {
-                const auto *found = Wire::findHeader(response.headers, "Id");
-                return found != nullptr && *found == id;
-            },
-            [this](Wire::ClientResult result) {
-                this->results.push_back(std::move(result));
-            });
+        this->connection->send({.bytes = "GET /" + id + " HTTP/1.1\r\nHost: h\r\n\r\n",
+            .id = id,
+            .recognise =
+                [id](const Wire::Response &response) {
+                    const auto *found = Wire::findHeader(response.headers, "Id");
+                    return found != nullptr && *found == id;
+                },
+            .done =
+                [this](Wire::ClientResult result) {
+                    this->results.push_back(std::move(result));
+                }});
     }
 
     [[nodiscard]] bool hasResults(std::size_t count)
@@ -238,9 +240,9 @@
     const auto endpoint = TestSupport::freeEndpoint();
     const auto connection = Wire::ClientConnection::create({.endpoint = endpoint, .limits = {}}, *fixture.poll, fixture.timers).value();
     std::optional<Wire::ClientEnd> end;
-    connection->send("GET / HTTP/1.1\r\n\r\n", nullptr, [&end](const Wire::ClientResult &result) {
-        end = result.end;
-    });
+    connection->send({.bytes = "GET / HTTP/1.1\r\n\r\n", .id = "a", .recognise = nullptr, .done = [&end](const Wire::ClientResult &result) {
+                          end = result.end;
+                      }});
     cr_assert(fixture.runUntil([&end] {
         return end.has_value();
     }));
