--- /dev/null
+++ b/Tests/Incidents/TestSurplusAnswers.cpp
@@ -0,0 +1,202 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// What was seen: a search was answered with success, shards left out, and a body
+// that lacked records of a shard which it named as included. Backend servers
+// answered some requests twice, the second time late and with another body.
+//
+// How it came about: an owner was asked for a part and left at its target without
+// the shard. The shard's answer came a moment later, over a connection that was
+// kept. The owner was asked for the shard again, for the same search, and sent the
+// request over that connection; the second answer to the first attempt came next
+// and was taken for the answer to the second attempt.
+//
+// The cause: answers were matched to sends by the request's id, which names a
+// caller's request and not a send. What proved it: one signature was taken twice
+// at one gateway, with two bodies, each time on a connection that had carried the
+// id before, and never without doubled answers.
+
+#include <LibRpc/Serialization.h>
+#include <Support/GatewayFixture.h>
+#include <Support/StutteringBackend.h>
+
+#include <criterion/criterion.h>
+#include <random>
+
+using namespace TestSupport;
+
+namespace
+{
+
+const std::string WholeRecord = "a record of 16 b";
+
+/** A fixture with one stuttering backend server, the only one of its service. */
+class StutteringFixture : public GatewayFixture
+{
+public:
+    explicit StutteringFixture(const std::string &service) : service(service), server(std::make_shared<StutteringBackend>(*this))
+    {
+        this->server->listen();
+        announce(this->pool, service, "server", this->server->endpoint, "here");
+    }
+
+    /** Asks as another gateway does that wants the one shard. With `mayMiss` it is answered without the shard if that is late. */
+    [[nodiscard]] Protocol::PartialAnswer askPart(const std::string &id, Core::Duration targetLeft, std::size_t mayMiss)
+    {
+        this->relayTerms = Gateway::RelayTerms{
+            .targetLeft = targetLeft, .holdLeft = Core::seconds(5), .mayMiss = mayMiss, .before = {}, .shards = {Core::ServiceName(this->service)}};
+        const auto part = this->ask(id);
+        return Rpc::deserialize<Protocol::PartialAnswer>(part.body).value_or(Protocol::PartialAnswer());
+    }
+
+    std::string service;
+    std::shared_ptr<StutteringBackend> server;
+};
+
+/** A run's own answer. Its signature and its body name the run. */
+Wire::Response wholeAnswer(const StutteringRun &run)
+{
+    return goodAnswer(run.request, "signature of run " + std::to_string(run.number), WholeRecord);
+}
+
+}
+
+Test(SurplusAnswers, aSearchAskedAgainIsNotGivenTheSecondAnswerToItsFirstAttempt)
+{
+    StutteringFixture fixture("shard");
+    fixture.route().shards = {Core::ServiceName("shard")};
+    fixture.route().topRecords = 1;
+    static constexpr int LateRun = 2;
+    fixture.server->onRun = [](const StutteringRun &run) {
+        if (run.number != LateRun) {
+            run.connection->write(wholeAnswer(run));
+        }
+    };
+    cr_assert_eq(fixture.askPart("opens a connection", Core::seconds(2), 0).signatures.size(), 1);
+    cr_assert_eq(fixture.askPart("x", Core::milliseconds(1), 1).missing.size(), 1, "the part leaves at its target without the late shard");
+    cr_assert(fixture.runUntil([&fixture] {
+        return fixture.server->runs.size() == LateRun;
+    }));
+    const auto late = fixture.server->runs.back();
+    fixture.server->answerTwice(late, wholeAnswer(late), "no");
+    fixture.settle();
+    const auto again = fixture.askPart("x", Core::seconds(2), 0);
+    cr_assert_eq(again.signatures.size(), 1);
+    cr_assert_str_eq(again.signatures.front().c_str(), "signature of run 3");
+    cr_assert_str_eq(again.records.c_str(), WholeRecord.c_str(), "the part has the records of the run that it names");
+}
+
+Test(SurplusAnswers, aSecondRefusalDoesNotSendANonRepeatableRequestTwice)
+{
+    StutteringFixture fixture("service");
+    fixture.route().targets = {{Core::ServiceName("service"), 1.0}};
+    fixture.route().idempotent = false;
+    fixture.route().maximumAttempts = 3;
+    int executed = 0;
+    fixture.server->onRun = [&fixture, &executed](const StutteringRun &run) {
+        if (run.number == 1) {
+            fixture.server->answerTwice(run, badAnswer(run.request, 503, true), "");
+            return;
+        }
+        ++executed;
+        run.connection->write(wholeAnswer(run));
+    };
+    const auto answer = fixture.ask("x", "POST");
+    fixture.settle();
+    cr_assert_eq(executed, 1, "ran %d times", executed);
+    cr_assert_eq(answer.status, 200);
+    cr_assert_str_eq(answer.body.c_str(), WholeRecord.c_str());
+}
+
+Test(SurplusAnswers, anAnswerThatDoesNotSayWhoseItIsIsNobodys)
+{
+    StutteringFixture fixture("service");
+    fixture.route().targets = {{Core::ServiceName("service"), 1.0}};
+    fixture.server->onRun = [](const StutteringRun &run) {
+        run.connection->write(Wire::Response{.status = 200, .headers = {{"Response-Signature", "none"}}, .body = "whose?"});
+        run.connection->write(wholeAnswer(run));
+    };
+    cr_assert_str_eq(fixture.ask("x").body.c_str(), WholeRecord.c_str());
+}
+
+Test(SurplusAnswers, aRequestWithoutAnIdIsNotGivenAnotherRequestsAnswer)
+{
+    StutteringFixture fixture("service");
+    fixture.route().targets = {{Core::ServiceName("service"), 1.0}};
+    fixture.server->onRun = [&fixture](const StutteringRun &run) {
+        fixture.server->answerTwice(run, goodAnswer(run.request, "signature", std::to_string(run.number)), "no");
+    };
+    cr_assert_str_eq(fixture.ask("x").body.c_str(), "1");
+    cr_assert_str_eq(fixture.ask("").body.c_str(), "2");
+    cr_assert_str_eq(fixture.ask("").body.c_str(), "3");
+}
+
+Test(SurplusAnswers, askingAgainNeitherStopsNorTakesMoreConnectionsAtTheLimit)
+{
+    StutteringFixture fixture("service");
+    fixture.route().targets = {{Core::ServiceName("service"), 1.0}};
+    fixture.server->onRun = [&fixture](const StutteringRun &run) {
+        fixture.server->answerTwice(run, goodAnswer(run.request, "signature", std::to_string(run.number)), "no");
+    };
+    const int asks = 3 * GatewayFixture::poolOptions(0.0).undeclaredCap;
+    for (int number = 1; number <= asks; ++number) {
+        cr_assert_str_eq(fixture.ask("x").body.c_str(), std::to_string(number).c_str());
+        cr_assert_leq(fixture.pool.connectionCount(), static_cast<std::size_t>(GatewayFixture::poolOptions(0.0).undeclaredCap));
+    }
+}
+
+// Any order of sends, answers and abandoned sends, of few ids over few connections, where every answer comes twice.
+Test(SurplusAnswers, everyAttemptGetsItsOwnAnswerInRandomPlans)
+{
+    static constexpr int Plans = 8;
+    static constexpr int Steps = 120;
+    for (int seed = 1; seed <= Plans; ++seed) {
+        StutteringFixture fixture("service");
+        std::mt19937 random(static_cast<std::mt19937::result_type>(seed));
+        const auto below = [&random](std::size_t limit) {
+            return std::uniform_int_distribution<std::size_t>(0, limit - 1)(random);
+        };
+        std::vector<StutteringRun> waiting;
+        fixture.server->onRun = [&waiting](const StutteringRun &run) {
+            waiting.push_back(run);
+        };
+        const std::vector<Gateway::BackendName> noneTried;
+        std::vector<Gateway::AttemptId> attempts;
+        int answered = 0;
+        const auto send = [&] {
+            auto *backend = fixture.pool.choose({.service = Core::ServiceName("service"), .tried = noneTried, .allowedRegions = {}});
+            if (backend == nullptr) {
+                return;
+            }
+            const std::string name = std::to_string(attempts.size());
+            const Gateway::CallerRequest request{.id = Core::RequestId(std::string(1, static_cast<char>('a' + below(3)))),
+                .message = {.method = "GET", .target = "/", .headers = {{"Attempt", name}}, .body = {}}};
+            auto sent = request;
+            sent.message.headers.push_back({"Request-Id", request.id.value()});
+            attempts.push_back(fixture.pool.send(
+                *backend, {.caller = &sent, .timeLeft = Core::seconds(5), .done = [&answered, name, seed](const Gateway::AttemptOutcome &outcome) {
+                               if (outcome.end == Gateway::AttemptEnd::Replied) {
+                                   ++answered;
+                                   cr_assert_str_eq(outcome.reply.message.body.c_str(), name.c_str(), "seed %d", seed);
+                               }
+                           }}));
+        };
+        for (int step = 0; step < Steps; ++step) {
+            const auto what = below(10);
+            if (what < 5) {
+                send();
+            } else if (what < 9 && !waiting.empty()) {
+                const auto position = waiting.begin() + static_cast<std::ptrdiff_t>(below(waiting.size()));
+                const auto run = *position;
+                waiting.erase(position);
+                fixture.server->answerTwice(run, goodAnswer(run.request, "signature", *Wire::findHeader(run.request.headers, "Attempt")), "no");
+            } else if (!attempts.empty()) {
+                fixture.pool.abandon(attempts[below(attempts.size())], false);
+            }
+            fixture.settle(Core::milliseconds(2));
+        }
+        cr_assert_gt(answered, Steps / 10, "seed %d: too few answers to show anything", seed);
+    }
+}
--- /dev/null
+++ b/Tests/Support/StutteringBackend.h
@@ -0,0 +1,126 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// A stand-in backend server that answers twice, the second time late: where the
+// answer to the next request on the connection is due.
+
+#pragma once
+
+#include <Support/LoopFixture.h>
+
+#include <LibWire/MessageParser.h>
+#include <LibWire/Socket.h>
+
+#include <algorithm>
+#include <functional>
+#include <sys/epoll.h>
+#include <vector>
+
+namespace TestSupport
+{
+
+class StutteringBackend;
+
+/** One connection to it. */
+class StutteringConnection : public Core::EventHandler
+{
+public:
+    StutteringConnection(StutteringBackend &backend, Wire::Socket socket) : backend(backend), socket(std::move(socket))
+    {
+    }
+
+    void handleEvents(std::uint32_t events) override;
+
+    void write(const Wire::Response &response) const
+    {
+        std::string bytes;
+        Wire::appendResponse(bytes, response, {});
+        std::size_t offset = 0;
+        (void)this->socket.write(bytes, offset);
+    }
+
+    StutteringBackend &backend;
+    Wire::Socket socket;
+    Wire::MessageParser parser{Wire::MessageKind::Request, {}};
+    std::string input;
+    // Second answers that are yet to come.
+    std::vector<Wire::Response> owed;
+};
+
+/** A run of a request, which waits for its answer. */
+struct StutteringRun {
+    int number{0};
+    Wire::Request request;
+    std::shared_ptr<StutteringConnection> connection;
+};
+
+/** Notes each run; a test decides when it is answered, with what, and what is owed afterwards. */
+class StutteringBackend : public Core::EventHandler, public std::enable_shared_from_this<StutteringBackend>
+{
+public:
+    explicit StutteringBackend(LoopFixture &fixture)
+        : fixture(fixture), endpoint(freeEndpoint()), listener(std::move(Wire::Socket::listenOn(this->endpoint, 16).value()))
+    {
+    }
+
+    void listen()
+    {
+        this->fixture.poll->add(this->listener.number(), EPOLLIN, this->shared_from_this());
+    }
+
+    void handleEvents(std::uint32_t) override
+    {
+        for (auto accepted = this->listener.acceptOne(); accepted.isOpen(); accepted = this->listener.acceptOne()) {
+            const int descriptor = accepted.number();
+            this->connections.push_back(std::make_shared<StutteringConnection>(*this, std::move(accepted)));
+            this->fixture.poll->add(descriptor, EPOLLIN | EPOLLRDHUP, this->connections.back());
+        }
+    }
+
+    /** Answers a run, and again when the next request comes over its connection: under the same id, with the same headers and `secondBody`. */
+    void answerTwice(const StutteringRun &run, Wire::Response response, const std::string &secondBody) const
+    {
+        run.connection->write(response);
+        response.body = secondBody;
+        run.connection->owed.push_back(std::move(response));
+    }
+
+    /** Called with each run, once what is owed on its connection was sent. */
+    std::function<void(const StutteringRun &run)> onRun;
+
+    LoopFixture &fixture;
+    Core::Endpoint endpoint;
+    Wire::Socket listener;
+    std::vector<std::shared_ptr<StutteringConnection>> connections;
+    std::vector<StutteringRun> runs;
+};
+
+inline void StutteringConnection::handleEvents(std::uint32_t)
+{
+    const auto transfer = this->socket.read(this->input, 65536);
+    while (!this->input.empty()) {
+        const auto consumed = this->parser.feed(this->input);
+        this->input.erase(0, consumed);
+        if (this->parser.state() != Wire::ParseState::Whole) {
+            break;
+        }
+        for (const auto &second : std::exchange(this->owed, {})) {
+            this->write(second);
+        }
+        const auto &connections = this->backend.connections;
+        const auto self = std::find_if(connections.begin(), connections.end(), [this](const auto &connection) {
+            return connection.get() == this;
+        });
+        this->backend.runs.push_back({.number = static_cast<int>(this->backend.runs.size()) + 1, .request = this->parser.takeRequest(), .connection = *self});
+        this->parser.reset({});
+        this->backend.onRun(this->backend.runs.back());
+    }
+    if (transfer != Wire::Transfer::Open && this->socket.isOpen()) {
+        this->backend.fixture.poll->remove(this->socket.number());
+        this->socket = Wire::Socket();
+    }
+}
+
+}
