LibGateway: Don't close or hand out a connection that somebody took meanwhile

Found while looking at which connection a request goes over. Closing a connection tells those who wait for room, and one of them may send at once. connectionFor() closed expired connections after it had picked one, so that the picked one could be busy when it was returned, which stops the process (an invariant of ClientConnection::send); closeResting() could close a connection under the request that had just taken it, which then waited for its timeout. Before: the first test crashes, the second waits 20 s in vain. After: both pass. Now expired ones go first, and only idle ones are closed.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -351,24 +351,31 @@
 
 std::shared_ptr<Wire::ClientConnection> BackendPool::connectionFor(Backend &backend)
 {
-    const auto now = this->timers.now();
+    // NOTE: Before one is picked, since those who wait for room may take one of those that are left.
+    this->closeExpired(backend);
     // One that is up goes first; of those the one that was used last is the least likely to have been closed by the other side.
     std::shared_ptr<Wire::ClientConnection> best;
-    std::vector<std::shared_ptr<Wire::ClientConnection>> expired;
     for (const auto &connection : backend.connections) {
         if (!connection->isIdle()) {
             continue;
         }
-        if (connection->idleUntil() <= now) {
-            expired.push_back(connection);
-        } else if (!best || std::pair(connection->isConnected(), connection->lastUsed()) > std::pair(best->isConnected(), best->lastUsed())) {
+        if (!best || std::pair(connection->isConnected(), connection->lastUsed()) > std::pair(best->isConnected(), best->lastUsed())) {
             best = connection;
         }
     }
+    return best ? best : this->openConnection(backend);
+}
+
+void BackendPool::closeExpired(const Backend &backend)
+{
+    const auto now = this->timers.now();
+    std::vector<std::shared_ptr<Wire::ClientConnection>> expired;
+    std::copy_if(backend.connections.begin(), backend.connections.end(), std::back_inserter(expired), [now](const auto &connection) {
+        return connection->isIdle() && connection->idleUntil() <= now;
+    });
     for (const auto &connection : expired) {
         connection->close();
     }
-    return best ? best : this->openConnection(backend);
 }
 
 void BackendPool::connectionClosed(Backend &backend, const Wire::ClientConnection *connection)
@@ -706,7 +713,10 @@
         this->findResting(*former, now, resting);
     }
     for (const auto &connection : resting) {
-        connection->close();
+        // One that was closed before may have let a request go out over this one.
+        if (connection->isIdle()) {
+            connection->close();
+        }
     }
     for (auto *backend : gone) {
         this->remove(*backend);
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -200,6 +200,8 @@
     void assumeCold(Backend &backend);
     void retire(std::unique_ptr<Backend> former);
     [[nodiscard]] std::shared_ptr<Wire::ClientConnection> connectionFor(Backend &backend);
+    /** Closes idle connections that the backend server may be closing by now. */
+    void closeExpired(const Backend &backend);
     [[nodiscard]] std::shared_ptr<Wire::ClientConnection> openConnection(Backend &backend);
     [[nodiscard]] std::optional<Core::Duration> trialMargin() const;
     void connectionClosed(Backend &backend, const Wire::ClientConnection *connection);
--- a/Tests/Support/StutteringBackend.h
+++ b/Tests/Support/StutteringBackend.h
@@ -33,10 +33,10 @@
 
     void handleEvents(std::uint32_t events) override;
 
-    void write(const Wire::Response &response) const
+    void write(const Wire::Response &response, const Wire::ConnectionTerms &terms = {}) const
     {
         std::string bytes;
-        Wire::appendResponse(bytes, response, {});
+        Wire::appendResponse(bytes, response, terms);
         std::size_t offset = 0;
         (void)this->socket.write(bytes, offset);
     }
