LibGateway: Name each send between gateways

All parts of a search carry its request id, so between gateways the id told sends apart no better than at backend servers. That protocol is ours: each send now has a name, the answer carries it back, and an answer without it is passed over. What is told apart by name may share a connection. Dialects say by what key an answer is known: the caller's request on the platform, the send between gateways.

The stand-in gateways of tests carry the name back as gateways do.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -244,7 +244,7 @@
     return Gateway::connectionLimit(this->options.connections, service.connectionCap, backend.sameZone, this->gateways);
 }
 
-bool BackendPool::hasRoom(const Backend &backend, const Service &service, const Core::RequestId *request) const
+bool BackendPool::hasRoom(const Backend &backend, const Service &service, const CallerRequest *request) const
 {
     if (!this->bearsMore(backend, service)) {
         return false;
@@ -253,9 +253,11 @@
     if (takesMore && backend.connections.size() < this->connectionLimit(backend, service)) {
         return true;
     }
-    // One that has carried the request is replaced by a new one, where the backend server takes a new one.
-    return std::any_of(backend.connections.begin(), backend.connections.end(), [takesMore, request](const auto &connection) {
-        return connection->isIdle() && (takesMore || request == nullptr || !connection->hasCarried(request->value()));
+    // Where the backend server takes a new one, a connection that has carried the request already is replaced.
+    const bool anyIdleWillDo = takesMore || request == nullptr;
+    const auto key = anyIdleWillDo ? ReplyKey() : this->dialect.replyKey({.caller = request, .backend = backend.name, .number = this->nextAttempt});
+    return std::any_of(backend.connections.begin(), backend.connections.end(), [&](const auto &connection) {
+        return connection->isIdle() && (anyIdleWillDo || !connection->hasCarried(key.value()));
     });
 }
 
@@ -351,7 +353,7 @@
     return connection;
 }
 
-std::shared_ptr<Wire::ClientConnection> BackendPool::connectionFor(Backend &backend, const Core::RequestId &request)
+std::shared_ptr<Wire::ClientConnection> BackendPool::connectionFor(Backend &backend, const ReplyKey &key)
 {
     // NOTE: Before one is picked, since those who wait for room may take one of those that are left.
     this->closeExpired(backend);
@@ -362,7 +364,7 @@
         if (!connection->isIdle()) {
             continue;
         }
-        if (connection->hasCarried(request.value())) {
+        if (connection->hasCarried(key.value())) {
             anyCarried = true;
         } else if (!best || std::pair(connection->isConnected(), connection->lastUsed()) > std::pair(best->isConnected(), best->lastUsed())) {
             best = connection;
@@ -372,7 +374,7 @@
         return best;
     }
     if (anyCarried) {
-        this->keepApart(backend, request);
+        this->keepApart(backend, key);
     }
     return this->openConnection(backend);
 }
@@ -389,12 +391,12 @@
     }
 }
 
-void BackendPool::keepApart(Backend &backend, const Core::RequestId &request)
+void BackendPool::keepApart(Backend &backend, const ReplyKey &key)
 {
     ++this->counts.keptApart;
     Core::logEvent(Core::LogLevel::Information,
         "connection.kept_apart",
-        {{"request", request.value()}, {"backend", backend.name.value()}, {"connections", backend.connections.size()}});
+        {{"request", key.value()}, {"backend", backend.name.value()}, {"connections", backend.connections.size()}});
     if (backend.connections.size() < this->connectionLimit(backend, this->serviceOf(backend.service))) {
         return;
     }
@@ -439,8 +441,9 @@
     if (!eligible) {
         Core::logEvent(Core::LogLevel::Error, "backend.not_eligible", {{"backend", backend.name.value()}, {"request", attemptOptions.caller->id.value()}});
     }
-    const auto &requestId = attemptOptions.caller->id;
-    attempt.connection = eligible ? this->connectionFor(backend, requestId) : nullptr;
+    const BackendRequest request{.caller = attemptOptions.caller, .backend = backend.name, .timeLeft = attemptOptions.timeLeft, .number = id};
+    const auto key = this->dialect.replyKey(request);
+    attempt.connection = eligible ? this->connectionFor(backend, key) : nullptr;
     if (!attempt.connection) {
         // The outcome is told from the loop, as all outcomes are.
         attempt.cancelAt = attempt.startedAt;
@@ -450,12 +453,12 @@
         this->coldAllowance.note(backend.name, this->timers.now());
     }
     std::string bytes;
-    this->dialect.writeRequest(bytes, BackendRequest{.caller = attemptOptions.caller, .backend = backend.name, .timeLeft = attemptOptions.timeLeft});
+    this->dialect.writeRequest(bytes, request);
     attempt.connection->send({.bytes = std::move(bytes),
-        .id = requestId.value(),
+        .key = key.value(),
         .recognise =
-            [this, expected = requestId, name = backend.name](const Wire::Response &response) {
-                return this->isAnswerTo(expected, name, response);
+            [this, key, name = backend.name](const Wire::Response &response) {
+                return this->isAnswerTo(key, name, response);
             },
         .done =
             [this, id](Wire::ClientResult result) {
@@ -464,10 +467,10 @@
     return id;
 }
 
-bool BackendPool::isAnswerTo(const Core::RequestId &expected, const BackendName &backend, const Wire::Response &response)
+bool BackendPool::isAnswerTo(const ReplyKey &expected, const BackendName &backend, const Wire::Response &response)
 {
-    // Every answer says whose it is. One that does not is nobody's, and what has an id is no answer to a request without one.
-    const auto answered = this->dialect.readReplyId(response);
+    // Every answer says whose it is. One that does not is nobody's, and what names a request is no answer to one without a name.
+    const auto answered = this->dialect.readReplyKey(response);
     if (answered == expected) {
         return true;
     }
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -73,7 +73,7 @@
     /** Only one that is expected to answer in that time. */
     std::optional<Core::Duration> within;
     /** What would be sent; nullptr when that is not known. */
-    const Core::RequestId *request{nullptr};
+    const CallerRequest *request{nullptr};
 };
 
 /** Counts for metrics. */
@@ -90,9 +90,9 @@
     std::uint64_t notExecuted{0};
     std::uint64_t cancelled{0};
     std::uint64_t wrongBackend{0};
-    /** Answers that were passed over, since they belong to another request. */
+    /** Answers that were passed over, since they belong to another send. */
     std::uint64_t passedOver{0};
-    /** Sends for which a kept connection was not used, because it had carried the same request before. */
+    /** Sends for which a kept connection was not used, because it had carried one of the same key before. */
     std::uint64_t keptApart{0};
 };
 
@@ -194,7 +194,7 @@
     [[nodiscard]] bool isInRegion(const std::string &zone) const;
     [[nodiscard]] std::size_t connectionLimit(const Backend &backend, const Service &service) const;
     /** Whether one more can be sent now; `request` as in Wanted. */
-    [[nodiscard]] bool hasRoom(const Backend &backend, const Service &service, const Core::RequestId *request = nullptr) const;
+    [[nodiscard]] bool hasRoom(const Backend &backend, const Service &service, const CallerRequest *request = nullptr) const;
     /** Whether it may be asked at all. The one place that decides; send() asks it again, so that nothing gets past it. */
     [[nodiscard]] bool isEligible(const Backend &backend, const Fleet::AllowedRegions &allowedRegions) const;
     /** Whether a cold backend server bears one more from here. */
@@ -202,17 +202,17 @@
     /** It may have started again, or come back otherwise, and not have said yet that it is cold. */
     void assumeCold(Backend &backend);
     void retire(std::unique_ptr<Backend> former);
-    /** A connection that may carry the request: a kept one, or a new one. */
-    [[nodiscard]] std::shared_ptr<Wire::ClientConnection> connectionFor(Backend &backend, const Core::RequestId &request);
+    /** A connection that has not carried a send of this key: a kept one, or a new one. */
+    [[nodiscard]] std::shared_ptr<Wire::ClientConnection> connectionFor(Backend &backend, const ReplyKey &key);
     /** Closes idle connections that the backend server may be closing by now. */
     void closeExpired(const Backend &backend);
-    /** For a request that must not go over the idle ones: makes room at the limit by giving one of them up. */
-    void keepApart(Backend &backend, const Core::RequestId &request);
+    /** For a send that must not go over the idle ones: makes room at the limit by giving one of them up. */
+    void keepApart(Backend &backend, const ReplyKey &key);
     [[nodiscard]] std::shared_ptr<Wire::ClientConnection> openConnection(Backend &backend);
     [[nodiscard]] std::optional<Core::Duration> trialMargin() const;
     void connectionClosed(Backend &backend, const Wire::ClientConnection *connection);
-    /** Whether what came from `backend` is the answer to the request `expected`. */
-    [[nodiscard]] bool isAnswerTo(const Core::RequestId &expected, const BackendName &backend, const Wire::Response &response);
+    /** Whether what came from `backend` is the answer to a send of the key `expected`. */
+    [[nodiscard]] bool isAnswerTo(const ReplyKey &expected, const BackendName &backend, const Wire::Response &response);
     void finish(AttemptId id, Wire::ClientResult result);
     [[nodiscard]] Attempt takeAttempt(AttemptId id);
     void learn(Backend &backend, const Attempt &attempt, const AttemptOutcome &outcome);
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -12,6 +12,7 @@
 #include <LibCore/Time.h>
 #include <LibWire/Message.h>
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -23,6 +24,12 @@
 /** Name of one incarnation of a backend server. */
 using BackendName = Core::StrongValue<struct BackendNameTag, std::string>;
 
+/**
+ * What an answer has to say to be the answer to a send. Where it names only the caller's request, several sends of one request have the same key, and
+ * their answers can't be told apart on one connection.
+ */
+using ReplyKey = Core::StrongValue<struct ReplyKeyTag, std::string>;
+
 /** A caller's request, its envelope read. */
 struct CallerRequest {
     /** Empty when the caller gave none. */
@@ -64,6 +71,8 @@
     const CallerRequest *caller{nullptr};
     BackendName backend;
     Core::Duration timeLeft{0};
+    /** No other send of this gateway has the same. */
+    std::uint64_t number{0};
 };
 
 /** An answer put together from the parts of several backend servers. */
@@ -89,8 +98,9 @@
 struct Dialect {
     std::function<CallerRequest(Wire::Request message)> readRequest;
     std::function<BackendReply(Wire::Response message)> readReply;
-    /** Which request a reply says that it belongs to; empty when it does not say. It can't say to which send of the request. */
-    std::function<Core::RequestId(const Wire::Response &message)> readReplyId;
+    /** The key of a send, and the one that a reply carries; empty when it carries none. */
+    std::function<ReplyKey(const BackendRequest &request)> replyKey;
+    std::function<ReplyKey(const Wire::Response &message)> readReplyKey;
     /** Appends the bytes of a request to a backend server. */
     std::function<void(std::string &bytes, const BackendRequest &request)> writeRequest;
     /** A backend server's reply as the caller gets it. */
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -263,24 +263,40 @@
 
 // ---- Requests
 
+static RoutedRequest::AnswerHook answerTo(const Wire::ExchangePointer &exchange)
+{
+    return [exchange](const Wire::Response &response) {
+        exchange->respond(response);
+    };
+}
+
+// Every answer to another gateway says which of its sends it answers, a refusal too.
+static RoutedRequest::AnswerHook answerToSend(const Wire::ExchangePointer &exchange, std::string sendName)
+{
+    return [exchange, sendName = std::move(sendName)](Wire::Response response) {
+        response.headers.push_back({RelayHeader::Send, sendName});
+        exchange->respond(response);
+    };
+}
+
 void GatewayNode::handle(Wire::Request message, const Wire::ExchangePointer &exchange)
 {
     ++this->counts.requests;
     CallerRequest request = this->options.dialect.readRequest(std::move(message));
     if (!this->routes || !this->watcher.isConfirmed()) {
-        this->refuse(Refusal::NotRun, request, exchange, "declaration-unknown");
+        this->refuse(Refusal::NotRun, request, answerTo(exchange), "declaration-unknown");
         return;
     }
     const auto *route = this->routes->match(request.host, request.message.target);
     if (route == nullptr) {
         ++this->counts.unrouted;
-        this->refuse(Refusal::NoRoute, request, exchange, "no-route");
+        this->refuse(Refusal::NoRoute, request, answerTo(exchange), "no-route");
         return;
     }
     this->startRequest(*route, std::move(request), exchange);
 }
 
-void GatewayNode::refuse(Refusal refusal, const CallerRequest &request, const Wire::ExchangePointer &exchange, const char *outcome)
+void GatewayNode::refuse(Refusal refusal, const CallerRequest &request, const RoutedRequest::AnswerHook &answer, const char *outcome)
 {
     Core::logEvent(Core::LogLevel::Information,
         "request.refused",
@@ -292,7 +308,7 @@
             {"confirmed", this->watcher.isConfirmed() ? 1 : 0}});
     const auto &settings = this->options.requests;
     const auto comeBackAfter = this->watcher.isConfirmed() ? settings.comeBackAfter : settings.comeBackAfterStart;
-    exchange->respond(this->options.dialect.writeRefusal(refusal, request.id, comeBackAfter));
+    answer(this->options.dialect.writeRefusal(refusal, request.id, comeBackAfter));
 }
 
 Core::ServiceName GatewayNode::chooseTarget(const Fleet::Route &route)
@@ -319,6 +335,7 @@
 {
     ++this->counts.takenForOthers;
     auto terms = takeRelayTerms(message.headers);
+    const auto answer = answerToSend(exchange, takeSendName(message.headers));
     CallerRequest request = this->options.dialect.readRequest(std::move(message));
     const auto *route = this->routes && this->watcher.isConfirmed() ? this->routes->match(request.host, request.message.target) : nullptr;
     const bool holdsShards = route != nullptr && terms.has_value() && std::all_of(terms->shards.begin(), terms->shards.end(), [route](const auto &shard) {
@@ -326,7 +343,7 @@
     });
     if (!holdsShards) {
         // The other gateway holds another declaration; it does the work itself then.
-        this->refuse(Refusal::NotRun, request, exchange, "part-refused");
+        this->refuse(Refusal::NotRun, request, answer, "part-refused");
         return;
     }
     RelayPlan plan;
@@ -340,7 +357,8 @@
     plan.before = terms->before;
     this->run(std::make_unique<FanOutRequest>(
                   this->contextFor(*route, std::move(terms)), this->routes, *route, std::move(request), std::move(plan), Asker::OtherGateway),
-        exchange);
+        exchange,
+        answer);
 }
 
 RequestContext GatewayNode::contextFor(const Fleet::Route &route, std::optional<RelayTerms> relayTerms)
@@ -376,18 +394,19 @@
 {
     // A caller can't claim to be another gateway.
     (void)takeRelayTerms(request.message.headers);
+    (void)takeSendName(request.message.headers);
     const auto context = this->contextFor(route, std::nullopt);
     if (!route.isFanOut()) {
-        this->run(std::make_unique<SingleRequest>(context, this->routes, route, std::move(request), this->chooseTarget(route)), exchange);
+        this->run(std::make_unique<SingleRequest>(context, this->routes, route, std::move(request), this->chooseTarget(route)), exchange, answerTo(exchange));
         return;
     }
     this->ownership.noteSearch();
     auto plan = planRelay(route.shards, this->relayView(route, false), this->options.relay);
     this->counts.relayed += plan.parts.size();
-    this->run(std::make_unique<FanOutRequest>(context, this->routes, route, std::move(request), std::move(plan), Asker::Caller), exchange);
+    this->run(std::make_unique<FanOutRequest>(context, this->routes, route, std::move(request), std::move(plan), Asker::Caller), exchange, answerTo(exchange));
 }
 
-void GatewayNode::run(std::unique_ptr<RoutedRequest> request, const Wire::ExchangePointer &exchange)
+void GatewayNode::run(std::unique_ptr<RoutedRequest> request, const Wire::ExchangePointer &exchange, RoutedRequest::AnswerHook answer)
 {
     const auto id = this->nextRequest++;
     auto &held = *request;
@@ -398,15 +417,11 @@
             found->second->callerGone();
         }
     };
-    held.start(
-        [exchange](const Wire::Response &response) {
-            exchange->respond(response);
-        },
-        [this, id](const RequestSummary &summary) {
-            this->count(summary);
-            this->log(summary);
-            this->requests.erase(id);
-        });
+    held.start(std::move(answer), [this, id](const RequestSummary &summary) {
+        this->count(summary);
+        this->log(summary);
+        this->requests.erase(id);
+    });
 }
 
 void GatewayNode::count(const RequestSummary &summary)
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -90,12 +90,12 @@
     void startRequest(const Fleet::Route &route, CallerRequest request, const Wire::ExchangePointer &exchange);
     [[nodiscard]] RequestContext contextFor(const Fleet::Route &route, std::optional<RelayTerms> relayTerms);
     [[nodiscard]] RelayView relayView(const Fleet::Route &route, bool onlyOtherRegions);
-    void run(std::unique_ptr<RoutedRequest> request, const Wire::ExchangePointer &exchange);
+    void run(std::unique_ptr<RoutedRequest> request, const Wire::ExchangePointer &exchange, RoutedRequest::AnswerHook answer);
     [[nodiscard]] std::optional<Protocol::BackendAnnouncement> makePresence();
     void updateRelays(const Fleet::BackendRecord &record);
     void housekeep(Core::Instant now);
     void countGateways(Core::Instant now);
-    void refuse(Refusal refusal, const CallerRequest &request, const Wire::ExchangePointer &exchange, const char *outcome);
+    void refuse(Refusal refusal, const CallerRequest &request, const RoutedRequest::AnswerHook &answer, const char *outcome);
     [[nodiscard]] Core::ServiceName chooseTarget(const Fleet::Route &route);
     [[nodiscard]] bool knowsEveryService() const;
     void count(const RequestSummary &summary);
--- a/Libraries/LibGateway/RelayPlan.cpp
+++ b/Libraries/LibGateway/RelayPlan.cpp
@@ -230,6 +230,19 @@
     return terms;
 }
 
+std::string takeSendName(Wire::Headers &headers)
+{
+    std::string name;
+    std::erase_if(headers, [&name](const Wire::Header &header) {
+        const bool isName = Wire::sameName(header.name, RelayHeader::Send);
+        if (isName) {
+            name = header.value;
+        }
+        return isName;
+    });
+    return name;
+}
+
 void addRelayTerms(Wire::Headers &headers, const RelayTerms &terms)
 {
     std::vector<std::string> shards;
@@ -267,6 +280,20 @@
 Dialect makeRelayDialect(const Dialect &dialect)
 {
     Dialect relay = dialect;
+    relay.writeRequest = [write = dialect.writeRequest](std::string &bytes, const BackendRequest &request) {
+        CallerRequest named = *request.caller;
+        named.message.headers.push_back({RelayHeader::Send, std::to_string(request.number)});
+        BackendRequest sent = request;
+        sent.caller = &named;
+        write(bytes, sent);
+    };
+    relay.replyKey = [](const BackendRequest &request) {
+        return ReplyKey(std::to_string(request.number));
+    };
+    relay.readReplyKey = [](const Wire::Response &message) {
+        const auto *name = Wire::findHeader(message.headers, RelayHeader::Send);
+        return ReplyKey(name == nullptr ? std::string() : *name);
+    };
     relay.readReply = [read = dialect.readReply](Wire::Response message) {
         BackendReply reply = read(std::move(message));
         if (Wire::findHeader(reply.message.headers, RelayHeader::Partial) != nullptr) {
--- a/Libraries/LibGateway/RelayPlan.h
+++ b/Libraries/LibGateway/RelayPlan.h
@@ -100,6 +100,8 @@
 constexpr const char *AllowedRegions = "Crankrudder-Allowed-Regions";
 /** The body is a partial answer. */
 constexpr const char *Partial = "Crankrudder-Partial";
+/** Names one send of a part; the other gateway's answer carries it back. A search's parts all have its request id. */
+constexpr const char *Send = "Crankrudder-Send";
 }
 
 /** What one gateway asks of another besides the request itself. */
@@ -127,13 +129,19 @@
 /** Takes the terms out of a request's headers; nothing when they are not all there. */
 [[nodiscard]] std::optional<RelayTerms> takeRelayTerms(Wire::Headers &headers);
 
+/** Takes the name of a send out of a request's headers; empty when there is none. */
+[[nodiscard]] std::string takeSendName(Wire::Headers &headers);
+
 /** Adds the terms to a request's headers. */
 void addRelayTerms(Wire::Headers &headers, const RelayTerms &terms);
 
 /** What a relayed part looks like to the gateway that gives it away: one request that is not sent twice. */
 [[nodiscard]] std::shared_ptr<const Fleet::Route> makeRelayRoute(const Fleet::Route &route, const Core::ServiceName &relays);
 
-/** The platform's dialect, as spoken between gateways: partial answers count as whole replies, refusals as proof that nothing ran. */
+/**
+ * The platform's dialect, as spoken between gateways: partial answers count as whole replies, refusals as proof that nothing ran, and each send has a
+ * name of its own.
+ */
 [[nodiscard]] Dialect makeRelayDialect(const Dialect &dialect);
 
 }
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -65,7 +65,7 @@
         .typicalLatency = this->terms.typicalLatency,
         .allowedRegions = this->terms.allowedRegions,
         .within = within,
-        .request = &this->terms.request->id};
+        .request = this->terms.request};
 }
 
 void ShardCall::tryNext()
--- a/Libraries/LibWire/ClientConnection.cpp
+++ b/Libraries/LibWire/ClientConnection.cpp
@@ -22,7 +22,7 @@
 static constexpr Core::Duration DefaultIdleTime = Core::seconds(30);
 // Servers tell whole seconds; one that says "timeout=5" may close a little earlier.
 static constexpr Core::Duration IdleMargin = Core::milliseconds(700);
-// A connection ends after so many requests, so that it can know all of their ids: 8 KiB, for one new connection in a thousand sends.
+// A connection ends after so many requests, so that it can know all of their keys: 8 KiB, for one new connection in a thousand sends.
 static constexpr std::size_t RequestsPerConnection = 1024;
 
 Core::Result<std::shared_ptr<ClientConnection>> ClientConnection::create(ClientConnectionOptions options, Core::EventPoll &poll, Core::TimerService &timers)
@@ -54,8 +54,8 @@
 void ClientConnection::send(ClientRequest request)
 {
     Core::verify(this->isIdle(), "a request is sent on an idle connection only");
-    Core::verify(!this->hasCarried(request.id), "no request goes over the same connection twice");
-    this->carried.push_back(std::hash<std::string>{}(request.id));
+    Core::verify(!this->hasCarried(request.key), "no key goes over the same connection twice");
+    this->carried.push_back(std::hash<std::string>{}(request.key));
     this->output = std::move(request.bytes);
     this->written = 0;
     this->recognise = std::move(request.recognise);
@@ -67,9 +67,9 @@
     }
 }
 
-bool ClientConnection::hasCarried(const std::string &id) const
+bool ClientConnection::hasCarried(const std::string &key) const
 {
-    return std::find(this->carried.begin(), this->carried.end(), std::hash<std::string>{}(id)) != this->carried.end();
+    return std::find(this->carried.begin(), this->carried.end(), std::hash<std::string>{}(key)) != this->carried.end();
 }
 
 bool ClientConnection::isIdle() const
--- a/Libraries/LibWire/ClientConnection.h
+++ b/Libraries/LibWire/ClientConnection.h
@@ -5,10 +5,9 @@
 
 // One kept HTTP/1.1 connection to one server, with one request under way at a
 // time. Nothing is ever sent twice by itself, and an answer counts only when its
-// owner recognises it as the answer to the request that was sent. Since answers
-// carry the request's id and nothing that names a send, no request goes over the
-// same connection twice: a second, late answer to the first send would be taken
-// for the answer to the second one.
+// owner recognises it as the answer to the request that was sent. What it is
+// recognised by goes over a connection only once: a second, late answer to a
+// first send would be taken for the answer to another one of the same key.
 
 #pragma once
 
@@ -49,8 +48,8 @@
 /** What is sent, and how its answer is known. */
 struct ClientRequest {
     std::string bytes;
-    /** Names the request, not this send of it. */
-    std::string id;
+    /** What answers are told apart by. */
+    std::string key;
     /** Whether a response belongs to the request. One that does not is passed over. */
     std::function<bool(const Response &response)> recognise;
     /** Called once, unless close() or withdraw() comes first. */
@@ -78,11 +77,11 @@
         ClientConnectionOptions options, Core::EventPoll &poll, Core::TimerService &timers);
     ~ClientConnection() override;
 
-    /** Only on a connection that is idle and has not carried a request of this id. */
+    /** Only on a connection that is idle and has not carried a request of this key. */
     void send(ClientRequest request);
 
-    /** Whether a request of this id was sent here before; its answer may yet come a second time. */
-    [[nodiscard]] bool hasCarried(const std::string &id) const;
+    /** Whether a request of this key was sent here before; its answer may yet come a second time. */
+    [[nodiscard]] bool hasCarried(const std::string &key) const;
 
     /** Ends the connection and drops the request under way without calling its hook. */
     void close();
@@ -132,7 +131,7 @@
     std::function<bool(const Response &response)> recognise;
     // Invariant: set exactly while a request is under way.
     std::function<void(ClientResult result)> done;
-    // Hashes of the ids of all requests that were sent here, in their order. Invariant: none is forgotten, and none stands twice.
+    // Hashes of the keys of all requests that were sent here, in their order. Invariant: none is forgotten, and none stands twice.
     std::vector<std::size_t> carried;
     // Requests may be sent.
     bool up{false};
--- a/Tests/Incidents/TestSurplusAnswers.cpp
+++ b/Tests/Incidents/TestSurplusAnswers.cpp
@@ -153,6 +153,37 @@
     }
 }
 
+// All parts of a search carry its id, so gateways name each send of a part.
+Test(SurplusAnswers, aGatewaysAnswerToAnotherPartOfTheSearchIsPassedOver)
+{
+    GatewayFixture fixture;
+    const Core::ServiceName shard("shard");
+    fixture.route().shards = {shard};
+    fixture.route().topRecords = 1;
+    fixture.relayed = {shard};
+    const auto part = [](const Wire::Request &request, const std::string &record) {
+        Protocol::PartialAnswer answer;
+        answer.records = record;
+        answer.signatures = {"signature of " + record};
+        Wire::Response response{.status = 200, .headers = answerHeaders(request), .body = Rpc::serialize(answer)};
+        response.headers.push_back({Gateway::RelayHeader::Partial, "1"});
+        return response;
+    };
+    const auto gateway = std::make_shared<StutteringBackend>(fixture);
+    gateway->listen();
+    GatewayFixture::announce(fixture.relays, Gateway::relayService("there").value(), "gateway", gateway->endpoint, "there");
+    gateway->onRun = [&part](const StutteringRun &run) {
+        auto ofAnother = part(run.request, "not the part's..");
+        for (auto &header : ofAnother.headers) {
+            header.value += header.name == Gateway::RelayHeader::Send ? "0" : "";
+        }
+        run.connection->write(ofAnother);
+        run.connection->write(part(run.request, WholeRecord));
+    };
+    const auto answer = fixture.ask("x");
+    cr_assert_str_eq(answer.body.c_str(), WholeRecord.c_str());
+}
+
 // Any order of sends, answers and abandoned sends, of few ids over few connections, where every answer comes twice.
 Test(SurplusAnswers, everyAttemptGetsItsOwnAnswerInRandomPlans)
 {
--- a/Tests/LibGateway/TestRequests.cpp
+++ b/Tests/LibGateway/TestRequests.cpp
@@ -61,9 +61,9 @@
 /** What another gateway answers. */
 Wire::Response partOf(const Wire::Request &request, const Protocol::PartialAnswer &part)
 {
-    return Wire::Response{.status = 200,
-        .headers = {{"Request-Id", *Wire::findHeader(request.headers, "Request-Id")}, {Gateway::RelayHeader::Partial, "1"}},
-        .body = Rpc::serialize(part)};
+    Wire::Response response{.status = 200, .headers = TestSupport::answerHeaders(request), .body = Rpc::serialize(part)};
+    response.headers.push_back({Gateway::RelayHeader::Partial, "1"});
+    return response;
 }
 
 Protocol::MissingShard missingShard(const std::string &name, int executions, int sends)
--- a/Tests/LibWire/TestClientConnection.cpp
+++ b/Tests/LibWire/TestClientConnection.cpp
@@ -73,7 +73,7 @@
     void send(const std::string &id)
     {
         this->connection->send({.bytes = "GET /" + id + " HTTP/1.1\r\nHost: h\r\n\r\n",
-            .id = id,
+            .key = id,
             .recognise =
                 [id](const Wire::Response &response) {
                     const auto *found = Wire::findHeader(response.headers, "Id");
@@ -240,7 +240,7 @@
     const auto endpoint = TestSupport::freeEndpoint();
     const auto connection = Wire::ClientConnection::create({.endpoint = endpoint, .limits = {}}, *fixture.poll, fixture.timers).value();
     std::optional<Wire::ClientEnd> end;
-    connection->send({.bytes = "GET / HTTP/1.1\r\n\r\n", .id = "a", .recognise = nullptr, .done = [&end](const Wire::ClientResult &result) {
+    connection->send({.bytes = "GET / HTTP/1.1\r\n\r\n", .key = "a", .recognise = nullptr, .done = [&end](const Wire::ClientResult &result) {
                           end = result.end;
                       }});
     cr_assert(fixture.runUntil([&end] {
--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -72,17 +72,28 @@
     int turnedAway{0};
 };
 
+/** What every answer says: the request's id, and between gateways the name of the send. */
+[[nodiscard]] inline Wire::Headers answerHeaders(const Wire::Request &request)
+{
+    Wire::Headers headers{{"Request-Id", *Wire::findHeader(request.headers, "Request-Id")}};
+    if (const auto *sendName = Wire::findHeader(request.headers, Gateway::RelayHeader::Send); sendName != nullptr) {
+        headers.push_back({Gateway::RelayHeader::Send, *sendName});
+    }
+    return headers;
+}
+
 /** An answer as a backend server of the platform gives it. */
 [[nodiscard]] inline Wire::Response goodAnswer(const Wire::Request &request, const std::string &signature, const std::string &body)
 {
-    return Wire::Response{
-        .status = 200, .headers = {{"Request-Id", *Wire::findHeader(request.headers, "Request-Id")}, {"Response-Signature", signature}}, .body = body};
+    Wire::Response response{.status = 200, .headers = answerHeaders(request), .body = body};
+    response.headers.push_back({"Response-Signature", signature});
+    return response;
 }
 
 /** A failure; with `notExecuted` the backend server says that it did not run the request. */
 [[nodiscard]] inline Wire::Response badAnswer(const Wire::Request &request, int status, bool notExecuted)
 {
-    Wire::Response response{.status = status, .headers = {{"Request-Id", *Wire::findHeader(request.headers, "Request-Id")}}, .body = {}};
+    Wire::Response response{.status = status, .headers = answerHeaders(request), .body = {}};
     if (notExecuted) {
         response.headers.push_back({"Not-Executed", "1"});
     }
