--- a/Libraries/LibGateway/Backend.h
+++ b/Libraries/LibGateway/Backend.h
@@ -11,7 +11,7 @@
 #include <LibGateway/BackendEvidence.h>
 #include <LibGateway/ConnectionAllowance.h>
 #include <LibGateway/Dialect.h>
-#include <LibWire/ClientConnection.h>
+#include <LibGateway/KeptConnections.h>
 
 #include <memory>
 
@@ -44,7 +44,7 @@
 struct Attempt {
     AttemptId id{0};
     Backend *backend{nullptr};
-    std::shared_ptr<Wire::ClientConnection> connection;
+    ConnectionPointer connection;
     Core::Instant startedAt;
     Core::Duration typicalLatency{0};
     // Set when nobody waits for the outcome any more.
@@ -72,7 +72,7 @@
     std::optional<Core::Duration> roundTrip;
     TurnedAwayPause turnedAway;
 
-    std::vector<std::shared_ptr<Wire::ClientConnection>> connections;
+    KeptConnections connections;
     // Invariant: exactly the attempts of the pool that name this backend.
     std::vector<Attempt *> inFlight;
 };
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -31,17 +31,11 @@
 
 BackendPool::~BackendPool()
 {
-    const auto closeAll = [](const Backend &backend) {
-        for (const auto &connection : backend.connections) {
-            connection->closed = nullptr;
-            connection->close();
-        }
-    };
     for (const auto &[name, backend] : this->backends) {
-        closeAll(*backend);
+        backend->connections.dropAll();
     }
     for (const auto &former : this->formerLives) {
-        closeAll(*former);
+        former->connections.dropAll();
     }
 }
 
@@ -254,11 +248,10 @@
         return true;
     }
     // Where the backend server takes a new one, a connection that has carried the request already is replaced.
-    const bool anyIdleWillDo = takesMore || request == nullptr;
-    const auto key = anyIdleWillDo ? ReplyKey() : this->dialect.replyKey({.caller = request, .backend = backend.name, .number = this->nextAttempt});
-    return std::any_of(backend.connections.begin(), backend.connections.end(), [&](const auto &connection) {
-        return connection->isIdle() && (anyIdleWillDo || !connection->hasCarried(key.value()));
-    });
+    if (takesMore || request == nullptr) {
+        return backend.connections.hasIdle();
+    }
+    return backend.connections.hasIdleFor(this->dialect.replyKey({.caller = request, .backend = backend.name, .number = this->nextAttempt}));
 }
 
 bool BackendPool::isEligible(const Backend &backend, const Fleet::AllowedRegions &allowedRegions) const
@@ -335,7 +328,7 @@
     return this->options.trial.has_value() ? this->trialPeriod.marginAt(this->options.trial.value(), this->timers.now()) : std::nullopt;
 }
 
-std::shared_ptr<Wire::ClientConnection> BackendPool::openConnection(Backend &backend)
+ConnectionPointer BackendPool::openConnection(Backend &backend)
 {
     auto opened = Wire::ClientConnection::create(
         {.endpoint = backend.endpoint, .silenceLimit = this->options.silenceLimit, .trialMargin = this->trialMargin(), .limits = {}}, this->poll, this->timers);
@@ -349,76 +342,38 @@
     connection->closed = [this, &backend, raw = connection.get()] {
         this->connectionClosed(backend, raw);
     };
-    backend.connections.push_back(connection);
+    backend.connections.add(connection);
     return connection;
 }
 
-std::shared_ptr<Wire::ClientConnection> BackendPool::connectionFor(Backend &backend, const ReplyKey &key)
+ConnectionPointer BackendPool::connectionFor(Backend &backend, const ReplyKey &key)
 {
     // NOTE: Before one is picked, since those who wait for room may take one of those that are left.
-    this->closeExpired(backend);
-    // One that is up goes first; of those the one that was used last is the least likely to have been closed by the other side.
-    std::shared_ptr<Wire::ClientConnection> best;
-    bool anyCarried = false;
-    for (const auto &connection : backend.connections) {
-        if (!connection->isIdle()) {
-            continue;
-        }
-        if (connection->hasCarried(key.value())) {
-            anyCarried = true;
-        } else if (!best || std::pair(connection->isConnected(), connection->lastUsed()) > std::pair(best->isConnected(), best->lastUsed())) {
-            best = connection;
-        }
-    }
-    if (best) {
-        return best;
+    closeIdle(backend.connections.expired(this->timers.now()));
+    if (auto kept = backend.connections.idleFor(key)) {
+        return kept;
     }
-    if (anyCarried) {
+    if (backend.connections.hasIdle()) {
         this->keepApart(backend, key);
     }
     return this->openConnection(backend);
 }
 
-void BackendPool::closeExpired(const Backend &backend)
-{
-    const auto now = this->timers.now();
-    std::vector<std::shared_ptr<Wire::ClientConnection>> expired;
-    std::copy_if(backend.connections.begin(), backend.connections.end(), std::back_inserter(expired), [now](const auto &connection) {
-        return connection->isIdle() && connection->idleUntil() <= now;
-    });
-    for (const auto &connection : expired) {
-        connection->close();
-    }
-}
-
 void BackendPool::keepApart(Backend &backend, const ReplyKey &key)
 {
     ++this->counts.keptApart;
     Core::logEvent(Core::LogLevel::Information,
         "connection.kept_apart",
         {{"request", key.value()}, {"backend", backend.name.value()}, {"connections", backend.connections.size()}});
-    if (backend.connections.size() < this->connectionLimit(backend, this->serviceOf(backend.service))) {
-        return;
-    }
-    const auto found = std::find_if(backend.connections.begin(), backend.connections.end(), [](const auto &connection) {
-        return connection->isIdle();
-    });
-    if (found == backend.connections.end()) {
-        return;
+    if (backend.connections.size() >= this->connectionLimit(backend, this->serviceOf(backend.service))) {
+        backend.connections.dropIdle();
     }
-    // Its place is taken at once, so nobody is told of room.
-    const auto replaced = *found;
-    backend.connections.erase(found);
-    replaced->closed = nullptr;
-    replaced->close();
 }
 
 void BackendPool::connectionClosed(Backend &backend, const Wire::ClientConnection *connection)
 {
     const auto service = backend.service;
-    std::erase_if(backend.connections, [connection](const auto &held) {
-        return held.get() == connection;
-    });
+    backend.connections.remove(connection);
     this->offerRoom(service);
 }
 
@@ -679,7 +634,7 @@
     const auto now = this->timers.now();
     this->cancelOverdue(now);
     this->coldAllowance.forget(now);
-    this->closeResting(now);
+    this->closeResting();
     this->offerRoomToWaiters();
 }
 
@@ -717,40 +672,35 @@
     }
 }
 
-void BackendPool::findResting(const Backend &backend, Core::Instant now, std::vector<std::shared_ptr<Wire::ClientConnection>> &resting) const
+std::vector<ConnectionPointer> BackendPool::restingOf(const Backend &backend) const
 {
-    const bool isGone = backend.phase == Protocol::BackendPhase::GONE;
-    for (const auto &connection : backend.connections) {
-        const bool neverCameUp = !connection->isConnected() && now - connection->lastUsed() >= this->options.connectPatience;
-        const bool expired = neverCameUp || connection->idleUntil() <= now || now - connection->lastUsed() >= this->options.idleLimit;
-        if (connection->isIdle() && (expired || isGone)) {
-            resting.push_back(connection);
-        }
+    if (backend.phase == Protocol::BackendPhase::GONE) {
+        return backend.connections.idle();
     }
+    return backend.connections.rested(this->timers.now(), {.connectPatience = this->options.connectPatience, .idleLimit = this->options.idleLimit});
 }
 
-void BackendPool::closeResting(Core::Instant now)
+void BackendPool::closeResting()
 {
     const auto isOver = [](const Backend &backend) {
-        return backend.phase == Protocol::BackendPhase::GONE && backend.connections.empty() && backend.inFlight.empty();
+        return backend.phase == Protocol::BackendPhase::GONE && backend.connections.size() == 0 && backend.inFlight.empty();
     };
-    std::vector<std::shared_ptr<Wire::ClientConnection>> resting;
+    std::vector<ConnectionPointer> resting;
     std::vector<Backend *> gone;
+    const auto look = [this, &resting](const Backend &backend) {
+        const auto ofBackend = this->restingOf(backend);
+        resting.insert(resting.end(), ofBackend.begin(), ofBackend.end());
+    };
     for (const auto &[name, backend] : this->backends) {
-        this->findResting(*backend, now, resting);
+        look(*backend);
         if (isOver(*backend)) {
             gone.push_back(backend.get());
         }
     }
     for (const auto &former : this->formerLives) {
-        this->findResting(*former, now, resting);
-    }
-    for (const auto &connection : resting) {
-        // One that was closed before may have let a request go out over this one.
-        if (connection->isIdle()) {
-            connection->close();
-        }
+        look(*former);
     }
+    closeIdle(resting);
     for (auto *backend : gone) {
         this->remove(*backend);
     }
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -203,12 +203,10 @@
     void assumeCold(Backend &backend);
     void retire(std::unique_ptr<Backend> former);
     /** A connection that has not carried a send of this key: a kept one, or a new one. */
-    [[nodiscard]] std::shared_ptr<Wire::ClientConnection> connectionFor(Backend &backend, const ReplyKey &key);
-    /** Closes idle connections that the backend server may be closing by now. */
-    void closeExpired(const Backend &backend);
+    [[nodiscard]] ConnectionPointer connectionFor(Backend &backend, const ReplyKey &key);
     /** For a send that must not go over the idle ones: makes room at the limit by giving one of them up. */
     void keepApart(Backend &backend, const ReplyKey &key);
-    [[nodiscard]] std::shared_ptr<Wire::ClientConnection> openConnection(Backend &backend);
+    [[nodiscard]] ConnectionPointer openConnection(Backend &backend);
     [[nodiscard]] std::optional<Core::Duration> trialMargin() const;
     void connectionClosed(Backend &backend, const Wire::ClientConnection *connection);
     /** Whether what came from `backend` is the answer to a send of the key `expected`. */
@@ -225,8 +223,9 @@
     void offerRoomToWaiters();
     void sweep();
     void cancelOverdue(Core::Instant now);
-    void closeResting(Core::Instant now);
-    void findResting(const Backend &backend, Core::Instant now, std::vector<std::shared_ptr<Wire::ClientConnection>> &resting) const;
+    void closeResting();
+    /** Connections that are no longer kept. */
+    [[nodiscard]] std::vector<ConnectionPointer> restingOf(const Backend &backend) const;
 
     BackendPoolOptions options;
     const Dialect &dialect;
