LibGateway: Two tests of a send that fails while it is made, red

A call finds the attempt of an outcome by the backend server's name among those that run, and notes the attempt once the pool has sent it. Where the kept connection was reset and the loop has not heard of it, writing fails at once and the outcome comes from within the send: nothing runs under that name yet, the outcome is lost, and the attempt is noted as one that runs. A request that can't be repeated is held until its time is up, another one is hedged as late.

--- /dev/null
+++ b/Tests/LibGateway/TestEarlyOutcomes.cpp
@@ -0,0 +1,84 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// A send that fails while it is made: the backend server has reset the kept
+// connection, and the loop has not heard of that yet. Its outcome comes before the
+// call knows the attempt that it belongs to.
+
+#include <Support/GatewayFixture.h>
+#include <Support/StutteringBackend.h>
+
+#include <criterion/criterion.h>
+
+using namespace TestSupport;
+
+namespace
+{
+
+/** A fixture whose only backend server has a kept connection. */
+class KeptConnectionFixture : public GatewayFixture
+{
+public:
+    KeptConnectionFixture() : server(std::make_shared<StutteringBackend>(*this))
+    {
+        this->server->listen();
+        announce(this->pool, "service", "server", this->server->endpoint, "here");
+        this->route().targets = {{Core::ServiceName("service"), 1.0}};
+        this->server->onRun = [](const StutteringRun &run) {
+            run.connection->write(goodAnswer(run.request, "signature", "body"));
+        };
+        cr_assert_eq(this->ask("opens a connection").status, 200);
+        this->settle();
+    }
+
+    /** Resets the connection. The pool hears of it when the loop runs next. */
+    void resetConnection() const
+    {
+        auto &socket = this->server->connections.front()->socket;
+        this->poll->remove(socket.number());
+        socket.resetOnClose();
+        socket = Wire::Socket();
+    }
+
+    std::shared_ptr<StutteringBackend> server;
+};
+
+}
+
+Test(EarlyOutcomes, aRequestWhoseSendFailsAtOnceIsNotHeldUntilItsTimeIsUp)
+{
+    KeptConnectionFixture fixture;
+    fixture.route().idempotent = false;
+    fixture.route().timeout = Core::milliseconds(500);
+    fixture.resetConnection();
+    const auto answer = fixture.ask("x", "POST");
+    cr_assert(fixture.summary.has_value());
+    cr_assert_eq(fixture.summary->outcome, Gateway::RequestOutcome::Failed, "it is %s", Gateway::outcomeName(fixture.summary->outcome));
+    cr_assert_eq(answer.status, 502);
+}
+
+Test(EarlyOutcomes, aRepeatableRequestWhoseSendFailsAtOnceIsTriedElsewhereWithoutAHedge)
+{
+    KeptConnectionFixture fixture;
+    fixture.route().idempotent = true;
+    fixture.route().maximumAttempts = 2;
+    // Farther away, so that the first send goes over the kept connection.
+    fixture.addTo(
+        fixture.pool,
+        "service",
+        "other",
+        [](const Wire::Request &request, const auto &exchange) {
+            exchange->respond(goodAnswer(request, "signature", "of the other one"));
+        },
+        "there");
+    fixture.resetConnection();
+    fixture.begin("x");
+    cr_assert(fixture.runUntil([&fixture] {
+        return fixture.answer.has_value();
+    }));
+    cr_assert_eq(fixture.answer->status, 200);
+    cr_assert_eq(fixture.summary->attempts, 2);
+    cr_assert_eq(fixture.summary->hedges, 0, "it was taken for late, not for failed");
+}
