--- a/Libraries/LibFleet/FleetWatcher.cpp
+++ b/Libraries/LibFleet/FleetWatcher.cpp
@@ -197,7 +197,7 @@
     }
     const auto request = this->makeRequest(watched);
     watched.askedInterest = request.registryInterest;
-    ++watched.question;
+    watched.question = ++this->lastQuestion;
     const std::weak_ptr<int> weak = this->alive;
     Rpc::call<Protocol::CoordinatorCobClient, Protocol::WatchReply>(
         watched.channel,
@@ -219,7 +219,7 @@
 {
     watched.channel.reset();
     watched.asking = false;
-    ++watched.question;
+    watched.question = NoQuestion;
 }
 
 void FleetWatcher::askLater(const Core::Endpoint &endpoint, Core::Duration pause)
--- a/Libraries/LibFleet/FleetWatcher.h
+++ b/Libraries/LibFleet/FleetWatcher.h
@@ -87,6 +87,7 @@
     std::function<void(DeclarationVersion version, const std::string &content)> declarationArrived;
 
 private:
+    static constexpr std::uint64_t NoQuestion = 0;
     struct Watched {
         Core::Endpoint endpoint;
         std::string zone;
@@ -97,8 +98,8 @@
         // Up to the cursors it has told of everything, not only of leavers.
         bool toldEverything{false};
         bool asking{false};
-        // Counts questions. What comes for an earlier one is passed over, since a channel that is dropped lives on until its call has ended.
-        std::uint64_t question{0};
+        // The question that is under way. What comes for another one is passed over, since a channel that is dropped lives on until its call has ended.
+        std::uint64_t question{NoQuestion};
         // Of the question that is under way.
         Protocol::RegistryInterest::type askedInterest{Protocol::RegistryInterest::NOTHING};
         bool reachable{false};
@@ -136,6 +137,8 @@
     BackendRegistry &gateways;
     Core::TimerService &timers;
     std::map<Core::Endpoint, Watched> table;
+    // Invariant: no two questions have the same number, also when a coordinator was given up and is watched again meanwhile.
+    std::uint64_t lastQuestion{NoQuestion};
     bool wantsConfirmation{false};
     // The version that a quorum confirmed to be the newest; its text may still be on the way.
     std::optional<std::int64_t> confirmedVersion;
