LibConsensus: Know an answer to a pre-vote by its round

The same cause again: the term of one pre-vote is that of the next, so a yes given before a leader was heard of counted for a later pre-vote, and one superfluous election could unseat a sound leader. The log stays right. Voters carry the round back already; nothing changes on the wire. Left: rounds begin at 0 in each life, so an answer from before a restart, late by more than the restart, can still match.

--- a/Libraries/LibConsensus/ReplicatedLog.cpp
+++ b/Libraries/LibConsensus/ReplicatedLog.cpp
@@ -356,6 +356,8 @@
     this->reads.failAll();
     this->votes.clear();
     this->votes[this->ownMember.name] = this->ownMember.storageId;
+    // The term of one pre-vote is that of the next, so answers are known by the round.
+    ++this->round;
     this->requestVotes(MessageKind::PRE_VOTE_REQUEST, this->currentTerm + 1, false);
     this->countVotes(now);
 }
@@ -443,7 +445,8 @@
 
 void ReplicatedLog::takeVoteReply(const LogMessage &message, Core::Instant now)
 {
-    const bool forPreVote = this->currentRole == Role::PreCandidate && message.kind == MessageKind::PRE_VOTE_REPLY && message.term == this->currentTerm + 1;
+    const bool toThisPreVote = message.kind == MessageKind::PRE_VOTE_REPLY && message.term == this->currentTerm + 1 && message.round == this->round;
+    const bool forPreVote = this->currentRole == Role::PreCandidate && toThisPreVote;
     const bool forVote = this->currentRole == Role::Candidate && message.kind == MessageKind::VOTE_REPLY && message.term == this->currentTerm;
     if (!message.granted || (!forPreVote && !forVote)) {
         return;
