LibWire: Tell from the loop that a send failed at once

A kept connection that was reset, of which the loop had not heard yet, failed within BackendPool::send(), before the call knew the attempt by name; its outcome was dropped, and the request was held until its time was up (504 instead of 502 at once, or a hedge instead of another try). Outcomes are told from the loop, as the pool promised.

--- a/Libraries/LibWire/ClientConnection.cpp
+++ b/Libraries/LibWire/ClientConnection.cpp
@@ -63,8 +63,21 @@
     this->parser.reset(this->options.limits);
     this->lastUse = this->timers.now();
     if (this->up) {
-        this->writeMore();
+        this->writeFirst();
+    }
+}
+
+// The server may have reset the connection unnoticed. That is told from the loop, when the sender knows the send that it is told of.
+void ClientConnection::writeFirst()
+{
+    const auto transfer = this->socket.write(this->output, this->written);
+    if (transfer == Transfer::Open) {
+        this->setWantsWrite(this->written < this->output.size());
+        return;
     }
+    this->failTimer = this->timers.once(Core::Duration(0), [this, transfer](Core::Instant) {
+        this->writeFailed(transfer);
+    });
 }
 
 bool ClientConnection::hasCarried(const std::string &key) const
@@ -117,6 +130,7 @@
     this->done = nullptr;
     this->recognise = nullptr;
     this->trialTimer.cancel();
+    this->failTimer.cancel();
     this->poll.remove(this->socket.number());
     this->socket = Socket();
     const auto hook = std::exchange(this->closed, nullptr);
@@ -198,13 +212,18 @@
 {
     const auto transfer = this->socket.write(this->output, this->written);
     if (transfer != Transfer::Open) {
-        this->unacknowledged = transfer == Transfer::Unacknowledged;
-        this->fail("the connection broke while the request was sent");
+        this->writeFailed(transfer);
         return;
     }
     this->setWantsWrite(this->written < this->output.size());
 }
 
+void ClientConnection::writeFailed(Transfer transfer)
+{
+    this->unacknowledged = transfer == Transfer::Unacknowledged;
+    this->fail("the connection broke while the request was sent");
+}
+
 void ClientConnection::setWantsWrite(bool wants)
 {
     if (wants == this->wantsWrite) {
@@ -311,6 +330,7 @@
     if (!keep) {
         this->gone = true;
         this->trialTimer.cancel();
+        this->failTimer.cancel();
         this->poll.remove(this->socket.number());
         this->socket = Socket();
     }
--- a/Libraries/LibWire/ClientConnection.h
+++ b/Libraries/LibWire/ClientConnection.h
@@ -111,7 +111,9 @@
     void connected();
     void endTrial();
     void turnedAway(const std::string &reason);
+    void writeFirst();
     void writeMore();
+    void writeFailed(Transfer transfer);
     void readMore();
     void parse();
     void responseWhole();
@@ -146,6 +148,7 @@
     Core::Instant keptUntil;
     Core::Duration connecting{0};
     Core::TimerSubscription trialTimer;
+    Core::TimerSubscription failTimer;
 };
 
 }
