--- a/Libraries/LibWire/Server.cpp
+++ b/Libraries/LibWire/Server.cpp
@@ -222,12 +222,24 @@
     this->parse();
 }
 
+// A response that is written at once asks for the next request from within the handler. That one is taken here once the handler has returned, since
+// a caller may send thousands ahead and a handler within the other takes two kilobytes of the stack.
 void ServerConnection::parse()
 {
-    if (this->stage != Stage::Reading || this->input.empty()) {
-        this->updateInterest();
+    if (this->parsing) {
         return;
     }
+    const auto keepAlive = this->shared_from_this();
+    this->parsing = true;
+    while (this->stage == Stage::Reading && this->output.empty() && !this->input.empty()) {
+        this->parseNext();
+    }
+    this->parsing = false;
+    this->updateInterest();
+}
+
+void ServerConnection::parseNext()
+{
     if (!this->parser.hasBegun()) {
         this->requestBegan = this->server->timers.now();
     }
@@ -316,7 +328,6 @@
         return;
     }
     this->updateInterest();
-    // NOTE: A request that came ahead is parsed from the loop, so that a long row of them does not nest.
     if (this->stage == Stage::Reading && !this->input.empty()) {
         this->parse();
     }
--- a/Libraries/LibWire/Server.h
+++ b/Libraries/LibWire/Server.h
@@ -151,6 +151,7 @@
 
     void readMore();
     void parse();
+    void parseNext();
     void takeRequest();
     void refuse(int status);
     void writeMore();
@@ -170,6 +171,8 @@
     bool headRequest{false};
     bool wantsWrite{false};
     bool wantsRead{true};
+    // Requests are being taken.
+    bool parsing{false};
     ExchangePointer exchange;
     Core::Instant lastActivity;
     Core::Instant requestBegan;
