LibRpc: Look a connection up anew after each reply

Sending a reply may close the stream, which erases the connection whose calls were read on: an invalid read, found by valgrind. Needs 64 MiB that one caller does not read.

--- a/Libraries/LibRpc/RpcServer.cpp
+++ b/Libraries/LibRpc/RpcServer.cpp
@@ -141,19 +141,25 @@
             break;
         }
     }
-    this->sendEnded(found->second);
+    this->sendEnded(id);
     if (!healthy) {
         stream->close("malformed call");
     }
 }
 
-void RpcServer::sendEnded(Connection &connection)
+void RpcServer::sendEnded(std::uint64_t id)
 {
-    while (!connection.calls.empty() && connection.calls.front().ended) {
+    // NOTE: Sending may close the stream, which erases the connection.
+    for (auto found = this->connections.find(id); found != this->connections.end(); found = this->connections.find(id)) {
+        auto &connection = found->second;
+        if (connection.calls.empty() || !connection.calls.front().ended) {
+            return;
+        }
         const Call ended = std::move(connection.calls.front());
         connection.calls.pop_front();
         if (!ended.reply.empty()) {
-            connection.stream->send(ended.reply);
+            const auto stream = connection.stream;
+            stream->send(ended.reply);
         }
     }
 }
--- a/Libraries/LibRpc/RpcServer.h
+++ b/Libraries/LibRpc/RpcServer.h
@@ -78,7 +78,7 @@
     void accept(GSocketConnection *connection);
     void takeFrame(std::uint64_t id, std::string frame);
     void callEnded(std::uint64_t id, std::uint64_t number, bool healthy, std::string reply);
-    void sendEnded(Connection &connection);
+    void sendEnded(std::uint64_t id);
     void closeStalled();
 
     ServerOptions options;
