LibWire: The response to HEAD ends with its headers

Found by reading for places where the bytes of one answer are taken for another's: the body that a response to HEAD names and never sends was waited for, and what came next on the connection, a surplus answer too, would have been taken for it. Before: the new test waits in vain. After: green.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -411,6 +411,7 @@
     this->dialect.writeRequest(bytes, request);
     attempt.connection->send({.bytes = std::move(bytes),
         .key = key.value(),
+        .isHead = attemptOptions.caller->message.method == "HEAD",
         .recognise =
             [this, key, name = backend.name](const Wire::Response &response) {
                 return this->isAnswerTo(key, name, response);
--- a/Libraries/LibWire/ClientConnection.cpp
+++ b/Libraries/LibWire/ClientConnection.cpp
@@ -60,7 +60,8 @@
     this->written = 0;
     this->recognise = std::move(request.recognise);
     this->done = std::move(request.done);
-    this->parser.reset(this->options.limits);
+    this->isHead = request.isHead;
+    this->startResponse();
     this->lastUse = this->timers.now();
     if (this->up) {
         this->writeFirst();
@@ -234,6 +235,14 @@
     this->poll.modify(this->socket.number(), wants ? reading | static_cast<std::uint32_t>(EPOLLOUT) : reading);
 }
 
+void ClientConnection::startResponse()
+{
+    this->parser.reset(this->options.limits);
+    if (this->isHead) {
+        this->parser.expectNoBody();
+    }
+}
+
 void ClientConnection::readMore()
 {
     const auto transfer = this->socket.read(this->input, ReadLimitBytes);
@@ -291,7 +300,7 @@
             return;
         }
         // A surplus answer to an earlier request; the right one may still follow.
-        this->parser.reset(this->options.limits);
+        this->startResponse();
         return;
     }
     ++this->answers;
--- a/Libraries/LibWire/ClientConnection.h
+++ b/Libraries/LibWire/ClientConnection.h
@@ -50,6 +50,8 @@
     std::string bytes;
     /** What answers are told apart by. */
     std::string key;
+    /** The response has no body, whatever length it names: a request of the method HEAD. */
+    bool isHead{false};
     /** Whether a response belongs to the request. One that does not is passed over. */
     std::function<bool(const Response &response)> recognise;
     /** Called once, unless close() or withdraw() comes first. */
@@ -114,6 +116,7 @@
     void writeFirst();
     void writeMore();
     void writeFailed(Transfer transfer);
+    void startResponse();
     void readMore();
     void parse();
     void responseWhole();
@@ -131,6 +134,8 @@
     std::size_t written{0};
     std::string input;
     std::function<bool(const Response &response)> recognise;
+    // Of the request under way; see ClientRequest.
+    bool isHead{false};
     // Invariant: set exactly while a request is under way.
     std::function<void(ClientResult result)> done;
     // Hashes of the keys of all requests that were sent here, in their order. Invariant: none is forgotten, and none stands twice.
--- a/Libraries/LibWire/MessageParser.cpp
+++ b/Libraries/LibWire/MessageParser.cpp
@@ -13,6 +13,8 @@
 // What a callback returns to make the parser stop.
 static constexpr int Stop = 1;
 static constexpr int GoOn = 0;
+// What onHeadersComplete returns for a message that ends there.
+static constexpr int SkipBody = 1;
 
 MessageParser::MessageParser(MessageKind kind, MessageLimits limits) : kind(kind), limits(limits)
 {
@@ -29,6 +31,7 @@
     this->headersDone = false;
     this->keepAlive = false;
     this->valueStarted = false;
+    this->withoutBody = false;
     this->headerBytes = 0;
     this->target.clear();
     this->headers.clear();
@@ -56,6 +59,11 @@
     return settings;
 }
 
+void MessageParser::expectNoBody()
+{
+    this->withoutBody = true;
+}
+
 std::size_t MessageParser::feed(std::string_view bytes)
 {
     if (this->currentState != ParseState::Partial || bytes.empty()) {
@@ -181,6 +189,9 @@
         reader.currentState = ParseState::Malformed;
         return -1;
     }
+    if (reader.withoutBody) {
+        return SkipBody;
+    }
     const bool lengthKnown = parser->content_length != UINT64_MAX;
     if (lengthKnown && parser->content_length > reader.limits.bodyBytes) {
         reader.currentState = ParseState::BodyTooLarge;
--- a/Libraries/LibWire/MessageParser.h
+++ b/Libraries/LibWire/MessageParser.h
@@ -58,6 +58,9 @@
     /** Starts the next message. `limits` may have changed. */
     void reset(MessageLimits newLimits);
 
+    /** The message that was started has no body, whatever length it names, as the response to HEAD (RFC 9110, section 9.3.2). */
+    void expectNoBody();
+
     [[nodiscard]] ParseState state() const;
     /** Whether any byte of the message has arrived. */
     [[nodiscard]] bool hasBegun() const;
@@ -90,6 +93,7 @@
     bool headersDone{false};
     bool keepAlive{false};
     bool valueStarted{false};
+    bool withoutBody{false};
     std::size_t headerBytes{0};
     std::string target;
     Headers headers;
--- a/Tests/LibWire/TestClientConnection.cpp
+++ b/Tests/LibWire/TestClientConnection.cpp
@@ -70,10 +70,11 @@
     {
     }
 
-    void send(const std::string &id)
+    void send(const std::string &id, bool isHead = false)
     {
-        this->connection->send({.bytes = "GET /" + id + " HTTP/1.1\r\nHost: h\r\n\r\n",
+        this->connection->send({.bytes = (isHead ? "HEAD /" : "GET /") + id + " HTTP/1.1\r\nHost: h\r\n\r\n",
             .key = id,
+            .isHead = isHead,
             .recognise =
                 [id](const Wire::Response &response) {
                     const auto *found = Wire::findHeader(response.headers, "Id");
@@ -248,3 +249,17 @@
     }));
     cr_assert(end == Wire::ClientEnd::NotSent);
 }
+
+Test(ClientConnection, takesNoBytesForTheBodyOfAResponseToHead)
+{
+    LoopFixture fixture;
+    ByteServer server(fixture);
+    Client client(fixture, server);
+    client.send("a", true);
+    cr_assert(server.accept());
+    fixture.settle();
+    server.send("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 70\r\n\r\n");
+    cr_assert(client.hasResults(1), "the response ends with its headers");
+    cr_assert(client.results[0].end == Wire::ClientEnd::Answered);
+    cr_assert(client.results[0].response.body.empty());
+}
