Tests: Listen at another port when one that was free is taken

Test programs run side by side, and one may take a port that another has just found to be free. The constructor of a scripted backend server then threw, and the test failed ("Bad expected access"). Seen with nine programs at a time that open some hundred ports each: 16 of 18 tests failed at once.

--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -25,19 +25,13 @@
 public:
     using Script = std::function<void(const Wire::Request &request, const Wire::ExchangePointer &exchange)>;
 
-    ScriptedBackend(LoopFixture &fixture, std::string id, Script script) : id(std::move(id)), endpoint(freeEndpoint()), script(std::move(script))
+    ScriptedBackend(LoopFixture &fixture, std::string id, Script script) : id(std::move(id)), script(std::move(script))
     {
-        this->server = Wire::Server::create({.name = this->id,
-                                                .endpoint = this->endpoint,
-                                                .handler =
-                                                    [this](Wire::Request request, const auto &exchange) {
-                                                        this->requests.push_back(request);
-                                                        this->script(request, exchange);
-                                                    },
-                                                .limits = {}},
-            *fixture.poll,
-            fixture.timers)
-                           .value();
+        auto listening = this->listen(fixture);
+        for (int tries = 1; !listening.has_value() && tries < MostTries; ++tries) {
+            listening = this->listen(fixture);
+        }
+        this->server = listening.value();
     }
 
     std::string id;
@@ -45,6 +39,25 @@
     Script script;
     std::vector<Wire::Request> requests;
     std::shared_ptr<Wire::Server> server;
+
+private:
+    // Test programs run side by side, and one may take a port that another has just found to be free.
+    static constexpr int MostTries = 20;
+
+    [[nodiscard]] Core::Result<std::shared_ptr<Wire::Server>> listen(LoopFixture &fixture)
+    {
+        this->endpoint = freeEndpoint();
+        return Wire::Server::create({.name = this->id,
+                                        .endpoint = this->endpoint,
+                                        .handler =
+                                            [this](Wire::Request request, const auto &exchange) {
+                                                this->requests.push_back(request);
+                                                this->script(request, exchange);
+                                            },
+                                        .limits = {}},
+            *fixture.poll,
+            fixture.timers);
+    }
 };
 
 /** A stand-in for a backend server that has as many connections as it takes: accepts each new one and ends it. */
