Tests: A part that names missing shards which it was not asked for, red

The asker of a part checks that signatures and missing shards are as many as were asked for, and takes each shard that is not named as missing for one that is in. Where a missing shard is named that was not asked for, or one twice, shards count as in that have no signature. The body is that of the signatures named in all cases.

--- /dev/null
+++ b/Tests/LibGateway/TestRelayedPart.cpp
@@ -0,0 +1,134 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// Protects a search from a part that is not the one that was asked for: signatures
+// stand for shards only by what the part says is missing, so a part that names a
+// missing shard which it was not asked for, or one twice, tells of none of its
+// shards whether it is in. It counts for nothing, and what ran for it is unknown.
+
+#include <LibRpc/Serialization.h>
+#include <Support/GatewayFixture.h>
+
+#include <criterion/criterion.h>
+
+using TestSupport::GatewayFixture;
+using TestSupport::goodAnswer;
+
+namespace
+{
+
+std::string record(char letter)
+{
+    return std::string(16, letter);
+}
+
+Protocol::MissingShard neverSent(const std::string &name)
+{
+    Protocol::MissingShard missing;
+    missing.serviceName = name;
+    return missing;
+}
+
+/** A search of which "a" is asked for here, and "b" and "c" by another gateway, which answers as the test says. */
+class PartFixture : public GatewayFixture
+{
+public:
+    PartFixture(double coverage, Protocol::PartialAnswer answerOfGateway)
+    {
+        this->route().idempotent = true;
+        this->route().maximumAttempts = 2;
+        this->route().targetLatency = Core::seconds(8);
+        this->route().topRecords = 10;
+        this->route().minimumCoverage = coverage;
+        this->route().shards = {Core::ServiceName("a"), Core::ServiceName("b"), Core::ServiceName("c")};
+        this->relayed = {Core::ServiceName("b"), Core::ServiceName("c")};
+        for (const auto &shard : this->route().shards) {
+            this->servers.push_back(&this->add(shard.value(), shard.value() + "-near", [shard](const auto &request, const auto &exchange) {
+                exchange->respond(goodAnswer(request, shard.value() + "-here", record(shard.value().front())));
+            }));
+        }
+        this->addGateway([part = std::move(answerOfGateway)](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+            exchange->respond(Wire::Response{.status = 200,
+                .headers = {{"Request-Id", *Wire::findHeader(request.headers, "Request-Id")}, {Gateway::RelayHeader::Partial, "1"}},
+                .body = Rpc::serialize(part)});
+        });
+    }
+
+    /** Of "b" and "c", how often they were asked here. */
+    [[nodiscard]] std::size_t askedAgain() const
+    {
+        return this->servers[1]->requests.size() + this->servers[2]->requests.size();
+    }
+
+    std::vector<TestSupport::ScriptedBackend *> servers;
+};
+
+/** A part with one signature for each that is not missing of two. */
+Protocol::PartialAnswer partWithout(const std::vector<std::string> &missing)
+{
+    Protocol::PartialAnswer part;
+    for (const auto &shard : missing) {
+        part.missing.push_back(neverSent(shard));
+    }
+    for (std::size_t number = missing.size(); number < 2; ++number) {
+        part.signatures.push_back("part-" + std::to_string(number));
+        part.records += record('z');
+    }
+    return part;
+}
+
+struct Case {
+    const char *name;
+    std::vector<std::string> missing;
+};
+
+const std::vector<Case> &wrongParts()
+{
+    static const std::vector<Case> cases{
+        {"one of another search is missing", {"z"}},
+        {"one of this search that it was not asked for is missing", {"a"}},
+        {"two that it was not asked for are missing", {"z", "y"}},
+        {"one that it was not asked for is missing besides one of its own", {"b", "z"}},
+        {"one is missing twice", {"b", "b"}},
+    };
+    return cases;
+}
+
+}
+
+Test(RelayedPart, countsForNothingWhenItNamesMissingShardsThatItWasNotAskedFor)
+{
+    for (const auto &item : wrongParts()) {
+        PartFixture fixture(0.3, partWithout(item.missing));
+        const auto answer = fixture.ask("r1");
+        cr_assert_eq(answer.status, 200, "%s", item.name);
+        cr_assert_str_eq(Wire::findHeader(answer.headers, "Part-Stamps")->c_str(), "a-here", "%s", item.name);
+        cr_assert_str_eq(Wire::findHeader(answer.headers, "Missing-Parts")->c_str(), "2", "%s", item.name);
+        cr_assert(answer.body == record('a'), "%s", item.name);
+        cr_assert_eq(fixture.askedAgain(), 0, "%s: they may have run as often as the route allows", item.name);
+    }
+}
+
+// Shards that were taken to be in without a signature counted towards the coverage of an answer that named one shard of three.
+Test(RelayedPart, addsNothingToTheCoverageThatItHasNoSignatureFor)
+{
+    for (const auto &item : wrongParts()) {
+        PartFixture fixture(0.6, partWithout(item.missing));
+        const auto answer = fixture.ask("r1");
+        cr_assert_eq(answer.status, 502, "%s: %d, though it is known of one shard of three only that it is in", item.name, answer.status);
+    }
+}
+
+Test(RelayedPart, countsWhenItNamesMissingShardsThatItWasAskedFor)
+{
+    const std::vector<Case> cases{{"none", {}}, {"the first", {"b"}}, {"the second", {"c"}}, {"both, in another order", {"c", "b"}}};
+    for (const auto &item : cases) {
+        PartFixture fixture(1.0, partWithout(item.missing));
+        const auto answer = fixture.ask("r1");
+        cr_assert_eq(answer.status, 200, "%s", item.name);
+        cr_assert_str_eq(Wire::findHeader(answer.headers, "Missing-Parts")->c_str(), "0", "%s", item.name);
+        cr_assert_eq(fixture.askedAgain(), item.missing.size(), "%s: what never was sent is asked for here", item.name);
+    }
+}
