LibGateway: Take no part that names missing shards which it was not asked for

Cause: RelayedPart::takeOutcome() compared counts alone, and a shard that is not named as missing is taken to be in. Each missing shard now has to be one that was asked for, named once; a part where that is not so counts for nothing, and what ran for it is unknown, as with wrong counts. The line part.incomplete tells the names (not_asked).

Ruled out as the cause of wrong records: the body was that of the signatures named before, too. What it can't tell: a part without missing shards that belongs to another request, since signatures name no shard.

--- a/Libraries/LibGateway/RelayedPart.cpp
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -6,10 +6,12 @@
 #include <LibGateway/RelayedPart.h>
 
 #include <LibCore/Log.h>
+#include <LibCore/Settings.h>
 #include <LibGateway/PackedSignatures.h>
 #include <LibRpc/Serialization.h>
 
 #include <algorithm>
+#include <set>
 
 namespace Gateway
 {
@@ -66,19 +68,37 @@
         Core::logEvent(Core::LogLevel::Error, "part.unreadable", {{"request", this->request.id.value()}, {"error", answer.error().message}});
         return;
     }
-    if (answer->signatures.size() + answer->missing.size() != this->plan.shards.size()) {
+    if (const auto notAsked = this->missingButNotAsked(answer.value());
+        !notAsked.empty() || answer->signatures.size() + answer->missing.size() != this->plan.shards.size()) {
         Core::logEvent(Core::LogLevel::Error,
             "part.incomplete",
             {{"request", this->request.id.value()},
                 {"shards", this->plan.shards.size()},
                 {"signatures", answer->signatures.size()},
-                {"missing", answer->missing.size()}});
+                {"missing", answer->missing.size()},
+                {"not_asked", Core::joinList(notAsked)}});
         return;
     }
     this->context.relayLatencies->add(this->relayCall->latency());
     this->partial = std::move(answer.value());
 }
 
+// Signatures don't tell whose they are: a shard is taken to be in if it is not named as missing. So a wrong name makes one count that is not in.
+std::vector<std::string> RelayedPart::missingButNotAsked(const Protocol::PartialAnswer &answer) const
+{
+    std::multiset<std::string> asked;
+    for (const auto &shard : this->plan.shards) {
+        asked.insert(shard.value());
+    }
+    std::vector<std::string> notAsked;
+    for (const auto &shard : answer.missing) {
+        if (asked.extract(shard.serviceName).empty()) {
+            notAsked.push_back(shard.serviceName);
+        }
+    }
+    return notAsked;
+}
+
 void RelayedPart::giveUp(bool callerGone)
 {
     if (this->open) {
--- a/Libraries/LibGateway/RelayedPart.h
+++ b/Libraries/LibGateway/RelayedPart.h
@@ -60,6 +60,8 @@
 
 private:
     void takeOutcome();
+    /** The shards that an answer names as missing though they were not asked for, or named before. */
+    [[nodiscard]] std::vector<std::string> missingButNotAsked(const Protocol::PartialAnswer &answer) const;
     [[nodiscard]] std::vector<Protocol::MissingShard> allMissing(int executions, int sends) const;
 
     RequestContext context;
