--- a/Tests/Incidents/TestSurplusAnswers.cpp
+++ b/Tests/Incidents/TestSurplusAnswers.cpp
@@ -165,9 +165,7 @@
         Protocol::PartialAnswer answer;
         answer.records = record;
         answer.signatures = {"signature of " + record};
-        Wire::Response response{.status = 200, .headers = answerHeaders(request), .body = Rpc::serialize(answer)};
-        response.headers.push_back({Gateway::RelayHeader::Partial, "1"});
-        return response;
+        return partOf(request, answer);
     };
     const auto gateway = std::make_shared<StutteringBackend>(fixture);
     gateway->listen();
--- a/Tests/LibGateway/TestMergedBodies.cpp
+++ b/Tests/LibGateway/TestMergedBodies.cpp
@@ -386,9 +386,7 @@
         if (this->chance(50)) {
             Gateway::packSignatures(part);
         }
-        asked.exchange->respond(Wire::Response{.status = 200,
-            .headers = {{"Request-Id", *Wire::findHeader(asked.request.headers, "Request-Id")}, {Gateway::RelayHeader::Partial, "1"}},
-            .body = Rpc::serialize(part)});
+        asked.exchange->respond(TestSupport::partOf(asked.request, part));
     }
 
     /** What an honest gateway answers that has some of the shards. */
--- a/Tests/LibGateway/TestRelayedPart.cpp
+++ b/Tests/LibGateway/TestRelayedPart.cpp
@@ -50,9 +50,7 @@
             }));
         }
         this->addGateway([part = std::move(answerOfGateway)](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
-            exchange->respond(Wire::Response{.status = 200,
-                .headers = {{"Request-Id", *Wire::findHeader(request.headers, "Request-Id")}, {Gateway::RelayHeader::Partial, "1"}},
-                .body = Rpc::serialize(part)});
+            exchange->respond(TestSupport::partOf(request, part));
         });
     }
 
--- a/Tests/LibGateway/TestRequests.cpp
+++ b/Tests/LibGateway/TestRequests.cpp
@@ -13,6 +13,7 @@
 using TestSupport::badAnswer;
 using TestSupport::GatewayFixture;
 using TestSupport::goodAnswer;
+using TestSupport::partOf;
 
 namespace
 {
@@ -59,13 +60,6 @@
 }
 
 /** What another gateway answers. */
-Wire::Response partOf(const Wire::Request &request, const Protocol::PartialAnswer &part)
-{
-    Wire::Response response{.status = 200, .headers = TestSupport::answerHeaders(request), .body = Rpc::serialize(part)};
-    response.headers.push_back({Gateway::RelayHeader::Partial, "1"});
-    return response;
-}
-
 Protocol::MissingShard missingShard(const std::string &name, int executions, int sends)
 {
     Protocol::MissingShard missing;
--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -10,6 +10,7 @@
 
 #include <LibGateway/FanOutRequest.h>
 #include <LibGateway/SingleRequest.h>
+#include <LibRpc/Serialization.h>
 #include <Support/LoopFixture.h>
 #include <platform/RequestDialect.h>
 
@@ -103,6 +104,14 @@
     return response;
 }
 
+/** Another gateway's answer to a part of a search. */
+[[nodiscard]] inline Wire::Response partOf(const Wire::Request &request, const Protocol::PartialAnswer &part)
+{
+    Wire::Response response{.status = 200, .headers = answerHeaders(request), .body = Rpc::serialize(part)};
+    response.headers.push_back({Gateway::RelayHeader::Partial, "1"});
+    return response;
+}
+
 /** A failure; with `notExecuted` the backend server says that it did not run the request. */
 [[nodiscard]] inline Wire::Response badAnswer(const Wire::Request &request, int status, bool notExecuted)
 {
