LibGateway: A part has as many records as its asker wants

Found while looking for other ways to a body that is not whole: the gateway that is asked for a part merged by its own declaration's number of records. While a change of that number is on its way the asker may hold the newer declaration, and its answer would lack records of the shards that it names. The asker now says how many it wants. And where a route wants no records, hedges that go together stopped the process (substr beyond the end).

--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -121,6 +121,7 @@
     const PartTerms partTerms{.targetAt = this->terms.targetAt,
         .giveUpAt = std::min(this->terms.giveUpAt, this->arrivedAt + this->plan.targetsHeld * this->route.targetLatency),
         .mayMiss = partPlan.isHedge ? partPlan.shards.size() - 1 : share,
+        .topRecords = this->topRecords(),
         .allowedRegions = this->terms.allowedRegions};
     this->parts.push_back(std::make_unique<AskedPart>());
     auto &asked = *this->parts.back();
@@ -284,7 +285,7 @@
         late.push_back(this->rows[number].shard);
     }
     hedges.owners = this->context.cells->commonOwnersOf(late, this->route.shards.size(), zone);
-    const bool savesReply = !hedges.leastRecord.empty() && this->route.topRecords * RecordBytes >= LargeReplyBytes;
+    const bool savesReply = !hedges.leastRecord.empty() && this->topRecords() * RecordBytes >= LargeReplyBytes;
     // An owner has connections to the backend servers, which take a round trip and more to open from here.
     const bool asPart = rowNumbers.size() >= FewestHedgesTogether || savesReply || !hedges.owners.empty();
     std::vector<std::size_t> hedged;
@@ -370,6 +371,11 @@
     return this->context.relayTerms.has_value() ? this->context.relayTerms->mayMiss : this->route.shards.size() - this->needed();
 }
 
+std::size_t FanOutRequest::topRecords() const
+{
+    return this->context.relayTerms.has_value() ? this->context.relayTerms->topRecords : this->route.topRecords;
+}
+
 std::size_t FanOutRequest::answeredCount() const
 {
     return static_cast<std::size_t>(std::count_if(this->rows.begin(), this->rows.end(), isAnswered));
@@ -446,7 +452,8 @@
     const auto records = this->mergedRecords([](const Row &row) {
         return row.part == nullptr || !row.part->isOpen();
     });
-    return records.size() < this->route.topRecords * RecordBytes ? std::string() : records.substr(records.size() - RecordBytes);
+    const bool isFull = !records.empty() && records.size() == this->topRecords() * RecordBytes;
+    return isFull ? records.substr(records.size() - RecordBytes) : std::string();
 }
 
 std::string FanOutRequest::mergedRecords(const std::function<bool(const Row &row)> &counts) const
@@ -460,7 +467,7 @@
     for (const auto &asked : this->parts) {
         merged.emplace_back(asked->part->answer().records);
     }
-    return mergeGreatest(merged, this->route.topRecords);
+    return mergeGreatest(merged, this->topRecords());
 }
 
 std::vector<std::string> FanOutRequest::signatures() const
@@ -481,7 +488,7 @@
 // Parts left out what is less than the least record that they were told. If the answer ends with less, such records may be missing from it.
 void FanOutRequest::verifyLeastRecords(const std::string &records) const
 {
-    const bool isFull = records.size() == this->route.topRecords * RecordBytes;
+    const bool isFull = records.size() == this->topRecords() * RecordBytes;
     for (const auto &asked : this->parts) {
         const auto &least = asked->part->asked().leastRecord;
         const bool leftOut = !least.empty() && !asked->part->answer().signatures.empty();
--- a/Libraries/LibGateway/FanOutRequest.h
+++ b/Libraries/LibGateway/FanOutRequest.h
@@ -98,6 +98,8 @@
     [[nodiscard]] std::size_t needed() const;
     /** How many shards may be missing from what this gateway was asked for. */
     [[nodiscard]] std::size_t mayMiss() const;
+    /** How many of the greatest records are wanted. */
+    [[nodiscard]] std::size_t topRecords() const;
     [[nodiscard]] std::size_t answeredCount() const;
     [[nodiscard]] std::size_t openCount() const;
     [[nodiscard]] bool mayHaveRun() const;
--- a/Libraries/LibGateway/RelayPlan.cpp
+++ b/Libraries/LibGateway/RelayPlan.cpp
@@ -17,7 +17,7 @@
 static constexpr std::int64_t LongestMilliseconds = 3'600'000;
 static constexpr int NotRunStatus = 503;
 // RelayTerms has so many fields but for the shards.
-static constexpr std::size_t TermNumbers = 8;
+static constexpr std::size_t TermNumbers = 9;
 
 Core::ServiceName relayService(const std::string &zone)
 {
@@ -164,7 +164,8 @@
         .mayDivide = numbers[3] != 0,
         .isHedge = numbers[4] != 0,
         .before = before,
-        .shards = {}};
+        .shards = {},
+        .topRecords = static_cast<std::size_t>(numbers[8])};
 }
 
 static std::string toHexadecimal(std::string_view bytes)
@@ -252,6 +253,7 @@
     auto numbers = std::to_string(Core::toMilliseconds(terms.targetLeft)) + "," + std::to_string(Core::toMilliseconds(terms.holdLeft));
     numbers += "," + std::to_string(terms.mayMiss) + (terms.mayDivide ? ",1" : ",0") + (terms.isHedge ? ",1" : ",0");
     numbers += "," + std::to_string(terms.before.executions) + "," + std::to_string(terms.before.sends) + (terms.before.counted ? ",1" : ",0");
+    numbers += "," + std::to_string(terms.topRecords);
     headers.push_back({RelayHeader::Terms, std::move(numbers)});
     headers.push_back({RelayHeader::Shards, Core::joinList(shards)});
     if (!terms.allowedRegions.isAnywhere()) {
--- a/Libraries/LibGateway/RelayPlan.h
+++ b/Libraries/LibGateway/RelayPlan.h
@@ -119,6 +119,11 @@
     std::vector<Core::ServiceName> shards;
     /** See PartPlan. */
     std::string leastRecord;
+    /**
+     * How many of the greatest records the asker wants, by its own declaration. The other gateway's may differ for a moment after a change, and a part
+     * that was cut to fewer would lack records of the shards that it names.
+     */
+    std::size_t topRecords{0};
     /**
      * Where the search may be served by the declaration that the asker routed it by. What the other gateway's own declaration allows binds, too:
      * the two may differ for a moment after a change, and the request must not run where either forbids it.
--- a/Libraries/LibGateway/RelayedPart.cpp
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -42,6 +42,7 @@
             .before = plan.before,
             .shards = plan.shards,
             .leastRecord = plan.leastRecord,
+            .topRecords = partTerms.topRecords,
             .allowedRegions = partTerms.allowedRegions});
     this->relayCall = std::make_unique<ShardCall>(this->terms, this->relays, *context.relays, *context.timers);
 }
--- a/Libraries/LibGateway/RelayedPart.h
+++ b/Libraries/LibGateway/RelayedPart.h
@@ -22,6 +22,7 @@
     Core::Instant giveUpAt;
     /** See RelayTerms. */
     std::size_t mayMiss{0};
+    std::size_t topRecords{0};
     Fleet::AllowedRegions allowedRegions;
 };
 
--- a/Tests/Incidents/TestSurplusAnswers.cpp
+++ b/Tests/Incidents/TestSurplusAnswers.cpp
@@ -30,7 +30,7 @@
 namespace
 {
 
-const std::string WholeRecord = "a record of 16 b";
+const std::string wholeRecord = "a record of 16 b";
 
 /** A fixture with one stuttering backend server, the only one of its service. */
 class StutteringFixture : public GatewayFixture
@@ -58,7 +58,7 @@
 /** A run's own answer. Its signature and its body name the run. */
 Wire::Response wholeAnswer(const StutteringRun &run)
 {
-    return goodAnswer(run.request, "signature of run " + std::to_string(run.number), WholeRecord);
+    return goodAnswer(run.request, "signature of run " + std::to_string(run.number), wholeRecord);
 }
 
 }
@@ -85,7 +85,7 @@
     const auto again = fixture.askPart("x", Core::seconds(2), 0);
     cr_assert_eq(again.signatures.size(), 1);
     cr_assert_str_eq(again.signatures.front().c_str(), "signature of run 3");
-    cr_assert_str_eq(again.records.c_str(), WholeRecord.c_str(), "the part has the records of the run that it names");
+    cr_assert_str_eq(again.records.c_str(), wholeRecord.c_str(), "the part has the records of the run that it names");
 }
 
 Test(SurplusAnswers, aSecondRefusalDoesNotSendANonRepeatableRequestTwice)
@@ -107,7 +107,7 @@
     fixture.settle();
     cr_assert_eq(executed, 1, "ran %d times", executed);
     cr_assert_eq(answer.status, 200);
-    cr_assert_str_eq(answer.body.c_str(), WholeRecord.c_str());
+    cr_assert_str_eq(answer.body.c_str(), wholeRecord.c_str());
 }
 
 Test(SurplusAnswers, anAnswerThatDoesNotSayWhoseItIsIsNobodys)
@@ -119,7 +119,7 @@
         run.connection->write(wholeAnswer(run));
     };
     const auto answer = fixture.ask("x");
-    cr_assert_str_eq(answer.body.c_str(), WholeRecord.c_str());
+    cr_assert_str_eq(answer.body.c_str(), wholeRecord.c_str());
 }
 
 Test(SurplusAnswers, aRequestWithoutAnIdIsNotGivenAnotherRequestsAnswer)
@@ -176,10 +176,10 @@
             header.value += header.name == Gateway::RelayHeader::Send ? "0" : "";
         }
         run.connection->write(ofAnother);
-        run.connection->write(part(run.request, WholeRecord));
+        run.connection->write(part(run.request, wholeRecord));
     };
     const auto answer = fixture.ask("x");
-    cr_assert_str_eq(answer.body.c_str(), WholeRecord.c_str());
+    cr_assert_str_eq(answer.body.c_str(), wholeRecord.c_str());
 }
 
 // Any order of sends, answers and abandoned sends, of few ids over few connections, where every answer comes twice.
--- a/Tests/LibGateway/TestConnections.cpp
+++ b/Tests/LibGateway/TestConnections.cpp
@@ -16,7 +16,7 @@
 namespace
 {
 
-const Core::ServiceName Service("service");
+const Core::ServiceName service("service");
 
 /** A pool over one server that answers each request when two have come, and what its attempts came to. */
 class ConnectionsFixture : public LoopFixture
@@ -33,7 +33,7 @@
         this->server->onRun = [this](const StutteringRun &run) {
             this->answer(run);
         };
-        GatewayFixture::announce(this->pool, Service.value(), "server", this->server->endpoint, "here");
+        GatewayFixture::announce(this->pool, service.value(), "server", this->server->endpoint, "here");
     }
 
     void answer(const StutteringRun &run) const
@@ -54,7 +54,7 @@
 
     void send(const std::string &id)
     {
-        auto *backend = this->pool.choose({.service = Service, .tried = this->none, .allowedRegions = this->anywhere});
+        auto *backend = this->pool.choose({.service = service, .tried = this->none, .allowedRegions = this->anywhere});
         cr_assert_not_null(backend);
         const Gateway::CallerRequest request{
             .id = Core::RequestId(id), .message = {.method = "GET", .target = "/", .headers = {{"Request-Id", id}}, .body = {}}};
@@ -88,7 +88,7 @@
     fixture.send("a");
     fixture.send("b");
     cr_assert(fixture.hasReplies(2));
-    (void)fixture.pool.waitForRoom(Service, 0, [&fixture] {
+    (void)fixture.pool.waitForRoom(service, 0, [&fixture] {
         fixture.send("waits");
     });
     // The first connection expires while the loop does not run, so that the next send closes it.
@@ -105,7 +105,7 @@
     fixture.send("a");
     fixture.send("b");
     cr_assert(fixture.hasReplies(2));
-    (void)fixture.pool.waitForRoom(Service, 0, [&fixture] {
+    (void)fixture.pool.waitForRoom(service, 0, [&fixture] {
         fixture.send("waits");
     });
     cr_assert(fixture.hasReplies(3));
--- a/Tests/LibGateway/TestRelayedPart.cpp
+++ b/Tests/LibGateway/TestRelayedPart.cpp
@@ -8,6 +8,7 @@
 // missing shard which it was not asked for, or one twice, tells of none of its
 // shards whether it is in. It counts for nothing, and what ran for it is unknown.
 
+#include <LibGateway/RecordMerge.h>
 #include <LibRpc/Serialization.h>
 #include <Support/GatewayFixture.h>
 
@@ -119,6 +120,40 @@
     }
 }
 
+// Gateways may hold different declarations for a moment after a change.
+Test(RelayedPart, hasAsManyRecordsAsItsAskerWantsWhateverTheOtherGatewaysDeclarationSays)
+{
+    for (const std::size_t wanted : {1U, 2U, 3U}) {
+        GatewayFixture fixture;
+        fixture.route().shards = {Core::ServiceName("a")};
+        fixture.route().topRecords = 2;
+        fixture.add("a", "a-near", [](const auto &request, const auto &exchange) {
+            exchange->respond(goodAnswer(request, "a-here", record('a') + record('c') + record('b')));
+        });
+        fixture.relayTerms = Gateway::RelayTerms{
+            .targetLeft = Core::seconds(8), .holdLeft = Core::seconds(9), .before = {}, .shards = fixture.route().shards, .topRecords = wanted};
+        const auto answer = fixture.ask("r1");
+        const auto part = Rpc::deserialize<Protocol::PartialAnswer>(answer.body).value();
+        cr_assert_eq(part.records.size(), wanted * Gateway::RecordBytes);
+    }
+}
+
+Test(RelayedPart, isAskedForAsManyRecordsAsTheSearchWants)
+{
+    GatewayFixture fixture;
+    fixture.route().shards = {Core::ServiceName("a")};
+    fixture.route().topRecords = 7;
+    fixture.relayed = fixture.route().shards;
+    std::size_t wanted = 0;
+    fixture.addGateway([&wanted](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+        auto headers = request.headers;
+        wanted = Gateway::takeRelayTerms(headers).value().topRecords;
+        exchange->respond(TestSupport::partOf(request, partWithout({"a"})));
+    });
+    (void)fixture.ask("r1");
+    cr_assert_eq(wanted, 7);
+}
+
 Test(RelayedPart, countsWhenItNamesMissingShardsThatItWasAskedFor)
 {
     const std::vector<Case> cases{{"none", {}}, {"the first", {"b"}}, {"the second", {"c"}}, {"both, in another order", {"c", "b"}}};
--- a/Tests/LibGateway/TestRequests.cpp
+++ b/Tests/LibGateway/TestRequests.cpp
@@ -625,6 +625,15 @@
 
 }
 
+// A route may be declared without a number of records.
+Test(FanOutRequest, hedgesTogetherWhereNoRecordsAreWanted)
+{
+    HedgeFixture fixture;
+    fixture.route().topRecords = 0;
+    fixture.beginAndHedge();
+    cr_assert(fixture.terms->leastRecord.empty());
+}
+
 Test(FanOutRequest, hedgesShardsOfOneRegionTogether)
 {
     HedgeFixture fixture;
--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -211,7 +211,7 @@
         this->declaration = made;
         this->table = std::make_shared<const Fleet::RouteTable>(this->declaration);
         Wire::Request message{.method = method, .target = "/x/1", .headers = {{"Host", "h"}, {"Request-Id", id}, {"Deadline-Ms", "10000"}}, .body = {}};
-        const Gateway::RequestContext context{.pool = &this->pool,
+        Gateway::RequestContext context{.pool = &this->pool,
             .relays = &this->relays,
             .timers = &this->timers,
             .dialect = &this->dialect,
@@ -220,6 +220,9 @@
             .relayLatencies = &this->relayLatencies,
             .cells = &this->cells,
             .relayTerms = this->relayTerms};
+        if (context.relayTerms.has_value() && context.relayTerms->topRecords == 0) {
+            context.relayTerms->topRecords = this->editableRoute.topRecords;
+        }
         const auto &used = this->declaration->routes.front();
         auto request = this->dialect.readRequest(std::move(message));
         if (used.isFanOut()) {
@@ -253,7 +256,7 @@
     std::vector<Core::ServiceName> relayed;
     // Gateways that own what is relayed.
     std::vector<Gateway::BackendName> owners;
-    // Set when another gateway asks.
+    // Set when another gateway asks; it wants as many records as the route says where it does not say itself.
     std::optional<Gateway::RelayTerms> relayTerms;
     Gateway::BackendPool pool;
     Gateway::BackendPool relays;
