LibGateway, platform: What the mend of surplus answers costs at full servers, mended

A full server's refusal stays a refusal at once (503) where the kept connection used to be tried again. - A waiter that can't use the offered room, having sent there before, kept those behind it waiting, up to the pause of a server that turns connections away. Counters now count what is passed over between gateways, too.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -15,6 +15,9 @@
 {
 
 static constexpr Core::Duration SweepPeriod = Core::milliseconds(50);
+// Of those that wait, how many are offered the same room at most.
+static constexpr int OffersOfRoom = 4;
+
 BackendPool::BackendPool(BackendPoolOptions options, const Dialect &dialect, Core::EventPoll &poll, Core::TimerService &timers)
     : options(std::move(options))
     , dialect(dialect)
@@ -244,13 +247,17 @@
         return false;
     }
     const bool takesMore = backend.turnedAway.isOver(this->timers.now());
-    if (takesMore && backend.connections.size() < this->connectionLimit(backend, service)) {
+    const auto limit = this->connectionLimit(backend, service);
+    if (takesMore && backend.connections.size() < limit) {
         return true;
     }
-    // Where the backend server takes a new one, a connection that has carried the request already is replaced.
-    if (takesMore || request == nullptr) {
+    if (request == nullptr) {
         return backend.connections.hasIdle();
     }
+    if (takesMore && backend.connections.size() == limit && backend.connections.hasIdle()) {
+        // Where none of them may carry it, one more is opened, and another one closed once that is up.
+        return true;
+    }
     return backend.connections.hasIdleFor(this->dialect.replyKey({.caller = request, .backend = backend.name, .number = this->nextAttempt}));
 }
 
@@ -323,15 +330,21 @@
 
 // ---- Connections
 
-std::optional<Core::Duration> BackendPool::trialMargin() const
+std::optional<Core::Duration> BackendPool::trialMargin(bool keptApart) const
 {
-    return this->options.trial.has_value() ? this->trialPeriod.marginAt(this->options.trial.value(), this->timers.now()) : std::nullopt;
+    if (!this->options.trial.has_value()) {
+        return std::nullopt;
+    }
+    const auto &trial = this->options.trial.value();
+    return keptApart ? trial.margin : this->trialPeriod.marginAt(trial, this->timers.now());
 }
 
-ConnectionPointer BackendPool::openConnection(Backend &backend)
+ConnectionPointer BackendPool::openConnection(Backend &backend, bool keptApart)
 {
     auto opened = Wire::ClientConnection::create(
-        {.endpoint = backend.endpoint, .silenceLimit = this->options.silenceLimit, .trialMargin = this->trialMargin(), .limits = {}}, this->poll, this->timers);
+        {.endpoint = backend.endpoint, .silenceLimit = this->options.silenceLimit, .trialMargin = this->trialMargin(keptApart), .limits = {}},
+        this->poll,
+        this->timers);
     if (!opened.has_value()) {
         Core::logEvent(Core::LogLevel::Warning, "backend.connect_failed", {{"backend", backend.name.value()}, {"reason", opened.error().message}});
         return nullptr;
@@ -353,21 +366,14 @@
     if (auto kept = backend.connections.idleFor(key)) {
         return kept;
     }
-    if (backend.connections.hasIdle()) {
-        this->keepApart(backend, key);
-    }
-    return this->openConnection(backend);
-}
-
-void BackendPool::keepApart(Backend &backend, const ReplyKey &key)
-{
-    ++this->counts.keptApart;
-    Core::logEvent(Core::LogLevel::Information,
-        "connection.kept_apart",
-        {{"request", key.value()}, {"backend", backend.name.value()}, {"connections", backend.connections.size()}});
-    if (backend.connections.size() >= this->connectionLimit(backend, this->serviceOf(backend.service))) {
-        backend.connections.dropIdle();
+    const bool keptApart = backend.connections.hasIdle();
+    if (keptApart) {
+        ++this->counts.keptApart;
+        Core::logEvent(Core::LogLevel::Information,
+            "connection.kept_apart",
+            {{"request", key.value()}, {"backend", backend.name.value()}, {"connections", backend.connections.size()}});
     }
+    return this->openConnection(backend, keptApart);
 }
 
 void BackendPool::connectionClosed(Backend &backend, const Wire::ClientConnection *connection)
@@ -427,7 +433,8 @@
 {
     // Every answer says whose it is. One that does not is nobody's, and what names a request is no answer to one without a name.
     const auto answered = this->dialect.readReplyKey(response);
-    if (answered == expected) {
+    const bool unnamedRefusal = answered.value().empty() && this->dialect.isUnnamedRefusal && this->dialect.isUnnamedRefusal(response);
+    if (answered == expected || unnamedRefusal) {
         return true;
     }
     ++this->counts.passedOver;
@@ -477,6 +484,10 @@
     if (result.end != Wire::ClientEnd::TurnedAway) {
         this->learn(backend, attempt, outcome);
     }
+    if (result.end == Wire::ClientEnd::Answered) {
+        // One that was opened beyond the limit, for a request that the others had carried, has come up.
+        backend.connections.dropIdleBeyond(this->connectionLimit(backend, this->serviceOf(backend.service)));
+    }
     const auto service = backend.service;
     if (attempt.done) {
         attempt.done(outcome);
@@ -602,16 +613,28 @@
     });
 }
 
+// One that finds no room after all waits again. It may be the only one that can't use what there is, having been sent there before, so a few more are
+// asked, but not all: with hundreds waiting each answer would set all of them looking.
 void BackendPool::offerRoom(const Core::ServiceName &service)
 {
-    auto &waiters = this->serviceOf(service).waiters;
-    if (waiters.empty()) {
-        return;
+    const auto newcomers = this->nextWaiter;
+    for (int offers = 0; offers < OffersOfRoom; ++offers) {
+        auto &waiters = this->serviceOf(service).waiters;
+        const auto next = std::find_if(waiters.begin(), waiters.end(), [newcomers](const Waiter &waiter) {
+            return waiter.number < newcomers;
+        });
+        if (next == waiters.end()) {
+            return;
+        }
+        const Waiter offered = std::move(*next);
+        waiters.erase(next);
+        const auto waiting = waiters.size();
+        offered.hook();
+        const bool waitsAgain = this->serviceOf(service).waiters.size() > waiting;
+        if (!waitsAgain) {
+            return;
+        }
     }
-    const Waiter first = std::move(waiters.front());
-    waiters.erase(waiters.begin());
-    // One that finds no room after all waits again.
-    first.hook();
 }
 
 // ---- Each tick
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -204,10 +204,9 @@
     void retire(std::unique_ptr<Backend> former);
     /** A connection that has not carried a send of this key: a kept one, or a new one. */
     [[nodiscard]] ConnectionPointer connectionFor(Backend &backend, const ReplyKey &key);
-    /** For a send that must not go over the idle ones: makes room at the limit by giving one of them up. */
-    void keepApart(Backend &backend, const ReplyKey &key);
-    [[nodiscard]] ConnectionPointer openConnection(Backend &backend);
-    [[nodiscard]] std::optional<Core::Duration> trialMargin() const;
+    /** `keptApart`: beside idle ones that may not be used, so that the backend server may have as many as it takes. */
+    [[nodiscard]] ConnectionPointer openConnection(Backend &backend, bool keptApart);
+    [[nodiscard]] std::optional<Core::Duration> trialMargin(bool keptApart) const;
     void connectionClosed(Backend &backend, const Wire::ClientConnection *connection);
     /** Whether what came from `backend` is the answer to a send of the key `expected`. */
     [[nodiscard]] bool isAnswerTo(const ReplyKey &expected, const BackendName &backend, const Wire::Response &response);
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -145,7 +145,7 @@
             {"turned_away", sends.turnedAway},
             {"not_executed", sends.notExecuted},
             {"cancelled", sends.cancelled},
-            {"answers_passed_over", sends.passedOver},
+            {"answers_passed_over", sends.passedOver + this->relays.counters().passedOver},
             {"kept_apart", sends.keptApart},
             {"connections_opened", sends.connectionsOpened},
             {"connections", this->pool.connectionCount()},
@@ -488,7 +488,9 @@
     counter("crankrudder_sends_broken_total", "Sends whose answer was lost.", sends.broken);
     counter("crankrudder_sends_refused_total", "Sends that backend servers refused to run.", sends.notExecuted);
     counter("crankrudder_sends_cancelled_total", "Sends that were cancelled.", sends.cancelled);
-    counter("crankrudder_answers_passed_over_total", "Answers of backend servers that belong to another request than the one that waited.", sends.passedOver);
+    counter("crankrudder_answers_passed_over_total",
+        "Answers of backend servers and gateways that belong to another send than the one that waited.",
+        sends.passedOver + this->relays.counters().passedOver);
     counter("crankrudder_connections_kept_apart_total", "Sends that did not use a kept connection because it had carried the same request.", sends.keptApart);
     counter("crankrudder_hedges_total", "Second sends for late ones.", this->counts.hedges);
     counter("crankrudder_parts_given_total", "Parts of searches that other gateways were asked for.", this->counts.relayed);
--- a/Libraries/LibGateway/KeptConnections.cpp
+++ b/Libraries/LibGateway/KeptConnections.cpp
@@ -99,15 +99,20 @@
     });
 }
 
-void KeptConnections::dropIdle()
+void KeptConnections::dropIdleBeyond(std::size_t limit)
 {
-    const auto found = std::find_if(this->connections.begin(), this->connections.end(), isIdle);
-    if (found == this->connections.end()) {
+    if (this->connections.size() <= limit) {
         return;
     }
-    const auto dropped = *found;
-    this->connections.erase(found);
-    drop(*dropped);
+    auto longestIdle = this->idle();
+    std::sort(longestIdle.begin(), longestIdle.end(), [](const ConnectionPointer &left, const ConnectionPointer &right) {
+        return left->lastUsed() < right->lastUsed();
+    });
+    longestIdle.resize(std::min(longestIdle.size(), this->connections.size() - limit));
+    for (const auto &connection : longestIdle) {
+        this->remove(connection.get());
+        drop(*connection);
+    }
 }
 
 void KeptConnections::dropAll()
--- a/Libraries/LibGateway/KeptConnections.h
+++ b/Libraries/LibGateway/KeptConnections.h
@@ -48,8 +48,8 @@
     [[nodiscard]] std::vector<ConnectionPointer> rested(Core::Instant now, const RestLimits &limits) const;
     [[nodiscard]] std::vector<ConnectionPointer> idle() const;
 
-    /** Closes an idle one, if there is one, without telling its owner: for who takes its place at once. */
-    void dropIdle();
+    /** Closes idle ones, those that were used longest ago first, until no more than `limit` are left, without telling their owner: no room comes of it. */
+    void dropIdleBeyond(std::size_t limit);
     /** Closes all without telling their owner. */
     void dropAll();
 
--- a/Libraries/LibGateway/RelayPlan.cpp
+++ b/Libraries/LibGateway/RelayPlan.cpp
@@ -296,6 +296,11 @@
         const auto *name = Wire::findHeader(message.headers, RelayHeader::Send);
         return ReplyKey(name == nullptr ? std::string() : *name);
     };
+    // A gateway of a release before sends were named refuses parts, since it can't read their terms. A refusal that belonged to another send would
+    // cost one send more and no answer.
+    relay.isUnnamedRefusal = [](const Wire::Response &message) {
+        return message.status == NotRunStatus;
+    };
     relay.readReply = [read = dialect.readReply](Wire::Response message) {
         BackendReply reply = read(std::move(message));
         if (Wire::findHeader(reply.message.headers, RelayHeader::Partial) != nullptr) {
--- a/Tests/Incidents/TestSurplusAnswers.cpp
+++ b/Tests/Incidents/TestSurplusAnswers.cpp
@@ -182,6 +182,25 @@
     cr_assert_str_eq(answer.body.c_str(), wholeRecord.c_str());
 }
 
+// A gateway of a release that does not name sends can't read what it is asked, and refuses; so the work is done here.
+Test(SurplusAnswers, aRefusalWithoutANameByAnotherGatewayIsTaken)
+{
+    GatewayFixture fixture;
+    const Core::ServiceName shard("shard");
+    fixture.route().shards = {shard};
+    fixture.route().topRecords = 1;
+    fixture.relayed = {shard};
+    fixture.add("shard", "server", [](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+        exchange->respond(goodAnswer(request, "signature", wholeRecord));
+    });
+    fixture.addGateway([](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+        exchange->respond(Wire::Response{.status = 503, .headers = {{"Request-Id", *Wire::findHeader(request.headers, "Request-Id")}}, .body = {}});
+    });
+    const auto answer = fixture.ask("x");
+    cr_assert_eq(answer.status, 200);
+    cr_assert_str_eq(answer.body.c_str(), wholeRecord.c_str());
+}
+
 // Any order of sends, answers and abandoned sends, of few ids over few connections, where every answer comes twice.
 Test(SurplusAnswers, everyAttemptGetsItsOwnAnswerInRandomPlans)
 {
--- a/Tests/Platform/TestCodecs.cpp
+++ b/Tests/Platform/TestCodecs.cpp
@@ -5,6 +5,7 @@
 
 // Documents, headers and settings of the platform, good and bad.
 
+#include <LibGateway/RelayPlan.h>
 #include <platform/ConfigurationCodec.h>
 #include <platform/HeartbeatCodec.h>
 #include <platform/RequestDialect.h>
@@ -290,3 +291,17 @@
         cr_assert_not(Platform::parseProcessSettings(bad).has_value(), "%s", bad);
     }
 }
+
+Test(RequestDialect, leavesWhatAnswersAreKnownByWhateverTheCallerNamesAsItsConnections)
+{
+    const auto dialect = Platform::makeDialect();
+    const auto relay = Gateway::makeRelayDialect(dialect);
+    const Gateway::CallerRequest request{.id = Core::RequestId("x"),
+        .message
+        = {.method = "GET", .target = "/", .headers = {{"Request-Id", "x"}, {"Own", "y"}, {"Connection", "request-id, own, crankrudder-send"}}, .body = {}}};
+    std::string bytes;
+    relay.writeRequest(bytes, {.caller = &request, .backend = Gateway::BackendName("g"), .timeLeft = Core::seconds(1), .number = 7});
+    cr_assert_neq(bytes.find("Request-Id: x"), std::string::npos, "sent: %s", bytes.c_str());
+    cr_assert_neq(bytes.find("Crankrudder-Send: 7"), std::string::npos, "sent: %s", bytes.c_str());
+    cr_assert_eq(bytes.find("Own"), std::string::npos, "sent: %s", bytes.c_str());
+}
--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -211,7 +211,7 @@
         this->declaration = made;
         this->table = std::make_shared<const Fleet::RouteTable>(this->declaration);
         Wire::Request message{.method = method, .target = "/x/1", .headers = {{"Host", "h"}, {"Request-Id", id}, {"Deadline-Ms", "10000"}}, .body = {}};
-        Gateway::RequestContext context{.pool = &this->pool,
+        Gateway::RequestContext context{.pool = this->usedPool,
             .relays = &this->relays,
             .timers = &this->timers,
             .dialect = &this->dialect,
@@ -227,6 +227,7 @@
         auto request = this->dialect.readRequest(std::move(message));
         if (used.isFanOut()) {
             Gateway::RelayPlan plan;
+            plan.targetsHeld = this->targetsHeld;
             if (!this->relayed.empty()) {
                 plan.parts.push_back({.zone = "there", .shards = this->relayed, .mayDivide = false, .owners = this->owners});
             }
@@ -254,11 +255,14 @@
     Gateway::Dialect dialect;
     Gateway::Dialect relayDialect{Gateway::makeRelayDialect(this->dialect)};
     std::vector<Core::ServiceName> relayed;
+    // For how many targets parts are waited for.
+    int targetsHeld{4};
     // Gateways that own what is relayed.
     std::vector<Gateway::BackendName> owners;
     // Set when another gateway asks; it wants as many records as the route says where it does not say itself.
     std::optional<Gateway::RelayTerms> relayTerms;
     Gateway::BackendPool pool;
+    Gateway::BackendPool *usedPool{&this->pool};
     Gateway::BackendPool relays;
     Gateway::CellMap cells{{}, "here", poolOptions(0.0).regions, "here:1"};
     Gateway::RequestSettings settings;
