LibGateway: Close a connection beyond the limit only when a new one has come up

Where the limit of connections shrinks because more gateways are counted, every answer would have closed kept ones; they rest until they expire, as before.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -484,8 +484,8 @@
     if (result.end != Wire::ClientEnd::TurnedAway) {
         this->learn(backend, attempt, outcome);
     }
-    if (result.end == Wire::ClientEnd::Answered) {
-        // One that was opened beyond the limit, for a request that the others had carried, has come up.
+    if (result.end == Wire::ClientEnd::Answered && attempt.connection->answered() == 1) {
+        // It has come up, and may have been opened beyond the limit, for a request that the others had carried.
         backend.connections.dropIdleBeyond(this->connectionLimit(backend, this->serviceOf(backend.service)));
     }
     const auto service = backend.service;
