--- a/Tests/LibWire/TestClientConnection.cpp
+++ b/Tests/LibWire/TestClientConnection.cpp
@@ -263,3 +263,38 @@
     cr_assert(client.results[0].end == Wire::ClientEnd::Answered);
     cr_assert(client.results[0].response.body.empty());
 }
+
+Test(ClientConnection, maySendAgainWhatWasTakenBack)
+{
+    LoopFixture fixture;
+    ByteServer server(fixture);
+    Client client(fixture, server);
+    client.send("a");
+    cr_assert(client.connection->withdraw());
+    cr_assert_not(client.connection->hasCarried("a"), "it has not left");
+    client.send("a");
+    cr_assert(client.connection->hasCarried("a"));
+    cr_assert(server.accept());
+    server.send(answerTo("a", "mine"));
+    cr_assert(client.hasResults(1));
+    cr_assert(client.results[0].response.body == "mine");
+}
+
+// It knows all that it carried, so it can't be kept for ever.
+Test(ClientConnection, endsAfterManyRequestsAndForgetsNoneBefore)
+{
+    static constexpr std::size_t Many = 10'000;
+    LoopFixture fixture;
+    ByteServer server(fixture);
+    Client client(fixture, server);
+    std::size_t sent = 0;
+    while (!client.connection->isClosed() && sent < Many) {
+        client.send(std::to_string(sent));
+        cr_assert(sent > 0 || server.accept());
+        server.send(answerTo(std::to_string(sent), ""));
+        cr_assert(client.hasResults(++sent));
+        cr_assert(client.connection->hasCarried("0"));
+    }
+    cr_assert(client.connection->isClosed(), "it went on for %zu requests", sent);
+    cr_assert(client.results.back().end == Wire::ClientEnd::Answered, "the last one is answered, too");
+}
