--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -261,6 +261,13 @@
     return backend.connections.hasIdleFor(this->dialect.replyKey({.caller = request, .backend = backend.name, .number = this->nextAttempt}));
 }
 
+bool BackendPool::hasAnyRoom(const Service &service) const
+{
+    return std::any_of(service.backends.begin(), service.backends.end(), [this, &service](const Backend *backend) {
+        return this->hasRoom(*backend, service);
+    });
+}
+
 bool BackendPool::isEligible(const Backend &backend, const Fleet::AllowedRegions &allowedRegions) const
 {
     const bool takesWork = backend.phase == Protocol::BackendPhase::READY;
@@ -630,8 +637,9 @@
         waiters.erase(next);
         const auto waiting = waiters.size();
         offered.hook();
-        const bool waitsAgain = this->serviceOf(service).waiters.size() > waiting;
-        if (!waitsAgain) {
+        const auto &row = this->serviceOf(service);
+        const bool waitsAgain = row.waiters.size() > waiting;
+        if (!waitsAgain || !this->hasAnyRoom(row)) {
             return;
         }
     }
@@ -658,7 +666,7 @@
     const auto now = this->timers.now();
     this->cancelOverdue(now);
     this->coldAllowance.forget(now);
-    this->closeResting();
+    this->closeResting(now);
     this->offerRoomToWaiters();
 }
 
@@ -696,33 +704,25 @@
     }
 }
 
-std::vector<ConnectionPointer> BackendPool::restingOf(const Backend &backend) const
-{
-    if (backend.phase == Protocol::BackendPhase::GONE) {
-        return backend.connections.idle();
-    }
-    return backend.connections.rested(this->timers.now(), {.connectPatience = this->options.connectPatience, .idleLimit = this->options.idleLimit});
-}
-
-void BackendPool::closeResting()
+void BackendPool::closeResting(Core::Instant now)
 {
     const auto isOver = [](const Backend &backend) {
         return backend.phase == Protocol::BackendPhase::GONE && backend.connections.size() == 0 && backend.inFlight.empty();
     };
+    // A backend server that has gone is not connected to any more.
+    const RestLimits limits{.connectPatience = this->options.connectPatience, .idleLimit = this->options.idleLimit};
+    static constexpr RestLimits LimitsOnceGone{};
     std::vector<ConnectionPointer> resting;
     std::vector<Backend *> gone;
-    const auto look = [this, &resting](const Backend &backend) {
-        const auto ofBackend = this->restingOf(backend);
-        resting.insert(resting.end(), ofBackend.begin(), ofBackend.end());
-    };
     for (const auto &[name, backend] : this->backends) {
-        look(*backend);
+        const bool isGone = backend->phase == Protocol::BackendPhase::GONE;
+        backend->connections.appendRested(resting, now, isGone ? LimitsOnceGone : limits);
         if (isOver(*backend)) {
             gone.push_back(backend.get());
         }
     }
     for (const auto &former : this->formerLives) {
-        look(*former);
+        former->connections.appendRested(resting, now, LimitsOnceGone);
     }
     closeIdle(resting);
     for (auto *backend : gone) {
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -195,6 +195,8 @@
     [[nodiscard]] std::size_t connectionLimit(const Backend &backend, const Service &service) const;
     /** Whether one more can be sent now; `request` as in Wanted. */
     [[nodiscard]] bool hasRoom(const Backend &backend, const Service &service, const CallerRequest *request = nullptr) const;
+    /** Whether one of its backend servers has room for some request. */
+    [[nodiscard]] bool hasAnyRoom(const Service &service) const;
     /** Whether it may be asked at all. The one place that decides; send() asks it again, so that nothing gets past it. */
     [[nodiscard]] bool isEligible(const Backend &backend, const Fleet::AllowedRegions &allowedRegions) const;
     /** Whether a cold backend server bears one more from here. */
@@ -222,9 +224,7 @@
     void offerRoomToWaiters();
     void sweep();
     void cancelOverdue(Core::Instant now);
-    void closeResting();
-    /** Connections that are no longer kept. */
-    [[nodiscard]] std::vector<ConnectionPointer> restingOf(const Backend &backend) const;
+    void closeResting(Core::Instant now);
 
     BackendPoolOptions options;
     const Dialect &dialect;
--- a/Libraries/LibGateway/KeptConnections.cpp
+++ b/Libraries/LibGateway/KeptConnections.cpp
@@ -83,13 +83,18 @@
     });
 }
 
-std::vector<ConnectionPointer> KeptConnections::rested(Core::Instant now, const RestLimits &limits) const
+void KeptConnections::appendRested(std::vector<ConnectionPointer> &rested, Core::Instant now, const RestLimits &limits) const
 {
-    return this->idleIf([now, &limits](const Wire::ClientConnection &connection) {
-        const auto rest = now - connection.lastUsed();
-        const bool neverCameUp = !connection.isConnected() && rest >= limits.connectPatience;
-        return neverCameUp || connection.idleUntil() <= now || rest >= limits.idleLimit;
-    });
+    for (const auto &connection : this->connections) {
+        if (!connection->isIdle()) {
+            continue;
+        }
+        const auto rest = now - connection->lastUsed();
+        const bool neverCameUp = !connection->isConnected() && rest >= limits.connectPatience;
+        if (neverCameUp || connection->idleUntil() <= now || rest >= limits.idleLimit) {
+            rested.push_back(connection);
+        }
+    }
 }
 
 std::vector<ConnectionPointer> KeptConnections::idle() const
--- a/Libraries/LibGateway/KeptConnections.h
+++ b/Libraries/LibGateway/KeptConnections.h
@@ -44,8 +44,8 @@
 
     /** Idle ones that the backend server may be closing by now. */
     [[nodiscard]] std::vector<ConnectionPointer> expired(Core::Instant now) const;
-    /** Idle ones that are expired, rested too long, or never came up. */
-    [[nodiscard]] std::vector<ConnectionPointer> rested(Core::Instant now, const RestLimits &limits) const;
+    /** Appends idle ones that are expired, rested too long, or never came up. Called for every backend server in each sweep. */
+    void appendRested(std::vector<ConnectionPointer> &rested, Core::Instant now, const RestLimits &limits) const;
     [[nodiscard]] std::vector<ConnectionPointer> idle() const;
 
     /** Closes idle ones, those that were used longest ago first, until no more than `limit` are left, without telling their owner: no room comes of it. */
