--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -252,12 +252,14 @@
         return true;
     }
     if (request == nullptr) {
+        // For a request that is yet to come, which no connection has carried.
         return backend.connections.hasIdle();
     }
     if (takesMore && backend.connections.size() == limit && backend.connections.hasIdle()) {
         // Where none of them may carry it, one more is opened, and another one closed once that is up.
         return true;
     }
+    // By the key that send() would give it.
     return backend.connections.hasIdleFor(this->dialect.replyKey({.caller = request, .backend = backend.name, .number = this->nextAttempt}));
 }
 
--- a/Libraries/LibWire/ClientConnection.h
+++ b/Libraries/LibWire/ClientConnection.h
@@ -48,7 +48,7 @@
 /** What is sent, and how its answer is known. */
 struct ClientRequest {
     std::string bytes;
-    /** What answers are told apart by. */
+    /** What `recognise` knows the answer by; sends of the same key can't be told apart. */
     std::string key;
     /** The response has no body, whatever length it names: a request of the method HEAD. */
     bool isHead{false};
