platform: A caller can't take away what gateways ask of each other

A caller that named the allowed regions took them out of the parts of its search; only the other gateway's own declaration bound then, which may be older for a moment.

--- a/Tests/Platform/TestCodecs.cpp
+++ b/Tests/Platform/TestCodecs.cpp
@@ -297,11 +297,17 @@
     const auto dialect = Platform::makeDialect();
     const auto relay = Gateway::makeRelayDialect(dialect);
     const Gateway::CallerRequest request{.id = Core::RequestId("x"),
-        .message
-        = {.method = "GET", .target = "/", .headers = {{"Request-Id", "x"}, {"Own", "y"}, {"Connection", "request-id, own, crankrudder-send"}}, .body = {}}};
+        .message = {.method = "GET",
+            .target = "/",
+            .headers = {{"Request-Id", "x"},
+                {"Own", "y"},
+                {Gateway::RelayHeader::AllowedRegions, "home"},
+                {"Connection", "request-id, own, crankrudder-send, crankrudder-allowed-regions"}},
+            .body = {}}};
     std::string bytes;
     relay.writeRequest(bytes, {.caller = &request, .backend = Gateway::BackendName("g"), .timeLeft = Core::seconds(1), .number = 7});
     cr_assert_neq(bytes.find("Request-Id: x"), std::string::npos, "sent: %s", bytes.c_str());
     cr_assert_neq(bytes.find("Crankrudder-Send: 7"), std::string::npos, "sent: %s", bytes.c_str());
+    cr_assert_neq(bytes.find("Crankrudder-Allowed-Regions: home"), std::string::npos, "sent: %s", bytes.c_str());
     cr_assert_eq(bytes.find("Own"), std::string::npos, "sent: %s", bytes.c_str());
 }
