--- a/Libraries/LibGateway/KeptConnections.h
+++ b/Libraries/LibGateway/KeptConnections.h
@@ -46,7 +46,6 @@
     [[nodiscard]] std::vector<ConnectionPointer> expired(Core::Instant now) const;
     /** Appends idle ones that are expired, rested too long, or never came up. Called for every backend server in each sweep. */
     void appendRested(std::vector<ConnectionPointer> &rested, Core::Instant now, const RestLimits &limits) const;
-    [[nodiscard]] std::vector<ConnectionPointer> idle() const;
 
     /** Closes idle ones, those that were used longest ago first, until no more than `limit` are left, without telling their owner: no room comes of it. */
     void dropIdleBeyond(std::size_t limit);
@@ -54,6 +53,7 @@
     void dropAll();
 
 private:
+    [[nodiscard]] std::vector<ConnectionPointer> idle() const;
     template<typename Condition>
     [[nodiscard]] std::vector<ConnectionPointer> idleIf(Condition condition) const;
 
