LibFleet, LibGateway, platform: API keys of workspaces

A declaration may name workspaces with API keys, a priority, a quota and allowed regions.

A gateway now finds the workspace by the digest of the caller's key, takes the key and whatever the caller says of its workspace out of the request, and names the workspace to backend servers and, in the terms of a part, to other gateways. Without a known key it answers 401 at once, with the same answer for none and for an unknown one. A workspace's regions bind beside the route's, and its priority goes before the route's where requests wait for room. A key that two workspaces share makes a declaration invalid.

Tests: whole gateways on loopback with a coordinator that a test fills.

--- a/Libraries/LibFleet/Declaration.cpp
+++ b/Libraries/LibFleet/Declaration.cpp
@@ -20,6 +20,11 @@
     return lowered;
 }
 
+const Workspace *Declaration::workspaceNamed(const WorkspaceName &name) const
+{
+    return this->workspaces.has_value() ? this->workspaces->find(name) : nullptr;
+}
+
 RouteTable::RouteTable(std::shared_ptr<const Declaration> declaration) : source(std::move(declaration))
 {
     for (const auto &route : this->source->routes) {
--- a/Libraries/LibFleet/Declaration.h
+++ b/Libraries/LibFleet/Declaration.h
@@ -11,9 +11,11 @@
 #include <LibCore/StrongValue.h>
 #include <LibCore/Time.h>
 #include <LibFleet/Regions.h>
+#include <LibFleet/Workspaces.h>
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -69,6 +71,8 @@
     double minimumCoverage{1.0};
     /** Where its requests may be served. */
     AllowedRegions allowedRegions;
+    /** Whether its requests need no API key. */
+    bool isPublic{false};
 
     [[nodiscard]] bool isFanOut() const
     {
@@ -89,7 +93,12 @@
     DeclarationVersion version;
     std::vector<Route> routes;
     std::map<Core::ServiceName, DeclaredService> services;
+    /** Nothing where requests need no API keys. A table without workspaces lets in nobody but on public routes. */
+    std::optional<WorkspaceTable> workspaces;
     CallerLimits limits;
+
+    /** The workspace of that name, or nullptr. */
+    [[nodiscard]] const Workspace *workspaceNamed(const WorkspaceName &name) const;
 };
 
 /** Finds routes by host and longest path prefix. */
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -604,14 +604,14 @@
 
 // ---- Room
 
-std::uint64_t BackendPool::waitForRoom(const Core::ServiceName &service, int priority, RoomHook hook)
+std::uint64_t BackendPool::waitForRoom(const Core::ServiceName &service, const Urgency &urgency, RoomHook hook)
 {
     auto &waiters = this->serviceOf(service).waiters;
     const auto number = this->nextWaiter++;
-    const auto position = std::lower_bound(waiters.begin(), waiters.end(), priority, [](const Waiter &waiter, int wanted) {
-        return waiter.priority < wanted;
+    const auto position = std::lower_bound(waiters.begin(), waiters.end(), urgency, [](const Waiter &waiter, const Urgency &wanted) {
+        return waiter.urgency < wanted;
     });
-    waiters.insert(position, Waiter{.number = number, .priority = priority, .hook = std::move(hook)});
+    waiters.insert(position, Waiter{.number = number, .urgency = urgency, .hook = std::move(hook)});
     return number;
 }
 
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -137,7 +137,7 @@
     [[nodiscard]] bool mayHaveBeenSent(AttemptId id) const;
 
     /** Calls the hook when there may be room; more urgent ones first, of these the newest. Returns a number for stopWaiting(). */
-    std::uint64_t waitForRoom(const Core::ServiceName &service, int priority, RoomHook hook);
+    std::uint64_t waitForRoom(const Core::ServiceName &service, const Urgency &urgency, RoomHook hook);
     void stopWaiting(const Core::ServiceName &service, std::uint64_t number);
 
     /** Counts a first send in the service's budget of repeats. */
@@ -172,12 +172,12 @@
 private:
     struct Waiter {
         std::uint64_t number{0};
-        int priority{0};
+        Urgency urgency;
         RoomHook hook;
     };
     struct Service {
         std::vector<Backend *> backends;
-        // Invariant: in order of priority, and the newest first within one: while there are more than room, those that wait longest are late
+        // Invariant: in order of urgency, and the newest first within one: while there are more than room, those that wait longest are late
         // already, and serving them in their turn would make all of them late.
         std::vector<Waiter> waiters;
         // 0 when the service is not declared.
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -10,6 +10,7 @@
 
 #include <LibCore/StrongValue.h>
 #include <LibCore/Time.h>
+#include <LibFleet/Workspaces.h>
 #include <LibWire/Message.h>
 
 #include <cstdint>
@@ -37,9 +38,20 @@
     std::string host;
     /** How long the caller waits; nothing when it did not say. */
     std::optional<Core::Duration> patience;
+    /** The caller's secret, taken out of the message; nothing when it sent none. */
+    std::optional<Fleet::ApiKey> key;
+    /** Whose request it is, as far as the key showed. Backend servers are told, whatever the caller said of itself. */
+    std::optional<Fleet::WorkspaceName> workspace;
     Wire::Request message;
 };
 
+/** Which requests go first; the least is most urgent. Workspaces go before routes. */
+struct Urgency {
+    int workspace{0};
+    int route{0};
+    auto operator<=>(const Urgency &) const = default;
+};
+
 /** How busy a backend server said that it is. */
 struct LoadReport {
     int running{0};
@@ -92,6 +104,8 @@
     /** Something may have run, and its answer was lost. */
     Failed,
     NoRoute,
+    /** The route needs an API key, and there was none or an unknown one. */
+    Unauthorized,
 };
 
 /** Reads and writes the envelopes. */
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -134,6 +134,7 @@
             {"refused", this->counts.refused},
             {"failed", this->counts.failed},
             {"callers_gone", this->counts.callersGone},
+            {"unauthorized", this->counts.unauthorized},
             {"relayed", this->counts.relayed},
             {"for_others", this->counts.takenForOthers},
             {"hedges", this->counts.hedges},
@@ -205,7 +206,10 @@
     this->credits.clear();
     Core::logEvent(Core::LogLevel::Information,
         "declaration.in_force",
-        {{"version", version.value()}, {"routes", declaration.value()->routes.size()}, {"services", declaration.value()->services.size()}});
+        {{"version", version.value()},
+            {"routes", declaration.value()->routes.size()},
+            {"services", declaration.value()->services.size()},
+            {"workspaces", declaration.value()->workspaces.has_value() ? declaration.value()->workspaces->all().size() : 0}});
     if (this->limitsChanged) {
         this->limitsChanged(declaration.value()->limits);
     }
@@ -293,7 +297,25 @@
         this->refuse(Refusal::NoRoute, request, answerTo(exchange), "no-route");
         return;
     }
-    this->startRequest(*route, std::move(request), exchange);
+    const auto *workspace = this->authenticate(request);
+    if (workspace == nullptr && this->routes->declaration().workspaces.has_value() && !route->isPublic) {
+        ++this->counts.unauthorized;
+        this->refuse(Refusal::Unauthorized, request, answerTo(exchange), request.key.has_value() ? "key-unknown" : "no-key");
+        return;
+    }
+    this->startRequest(*route, workspace, std::move(request), exchange);
+}
+
+// The key has done its work then, and goes no further.
+const Fleet::Workspace *GatewayNode::authenticate(CallerRequest &request) const
+{
+    const auto &workspaces = this->routes->declaration().workspaces;
+    const auto *holder = workspaces.has_value() && request.key.has_value() ? workspaces->holderOf(request.key.value()) : nullptr;
+    if (holder != nullptr) {
+        request.key.reset();
+        request.workspace = holder->name;
+    }
+    return holder;
 }
 
 void GatewayNode::refuse(Refusal refusal, const CallerRequest &request, const RoutedRequest::AnswerHook &answer, const char *outcome)
@@ -302,6 +324,7 @@
         "request.refused",
         {{"request", request.id.value()},
             {"outcome", outcome},
+            {"workspace", request.workspace.has_value() ? request.workspace->value() : std::string()},
             {"host", request.host},
             {"target", request.message.target},
             {"declaration", this->routes ? this->routes->declaration().version.value() : -1},
@@ -337,18 +360,21 @@
     auto terms = takeRelayTerms(message.headers);
     const auto answer = answerToSend(exchange, takeSendName(message.headers));
     CallerRequest request = this->options.dialect.readRequest(std::move(message));
+    request.workspace = terms.has_value() ? terms->workspace : std::nullopt;
     const auto *route = this->routes && this->watcher.isConfirmed() ? this->routes->match(request.host, request.message.target) : nullptr;
+    const auto *workspace = this->routes && request.workspace.has_value() ? this->routes->declaration().workspaceNamed(request.workspace.value()) : nullptr;
+    const bool knowsWorkspace = workspace != nullptr || !request.workspace.has_value();
     const bool holdsShards = route != nullptr && terms.has_value() && std::all_of(terms->shards.begin(), terms->shards.end(), [route](const auto &shard) {
         return std::find(route->shards.begin(), route->shards.end(), shard) != route->shards.end();
     });
-    if (!holdsShards) {
+    if (!holdsShards || !knowsWorkspace) {
         // The other gateway holds another declaration; it does the work itself then.
         this->refuse(Refusal::NotRun, request, answer, "part-refused");
         return;
     }
     RelayPlan plan;
     if (terms->mayDivide) {
-        auto view = this->relayView(*route, true);
+        auto view = this->relayView(*route, workspace, true);
         view.allowedRegions = view.allowedRegions.intersectedWith(terms->allowedRegions);
         plan = planRelay(terms->shards, view, this->options.relay);
     } else {
@@ -356,12 +382,12 @@
     }
     plan.before = terms->before;
     this->run(std::make_unique<FanOutRequest>(
-                  this->contextFor(*route, std::move(terms)), this->routes, *route, std::move(request), std::move(plan), Asker::OtherGateway),
+                  this->contextFor(*route, workspace, std::move(terms)), this->routes, *route, std::move(request), std::move(plan), Asker::OtherGateway),
         exchange,
         answer);
 }
 
-RequestContext GatewayNode::contextFor(const Fleet::Route &route, std::optional<RelayTerms> relayTerms)
+RequestContext GatewayNode::contextFor(const Fleet::Route &route, const Fleet::Workspace *workspace, std::optional<RelayTerms> relayTerms)
 {
     return RequestContext{.pool = &this->pool,
         .relays = &this->relays,
@@ -372,10 +398,11 @@
         .relayLatencies = &this->relayLatencies[route.name],
         .workLimit = &this->workLimits[route.name],
         .cells = &this->ownership.cells(),
+        .workspace = workspace,
         .relayTerms = std::move(relayTerms)};
 }
 
-RelayView GatewayNode::relayView(const Fleet::Route &route, bool onlyOtherRegions)
+RelayView GatewayNode::relayView(const Fleet::Route &route, const Fleet::Workspace *workspace, bool onlyOtherRegions)
 {
     this->ownership.takeGateways(this->gateways, this->timers.now());
     return RelayView{.pool = this->pool,
@@ -387,21 +414,21 @@
         .cells = this->ownership.cells(),
         .shardsInSearch = route.shards.size(),
         .onlyOtherRegions = onlyOtherRegions,
-        .allowedRegions = route.allowedRegions};
+        .allowedRegions = workspace == nullptr ? route.allowedRegions : route.allowedRegions.intersectedWith(workspace->allowedRegions)};
 }
 
-void GatewayNode::startRequest(const Fleet::Route &route, CallerRequest request, const Wire::ExchangePointer &exchange)
+void GatewayNode::startRequest(const Fleet::Route &route, const Fleet::Workspace *workspace, CallerRequest request, const Wire::ExchangePointer &exchange)
 {
     // A caller can't claim to be another gateway.
     (void)takeRelayTerms(request.message.headers);
     (void)takeSendName(request.message.headers);
-    const auto context = this->contextFor(route, std::nullopt);
+    const auto context = this->contextFor(route, workspace, std::nullopt);
     if (!route.isFanOut()) {
         this->run(std::make_unique<SingleRequest>(context, this->routes, route, std::move(request), this->chooseTarget(route)), exchange, answerTo(exchange));
         return;
     }
     this->ownership.noteSearch();
-    auto plan = planRelay(route.shards, this->relayView(route, false), this->options.relay);
+    auto plan = planRelay(route.shards, this->relayView(route, workspace, false), this->options.relay);
     this->counts.relayed += plan.parts.size();
     this->run(std::make_unique<FanOutRequest>(context, this->routes, route, std::move(request), std::move(plan), Asker::Caller), exchange, answerTo(exchange));
 }
@@ -455,6 +482,7 @@
         "request.finished",
         {{"request", summary.request->id.value()},
             {"route", summary.route->name},
+            {"workspace", summary.request->workspace.has_value() ? summary.request->workspace->value() : std::string()},
             {"declaration", summary.declarationVersion},
             {"outcome", outcomeName(summary.outcome)},
             {"status", summary.status},
@@ -479,6 +507,7 @@
     outcome("failed", this->counts.failed);
     outcome("caller-gone", this->counts.callersGone);
     outcome("no-route", this->counts.unrouted);
+    outcome("unauthorized", this->counts.unauthorized);
     const auto &sends = this->pool.counters();
     const auto counter = [&page](const char *name, const char *help, std::uint64_t value) {
         page.counter(name, help, static_cast<double>(value));
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -45,6 +45,8 @@
     std::uint64_t failed{0};
     std::uint64_t callersGone{0};
     std::uint64_t unrouted{0};
+    /** Without an API key that a workspace holds. */
+    std::uint64_t unauthorized{0};
     std::uint64_t hedges{0};
     /** Searches of which another gateway was asked for a part, and parts that others asked for. */
     std::uint64_t relayed{0};
@@ -87,9 +89,11 @@
 private:
     void adopt(Fleet::DeclarationVersion version, const std::string &content);
     void takeEvacuations(const Protocol::Evacuations &evacuations);
-    void startRequest(const Fleet::Route &route, CallerRequest request, const Wire::ExchangePointer &exchange);
-    [[nodiscard]] RequestContext contextFor(const Fleet::Route &route, std::optional<RelayTerms> relayTerms);
-    [[nodiscard]] RelayView relayView(const Fleet::Route &route, bool onlyOtherRegions);
+    /** Finds the workspace that holds the request's key, and names it in the request; nullptr when there is none. */
+    [[nodiscard]] const Fleet::Workspace *authenticate(CallerRequest &request) const;
+    void startRequest(const Fleet::Route &route, const Fleet::Workspace *workspace, CallerRequest request, const Wire::ExchangePointer &exchange);
+    [[nodiscard]] RequestContext contextFor(const Fleet::Route &route, const Fleet::Workspace *workspace, std::optional<RelayTerms> relayTerms);
+    [[nodiscard]] RelayView relayView(const Fleet::Route &route, const Fleet::Workspace *workspace, bool onlyOtherRegions);
     void run(std::unique_ptr<RoutedRequest> request, const Wire::ExchangePointer &exchange, RoutedRequest::AnswerHook answer);
     [[nodiscard]] std::optional<Protocol::BackendAnnouncement> makePresence();
     void updateRelays(const Fleet::BackendRecord &record);
--- a/Libraries/LibGateway/RelayPlan.cpp
+++ b/Libraries/LibGateway/RelayPlan.cpp
@@ -200,6 +200,7 @@
     std::vector<Core::ServiceName> shards;
     std::string leastRecord;
     Fleet::AllowedRegions allowedRegions;
+    std::optional<Fleet::WorkspaceName> workspace;
     std::erase_if(headers, [&](const Wire::Header &header) {
         if (Wire::sameName(header.name, RelayHeader::Terms)) {
             terms = readTerms(header.value);
@@ -220,6 +221,10 @@
             allowedRegions = Fleet::AllowedRegions::only({names.begin(), names.end()});
             return true;
         }
+        if (Wire::sameName(header.name, RelayHeader::Workspace)) {
+            workspace.emplace(header.value);
+            return true;
+        }
         return false;
     });
     if (!terms.has_value() || shards.empty()) {
@@ -228,6 +233,7 @@
     terms->shards = std::move(shards);
     terms->leastRecord = std::move(leastRecord);
     terms->allowedRegions = std::move(allowedRegions);
+    terms->workspace = std::move(workspace);
     return terms;
 }
 
@@ -260,6 +266,9 @@
         const auto &names = terms.allowedRegions.names().value();
         headers.push_back({RelayHeader::AllowedRegions, Core::joinList({names.begin(), names.end()})});
     }
+    if (terms.workspace.has_value()) {
+        headers.push_back({RelayHeader::Workspace, terms.workspace->value()});
+    }
     if (!terms.leastRecord.empty()) {
         headers.push_back({RelayHeader::LeastRecord, toHexadecimal(terms.leastRecord)});
     }
@@ -284,6 +293,8 @@
     Dialect relay = dialect;
     relay.writeRequest = [write = dialect.writeRequest](std::string &bytes, const BackendRequest &request) {
         CallerRequest named = *request.caller;
+        // The other gateway goes by the part's terms.
+        named.workspace.reset();
         named.message.headers.push_back({RelayHeader::Send, std::to_string(request.number)});
         BackendRequest sent = request;
         sent.caller = &named;
--- a/Libraries/LibGateway/RelayPlan.h
+++ b/Libraries/LibGateway/RelayPlan.h
@@ -100,6 +100,8 @@
 constexpr const char *AllowedRegions = "Crankrudder-Allowed-Regions";
 /** The body is a partial answer. */
 constexpr const char *Partial = "Crankrudder-Partial";
+/** The workspace whose search it is, as the asker found by the caller's key. Left out where there is none. */
+constexpr const char *Workspace = "Crankrudder-Workspace";
 /** Names one send of a part; the other gateway's answer carries it back. A search's parts all have its request id. */
 constexpr const char *Send = "Crankrudder-Send";
 }
@@ -129,6 +131,8 @@
      * the two may differ for a moment after a change, and the request must not run where either forbids it.
      */
     Fleet::AllowedRegions allowedRegions;
+    /** Whose search it is. */
+    std::optional<Fleet::WorkspaceName> workspace;
 };
 
 /** Takes the terms out of a request's headers; nothing when they are not all there. */
--- a/Libraries/LibGateway/RelayedPart.cpp
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -30,6 +30,7 @@
     const auto way = scaled(context.relays->roundTripTo(this->relays), RelayWayFactor) + RelayOverhead;
     this->terms = makeTerms(*context.settings, *this->relayRoute, this->request, *context.relayLatencies, now);
     this->terms.giveUpAt = std::min(this->terms.giveUpAt, partTerms.giveUpAt);
+    this->terms.urgency = urgencyOf(context.workspace, route);
     this->terms.preferred = plan.owners;
     // The request's body is not to travel where it may not be served, either.
     this->terms.allowedRegions = partTerms.allowedRegions;
@@ -43,7 +44,8 @@
             .shards = plan.shards,
             .leastRecord = plan.leastRecord,
             .topRecords = partTerms.topRecords,
-            .allowedRegions = partTerms.allowedRegions});
+            .allowedRegions = partTerms.allowedRegions,
+            .workspace = this->request.workspace});
     this->relayCall = std::make_unique<ShardCall>(this->terms, this->relays, *context.relays, *context.timers);
 }
 
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -53,6 +53,11 @@
     return latencies.quantile(0.5, scaled(route.targetLatency, settings.assumedLatencyShare), FewestLatencies);
 }
 
+Urgency urgencyOf(const Fleet::Workspace *workspace, const Fleet::Route &route)
+{
+    return {.workspace = workspace == nullptr ? 0 : workspace->priority, .route = route.priority};
+}
+
 CallTerms makeTerms(
     const RequestSettings &settings, const Fleet::Route &route, const CallerRequest &request, const Core::LatencyDigest &latencies, Core::Instant now)
 {
@@ -78,6 +83,10 @@
     , terms(makeTerms(*context.settings, route, this->request, *context.latencies, context.timers->now()))
     , arrivedAt(context.timers->now())
 {
+    this->terms.urgency = urgencyOf(context.workspace, route);
+    if (context.workspace != nullptr) {
+        this->terms.allowedRegions = this->terms.allowedRegions.intersectedWith(context.workspace->allowedRegions);
+    }
     if (context.relayTerms.has_value()) {
         this->terms.targetAt = this->arrivedAt + context.relayTerms->targetLeft;
         this->terms.giveUpAt = std::min(this->terms.giveUpAt, this->arrivedAt + context.relayTerms->holdLeft);
@@ -165,6 +174,10 @@
     if (same != nullptr) {
         this->terms.allowedRegions = this->terms.allowedRegions.intersectedWith(same->allowedRegions);
     }
+    const auto *workspace = this->request.workspace.has_value() ? newer.declaration().workspaceNamed(this->request.workspace.value()) : nullptr;
+    if (workspace != nullptr) {
+        this->terms.allowedRegions = this->terms.allowedRegions.intersectedWith(workspace->allowedRegions);
+    }
 }
 
 void RoutedRequest::callerGone()
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -68,6 +68,8 @@
     WorkLimit *workLimit{nullptr};
     /** Who owns the shards of a zone. */
     const CellMap *cells{nullptr};
+    /** Whose request it is; nullptr where nobody's. Belongs to the declaration of the route. */
+    const Fleet::Workspace *workspace{nullptr};
     /** What another gateway wants that asks for a part of a search. */
     std::optional<RelayTerms> relayTerms;
 };
@@ -141,7 +143,10 @@
 /** What a reply usually takes: the median, or an assumption before enough are known. */
 [[nodiscard]] Core::Duration typicalLatencyOf(const RequestSettings &settings, const Fleet::Route &route, const Core::LatencyDigest &latencies);
 
-/** The terms of a request's calls. */
+/** How urgent a workspace's requests for a route are; nobody's are as urgent as the most urgent workspace's. */
+[[nodiscard]] Urgency urgencyOf(const Fleet::Workspace *workspace, const Fleet::Route &route);
+
+/** The terms of a request's calls, without their urgency. */
 [[nodiscard]] CallTerms makeTerms(
     const RequestSettings &settings, const Fleet::Route &route, const CallerRequest &request, const Core::LatencyDigest &latencies, Core::Instant now);
 
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -87,7 +87,7 @@
     if (this->waiter.has_value()) {
         return;
     }
-    this->waiter = this->pool.waitForRoom(this->serviceName, this->terms.route->priority, [this] {
+    this->waiter = this->pool.waitForRoom(this->serviceName, this->terms.urgency, [this] {
         this->waiter.reset();
         this->tryNext();
     });
--- a/Libraries/LibGateway/ShardCall.h
+++ b/Libraries/LibGateway/ShardCall.h
@@ -29,6 +29,7 @@
     Core::Duration typicalLatency{0};
     /** After this long without a reply an attempt is hedged. */
     Core::Duration hedgeDelay{0};
+    Urgency urgency;
     /** Where a search leaves without those of its shards that are late; nullptr elsewhere. */
     WorkLimit *workLimit{nullptr};
     /** Those that are asked before any others while they are sound, in this order. */
--- a/Tests/LibGateway/TestConnections.cpp
+++ b/Tests/LibGateway/TestConnections.cpp
@@ -176,7 +176,7 @@
     fixture.send("a");
     fixture.send("b");
     cr_assert(fixture.hasReplies(2));
-    (void)fixture.pool.waitForRoom(service, 0, [&fixture] {
+    (void)fixture.pool.waitForRoom(service, {}, [&fixture] {
         fixture.send("waits");
     });
     // The first connection expires while the loop does not run, so that the next send closes it.
@@ -193,7 +193,7 @@
     fixture.send("a");
     fixture.send("b");
     cr_assert(fixture.hasReplies(2));
-    (void)fixture.pool.waitForRoom(service, 0, [&fixture] {
+    (void)fixture.pool.waitForRoom(service, {}, [&fixture] {
         fixture.send("waits");
     });
     cr_assert(fixture.hasReplies(3));
@@ -269,15 +269,15 @@
         return held.has_value();
     }));
     bool nextWasSent = false;
-    (void)fixture.pool.waitForRoom(service, 0, [&] {
+    (void)fixture.pool.waitForRoom(service, {}, [&] {
         nextWasSent = fixture.send("next");
     });
     std::function<void()> first = [&] {
         if (!fixture.send("x")) {
-            (void)fixture.pool.waitForRoom(service, 0, first);
+            (void)fixture.pool.waitForRoom(service, {}, first);
         }
     };
-    (void)fixture.pool.waitForRoom(service, 0, first);
+    (void)fixture.pool.waitForRoom(service, {}, first);
     held->connection->write(goodAnswer(held->request, "signature", "body"));
     cr_assert(fixture.runUntil([&nextWasSent] {
         return nextWasSent;
--- a/Tests/Platform/TestCodecs.cpp
+++ b/Tests/Platform/TestCodecs.cpp
@@ -123,6 +123,42 @@
             [](auto &document) {
                 document["routes"][0]["allowed_regions"] = {"bern", 7};
             }},
+        {"public is text",
+            [](auto &document) {
+                document["routes"][0]["public"] = "yes";
+            }},
+        {"workspaces are no list",
+            [](auto &document) {
+                document["tenants"] = {{"name", "w"}};
+            }},
+        {"a workspace without a name",
+            [](auto &document) {
+                document["tenants"] = {{{"api_keys", {"k"}}}};
+            }},
+        {"two workspaces of one name",
+            [](auto &document) {
+                document["tenants"] = {{{"name", "w"}}, {{"name", "w"}}};
+            }},
+        {"a key that two workspaces share",
+            [](auto &document) {
+                document["tenants"] = {{{"name", "v"}, {"api_keys", {"a", "b"}}}, {{"name", "w"}, {"api_keys", {"c", "b"}}}};
+            }},
+        {"a key that is no text",
+            [](auto &document) {
+                document["tenants"] = {{{"name", "w"}, {"api_keys", {"a", 7}}}};
+            }},
+        {"an empty key",
+            [](auto &document) {
+                document["tenants"] = {{{"name", "w"}, {"api_keys", {""}}}};
+            }},
+        {"a negative rate",
+            [](auto &document) {
+                document["tenants"] = {{{"name", "w"}, {"rate_per_s", -1}}};
+            }},
+        {"a burst that is text",
+            [](auto &document) {
+                document["tenants"] = {{{"name", "w"}, {"burst", "16"}}};
+            }},
         {"a warm-up is no number",
             [](auto &document) {
                 document["services"][0]["warmup_s"] = "3";
@@ -158,6 +194,48 @@
     cr_assert_not(Platform::checkRegions(*read.value(), {{"z1", "bern"}}).has_value());
 }
 
+Test(ConfigurationCodec, readsWorkspacesWithTheirKeysAndQuotas)
+{
+    auto document = goodConfiguration();
+    cr_assert_not(Platform::readConfiguration(document.dump()).value()->workspaces.has_value(), "no keys are needed where nothing is said of workspaces");
+    document["tenants"] = nlohmann::json::array();
+    cr_assert(Platform::readConfiguration(document.dump()).value()->workspaces.has_value(), "the last workspace's end opens nothing");
+    document["routes"][1]["public"] = true;
+    document["tenants"]
+        = {{{"name", "v"}, {"api_keys", {"one", "two", "one"}}, {"priority", 3}, {"rate_per_s", 2.5}, {"burst", 4}, {"allowed_regions", {"bern"}}},
+            {{"name", "w"}, {"api_keys", nlohmann::json::array()}}};
+    const auto read = Platform::readConfiguration(document.dump());
+    cr_assert(read.has_value());
+    const auto &workspaces = read.value()->workspaces.value();
+    const auto *holder = workspaces.holderOf(Fleet::ApiKey("two"));
+    cr_assert(holder != nullptr && holder == workspaces.holderOf(Fleet::ApiKey("one")) && holder == workspaces.find(Fleet::WorkspaceName("v")));
+    cr_assert(holder->priority == 3 && holder->quota.requestsPerSecond == 2.5 && holder->quota.burst == 4.0);
+    cr_assert(holder->allowedRegions.allows("bern") && !holder->allowedRegions.allows("zurich"));
+    for (const char *unknown : {"", "One", "on", "oneone", "v", "w"}) {
+        cr_assert_null(workspaces.holderOf(Fleet::ApiKey(unknown)), "%s", unknown);
+    }
+    cr_assert_not(workspaces.find(Fleet::WorkspaceName("w"))->quota.isBounded());
+    cr_assert(!read.value()->routes[0].isPublic && read.value()->routes[1].isPublic);
+    cr_assert(Platform::checkRegions(*read.value(), {{"z1", "bern"}}).has_value());
+    cr_assert_not(Platform::checkRegions(*read.value(), {{"z2", "zurich"}}).has_value());
+}
+
+// Operators and callers see these messages, and they end up in logs.
+Test(ConfigurationCodec, namesNoKeyInWhatIsWrong)
+{
+    const std::vector<nlohmann::json> faulty{{{{"name", "v"}, {"api_keys", {"secret"}}}, {{"name", "w"}, {"api_keys", {"secret"}}}},
+        {{{"name", "v"}, {"api_keys", "secret"}}},
+        {{{"name", "v"}, {"api_keys", {"secret", 1}}}},
+        {{{"name", "v"}, {"api_keys", {"secret"}}, {"rate_per_s", "x"}}}};
+    for (const auto &tenants : faulty) {
+        auto document = goodConfiguration();
+        document["tenants"] = tenants;
+        const auto read = Platform::readConfiguration(document.dump());
+        cr_assert_not(read.has_value());
+        cr_assert(read.error().message.find("secret") == std::string::npos, "%s", read.error().message.c_str());
+    }
+}
+
 // What another program wrote: fields that are missing or of another type, unknown states, bytes that can't be read. None of it names a server.
 Test(HeartbeatCodec, refusesWhatABackendServerDidNotWrite)
 {
@@ -255,6 +333,28 @@
     }
 }
 
+Test(RequestDialect, tellsBackendServersTheWorkspaceAndNeverTheKey)
+{
+    const auto dialect = Platform::makeDialect();
+    auto request = dialect.readRequest(Wire::Request{.method = "GET",
+        .target = "/",
+        .headers = {{"Request-Id", "x"}, {"credential", "the-key"}, {"TENANT", "forged"}, {"Credential", "another-key"}, {"Connection", "Tenant"}},
+        .body = {}});
+    cr_assert(request.key.has_value() && !request.workspace.has_value());
+    const auto written = [&](const Gateway::Dialect &used) {
+        std::string bytes;
+        used.writeRequest(bytes, {.caller = &request, .backend = Gateway::BackendName("i"), .timeLeft = Core::seconds(1), .number = 7});
+        return bytes;
+    };
+    cr_assert(written(dialect).find("enant: ") == std::string::npos && written(dialect).find("forged") == std::string::npos);
+    request.workspace = Fleet::WorkspaceName("w");
+    cr_assert_neq(written(dialect).find("Tenant: w\r\n"), std::string::npos);
+    cr_assert_eq(written(Gateway::makeRelayDialect(dialect)).find("Tenant"), std::string::npos, "gateways go by the terms of a part");
+    for (const auto &bytes : {written(dialect), written(Gateway::makeRelayDialect(dialect))}) {
+        cr_assert(bytes.find("-key") == std::string::npos, "%s", bytes.c_str());
+    }
+}
+
 Test(RequestDialect, saysNotRunOnlyWhereNothingRan)
 {
     const auto dialect = Platform::makeDialect();
@@ -266,7 +366,8 @@
     const std::vector<Case> cases{{Gateway::Refusal::NotRun, 503, true},
         {Gateway::Refusal::TimedOut, 504, false},
         {Gateway::Refusal::Failed, 502, false},
-        {Gateway::Refusal::NoRoute, 404, false}};
+        {Gateway::Refusal::NoRoute, 404, false},
+        {Gateway::Refusal::Unauthorized, 401, false}};
     for (const auto &item : cases) {
         const auto response = dialect.writeRefusal(item.refusal, Core::RequestId("id"), Core::milliseconds(150));
         cr_assert(response.status == item.status);
--- /dev/null
+++ b/Tests/Support/NodeFixture.h
@@ -0,0 +1,205 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// Whole gateways on the loopback interface, with a coordinator that a test fills,
+// and callers that send what they like.
+
+#pragma once
+
+#include <LibCore/Json.h>
+#include <LibFleet/TextDelta.h>
+#include <LibGateway/GatewayNode.h>
+#include <LibRpc/RpcServer.h>
+#include <LibWire/ClientConnection.h>
+#include <Support/GatewayFixture.h>
+#include <platform/ConfigurationCodec.h>
+
+namespace TestSupport
+{
+
+/** Tells every gateway of all backend servers, gateways and the newest declaration, and confirms it. */
+class SteadyCoordinator : public Protocol::CoordinatorCobSvIf
+{
+public:
+    explicit SteadyCoordinator(LoopFixture &fixture) : endpoint(freeEndpoint()), timers(fixture.timers)
+    {
+        // The server must not own what owns it.
+        const std::shared_ptr<SteadyCoordinator> unowned(this, [](SteadyCoordinator *) {
+        });
+        this->server = Rpc::RpcServer::create(
+            {.name = "watch", .endpoint = this->endpoint, .processor = std::make_shared<Protocol::CoordinatorAsyncProcessor>(unowned), .limits = {}},
+            fixture.timers)
+                           .value();
+    }
+
+    void watch(std::function<void(Protocol::WatchReply const &)> callback, const Protocol::WatchRequest &request) override
+    {
+        if (request.__isset.gateway && !this->isSilent) {
+            this->gateways.merge(request.gateway, this->timers.now());
+        }
+        // Asked again at once after each answer, so each is held for a moment.
+        this->held.push_back(this->timers.once(Core::milliseconds(10), [this, callback = std::move(callback), request](Core::Instant now) {
+            callback(this->replyTo(request, now));
+        }));
+    }
+
+    void introduce(std::function<void(Protocol::IntroductionReply const &)> callback, const Protocol::Introduction &) override
+    {
+        callback(Protocol::IntroductionReply());
+    }
+
+    void declare(const nlohmann::json &document)
+    {
+        this->version = document["version"].get<std::int64_t>();
+        this->declaration = Fleet::compressText(document.dump());
+    }
+
+    Core::Endpoint endpoint;
+    Fleet::BackendRegistry backends;
+    Fleet::BackendRegistry gateways;
+    // Takes no gateway's presence over.
+    bool isSilent{false};
+
+private:
+    [[nodiscard]] Protocol::WatchReply replyTo(const Protocol::WatchRequest &request, Core::Instant now) const
+    {
+        const bool sameLife = request.coordinatorIncarnation == 1;
+        Protocol::WatchReply reply;
+        reply.coordinatorIncarnation = 1;
+        reply.cursor = this->backends.position();
+        reply.changed = this->backends.changedSince(sameLife ? request.cursor : 0, now);
+        reply.gatewayCursor = this->gateways.position();
+        reply.changedGateways = this->gateways.changedSince(sameLife ? request.gatewayCursor : 0, now);
+        reply.declarationVersion = this->version;
+        reply.hasLeader = true;
+        reply.confirmed = request.confirm;
+        if (request.wantsDeclaration && request.declarationVersion < this->version) {
+            reply.__set_declaration(this->declaration);
+        }
+        return reply;
+    }
+
+    Core::TimerService &timers;
+    std::int64_t version{-1};
+    std::string declaration;
+    std::vector<Core::TimerSubscription> held;
+    std::unique_ptr<Rpc::RpcServer> server;
+};
+
+/** A gateway with its listeners. */
+class NodeUnderTest
+{
+public:
+    NodeUnderTest(LoopFixture &fixture, Gateway::GatewayOptions options, const Core::Endpoint &callerEndpoint)
+        : callerEndpoint(callerEndpoint), node(options, *fixture.poll, fixture.timers)
+    {
+        this->callers = listen(fixture, "caller", callerEndpoint, [this](Wire::Request request, const auto &exchange) {
+            this->node.handle(std::move(request), exchange);
+        });
+        this->relay = listen(fixture, "relay", options.relayEndpoint, [this](Wire::Request request, const auto &exchange) {
+            this->relayed.push_back(request);
+            this->node.handleRelayed(std::move(request), exchange);
+        });
+    }
+
+    Core::Endpoint callerEndpoint;
+    // What other gateways brought.
+    std::vector<Wire::Request> relayed;
+    Gateway::GatewayNode node;
+
+private:
+    static std::shared_ptr<Wire::Server> listen(LoopFixture &fixture, const std::string &name, const Core::Endpoint &endpoint, Wire::RequestHandler handler)
+    {
+        return Wire::Server::create({.name = name, .endpoint = endpoint, .handler = std::move(handler), .limits = {}}, *fixture.poll, fixture.timers).value();
+    }
+
+    std::shared_ptr<Wire::Server> callers;
+    std::shared_ptr<Wire::Server> relay;
+};
+
+/** A coordinator, gateways and backend servers. */
+class NodeFixture : public LoopFixture
+{
+public:
+    NodeUnderTest &addNode(const std::string &zone, const std::function<void(Gateway::GatewayOptions &options)> &adjust = {})
+    {
+        Gateway::GatewayOptions options;
+        options.name = "gateway-" + std::to_string(this->nodes.size());
+        options.pool.zone = Core::ZoneName(zone);
+        options.pool.regions = {{"here", "home"}, {"beside", "home"}, {"there", "away"}};
+        options.coordinators = {this->coordinator.endpoint};
+        options.relayEndpoint = freeEndpoint();
+        options.dialect = Platform::makeDialect();
+        options.readDeclaration = Platform::readConfiguration;
+        if (adjust) {
+            adjust(options);
+        }
+        this->nodes.push_back(std::make_unique<NodeUnderTest>(*this, std::move(options), freeEndpoint()));
+        return *this->nodes.back();
+    }
+
+    ScriptedBackend &addBackend(const std::string &service, const std::string &id, const std::string &zone)
+    {
+        this->backends.push_back(std::make_unique<ScriptedBackend>(*this, id, [id](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+            exchange->respond(goodAnswer(request, "signature-" + id, std::string(16, 'r')));
+        }));
+        Protocol::BackendAnnouncement announcement;
+        announcement.id = id;
+        announcement.serviceName = service;
+        announcement.address = this->backends.back()->endpoint.toString();
+        announcement.zone = zone;
+        announcement.slots = 4;
+        announcement.phase = Protocol::BackendPhase::READY;
+        announcement.sequence = 1;
+        this->coordinator.backends.merge(announcement, this->timers.now());
+        return *this->backends.back();
+    }
+
+    /** Waits until all gateways are ready and know of each other. */
+    [[nodiscard]] bool awaitReady()
+    {
+        return this->runUntil([this] {
+            return std::all_of(this->nodes.begin(), this->nodes.end(), [this](const auto &row) {
+                return row->node.isReady() && row->node.backends().gatewayCount() == static_cast<int>(this->nodes.size());
+            });
+        });
+    }
+
+    /** A caller's request and its answer; status 0 when none came. */
+    Wire::Response ask(const NodeUnderTest &asked, const std::string &target, Wire::Headers headers = {})
+    {
+        headers.push_back({"Host", "h.example"});
+        headers.push_back({"Request-Id", "request-" + std::to_string(++this->lastRequest)});
+        headers.push_back({"Deadline-Ms", "5000"});
+        std::string bytes;
+        Wire::appendRequest(bytes, {.method = "GET", .target = target, .headers = std::move(headers), .body = {}});
+        Wire::Response answer;
+        bool over = false;
+        const auto connection = Wire::ClientConnection::create({.endpoint = asked.callerEndpoint}, *this->poll, this->timers).value();
+        connection->send({.bytes = std::move(bytes),
+            .recognise =
+                [](const Wire::Response &) {
+                    return true;
+                },
+            .done =
+                [&](Wire::ClientResult result) {
+                    over = true;
+                    answer = std::move(result.response);
+                }});
+        (void)this->runUntil([&over] {
+            return over;
+        });
+        return answer;
+    }
+
+    SteadyCoordinator coordinator{*this};
+    std::vector<std::unique_ptr<ScriptedBackend>> backends;
+    std::vector<std::unique_ptr<NodeUnderTest>> nodes;
+
+private:
+    int lastRequest{0};
+};
+
+}
