LibGateway, platform: Quotas of workspaces over all gateways

A workspace's quota holds for all gateways together, and most gateways see less than one of its requests in the window that it is counted over, so it can't be divided among all of them. A few gateways keep a part of it each: two in every region, found by a ring of hashes of their addresses. A part is a token bucket, so that all parts together let in (rate x window + burst) x (1 + overshoot) + slack in any window. A gateway asks a keeper of its own region, then another one there, then one beyond, and remembers which had nothing left; beyond the quota callers get 429 at once, with the time at which there is some again after those who were refused before.

Who keeps a part may change, and two must not give it out at once: one that becomes a keeper starts with nothing and waits until the one before has heard of it, and one that has not heard for 7 s from a coordinator that knows a leader keeps nothing, before the others give it up (12 s).

A property test plays gateways that freeze, are cut off and come back, while quotas change. It found that the answer of a coordinator that tells of leavers only must not count as contact: the declaration may be older.

--- a/Libraries/LibFleet/FleetWatcher.cpp
+++ b/Libraries/LibFleet/FleetWatcher.cpp
@@ -68,6 +68,11 @@
     }));
 }
 
+std::optional<Core::Instant> FleetWatcher::leaderKnownAt() const
+{
+    return this->leaderKnown;
+}
+
 std::vector<Core::Endpoint> FleetWatcher::coordinators() const
 {
     std::vector<Core::Endpoint> endpoints;
@@ -198,6 +203,7 @@
     const auto request = this->makeRequest(watched);
     watched.askedInterest = request.registryInterest;
     watched.question = ++this->lastQuestion;
+    watched.askedAt = this->timers.now();
     const std::weak_ptr<int> weak = this->alive;
     Rpc::call<Protocol::CoordinatorCobClient, Protocol::WatchReply>(
         watched.channel,
@@ -267,6 +273,9 @@
     const bool skipped = request.registryInterest == RegistryInterest::LEAVERS;
     watched.toldEverything = request.registryInterest == RegistryInterest::EVERYTHING || (sameLife && watched.toldEverything && !skipped);
     this->takeNews(watched, answer, request.declarationVersion);
+    if (answer.hasLeader && request.registryInterest == RegistryInterest::EVERYTHING) {
+        this->leaderKnown = std::max(this->leaderKnown.value_or(watched.askedAt), watched.askedAt);
+    }
     if (request.confirm && answer.confirmed && this->wantsConfirmation) {
         this->wantsConfirmation = false;
         this->confirmedVersion = answer.declarationVersion;
--- a/Libraries/LibFleet/FleetWatcher.h
+++ b/Libraries/LibFleet/FleetWatcher.h
@@ -71,6 +71,8 @@
     /** Coordinators that answered lately. */
     [[nodiscard]] std::size_t inReach() const;
     [[nodiscard]] std::vector<Core::Endpoint> coordinators() const;
+    /** When the latest question was asked that a coordinator answered which hears from a leader and tells everything: what is known here is newer. */
+    [[nodiscard]] std::optional<Core::Instant> leaderKnownAt() const;
     /** Whether any coordinator has answered yet. */
     [[nodiscard]] bool hasNews() const;
 
@@ -111,6 +113,8 @@
         std::size_t order{0};
         Core::Instant addedAt;
         Core::Instant lastAnswer;
+        // When the question that is under way was asked.
+        Core::Instant askedAt;
         Core::TimerSubscription retry;
     };
 
@@ -144,6 +148,7 @@
     std::optional<std::int64_t> confirmedVersion;
     Protocol::Evacuations evacuated;
     bool anyAnswer{false};
+    std::optional<Core::Instant> leaderKnown;
     // The text of the version that is held, as a base for deltas; compressed, since it may be long.
     std::string heldText;
     std::int64_t heldTextVersion{-1};
--- a/Libraries/LibGateway/CellMap.cpp
+++ b/Libraries/LibGateway/CellMap.cpp
@@ -5,6 +5,8 @@
 
 #include <LibGateway/CellMap.h>
 
+#include <LibGateway/StableHash.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -14,19 +16,6 @@
 // Memory of the rate of searches. At a search in six seconds it holds five of them, and it follows a rising load within the time of a few.
 static constexpr double RateMemorySeconds = 30.0;
 
-// FNV-1a, which is the same in every build, and a last mixing step (of SplitMix64), since names that differ in their last digit have to differ
-// in the high bits, too.
-static std::uint64_t hashOf(const std::string &text)
-{
-    std::uint64_t hash = 0xcbf29ce484222325U;
-    for (const char byte : text) {
-        hash = (hash ^ static_cast<unsigned char>(byte)) * 0x100000001b3U;
-    }
-    hash = (hash ^ (hash >> 30U)) * 0xbf58476d1ce4e5b9U;
-    hash = (hash ^ (hash >> 27U)) * 0x94d049bb133111ebU;
-    return hash ^ (hash >> 31U);
-}
-
 CellMap::CellMap(CellOptions options, std::string ownZone, Fleet::RegionOfZone regions, std::string ownAddress)
     : options(options), ownZone(std::move(ownZone)), regions(std::move(regions)), ownAddress(std::move(ownAddress))
 {
@@ -74,7 +63,7 @@
 
 std::size_t CellMap::cellOf(const Core::ServiceName &shard, std::size_t shardsInSearch, const std::string &zone) const
 {
-    return hashOf(shard.value()) % this->cellCount(shardsInSearch, zone);
+    return stableHash(shard.value()) % this->cellCount(shardsInSearch, zone);
 }
 
 // Rendezvous hashing: one that comes or goes changes the cells that it owns, and no others.
@@ -83,7 +72,7 @@
     const auto cellName = zone + "/" + std::to_string(this->cellCount(shardsInSearch, zone)) + "/" + std::to_string(cell) + "/";
     std::vector<std::pair<std::uint64_t, const CellGateway *>> ranked;
     for (const auto &gateway : this->gateways.at(zone)) {
-        ranked.emplace_back(hashOf(cellName + gateway.address), &gateway);
+        ranked.emplace_back(stableHash(cellName + gateway.address), &gateway);
     }
     const auto owners = std::min(count, ranked.size());
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(owners), ranked.end());
@@ -101,7 +90,7 @@
     }
     auto owners = this->rankedOwners(cell, shardsInSearch, zone, this->ownerCount(zone));
     // Gateways spread over the owners, and each keeps to its own, to which its connections are open.
-    const auto first = hashOf(this->ownAddress + "/" + std::to_string(cell)) % owners.size();
+    const auto first = stableHash(this->ownAddress + "/" + std::to_string(cell)) % owners.size();
     std::rotate(owners.begin(), owners.begin() + static_cast<std::ptrdiff_t>(first), owners.end());
     std::vector<BackendName> names;
     for (const auto *owner : owners) {
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -42,6 +42,8 @@
     std::optional<Fleet::ApiKey> key;
     /** Whose request it is, as far as the key showed. Backend servers are told, whatever the caller said of itself. */
     std::optional<Fleet::WorkspaceName> workspace;
+    /** How long it waited here until its workspace's quota let it in. */
+    Core::Duration waited{0};
     Wire::Request message;
 };
 
@@ -106,6 +108,8 @@
     NoRoute,
     /** The route needs an API key, and there was none or an unknown one. */
     Unauthorized,
+    /** Nothing ran and nothing will: the workspace has sent as much as it may. */
+    OverQuota,
 };
 
 /** Reads and writes the envelopes. */
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -23,6 +23,9 @@
 // For how long a gateway that no coordinator answers goes on as an owner: less than coordinators take to give a silent gateway up (12 s), after
 // which another one owns its cells.
 static constexpr Core::Duration OwnershipWithoutNews = Core::seconds(5);
+// For how long after it asked a coordinator that knows a leader a gateway goes on to keep quotas: less than coordinators take to give a silent gateway
+// up (12 s) by as much as a leader that was cut off may not know it yet, after which another one keeps them.
+static constexpr Core::Duration KeepingWithoutLeader = Core::seconds(7);
 // How often the counters are logged: a bound for how long ago the last line before a crash was.
 static constexpr Core::Duration CounterLogPeriod = Core::seconds(10);
 
@@ -49,6 +52,7 @@
           this->gateways,
           timers)
     , ownership(this->options.ownership, this->options.pool.zone.value(), this->options.pool.regions, this->options.relayEndpoint.toString(), timers.now())
+    , quotas(this->options.quotas, this->options.pool.regions, this->options.pool.zone.value(), this->options.relayEndpoint.toString(), this->relays, timers)
     , lastInReach(timers.now())
     , incarnationName(this->options.name + "/" + Core::randomToken().substr(0, 8))
 {
@@ -104,6 +108,8 @@
     }
     const bool mayOwn = !this->draining && now - this->lastInReach < OwnershipWithoutNews;
     this->ownership.takeGateways(this->gateways, this->timers.now());
+    this->updateQuotas();
+    this->quotas.sweep();
     this->ownership.advance({.gateways = this->pool.gatewayCount(), .mayOwn = mayOwn}, HousekeepingPeriod, now);
 }
 
@@ -135,6 +141,7 @@
             {"failed", this->counts.failed},
             {"callers_gone", this->counts.callersGone},
             {"unauthorized", this->counts.unauthorized},
+            {"over_quota", this->counts.overQuota},
             {"relayed", this->counts.relayed},
             {"for_others", this->counts.takenForOthers},
             {"hedges", this->counts.hedges},
@@ -200,6 +207,7 @@
     this->routes = std::make_shared<const Fleet::RouteTable>(declaration.value());
     this->pool.setDeclaration(declaration.value());
     this->ownership.takeDeclaration(*declaration.value());
+    this->quotas.takeDeclaration(declaration.value());
     for (const auto &[id, request] : this->requests) {
         request->keepTo(*this->routes);
     }
@@ -252,7 +260,7 @@
 
 std::size_t GatewayNode::requestsUnderWay() const
 {
-    return this->requests.size();
+    return this->requests.size() + this->admissions.size();
 }
 
 const GatewayCounters &GatewayNode::counters() const
@@ -303,9 +311,93 @@
         this->refuse(Refusal::Unauthorized, request, answerTo(exchange), request.key.has_value() ? "key-unknown" : "no-key");
         return;
     }
+    if (workspace != nullptr && workspace->quota.isBounded()) {
+        this->admit(*workspace, std::move(request), exchange);
+        return;
+    }
+    this->startRequest(*route, workspace, std::move(request), exchange);
+}
+
+// ---- Quotas
+
+void GatewayNode::updateQuotas()
+{
+    this->quotas.takeGateways(this->gateways);
+    const auto leaderKnown = this->watcher.leaderKnownAt();
+    this->quotas.setMayKeep(!this->draining && leaderKnown.has_value() && this->timers.now() - leaderKnown.value() < KeepingWithoutLeader);
+}
+
+void GatewayNode::admit(const Fleet::Workspace &workspace, CallerRequest request, const Wire::ExchangePointer &exchange)
+{
+    this->updateQuotas();
+    const auto id = this->nextRequest++;
+    const auto requestId = request.id;
+    this->admissions[id] = Admission{.request = std::move(request), .exchange = exchange};
+    exchange->aborted = [this, id] {
+        const auto waiting = this->admissions.extract(id);
+        if (!waiting.empty()) {
+            ++this->counts.callersGone;
+            this->quotas.cancel(waiting.mapped().question);
+        }
+    };
+    const auto question = this->quotas.decide(workspace, requestId, [this, id](const QuotaDecision &decision) {
+        this->takeDecision(id, decision);
+    });
+    // NOTE: The decision may have come already.
+    if (const auto waiting = this->admissions.find(id); waiting != this->admissions.end()) {
+        waiting->second.question = question;
+    }
+}
+
+void GatewayNode::takeDecision(std::uint64_t id, const QuotaDecision &decision)
+{
+    auto row = this->admissions.extract(id);
+    if (row.empty()) {
+        return;
+    }
+    auto &[request, exchange, question] = row.mapped();
+    request.waited = decision.waited;
+    if (decision.verdict != QuotaDecision::Verdict::Granted) {
+        const bool isOver = decision.verdict == QuotaDecision::Verdict::OverQuota;
+        this->counts.overQuota += isOver ? 1 : 0;
+        Core::logEvent(Core::LogLevel::Information,
+            "quota.refused",
+            {{"request", request.id.value()},
+                {"workspace", request.workspace.value().value()},
+                {"asked", decision.asked},
+                {"waited_ms", Core::toMilliseconds(decision.waited)},
+                {"free_in_ms", Core::toMilliseconds(decision.comeBackAfter)},
+                {"over_quota", isOver ? 1 : 0}});
+        this->refuse(isOver ? Refusal::OverQuota : Refusal::NotRun,
+            request,
+            answerTo(exchange),
+            isOver ? "over-quota" : "no-quota-keeper",
+            isOver ? std::optional(decision.comeBackAfter) : std::nullopt);
+        return;
+    }
+    // The declaration in force may be another one by now.
+    const auto *route = this->routes->match(request.host, request.message.target);
+    const auto *workspace = this->routes->declaration().workspaceNamed(request.workspace.value());
+    if (route == nullptr || workspace == nullptr) {
+        this->refuse(route == nullptr ? Refusal::NoRoute : Refusal::Unauthorized, request, answerTo(exchange), "declaration-changed");
+        return;
+    }
     this->startRequest(*route, workspace, std::move(request), exchange);
 }
 
+void GatewayNode::answerQuotaQuestion(const Fleet::WorkspaceName &workspace, const CallerRequest &question, const RoutedRequest::AnswerHook &answer)
+{
+    this->updateQuotas();
+    const auto said = this->quotas.answer(workspace);
+    if (!said.isKeeper) {
+        this->refuse(Refusal::NotRun, question, answer, "not-quota-keeper");
+        return;
+    }
+    answer(this->options.dialect.writePartial(question.id, writeQuotaAnswer(said)));
+}
+
+// ---- Refusals and targets
+
 // The key has done its work then, and goes no further.
 const Fleet::Workspace *GatewayNode::authenticate(CallerRequest &request) const
 {
@@ -318,7 +410,8 @@
     return holder;
 }
 
-void GatewayNode::refuse(Refusal refusal, const CallerRequest &request, const RoutedRequest::AnswerHook &answer, const char *outcome)
+void GatewayNode::refuse(
+    Refusal refusal, const CallerRequest &request, const RoutedRequest::AnswerHook &answer, const char *outcome, std::optional<Core::Duration> comeBackAfter)
 {
     Core::logEvent(Core::LogLevel::Information,
         "request.refused",
@@ -330,8 +423,8 @@
             {"declaration", this->routes ? this->routes->declaration().version.value() : -1},
             {"confirmed", this->watcher.isConfirmed() ? 1 : 0}});
     const auto &settings = this->options.requests;
-    const auto comeBackAfter = this->watcher.isConfirmed() ? settings.comeBackAfter : settings.comeBackAfterStart;
-    answer(this->options.dialect.writeRefusal(refusal, request.id, comeBackAfter));
+    const auto usual = this->watcher.isConfirmed() ? settings.comeBackAfter : settings.comeBackAfterStart;
+    answer(this->options.dialect.writeRefusal(refusal, request.id, comeBackAfter.value_or(usual)));
 }
 
 Core::ServiceName GatewayNode::chooseTarget(const Fleet::Route &route)
@@ -356,10 +449,15 @@
 
 void GatewayNode::handleRelayed(Wire::Request message, const Wire::ExchangePointer &exchange)
 {
-    ++this->counts.takenForOthers;
     auto terms = takeRelayTerms(message.headers);
     const auto answer = answerToSend(exchange, takeSendName(message.headers));
+    const auto quotaQuestion = takeQuotaQuestion(message.headers);
     CallerRequest request = this->options.dialect.readRequest(std::move(message));
+    if (quotaQuestion.has_value()) {
+        this->answerQuotaQuestion(quotaQuestion.value(), request, answer);
+        return;
+    }
+    ++this->counts.takenForOthers;
     request.workspace = terms.has_value() ? terms->workspace : std::nullopt;
     const auto *route = this->routes && this->watcher.isConfirmed() ? this->routes->match(request.host, request.message.target) : nullptr;
     const auto *workspace = this->routes && request.workspace.has_value() ? this->routes->declaration().workspaceNamed(request.workspace.value()) : nullptr;
@@ -422,6 +520,7 @@
     // A caller can't claim to be another gateway.
     (void)takeRelayTerms(request.message.headers);
     (void)takeSendName(request.message.headers);
+    (void)takeQuotaQuestion(request.message.headers);
     const auto context = this->contextFor(route, workspace, std::nullopt);
     if (!route.isFanOut()) {
         this->run(std::make_unique<SingleRequest>(context, this->routes, route, std::move(request), this->chooseTarget(route)), exchange, answerTo(exchange));
@@ -508,6 +607,7 @@
     outcome("caller-gone", this->counts.callersGone);
     outcome("no-route", this->counts.unrouted);
     outcome("unauthorized", this->counts.unauthorized);
+    outcome("over-quota", this->counts.overQuota);
     const auto &sends = this->pool.counters();
     const auto counter = [&page](const char *name, const char *help, std::uint64_t value) {
         page.counter(name, help, static_cast<double>(value));
@@ -521,6 +621,13 @@
         "Answers of backend servers and gateways that belong to another send than the one that waited.",
         sends.passedOver + this->relays.counters().passedOver);
     counter("crankrudder_connections_kept_apart_total", "Sends that did not use a kept connection because it had carried the same request.", sends.keptApart);
+    const auto &quotaCounts = this->quotas.counters();
+    counter("crankrudder_quota_granted_total", "Requests that their workspace's quota let in.", quotaCounts.granted);
+    counter("crankrudder_quota_refused_total", "Requests beyond their workspace's quota.", quotaCounts.refused);
+    counter("crankrudder_quota_no_keeper_total", "Requests refused because no keeper of their workspace's quota answered.", quotaCounts.noKeeper);
+    counter("crankrudder_quota_asked_total", "Questions about quotas to other gateways.", quotaCounts.asked);
+    counter("crankrudder_quota_answered_total", "Questions about quotas from other gateways.", quotaCounts.answered);
+    page.gauge("crankrudder_quota_kept", "Workspaces that this gateway keeps a part of the quota of.", static_cast<double>(this->quotas.keptCount()));
     counter("crankrudder_hedges_total", "Second sends for late ones.", this->counts.hedges);
     counter("crankrudder_parts_given_total", "Parts of searches that other gateways were asked for.", this->counts.relayed);
     counter("crankrudder_parts_taken_total", "Parts of searches that other gateways asked for.", this->counts.takenForOthers);
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -11,6 +11,7 @@
 #include <LibFleet/FleetWatcher.h>
 #include <LibGateway/CellOwnership.h>
 #include <LibGateway/FanOutRequest.h>
+#include <LibGateway/QuotaGate.h>
 #include <LibMetrics/LatencyHistogram.h>
 #include <LibWire/Server.h>
 
@@ -28,6 +29,7 @@
     Core::Endpoint relayEndpoint;
     RelayOptions relay;
     CellOwnershipOptions ownership;
+    QuotaGateOptions quotas;
     /** Connections to each other gateway, one request at a time on each. */
     int relayConnections{8};
     /** Reads a declaration's text. */
@@ -47,6 +49,8 @@
     std::uint64_t unrouted{0};
     /** Without an API key that a workspace holds. */
     std::uint64_t unauthorized{0};
+    /** Beyond their workspace's quota. */
+    std::uint64_t overQuota{0};
     std::uint64_t hedges{0};
     /** Searches of which another gateway was asked for a part, and parts that others asked for. */
     std::uint64_t relayed{0};
@@ -87,10 +91,22 @@
     std::function<void(const Fleet::CallerLimits &limits)> limitsChanged;
 
 private:
+    /** A request that waits until its workspace's quota lets it in. */
+    struct Admission {
+        CallerRequest request;
+        Wire::ExchangePointer exchange;
+        std::uint64_t question{0};
+    };
+
     void adopt(Fleet::DeclarationVersion version, const std::string &content);
     void takeEvacuations(const Protocol::Evacuations &evacuations);
     /** Finds the workspace that holds the request's key, and names it in the request; nullptr when there is none. */
     [[nodiscard]] const Fleet::Workspace *authenticate(CallerRequest &request) const;
+    /** Starts the request as soon as the quota of its workspace allows. */
+    void admit(const Fleet::Workspace &workspace, CallerRequest request, const Wire::ExchangePointer &exchange);
+    void takeDecision(std::uint64_t id, const QuotaDecision &decision);
+    void answerQuotaQuestion(const Fleet::WorkspaceName &workspace, const CallerRequest &question, const RoutedRequest::AnswerHook &answer);
+    void updateQuotas();
     void startRequest(const Fleet::Route &route, const Fleet::Workspace *workspace, CallerRequest request, const Wire::ExchangePointer &exchange);
     [[nodiscard]] RequestContext contextFor(const Fleet::Route &route, const Fleet::Workspace *workspace, std::optional<RelayTerms> relayTerms);
     [[nodiscard]] RelayView relayView(const Fleet::Route &route, const Fleet::Workspace *workspace, bool onlyOtherRegions);
@@ -99,7 +115,11 @@
     void updateRelays(const Fleet::BackendRecord &record);
     void housekeep(Core::Instant now);
     void countGateways(Core::Instant now);
-    void refuse(Refusal refusal, const CallerRequest &request, const RoutedRequest::AnswerHook &answer, const char *outcome);
+    void refuse(Refusal refusal,
+        const CallerRequest &request,
+        const RoutedRequest::AnswerHook &answer,
+        const char *outcome,
+        std::optional<Core::Duration> comeBackAfter = std::nullopt);
     [[nodiscard]] Core::ServiceName chooseTarget(const Fleet::Route &route);
     [[nodiscard]] bool knowsEveryService() const;
     void count(const RequestSummary &summary);
@@ -116,6 +136,7 @@
     Fleet::BackendRegistry gateways;
     Fleet::FleetWatcher watcher;
     CellOwnership ownership;
+    QuotaGate quotas;
     // When a coordinator last answered.
     Core::Instant lastInReach;
     // The newest declaration that came; in force once it is confirmed that it was current.
@@ -126,6 +147,7 @@
     std::unordered_map<std::string, Core::LatencyDigest> latencies;
     std::unordered_map<std::string, Core::LatencyDigest> relayLatencies;
     std::unordered_map<std::string, WorkLimit> workLimits;
+    std::unordered_map<std::uint64_t, Admission> admissions;
     std::unordered_map<std::uint64_t, std::unique_ptr<RoutedRequest>> requests;
     std::uint64_t nextRequest{1};
     std::optional<Core::Instant> firstNews;
--- /dev/null
+++ b/Libraries/LibGateway/QuotaKeepers.cpp
@@ -0,0 +1,95 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibGateway/QuotaKeepers.h>
+
+#include <LibGateway/StableHash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Gateway
+{
+
+static constexpr std::size_t KeepersInRegion = 2;
+static constexpr double MillisecondsInASecond = 1000.0;
+
+QuotaKeepers::QuotaKeepers(Fleet::RegionOfZone regions, const QuotaOptions &options) : regions(std::move(regions)), options(options)
+{
+}
+
+void QuotaKeepers::setGateways(const std::vector<KeeperGateway> &gateways)
+{
+    this->rings.clear();
+    for (const auto &gateway : gateways) {
+        const auto found = this->regions.find(gateway.zone);
+        // A zone of no known region is a region of its own.
+        const auto &region = found == this->regions.end() ? gateway.zone : found->second;
+        this->rings[region][stableHash(gateway.address)] = gateway;
+    }
+}
+
+bool QuotaKeepers::isInRegionOf(const KeeperGateway &keeper, const std::string &zone) const
+{
+    return Fleet::inSameRegion(this->regions, keeper.zone, zone);
+}
+
+// What may arrive in a window is (rate x window + burst) x (1 + overshoot) + slack. A bucket gives out its capacity and what it fills in the window.
+BucketSize QuotaKeepers::whole(const Fleet::Quota &quota) const
+{
+    const double seconds = Core::toFractionalMilliseconds(this->options.window) / MillisecondsInASecond;
+    const double factor = this->options.usedShare * (1.0 + this->options.overshoot);
+    const double slack = this->options.usedShare * this->options.slack;
+    const double capacity = std::max(1.0, factor * quota.burst + slack);
+    const double inWindow = factor * (quota.requestsPerSecond * seconds + quota.burst) + slack;
+    // A capacity below one would never let a request through, so where one was added the rate pays for it, down to half.
+    const double perSecond = std::max((inWindow - capacity) / seconds, factor * quota.requestsPerSecond / 2.0);
+    return {.capacity = capacity, .perSecond = perSecond};
+}
+
+BucketSize QuotaKeepers::partOf(const Fleet::Quota &quota, std::size_t keepers) const
+{
+    const auto all = this->whole(quota);
+    const auto parts = static_cast<double>(std::max<std::size_t>(1, keepers));
+    return {.capacity = all.capacity / parts, .perSecond = all.perSecond / parts};
+}
+
+const KeeperGateway *QuotaKeepers::atRank(const Ring &ring, std::uint64_t position, std::size_t rank)
+{
+    auto place = ring.lower_bound(position);
+    for (std::size_t step = 0; step <= rank; ++step) {
+        if (place == ring.end()) {
+            place = ring.begin();
+        }
+        if (step < rank) {
+            ++place;
+        }
+    }
+    return &place->second;
+}
+
+std::vector<const KeeperGateway *> QuotaKeepers::keepersOf(const Fleet::Workspace &workspace) const
+{
+    const auto &name = workspace.name.value();
+    std::vector<std::pair<std::uint64_t, const Ring *>> byRegion;
+    for (const auto &[region, ring] : this->rings) {
+        byRegion.emplace_back(stableHash(name + "/" + region), &ring);
+    }
+    std::sort(byRegion.begin(), byRegion.end());
+    // A part has to hold a whole request.
+    const auto most = static_cast<std::size_t>(std::floor(this->whole(workspace.quota).capacity));
+    const auto position = stableHash(name);
+    std::vector<const KeeperGateway *> keepers;
+    for (std::size_t rank = 0; rank < KeepersInRegion; ++rank) {
+        for (const auto &[hash, ring] : byRegion) {
+            if (keepers.size() < most && rank < ring->size()) {
+                keepers.push_back(atRank(*ring, position, rank));
+            }
+        }
+    }
+    return keepers;
+}
+
+}
--- a/Libraries/LibGateway/RelayPlan.h
+++ b/Libraries/LibGateway/RelayPlan.h
@@ -102,6 +102,8 @@
 constexpr const char *Partial = "Crankrudder-Partial";
 /** The workspace whose search it is, as the asker found by the caller's key. Left out where there is none. */
 constexpr const char *Workspace = "Crankrudder-Workspace";
+/** A question to a keeper of a workspace's quota, naming the workspace: whether one more request may be let in. */
+constexpr const char *Quota = "Crankrudder-Quota";
 /** Names one send of a part; the other gateway's answer carries it back. A search's parts all have its request id. */
 constexpr const char *Send = "Crankrudder-Send";
 }
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -80,8 +80,8 @@
     , routes(std::move(routes))
     , route(route)
     , request(std::move(request))
-    , terms(makeTerms(*context.settings, route, this->request, *context.latencies, context.timers->now()))
-    , arrivedAt(context.timers->now())
+    , terms(makeTerms(*context.settings, route, this->request, *context.latencies, context.timers->now() - this->request.waited))
+    , arrivedAt(context.timers->now() - this->request.waited)
 {
     this->terms.urgency = urgencyOf(context.workspace, route);
     if (context.workspace != nullptr) {
--- /dev/null
+++ b/Libraries/LibGateway/TokenBucket.cpp
@@ -0,0 +1,59 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibGateway/TokenBucket.h>
+
+#include <algorithm>
+
+namespace Gateway
+{
+
+static constexpr double MillisecondsInASecond = 1000.0;
+// A longer wait than a day is told as a day.
+static constexpr double LongestWaitSeconds = 86'400.0;
+
+TokenBucket::TokenBucket(const BucketSize &size, Core::Instant fillsFrom) : size(size), filledAt(fillsFrom)
+{
+}
+
+void TokenBucket::fill(Core::Instant now)
+{
+    if (now <= this->filledAt) {
+        return;
+    }
+    const double seconds = Core::toFractionalMilliseconds(now - this->filledAt) / MillisecondsInASecond;
+    this->tokens = std::min(this->size.capacity, this->tokens + seconds * this->size.perSecond);
+    this->filledAt = now;
+}
+
+void TokenBucket::resize(const BucketSize &newSize, Core::Instant now)
+{
+    this->fill(now);
+    this->size = newSize;
+    this->tokens = std::min(this->tokens, newSize.capacity);
+}
+
+bool TokenBucket::take(Core::Instant now)
+{
+    this->fill(now);
+    if (this->tokens < 1.0) {
+        return false;
+    }
+    this->tokens -= 1.0;
+    return true;
+}
+
+Core::Duration TokenBucket::timeToToken(Core::Instant now)
+{
+    this->fill(now);
+    if (this->tokens >= 1.0) {
+        return Core::Duration(0);
+    }
+    const double seconds = this->size.perSecond > 0.0 ? (1.0 - this->tokens) / this->size.perSecond : LongestWaitSeconds;
+    const auto untilItFills = std::max(Core::Duration(0), this->filledAt - now);
+    return untilItFills + Core::milliseconds(static_cast<std::int64_t>(std::min(seconds, LongestWaitSeconds) * MillisecondsInASecond) + 1);
+}
+
+}
--- a/Services/gatewayd/main.cpp
+++ b/Services/gatewayd/main.cpp
@@ -83,6 +83,7 @@
     options.pool.budget.slackFrom = now + settings.repeatWindow;
     options.ownership.slack.window = settings.repeatWindow;
     options.pool.cold = {.overshoot = settings.coldOvershoot, .slack = settings.coldSlack};
+    options.quotas.quota = {.overshoot = settings.quotaOvershoot, .slack = settings.quotaSlack, .window = settings.quotaWindow};
     options.pool.choice.seed = Core::randomNumber();
     options.requests.returnFloor = Gateway::returnFloorFor(options.requests, settings.processorShare);
     options.coordinators = Platform::watchEndpoints(settings);
--- /dev/null
+++ b/Tests/LibGateway/TestQuotaLedger.cpp
@@ -0,0 +1,336 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// What the keepers of a workspace's quota let in together stays within it, and
+// nine tenths of it can be used, whatever becomes of the gateways.
+
+#include <LibGateway/QuotaLedger.h>
+#include <LibGateway/TokenBucket.h>
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <deque>
+#include <random>
+
+using Fleet::Quota;
+using Gateway::KeeperGateway;
+using Gateway::QuotaLedger;
+using Gateway::QuotaOptions;
+
+namespace
+{
+
+constexpr Core::Duration Step = Core::milliseconds(10);
+const Fleet::RegionOfZone Regions{{"a1", "a"}, {"a2", "a"}, {"b1", "b"}, {"b2", "b"}, {"c1", "c"}, {"c2", "c"}};
+const std::vector<std::string> Zones{"a1", "a2", "b1", "b2", "c1", "c2"};
+
+Core::Instant at(Core::Duration time)
+{
+    return Core::Instant(time);
+}
+
+Fleet::Workspace workspaceWith(const Quota &quota)
+{
+    return {.name = Fleet::WorkspaceName("w"), .priority = 0, .quota = quota, .allowedRegions = {}};
+}
+
+std::shared_ptr<const Fleet::Declaration> declarationWith(const Quota &quota)
+{
+    auto declaration = std::make_shared<Fleet::Declaration>();
+    cr_assert(declaration->workspaces.emplace().add(workspaceWith(quota), {}).has_value());
+    return declaration;
+}
+
+double mostInWindow(const Quota &quota, const QuotaOptions &options)
+{
+    const double seconds = Core::toFractionalMilliseconds(options.window) / 1000.0;
+    return (quota.requestsPerSecond * seconds + quota.burst) * (1.0 + options.overshoot) + options.slack;
+}
+
+KeeperGateway gatewayNumber(std::size_t number)
+{
+    return {
+        .name = Gateway::BackendName("g" + std::to_string(number)), .address = "10.0.0." + std::to_string(number) + ":1", .zone = Zones[number % Zones.size()]};
+}
+
+/**
+ * Gateways as the quotas see them: what each knows of the others and of the declaration comes late by up to a second, and those that were silent for
+ * 12 s are given up by the others.
+ */
+class Model
+{
+public:
+    // As the gateway and the coordinators have them.
+    static constexpr Core::Duration SilenceLimit = Core::seconds(12);
+    static constexpr Core::Duration KeepingWithoutLeader = Core::seconds(7);
+
+    Model(unsigned seed, std::size_t gateways, const Quota &quota) : random(seed), quotas{{at(Core::Duration(0)), quota}}
+    {
+        for (std::size_t number = 0; number < gateways; ++number) {
+            this->rows.push_back({.ledger = std::make_unique<QuotaLedger>(Regions, this->options, gatewayNumber(number).address)});
+        }
+    }
+
+    struct Row {
+        std::unique_ptr<QuotaLedger> ledger;
+        // Does nothing until then; nothing that it was sent is lost.
+        Core::Instant frozenUntil;
+        // Reaches no coordinator until then.
+        Core::Instant cutUntil;
+        Core::Instant heard;
+        Core::Instant leaderKnown;
+        Core::Instant viewDue;
+        bool hasView{false};
+        std::vector<bool> view;
+        std::shared_ptr<const Fleet::Declaration> held;
+    };
+
+    void advance()
+    {
+        this->now = this->now + Step;
+        std::vector<bool> ready;
+        for (auto &row : this->rows) {
+            const bool calls = this->isRunning(row) && this->now >= row.cutUntil;
+            row.heard = calls ? this->now : row.heard;
+            ready.push_back(this->now - row.heard < SilenceLimit);
+        }
+        if (ready != this->truth) {
+            this->truth = ready;
+            this->spreadNews();
+        }
+        for (auto &row : this->rows) {
+            if (this->isRunning(row)) {
+                this->advanceRow(row);
+            }
+        }
+    }
+
+    /** A caller's request at a gateway; returns whether it was let in. */
+    bool ask(Row &asked)
+    {
+        if (!this->isRunning(asked) || !asked.held) {
+            return false;
+        }
+        const auto workspace = workspaceWith(asked.held->workspaces->all().front()->quota);
+        auto keepers = asked.ledger->keepers().keepersOf(workspace);
+        std::shuffle(keepers.begin(), keepers.end(), this->random);
+        for (const auto *keeper : keepers) {
+            auto &row = this->rows[std::stoul(keeper->name.value().substr(1))];
+            if (this->isRunning(row) && row.ledger->take(workspace.name, this->now).granted) {
+                this->granted.push_back(this->now);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    bool askAny()
+    {
+        return this->ask(this->rows[this->random() % this->rows.size()]);
+    }
+
+    void declare(const Quota &quota)
+    {
+        this->quotas.emplace_back(this->now, quota);
+        this->spreadNews();
+    }
+
+    /**
+     * What may be let in within a window that ends now. A lower quota binds a window after nobody goes by the one before: news come within a second,
+     * and one that gets none keeps nothing soon.
+     */
+    [[nodiscard]] double allowed() const
+    {
+        static constexpr Core::Duration ApplyTime = KeepingWithoutLeader + Core::seconds(1);
+        double most = 0.0;
+        for (std::size_t index = 0; index < this->quotas.size(); ++index) {
+            const bool isOver = index + 1 < this->quotas.size() && this->quotas[index + 1].first + ApplyTime + this->options.window < this->now;
+            most = isOver ? most : std::max(most, mostInWindow(this->quotas[index].second, this->options));
+        }
+        return most;
+    }
+
+    [[nodiscard]] std::size_t grantedInWindow()
+    {
+        while (!this->granted.empty() && this->now - this->granted.front() > this->options.window) {
+            this->granted.pop_front();
+        }
+        return this->granted.size();
+    }
+
+    [[nodiscard]] Core::Duration upTo(int milliseconds)
+    {
+        return Core::milliseconds(static_cast<std::int64_t>(this->random() % static_cast<unsigned>(milliseconds)));
+    }
+
+    std::mt19937 random;
+    QuotaOptions options{.overshoot = 0.1, .slack = 20.0, .window = Core::seconds(5)};
+    Core::Instant now;
+    std::vector<Row> rows;
+
+private:
+    [[nodiscard]] bool isRunning(const Row &row) const
+    {
+        return this->now >= row.frozenUntil;
+    }
+
+    // Later news don't hold up earlier ones.
+    void spreadNews()
+    {
+        for (auto &row : this->rows) {
+            row.viewDue = row.viewDue > this->now ? row.viewDue : this->now + this->upTo(1000);
+        }
+    }
+
+    void advanceRow(Row &row)
+    {
+        // One that wakes up knows no more than before until a question that it asks then is answered.
+        row.ledger->setMayKeep(this->now - row.leaderKnown < KeepingWithoutLeader, this->now);
+        if (this->now >= row.cutUntil) {
+            // The first answer tells one that was out of touch what it missed.
+            row.viewDue = this->now - row.leaderKnown > Core::seconds(1) ? this->now : row.viewDue;
+            row.leaderKnown = this->now;
+        }
+        const bool hasNews = this->now >= row.cutUntil && this->now >= row.viewDue && (!row.hasView || row.view != this->truth);
+        if (hasNews) {
+            row.view = this->truth;
+            row.hasView = true;
+            std::vector<KeeperGateway> ready;
+            for (std::size_t number = 0; number < this->rows.size(); ++number) {
+                if (this->truth[number]) {
+                    ready.push_back(gatewayNumber(number));
+                }
+            }
+            row.ledger->setGateways(ready, this->now);
+        }
+        if (this->now >= row.cutUntil && this->now >= row.viewDue && this->heldQuota(row) != this->quotas.back().second) {
+            row.held = declarationWith(this->quotas.back().second);
+            row.ledger->setDeclaration(row.held, this->now);
+        }
+    }
+
+    [[nodiscard]] static std::optional<Quota> heldQuota(const Row &row)
+    {
+        return row.held ? std::optional(row.held->workspaces->all().front()->quota) : std::nullopt;
+    }
+
+    std::vector<bool> truth;
+    std::vector<std::pair<Core::Instant, Quota>> quotas;
+    std::deque<Core::Instant> granted;
+};
+
+const std::vector<Quota> SomeQuotas{
+    {.requestsPerSecond = 1.0, .burst = 1.0}, {.requestsPerSecond = 16.0, .burst = 16.0}, {.requestsPerSecond = 200.0, .burst = 50.0}};
+
+}
+
+Test(TokenBucket, givesOutItsCapacityAndItsRate)
+{
+    Gateway::TokenBucket bucket({.capacity = 2.0, .perSecond = 4.0}, at(Core::seconds(1)));
+    cr_assert_not(bucket.take(at(Core::milliseconds(900))));
+    cr_assert_eq(Core::toMilliseconds(bucket.timeToToken(at(Core::milliseconds(900)))), 351);
+    cr_assert(bucket.take(at(Core::milliseconds(1250))));
+    cr_assert_not(bucket.take(at(Core::milliseconds(1250))));
+    int taken = 0;
+    while (bucket.take(at(Core::seconds(60)))) {
+        ++taken;
+    }
+    cr_assert_eq(taken, 2);
+    bucket.resize({.capacity = 10.0, .perSecond = 4.0}, at(Core::seconds(60)));
+    cr_assert_not(bucket.take(at(Core::seconds(60))), "a larger one has to fill first");
+    cr_assert(bucket.take(at(Core::seconds(61))));
+    bucket.resize({.capacity = 1.0, .perSecond = 0.5}, at(Core::seconds(64)));
+    cr_assert(bucket.take(at(Core::seconds(64))) && !bucket.take(at(Core::seconds(64))));
+}
+
+// Callers of a workspace that sends many times its usual, at gateways that freeze, are cut off and come back, while its quota is changed.
+Test(QuotaLedger, noWindowExceedsAQuotaWhateverBecomesOfTheGateways)
+{
+    for (unsigned seed = 1; seed <= 24; ++seed) {
+        const auto &quota = SomeQuotas[seed % SomeQuotas.size()];
+        Model model(seed, 6 + seed % 4 * 24, quota);
+        const auto offeredInStep = std::max(1.0, 0.08 * quota.requestsPerSecond);
+        while (model.now < at(Core::seconds(60))) {
+            model.advance();
+            if (model.random() % 100 == 0) {
+                auto &row = model.rows[model.random() % model.rows.size()];
+                (model.random() % 2 == 0 ? row.frozenUntil : row.cutUntil) = model.now + model.upTo(25'000);
+            }
+            if (model.random() % 1500 == 0) {
+                model.declare(SomeQuotas[model.random() % SomeQuotas.size()]);
+            }
+            if (model.random() % 2000 == 0) {
+                // Half of them at once.
+                for (std::size_t number = 0; number < model.rows.size(); number += 2) {
+                    model.rows[number].cutUntil = model.now + model.upTo(20'000);
+                }
+            }
+            for (int request = 0; request < static_cast<int>(offeredInStep); ++request) {
+                (void)model.askAny();
+            }
+            const auto sent = static_cast<double>(model.grantedInWindow());
+            cr_assert(sent <= model.allowed(),
+                "seed %u: %.0f of %.0f at %ld ms",
+                seed,
+                sent,
+                model.allowed(),
+                static_cast<long>(Core::toMilliseconds(model.now.sinceStart())));
+        }
+    }
+}
+
+// A workspace that sends what it may, at gateways that see a request of it in some seconds each.
+Test(QuotaLedger, aWorkspaceWithinItsQuotaIsLetIn)
+{
+    for (const std::size_t gateways : {std::size_t(3), std::size_t(10), std::size_t(100), std::size_t(1000)}) {
+        for (const auto &quota : SomeQuotas) {
+            Model model(7, gateways, quota);
+            int asked = 0;
+            int granted = 0;
+            double due = 0.0;
+            while (model.now < at(Core::seconds(30))) {
+                model.advance();
+                if (model.now < at(Core::seconds(12))) {
+                    continue;
+                }
+                for (due += 0.01 * quota.requestsPerSecond; due >= 1.0; due -= 1.0) {
+                    ++asked;
+                    granted += model.askAny() ? 1 : 0;
+                }
+            }
+            cr_assert(granted >= 0.97 * asked, "%d of %d, %zu gateways, %.0f a second", granted, asked, gateways, quota.requestsPerSecond);
+        }
+    }
+}
+
+Test(QuotaLedger, aKeeperThatLosesTheLeaderKeepsNothing)
+{
+    QuotaLedger ledger(Regions, {.slack = 20.0}, gatewayNumber(0).address);
+    ledger.setGateways({gatewayNumber(0)}, at(Core::Duration(0)));
+    ledger.setDeclaration(declarationWith(SomeQuotas[1]), at(Core::Duration(0)));
+    const Fleet::WorkspaceName name("w");
+    cr_assert_not(ledger.take(name, at(Core::seconds(10))).isKeeper);
+    ledger.setMayKeep(true, at(Core::seconds(10)));
+    const auto early = ledger.take(name, at(Core::seconds(12)));
+    cr_assert(early.isKeeper && !early.granted && early.freeAfter > Core::seconds(1), "the one before may still give something out");
+    cr_assert(ledger.take(name, at(Core::seconds(14))).granted);
+    ledger.setMayKeep(false, at(Core::seconds(15)));
+    cr_assert_not(ledger.take(name, at(Core::seconds(20))).isKeeper);
+}
+
+Test(QuotaLedger, tellsThoseItRefusesToComeBackOneAfterTheOther)
+{
+    QuotaLedger ledger(Regions, {.usedShare = 1.0, .settleTime = Core::Duration(0)}, gatewayNumber(0).address);
+    ledger.setGateways({gatewayNumber(0)}, at(Core::Duration(0)));
+    ledger.setDeclaration(declarationWith({.requestsPerSecond = 2.0, .burst = 1.0}), at(Core::Duration(0)));
+    ledger.setMayKeep(true, at(Core::Duration(0)));
+    const Fleet::WorkspaceName name("w");
+    cr_assert(ledger.take(name, at(Core::seconds(10))).granted);
+    const auto first = ledger.take(name, at(Core::seconds(10)));
+    const auto second = ledger.take(name, at(Core::seconds(10)));
+    cr_assert(!first.granted && first.freeAfter == second.freeAfter);
+    cr_assert(second.comeBackAfter - first.comeBackAfter >= Core::milliseconds(490), "a token apart");
+    cr_assert(ledger.take(name, at(Core::seconds(10)) + first.comeBackAfter).granted);
+}
--- /dev/null
+++ b/Tests/LibGateway/TestQuotas.cpp
@@ -0,0 +1,119 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// Quotas over several gateways, on the wire.
+
+#include <Support/NodeFixture.h>
+
+#include <criterion/criterion.h>
+
+using TestSupport::NodeFixture;
+using TestSupport::NodeUnderTest;
+
+namespace
+{
+
+constexpr int Ok = 200;
+constexpr int OverQuota = 429;
+constexpr int NotRun = 503;
+// What "small" may send, as the declaration says.
+constexpr double SmallBurst = 12.0;
+constexpr double SmallPerSecond = 4.0;
+
+nlohmann::json declaration()
+{
+    return nlohmann::json::parse(R"({"version": 1,
+        "routes": [{"name": "one", "host": "h.example", "path_prefix": "/one/", "route_type": "idempotent", "timeout_ms": 4000, "service": "one"}],
+        "services": [{"name": "one", "max_conns": 200}],
+        "tenants": [{"name": "small", "api_keys": ["small-secret"], "rate_per_s": 4, "burst": 12},
+                    {"name": "large", "api_keys": ["large-secret"], "rate_per_s": 0}]})");
+}
+
+class QuotaFixture : public NodeFixture
+{
+public:
+    explicit QuotaFixture(const std::vector<std::string> &zones)
+    {
+        this->coordinator.declare(declaration());
+        this->backend = &this->addBackend("one", "server", "here");
+        for (const auto &zone : zones) {
+            this->addNode(zone, [](Gateway::GatewayOptions &options) {
+                options.quotas.quota.usedShare = 1.0;
+                options.quotas.quota.settleTime = Core::milliseconds(10);
+            });
+        }
+    }
+
+    Wire::Response askAs(const NodeUnderTest &node, const std::string &key)
+    {
+        return this->ask(node, "/one/1", {{"Credential", key}});
+    }
+
+    TestSupport::ScriptedBackend *backend{nullptr};
+};
+
+}
+
+Test(Quotas, holdOverAllGatewaysTogether)
+{
+    QuotaFixture fixture({"here", "here", "beside", "there", "there"});
+    cr_assert(fixture.awaitReady());
+    // Until there is all that may be sent at once.
+    fixture.settle(Core::milliseconds(1500) + Core::seconds(static_cast<std::int64_t>(SmallBurst / SmallPerSecond)));
+    const auto began = fixture.timers.now();
+    int granted = 0;
+    int refused = 0;
+    for (int round = 0; round < 6; ++round) {
+        for (const auto &node : fixture.nodes) {
+            const auto answer = fixture.askAs(*node, "small-secret");
+            granted += answer.status == Ok ? 1 : 0;
+            if (answer.status == OverQuota) {
+                ++refused;
+                const auto *retryAfter = Wire::findHeader(answer.headers, "Retry-After");
+                cr_assert(retryAfter != nullptr && std::stod(*retryAfter) > 0.0);
+            }
+        }
+    }
+    cr_assert_eq(granted + refused, 30);
+    const double seconds = Core::toFractionalMilliseconds(fixture.timers.now() - began) / 1000.0;
+    cr_assert(granted <= SmallBurst + SmallPerSecond * seconds, "%d in %.3f s", granted, seconds);
+    cr_assert(granted >= 0.7 * SmallBurst, "%d in %.3f s", granted, seconds);
+    cr_assert_eq(fixture.backend->requests.size(), granted, "nothing that was refused ran");
+    for (const auto &node : fixture.nodes) {
+        cr_assert_eq(fixture.askAs(*node, "large-secret").status, Ok, "another workspace's");
+    }
+}
+
+Test(Quotas, nobodyIsLetInWhereNobodyKeepsThem)
+{
+    QuotaFixture fixture({"here"});
+    cr_assert(fixture.awaitReady());
+    // It leaves, so that another one may keep what it kept.
+    fixture.nodes.front()->node.beginDrain();
+    const auto answer = fixture.askAs(*fixture.nodes.front(), "small-secret");
+    cr_assert_eq(answer.status, NotRun, "it can't be known that the quota is used up");
+    cr_assert_not_null(Wire::findHeader(answer.headers, "Retry-After"));
+    cr_assert_eq(fixture.askAs(*fixture.nodes.front(), "large-secret").status, Ok);
+}
+
+Test(Quotas, aCallerCannotAskAsAGatewayDoes)
+{
+    QuotaFixture fixture({"here"});
+    cr_assert(fixture.awaitReady());
+    const auto answer = fixture.ask(*fixture.nodes.front(), "/one/1", {{"Credential", "large-secret"}, {Gateway::RelayHeader::Quota, "small"}});
+    cr_assert_eq(answer.status, Ok);
+    cr_assert_null(Wire::findHeader(fixture.backend->requests.back().headers, Gateway::RelayHeader::Quota), "nor is it sent on");
+}
+
+Test(QuotaAnswers, areReadAsTheyWereWritten)
+{
+    const Gateway::QuotaAnswer refused{.isKeeper = true, .granted = false, .freeAfter = Core::milliseconds(12), .comeBackAfter = Core::milliseconds(345)};
+    const auto read = Gateway::readQuotaAnswer(Gateway::writeQuotaAnswer(refused));
+    cr_assert(read.has_value() && !read->granted && read->freeAfter == refused.freeAfter && read->comeBackAfter == refused.comeBackAfter);
+    cr_assert(Gateway::readQuotaAnswer(Gateway::writeQuotaAnswer({.isKeeper = true, .granted = true}))->granted);
+    for (const char *bad : {"", "1", "1,2", "1,2,3,4", "1,x,3", "1,-2,3"}) {
+        cr_assert_not(Gateway::readQuotaAnswer(bad).has_value(), "%s", bad);
+    }
+}
