Tests: Keys, workspaces and quotas in the fault soak

Callers carry known keys, unknown ones and none, and claim workspaces; one workspace sends about twice its quota; a key changes with each declaration. Checked are who was let in, as whom requests ran, that no key reaches a backend server or a log, that added and withdrawn keys are in force in time, and the quota in every window.

--- a/Tests/Soak/backends.py
+++ b/Tests/Soak/backends.py
@@ -35,6 +35,9 @@
         self.evacuated_arrivals = []
         # (backend, request id) of requests that ran outside the regions that their route allows.
         self.strayed = []
+        # (request id, workspace) as backend servers were told, and those of them that were sent a caller's key.
+        self.workspaces = set()
+        self.keys_seen = set()
 
     def add(self, run):
         self.runs.setdefault(run.request_id, []).append(run)
@@ -175,6 +178,9 @@
         if self.running >= SLOTS * 2 or self.soak.stutter_random.random() < self.refuse:
             await self.write_stuttering(writer, 503, request_id, b"", {"Not-Executed": "1"})
             return True
+        self.soak.journal.workspaces.add((request_id, headers.get("tenant")))
+        if any("-key-" in value for value in headers.values()):
+            self.soak.journal.keys_seen.add(self.id)
         self.soak.journal.add(Run(request_id, self.service, self.id, words[1], body))
         evacuated_at = self.soak.evacuated.get(self.zone)
         if evacuated_at is not None:
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -11,6 +11,7 @@
 
 import argparse
 import asyncio
+import bisect
 import json
 import os
 import random
@@ -34,6 +35,12 @@
 EVACUATE_SECONDS = 3.0
 CONTACT_SECONDS = 4.0
 GRACE_SECONDS = 6.0
+QUOTA_WINDOW_SECONDS = 5.0
+QUOTA_OVERSHOOT = 0.1
+QUOTA_SLACK = 20
+# Workspaces with the keys that every declaration names. One sends about twice what its quota allows.
+KEYS = {"alpha-key-1": "alpha", "alpha-key-2": "alpha", "beta-key-1": "beta"}
+QUOTA = {"rate_per_s": 25, "burst": 10}
 
 
 class Process:
@@ -59,7 +66,8 @@
                  "listen_addrs.control": f"{self.address}:{base + 2}", "data_dir": os.path.join(self.folder, "data"),
                  "seed_nodes": ",".join(f"{address}:{base + 2}" for address in self.soak.seeds_addresses),
                  "bootstrap": "true" if self.first else "false", "fault_tolerance.machines": "1", "heartbeat_ms": "400",
-                 "bounds.grace_s": str(int(GRACE_SECONDS)), "bounds.retry_budget_ratio": "0.2", "bounds.retry_window_s": "10", "bounds.retry_slack": "60"}
+                 "bounds.grace_s": str(int(GRACE_SECONDS)), "bounds.retry_budget_ratio": "0.2", "bounds.retry_window_s": "10", "bounds.retry_slack": "60",
+                 "bounds.quota_window_s": str(int(QUOTA_WINDOW_SECONDS)), "bounds.quota_overshoot": str(QUOTA_OVERSHOOT), "bounds.quota_slack": str(QUOTA_SLACK)}
         lines.update({f"zones.{zone}": zone.replace("zone", "region") for zone in ZONES})
         path = os.path.join(self.folder, "settings.conf")
         with open(path, "w", encoding="utf-8") as file:
@@ -107,6 +115,10 @@
         self.random = random.Random(seed)
         # Second answers, and what makes requests meet them, draw from a generator of their own and leave the draws of the other faults as they are.
         self.stutter_random = random.Random(f"stutter {seed}")
+        # The same for callers' keys.
+        self.key_random = random.Random(f"keys {seed}")
+        # Keys by the request that carries them.
+        self.key_of = {}
         self.port = 20000 + (seed * 37) % 20000
         self.journal = Journal()
         self.failures = []
@@ -126,7 +138,7 @@
         # (version, time of the acknowledgement) in their order, and all versions that were sent.
         self.acknowledged = []
         self.sent = {}
-        self.counts = {"answered": 0, "partial": 0, "not_run": 0, "failed": 0, "no_answer": 0, "unrouted": 0}
+        self.counts = {"answered": 0, "partial": 0, "not_run": 0, "failed": 0, "no_answer": 0, "unrouted": 0, "over_quota": 0, "no_key": 0}
         self.non_idempotent = set()
         # Requests on one route may be served in this zone's region only.
         self.home_zone = ZONES[0]
@@ -205,7 +217,9 @@
              "priority": 2, "service": "records", "max_attempts": 2}]
         services = [{"name": name, "health_path": "/health", "max_conns": 60, "protocol": "h1", "tls": False} for name in shards + ["records"]]
         limits = {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
-        return {"version": version, "routes": routes, "services": services, "limits": limits}
+        tenants = [{"name": "alpha", "api_keys": [key for key, name in KEYS.items() if name == "alpha"], "priority": 0},
+                   {"name": "beta", "api_keys": ["beta-key-1"], "priority": 1, **QUOTA}, {"name": "current", "api_keys": [f"current-key-{version}"]}]
+        return {"version": version, "routes": routes, "services": services, "limits": limits, "tenants": tenants}
 
     async def declare(self, version):
         document = self.configuration(version)
@@ -307,9 +321,13 @@
             gateway = self.random.choice(self.gateways)
             if newest < 0 or newest != self.version or not calm_core or not gateway.was_calm(began):
                 continue
-            answer = await call(gateway.address, self.port, "GET", f"/v{newest}/x", headers={"Host": "h.example", "Request-Id": f"probe-{self.seed}-{began}"})
-            if answer is not None and answer[0] == 404 and gateway.was_calm(began) and newest == self.version:
-                self.fail("not-in-force", f"{gateway.name} does not know version {newest}")
+            older = max([version for version in self.sent if version < newest], default=newest)
+            for version in {newest, older}:
+                headers = {"Host": "h.example", "Request-Id": f"probe-{self.seed}-{version}-{began}", "Credential": f"current-key-{version}"}
+                answer = await call(gateway.address, self.port, "GET", f"/v{newest}/x", headers=headers)
+                still_current = gateway.was_calm(began) and newest == self.version
+                if answer is not None and still_current and (answer[0] == 404 or (answer[0] == 401) != (version < newest)):
+                    self.fail("not-in-force", f"{gateway.name} answers {answer[0]} to the key of version {version} under version {newest}")
 
     async def caller(self, number):
         count = 0
@@ -335,6 +353,11 @@
         body = os.urandom(20).hex().encode() if kind == "action" else b""
         patience = self.random.choice([300, 800, 2000])
         lines = [f"{method} /{kind}/{request_id} HTTP/1.1", "Host: h.example", f"Request-Id: {request_id}", f"Deadline-Ms: {patience}", f"Content-Length: {len(body)}"]
+        key = self.key_random.choice([*KEYS, "beta-key-1", "unknown-key-1", None])
+        lines += [f"Credential: {key}"] if key else []
+        # Nobody is taken at his word.
+        lines += ["Tenant: alpha"] if self.key_random.random() < 0.2 else []
+        self.key_of[request_id] = key
         if kind == "action":
             self.non_idempotent.add(request_id)
         try:
@@ -351,14 +374,18 @@
     def check_answer(self, gateway, kind, request_id, status, headers, content):
         if headers.get("request-id", request_id) != request_id:
             self.fail("another-callers-answer", request_id)
-        if status == 200 and kind == "search":
+        if status == 401 or (status == 200 and self.key_of[request_id] not in KEYS):
+            self.counts["no_key"] += 1
+            if (status == 401) == (self.key_of[request_id] in KEYS):
+                self.fail("key-misjudged", f"{gateway.name} answers {status} to {request_id} with {self.key_of[request_id]}")
+        elif status == 200 and kind == "search":
             self.check_search(request_id, headers, content)
         elif status == 200:
             self.counts["answered"] += 1
             if content != single_answer("records", request_id) or headers.get("response-signature") != signature_of("records", request_id):
                 self.fail("wrong-answer", request_id)
         elif status in (503, 429):
-            self.counts["not_run"] += 1
+            self.counts["not_run" if status == 503 else "over_quota"] += 1
             asyncio.create_task(self.check_never_ran(request_id))
         elif status == 404 and self.acknowledged:
             self.counts["unrouted"] += 1
@@ -495,6 +522,24 @@
                 if len({run.backend for run in runs if run.service == service}) > 2:
                     self.fail("too-many-attempts", f"{request_id} at {service}")
 
+    def check_workspaces(self):
+        for request_id, name in self.journal.workspaces:
+            if request_id in self.key_of and name != KEYS.get(self.key_of[request_id]):
+                self.fail("another-workspace", f"{request_id} ran as {name}")
+        for backend in self.journal.keys_seen:
+            self.fail("key-sent-on", backend)
+        for process in self.coordinators + self.gateways:
+            with open(os.path.join(process.folder, "log.txt"), "rb") as log:
+                if b"-key-" in log.read():
+                    self.fail("key-logged", process.name)
+        first_runs = sorted(runs[0].at for request_id, runs in self.journal.runs.items() if self.key_of.get(request_id) == "beta-key-1")
+        most = (QUOTA["rate_per_s"] * QUOTA_WINDOW_SECONDS + QUOTA["burst"]) * (1 + QUOTA_OVERSHOOT) + QUOTA_SLACK
+        for index, began in enumerate(first_runs):
+            sent = bisect.bisect_right(first_runs, began + QUOTA_WINDOW_SECONDS) - index
+            if sent > most:
+                self.fail("over-quota", f"{sent} of {most} requests in a window")
+                break
+
     def check_drains(self):
         late = [(backend, after) for backend, after in self.journal.late_arrivals if after > DRAIN_SECONDS]
         for backend, after in late:
@@ -549,6 +594,7 @@
             task.cancel()
         self.check_runs()
         self.check_drains()
+        self.check_workspaces()
         self.check_places()
         await self.stop_processes()
 
