--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -66,6 +66,9 @@
             return;
         }
         found->second->phase = announcement.phase;
+        if (announcement.phase == Protocol::BackendPhase::GONE) {
+            this->markGone(*found->second);
+        }
         found->second->slots = std::max(1, announcement.slots);
         found->second->warmUntil = record.warmUntil;
         return;
@@ -94,8 +97,15 @@
     this->offerRoom(service);
 }
 
+void BackendPool::markGone(Backend &backend)
+{
+    backend.phase = Protocol::BackendPhase::GONE;
+    this->swept.insert(&backend);
+}
+
 void BackendPool::remove(Backend &backend)
 {
+    this->swept.erase(&backend);
     auto &rows = this->serviceOf(backend.service).backends;
     std::erase(rows, &backend);
     this->backends.erase(backend.name.value());
@@ -105,6 +115,7 @@
 void BackendPool::retire(std::unique_ptr<Backend> former)
 {
     former->phase = Protocol::BackendPhase::GONE;
+    this->swept.erase(former.get());
     std::erase(this->serviceOf(former->service).backends, former.get());
     this->formerLives.push_back(std::move(former));
 }
@@ -365,6 +376,7 @@
         this->connectionClosed(backend, raw);
     };
     backend.connections.add(connection);
+    this->swept.insert(&backend);
     return connection;
 }
 
@@ -528,7 +540,7 @@
     if (reply.wrongBackend) {
         ++this->counts.wrongBackend;
         Core::logEvent(Core::LogLevel::Information, "backend.replaced", {{"backend", backend.name.value()}, {"address", backend.endpoint.toString()}});
-        backend.phase = Protocol::BackendPhase::GONE;
+        this->markGone(backend);
         return;
     }
     if (reply.notExecuted) {
@@ -716,11 +728,12 @@
     static constexpr RestLimits LimitsOnceGone{};
     std::vector<ConnectionPointer> resting;
     std::vector<Backend *> gone;
-    for (const auto &[name, backend] : this->backends) {
+    this->counts.swept += this->swept.size();
+    for (auto *backend : this->swept) {
         const bool isGone = backend->phase == Protocol::BackendPhase::GONE;
         backend->connections.appendRested(resting, now, isGone ? LimitsOnceGone : limits);
         if (isOver(*backend)) {
-            gone.push_back(backend.get());
+            gone.push_back(backend);
         }
     }
     for (const auto &former : this->formerLives) {
@@ -730,6 +743,9 @@
     for (auto *backend : gone) {
         this->remove(*backend);
     }
+    std::erase_if(this->swept, [](const Backend *backend) {
+        return backend->connections.size() == 0 && backend->phase != Protocol::BackendPhase::GONE;
+    });
     std::erase_if(this->formerLives, [&isOver](const auto &former) {
         return isOver(*former);
     });
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -21,6 +21,7 @@
 #include <random>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace Gateway
 {
@@ -94,6 +95,8 @@
     std::uint64_t passedOver{0};
     /** Sends for which a kept connection was not used, because it had carried one of the same key before. */
     std::uint64_t keptApart{0};
+    /** Backend servers that sweeps looked at: what a gateway costs at rest. */
+    std::uint64_t swept{0};
 };
 
 /** Table of backends and of the attempts under way. */
@@ -225,6 +228,7 @@
     void sweep();
     void cancelOverdue(Core::Instant now);
     void closeResting(Core::Instant now);
+    void markGone(Backend &backend);
 
     BackendPoolOptions options;
     const Dialect &dialect;
@@ -240,6 +244,8 @@
     std::unordered_map<std::string, std::unique_ptr<Backend>> backends;
     // Earlier lives of backend servers that started again under their id, until nothing of theirs is under way. Invariant: all of them are gone.
     std::vector<std::unique_ptr<Backend>> formerLives;
+    // Those in `backends` that time alone changes. Invariant: all with connections, and all that have gone.
+    std::unordered_set<Backend *> swept;
     std::set<std::string> evacuatedZones;
     std::unordered_map<AttemptId, Attempt> attempts;
     TrialPeriod trialPeriod;
--- a/Tests/LibGateway/TestConnections.cpp
+++ b/Tests/LibGateway/TestConnections.cpp
@@ -283,3 +283,25 @@
         return nextWasSent;
     }));
 }
+
+// The load pattern: a gateway of a large fleet, which knows thousands of backend servers and uses a few. What it costs at rest must not grow with them.
+Test(Sweeps, lookOnlyAtBackendServersWithConnections)
+{
+    TestSupport::GatewayFixture fixture;
+    fixture.route().idempotent = true;
+    fixture.route().targetLatency = Core::milliseconds(100);
+    fixture.route().targets = {{.service = Core::ServiceName("s"), .weight = 1.0}};
+    fixture.add("s", "used", [](const auto &request, const auto &exchange) {
+        exchange->respond(TestSupport::goodAnswer(request, "signature", "body"));
+    });
+    static constexpr int Others = 20'000;
+    for (int number = 0; number < Others; ++number) {
+        TestSupport::GatewayFixture::announce(
+            fixture.pool, "other-" + std::to_string(number % 200), "other-" + std::to_string(number), {.address = "127.0.0.1", .port = 9}, "there");
+    }
+    cr_assert_eq(fixture.ask("request").status, 200);
+    const auto before = fixture.pool.counters().swept;
+    fixture.settle(Core::milliseconds(500));
+    const auto swept = fixture.pool.counters().swept - before;
+    cr_assert(swept > 0 && swept < Others / 100, "one row in each sweep, not %lu rows", static_cast<unsigned long>(swept));
+}
