LibCore, LibWire, LibGateway: A gateway at rest wakes up four times a second

Two pools swept 20 times a second each and three servers four times, at times of their own, also when they had nothing: some 50 wake-ups a second and as many system calls, at each of 995 gateways, most of which see a request in a minute.

--- a/Libraries/LibCore/TimerService.cpp
+++ b/Libraries/LibCore/TimerService.cpp
@@ -52,6 +52,12 @@
     return this->clock.now();
 }
 
+// The first one after a time.
+static Instant nextMultiple(Duration period, Instant time)
+{
+    return Instant((time.sinceStart() / period + 1) * period);
+}
+
 TimerSubscription TimerService::once(Duration delay, Hook hook)
 {
     return {*this, this->add(delay, Duration(0), std::move(hook))};
@@ -65,7 +71,7 @@
 std::uint64_t TimerService::add(Duration delay, Duration period, Hook hook)
 {
     const std::uint64_t id = this->nextId++;
-    const Instant due = this->now() + delay;
+    const Instant due = period > Duration(0) ? nextMultiple(period, this->now()) : this->now() + delay;
     this->subscribers.emplace(id, Subscriber{.hook = std::move(hook), .period = period, .due = due});
     this->queue.emplace(DueKey{due, id}, id);
     if (this->scheduleChanged && this->queue.begin()->second == id) {
@@ -91,7 +97,7 @@
     // NOTE: The hook is copied, because it may cancel its own subscription while it runs.
     const Hook hook = subscriber.hook;
     if (subscriber.period > Duration(0)) {
-        subscriber.due = time + subscriber.period;
+        subscriber.due = nextMultiple(subscriber.period, time);
         this->queue.emplace(DueKey{subscriber.due, id}, id);
     } else {
         this->subscribers.erase(id);
--- a/Libraries/LibCore/TimerService.h
+++ b/Libraries/LibCore/TimerService.h
@@ -61,7 +61,10 @@
     /** Calls the hook once, when the delay has passed. */
     [[nodiscard]] TimerSubscription once(Duration delay, Hook hook);
 
-    /** Calls the hook again and again. A late call does not cause a burst. */
+    /**
+     * Calls the hook again and again, at multiples of the period on the clock, so that subscribers of one period are called together and a process
+     * that has nothing else to do wakes up once for all of them. A late call does not cause a burst.
+     */
     [[nodiscard]] TimerSubscription every(Duration period, Hook hook);
 
     /** Calls every hook that is due. */
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -15,6 +15,8 @@
 {
 
 static constexpr Core::Duration SweepPeriod = Core::milliseconds(50);
+// With nothing under way and nobody waiting only resting connections are left to be closed; whoever uses one looks at its time first.
+static constexpr Core::Duration RestPeriod = Core::milliseconds(250);
 // Of those that wait, how many are offered the same room at most.
 static constexpr int OffersOfRoom = 4;
 
@@ -27,9 +29,7 @@
     , coldAllowance(this->options.cold)
     , trialPeriod(timers.now())
 {
-    this->sweepTimer = timers.every(SweepPeriod, [this](Core::Instant) {
-        this->sweep();
-    });
+    this->sweepEvery(RestPeriod);
 }
 
 BackendPool::~BackendPool()
@@ -409,6 +409,7 @@
 AttemptId BackendPool::send(Backend &backend, AttemptOptions attemptOptions)
 {
     const AttemptId id = this->nextAttempt++;
+    this->sweepEvery(SweepPeriod);
     ++this->counts.attempts;
     this->counts.attemptsToOtherRegion += backend.sameRegion ? 0 : 1;
     this->counts.attemptsToOtherZone += backend.sameRegion && !backend.sameZone ? 1 : 0;
@@ -623,6 +624,8 @@
     const auto position = std::lower_bound(waiters.begin(), waiters.end(), urgency, [](const Waiter &waiter, const Urgency &wanted) {
         return waiter.urgency < wanted;
     });
+    this->awaitedServices.insert(service);
+    this->sweepEvery(SweepPeriod);
     waiters.insert(position, Waiter{.number = number, .urgency = urgency, .hook = std::move(hook)});
     return number;
 }
@@ -664,12 +667,10 @@
 // Time alone may have made room.
 void BackendPool::offerRoomToWaiters()
 {
-    std::vector<Core::ServiceName> awaited;
-    for (const auto &[name, service] : this->services) {
-        if (!service.waiters.empty()) {
-            awaited.push_back(name);
-        }
-    }
+    std::erase_if(this->awaitedServices, [this](const Core::ServiceName &name) {
+        return this->serviceOf(name).waiters.empty();
+    });
+    const auto awaited = this->awaitedServices;
     for (const auto &name : awaited) {
         this->offerRoom(name);
     }
@@ -682,6 +683,19 @@
     this->coldAllowance.forget(now);
     this->closeResting(now);
     this->offerRoomToWaiters();
+    if (this->attempts.empty() && this->awaitedServices.empty()) {
+        this->sweepEvery(RestPeriod);
+    }
+}
+
+void BackendPool::sweepEvery(Core::Duration period)
+{
+    if (std::exchange(this->sweepPeriod, period) == period) {
+        return;
+    }
+    this->sweepTimer = this->timers.every(period, [this](Core::Instant) {
+        this->sweep();
+    });
 }
 
 void BackendPool::cancelOverdue(Core::Instant now)
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -226,6 +226,7 @@
     void offerRoom(const Core::ServiceName &service);
     void offerRoomToWaiters();
     void sweep();
+    void sweepEvery(Core::Duration period);
     void cancelOverdue(Core::Instant now);
     void closeResting(Core::Instant now);
     void markGone(Backend &backend);
@@ -251,6 +252,9 @@
     TrialPeriod trialPeriod;
     AttemptId nextAttempt{1};
     std::uint64_t nextWaiter{1};
+    // Invariant: holds every service with waiters.
+    std::set<Core::ServiceName> awaitedServices;
+    Core::Duration sweepPeriod{0};
     Core::TimerSubscription sweepTimer;
     PoolCounters counts;
 };
--- a/Libraries/LibWire/Server.cpp
+++ b/Libraries/LibWire/Server.cpp
@@ -62,10 +62,6 @@
     server->listening = true;
     // NOTE: The table of watched descriptors holds the server until stopListening(), which the destructor can't be, so it gets a handle that owns nothing.
     poll.add(server->listener.number(), EPOLLIN, std::shared_ptr<Core::EventHandler>(std::shared_ptr<Core::EventHandler>(), server.get()));
-    auto *raw = server.get();
-    server->sweepTimer = timers.every(SweepPeriod, [raw](Core::Instant) {
-        raw->sweep();
-    });
     return server;
 }
 
@@ -148,7 +144,19 @@
         const auto connection = std::make_shared<ServerConnection>(*this, std::move(accepted));
         this->connections[descriptor] = connection;
         this->poll.add(descriptor, EPOLLIN | EPOLLRDHUP, connection);
+        this->startSweeps();
+    }
+    this->mayHaveWaiting = true;
+}
+
+void Server::startSweeps()
+{
+    if (this->sweepTimer.isActive()) {
+        return;
     }
+    this->sweepTimer = this->timers.every(SweepPeriod, [this](Core::Instant) {
+        this->sweep();
+    });
 }
 
 void Server::sweep()
@@ -162,10 +170,12 @@
     for (const auto &connection : all) {
         connection->closeIfOverdue(now);
     }
-    if (this->listening) {
-        // Connections that waited for room below the maximum.
+    if (this->listening && std::exchange(this->mayHaveWaiting, false)) {
         this->accept();
     }
+    if (this->connections.empty() && !this->mayHaveWaiting) {
+        this->sweepTimer.cancel();
+    }
 }
 
 void Server::forget(int descriptor)
--- a/Libraries/LibWire/Server.h
+++ b/Libraries/LibWire/Server.h
@@ -110,6 +110,7 @@
     friend class ServerConnection;
     Server(ServerOptions options, Core::EventPoll &poll, Core::TimerService &timers);
     void accept();
+    void startSweeps();
     void sweep();
     void forget(int descriptor);
 
@@ -120,6 +121,9 @@
     bool listening{false};
     bool draining{false};
     std::unordered_map<int, std::shared_ptr<ServerConnection>> connections;
+    // Connections may be in the listening queue that were left there, since there were as many as this server takes.
+    bool mayHaveWaiting{false};
+    // Invariant: active while there are connections.
     Core::TimerSubscription sweepTimer;
     ServerCounters counts;
 };
--- a/Tests/LibCore/TestCore.cpp
+++ b/Tests/LibCore/TestCore.cpp
@@ -5,6 +5,7 @@
 #include <Support/ManualTime.h>
 
 #include <criterion/criterion.h>
+#include <set>
 
 using TestSupport::ManualTime;
 
@@ -38,6 +39,24 @@
     cr_expect_eq(calls, 10);
 }
 
+// Each distinct time at which something is due wakes a process that has nothing else to do.
+Test(TimerService, callsThoseOfOnePeriodTogetherWheneverTheySubscribed)
+{
+    ManualTime time;
+    std::set<Core::Instant> called;
+    std::vector<Core::TimerSubscription> subscriptions;
+    for (const int period : {50, 250, 50, 250, 1000}) {
+        time.advance(Core::milliseconds(7));
+        subscriptions.push_back(time.timers().every(Core::milliseconds(period), [&called](Core::Instant now) {
+            called.insert(now);
+        }));
+    }
+    time.advance(Core::milliseconds(65));
+    called.clear();
+    time.advance(Core::seconds(1));
+    cr_expect_eq(called.size(), 20, "%zu", called.size());
+}
+
 Test(Identity, readsTheTimeOfItsOwnKeysAndRefusesOthers)
 {
     const Core::WallTime now(1'790'000'000'123);
