LibGateway: Quotas are given out two seconds after all gateways start

Each keeper's part started empty and settled for 3 s, and the parts of small workspaces take 6 s until the first whole token. Parts now keep back a token for each change of keepers that a window can hold, and a new keeper starts with one; it fills from when news have reached all (1 s) and gives out after 2 s; and where a part would get less than half a token a second one keeper in a region has to do. The property test holds.

--- a/Libraries/LibGateway/QuotaKeepers.cpp
+++ b/Libraries/LibGateway/QuotaKeepers.cpp
@@ -13,7 +13,13 @@
 namespace Gateway
 {
 
-static constexpr std::size_t KeepersInRegion = 2;
+static constexpr std::size_t MostKeepersInRegion = 2;
+// Where a keeper would get less than this a second, one in a region has to do: it takes long until a new one has a whole token.
+static constexpr double LeastPerSecond = 0.5;
+// A new keeper has this many tokens, so that callers need not wait for the first one to come …
+static constexpr double StartTokens = 1.0;
+// … where this part of what it may give out at once is left after as many changes of keepers as a window holds.
+static constexpr double LeastCapacityShare = 0.5;
 static constexpr double MillisecondsInASecond = 1000.0;
 
 QuotaKeepers::QuotaKeepers(Fleet::RegionOfZone regions, const QuotaOptions &options) : regions(std::move(regions)), options(options)
@@ -53,7 +59,12 @@
 {
     const auto all = this->whole(quota);
     const auto parts = static_cast<double>(std::max<std::size_t>(1, keepers));
-    return {.capacity = all.capacity / parts, .perSecond = all.perSecond / parts};
+    const double capacity = all.capacity / parts;
+    // In a window that holds the ends of some keepers of one part, each but the last may have started within it.
+    const auto changes = static_cast<double>(this->options.window / std::max<Core::Duration>(this->options.settleTime, Core::milliseconds(1)) + 1);
+    const double left = capacity - changes * StartTokens;
+    const bool mayStartWithSome = left >= LeastCapacityShare * capacity;
+    return {.capacity = mayStartWithSome ? left : capacity, .perSecond = all.perSecond / parts, .atStart = mayStartWithSome ? StartTokens : 0.0};
 }
 
 const KeeperGateway *QuotaKeepers::atRank(const Ring &ring, std::uint64_t position, std::size_t rank)
@@ -78,11 +89,14 @@
         byRegion.emplace_back(stableHash(name + "/" + region), &ring);
     }
     std::sort(byRegion.begin(), byRegion.end());
+    const auto all = this->whole(workspace.quota);
     // A part has to hold a whole request.
-    const auto most = static_cast<std::size_t>(std::floor(this->whole(workspace.quota).capacity));
+    const auto most = static_cast<std::size_t>(std::floor(all.capacity));
+    const bool isSmall = all.perSecond < LeastPerSecond * static_cast<double>(MostKeepersInRegion * this->rings.size());
+    const std::size_t inRegion = isSmall ? 1 : MostKeepersInRegion;
     const auto position = stableHash(name);
     std::vector<const KeeperGateway *> keepers;
-    for (std::size_t rank = 0; rank < KeepersInRegion; ++rank) {
+    for (std::size_t rank = 0; rank < inRegion; ++rank) {
         for (const auto &[hash, ring] : byRegion) {
             if (keepers.size() < most && rank < ring->size()) {
                 keepers.push_back(atRank(*ring, position, rank));
--- a/Libraries/LibGateway/QuotaKeepers.h
+++ b/Libraries/LibGateway/QuotaKeepers.h
@@ -6,8 +6,8 @@
 // Which gateways keep the quota of a workspace. A quota holds for all gateways
 // together, and most of them see less than one request of a workspace in the time
 // that it is counted over, so it can't be divided among all. A few keep a part of
-// it each: two in every region, so that the way to one is short and one may be
-// gone. Pure.
+// it each: one or two in every region, so that the way to one is short and one may
+// be gone. Pure.
 
 #pragma once
 
@@ -30,11 +30,13 @@
     Core::Duration window{Core::seconds(5)};
     /** The part of what is allowed that is given out, since requests arrive some time after they are let in. */
     double usedShare{0.95};
+    /** News of gateways reach all that are in touch within this time. */
+    Core::Duration newsTime{Core::seconds(1)};
     /**
-     * One that becomes a keeper gives nothing out for this long, until the one before it has heard of it, too: news reach all gateways that are in
-     * touch within a second.
+     * One that becomes a keeper gives nothing out for this long: the one before has stopped by then, and keepers that come and go at a start of all
+     * gateways have not begun.
      */
-    Core::Duration settleTime{Core::seconds(3)};
+    Core::Duration settleTime{Core::seconds(2)};
 };
 
 /** A gateway that may keep quotas. */
@@ -58,7 +60,7 @@
     /** The keepers of a workspace, each for an equal part of its quota. Valid until the next change. */
     [[nodiscard]] std::vector<const KeeperGateway *> keepersOf(const Fleet::Workspace &workspace) const;
 
-    /** What each of so many keepers gives out. */
+    /** What each of so many keepers gives out, as long as no part changes its keeper more often in a window than settleTime allows. */
     [[nodiscard]] BucketSize partOf(const Fleet::Quota &quota, std::size_t keepers) const;
 
     [[nodiscard]] bool isInRegionOf(const KeeperGateway &keeper, const std::string &zone) const;
@@ -67,7 +69,7 @@
     // By hash of the address. A workspace belongs to the first ones at or after its own hash, so one that comes or goes changes few workspaces.
     using Ring = std::map<std::uint64_t, KeeperGateway>;
 
-    /** What all keepers together give out. */
+    /** What all keepers together give out, without what is kept for changes of keepers. */
     [[nodiscard]] BucketSize whole(const Fleet::Quota &quota) const;
     [[nodiscard]] static const KeeperGateway *atRank(const Ring &ring, std::uint64_t position, std::size_t rank);
 
--- a/Libraries/LibGateway/QuotaLedger.cpp
+++ b/Libraries/LibGateway/QuotaLedger.cpp
@@ -67,7 +67,11 @@
             auto before = this->parts.extract(workspace->name);
             if (before.empty()) {
                 // Q1
-                kept.emplace(workspace->name, Part{.bucket = TokenBucket(size, now + this->options.settleTime), .size = size, .promisedUntil = now});
+                kept.emplace(workspace->name,
+                    Part{.bucket = TokenBucket(size, now + this->options.newsTime),
+                        .size = size,
+                        .givesFrom = now + this->options.settleTime,
+                        .promisedUntil = now});
                 continue;
             }
             before.mapped().bucket.resize(size, now);
@@ -85,10 +89,10 @@
         return {};
     }
     auto &part = found->second;
-    if (part.bucket.take(now)) {
+    if (now >= part.givesFrom && part.bucket.take(now)) {
         return {.isKeeper = true, .granted = true};
     }
-    const auto freeAfter = part.bucket.timeToToken(now);
+    const auto freeAfter = std::max(part.bucket.timeToToken(now), part.givesFrom - now);
     const auto perToken = Core::milliseconds(static_cast<std::int64_t>(MillisecondsInASecond / std::max(part.size.perSecond, 1e-3)));
     // Those who were refused before come first.
     const auto promise = std::clamp(part.promisedUntil + perToken - now, freeAfter, std::max(freeAfter, LongestPromise));
--- a/Libraries/LibGateway/QuotaLedger.h
+++ b/Libraries/LibGateway/QuotaLedger.h
@@ -29,7 +29,8 @@
 /**
  * What all keepers of a workspace let in, in any window, is within its quota, as long as nobody gives a part out at the same time as the one who
  * kept it before:
- * Q1. One that becomes a keeper starts with nothing, and gives nothing out until the one before it has heard of it (QuotaOptions::settleTime).
+ * Q1. One that becomes a keeper gives nothing out until the one before has heard of it (QuotaOptions::settleTime). Its bucket fills from when all
+ *     have heard, and starts with no more than each part keeps back for changes of its keeper (QuotaKeepers::partOf()).
  * Q2. One that no longer knows that a leader of the coordinators knows of it keeps nothing, before anybody else takes its place.
  * Q3. Whatever a keeper gave out and was not used is lost.
  */
@@ -54,6 +55,7 @@
     struct Part {
         TokenBucket bucket;
         BucketSize size;
+        Core::Instant givesFrom;
         // When the caller that was refused last was told to come back.
         Core::Instant promisedUntil;
     };
--- a/Libraries/LibGateway/TokenBucket.cpp
+++ b/Libraries/LibGateway/TokenBucket.cpp
@@ -14,7 +14,7 @@
 // A longer wait than a day is told as a day.
 static constexpr double LongestWaitSeconds = 86'400.0;
 
-TokenBucket::TokenBucket(const BucketSize &size, Core::Instant fillsFrom) : size(size), filledAt(fillsFrom)
+TokenBucket::TokenBucket(const BucketSize &size, Core::Instant fillsFrom) : size(size), tokens(size.atStart), filledAt(fillsFrom)
 {
 }
 
--- a/Libraries/LibGateway/TokenBucket.h
+++ b/Libraries/LibGateway/TokenBucket.h
@@ -17,13 +17,15 @@
     /** Tokens at most. */
     double capacity{0.0};
     double perSecond{0.0};
+    /** Tokens of a new one. */
+    double atStart{0.0};
 };
 
-/** In any span of length T it gives out capacity + perSecond x T tokens at most, also over changes of its size to smaller ones. */
+/** In any span of length T it gives out max(capacity, atStart) + perSecond x T tokens at most, also over changes of its size to smaller ones. */
 class TokenBucket
 {
 public:
-    /** Empty, and filling from a time on that may lie ahead. */
+    /** Fills from a time on that may lie ahead. */
     TokenBucket(const BucketSize &size, Core::Instant fillsFrom);
 
     /** Takes the tokens beyond a smaller capacity away; a larger one has to fill first. */
--- a/Tests/LibGateway/TestQuotaLedger.cpp
+++ b/Tests/LibGateway/TestQuotaLedger.cpp
@@ -313,16 +313,16 @@
     const Fleet::WorkspaceName name("w");
     cr_assert_not(ledger.take(name, at(Core::seconds(10))).isKeeper);
     ledger.setMayKeep(true, at(Core::seconds(10)));
-    const auto early = ledger.take(name, at(Core::seconds(12)));
-    cr_assert(early.isKeeper && !early.granted && early.freeAfter > Core::seconds(1), "the one before may still give something out");
-    cr_assert(ledger.take(name, at(Core::seconds(14))).granted);
+    const auto early = ledger.take(name, at(Core::milliseconds(11'900)));
+    cr_assert(early.isKeeper && !early.granted && early.freeAfter == Core::milliseconds(100), "the one before may still give something out");
+    cr_assert(ledger.take(name, at(Core::seconds(12))).granted);
     ledger.setMayKeep(false, at(Core::seconds(15)));
     cr_assert_not(ledger.take(name, at(Core::seconds(20))).isKeeper);
 }
 
 Test(QuotaLedger, tellsThoseItRefusesToComeBackOneAfterTheOther)
 {
-    QuotaLedger ledger(Regions, {.usedShare = 1.0, .settleTime = Core::Duration(0)}, gatewayNumber(0).address);
+    QuotaLedger ledger(Regions, {.usedShare = 1.0}, gatewayNumber(0).address);
     ledger.setGateways({gatewayNumber(0)}, at(Core::Duration(0)));
     ledger.setDeclaration(declarationWith({.requestsPerSecond = 2.0, .burst = 1.0}), at(Core::Duration(0)));
     ledger.setMayKeep(true, at(Core::Duration(0)));
--- a/Tests/LibGateway/TestQuotas.cpp
+++ b/Tests/LibGateway/TestQuotas.cpp
@@ -41,7 +41,6 @@
         for (const auto &zone : zones) {
             this->addNode(zone, [](Gateway::GatewayOptions &options) {
                 options.quotas.quota.usedShare = 1.0;
-                options.quotas.quota.settleTime = Core::milliseconds(10);
             });
         }
     }
