LibGateway: Gateways are known, and keep quotas, before servers are all there

After a loss of power of all instances gateways announced themselves only once they were ready, which waits 2.6 s for services without servers; until then nobody knew a keeper of any quota, and each change of gateways on the way made new keepers settle again.

--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -165,7 +165,9 @@
 
 std::optional<Protocol::BackendAnnouncement> GatewayNode::makePresence()
 {
-    if (!this->isReady() && !this->draining) {
+    // Other gateways may ask one that knows what the coordinators know, even while callers should not come yet because servers are missing.
+    const bool knowsAll = this->routes && this->watcher.isConfirmed() && this->watcher.leaderKnownAt().has_value();
+    if (!knowsAll && !this->isReady() && !this->draining) {
         return std::nullopt;
     }
     Protocol::BackendAnnouncement presence;
--- a/Libraries/LibGateway/QuotaKeepers.h
+++ b/Libraries/LibGateway/QuotaKeepers.h
@@ -32,10 +32,7 @@
     double usedShare{0.95};
     /** News of gateways reach all that are in touch within this time. */
     Core::Duration newsTime{Core::seconds(1)};
-    /**
-     * One that becomes a keeper gives nothing out for this long: the one before has stopped by then, and keepers that come and go at a start of all
-     * gateways have not begun.
-     */
+    /** One that may keep quotas from now on gives nothing out for this long: those who kept them before have heard of it by then, and stopped. */
     Core::Duration settleTime{Core::seconds(2)};
 };
 
--- a/Libraries/LibGateway/QuotaLedger.cpp
+++ b/Libraries/LibGateway/QuotaLedger.cpp
@@ -43,7 +43,8 @@
 
 void QuotaLedger::setMayKeep(bool may, Core::Instant now)
 {
-    if (std::exchange(this->mayKeep, may) != may) {
+    if (this->mayKeepSince.has_value() != may) {
+        this->mayKeepSince = may ? std::optional(now) : std::nullopt;
         this->update(now);
     }
 }
@@ -51,7 +52,7 @@
 void QuotaLedger::update(Core::Instant now)
 {
     std::unordered_map<Fleet::WorkspaceName, Part> kept;
-    if (this->mayKeep && this->declaration && this->declaration->workspaces.has_value()) {
+    if (this->mayKeepSince.has_value() && this->declaration && this->declaration->workspaces.has_value()) {
         for (const auto &workspace : this->declaration->workspaces->all()) {
             if (!workspace->quota.isBounded()) {
                 continue;
@@ -68,9 +69,9 @@
             if (before.empty()) {
                 // Q1
                 kept.emplace(workspace->name,
-                    Part{.bucket = TokenBucket(size, now + this->options.newsTime),
+                    Part{.bucket = TokenBucket(size, std::max(now, this->mayKeepSince.value() + this->options.newsTime)),
                         .size = size,
-                        .givesFrom = now + this->options.settleTime,
+                        .givesFrom = std::max(now + this->options.newsTime, this->mayKeepSince.value() + this->options.settleTime),
                         .promisedUntil = now});
                 continue;
             }
--- a/Libraries/LibGateway/QuotaLedger.h
+++ b/Libraries/LibGateway/QuotaLedger.h
@@ -29,8 +29,9 @@
 /**
  * What all keepers of a workspace let in, in any window, is within its quota, as long as nobody gives a part out at the same time as the one who
  * kept it before:
- * Q1. One that becomes a keeper gives nothing out until the one before has heard of it (QuotaOptions::settleTime). Its bucket fills from when all
- *     have heard, and starts with no more than each part keeps back for changes of its keeper (QuotaKeepers::partOf()).
+ * Q1. One that comes, and so becomes a keeper, gives nothing out until the one before has heard of it (QuotaOptions::settleTime). One that becomes a
+ *     keeper because another has gone takes the place of one that has stopped. A new part starts with no more than each keeps back for changes of its
+ *     keeper (QuotaKeepers::partOf()).
  * Q2. One that no longer knows that a leader of the coordinators knows of it keeps nothing, before anybody else takes its place.
  * Q3. Whatever a keeper gave out and was not used is lost.
  */
@@ -66,7 +67,8 @@
     QuotaKeepers allKeepers;
     std::string ownAddress;
     std::shared_ptr<const Fleet::Declaration> declaration;
-    bool mayKeep{false};
+    // Since when it may keep quotas without a break; nothing while it may not.
+    std::optional<Core::Instant> mayKeepSince;
     std::unordered_map<Fleet::WorkspaceName, Part> parts;
 };
 
--- a/Tests/LibGateway/TestQuotas.cpp
+++ b/Tests/LibGateway/TestQuotas.cpp
@@ -34,13 +34,14 @@
 class QuotaFixture : public NodeFixture
 {
 public:
-    explicit QuotaFixture(const std::vector<std::string> &zones)
+    explicit QuotaFixture(const std::vector<std::string> &zones, Core::Duration patience = Core::milliseconds(2600))
     {
         this->coordinator.declare(declaration());
         this->backend = &this->addBackend("one", "server", "here");
         for (const auto &zone : zones) {
-            this->addNode(zone, [](Gateway::GatewayOptions &options) {
+            this->addNode(zone, [patience](Gateway::GatewayOptions &options) {
                 options.quotas.quota.usedShare = 1.0;
+                options.registryPatience = patience;
             });
         }
     }
@@ -106,6 +107,23 @@
     cr_assert_null(Wire::findHeader(fixture.backend->requests.back().headers, Gateway::RelayHeader::Quota), "nor is it sent on");
 }
 
+// The load pattern: all gateways start again while a declared service has no server, so that none of them calls itself ready yet. Callers come all the same.
+Test(Quotas, areKeptByGatewaysThatWaitForServers)
+{
+    QuotaFixture fixture({"here", "there"}, Core::seconds(600));
+    auto document = declaration();
+    document["services"].push_back({{"name", "gone"}});
+    document["routes"].push_back(document["routes"][0]);
+    document["routes"][1]["path_prefix"] = "/gone/";
+    document["routes"][1]["service"] = "gone";
+    fixture.coordinator.declare(document);
+    cr_assert(fixture.runUntil([&fixture] {
+        const auto answer = fixture.askAs(*fixture.nodes.front(), "small-secret");
+        fixture.settle();
+        return answer.status == Ok;
+    }));
+}
+
 Test(QuotaAnswers, areReadAsTheyWereWritten)
 {
     const Gateway::QuotaAnswer refused{.isKeeper = true, .granted = false, .freeAfter = Core::milliseconds(12), .comeBackAfter = Core::milliseconds(345)};
