LibFleet, LibCoordinator: How long heartbeats are waited for follows their period

A coordinator that starts from its disk gave backend servers 3.5 s to call, about three periods of 1.2 s; on the whole fleet they call every 5 s, so it took most of 9,534 servers for silent, told every gateway so, and told them of each again when it called. That time, silence, and how long a gateway waits for servers are derived from the period in one place now. The test fails with the constant (period 5 s).

--- a/Libraries/LibCoordinator/CoordinatorNode.cpp
+++ b/Libraries/LibCoordinator/CoordinatorNode.cpp
@@ -27,7 +27,11 @@
 static constexpr Core::Duration DrainPollPeriod = Core::milliseconds(20);
 
 CoordinatorNode::CoordinatorNode(CoordinatorOptions options, Core::TimerService &timers)
-    : options(std::move(options)), timers(timers), incarnation(static_cast<std::int64_t>(Core::randomNumber() >> 1U)), lastExpiry(timers.now())
+    : options(std::move(options))
+    , timers(timers)
+    , incarnation(static_cast<std::int64_t>(Core::randomNumber() >> 1U))
+    , registry(Fleet::RegistryOptions{.unconfirmedLife = this->options.heartbeats.unconfirmedLife})
+    , lastExpiry(timers.now())
 {
 }
 
@@ -251,7 +255,7 @@
         this->gateways.excuseSilence(now);
         return;
     }
-    const auto backendsGone = this->registry.expire(now, this->options.backendSilence);
+    const auto backendsGone = this->registry.expire(now, this->options.heartbeats.silence);
     const auto gatewaysGone = this->gateways.expire(now, this->options.gatewaySilence);
     if (backendsGone + gatewaysGone > 0) {
         Core::logEvent(Core::LogLevel::Information, "registry.expired", {{"backends", backendsGone}, {"gateways", gatewaysGone}});
--- a/Libraries/LibCoordinator/CoordinatorNode.h
+++ b/Libraries/LibCoordinator/CoordinatorNode.h
@@ -14,6 +14,7 @@
 #include <LibCoordinator/WatchDesk.h>
 #include <LibFleet/BackendRegistry.h>
 #include <LibFleet/FleetWatcher.h>
+#include <LibFleet/HeartbeatTimes.h>
 
 namespace Coordinator
 {
@@ -30,8 +31,8 @@
     bool mayFound{false};
     /** A question without news is answered after this long, so that the asker knows that the coordinator lives. */
     Core::Duration watchHold{Core::milliseconds(1800)};
-    /** A backend server without a heartbeat for this long is taken for gone. Several heartbeats, since single ones come seconds late. */
-    Core::Duration backendSilence{Core::seconds(20)};
+    /** How long heartbeats of backend servers are waited for. */
+    Fleet::HeartbeatTimes heartbeats{Fleet::HeartbeatTimes::of(Core::milliseconds(1200))};
     /** The same for a gateway, which calls at least each time that a question was held. */
     Core::Duration gatewaySilence{Core::seconds(12)};
     /** Says what is wrong with a declaration's text, or which version it has. */
--- a/Libraries/LibFleet/BackendRegistry.h
+++ b/Libraries/LibFleet/BackendRegistry.h
@@ -44,8 +44,8 @@
     /** A backend server that left or fell silent is remembered for this long, so that late news of it changes nothing. */
     Core::Duration retention{Core::seconds(600)};
     /**
-     * A backend server that a coordinator read from its disk is taken for ready for this long without a heartbeat. About three periods, and
-     * shorter than the time after a start in which one that left unnoticed could still get work that counts.
+     * A backend server that a coordinator read from its disk is taken for ready for this long without a heartbeat (HeartbeatTimes). Not longer than
+     * it takes, since one that left unnoticed still gets work meanwhile.
      */
     Core::Duration unconfirmedLife{Core::milliseconds(3500)};
     /**
--- a/Services/coordinatord/main.cpp
+++ b/Services/coordinatord/main.cpp
@@ -61,6 +61,7 @@
     options.mayFound = settings.firstStart;
     options.membership.wantedVoters = 2 * static_cast<std::size_t>(settings.tolerableLosses) + 1;
     options.regions = settings.regions;
+    options.heartbeats = Fleet::HeartbeatTimes::of(settings.heartbeatPeriod);
     options.examine = [regions = settings.regions](const std::string &content) -> Core::Result<Fleet::DeclarationVersion> {
         const auto declaration = Platform::readConfiguration(content);
         if (!declaration.has_value()) {
--- a/Services/gatewayd/main.cpp
+++ b/Services/gatewayd/main.cpp
@@ -9,6 +9,7 @@
 #include <LibCore/EventPoll.h>
 #include <LibCore/Identity.h>
 #include <LibCore/Log.h>
+#include <LibFleet/HeartbeatTimes.h>
 #include <LibGateway/GatewayNode.h>
 #include <platform/ConfigurationCodec.h>
 #include <platform/MetricsListener.h>
@@ -90,7 +91,7 @@
     options.relayEndpoint = Platform::internalEndpoint(settings, Platform::InternalPort::Relay);
     options.dialect = Platform::makeDialect();
     options.readDeclaration = Platform::readConfiguration;
-    options.registryPatience = 2 * settings.heartbeatPeriod + Core::milliseconds(200);
+    options.registryPatience = Fleet::HeartbeatTimes::of(settings.heartbeatPeriod).allHeard;
     return options;
 }
 
--- a/Tests/LibCoordinator/TestRegistryStore.cpp
+++ b/Tests/LibCoordinator/TestRegistryStore.cpp
@@ -10,6 +10,7 @@
 
 #include <LibCoordinator/RegistryStore.h>
 #include <LibFleet/BackendRegistry.h>
+#include <LibFleet/HeartbeatTimes.h>
 #include <Support/FakeFolder.h>
 
 #include <criterion/criterion.h>
@@ -142,3 +143,29 @@
     registry.noteHeard("lives", start + Core::seconds(1));
     cr_assert_eq(registry.expireUnconfirmed(start + Core::seconds(10)), 0);
 }
+
+// The load pattern: thousands of backend servers that call every 5 s, and a coordinator that starts from its disk. Each calls within a period and
+// what a heartbeat is late; one taken for silent before is taken away from all gateways, and told of again when it calls.
+Test(RegistryStore, takesNobodyForSilentBeforeItsHeartbeatCanHaveCome)
+{
+    for (const auto period : {Core::milliseconds(400), Core::milliseconds(1200), Core::milliseconds(5000)}) {
+        Fleet::BackendRegistry registry({.unconfirmedLife = Fleet::HeartbeatTimes::of(period).unconfirmedLife});
+        static constexpr int Servers = 1000;
+        std::mt19937_64 random(3);
+        std::multimap<Core::Duration, std::string> calls;
+        for (int number = 0; number < Servers; ++number) {
+            const auto name = std::to_string(number);
+            registry.restore(announcement(name), Core::Instant());
+            const auto late = random() % 20 == 0 ? Core::milliseconds(static_cast<std::int64_t>(random() % 2000)) : Core::Duration(0);
+            calls.emplace(Core::Duration(static_cast<Core::Duration::rep>(random() % static_cast<std::uint64_t>(Core::Duration(period).count()))) + late, name);
+        }
+        std::size_t silent = 0;
+        for (const auto &[time, name] : calls) {
+            silent += registry.expireUnconfirmed(Core::Instant(time));
+            registry.mergeHeartbeat(announcement(name, BackendPhase::READY, 8), Core::Instant(time));
+        }
+        cr_assert_eq(silent, 0, "%zu with a period of %ld ms", silent, static_cast<long>(Core::toMilliseconds(period)));
+        registry.restore(announcement("left"), Core::Instant());
+        cr_assert_eq(registry.expireUnconfirmed(Core::Instant(period + Core::seconds(3))), 1, "one that does not call");
+    }
+}
