LibWire, LibGateway: Silence of another gateway is noticed within some round trips

After a loss of power of a fifth of the instances most searches meet a dead owner: ten parts each.

Connections with a limit below that now ask the system themselves whether bytes are unacknowledged, after four round trips and 20 ms; connections to gateways that are not up by then end.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -350,6 +350,16 @@
 
 // ---- Connections
 
+std::optional<Core::Duration> BackendPool::connectLimit(const Backend &backend) const
+{
+    if (!this->options.acceptsAtOnce) {
+        return std::nullopt;
+    }
+    // Of this one if it was measured, else of the nearest one of its service.
+    const auto roundTrip = backend.roundTrip.value_or(this->roundTripTo(backend.service));
+    return std::min(this->options.connectPatience, Wire::acknowledgementLimit(roundTrip));
+}
+
 std::optional<Core::Duration> BackendPool::trialMargin(bool keptApart) const
 {
     if (!this->options.trial.has_value()) {
@@ -361,8 +371,11 @@
 
 ConnectionPointer BackendPool::openConnection(Backend &backend, bool keptApart)
 {
-    auto opened = Wire::ClientConnection::create(
-        {.endpoint = backend.endpoint, .silenceLimit = this->options.silenceLimit, .trialMargin = this->trialMargin(keptApart), .limits = {}},
+    auto opened = Wire::ClientConnection::create({.endpoint = backend.endpoint,
+                                                     .silenceLimit = this->options.silenceLimit,
+                                                     .connectLimit = this->connectLimit(backend),
+                                                     .trialMargin = this->trialMargin(keptApart),
+                                                     .limits = {}},
         this->poll,
         this->timers);
     if (!opened.has_value()) {
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -33,6 +33,8 @@
     RepeatBudgetOptions budget;
     /** A server that is not silent answers a new connection within this time, also across regions. */
     Core::Duration connectPatience{Core::milliseconds(600)};
+    /** The other side's machines accept a connection within a few round trips as long as they run, so one that has taken longer is given up. */
+    bool acceptsAtOnce{false};
     /** Sent bytes that stay unacknowledged for this long break a connection; a machine that runs acknowledges within a round trip. */
     Core::Duration silenceLimit{Core::milliseconds(1200)};
     /** Failures in a row after which one is avoided. Silence counts at once. */
@@ -212,6 +214,8 @@
     /** `keptApart`: beside idle ones that may not be used, so that the backend server may have as many as it takes. */
     [[nodiscard]] ConnectionPointer openConnection(Backend &backend, bool keptApart);
     [[nodiscard]] std::optional<Core::Duration> trialMargin(bool keptApart) const;
+    /** How long a new connection may take; nothing where connectPatience alone bounds it. */
+    [[nodiscard]] std::optional<Core::Duration> connectLimit(const Backend &backend) const;
     void connectionClosed(Backend &backend, const Wire::ClientConnection *connection);
     /** Whether what came from `backend` is the answer to a send of the key `expected`. */
     [[nodiscard]] bool isAnswerTo(const ReplyKey &expected, const BackendName &backend, const Wire::Response &response);
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -36,6 +36,7 @@
     // Gateways take as many connections as come.
     relays.trial.reset();
     relays.connectPatience = options.relay.connectPatience;
+    relays.acceptsAtOnce = true;
     relays.silenceLimit = options.relay.silenceLimit;
     relays.failuresUntilAvoided = 1;
     return relays;
--- a/Libraries/LibWire/ClientConnection.cpp
+++ b/Libraries/LibWire/ClientConnection.cpp
@@ -22,9 +22,19 @@
 static constexpr Core::Duration DefaultIdleTime = Core::seconds(30);
 // Servers tell whole seconds; one that says "timeout=5" may close a little earlier.
 static constexpr Core::Duration IdleMargin = Core::milliseconds(700);
+// The system looks for missing acknowledgements no sooner than this after a send, whatever limit it is told.
+static constexpr Core::Duration ShortestRetransmission = Core::milliseconds(200);
+// A machine that runs acknowledges within a round trip; some more, and a margin for full links.
+static constexpr int RoundTripsToAcknowledgement = 4;
+static constexpr Core::Duration AcknowledgementMargin = Core::milliseconds(20);
 // A connection ends after so many requests, so that it can know all of their keys: 8 KiB, for one new connection in a thousand sends.
 static constexpr std::size_t RequestsPerConnection = 1024;
 
+Core::Duration acknowledgementLimit(Core::Duration roundTrip)
+{
+    return RoundTripsToAcknowledgement * roundTrip + AcknowledgementMargin;
+}
+
 Core::Result<std::shared_ptr<ClientConnection>> ClientConnection::create(ClientConnectionOptions options, Core::EventPoll &poll, Core::TimerService &timers)
 {
     auto socket = Socket::connectTo(options.endpoint, options.silenceLimit);
@@ -34,6 +44,11 @@
     const int descriptor = socket->number();
     std::shared_ptr<ClientConnection> connection(new ClientConnection(std::move(options), std::move(socket.value()), poll, timers));
     poll.add(descriptor, EPOLLIN | EPOLLOUT | EPOLLRDHUP, connection);
+    if (const auto limit = connection->options.connectLimit; limit.has_value()) {
+        connection->connectTimer = timers.once(limit.value(), [raw = connection.get()](Core::Instant) {
+            raw->connectTimedOut();
+        });
+    }
     return connection;
 }
 
@@ -74,6 +89,7 @@
     const auto transfer = this->socket.write(this->output, this->written);
     if (transfer == Transfer::Open) {
         this->setWantsWrite(this->written < this->output.size());
+        this->watchForSilence();
         return;
     }
     this->failTimer = this->timers.once(Core::Duration(0), [this, transfer](Core::Instant) {
@@ -81,6 +97,20 @@
     });
 }
 
+void ClientConnection::watchForSilence()
+{
+    if (this->options.silenceLimit >= ShortestRetransmission || !this->done) {
+        return;
+    }
+    const auto limit = std::min(this->options.silenceLimit, acknowledgementLimit(this->connecting));
+    this->silenceTimer = this->timers.once(limit, [this](Core::Instant) {
+        if (this->done && this->options.awaitsAcknowledgement(this->socket)) {
+            this->unacknowledged = true;
+            this->fail("what was sent stayed unacknowledged");
+        }
+    });
+}
+
 bool ClientConnection::hasCarried(const std::string &key) const
 {
     return std::find(this->carried.begin(), this->carried.end(), std::hash<std::string>{}(key)) != this->carried.end();
@@ -132,6 +162,8 @@
     this->recognise = nullptr;
     this->trialTimer.cancel();
     this->failTimer.cancel();
+    this->silenceTimer.cancel();
+    this->connectTimer.cancel();
     this->poll.remove(this->socket.number());
     this->socket = Socket();
     const auto hook = std::exchange(this->closed, nullptr);
@@ -173,8 +205,16 @@
     }
 }
 
+void ClientConnection::connectTimedOut()
+{
+    if (!this->up && !this->accepted) {
+        this->finish(ClientResult{.end = ClientEnd::NotSent, .response = {}, .reason = "connect: no answer in time"}, false);
+    }
+}
+
 void ClientConnection::connected()
 {
+    this->connectTimer.cancel();
     const int error = this->socket.connectError();
     if (error != 0) {
         this->finish(ClientResult{.end = ClientEnd::NotSent, .response = {}, .reason = std::string("connect: ") + std::strerror(error)}, false);
@@ -217,6 +257,7 @@
         return;
     }
     this->setWantsWrite(this->written < this->output.size());
+    this->watchForSilence();
 }
 
 void ClientConnection::writeFailed(Transfer transfer)
@@ -336,10 +377,12 @@
     const auto keepAlive = this->shared_from_this();
     const auto hook = std::exchange(this->done, nullptr);
     this->recognise = nullptr;
+    this->silenceTimer.cancel();
     if (!keep) {
         this->gone = true;
         this->trialTimer.cancel();
         this->failTimer.cancel();
+        this->connectTimer.cancel();
         this->poll.remove(this->socket.number());
         this->socket = Socket();
     }
--- a/Libraries/LibWire/ClientConnection.h
+++ b/Libraries/LibWire/ClientConnection.h
@@ -61,8 +61,12 @@
 /** How a connection is made. */
 struct ClientConnectionOptions {
     Core::Endpoint endpoint;
-    /** Sent bytes that stay unacknowledged for this long break the connection. */
+    /** Sent bytes that stay unacknowledged for this long break the connection; where it is short, after a few round trips already. */
     Core::Duration silenceLimit{Core::milliseconds(1500)};
+    /** A connection that is not up after this long ends. Nothing where the owner looks after that. */
+    std::optional<Core::Duration> connectLimit;
+    /** Whether bytes that were sent on a socket are not acknowledged yet. */
+    std::function<bool(const Socket &socket)> awaitsAcknowledgement{&Socket::awaitsAcknowledgement};
     /**
      * A server that has as many connections as it takes accepts one more and resets it at once. Requests wait on a new connection until that
      * reset would be here, a round trip and this margin, since one that was sent may have run. Nothing where servers have no such limit.
@@ -71,6 +75,9 @@
     MessageLimits limits;
 };
 
+/** How long a machine that runs may take to acknowledge what is sent to it, by a round trip that was measured. */
+[[nodiscard]] Core::Duration acknowledgementLimit(Core::Duration roundTrip);
+
 /** Connects at once; the first request may be sent before the connection is up. */
 class ClientConnection : public Core::EventHandler, public std::enable_shared_from_this<ClientConnection>
 {
@@ -116,6 +123,8 @@
     void writeFirst();
     void writeMore();
     void writeFailed(Transfer transfer);
+    void watchForSilence();
+    void connectTimedOut();
     void startResponse();
     void readMore();
     void parse();
@@ -154,6 +163,9 @@
     Core::Duration connecting{0};
     Core::TimerSubscription trialTimer;
     Core::TimerSubscription failTimer;
+    // Active while a request is under way whose silence the system would notice too late.
+    Core::TimerSubscription silenceTimer;
+    Core::TimerSubscription connectTimer;
 };
 
 }
--- a/Libraries/LibWire/Socket.cpp
+++ b/Libraries/LibWire/Socket.cpp
@@ -9,8 +9,10 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -175,6 +177,16 @@
     return error;
 }
 
+bool Socket::awaitsAcknowledgement() const
+{
+    int queued = 0;
+    int unsent = 0;
+    if (ioctl(this->descriptor, SIOCOUTQ, &queued) != 0 || ioctl(this->descriptor, SIOCOUTQNSD, &unsent) != 0) {
+        return false;
+    }
+    return queued > unsent;
+}
+
 void Socket::finishWriting() const
 {
     shutdown(this->descriptor, SHUT_WR);
--- a/Libraries/LibWire/Socket.h
+++ b/Libraries/LibWire/Socket.h
@@ -61,6 +61,8 @@
 
     /** What became of connectTo(): 0, or an errno value. */
     [[nodiscard]] int connectError() const;
+    /** Whether bytes that were sent are not acknowledged yet; false where the system does not tell. */
+    [[nodiscard]] bool awaitsAcknowledgement() const;
 
     /** Tells the other side that no more bytes follow. */
     void finishWriting() const;
--- a/Tests/LibWire/TestClientConnection.cpp
+++ b/Tests/LibWire/TestClientConnection.cpp
@@ -298,3 +298,117 @@
     cr_assert(client.connection->isClosed(), "it went on for %zu requests", sent);
     cr_assert(client.results.back().end == Wire::ClientEnd::Answered, "the last one is answered, too");
 }
+
+namespace
+{
+
+/** A server that holds its answer, and a request whose acknowledgement a test decides. */
+class HeldRequest
+{
+public:
+    explicit HeldRequest(bool isAcknowledged)
+    {
+        this->server = Wire::Server::create({.name = "test",
+                                                .endpoint = this->endpoint,
+                                                .handler =
+                                                    [this](const Wire::Request &, const auto &exchange) {
+                                                        this->exchange = exchange;
+                                                    },
+                                                .limits = {}},
+            *this->fixture.poll,
+            this->fixture.timers)
+                           .value();
+        this->connection = Wire::ClientConnection::create({.endpoint = this->endpoint,
+                                                              .silenceLimit = Core::milliseconds(80),
+                                                              .awaitsAcknowledgement =
+                                                                  [isAcknowledged](const Wire::Socket &) {
+                                                                      return !isAcknowledged;
+                                                                  }},
+            *this->fixture.poll,
+            this->fixture.timers)
+                               .value();
+        this->connection->send({.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+            .recognise =
+                [](const Wire::Response &) {
+                    return true;
+                },
+            .done =
+                [this](const Wire::ClientResult &ended) {
+                    this->result = ended;
+                }});
+    }
+
+    TestSupport::LoopFixture fixture;
+    Core::Endpoint endpoint{TestSupport::freeEndpoint()};
+    Wire::ExchangePointer exchange;
+    std::shared_ptr<Wire::Server> server;
+    std::shared_ptr<Wire::ClientConnection> connection;
+    std::optional<Wire::ClientResult> result;
+};
+
+}
+
+// The load pattern: a fifth of all machines loses power, and each kept connection to one of them takes what is sent without a word.
+Test(Silence, ofAMachineEndsARequestBeforeTheSystemRetransmits)
+{
+    HeldRequest held(false);
+    cr_assert(held.fixture.runUntil([&held] {
+        return held.result.has_value();
+    }));
+    cr_assert(held.result->end == Wire::ClientEnd::Unacknowledged, "%s", held.result->reason.c_str());
+    cr_assert(held.connection->isClosed());
+}
+
+Test(Silence, isNotThatOfAServerThatTakesItsTime)
+{
+    HeldRequest held(true);
+    held.fixture.settle(Core::milliseconds(400));
+    cr_assert(!held.result.has_value() && held.exchange != nullptr);
+    held.exchange->respond({.status = 200, .headers = {}, .body = "late"});
+    cr_assert(held.fixture.runUntil([&held] {
+        return held.result.has_value();
+    }));
+    cr_assert(held.result->end == Wire::ClientEnd::Answered && held.result->response.body == "late");
+}
+
+Test(Silence, isToldByTheSystemOnlyOfWhatIsUnacknowledged)
+{
+    TestSupport::LoopFixture fixture;
+    const auto endpoint = TestSupport::freeEndpoint();
+    const auto listener = Wire::Socket::listenOn(endpoint, 4).value();
+    const auto caller = Wire::Socket::connectTo(endpoint, Core::seconds(5)).value();
+    std::size_t offset = 0;
+    cr_assert(caller.write("taken by the other machine, whether or not its program reads it", offset) == Wire::Transfer::Open);
+    cr_assert(fixture.runUntil([&caller] {
+        return !caller.awaitsAcknowledgement();
+    }));
+}
+
+Test(Connecting, endsWhereNobodyAnswersInTime)
+{
+    TestSupport::LoopFixture fixture;
+    const auto endpoint = TestSupport::freeEndpoint();
+    // With nobody who accepts, this many fill the queue, and what comes then is not answered.
+    const auto listener = Wire::Socket::listenOn(endpoint, 1).value();
+    std::vector<Wire::Socket> others;
+    for (int number = 0; number < 4; ++number) {
+        others.push_back(Wire::Socket::connectTo(endpoint, Core::seconds(5)).value());
+    }
+    fixture.settle(Core::milliseconds(50));
+    std::optional<Wire::ClientResult> result;
+    const auto connection
+        = Wire::ClientConnection::create({.endpoint = endpoint, .connectLimit = Core::milliseconds(30)}, *fixture.poll, fixture.timers).value();
+    connection->send({.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+        .recognise =
+            [](const Wire::Response &) {
+                return true;
+            },
+        .done =
+            [&result](const Wire::ClientResult &ended) {
+                result = ended;
+            }});
+    cr_assert(fixture.runUntil([&result] {
+        return result.has_value();
+    }));
+    cr_assert(result->end == Wire::ClientEnd::NotSent, "%s", result->reason.c_str());
+}
