LibGateway: A part whose connection breaks at once is asked for again

When instances come back after a loss of power, the first part on each kept connection to one is reset. A connection that breaks within a round trip of the send was reset by a machine that knows nothing of it; what is counted for each shard is one send, as for a machine that fell silent.

--- a/Libraries/LibGateway/RelayedPart.cpp
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -172,12 +172,25 @@
     case CallState::FailedUnacknowledged:
         // Its machine fell silent, so it most likely has not taken the part either; an attempt at each shard is counted for it all the same.
         return this->allMissing(this->relayCall->executions(), this->relayCall->executions());
+    case CallState::Failed:
+        if (this->brokeAtOnce()) {
+            return this->allMissing(this->relayCall->executions(), this->relayCall->executions());
+        }
+        [[fallthrough]];
     default:
         // What ran for the other gateway is not known, so nothing may be sent in its place.
         return this->allMissing(this->route.maximumAttempts, 1);
     }
 }
 
+// A machine that started again resets what it knows nothing of, a round trip after the send. Also a gateway that did take the part has sent each shard
+// at most once by then, since no backend server's answer can be there.
+bool RelayedPart::brokeAtOnce() const
+{
+    const auto brokeAfter = this->relayCall->brokeAfter();
+    return brokeAfter.has_value() && brokeAfter.value() <= this->context.settings->immediateBreak;
+}
+
 std::vector<Protocol::MissingShard> RelayedPart::allMissing(int executions, int sends) const
 {
     std::vector<Protocol::MissingShard> all;
--- a/Libraries/LibGateway/RelayedPart.h
+++ b/Libraries/LibGateway/RelayedPart.h
@@ -61,6 +61,8 @@
 
 private:
     void takeOutcome();
+    /** Whether the connection broke so soon after the part was sent that its shards were sent once at most. */
+    [[nodiscard]] bool brokeAtOnce() const;
     /** The shards that an answer names as missing though they were not asked for, or named before. */
     [[nodiscard]] std::vector<std::string> missingButNotAsked(const Protocol::PartialAnswer &answer) const;
     [[nodiscard]] std::vector<Protocol::MissingShard> allMissing(int executions, int sends) const;
--- a/Libraries/LibGateway/RequestSettings.h
+++ b/Libraries/LibGateway/RequestSettings.h
@@ -36,6 +36,11 @@
     Core::Duration answerReserve{Core::milliseconds(20)};
     /** The part of the target latency that a single request waits for room before it is refused. */
     double roomWaitShare{0.2};
+    /**
+     * A connection to another gateway that breaks within this time of a send was reset by a machine that knows nothing of it: a round trip within a
+     * region (2 ms) and both programs. Shorter than any backend server takes to lose an answer, so each shard was sent once at most by then.
+     */
+    Core::Duration immediateBreak{Core::milliseconds(6)};
     /** How long a request may be held for which nobody said how long. */
     Core::Duration defaultPatience{Core::seconds(10)};
 };
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -219,6 +219,7 @@
     case AttemptEnd::Broken:
     case AttemptEnd::Unacknowledged:
         ++this->executionCount;
+        this->lastBreak = this->timers.now() - attempt.startedAt;
         this->reason = outcome.reason;
         this->retryOrFinish(outcome.end == AttemptEnd::Broken ? CallState::Failed : CallState::FailedUnacknowledged);
         break;
@@ -368,6 +369,11 @@
     return this->executionCount + this->elsewhere;
 }
 
+std::optional<Core::Duration> ShardCall::brokeAfter() const
+{
+    return this->lastBreak;
+}
+
 const std::string &ShardCall::failureReason() const
 {
     return this->reason;
--- a/Libraries/LibGateway/ShardCall.h
+++ b/Libraries/LibGateway/ShardCall.h
@@ -119,6 +119,8 @@
     [[nodiscard]] int hedges() const;
     /** Backend servers at which the request may have run; final once the call is finished. */
     [[nodiscard]] int executions() const;
+    /** How long after it was sent the last attempt broke whose answer is lost; nothing when none did. */
+    [[nodiscard]] std::optional<Core::Duration> brokeAfter() const;
     /** Why it failed, for logs. */
     [[nodiscard]] const std::string &failureReason() const;
 
@@ -169,6 +171,7 @@
     std::optional<std::uint64_t> waiter;
     BackendReply answer;
     Core::Duration answerLatency{0};
+    std::optional<Core::Duration> lastBreak;
     std::string reason;
     std::shared_ptr<int> alive{std::make_shared<int>(0)};
 };
--- a/Tests/LibGateway/TestRelayedPart.cpp
+++ b/Tests/LibGateway/TestRelayedPart.cpp
@@ -13,6 +13,7 @@
 #include <Support/GatewayFixture.h>
 
 #include <criterion/criterion.h>
+#include <sys/epoll.h>
 
 using TestSupport::GatewayFixture;
 using TestSupport::goodAnswer;
@@ -78,6 +79,40 @@
     return part;
 }
 
+/** Another gateway whose machine has started again: whatever comes on a connection is answered with a reset. */
+class ResettingGateway : public Core::EventHandler, public std::enable_shared_from_this<ResettingGateway>
+{
+public:
+    explicit ResettingGateway(GatewayFixture &fixture)
+        : poll(*fixture.poll), endpoint(TestSupport::freeEndpoint()), listener(std::move(Wire::Socket::listenOn(this->endpoint, 4).value()))
+    {
+    }
+
+    void listen()
+    {
+        this->poll.add(this->listener.number(), EPOLLIN, this->shared_from_this());
+    }
+
+    void handleEvents(std::uint32_t) override
+    {
+        if (!this->connection.isOpen()) {
+            this->connection = this->listener.acceptOne();
+            this->poll.add(this->connection.number(), EPOLLIN, this->shared_from_this());
+            return;
+        }
+        this->poll.remove(this->connection.number());
+        this->connection.resetOnClose();
+        this->connection = Wire::Socket();
+        ++this->resets;
+    }
+
+    Core::EventPoll &poll;
+    Core::Endpoint endpoint;
+    Wire::Socket listener;
+    Wire::Socket connection;
+    int resets{0};
+};
+
 struct Case {
     const char *name;
     std::vector<std::string> missing;
@@ -120,6 +155,30 @@
     }
 }
 
+// The load pattern: a fifth of all instances starts again after a loss of power, and kept connections to their gateways are reset as soon as a part is
+// sent on them. Each such part made its whole search fail.
+Test(RelayedPart, isAskedForAgainWhenItsConnectionBreaksAtOnce)
+{
+    for (const bool atOnce : {true, false}) {
+        PartFixture fixture(1.0, partWithout({}));
+        const auto gateway = std::make_shared<ResettingGateway>(fixture);
+        gateway->listen();
+        Fleet::BackendRecord restarted;
+        restarted.announcement.id = "gateway";
+        restarted.announcement.born = 1;
+        restarted.announcement.serviceName = Gateway::relayService("there").value();
+        restarted.announcement.address = gateway->endpoint.toString();
+        restarted.announcement.zone = "there";
+        restarted.announcement.phase = Protocol::BackendPhase::READY;
+        fixture.relays.update(restarted);
+        fixture.settings.immediateBreak = atOnce ? Core::seconds(10) : Core::Duration(0);
+        const auto answer = fixture.ask("r1");
+        cr_assert_eq(gateway->resets, 1);
+        cr_assert_eq(answer.status, atOnce ? 200 : 502);
+        cr_assert_eq(fixture.askedAgain(), atOnce ? 2 : 0, "it may have run as often as the route allows");
+    }
+}
+
 // Gateways may hold different declarations for a moment after a change.
 Test(RelayedPart, hasAsManyRecordsAsItsAskerWantsWhateverTheOtherGatewaysDeclarationSays)
 {
