--- a/Tests/LibGateway/TestApiKeys.cpp
+++ b/Tests/LibGateway/TestApiKeys.cpp
@@ -11,7 +11,6 @@
 #include <set>
 
 using TestSupport::NodeFixture;
-using TestSupport::NodeUnderTest;
 
 namespace
 {
--- a/Tests/LibGateway/TestQuotaLedger.cpp
+++ b/Tests/LibGateway/TestQuotaLedger.cpp
@@ -23,8 +23,8 @@
 {
 
 constexpr Core::Duration Step = Core::milliseconds(10);
-const Fleet::RegionOfZone Regions{{"a1", "a"}, {"a2", "a"}, {"b1", "b"}, {"b2", "b"}, {"c1", "c"}, {"c2", "c"}};
-const std::vector<std::string> Zones{"a1", "a2", "b1", "b2", "c1", "c2"};
+const Fleet::RegionOfZone regions{{"a1", "a"}, {"a2", "a"}, {"b1", "b"}, {"b2", "b"}, {"c1", "c"}, {"c2", "c"}};
+const std::vector<std::string> zones{"a1", "a2", "b1", "b2", "c1", "c2"};
 
 Core::Instant at(Core::Duration time)
 {
@@ -52,7 +52,7 @@
 KeeperGateway gatewayNumber(std::size_t number)
 {
     return {
-        .name = Gateway::BackendName("g" + std::to_string(number)), .address = "10.0.0." + std::to_string(number) + ":1", .zone = Zones[number % Zones.size()]};
+        .name = Gateway::BackendName("g" + std::to_string(number)), .address = "10.0.0." + std::to_string(number) + ":1", .zone = zones[number % zones.size()]};
 }
 
 /**
@@ -69,7 +69,7 @@
     Model(unsigned seed, std::size_t gateways, const Quota &quota) : random(seed), quotas{{at(Core::Duration(0)), quota}}
     {
         for (std::size_t number = 0; number < gateways; ++number) {
-            this->rows.push_back({.ledger = std::make_unique<QuotaLedger>(Regions, this->options, gatewayNumber(number).address)});
+            this->rows.push_back({.ledger = std::make_unique<QuotaLedger>(regions, this->options, gatewayNumber(number).address)});
         }
     }
 
@@ -221,7 +221,7 @@
     std::deque<Core::Instant> granted;
 };
 
-const std::vector<Quota> SomeQuotas{
+const std::vector<Quota> someQuotas{
     {.requestsPerSecond = 1.0, .burst = 1.0}, {.requestsPerSecond = 16.0, .burst = 16.0}, {.requestsPerSecond = 200.0, .burst = 50.0}};
 
 }
@@ -249,7 +249,7 @@
 Test(QuotaLedger, noWindowExceedsAQuotaWhateverBecomesOfTheGateways)
 {
     for (unsigned seed = 1; seed <= 24; ++seed) {
-        const auto &quota = SomeQuotas[seed % SomeQuotas.size()];
+        const auto &quota = someQuotas[seed % someQuotas.size()];
         Model model(seed, 6 + seed % 4 * 24, quota);
         const auto offeredInStep = std::max(1.0, 0.08 * quota.requestsPerSecond);
         while (model.now < at(Core::seconds(60))) {
@@ -259,7 +259,7 @@
                 (model.random() % 2 == 0 ? row.frozenUntil : row.cutUntil) = model.now + model.upTo(25'000);
             }
             if (model.random() % 1500 == 0) {
-                model.declare(SomeQuotas[model.random() % SomeQuotas.size()]);
+                model.declare(someQuotas[model.random() % someQuotas.size()]);
             }
             if (model.random() % 2000 == 0) {
                 // Half of them at once.
@@ -285,7 +285,7 @@
 Test(QuotaLedger, aWorkspaceWithinItsQuotaIsLetIn)
 {
     for (const std::size_t gateways : {std::size_t(3), std::size_t(10), std::size_t(100), std::size_t(1000)}) {
-        for (const auto &quota : SomeQuotas) {
+        for (const auto &quota : someQuotas) {
             Model model(7, gateways, quota);
             int asked = 0;
             int granted = 0;
@@ -307,9 +307,9 @@
 
 Test(QuotaLedger, aKeeperThatLosesTheLeaderKeepsNothing)
 {
-    QuotaLedger ledger(Regions, {.slack = 20.0}, gatewayNumber(0).address);
+    QuotaLedger ledger(regions, {.slack = 20.0}, gatewayNumber(0).address);
     ledger.setGateways({gatewayNumber(0)}, at(Core::Duration(0)));
-    ledger.setDeclaration(declarationWith(SomeQuotas[1]), at(Core::Duration(0)));
+    ledger.setDeclaration(declarationWith(someQuotas[1]), at(Core::Duration(0)));
     const Fleet::WorkspaceName name("w");
     cr_assert_not(ledger.take(name, at(Core::seconds(10))).isKeeper);
     ledger.setMayKeep(true, at(Core::seconds(10)));
@@ -322,7 +322,7 @@
 
 Test(QuotaLedger, tellsThoseItRefusesToComeBackOneAfterTheOther)
 {
-    QuotaLedger ledger(Regions, {.usedShare = 1.0}, gatewayNumber(0).address);
+    QuotaLedger ledger(regions, {.usedShare = 1.0}, gatewayNumber(0).address);
     ledger.setGateways({gatewayNumber(0)}, at(Core::Duration(0)));
     ledger.setDeclaration(declarationWith({.requestsPerSecond = 2.0, .burst = 1.0}), at(Core::Duration(0)));
     ledger.setMayKeep(true, at(Core::Duration(0)));
--- a/Tests/LibGateway/TestQuotas.cpp
+++ b/Tests/LibGateway/TestQuotas.cpp
@@ -80,7 +80,7 @@
     const double seconds = Core::toFractionalMilliseconds(fixture.timers.now() - began) / 1000.0;
     cr_assert(granted <= SmallBurst + SmallPerSecond * seconds, "%d in %.3f s", granted, seconds);
     cr_assert(granted >= 0.7 * SmallBurst, "%d in %.3f s", granted, seconds);
-    cr_assert_eq(fixture.backend->requests.size(), granted, "nothing that was refused ran");
+    cr_assert_eq(fixture.backend->requests.size(), static_cast<std::size_t>(granted), "nothing that was refused ran");
     for (const auto &node : fixture.nodes) {
         cr_assert_eq(fixture.askAs(*node, "large-secret").status, Ok, "another workspace's");
     }
