--- /dev/null
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -0,0 +1,69 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibGateway/GatewayMetrics.h>
+
+namespace Gateway
+{
+
+static void addCounter(Metrics::MetricsPage &page, const char *name, const char *help, std::uint64_t value)
+{
+    page.counter(name, help, static_cast<double>(value));
+}
+
+void addRequestMetrics(Metrics::MetricsPage &page, const GatewayCounters &counts)
+{
+    const auto outcome = [&page](const char *name, std::uint64_t value) {
+        page.counter("crankrudder_requests_total", "Requests by outcome.", static_cast<double>(value), {{"outcome", name}});
+    };
+    outcome("answered", counts.answered);
+    outcome("partial", counts.partial);
+    outcome("not-run", counts.refused);
+    outcome("failed", counts.failed);
+    outcome("caller-gone", counts.callersGone);
+    outcome("no-route", counts.unrouted);
+    outcome("unauthorized", counts.unauthorized);
+    outcome("over-quota", counts.overQuota);
+    addCounter(page, "crankrudder_hedges_total", "Second sends for late ones.", counts.hedges);
+    addCounter(page, "crankrudder_parts_given_total", "Parts of searches that other gateways were asked for.", counts.relayed);
+    addCounter(page, "crankrudder_parts_taken_total", "Parts of searches that other gateways asked for.", counts.takenForOthers);
+}
+
+void addSendMetrics(Metrics::MetricsPage &page, const BackendPool &servers, const BackendPool &gateways)
+{
+    const auto &sends = servers.counters();
+    addCounter(page, "crankrudder_sends_total", "Requests sent to backend servers.", sends.attempts);
+    addCounter(page, "crankrudder_sends_other_region_total", "Of these, to another region.", sends.attemptsToOtherRegion);
+    addCounter(page, "crankrudder_sends_broken_total", "Sends whose answer was lost.", sends.broken);
+    addCounter(page, "crankrudder_sends_refused_total", "Sends that backend servers refused to run.", sends.notExecuted);
+    addCounter(page, "crankrudder_sends_cancelled_total", "Sends that were cancelled.", sends.cancelled);
+    addCounter(page,
+        "crankrudder_answers_passed_over_total",
+        "Answers of backend servers and gateways that belong to another send than the one that waited.",
+        sends.passedOver + gateways.counters().passedOver);
+    addCounter(page,
+        "crankrudder_connections_kept_apart_total",
+        "Sends that did not use a kept connection because it had carried the same request.",
+        sends.keptApart);
+    addCounter(
+        page, "crankrudder_connections_turned_away_total", "New connections that backend servers reset at once, having as many as they take.", sends.turnedAway);
+    addCounter(page, "crankrudder_connections_opened_total", "Connections opened to backend servers.", sends.connectionsOpened);
+    addCounter(page, "crankrudder_rows_swept_total", "Backend servers and gateways that sweeps looked at.", sends.swept + gateways.counters().swept);
+    page.gauge("crankrudder_connections", "Connections to backend servers.", static_cast<double>(servers.connectionCount()));
+    page.gauge("crankrudder_backends", "Backend servers that are known.", static_cast<double>(servers.backendCount()));
+}
+
+void addQuotaMetrics(Metrics::MetricsPage &page, const QuotaGate &quotas)
+{
+    const auto &counts = quotas.counters();
+    addCounter(page, "crankrudder_quota_granted_total", "Requests that their workspace's quota let in.", counts.granted);
+    addCounter(page, "crankrudder_quota_refused_total", "Requests beyond their workspace's quota.", counts.refused);
+    addCounter(page, "crankrudder_quota_no_keeper_total", "Requests refused because no keeper of their workspace's quota answered.", counts.noKeeper);
+    addCounter(page, "crankrudder_quota_asked_total", "Questions about quotas to other gateways.", counts.asked);
+    addCounter(page, "crankrudder_quota_answered_total", "Questions about quotas from other gateways.", counts.answered);
+    page.gauge("crankrudder_quota_kept", "Workspaces that this gateway keeps a part of the quota of.", static_cast<double>(quotas.keptCount()));
+}
+
+}
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -9,7 +9,6 @@
 #include <LibCore/Log.h>
 #include <LibCore/Settings.h>
 #include <LibGateway/SingleRequest.h>
-#include <LibMetrics/MetricsPage.h>
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -600,49 +599,14 @@
 std::string GatewayNode::metrics() const
 {
     Metrics::MetricsPage page;
-    const auto outcome = [&page](const char *name, std::uint64_t value) {
-        page.counter("crankrudder_requests_total", "Requests by outcome.", static_cast<double>(value), {{"outcome", name}});
-    };
-    outcome("answered", this->counts.answered);
-    outcome("partial", this->counts.partial);
-    outcome("not-run", this->counts.refused);
-    outcome("failed", this->counts.failed);
-    outcome("caller-gone", this->counts.callersGone);
-    outcome("no-route", this->counts.unrouted);
-    outcome("unauthorized", this->counts.unauthorized);
-    outcome("over-quota", this->counts.overQuota);
-    const auto &sends = this->pool.counters();
-    const auto counter = [&page](const char *name, const char *help, std::uint64_t value) {
-        page.counter(name, help, static_cast<double>(value));
-    };
-    counter("crankrudder_sends_total", "Requests sent to backend servers.", sends.attempts);
-    counter("crankrudder_sends_other_region_total", "Of these, to another region.", sends.attemptsToOtherRegion);
-    counter("crankrudder_sends_broken_total", "Sends whose answer was lost.", sends.broken);
-    counter("crankrudder_sends_refused_total", "Sends that backend servers refused to run.", sends.notExecuted);
-    counter("crankrudder_sends_cancelled_total", "Sends that were cancelled.", sends.cancelled);
-    counter("crankrudder_answers_passed_over_total",
-        "Answers of backend servers and gateways that belong to another send than the one that waited.",
-        sends.passedOver + this->relays.counters().passedOver);
-    counter("crankrudder_connections_kept_apart_total", "Sends that did not use a kept connection because it had carried the same request.", sends.keptApart);
-    const auto &quotaCounts = this->quotas.counters();
-    counter("crankrudder_quota_granted_total", "Requests that their workspace's quota let in.", quotaCounts.granted);
-    counter("crankrudder_quota_refused_total", "Requests beyond their workspace's quota.", quotaCounts.refused);
-    counter("crankrudder_quota_no_keeper_total", "Requests refused because no keeper of their workspace's quota answered.", quotaCounts.noKeeper);
-    counter("crankrudder_quota_asked_total", "Questions about quotas to other gateways.", quotaCounts.asked);
-    counter("crankrudder_quota_answered_total", "Questions about quotas from other gateways.", quotaCounts.answered);
-    page.gauge("crankrudder_quota_kept", "Workspaces that this gateway keeps a part of the quota of.", static_cast<double>(this->quotas.keptCount()));
-    counter("crankrudder_hedges_total", "Second sends for late ones.", this->counts.hedges);
-    counter("crankrudder_parts_given_total", "Parts of searches that other gateways were asked for.", this->counts.relayed);
-    counter("crankrudder_parts_taken_total", "Parts of searches that other gateways asked for.", this->counts.takenForOthers);
-    counter("crankrudder_connections_turned_away_total", "New connections that backend servers reset at once, having as many as they take.", sends.turnedAway);
-    counter("crankrudder_connections_opened_total", "Connections opened to backend servers.", sends.connectionsOpened);
-    page.gauge("crankrudder_connections", "Connections to backend servers.", static_cast<double>(this->pool.connectionCount()));
+    addRequestMetrics(page, this->counts);
+    addSendMetrics(page, this->pool, this->relays);
+    addQuotaMetrics(page, this->quotas);
     page.gauge("crankrudder_evacuated_zones", "Availability zones that are evacuated.", static_cast<double>(this->watcher.evacuations().zones.size()));
     page.gauge("crankrudder_requests_under_way", "Requests that wait for their answer.", static_cast<double>(this->requests.size()));
     page.gauge("crankrudder_ready", "Whether callers should come here.", this->isReady() ? 1 : 0);
     page.gauge("crankrudder_coordinators_in_reach", "Coordinators that answer.", static_cast<double>(this->watcher.inReach()));
     page.gauge("crankrudder_gateways", "Gateways that are known to be ready.", this->pool.gatewayCount());
-    page.gauge("crankrudder_backends", "Backend servers that are known.", static_cast<double>(this->pool.backendCount()));
     page.gauge(
         "crankrudder_declaration_version", "The declaration in force.", this->routes ? static_cast<double>(this->routes->declaration().version.value()) : -1.0);
     page.histogram("crankrudder_request_seconds", "Time until the answer.", this->searchLatencies, {{"kind", "search"}});
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -11,7 +11,7 @@
 #include <LibFleet/FleetWatcher.h>
 #include <LibGateway/CellOwnership.h>
 #include <LibGateway/FanOutRequest.h>
-#include <LibGateway/QuotaGate.h>
+#include <LibGateway/GatewayMetrics.h>
 #include <LibMetrics/LatencyHistogram.h>
 #include <LibWire/Server.h>
 
@@ -38,25 +38,6 @@
     Core::Duration registryPatience{Core::milliseconds(2600)};
 };
 
-/** Counts for metrics. */
-struct GatewayCounters {
-    std::uint64_t requests{0};
-    std::uint64_t answered{0};
-    std::uint64_t partial{0};
-    std::uint64_t refused{0};
-    std::uint64_t failed{0};
-    std::uint64_t callersGone{0};
-    std::uint64_t unrouted{0};
-    /** Without an API key that a workspace holds. */
-    std::uint64_t unauthorized{0};
-    /** Beyond their workspace's quota. */
-    std::uint64_t overQuota{0};
-    std::uint64_t hedges{0};
-    /** Searches of which another gateway was asked for a part, and parts that others asked for. */
-    std::uint64_t relayed{0};
-    std::uint64_t takenForOthers{0};
-};
-
 /** Everything of a gateway but its sockets. */
 class GatewayNode
 {
