--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -43,12 +43,12 @@
         "crankrudder_answers_passed_over_total",
         "Answers of backend servers and gateways that belong to another send than the one that waited.",
         sends.passedOver + gateways.counters().passedOver);
-    addCounter(page,
-        "crankrudder_connections_kept_apart_total",
-        "Sends that did not use a kept connection because it had carried the same request.",
-        sends.keptApart);
     addCounter(
-        page, "crankrudder_connections_turned_away_total", "New connections that backend servers reset at once, having as many as they take.", sends.turnedAway);
+        page, "crankrudder_connections_kept_apart_total", "Sends that did not use a kept connection because it had carried the same request.", sends.keptApart);
+    addCounter(page,
+        "crankrudder_connections_turned_away_total",
+        "New connections that backend servers reset at once, having as many as they take.",
+        sends.turnedAway);
     addCounter(page, "crankrudder_connections_opened_total", "Connections opened to backend servers.", sends.connectionsOpened);
     addCounter(page, "crankrudder_rows_swept_total", "Backend servers and gateways that sweeps looked at.", sends.swept + gateways.counters().swept);
     page.gauge("crankrudder_connections", "Connections to backend servers.", static_cast<double>(servers.connectionCount()));
