--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -374,7 +374,8 @@
             request,
             answerTo(exchange),
             isOver ? "over-quota" : "no-quota-keeper",
-            isOver ? std::optional(decision.comeBackAfter) : std::nullopt);
+            // Without a keeper: about when one that comes now begins to let requests in.
+            isOver ? decision.comeBackAfter : this->options.quotas.quota.settleTime);
         return;
     }
     // The declaration in force may be another one by now.
