--- a/Libraries/LibWire/ClientConnection.cpp
+++ b/Libraries/LibWire/ClientConnection.cpp
@@ -106,6 +106,8 @@
     this->silenceTimer = this->timers.once(limit, [this](Core::Instant) {
         if (this->done && this->options.awaitsAcknowledgement(this->socket)) {
             this->unacknowledged = true;
+            // What is on its way is dropped. After an orderly close the system would go on to deliver it, to a machine that comes back seconds later.
+            this->socket.resetOnClose();
             this->fail("what was sent stayed unacknowledged");
         }
     });
--- a/Tests/LibWire/TestClientConnection.cpp
+++ b/Tests/LibWire/TestClientConnection.cpp
@@ -359,6 +359,43 @@
     cr_assert(held.connection->isClosed());
 }
 
+// A machine that was frozen or cut off must not run what was asked of another one in its place meanwhile.
+Test(Silence, resetsTheConnectionSoThatNothingIsDeliveredLater)
+{
+    TestSupport::LoopFixture fixture;
+    const auto endpoint = TestSupport::freeEndpoint();
+    const auto listener = Wire::Socket::listenOn(endpoint, 4).value();
+    const auto connection = Wire::ClientConnection::create({.endpoint = endpoint,
+                                                               .silenceLimit = Core::milliseconds(80),
+                                                               .awaitsAcknowledgement =
+                                                                   [](const Wire::Socket &) {
+                                                                       return true;
+                                                                   }},
+        *fixture.poll,
+        fixture.timers)
+                                .value();
+    connection->send({.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+        .recognise =
+            [](const Wire::Response &) {
+                return true;
+            },
+        .done =
+            [](const Wire::ClientResult &) {
+            }});
+    Wire::Socket accepted;
+    std::string bytes;
+    auto transfer = Wire::Transfer::Open;
+    cr_assert(fixture.runUntil([&] {
+        if (!accepted.isOpen()) {
+            accepted = listener.acceptOne();
+        } else if (transfer == Wire::Transfer::Open) {
+            transfer = accepted.read(bytes, 1000);
+        }
+        return transfer != Wire::Transfer::Open;
+    }));
+    cr_assert(transfer == Wire::Transfer::Broken, "an orderly end delivers what came before it");
+}
+
 Test(Silence, isNotThatOfAServerThatTakesItsTime)
 {
     HeldRequest held(true);
