LibWire, LibCore, LibGateway, platform: Simpler pieces in place of twins

Periodic timers are aligned in every(), and add() is as it was. A kept quota's size is its bucket's, not a copy beside it. A part that most likely has not arrived is described once.

--- a/Libraries/LibCore/TimerService.cpp
+++ b/Libraries/LibCore/TimerService.cpp
@@ -65,13 +65,14 @@
 
 TimerSubscription TimerService::every(Duration period, Hook hook)
 {
-    return {*this, this->add(period, period, std::move(hook))};
+    const auto time = this->now();
+    return {*this, this->add(nextMultiple(period, time) - time, period, std::move(hook))};
 }
 
 std::uint64_t TimerService::add(Duration delay, Duration period, Hook hook)
 {
     const std::uint64_t id = this->nextId++;
-    const Instant due = period > Duration(0) ? nextMultiple(period, this->now()) : this->now() + delay;
+    const Instant due = this->now() + delay;
     this->subscribers.emplace(id, Subscriber{.hook = std::move(hook), .period = period, .due = due});
     this->queue.emplace(DueKey{due, id}, id);
     if (this->scheduleChanged && this->queue.begin()->second == id) {
--- a/Libraries/LibFleet/FleetWatcher.cpp
+++ b/Libraries/LibFleet/FleetWatcher.cpp
@@ -274,7 +274,7 @@
     watched.toldEverything = request.registryInterest == RegistryInterest::EVERYTHING || (sameLife && watched.toldEverything && !skipped);
     this->takeNews(watched, answer, request.declarationVersion);
     if (answer.hasLeader && request.registryInterest == RegistryInterest::EVERYTHING) {
-        this->leaderKnown = std::max(this->leaderKnown.value_or(watched.askedAt), watched.askedAt);
+        this->leaderKnown = std::max(this->leaderKnown, std::optional(watched.askedAt));
     }
     if (request.confirm && answer.confirmed && this->wantsConfirmation) {
         this->wantsConfirmation = false;
--- a/Libraries/LibFleet/FleetWatcher.h
+++ b/Libraries/LibFleet/FleetWatcher.h
@@ -149,7 +149,7 @@
     Protocol::Evacuations evacuated;
     bool anyAnswer{false};
     std::optional<Core::Instant> leaderKnown;
-    // The text of the version that is held, as a base for deltas. Not compressed: that took longer than all else at a change.
+    // The text of the version that is held, as a base for deltas. Not compressed, since it is needed at each change.
     std::string heldText;
     std::int64_t heldTextVersion{-1};
     // The newest version that any coordinator told of, and since when.
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -17,7 +17,7 @@
 static constexpr Core::Duration SweepPeriod = Core::milliseconds(50);
 // With nothing under way and nobody waiting only resting connections are left to be closed; whoever uses one looks at its time first.
 static constexpr Core::Duration RestPeriod = Core::milliseconds(250);
-// Between availability zones of a region, where nothing was measured yet: a gateway of hundreds sees its first search late.
+// Assumed between availability zones of a region until a connection there was timed.
 static constexpr Core::Duration NearRoundTrip = Core::milliseconds(2);
 // Of those that wait, how many are offered the same room at most.
 static constexpr int OffersOfRoom = 4;
@@ -357,7 +357,7 @@
     if (!this->options.acceptsAtOnce) {
         return std::nullopt;
     }
-    // Of this one if it was measured, else of the nearest one of its service.
+    // Its own where one is known, else that of the nearest one of its service.
     const auto nearest = this->roundTripTo(backend.service);
     const auto roundTrip = backend.roundTrip.value_or(backend.sameRegion ? std::min(nearest, NearRoundTrip) : nearest);
     return std::min(this->options.connectPatience, Wire::acknowledgementLimit(roundTrip));
--- a/Libraries/LibGateway/QuotaGate.cpp
+++ b/Libraries/LibGateway/QuotaGate.cpp
@@ -14,22 +14,15 @@
 namespace Gateway
 {
 
-// What a keeper's answer is taken to take usually, before some were measured.
+// Assumed for a keeper's answer until enough are known.
 static constexpr Core::Duration AssumedAnswerTime = Core::milliseconds(10);
 static constexpr double FewestAnswers = 20.0;
 static constexpr std::int64_t LongestMilliseconds = 86'400'000;
 
 std::optional<Fleet::WorkspaceName> takeQuotaQuestion(Wire::Headers &headers)
 {
-    std::optional<Fleet::WorkspaceName> workspace;
-    std::erase_if(headers, [&workspace](const Wire::Header &header) {
-        const bool isQuestion = Wire::sameName(header.name, RelayHeader::Quota);
-        if (isQuestion) {
-            workspace.emplace(header.value);
-        }
-        return isQuestion;
-    });
-    return workspace;
+    auto name = Wire::takeHeader(headers, RelayHeader::Quota);
+    return name.has_value() ? std::optional(Fleet::WorkspaceName(std::move(name.value()))) : std::nullopt;
 }
 
 std::string writeQuotaAnswer(const QuotaAnswer &answer)
--- a/Libraries/LibGateway/QuotaLedger.cpp
+++ b/Libraries/LibGateway/QuotaLedger.cpp
@@ -12,7 +12,6 @@
 
 // Callers are not told to come back later than this: what the quota is used for by then can't be known.
 static constexpr Core::Duration LongestPromise = Core::seconds(5);
-static constexpr double MillisecondsInASecond = 1000.0;
 
 QuotaLedger::QuotaLedger(const Fleet::RegionOfZone &regions, const QuotaOptions &options, std::string ownAddress)
     : options(options), allKeepers(regions, options), ownAddress(std::move(ownAddress))
@@ -70,13 +69,11 @@
                 // Q1
                 kept.emplace(workspace->name,
                     Part{.bucket = TokenBucket(size, std::max(now, this->mayKeepSince.value() + this->options.newsTime)),
-                        .size = size,
                         .givesFrom = std::max(now + this->options.newsTime, this->mayKeepSince.value() + this->options.settleTime),
                         .promisedUntil = now});
                 continue;
             }
             before.mapped().bucket.resize(size, now);
-            before.mapped().size = size;
             kept.insert(std::move(before));
         }
     }
@@ -94,9 +91,8 @@
         return {.isKeeper = true, .granted = true};
     }
     const auto freeAfter = std::max(part.bucket.timeToToken(now), part.givesFrom - now);
-    const auto perToken = Core::milliseconds(static_cast<std::int64_t>(MillisecondsInASecond / std::max(part.size.perSecond, 1e-3)));
     // Those who were refused before come first.
-    const auto promise = std::clamp(part.promisedUntil + perToken - now, freeAfter, std::max(freeAfter, LongestPromise));
+    const auto promise = std::clamp(part.promisedUntil + part.bucket.timePerToken() - now, freeAfter, std::max(freeAfter, LongestPromise));
     part.promisedUntil = now + promise;
     return {.isKeeper = true, .granted = false, .freeAfter = freeAfter, .comeBackAfter = promise};
 }
--- a/Libraries/LibGateway/QuotaLedger.h
+++ b/Libraries/LibGateway/QuotaLedger.h
@@ -55,7 +55,6 @@
 private:
     struct Part {
         TokenBucket bucket;
-        BucketSize size;
         Core::Instant givesFrom;
         // When the caller that was refused last was told to come back.
         Core::Instant promisedUntil;
--- a/Libraries/LibGateway/RelayPlan.cpp
+++ b/Libraries/LibGateway/RelayPlan.cpp
@@ -239,15 +239,7 @@
 
 std::string takeSendName(Wire::Headers &headers)
 {
-    std::string name;
-    std::erase_if(headers, [&name](const Wire::Header &header) {
-        const bool isName = Wire::sameName(header.name, RelayHeader::Send);
-        if (isName) {
-            name = header.value;
-        }
-        return isName;
-    });
-    return name;
+    return Wire::takeHeader(headers, RelayHeader::Send).value_or(std::string());
 }
 
 void addRelayTerms(Wire::Headers &headers, const RelayTerms &terms)
--- a/Libraries/LibGateway/RelayedPart.cpp
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -169,18 +169,15 @@
         return wasRead ? this->partial.missing : this->allMissing(this->route.maximumAttempts, 1);
     case CallState::NotRun:
         return this->allMissing(0, 0);
-    case CallState::FailedUnacknowledged:
-        // Its machine fell silent, so it most likely has not taken the part either; an attempt at each shard is counted for it all the same.
-        return this->allMissing(this->relayCall->executions(), this->relayCall->executions());
-    case CallState::Failed:
-        if (this->brokeAtOnce()) {
-            return this->allMissing(this->relayCall->executions(), this->relayCall->executions());
-        }
-        [[fallthrough]];
     default:
-        // What ran for the other gateway is not known, so nothing may be sent in its place.
-        return this->allMissing(this->route.maximumAttempts, 1);
+        break;
+    }
+    if (this->relayCall->state() == CallState::FailedUnacknowledged || this->brokeAtOnce()) {
+        // Its machine fell silent or started again, so it most likely has not taken the part; an attempt at each shard is counted for it all the same.
+        return this->allMissing(this->relayCall->executions(), this->relayCall->executions());
     }
+    // What ran for the other gateway is not known, so nothing may be sent in its place.
+    return this->allMissing(this->route.maximumAttempts, 1);
 }
 
 // A machine that started again resets what it knows nothing of, a round trip after the send. Also a gateway that did take the part has sent each shard
@@ -188,7 +185,7 @@
 bool RelayedPart::brokeAtOnce() const
 {
     const auto brokeAfter = this->relayCall->brokeAfter();
-    return brokeAfter.has_value() && brokeAfter.value() <= this->context.settings->immediateBreak;
+    return this->relayCall->state() == CallState::Failed && brokeAfter.has_value() && brokeAfter.value() <= this->context.settings->immediateBreak;
 }
 
 std::vector<Protocol::MissingShard> RelayedPart::allMissing(int executions, int sends) const
--- a/Libraries/LibGateway/TokenBucket.cpp
+++ b/Libraries/LibGateway/TokenBucket.cpp
@@ -45,15 +45,26 @@
     return true;
 }
 
+// A day at most.
+static Core::Duration timeToFill(double tokens, double perSecond)
+{
+    const double seconds = perSecond > 0.0 ? std::min(tokens / perSecond, LongestWaitSeconds) : LongestWaitSeconds;
+    return Core::milliseconds(static_cast<std::int64_t>(seconds * MillisecondsInASecond));
+}
+
+Core::Duration TokenBucket::timePerToken() const
+{
+    return timeToFill(1.0, this->size.perSecond);
+}
+
 Core::Duration TokenBucket::timeToToken(Core::Instant now)
 {
     this->fill(now);
     if (this->tokens >= 1.0) {
         return Core::Duration(0);
     }
-    const double seconds = this->size.perSecond > 0.0 ? (1.0 - this->tokens) / this->size.perSecond : LongestWaitSeconds;
     const auto untilItFills = std::max(Core::Duration(0), this->filledAt - now);
-    return untilItFills + Core::milliseconds(static_cast<std::int64_t>(std::min(seconds, LongestWaitSeconds) * MillisecondsInASecond) + 1);
+    return untilItFills + timeToFill(1.0 - this->tokens, this->size.perSecond) + Core::milliseconds(1);
 }
 
 }
--- a/Libraries/LibGateway/TokenBucket.h
+++ b/Libraries/LibGateway/TokenBucket.h
@@ -33,6 +33,9 @@
 
     [[nodiscard]] bool take(Core::Instant now);
 
+    /** How long one token takes to come; a day at most. */
+    [[nodiscard]] Core::Duration timePerToken() const;
+
     /** How long until there is a whole token; a day at most. */
     [[nodiscard]] Core::Duration timeToToken(Core::Instant now);
 
--- a/Libraries/LibWire/ClientConnection.h
+++ b/Libraries/LibWire/ClientConnection.h
@@ -75,7 +75,7 @@
     MessageLimits limits;
 };
 
-/** How long a machine that runs may take to acknowledge what is sent to it, by a round trip that was measured. */
+/** How long a machine that runs may take to acknowledge what is sent to it over such a round trip. */
 [[nodiscard]] Core::Duration acknowledgementLimit(Core::Duration roundTrip);
 
 /** Connects at once; the first request may be sent before the connection is up. */
--- a/Libraries/LibWire/Message.cpp
+++ b/Libraries/LibWire/Message.cpp
@@ -25,6 +25,19 @@
     return found == headers.end() ? nullptr : &found->value;
 }
 
+std::optional<std::string> takeHeader(Headers &headers, std::string_view name)
+{
+    std::optional<std::string> value;
+    std::erase_if(headers, [&value, name](Header &header) {
+        const bool isNamed = sameName(header.name, name);
+        if (isNamed) {
+            value = std::move(header.value);
+        }
+        return isNamed;
+    });
+    return value;
+}
+
 bool isConnectionHeader(std::string_view name)
 {
     static constexpr std::array<std::string_view, 10> Names{"connection",
--- a/Libraries/LibWire/Message.h
+++ b/Libraries/LibWire/Message.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,6 +30,9 @@
 /** The value of the first header with this name, or nullptr. */
 [[nodiscard]] const std::string *findHeader(const Headers &headers, std::string_view name);
 
+/** Removes all headers with this name, and returns the value of the last of them; nothing when there is none. */
+[[nodiscard]] std::optional<std::string> takeHeader(Headers &headers, std::string_view name);
+
 /** Whether a header concerns one connection only, so that it is never passed on (RFC 9110, section 7.6.1). */
 [[nodiscard]] bool isConnectionHeader(std::string_view name);
 
