LibGateway: Log what a request asks for, and each send whose answer was lost

Nothing decides by it yet.

Ruled out: a digest over all headers, since those of retries may differ; the id, which is another one at each try.

--- a/Libraries/LibGateway/Backend.h
+++ b/Libraries/LibGateway/Backend.h
@@ -46,6 +46,7 @@
     AttemptId id{0};
     Backend *backend{nullptr};
     ConnectionPointer connection;
+    std::shared_ptr<const RequestTrace> trace;
     Core::Instant startedAt;
     Core::Duration typicalLatency{0};
     // Set once nobody waits for the outcome any more: when the attempt is cancelled.
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -6,6 +6,7 @@
 #include <LibGateway/BackendPool.h>
 
 #include <LibCore/Log.h>
+#include <LibGateway/RequestTrace.h>
 
 #include <algorithm>
 #include <iterator>
@@ -437,6 +438,7 @@
     auto &attempt = this->attempts[id];
     attempt.id = id;
     attempt.backend = &backend;
+    attempt.trace = attemptOptions.caller->trace;
     attempt.startedAt = this->timers.now();
     attempt.typicalLatency = attemptOptions.typicalLatency;
     attempt.done = std::move(attemptOptions.done);
@@ -520,9 +522,11 @@
         if (attempt.connection->answered() == 0) {
             this->trialPeriod.recordReset(this->timers.now());
         }
+        this->logBroken(attempt, outcome.reason);
         break;
     case Wire::ClientEnd::Unacknowledged:
         outcome.end = AttemptEnd::Unacknowledged;
+        this->logBroken(attempt, outcome.reason);
         break;
     }
     if (result.end != Wire::ClientEnd::ConnectionRejected) {
@@ -602,6 +606,18 @@
     }
 }
 
+void BackendPool::logBroken(const Attempt &attempt, const std::string &reason) const
+{
+    Core::logEvent(Core::LogLevel::Information,
+        "attempt.broken",
+        {{"request", attempt.trace ? attempt.trace->id.value() : std::string()},
+            {"digest", attempt.trace ? attempt.trace->digest.value() : std::string()},
+            {"backend", attempt.backend->name.value()},
+            {"service", attempt.backend->service.value()},
+            {"after_ms", Core::toMilliseconds(this->timers.now() - attempt.startedAt)},
+            {"reason", reason}});
+}
+
 void BackendPool::logAvoidance(const Backend &backend, const std::string &reason) const
 {
     Core::logEvent(Core::LogLevel::Information,
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -242,6 +242,7 @@
     void recordRejection(Backend &backend);
     void recordFailure(Backend &backend, const std::string &reason);
     void recordUnresponsive(Backend &backend, const std::string &reason);
+    void logBroken(const Attempt &attempt, const std::string &reason) const;
     void logAvoidance(const Backend &backend, const std::string &reason) const;
     void remove(Backend &backend);
     void offerCapacity(const Core::ServiceName &service);
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -11,11 +11,13 @@
 
 #include <LibCore/StrongValue.h>
 #include <LibCore/Time.h>
+#include <LibFleet/RequestDigest.h>
 #include <LibFleet/Workspaces.h>
 #include <LibWire/Message.h>
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -32,6 +34,8 @@
  */
 using ReplyKey = Core::StrongValue<struct ReplyKeyTag, std::string>;
 
+struct RequestTrace;
+
 /** A caller's request after its headers were decoded. */
 struct CallerRequest {
     /** Empty when the caller gave none. */
@@ -48,6 +52,8 @@
     std::optional<Fleet::WorkspaceName> workspace;
     /** How long the request waited for the quota decision. */
     Core::Duration waited{0};
+    /** Set once the request is routed. */
+    std::shared_ptr<const RequestTrace> trace;
     Wire::Request message;
 };
 
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -8,6 +8,7 @@
 #include <LibCore/Identity.h>
 #include <LibCore/Log.h>
 #include <LibCore/Settings.h>
+#include <LibGateway/RequestTrace.h>
 #include <LibGateway/SingleRequest.h>
 
 #include <algorithm>
@@ -487,6 +488,7 @@
         plan.direct = parameters->shards;
     }
     plan.before = parameters->before;
+    request.trace = makeTrace(request, this->timers.now());
     this->run(
         std::make_unique<FanOutRequest>(
             this->contextFor(*route, workspace, std::move(parameters)), this->routes, *route, std::move(request), std::move(plan), RequestOrigin::OtherGateway),
@@ -530,6 +532,7 @@
     (void)extractRelayParameters(request.message.headers);
     (void)extractSendId(request.message.headers);
     (void)extractQuotaQuery(request.message.headers);
+    request.trace = makeTrace(request, this->timers.now());
     const auto context = this->contextFor(route, workspace, std::nullopt);
     if (!route.isFanOut()) {
         this->run(std::make_unique<SingleRequest>(context, this->routes, route, std::move(request), this->chooseTarget(route)), exchange, answerTo(exchange));
@@ -591,6 +594,7 @@
     Core::logEvent(Core::LogLevel::Information,
         "request.finished",
         {{"request", summary.request->id.value()},
+            {"digest", summary.request->trace->digest.value()},
             {"route", summary.route->name},
             {"workspace", summary.request->workspace.has_value() ? summary.request->workspace->value() : std::string()},
             {"declaration", summary.declarationVersion},
--- /dev/null
+++ b/Libraries/LibGateway/RequestTrace.cpp
@@ -0,0 +1,40 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibGateway/RequestTrace.h>
+
+#include <LibCore/Identity.h>
+
+namespace Gateway
+{
+
+// Half of a SHA-256 digest in hexadecimal: 128 bits, so that no two requests that are made on purpose have the same digest.
+static constexpr std::size_t DigestCharacters = 32;
+
+// The length before each part keeps a part from being taken for the end of the previous one.
+static void appendPart(std::string &parts, const std::string &part)
+{
+    parts += std::to_string(part.size());
+    parts += ':';
+    parts += part;
+}
+
+Fleet::RequestDigest digestOf(const CallerRequest &request)
+{
+    std::string parts;
+    appendPart(parts, request.message.method);
+    appendPart(parts, request.host);
+    appendPart(parts, request.message.target);
+    appendPart(parts, request.workspace.has_value() ? request.workspace->value() : std::string());
+    appendPart(parts, request.message.body);
+    return Fleet::RequestDigest(Core::sha256(parts).substr(0, DigestCharacters));
+}
+
+std::shared_ptr<const RequestTrace> makeTrace(const CallerRequest &request, Core::Instant now)
+{
+    return std::make_shared<const RequestTrace>(RequestTrace{.id = request.id, .digest = digestOf(request), .receivedAt = now});
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/RequestTrace.h
@@ -0,0 +1,36 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// What is known of a caller's request, also after it was destroyed. A request's id
+// differs between its retries, so the trace also identifies its content, by a digest
+// that all gateways compute alike.
+
+#pragma once
+
+#include <LibGateway/Dialect.h>
+
+namespace Gateway
+{
+
+/** Shared by all sends of one request. */
+struct RequestTrace {
+    /** Identifies one attempt of the caller. */
+    Core::RequestId id;
+    /** Identifies the content, which is the same for all attempts. */
+    Fleet::RequestDigest digest;
+    /** When this gateway received the request. */
+    Core::Instant receivedAt;
+};
+
+/**
+ * Returns the digest of the method, host, target, workspace and body of a request. Other headers are left out, since they may differ between the retries of one
+ * request.
+ */
+[[nodiscard]] Fleet::RequestDigest digestOf(const CallerRequest &request);
+
+/** Returns the trace of a request that was received now. To be called once the workspace is known. */
+[[nodiscard]] std::shared_ptr<const RequestTrace> makeTrace(const CallerRequest &request, Core::Instant now);
+
+}
--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <LibGateway/FanOutRequest.h>
+#include <LibGateway/RequestTrace.h>
 #include <LibGateway/SingleRequest.h>
 #include <LibRpc/Serialization.h>
 #include <Support/LoopFixture.h>
@@ -225,6 +226,7 @@
         }
         const auto &used = this->declaration->routes.front();
         auto request = this->dialect.readRequest(std::move(message));
+        request.trace = Gateway::makeTrace(request, this->timers.now());
         if (used.isFanOut()) {
             Gateway::RelayPlan plan;
             plan.timeoutInTargets = this->timeoutInTargets;
