Tests/Soak: Send requests that crash every backend server that runs them

One to four such requests (searches, single requests, actions that may run once) come again and again at any gateway, with a retry after a failure where the caller may. Gateways and coordinators are killed, paused, restarted, also all at once; backend servers also crash for other reasons, up to half of them together. Checked: later than the contact time after the third crash, no more than three attempts reach a backend server while all processes are in contact; nothing runs that was said not to have; requests that are sent again and again and are harmless are served in the end, and never refused as if they crashed servers.

--- a/Tests/Soak/backends.py
+++ b/Tests/Soak/backends.py
@@ -188,6 +188,10 @@
             self.soak.journal.evacuated_arrivals.append((self, evacuated_at, time.monotonic()))
         if words[1].startswith("/home/") and self.zone != self.soak.home_zone:
             self.soak.journal.outside_regions.append((self, request_id))
+        crashing = self.soak.crashing_request(words[1])
+        if crashing is not None:
+            await self.soak.run_crashing(self, crashing, request_id)
+            return False
         self.running += 1
         try:
             await asyncio.sleep(self.soak.random.uniform(0.002, 0.012) * self.slow)
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -140,6 +140,8 @@
         self.sent = {}
         self.counts = {"answered": 0, "partial": 0, "not_run": 0, "failed": 0, "no_answer": 0, "unrouted": 0, "over_quota": 0, "no_key": 0}
         self.non_idempotent = set()
+        # Ids of backend servers that crashed while they ran a crashing request (crashing.py). Runs there do not count as attempts.
+        self.crashed_under_requests = set()
         # The only zone whose region may serve requests of the route "home".
         self.home_zone = ZONES[0]
         # Evacuated zones, with the time at which their evacuation was acknowledged.
@@ -174,11 +176,17 @@
         for index in range(3):
             await self.add_backend("records", ZONES[index], False)
 
+    def uses_proxy(self):
+        return self.random.random() < 0.5
+
+    def crashing_request(self, _target):
+        """Returns the crashing request with a target (crashing.py), or None."""
+
     async def add_backend(self, service, zone, is_shard, identity=None):
         backend = Backend(self, service, zone, is_shard, identity)
         await backend.start()
         # About half of the backend servers are reached through a proxy that injects network faults.
-        if self.random.random() < 0.5:
+        if self.uses_proxy():
             proxy = FaultProxy(self.random, "127.0.0.1", backend.port)
             backend.port = await proxy.start()
             backend.proxy = proxy
@@ -519,7 +527,7 @@
                 self.fail("ran-twice", f"{request_id} at {[run.backend for run in runs]}")
         for request_id, runs in self.journal.runs.items():
             for service in {run.service for run in runs}:
-                if len({run.backend for run in runs if run.service == service}) > 2:
+                if len({run.backend for run in runs if run.service == service} - self.crashed_under_requests) > 2:
                     self.fail("too-many-attempts", f"{request_id} at {service}")
 
     def check_workspaces(self):
@@ -615,6 +623,14 @@
     return seeds
 
 
+def make_soak(options, seed):
+    if options.crashing:
+        # Imported here, since the module imports this one.
+        from crashing import CrashingSoak
+        return CrashingSoak(options, seed)
+    return Soak(options, seed)
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--binaries", default="target", help="build folder that contains the daemons")
@@ -622,13 +638,14 @@
     parser.add_argument("--seconds", type=float, default=20.0, help="how long faults are injected for each seed")
     parser.add_argument("--coordinators", type=int, default=3, choices=range(3, 10), metavar="3-9", help="number of coordinators, and of gateways")
     parser.add_argument("--divided", action="store_true", help="add gateways to one zone, so that it divides searches among them, and use one server per shard")
+    parser.add_argument("--crashing", action="store_true", help="send requests that crash every backend server that runs them")
     parser.add_argument("--callers", type=int, default=8, help="number of concurrent callers")
     options = parser.parse_args()
     options.binaries = os.path.abspath(options.binaries)
     passed = failed = 0
     for seed in parse_seeds(options.seeds):
         seed = seed or int(time.time())
-        soak = Soak(options, seed)
+        soak = make_soak(options, seed)
         succeeded = asyncio.run(soak.run())
         passed += succeeded
         failed += not succeeded
