LibGateway: Send searches to one shard first while backend servers are crashing

What callers saw, with the quarantine in force: the first arrival of a crashing search still ended the servers of all shards. One attempt ends one server of each shard; its caller's retry comes to another gateway some milliseconds later, before any report does, and ends the others.

Cause: a gateway learns of crashes only from its own requests and from reports. But a server that ends closes its idle connections to every gateway at the same moment. The change: for a second after three servers ended idle connections early, or crashed under a request, searches go to one shard first and to the others once it has answered. Parts do so at an owner that suspects the request; its part then says that the request is not to be repeated. Searches that are not suspects go to all shards after three that nobody serves, so lost shards refuse nothing.

Before: CrashingRequests/retryAtAnotherGatewayDoesNotEndTheRemainingServers '6 crashed under the retry' (all of the remaining ones), with the threshold out of reach. After: 3 at most. Cost: one more exchange for each search in that second.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -22,6 +22,9 @@
 static constexpr Core::Duration IdleSweepPeriod = Core::milliseconds(250);
 // Round trip between availability zones of one region that is assumed until one has been measured.
 static constexpr Core::Duration AssumedZoneRoundTrip = Core::milliseconds(2);
+// A request that crashes backend servers ends several at once. Its caller retries it within this time, at a gateway that may not know of it yet.
+static constexpr Core::Duration EndedConnectionsWindow = Core::seconds(1);
+static constexpr int ServersUntilCautious = 3;
 // How many waiting requests are offered the same free capacity at most.
 static constexpr int MaximumCapacityOffers = 4;
 
@@ -427,10 +430,22 @@
 void BackendPool::connectionClosed(Backend &backend, const Wire::ClientConnection *connection)
 {
     const auto service = backend.service;
+    if (connection->endedUnexpectedlyWhileIdle()) {
+        this->endedConnections[backend.name] = this->timers.now();
+    }
     backend.connections.remove(connection);
     this->offerCapacity(service);
 }
 
+bool BackendPool::hasServersEnding() const
+{
+    const auto since = this->timers.now() - EndedConnectionsWindow;
+    const auto count = std::count_if(this->endedConnections.begin(), this->endedConnections.end(), [since](const auto &item) {
+        return item.second >= since;
+    });
+    return count >= ServersUntilCautious;
+}
+
 // ---- Attempts
 
 AttemptId BackendPool::send(Backend &backend, AttemptOptions attemptOptions)
@@ -601,7 +616,10 @@
     if (check.empty()) {
         return;
     }
-    this->counts.crashes += hasEnded ? 1 : 0;
+    if (hasEnded) {
+        ++this->counts.crashes;
+        this->endedConnections[backend.name] = this->timers.now();
+    }
     // NOTE: The last call may remove the backend server from the pool.
     for (const auto id : check.mapped().attempts) {
         auto &attempt = this->attempts.at(id);
@@ -824,6 +842,9 @@
     const auto now = this->timers.now();
     this->cancelOverdue(now);
     this->warmupLimiter.removeExpired(now);
+    std::erase_if(this->endedConnections, [now](const auto &item) {
+        return now - item.second > EndedConnectionsWindow;
+    });
     this->closeIdleConnections(now);
     this->offerCapacityToWaiters();
     if (this->attempts.empty() && this->awaitedServices.empty()) {
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -157,6 +157,8 @@
     void recordRequest(const Core::ServiceName &service);
     /** Consumes one hedge or retry from the retry budget of the service. Returns false when none is left. */
     [[nodiscard]] bool consumeRetry(const Core::ServiceName &service);
+    /** Whether several backend servers crashed within the last second, or ended their idle connections as they do when they crash. */
+    [[nodiscard]] bool hasServersEnding() const;
     /** Whether any backend server of the service is ready, in any zone. */
     [[nodiscard]] bool hasReady(const Core::ServiceName &service) const;
     /** Whether any backend server of the service may get requests with these allowed regions. */
@@ -298,6 +300,8 @@
     std::unordered_map<AttemptId, Attempt> attempts;
     // Invariant: contains exactly the attempts with an unverified outcome.
     std::unordered_map<Backend *, CrashCheck> crashChecks;
+    // When a backend server last crashed or ended an idle connection unexpectedly. Entries that are older than a second are removed by sweeps.
+    std::unordered_map<BackendName, Core::Instant> endedConnections;
     TrialPeriod trialPeriod;
     AttemptId nextAttempt{1};
     std::uint64_t nextWaiter{1};
--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -25,8 +25,8 @@
 static constexpr std::size_t LargeReplyBytes = 400;
 // Latency that is recorded for a backend server that did not answer another gateway before its part was sent, as a multiple of the typical latency.
 static constexpr double MissedRatio = 8.0;
-// How many shards a suspect is sent to one after the other, as long as none of them runs it.
-static constexpr int MaximumCanaries = 3;
+// Maximum number of shards that are sent to one after the other until one of them answers.
+static constexpr std::size_t MaximumCanaries = 3;
 
 FanOutRequest::FanOutRequest(RequestContext context,
     std::shared_ptr<const Fleet::RouteTable> routes,
@@ -60,82 +60,50 @@
         // Nothing is sent, so completeIfPossible() refuses the search immediately as not run.
         return;
     }
-    if (this->parameters.isSuspect) {
+    this->addRows();
+    if (this->needsCanary()) {
         this->startCanary();
     } else {
         this->startAll();
     }
 }
 
-Core::ServiceName FanOutRequest::extractCanaryShard()
+void FanOutRequest::addRows()
 {
-    auto *shards = &this->plan.direct;
-    if (shards->empty()) {
-        shards = &this->plan.parts.front().shards;
-    }
-    const auto shard = shards->front();
-    shards->erase(shards->begin());
-    std::erase_if(this->plan.parts, [](const PartPlan &part) {
-        return part.shards.empty();
-    });
-    return shard;
-}
-
-void FanOutRequest::startCanary()
-{
-    ++this->canaries;
-    this->canary = this->makeCall(this->extractCanaryShard());
-    this->canary->start([this] {
-        this->callFinished();
-    });
-}
-
-void FanOutRequest::handleCanary()
-{
-    if (!isFinished(this->canary->state())) {
-        return;
-    }
-    const bool ranNowhere = this->canary->state() == CallState::NotRun;
-    const bool hasMoreShards = !this->plan.direct.empty() || !this->plan.parts.empty();
-    if (this->canary->state() == CallState::Answered) {
-        this->addRow(this->canary->service());
-        this->rows.back().call = std::move(this->canary);
-        this->withCompletionDeferred([this] {
-            this->startAll();
-        });
-        this->callFinished();
-    } else if (ranNowhere && this->canaries < MaximumCanaries && hasMoreShards && !this->isExpired()) {
-        // The shard stays missing from the answer.
-        this->withCompletionDeferred([this] {
-            this->startCanary();
-        });
-        this->callFinished();
-    } else {
-        this->refuse(this->canary->executions() > 0);
-    }
-}
-
-void FanOutRequest::startAll()
-{
-    const auto firstDirect = this->rows.size();
     for (const auto &shard : this->plan.direct) {
         this->addRow(shard);
     }
-    std::vector<std::vector<std::size_t>> rowNumbers;
     for (const auto &part : this->plan.parts) {
-        rowNumbers.emplace_back();
         for (const auto &shard : part.shards) {
-            rowNumbers.back().push_back(this->rows.size());
             this->addRow(shard);
         }
     }
+}
+
+void FanOutRequest::startAll()
+{
     // NOTE: Parts are sent first, because they take longer.
-    for (std::size_t number = 0; number < this->plan.parts.size(); ++number) {
-        this->startPart(this->plan.parts[number], std::move(rowNumbers[number]));
+    auto number = this->plan.direct.size();
+    for (auto &part : this->plan.parts) {
+        std::vector<std::size_t> rowNumbers;
+        const auto end = number + part.shards.size();
+        part.shards.clear();
+        for (; number < end; ++number) {
+            if (!this->rows[number].call) {
+                rowNumbers.push_back(number);
+                part.shards.push_back(this->rows[number].shard);
+            }
+        }
+        if (!part.shards.empty()) {
+            this->startPart(part, std::move(rowNumbers));
+        }
     }
     const bool isHedge = this->context.relayParameters.has_value() && this->context.relayParameters->isHedge;
-    for (std::size_t number = 0; number < this->plan.direct.size(); ++number) {
-        auto &row = this->rows[firstDirect + number];
+    for (number = 0; number < this->plan.direct.size(); ++number) {
+        auto &row = this->rows[number];
+        if (row.call) {
+            continue;
+        }
         if (isHedge) {
             this->startHedgeForGateway(row);
         } else {
@@ -144,6 +112,55 @@
     }
 }
 
+// ---- Canaries
+
+bool FanOutRequest::needsCanary() const
+{
+    const bool isHedge = this->context.relayParameters.has_value() && this->context.relayParameters->isHedge;
+    return (this->parameters.isSuspect || this->context.isCautious) && !isHedge && !this->rows.empty();
+}
+
+void FanOutRequest::startCanary()
+{
+    auto &row = this->rows[this->canaries];
+    this->canaryRow = this->canaries++;
+    this->startDirect(row, this->plan.before);
+}
+
+void FanOutRequest::handleCanary()
+{
+    const auto &call = *this->rows[this->canaryRow.value()].call;
+    if (!isFinished(call.state())) {
+        return;
+    }
+    this->canaryRow.reset();
+    const bool isAnswered = call.state() == CallState::Answered;
+    const bool mayContinue = !this->isExpired() && !isDangerousToRepeat(this->request, this->parameters.isSuspect);
+    const bool hasCanariesLeft = this->canaries < std::min(this->rows.size(), MaximumCanaries);
+    if (!isAnswered && (!mayContinue || (!hasCanariesLeft && this->parameters.isSuspect))) {
+        this->endAfterCanaries();
+        return;
+    }
+    // A shard that did not answer stays missing. Without any crash, searches are not refused for the sake of a few shards that no backend server serves.
+    this->withCompletionDeferred([this, isAnswered, hasCanariesLeft] {
+        if (isAnswered || !hasCanariesLeft) {
+            this->startAll();
+        } else {
+            this->startCanary();
+        }
+    });
+    this->callFinished();
+}
+
+void FanOutRequest::endAfterCanaries()
+{
+    if (this->origin == RequestOrigin::Caller) {
+        this->refuse(this->mayHaveRun());
+    } else {
+        this->answerOtherGateway();
+    }
+}
+
 void FanOutRequest::addRow(const Core::ServiceName &shard)
 {
     this->rows.push_back(Row{.shard = shard, .call = nullptr, .part = nullptr, .inPart = false, .remoteAttempts = {}});
@@ -162,7 +179,7 @@
 void FanOutRequest::startHedgeForGateway(Row &row)
 {
     row.remoteAttempts.executions = HedgedExecutions;
-    if (!this->context.pool->isGoodInRegion(row.shard, this->parameters.typicalLatency, this->parameters.allowedRegions)) {
+    if (this->parameters.isSuspect || !this->context.pool->isGoodInRegion(row.shard, this->parameters.typicalLatency, this->parameters.allowedRegions)) {
         return;
     }
     row.call = this->makeCall(row.shard);
@@ -397,9 +414,6 @@
 
 void FanOutRequest::cancelCalls(bool callerIsGone)
 {
-    if (this->canary) {
-        this->canary->cancel(callerIsGone);
-    }
     for (const auto &row : this->rows) {
         if (row.call) {
             row.call->cancel(callerIsGone);
@@ -474,7 +488,7 @@
 
 void FanOutRequest::completeIfPossible()
 {
-    if (this->canary) {
+    if (this->canaryRow.has_value()) {
         this->handleCanary();
         return;
     }
@@ -628,7 +642,7 @@
         dropLessThan(answer.records, this->context.relayParameters->minimumRecord);
     }
     answer.signatures = this->signatures();
-    answer.crashes = this->request.trace->crashes;
+    answer.crashes = crashesToReport(this->request, this->parameters.isSuspect);
     this->cancelCalls(false);
     for (const auto &row : this->rows) {
         if (!isAnswered(row)) {
@@ -644,9 +658,6 @@
 {
     summary.shards = this->origin == RequestOrigin::Caller ? this->route.shards.size() : this->rows.size();
     summary.answered = this->answeredCount();
-    if (this->canary) {
-        describeCall(summary, *this->canary);
-    }
     for (const auto &row : this->rows) {
         if (row.call) {
             describeCall(summary, *row.call);
--- a/Libraries/LibGateway/FanOutRequest.h
+++ b/Libraries/LibGateway/FanOutRequest.h
@@ -75,12 +75,15 @@
     /** Returns whether enough shards have an eligible backend server for the required coverage. */
     [[nodiscard]] bool canBeServed() const;
     void addRow(const Core::ServiceName &shard);
+    void addRows();
+    /** Starts the calls and parts of all shards that were not sent to as canaries. */
     void startAll();
-    /** Sends a suspect to one shard only. The others follow once that has answered. */
+    /** Returns whether the search is sent to a single shard first, and to the others once that has answered. */
+    [[nodiscard]] bool needsCanary() const;
     void startCanary();
     void handleCanary();
-    /** Removes and returns a shard for the canary: one that this gateway sends to directly, if there is one. */
-    [[nodiscard]] Core::ServiceName extractCanaryShard();
+    /** Ends the search after the canaries, which have shown that it crashes backend servers or can't be run. */
+    void endAfterCanaries();
     void startDirect(Row &row, const Protocol::MissingShard &before);
     void startHedgeForGateway(Row &row);
     void startCall(const Row &row);
@@ -123,11 +126,11 @@
 
     RelayPlan plan;
     RequestOrigin origin;
-    // The call of a suspect's first shard; nullptr before and after it.
-    std::unique_ptr<ShardCall> canary;
-    int canaries{0};
-    // Invariant: one row for each shard that was requested, in any order. No row is added after the calls have started. Empty until the canary has ended.
+    // Invariant: one row for each shard that was requested, in any order: the direct ones first, then those of each part.
     std::vector<Row> rows;
+    // The number of the shard that is sent to first, while its call is in flight.
+    std::optional<std::size_t> canaryRow;
+    std::size_t canaries{0};
     std::vector<std::unique_ptr<SentPart>> parts;
 };
 
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -512,15 +512,20 @@
     if (this->refuseQuarantined(request, answer)) {
         return;
     }
-    this->run(
-        std::make_unique<FanOutRequest>(
-            this->contextFor(*route, workspace, std::move(parameters)), this->routes, *route, std::move(request), std::move(plan), RequestOrigin::OtherGateway),
+    this->run(std::make_unique<FanOutRequest>(this->contextFor(*route, workspace, request, std::move(parameters)),
+                  this->routes,
+                  *route,
+                  std::move(request),
+                  std::move(plan),
+                  RequestOrigin::OtherGateway),
         exchange,
         answer);
 }
 
-RequestContext GatewayNode::contextFor(const Fleet::Route &route, const Fleet::Workspace *workspace, std::optional<RelayParameters> relayParameters)
+RequestContext GatewayNode::contextFor(
+    const Fleet::Route &route, const Fleet::Workspace *workspace, const CallerRequest &request, std::optional<RelayParameters> relayParameters)
 {
+    const auto verdict = this->crashes.verdictOf(request.trace->digest, this->timers.now());
     return RequestContext{.pool = &this->pool,
         .relays = &this->relays,
         .timers = &this->timers,
@@ -531,6 +536,8 @@
         .workLimit = &this->workLimits[route.name],
         .cells = &this->ownership.cells(),
         .workspace = workspace,
+        .isSuspect = verdict.standing == Fleet::RequestStanding::Suspect,
+        .isCautious = this->pool.hasServersEnding(),
         .relayParameters = std::move(relayParameters)};
 }
 
@@ -555,11 +562,6 @@
     return true;
 }
 
-bool GatewayNode::isSuspect(const CallerRequest &request) const
-{
-    return this->crashes.verdictOf(request.trace->digest, this->timers.now()).standing == Fleet::RequestStanding::Suspect;
-}
-
 void GatewayNode::reportCrash(const RequestTrace &trace, const Backend &backend, Core::Instant crashedAt)
 {
     // Without an id from the caller, each arrival at a gateway counts as an attempt of its own.
@@ -609,8 +611,7 @@
     if (this->refuseQuarantined(request, answerTo(exchange))) {
         return;
     }
-    auto context = this->contextFor(route, workspace, std::nullopt);
-    context.isSuspect = this->isSuspect(request);
+    const auto context = this->contextFor(route, workspace, request, std::nullopt);
     if (!route.isFanOut()) {
         this->run(std::make_unique<SingleRequest>(context, this->routes, route, std::move(request), this->chooseTarget(route)), exchange, answerTo(exchange));
         return;
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -95,8 +95,8 @@
     void answerQuotaQuery(const Fleet::WorkspaceName &workspace, const CallerRequest &query, const RoutedRequest::AnswerHook &answer);
     void updateQuotas();
     void startRequest(const Fleet::Route &route, const Fleet::Workspace *workspace, CallerRequest request, const Wire::ExchangePointer &exchange);
-    [[nodiscard]] RequestContext contextFor(const Fleet::Route &route, const Fleet::Workspace *workspace, std::optional<RelayParameters> relayParameters);
-    [[nodiscard]] bool isSuspect(const CallerRequest &request) const;
+    [[nodiscard]] RequestContext contextFor(
+        const Fleet::Route &route, const Fleet::Workspace *workspace, const CallerRequest &request, std::optional<RelayParameters> relayParameters);
     [[nodiscard]] RelayView relayView(const Fleet::Route &route, const Fleet::Workspace *workspace, bool onlyOtherRegions);
     /** Refuses a quarantined request. Returns whether it did so. */
     bool refuseQuarantined(const CallerRequest &request, const RoutedRequest::AnswerHook &answer);
--- a/Libraries/LibGateway/RequestTrace.cpp
+++ b/Libraries/LibGateway/RequestTrace.cpp
@@ -7,6 +7,8 @@
 
 #include <LibCore/Identity.h>
 
+#include <algorithm>
+
 namespace Gateway
 {
 
@@ -41,6 +43,12 @@
     return !trace.answered && trace.crashes >= (isSuspect ? 1 : CrashesUntilDangerous);
 }
 
+int crashesToReport(const CallerRequest &request, bool isSuspect)
+{
+    const auto &trace = *request.trace;
+    return isSuspect && !trace.answered ? std::max(trace.crashes, CrashesUntilDangerous) : trace.crashes;
+}
+
 std::shared_ptr<RequestTrace> makeTrace(const CallerRequest &request, Core::Instant now)
 {
     return std::make_shared<RequestTrace>(RequestTrace{.id = request.id, .digest = digestOf(request), .receivedAt = now});
--- a/Libraries/LibGateway/RequestTrace.h
+++ b/Libraries/LibGateway/RequestTrace.h
@@ -40,6 +40,9 @@
  */
 [[nodiscard]] bool isDangerousToRepeat(const CallerRequest &request, bool isSuspect);
 
+/** Returns the number of crashes to report to the gateway that requested a part: enough that it does not repeat a suspect that nobody has answered. */
+[[nodiscard]] int crashesToReport(const CallerRequest &request, bool isSuspect);
+
 /** Returns the trace of a request that was received now. To be called once the workspace is known. */
 [[nodiscard]] std::shared_ptr<RequestTrace> makeTrace(const CallerRequest &request, Core::Instant now);
 
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -72,6 +72,8 @@
     const Fleet::Workspace *workspace{nullptr};
     /** Whether backend servers have crashed under this request before; see Fleet::RequestStanding::Suspect. */
     bool isSuspect{false};
+    /** Whether several backend servers have just ended, so that a search is sent to a single one first. */
+    bool isCautious{false};
     /** Set if the request is a part of a search that another gateway relayed to this one. */
     std::optional<RelayParameters> relayParameters;
 };
--- a/Libraries/LibWire/ClientConnection.cpp
+++ b/Libraries/LibWire/ClientConnection.cpp
@@ -137,6 +137,11 @@
     return this->hasClosed;
 }
 
+bool ClientConnection::endedUnexpectedlyWhileIdle() const
+{
+    return this->endedWhileIdle;
+}
+
 std::uint64_t ClientConnection::answered() const
 {
     return this->answerCount;
@@ -425,6 +430,7 @@
 void ClientConnection::fail(const std::string &reason)
 {
     const auto end = this->unacknowledged ? ClientEnd::Unacknowledged : ClientEnd::Broken;
+    this->endedWhileIdle = !this->done && !this->unacknowledged && this->timers.now() < this->keptAliveUntil;
     this->finish(ClientResult{.end = end, .response = {}, .reason = reason}, false);
 }
 
--- a/Libraries/LibWire/ClientConnection.h
+++ b/Libraries/LibWire/ClientConnection.h
@@ -107,6 +107,8 @@
     /** Returns whether the connection is established and its trial period is over. */
     [[nodiscard]] bool isConnected() const;
     [[nodiscard]] bool isClosed() const;
+    /** Returns whether the server ended the connection while no request was in flight, earlier than it had announced. */
+    [[nodiscard]] bool endedUnexpectedlyWhileIdle() const;
     /** Number of requests that were answered on this connection. */
     [[nodiscard]] std::uint64_t answered() const;
     /** The time until which the server can be expected to keep the connection open while it is idle. */
@@ -165,6 +167,7 @@
     bool inTrial{false};
     bool hasClosed{false};
     bool unacknowledged{false};
+    bool endedWhileIdle{false};
     bool wantsWrite{true};
     std::uint64_t answerCount{0};
     Core::Instant startedAt;
--- a/Tests/Incidents/TestCrashingRequests.cpp
+++ b/Tests/Incidents/TestCrashingRequests.cpp
@@ -100,6 +100,14 @@
         }
     }
 
+    /** Ends the backend servers of one service. */
+    void endService(const std::string &service)
+    {
+        for (int replica = 0; replica < Replicas; ++replica) {
+            this->running[service + "/" + std::to_string(replica)]->server.reset();
+        }
+    }
+
     /** The standing of the only request that a gateway suspects or has quarantined; empty if there is none. */
     [[nodiscard]] std::string standingAt(std::size_t gateway) const
     {
@@ -206,6 +214,33 @@
     cr_assert_leq(fixture.crashes, Shards + MostRepeats, "%d backend servers crashed", fixture.crashes);
 }
 
+Test(CrashingRequests, retryAtAnotherGatewayDoesNotEndTheRemainingServers)
+{
+    CrashFixture fixture(2);
+    // Both gateways have connections to the backend servers.
+    cr_assert_eq(fixture.ask(*fixture.nodes[0], "/search/harmless").status, Ok);
+    cr_assert_eq(fixture.ask(*fixture.nodes[1], "/search/harmless").status, Ok);
+    (void)fixture.ask(*fixture.nodes[0], CrashingTarget);
+    fixture.settle(Core::milliseconds(10));
+    const int before = fixture.crashes;
+    (void)fixture.ask(*fixture.nodes[1], CrashingTarget);
+    fixture.settle(Core::milliseconds(10));
+    static constexpr int MostCrashes = 3;
+    cr_assert_leq(fixture.crashes - before, MostCrashes, "%d crashed under the retry", fixture.crashes - before);
+}
+
+Test(CrashingRequests, searchesAreServedRightAfterManyServersCrashed)
+{
+    CrashFixture fixture(2);
+    (void)fixture.askOnce(0, CrashingTarget);
+    // Gateway 0 has seen the crashes and sends searches to one shard first; also when the servers of that shard are gone.
+    for (int number = 0; number < 3; ++number) {
+        cr_assert_eq(fixture.ask(*fixture.nodes[0], "/search/harmless-" + std::to_string(number)).status, Ok);
+    }
+    fixture.endService("shard-0");
+    cr_assert_eq(fixture.ask(*fixture.nodes[0], "/search/harmless").status, Ok);
+}
+
 Test(CrashingRequests, isRefusedAtEveryGateway)
 {
     CrashFixture fixture(3);
