LibGateway: Retry a send that broke without waiting for the crash check

Cause: each send whose connection broke was repeated only after its crash check, a round trip later, also where nothing pointed to a crash. Callers waited longer where answers were lost or connections reset.

A retry now waits only for a suspect, and from the third broken send of an attempt that no backend server has answered; the crash is recorded all the same. What is known of a request is in one place, its trace, so the separate flag for suspects goes.

The CrashingRequests tests hold as before.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -535,11 +535,16 @@
         // This connection is now established. It may have been opened beyond the limit, because all idle ones had sent the request's key.
         backend.connections.closeIdleBeyond(this->connectionLimit(backend, this->serviceOf(backend.service)));
     }
-    const bool mayHaveEnded = outcome.end == AttemptEnd::Broken && this->options.recordsCrashes && this->isEligible(backend, {});
-    if (mayHaveEnded) {
-        attempt.unverified = std::move(outcome);
-        this->startCrashCheck(backend, id);
-        return;
+    const bool mayHaveEnded = outcome.end == AttemptEnd::Broken && this->options.recordsCrashes && attempt.trace && this->isEligible(backend, {});
+    auto *check = mayHaveEnded ? this->crashCheckOf(backend) : nullptr;
+    if (check != nullptr) {
+        ++attempt.trace->breaks;
+        if (mustAwaitCrashCheck(*attempt.trace)) {
+            attempt.unverified = std::move(outcome);
+            check->attempts.push_back(id);
+            return;
+        }
+        check->traces.push_back(attempt.trace);
     }
     this->complete(id, outcome);
 }
@@ -589,66 +594,63 @@
 
 // A connection also breaks when it alone is reset, or when an answer is lost. A backend server that has ended refuses a new connection; otherwise that one
 // takes the place of the broken one.
-void BackendPool::startCrashCheck(Backend &backend, AttemptId id)
+BackendPool::CrashCheck *BackendPool::crashCheckOf(Backend &backend)
 {
-    auto &check = this->crashChecks[&backend];
-    check.attempts.push_back(id);
-    if (check.attempts.size() > 1) {
-        return;
+    if (const auto found = this->crashChecks.find(&backend); found != this->crashChecks.end()) {
+        return &found->second;
     }
-    check.startedAt = this->timers.now();
     const auto connection = this->openConnection(backend, false);
     if (!connection) {
-        this->endCrashCheck(backend, false);
-        return;
+        return nullptr;
     }
     connection->connectEnded = [this, &backend](int error) {
         this->endCrashCheck(backend, error == ECONNREFUSED);
     };
+    auto &check = this->crashChecks[&backend];
+    check.startedAt = this->timers.now();
     check.timeout = this->timers.once(Wire::acknowledgementLimit(this->expectedRoundTrip(backend)), [this, &backend](Core::Instant) {
         this->endCrashCheck(backend, false);
     });
+    return &check;
 }
 
 void BackendPool::endCrashCheck(Backend &backend, bool hasEnded)
 {
-    const auto check = this->crashChecks.extract(&backend);
-    if (check.empty()) {
+    const auto ended = this->crashChecks.extract(&backend);
+    if (ended.empty()) {
         return;
     }
+    const auto &check = ended.mapped();
     if (hasEnded) {
         ++this->counts.crashes;
         this->endedConnections[backend.name] = this->timers.now();
+        for (const auto &trace : check.traces) {
+            this->recordCrash(*trace, backend, check.startedAt);
+        }
+        for (const auto id : check.attempts) {
+            this->recordCrash(*this->attempts.at(id).trace, backend, check.startedAt);
+        }
     }
-    // NOTE: The last call may remove the backend server from the pool.
-    for (const auto id : check.mapped().attempts) {
-        auto &attempt = this->attempts.at(id);
-        AttemptOutcome outcome = std::move(attempt.unverified.value());
+    for (const auto id : check.attempts) {
+        AttemptOutcome outcome = std::move(this->attempts.at(id).unverified.value());
         outcome.crashed = hasEnded;
-        if (hasEnded) {
-            this->recordCrash(attempt, check.mapped().startedAt);
-        }
         this->complete(id, outcome);
     }
 }
 
-void BackendPool::recordCrash(const Attempt &attempt, Core::Instant crashedAt)
+void BackendPool::recordCrash(RequestTrace &trace, const Backend &backend, Core::Instant crashedAt)
 {
-    if (!attempt.trace) {
-        return;
-    }
-    auto &trace = *attempt.trace;
     ++trace.crashes;
     Core::logEvent(Core::LogLevel::Information,
         "backend.crashed",
-        {{"backend", attempt.backend->name.value()},
-            {"service", attempt.backend->service.value()},
+        {{"backend", backend.name.value()},
+            {"service", backend.service.value()},
             {"request", trace.id.value()},
             {"digest", trace.digest.value()},
             {"crashes", trace.crashes},
             {"answered", trace.answered ? 1 : 0}});
     if (!trace.answered && this->requestCrashed) {
-        this->requestCrashed(trace, *attempt.backend, crashedAt);
+        this->requestCrashed(trace, backend, crashedAt);
     }
 }
 
@@ -902,8 +904,9 @@
 
 void BackendPool::closeIdleConnections(Core::Instant now)
 {
-    const auto isReleasable = [](const Backend &backend) {
-        return backend.phase == Protocol::BackendPhase::GONE && backend.connections.size() == 0 && backend.inFlight.empty();
+    const auto isReleasable = [this](Backend &backend) {
+        const bool isUsed = backend.connections.size() != 0 || !backend.inFlight.empty() || this->crashChecks.contains(&backend);
+        return backend.phase == Protocol::BackendPhase::GONE && !isUsed;
     };
     // Connections to a backend server that is gone are closed once they are idle; LimitsWhenGone has timeouts of zero.
     const IdleLimits limits{.connectTimeout = this->options.connectTimeout, .idleTimeout = this->options.idleTimeout};
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -220,8 +220,11 @@
         std::set<std::string> zones;
     };
 
-    /** Finds out whether a backend server has ended, for the attempts whose connections to it broke. */
+    /** Finds out whether a backend server has ended, after connections to it broke. */
     struct CrashCheck {
+        // The requests whose connections broke, without those of `attempts`.
+        std::vector<std::shared_ptr<RequestTrace>> traces;
+        // Attempts that end with this check.
         std::vector<AttemptId> attempts;
         Core::Instant startedAt;
         Core::TimerSubscription timeout;
@@ -259,9 +262,10 @@
     void finish(AttemptId id, Wire::ClientResult result);
     [[nodiscard]] AttemptOutcome outcomeOf(const Attempt &attempt, Wire::ClientResult result);
     void complete(AttemptId id, const AttemptOutcome &outcome);
-    void startCrashCheck(Backend &backend, AttemptId id);
+    /** Returns the check of a backend server, which is started unless one is in progress; nullptr if none could be started. */
+    [[nodiscard]] CrashCheck *crashCheckOf(Backend &backend);
     void endCrashCheck(Backend &backend, bool hasEnded);
-    void recordCrash(const Attempt &attempt, Core::Instant crashedAt);
+    void recordCrash(RequestTrace &trace, const Backend &backend, Core::Instant crashedAt);
     static void recordAnswer(const Attempt &attempt, const BackendReply &reply, const std::function<void(const RequestTrace &trace)> &answered);
     [[nodiscard]] Attempt extractAttempt(AttemptId id);
     void observeOutcome(Backend &backend, const Attempt &attempt, const AttemptOutcome &outcome);
@@ -298,7 +302,7 @@
     std::unordered_set<Backend *> swept;
     std::set<std::string> evacuatedZones;
     std::unordered_map<AttemptId, Attempt> attempts;
-    // Invariant: contains exactly the attempts with an unverified outcome.
+    // Invariant: the attempts of all checks are exactly those with an unverified outcome.
     std::unordered_map<Backend *, CrashCheck> crashChecks;
     // When a backend server last crashed or ended an idle connection unexpectedly. Entries that are older than a second are removed by sweeps.
     std::unordered_map<BackendName, Core::Instant> endedConnections;
--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -117,7 +117,7 @@
 bool FanOutRequest::needsCanary() const
 {
     const bool isHedge = this->context.relayParameters.has_value() && this->context.relayParameters->isHedge;
-    return (this->parameters.isSuspect || this->context.isCautious) && !isHedge && !this->rows.empty();
+    return (this->request.trace->isSuspect || this->context.isCautious) && !isHedge && !this->rows.empty();
 }
 
 void FanOutRequest::startCanary()
@@ -135,9 +135,9 @@
     }
     this->canaryRow.reset();
     const bool isAnswered = call.state() == CallState::Answered;
-    const bool mayContinue = !this->isExpired() && !isDangerousToRepeat(this->request, this->parameters.isSuspect);
+    const bool mayContinue = !this->isExpired() && !isDangerousToRepeat(*this->request.trace);
     const bool hasCanariesLeft = this->canaries < std::min(this->rows.size(), MaximumCanaries);
-    if (!isAnswered && (!mayContinue || (!hasCanariesLeft && this->parameters.isSuspect))) {
+    if (!isAnswered && (!mayContinue || (!hasCanariesLeft && this->request.trace->isSuspect))) {
         this->endAfterCanaries();
         return;
     }
@@ -179,7 +179,7 @@
 void FanOutRequest::startHedgeForGateway(Row &row)
 {
     row.remoteAttempts.executions = HedgedExecutions;
-    if (this->parameters.isSuspect || !this->context.pool->isGoodInRegion(row.shard, this->parameters.typicalLatency, this->parameters.allowedRegions)) {
+    if (this->request.trace->isSuspect || !this->context.pool->isGoodInRegion(row.shard, this->parameters.typicalLatency, this->parameters.allowedRegions)) {
         return;
     }
     row.call = this->makeCall(row.shard);
@@ -296,7 +296,7 @@
 void FanOutRequest::retryMissingShards()
 {
     const bool tooFew = this->answeredCount() + this->openCount() < this->requiredShards();
-    const bool isDangerous = isDangerousToRepeat(this->request, this->parameters.isSuspect);
+    const bool isDangerous = isDangerousToRepeat(*this->request.trace);
     if (this->isExpired() || isDangerous || (!this->canBeInTime() && !tooFew)) {
         return;
     }
@@ -642,7 +642,7 @@
         dropLessThan(answer.records, this->context.relayParameters->minimumRecord);
     }
     answer.signatures = this->signatures();
-    answer.crashes = crashesToReport(this->request, this->parameters.isSuspect);
+    answer.crashes = crashesToReport(*this->request.trace);
     this->cancelCalls(false);
     for (const auto &row : this->rows) {
         if (!isAnswered(row)) {
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -508,24 +508,18 @@
         plan.direct = parameters->shards;
     }
     plan.before = parameters->before;
-    request.trace = makeTrace(request, this->timers.now());
-    if (this->refuseQuarantined(request, answer)) {
+    if (!this->startTrace(request, answer)) {
         return;
     }
-    this->run(std::make_unique<FanOutRequest>(this->contextFor(*route, workspace, request, std::move(parameters)),
-                  this->routes,
-                  *route,
-                  std::move(request),
-                  std::move(plan),
-                  RequestOrigin::OtherGateway),
+    this->run(
+        std::make_unique<FanOutRequest>(
+            this->contextFor(*route, workspace, std::move(parameters)), this->routes, *route, std::move(request), std::move(plan), RequestOrigin::OtherGateway),
         exchange,
         answer);
 }
 
-RequestContext GatewayNode::contextFor(
-    const Fleet::Route &route, const Fleet::Workspace *workspace, const CallerRequest &request, std::optional<RelayParameters> relayParameters)
+RequestContext GatewayNode::contextFor(const Fleet::Route &route, const Fleet::Workspace *workspace, std::optional<RelayParameters> relayParameters)
 {
-    const auto verdict = this->crashes.verdictOf(request.trace->digest, this->timers.now());
     return RequestContext{.pool = &this->pool,
         .relays = &this->relays,
         .timers = &this->timers,
@@ -536,19 +530,20 @@
         .workLimit = &this->workLimits[route.name],
         .cells = &this->ownership.cells(),
         .workspace = workspace,
-        .isSuspect = verdict.standing == Fleet::RequestStanding::Suspect,
         .isCautious = this->pool.hasServersEnding(),
         .relayParameters = std::move(relayParameters)};
 }
 
 // ---- Crashing requests
 
-bool GatewayNode::refuseQuarantined(const CallerRequest &request, const RoutedRequest::AnswerHook &answer)
+bool GatewayNode::startTrace(CallerRequest &request, const RoutedRequest::AnswerHook &answer)
 {
     const auto now = this->timers.now();
+    request.trace = makeTrace(request, now);
     const auto verdict = this->crashes.verdictOf(request.trace->digest, now);
+    request.trace->isSuspect = verdict.standing == Fleet::RequestStanding::Suspect;
     if (verdict.standing != Fleet::RequestStanding::Quarantined) {
-        return false;
+        return true;
     }
     ++this->counts.quarantined;
     Core::logEvent(Core::LogLevel::Information,
@@ -559,7 +554,7 @@
             {"rounds", verdict.rounds},
             {"for_s", Core::toMilliseconds(verdict.quarantinedUntil - now) / 1000}});
     this->refuse(Refusal::NotRun, request, answer, "quarantined", verdict.quarantinedUntil - now);
-    return true;
+    return false;
 }
 
 void GatewayNode::reportCrash(const RequestTrace &trace, const Backend &backend, Core::Instant crashedAt)
@@ -607,11 +602,10 @@
     (void)extractRelayParameters(request.message.headers);
     (void)extractSendId(request.message.headers);
     (void)extractQuotaQuery(request.message.headers);
-    request.trace = makeTrace(request, this->timers.now());
-    if (this->refuseQuarantined(request, answerTo(exchange))) {
+    if (!this->startTrace(request, answerTo(exchange))) {
         return;
     }
-    const auto context = this->contextFor(route, workspace, request, std::nullopt);
+    const auto context = this->contextFor(route, workspace, std::nullopt);
     if (!route.isFanOut()) {
         this->run(std::make_unique<SingleRequest>(context, this->routes, route, std::move(request), this->chooseTarget(route)), exchange, answerTo(exchange));
         return;
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -95,11 +95,10 @@
     void answerQuotaQuery(const Fleet::WorkspaceName &workspace, const CallerRequest &query, const RoutedRequest::AnswerHook &answer);
     void updateQuotas();
     void startRequest(const Fleet::Route &route, const Fleet::Workspace *workspace, CallerRequest request, const Wire::ExchangePointer &exchange);
-    [[nodiscard]] RequestContext contextFor(
-        const Fleet::Route &route, const Fleet::Workspace *workspace, const CallerRequest &request, std::optional<RelayParameters> relayParameters);
+    [[nodiscard]] RequestContext contextFor(const Fleet::Route &route, const Fleet::Workspace *workspace, std::optional<RelayParameters> relayParameters);
     [[nodiscard]] RelayView relayView(const Fleet::Route &route, const Fleet::Workspace *workspace, bool onlyOtherRegions);
-    /** Refuses a quarantined request. Returns whether it did so. */
-    bool refuseQuarantined(const CallerRequest &request, const RoutedRequest::AnswerHook &answer);
+    /** Starts the trace of a routed request. Returns false if the request is quarantined; it was refused then. */
+    [[nodiscard]] bool startTrace(CallerRequest &request, const RoutedRequest::AnswerHook &answer);
     void reportCrash(const RequestTrace &trace, const Backend &backend, Core::Instant crashedAt);
     void reportAnswer(const RequestTrace &trace);
     void run(std::unique_ptr<RoutedRequest> request, const Wire::ExchangePointer &exchange, RoutedRequest::AnswerHook answer);
--- a/Libraries/LibGateway/RequestTrace.cpp
+++ b/Libraries/LibGateway/RequestTrace.cpp
@@ -37,16 +37,19 @@
     return Fleet::RequestDigest(Core::sha256(parts).substr(0, DigestCharacters));
 }
 
-bool isDangerousToRepeat(const CallerRequest &request, bool isSuspect)
+bool isDangerousToRepeat(const RequestTrace &trace)
 {
-    const auto &trace = *request.trace;
-    return !trace.answered && trace.crashes >= (isSuspect ? 1 : CrashesUntilDangerous);
+    return !trace.answered && trace.crashes >= (trace.isSuspect ? 1 : CrashesUntilDangerous);
 }
 
-int crashesToReport(const CallerRequest &request, bool isSuspect)
+bool mustAwaitCrashCheck(const RequestTrace &trace)
 {
-    const auto &trace = *request.trace;
-    return isSuspect && !trace.answered ? std::max(trace.crashes, CrashesUntilDangerous) : trace.crashes;
+    return !trace.answered && (trace.isSuspect || trace.breaks >= CrashesUntilDangerous);
+}
+
+int crashesToReport(const RequestTrace &trace)
+{
+    return trace.isSuspect && !trace.answered ? std::max(trace.crashes, CrashesUntilDangerous) : trace.crashes;
 }
 
 std::shared_ptr<RequestTrace> makeTrace(const CallerRequest &request, Core::Instant now)
--- a/Libraries/LibGateway/RequestTrace.h
+++ b/Libraries/LibGateway/RequestTrace.h
@@ -22,6 +22,10 @@
     Fleet::RequestDigest digest;
     /** When this gateway received the request. */
     Core::Instant receivedAt;
+    /** Whether backend servers crashed under earlier attempts; see Fleet::RequestStanding::Suspect. */
+    bool isSuspect{false};
+    /** Number of sends whose connection broke. */
+    int breaks{0};
     /** Number of backend servers that crashed while they ran the request. */
     int crashes{0};
     /** Whether a backend server ran the request to its end. */
@@ -34,16 +38,19 @@
  */
 [[nodiscard]] Fleet::RequestDigest digestOf(const CallerRequest &request);
 
+/** Returns the trace of a request that was received now. To be called once the workspace is known. */
+[[nodiscard]] std::shared_ptr<RequestTrace> makeTrace(const CallerRequest &request, Core::Instant now);
+
 /**
- * Returns whether an attempt is not to be sent to further backend servers, since those that ran it have crashed and none has answered. One crash is enough if
- * the request is a suspect.
+ * Returns whether a request is not to be sent to further backend servers, since those that ran it have crashed and none has answered. One crash is enough if it
+ * is a suspect.
  */
-[[nodiscard]] bool isDangerousToRepeat(const CallerRequest &request, bool isSuspect);
+[[nodiscard]] bool isDangerousToRepeat(const RequestTrace &trace);
 
-/** Returns the number of crashes to report to the gateway that requested a part: enough that it does not repeat a suspect that nobody has answered. */
-[[nodiscard]] int crashesToReport(const CallerRequest &request, bool isSuspect);
+/** Returns whether a send that broke is repeated only once it is known if the backend server has crashed. */
+[[nodiscard]] bool mustAwaitCrashCheck(const RequestTrace &trace);
 
-/** Returns the trace of a request that was received now. To be called once the workspace is known. */
-[[nodiscard]] std::shared_ptr<RequestTrace> makeTrace(const CallerRequest &request, Core::Instant now);
+/** Returns the number of crashes to report to the gateway that requested a part: enough that it does not repeat a suspect that nobody has answered. */
+[[nodiscard]] int crashesToReport(const RequestTrace &trace);
 
 }
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -84,7 +84,6 @@
     , arrivedAt(context.timers->now() - this->request.waited)
 {
     this->parameters.urgency = urgencyOf(context.workspace, route);
-    this->parameters.isSuspect = context.isSuspect;
     if (context.workspace != nullptr) {
         this->parameters.allowedRegions = this->parameters.allowedRegions.intersectedWith(context.workspace->allowedRegions);
     }
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -70,8 +70,6 @@
     const CellMap *cells{nullptr};
     /** Workspace of the request, owned by the declaration that the route belongs to; nullptr if the request has none. */
     const Fleet::Workspace *workspace{nullptr};
-    /** Whether backend servers have crashed under this request before; see Fleet::RequestStanding::Suspect. */
-    bool isSuspect{false};
     /** Whether several backend servers have just ended, so that a search is sent to a single one first. */
     bool isCautious{false};
     /** Set if the request is a part of a search that another gateway relayed to this one. */
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -131,12 +131,13 @@
 
 bool ShardCall::isDangerous() const
 {
-    return isDangerousToRepeat(*this->parameters.request, this->parameters.isSuspect);
+    return isDangerousToRepeat(*this->parameters.request->trace);
 }
 
 bool ShardCall::isLateHedgeable() const
 {
-    const bool mustWait = this->parameters.isSuspect && !this->parameters.request->trace->answered;
+    const auto &trace = *this->parameters.request->trace;
+    const bool mustWait = trace.isSuspect && !trace.answered;
     return this->current == CallState::InFlight && !this->running.empty() && this->parameters.route->idempotent && !mustWait && this->mayTryAnother();
 }
 
--- a/Libraries/LibGateway/ShardCall.h
+++ b/Libraries/LibGateway/ShardCall.h
@@ -34,8 +34,6 @@
     WorkLimit *workLimit{nullptr};
     /** Backend servers that are chosen before all others, in this order, as long as they are healthy. */
     std::vector<BackendName> preferred;
-    /** Backend servers have crashed under the request before: until one has answered it, it is sent to no second one. */
-    bool isSuspect{false};
     /** Regions where the request may be served. May be restricted while the request is in flight, but never extended. */
     Fleet::AllowedRegions allowedRegions;
 };
--- a/Tests/Incidents/TestCrashingRequests.cpp
+++ b/Tests/Incidents/TestCrashingRequests.cpp
@@ -309,7 +309,7 @@
         // It is served in between, as a request that crashes backend servers never is.
         fixture.harmless = nullptr;
         cr_assert_eq(fixture.askOnce(0, "/search/harmless"), Ok, "time %d", time);
-        cr_assert_str_empty(fixture.standingAt(0).c_str());
+        cr_assert(fixture.standingAt(0).empty());
     }
 }
 
@@ -324,7 +324,7 @@
     for (int time = 0; time < Times; ++time) {
         (void)fixture.askOnce(0, "/search/harmless");
     }
-    cr_assert_str_empty(fixture.standingAt(0).c_str());
+    cr_assert(fixture.standingAt(0).empty());
     fixture.harmless = nullptr;
     cr_assert_eq(fixture.askOnce(0, "/search/harmless"), Ok);
 }
@@ -338,5 +338,5 @@
     for (int time = 0; time < Times; ++time) {
         fixture.askAndLeave("/one/crash");
     }
-    cr_assert_str_eq(fixture.standingAt(0).c_str(), "quarantined");
+    cr_assert(fixture.standingAt(0) == "quarantined");
 }
--- a/Tests/LibGateway/TestRequestTrace.cpp
+++ b/Tests/LibGateway/TestRequestTrace.cpp
@@ -68,3 +68,29 @@
         cr_assert(Gateway::digestOf(other) != digest, "change %zu", number);
     }
 }
+
+Test(RequestTrace, tellsWhetherARequestMayBeRepeated)
+{
+    struct Case {
+        const char *name;
+        Gateway::RequestTrace trace;
+        bool dangerous;
+        bool awaitsCheck;
+        int reported;
+    };
+    const std::vector<Case> cases{
+        {"no crash", {}, false, false, 0},
+        {"two crashes", {.breaks = 2, .crashes = 2}, false, false, 2},
+        {"two crashes and a third break", {.breaks = 3, .crashes = 2}, false, true, 2},
+        {"three crashes", {.breaks = 3, .crashes = 3}, true, true, 3},
+        {"three crashes and an answer", {.breaks = 3, .crashes = 3, .answered = true}, false, false, 3},
+        {"suspect", {.isSuspect = true}, false, true, 3},
+        {"suspect with one crash", {.isSuspect = true, .breaks = 1, .crashes = 1}, true, true, 3},
+        {"suspect with an answer", {.isSuspect = true, .breaks = 1, .crashes = 1, .answered = true}, false, false, 1},
+    };
+    for (const auto &item : cases) {
+        cr_assert_eq(Gateway::isDangerousToRepeat(item.trace), item.dangerous, "%s", item.name);
+        cr_assert_eq(Gateway::mustAwaitCrashCheck(item.trace), item.awaitsCheck, "%s", item.name);
+        cr_assert_eq(Gateway::crashesToReport(item.trace), item.reported, "%s", item.name);
+    }
+}
