LibFleet: Keep a crash ledger cheap when it is full and when it is read

Cause, found by reading: each new record in a full ledger judged all 1,024 anew to find the one to remove, about 1 ms; when a zone is lost, hundreds come at once, on a tenth of a core. Each request that was looked up was judged anew, too.

--- a/Libraries/LibFleet/CrashLedger.cpp
+++ b/Libraries/LibFleet/CrashLedger.cpp
@@ -15,6 +15,8 @@
 
 // A record holds this many attempts, the latest ones. Bounds the record and the length of a quarantine.
 static constexpr std::size_t MaximumAttempts = 8;
+// One in so many records is removed when the ledger is full.
+static constexpr std::size_t RemovedShare = 8;
 
 const char *standingName(RequestStanding standing)
 {
@@ -130,7 +132,10 @@
 
 void CrashLedger::finishChange(const RequestDigest &digest, Record &record, CrashRecords origin, Core::Instant now)
 {
-    const auto verdict = this->judge(record, now);
+    const auto standingBefore = record.verdict.standing;
+    record.verdict = this->judge(record);
+    record.verdict.standing = this->standingOf(record.verdict, now);
+    const auto &verdict = record.verdict;
     const auto change = ++this->changes;
     record.changedAt = now;
     record.position = change;
@@ -143,8 +148,7 @@
         record.sharedPosition = change;
         this->latestShared = change;
     }
-    if (verdict.standing != record.loggedStanding) {
-        record.loggedStanding = verdict.standing;
+    if (verdict.standing != standingBefore) {
         Core::logEvent(verdict.standing == RequestStanding::Quarantined ? Core::LogLevel::Warning : Core::LogLevel::Information,
             "crashes.standing",
             {{"digest", digest.value()},
@@ -161,7 +165,8 @@
 
 // ---- Verdicts
 
-RequestVerdict CrashLedger::judge(const Record &record, Core::Instant now) const
+// Counts crashes and rounds (K2) and computes the end of the quarantine (K3), without the standing.
+RequestVerdict CrashLedger::judge(const Record &record) const
 {
     std::vector<const Attempt *> byCrash;
     std::set<std::string> backends;
@@ -183,29 +188,37 @@
             previous = attempt;
         }
     }
-    const bool enoughCrashes = verdict.crashes >= this->options.crashesUntilSuspect;
-    if (enoughCrashes && verdict.rounds >= this->options.roundsUntilQuarantine) {
+    if (verdict.crashes >= this->options.crashesUntilSuspect && verdict.rounds >= this->options.roundsUntilQuarantine) {
         const auto doublings = verdict.rounds - this->options.roundsUntilQuarantine;
         verdict.quarantinedUntil = previous->firstCrashAt + this->options.quarantine * (1 << doublings);
     }
+    return verdict;
+}
+
+RequestStanding CrashLedger::standingOf(const RequestVerdict &verdict, Core::Instant now) const
+{
     if (now < verdict.quarantinedUntil) {
-        verdict.standing = RequestStanding::Quarantined;
-    } else if (enoughCrashes || verdict.rounds >= this->options.roundsUntilSuspect) {
-        verdict.standing = RequestStanding::Suspect;
+        return RequestStanding::Quarantined;
     }
-    return verdict;
+    const bool isSuspect = verdict.crashes >= this->options.crashesUntilSuspect || verdict.rounds >= this->options.roundsUntilSuspect;
+    return isSuspect ? RequestStanding::Suspect : RequestStanding::Clear;
 }
 
 RequestVerdict CrashLedger::verdictOf(const RequestDigest &digest, Core::Instant now) const
 {
     const auto found = this->records.find(digest);
-    return found == this->records.end() ? RequestVerdict{} : this->judge(found->second, now);
+    if (found == this->records.end()) {
+        return {};
+    }
+    auto verdict = found->second.verdict;
+    verdict.standing = this->standingOf(verdict, now);
+    return verdict;
 }
 
 std::size_t CrashLedger::countOf(RequestStanding standing, Core::Instant now) const
 {
     return static_cast<std::size_t>(std::count_if(this->records.begin(), this->records.end(), [&](const auto &item) {
-        return this->judge(item.second, now).standing == standing;
+        return this->standingOf(item.second.verdict, now) == standing;
     }));
 }
 
@@ -213,7 +226,7 @@
 {
     std::vector<RequestDigest> digests;
     for (const auto &[digest, record] : this->records) {
-        if (this->judge(record, now).standing != RequestStanding::Clear) {
+        if (this->standingOf(record.verdict, now) != RequestStanding::Clear) {
             digests.push_back(digest);
         }
     }
@@ -321,17 +334,20 @@
     return this->records[digest];
 }
 
-// Removes the record with the fewest rounds; among these, the one with the oldest change.
+// Removes the records with the fewest rounds, and among these the ones with the oldest changes. Several at once, so that a flood of new records does not search
+// the whole ledger for each of them.
 void CrashLedger::removeLeastImportant()
 {
-    const auto least = std::min_element(this->records.begin(), this->records.end(), [this](const auto &left, const auto &right) {
-        const auto rank = [this](const Record &record) {
-            return std::tuple(this->judge(record, record.changedAt).rounds, record.shared, record.position);
-        };
-        return rank(left.second) < rank(right.second);
-    });
-    if (least != this->records.end()) {
-        this->records.erase(least);
+    using Rank = std::tuple<std::size_t, bool, std::int64_t>;
+    std::vector<std::pair<Rank, RequestDigest>> ranked;
+    for (const auto &[digest, record] : this->records) {
+        ranked.emplace_back(Rank(record.verdict.rounds, record.shared, record.position), digest);
+    }
+    const auto count = std::max<std::size_t>(1, ranked.size() / RemovedShare);
+    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(count);
+    std::nth_element(ranked.begin(), end - 1, ranked.end());
+    for (auto removed = ranked.begin(); removed != end; ++removed) {
+        this->records.erase(removed->second);
     }
 }
 
@@ -340,7 +356,7 @@
     std::erase_if(this->records, [this, now](const auto &item) {
         const auto &record = item.second;
         const auto retention = record.attempts.empty() ? this->options.answerRetention : this->options.retention;
-        return now - std::max(record.changedAt, this->judge(record, now).quarantinedUntil) >= retention;
+        return now - std::max(record.changedAt, record.verdict.quarantinedUntil) >= retention;
     });
 }
 
--- a/Libraries/LibFleet/CrashLedger.h
+++ b/Libraries/LibFleet/CrashLedger.h
@@ -65,7 +65,7 @@
      * may have begun after it.
      */
     Core::Duration timeTolerance{Core::milliseconds(30)};
-    /** When a new record exceeds this number, the least important one is removed. Bounds the memory to about 1 KB for each record. */
+    /** When a new record exceeds this number, the least important ones are removed. Bounds the memory to about 1 KB for each record. */
     std::size_t maximumRecords{1024};
 };
 
@@ -147,8 +147,9 @@
     struct Record {
         std::map<std::string, Attempt> attempts;
         std::optional<Core::Instant> answeredAt;
+        // Derived from the attempts. Its standing is the one at the latest change; later it depends on the end of the quarantine, too.
+        RequestVerdict verdict;
         bool shared{false};
-        RequestStanding loggedStanding{RequestStanding::Clear};
         Core::Instant changedAt;
         // Positions of the latest change, of the latest one that gateways need, and of the latest one by this process; 0 for none.
         std::int64_t position{0};
@@ -160,7 +161,8 @@
     [[nodiscard]] bool addCrash(Record &record, const std::string &name, const Attempt &added) const;
     [[nodiscard]] bool addAnswer(Record &record, Core::Instant answeredAt) const;
     void finishChange(const RequestDigest &digest, Record &record, CrashRecords origin, Core::Instant now);
-    [[nodiscard]] RequestVerdict judge(const Record &record, Core::Instant now) const;
+    [[nodiscard]] RequestVerdict judge(const Record &record) const;
+    [[nodiscard]] RequestStanding standingOf(const RequestVerdict &verdict, Core::Instant now) const;
     [[nodiscard]] static std::int64_t positionOf(const Record &record, CrashRecords selection);
     /** The records that changed after a position, oldest change first. */
     [[nodiscard]] std::vector<const std::pair<const RequestDigest, Record> *> after(std::int64_t position, CrashRecords selection) const;
--- a/Tests/LibFleet/TestCrashLedger.cpp
+++ b/Tests/LibFleet/TestCrashLedger.cpp
@@ -193,7 +193,7 @@
         other.digest = RequestDigest("other " + std::to_string(number));
         ledger.recordCrash(other);
     }
-    cr_assert_eq(ledger.size(), 16);
+    cr_assert(ledger.size() <= 16 && ledger.size() >= 14, "%zu records", ledger.size());
     cr_assert(standing(ledger, 5000) == RequestStanding::Quarantined);
     // One record holds a bounded number of attempts and backend servers.
     for (int number = 0; number < Others; ++number) {
