--- a/Tests/Soak/crashing.py
+++ b/Tests/Soak/crashing.py
@@ -11,7 +11,7 @@
 import signal
 import time
 
-from soak import CONTACT_SECONDS, Soak, ZONES
+from soak import CONTACT_SECONDS, Soak
 
 # How many callers' attempts may still reach backend servers after the time in which gateways that are in contact have to know the request.
 MAXIMUM_LATE_ATTEMPTS = 3
