LibGateway: Move the quota modules to a folder of their own

Cause: LibGateway is 55 files in one flat folder. The quota modules form one part of it, and more of them are being added. Change: Quota* and TokenBucket move to LibGateway/Quota. No code changes.

--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -9,7 +9,7 @@
 #pragma once
 
 #include <LibGateway/BackendPool.h>
-#include <LibGateway/QuotaLimiter.h>
+#include <LibGateway/Quota/QuotaLimiter.h>
 #include <LibMetrics/MetricsPage.h>
 
 namespace Gateway
--- a/Libraries/LibGateway/QuotaKeepers.cpp
+++ b/Libraries/LibGateway/Quota/QuotaKeepers.cpp
@@ -3,7 +3,7 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-#include <LibGateway/QuotaKeepers.h>
+#include <LibGateway/Quota/QuotaKeepers.h>
 
 #include <LibGateway/StableHash.h>
 
--- a/Libraries/LibGateway/QuotaKeepers.h
+++ b/Libraries/LibGateway/Quota/QuotaKeepers.h
@@ -14,7 +14,7 @@
 #include <LibFleet/Regions.h>
 #include <LibFleet/Workspaces.h>
 #include <LibGateway/Dialect.h>
-#include <LibGateway/TokenBucket.h>
+#include <LibGateway/Quota/TokenBucket.h>
 
 #include <map>
 #include <vector>
--- a/Libraries/LibGateway/QuotaLedger.cpp
+++ b/Libraries/LibGateway/Quota/QuotaLedger.cpp
@@ -3,7 +3,7 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-#include <LibGateway/QuotaLedger.h>
+#include <LibGateway/Quota/QuotaLedger.h>
 
 #include <algorithm>
 
--- a/Libraries/LibGateway/QuotaLedger.h
+++ b/Libraries/LibGateway/Quota/QuotaLedger.h
@@ -8,7 +8,7 @@
 #pragma once
 
 #include <LibFleet/Declaration.h>
-#include <LibGateway/QuotaKeepers.h>
+#include <LibGateway/Quota/QuotaKeepers.h>
 
 #include <unordered_map>
 
--- a/Libraries/LibGateway/QuotaLimiter.cpp
+++ b/Libraries/LibGateway/Quota/QuotaLimiter.cpp
@@ -3,7 +3,7 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-#include <LibGateway/QuotaLimiter.h>
+#include <LibGateway/Quota/QuotaLimiter.h>
 
 #include <LibCore/Log.h>
 #include <LibCore/Settings.h>
--- a/Libraries/LibGateway/QuotaLimiter.h
+++ b/Libraries/LibGateway/Quota/QuotaLimiter.h
@@ -11,7 +11,7 @@
 #include <LibCore/LatencyDigest.h>
 #include <LibFleet/BackendRegistry.h>
 #include <LibGateway/BackendPool.h>
-#include <LibGateway/QuotaLedger.h>
+#include <LibGateway/Quota/QuotaLedger.h>
 
 namespace Gateway
 {
--- a/Libraries/LibGateway/TokenBucket.cpp
+++ b/Libraries/LibGateway/Quota/TokenBucket.cpp
@@ -3,7 +3,7 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-#include <LibGateway/TokenBucket.h>
+#include <LibGateway/Quota/TokenBucket.h>
 
 #include <algorithm>
 
--- a/Meta/CMake/Targets.cmake
+++ b/Meta/CMake/Targets.cmake
@@ -5,9 +5,9 @@
     target_compile_options(${target} PRIVATE -Wall -Wextra -Wpedantic -Wno-restrict -Wshadow=local -Wno-missing-field-initializers -Werror)
 endfunction()
 
-# Declares a static library of all sources in the folder: crankrudder_library NAME LIBRARIES…
+# Declares a static library of all sources in the folder and its subfolders: crankrudder_library NAME LIBRARIES…
 function(crankrudder_library name)
-    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp ${CMAKE_CURRENT_SOURCE_DIR}/*/*.cpp)
     add_library(${name} STATIC ${sources})
     target_include_directories(${name} PUBLIC ${PROJECT_SOURCE_DIR}/Libraries)
     target_link_libraries(${name} PUBLIC ${ARGN})
--- a/Tests/LibGateway/TestQuotaLedger.cpp
+++ b/Tests/LibGateway/TestQuotaLedger.cpp
@@ -6,8 +6,8 @@
 // The requests that the keepers of a quota admit together stay within it whatever faults
 // the gateways have, and at least 97 of 100 requests within the quota are admitted.
 
-#include <LibGateway/QuotaLedger.h>
-#include <LibGateway/TokenBucket.h>
+#include <LibGateway/Quota/QuotaLedger.h>
+#include <LibGateway/Quota/TokenBucket.h>
 
 #include <algorithm>
 #include <criterion/criterion.h>
