Tests/Soak, deploy: Bring returning callers and servers that refuse

Cause: the soak knew quotas, but no caller came back after a refusal, and backend servers refused only together with duplicate answers. Change: half of the refused requests return with the same content and another id, on time, early, late or through two gateways at once. Up to four fifths of the backend servers refuse, slow down for less than a second or report a false load.

--- a/Tests/Soak/backends.py
+++ b/Tests/Soak/backends.py
@@ -114,6 +114,11 @@
         self.refuse = 0.0
         self.duplicate = 0.0
         self.slow = 1.0
+        # Faults of load.py: share of the requests that are refused, factor on the service time, and a false load report (None: no report).
+        self.shed = 0.0
+        self.noise = 1.0
+        self.reports_falsely = False
+        self.false_load = None
         self.tasks = []
         self.writers = set()
         # Duplicate answers by connection. They are sent when the next request arrives, before its own answer.
@@ -176,7 +181,7 @@
         if headers.get("target-instance") != self.id:
             await self.write(writer, 421, request_id, b"", {"Instance-Id": self.id})
             return True
-        if self.running >= SLOTS * 2 or self.soak.duplicate_random.random() < self.refuse:
+        if self.running >= SLOTS * 2 or self.soak.duplicate_random.random() < self.refuse or self.soak.load.random.random() < self.shed:
             await self.write_with_duplicate(writer, 503, request_id, b"", {"Not-Executed": "1"})
             return True
         self.soak.journal.workspaces.add((request_id, headers.get("tenant")))
@@ -194,7 +199,7 @@
             return False
         self.running += 1
         try:
-            await asyncio.sleep(self.soak.random.uniform(0.002, 0.012) * self.slow)
+            await asyncio.sleep(self.soak.random.uniform(0.002, 0.012) * self.slow * self.noise)
         finally:
             self.running -= 1
         chance = self.soak.random.random()
@@ -202,7 +207,9 @@
             writer.transport.abort()
             return False
         content = part_of(self.service, request_id) if self.is_shard else single_answer(self.service, request_id)
-        extra = {"Response-Signature": signature_of(self.service, request_id), "Server-Load": f"{self.running},0,{SLOTS},{int(100 * self.slow)}"}
+        extra = {"Response-Signature": signature_of(self.service, request_id)}
+        load = self.false_load if self.reports_falsely else f"{self.running},0,{SLOTS},{int(100 * self.slow)}"
+        extra.update({"Server-Load": load} if load is not None else {})
         if chance < self.lose + self.garble:
             await self.write_garbled(writer, request_id, content, extra)
             return False
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -22,6 +22,7 @@
 import time
 
 from backends import Backend, Journal, RECORD_BYTES, call, part_of, read_message, signature_of, single_answer
+from load import Load
 from proxy import FaultProxy
 
 ZONES = ["zone-a", "zone-b", "zone-c"]
@@ -43,6 +44,24 @@
 QUOTA = {"rate_per_s": 25, "burst": 10}
 
 
+class CallerRequest:
+    """One attempt of a caller. A caller that returns after a refusal sends the same content and key with another id."""
+
+    def __init__(self, request_id, kind, key, caller_timeout, body, content_id, is_return=False):
+        self.request_id = request_id
+        self.kind = kind
+        self.key = key
+        self.caller_timeout = caller_timeout
+        self.body = body
+        self.content_id = content_id
+        self.is_return = is_return
+        # Of the answer, once there is one.
+        self.status = None
+
+    def returning(self, request_id):
+        return CallerRequest(request_id, self.kind, self.key, self.caller_timeout, self.body, self.content_id, True)
+
+
 class Process:
     """A gateway or coordinator process that is restarted whenever it ends."""
 
@@ -117,6 +136,7 @@
         self.duplicate_random = random.Random(f"stutter {seed}")
         # Callers' keys use a separate generator for the same reason.
         self.key_random = random.Random(f"keys {seed}")
+        self.load = Load(self)
         # The key that each request was sent with, by request id.
         self.key_of = {}
         self.port = 20000 + (seed * 37) % 20000
@@ -138,7 +158,7 @@
         # Acknowledged versions as (version, time of the acknowledgement), in order, and the document of each version that was sent.
         self.acknowledged = []
         self.sent = {}
-        self.counts = {"answered": 0, "partial": 0, "not_run": 0, "failed": 0, "no_answer": 0, "unrouted": 0, "over_quota": 0, "no_key": 0}
+        self.counts = {"answered": 0, "partial": 0, "not_run": 0, "failed": 0, "no_answer": 0, "unrouted": 0, "over_quota": 0, "no_key": 0, "returned": 0, "returned_served": 0}
         self.non_idempotent = set()
         # Ids of backend servers that crashed while they ran a crashing request (crashing.py). Runs there do not count as attempts.
         self.crashed_under_requests = set()
@@ -357,26 +377,34 @@
 
     async def one_request(self, gateway, reader, writer, request_id):
         kind = self.random.choices(["search", "record", "action", "home"], [6, 2, 3, 1])[0]
-        method = "POST" if kind == "action" else "GET"
         body = os.urandom(20).hex().encode() if kind == "action" else b""
         caller_timeout = self.random.choice([300, 800, 2000])
-        lines = [f"{method} /{kind}/{request_id} HTTP/1.1", "Host: h.example", f"Request-Id: {request_id}", f"Deadline-Ms: {caller_timeout}", f"Content-Length: {len(body)}"]
         key = self.key_random.choice([*KEYS, "beta-key-1", "unknown-key-1", None])
-        lines += [f"Credential: {key}"] if key else []
+        return await self.send_request(gateway, reader, writer, CallerRequest(request_id, kind, key, caller_timeout, body, request_id))
+
+    async def send_request(self, gateway, reader, writer, request):
+        """Sends a request and checks its answer. Returns whether the connection can be used again."""
+        method = "POST" if request.kind == "action" else "GET"
+        lines = [f"{method} /{request.kind}/{request.content_id} HTTP/1.1", "Host: h.example", f"Request-Id: {request.request_id}",
+                 f"Deadline-Ms: {request.caller_timeout}", f"Content-Length: {len(request.body)}"]
+        lines += [f"Credential: {request.key}"] if request.key else []
         # Some requests claim a workspace by its header, which gateways must ignore.
         lines += ["Tenant: alpha"] if self.key_random.random() < 0.2 else []
-        self.key_of[request_id] = key
-        if kind == "action":
-            self.non_idempotent.add(request_id)
+        self.key_of[request.request_id] = request.key
+        if request.kind == "action":
+            self.non_idempotent.add(request.request_id)
         try:
-            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
-            if self.random.random() < 0.03:
+            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + request.body)
+            if not request.is_return and self.random.random() < 0.03:
                 return False
-            first, headers, content = await asyncio.wait_for(read_message(reader), caller_timeout / 1000 + 1.0)
+            first, headers, content = await asyncio.wait_for(read_message(reader), request.caller_timeout / 1000 + 1.0)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
             self.counts["no_answer"] += 1
             return False
-        self.check_answer(gateway, kind, request_id, int(first.split(" ")[1]), headers, content)
+        request.status = int(first.split(" ")[1])
+        self.check_answer(gateway, request.kind, request.request_id, request.status, headers, content)
+        if request.status in (429, 503):
+            self.load.handle_refusal(request, headers)
         return headers.get("connection") != "close"
 
     def check_answer(self, gateway, kind, request_id, status, headers, content):
@@ -570,14 +598,15 @@
         if not await self.declare(1):
             self.fail("never-started", "the first declaration was not acknowledged")
         tasks = [asyncio.create_task(coroutine) for coroutine in
-                 [self.operate(), self.read_back(), self.probe_current(), self.inject_faults(), self.evacuate(), self.inject_duplicates(), self.send_malformed_heartbeats()] + [self.caller(number) for number in range(self.options.callers)]]
+                 [self.operate(), self.read_back(), self.probe_current(), self.inject_faults(), self.evacuate(), self.inject_duplicates(),
+                  self.load.inject_faults(), self.send_malformed_heartbeats()] + [self.caller(number) for number in range(self.options.callers)]]
         await asyncio.sleep(self.options.seconds)
         await self.finish(tasks)
         return not self.failures
 
     async def finish(self, tasks):
         """Ends the faults except for one kill of all coordinators, then checks that acknowledged state is kept and that requests are served again."""
-        for faults in tasks[3:6]:
+        for faults in tasks[3:7]:
             faults.cancel()
         for process in self.coordinators + self.gateways:
             process.send(signal.SIGCONT)
