LibGateway: Share capacity among the workspaces whose requests wait

Cause: the requests that wait for capacity at a service were ordered by urgency and then newest first, without regard to whose they are. A workspace at many times its demand took nearly all of the capacity, and requests that could no longer be in time were served before others that could. A request that could not use the capacity it was offered moved to the front of its urgency.

Change: Scheduling/CapacityQueue orders them by urgency, then by start-time fair queueing among workspaces (weight: the rate of the quota, else 1), then those that can still be in time, then the newest first. The hook of a waiter returns whether it used the capacity, so a waiter that did not keeps its place, and its workspace is not charged. The same capacity is offered to other workspaces next, since the regions of one may exclude the free server. Urgency has a header of its own, so that the queue compiles without LibWire.

The tests of waiters in TestConnections return from the hook what they did before by waiting again; they check the same.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -25,8 +25,6 @@
 // A request that crashes backend servers ends several at once. Its caller retries it within this time, at a gateway that may not know of it yet.
 static constexpr Core::Duration EndedConnectionsWindow = Core::seconds(1);
 static constexpr int ServersUntilCautious = 3;
-// How many waiting requests are offered the same free capacity at most.
-static constexpr int MaximumCapacityOffers = 4;
 
 BackendPool::BackendPool(BackendPoolOptions options, const Dialect &dialect, Core::EventPoll &poll, Core::TimerService &timers)
     : options(std::move(options))
@@ -781,58 +779,60 @@
 
 // ---- Capacity
 
-std::uint64_t BackendPool::waitForCapacity(const Core::ServiceName &service, const Urgency &urgency, CapacityHook hook)
+WaiterNumber BackendPool::waitForCapacity(const Core::ServiceName &service, CapacityWaiter waiter)
 {
-    auto &waiters = this->serviceOf(service).waiters;
-    const auto number = this->nextWaiter++;
-    const auto position = std::lower_bound(waiters.begin(), waiters.end(), urgency, [](const Waiter &waiter, const Urgency &criteria) {
-        return waiter.urgency < criteria;
-    });
     this->awaitedServices.insert(service);
     this->sweepEvery(SweepPeriod);
-    waiters.insert(position, Waiter{.number = number, .urgency = urgency, .hook = std::move(hook)});
-    return number;
+    return this->serviceOf(service).waiters.add(std::move(waiter), this->timers.now());
 }
 
-void BackendPool::stopWaiting(const Core::ServiceName &service, std::uint64_t number)
+void BackendPool::stopWaiting(const Core::ServiceName &service, WaiterNumber number)
 {
-    std::erase_if(this->serviceOf(service).waiters, [number](const Waiter &waiter) {
-        return waiter.number == number;
-    });
+    const auto now = this->timers.now();
+    if (const auto wait = this->serviceOf(service).waiters.remove(number, now); wait.has_value()) {
+        this->waits.record(service, wait.value(), now);
+    }
 }
 
-// A waiter that finds no free capacity waits again. It may be the only one that cannot use the idle connection, since that has sent its key before, so a few
-// more waiters are offered the capacity. Not all are: with hundreds waiting, each answer would make all of them search.
 void BackendPool::offerCapacity(const Core::ServiceName &service)
 {
-    const auto firstNewNumber = this->nextWaiter;
-    for (int offers = 0; offers < MaximumCapacityOffers; ++offers) {
-        auto &waiters = this->serviceOf(service).waiters;
-        const auto next = std::find_if(waiters.begin(), waiters.end(), [firstNewNumber](const Waiter &waiter) {
-            return waiter.number < firstNewNumber;
-        });
-        if (next == waiters.end()) {
-            return;
-        }
-        const Waiter offered = std::move(*next);
-        waiters.erase(next);
-        const auto waiting = waiters.size();
-        offered.hook();
-        const auto &row = this->serviceOf(service);
-        const bool waitsAgain = row.waiters.size() > waiting;
-        if (!waitsAgain || !this->hasAnyCapacity(row)) {
-            return;
-        }
+    const auto now = this->timers.now();
+    auto &row = this->serviceOf(service);
+    const auto sent = row.waiters.offer(now, [this, &row] {
+        return this->hasAnyCapacity(row);
+    });
+    if (sent.has_value()) {
+        this->waits.record(service, sent.value(), now);
     }
 }
 
+std::size_t BackendPool::waitingUpTo(const Core::ServiceName &service, const Urgency &urgency) const
+{
+    const auto row = this->services.find(service);
+    return row == this->services.end() ? 0 : row->second.waiters.waitingUpTo(urgency);
+}
+
+std::map<Urgency, std::size_t> BackendPool::waitingByUrgency() const
+{
+    std::map<Urgency, std::size_t> counts;
+    for (const auto &service : this->awaitedServices) {
+        this->services.at(service).waiters.countByUrgency(counts);
+    }
+    return counts;
+}
+
+const CapacityWaits &BackendPool::capacityWaits() const
+{
+    return this->waits;
+}
+
 // ---- Sweeps
 
 // Capacity can become free by time alone: a warm-up limit or a rejection backoff elapses.
 void BackendPool::offerCapacityToWaiters()
 {
     std::erase_if(this->awaitedServices, [this](const Core::ServiceName &name) {
-        return this->serviceOf(name).waiters.empty();
+        return this->serviceOf(name).waiters.isEmpty();
     });
     const auto awaited = this->awaitedServices;
     for (const auto &name : awaited) {
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -14,6 +14,7 @@
 #include <LibFleet/Declaration.h>
 #include <LibGateway/BackendChoice.h>
 #include <LibGateway/RetryBudget.h>
+#include <LibGateway/Scheduling/CapacityWaits.h>
 #include <LibGateway/WarmupLimiter.h>
 
 #include <map>
@@ -109,9 +110,6 @@
 class BackendPool
 {
 public:
-    /** Called once when a service may have free capacity again. */
-    using CapacityHook = std::function<void()>;
-
     BackendPool(BackendPoolOptions options, const Dialect &dialect, Core::EventPoll &poll, Core::TimerService &timers);
     ~BackendPool();
     BackendPool(const BackendPool &) = delete;
@@ -147,11 +145,16 @@
     /** Whether the request may have been sent: its attempt has ended, or its connection is established. */
     [[nodiscard]] bool mayHaveBeenSent(AttemptId id) const;
 
-    /**
-     * Calls the hook when there may be free capacity. More urgent waiters come first, and within one urgency the newest. Returns a number for stopWaiting().
-     */
-    std::uint64_t waitForCapacity(const Core::ServiceName &service, const Urgency &urgency, CapacityHook hook);
-    void stopWaiting(const Core::ServiceName &service, std::uint64_t number);
+    /** Offers the waiter capacity when some may be free, in the order of CapacityQueue, until it has used it. Returns a number for stopWaiting(). */
+    WaiterNumber waitForCapacity(const Core::ServiceName &service, CapacityWaiter waiter);
+    /** Ends a wait. Does nothing if it has ended. */
+    void stopWaiting(const Core::ServiceName &service, WaiterNumber number);
+    /** Returns how many requests of this or a higher urgency wait for capacity at the service. */
+    [[nodiscard]] std::size_t waitingUpTo(const Core::ServiceName &service, const Urgency &urgency) const;
+    /** Returns how many requests wait for capacity at all services, by urgency. */
+    [[nodiscard]] std::map<Urgency, std::size_t> waitingByUrgency() const;
+    /** Returns the histograms of waits for capacity that have ended. */
+    [[nodiscard]] const CapacityWaits &capacityWaits() const;
 
     /** Counts a first send, which adds to the retry budget of the service. */
     void recordRequest(const Core::ServiceName &service);
@@ -199,16 +202,9 @@
     std::function<int(const Core::ServiceName &service, const std::string &zone, int total)> warmupShare;
 
 private:
-    struct Waiter {
-        std::uint64_t number{0};
-        Urgency urgency;
-        CapacityHook hook;
-    };
     struct Service {
         std::vector<Backend *> backends;
-        // Invariant: ordered by urgency, and the newest first within one urgency. When more requests wait than there is capacity, those that wait longest are
-        // late already, and serving in order of arrival would make all of them late.
-        std::vector<Waiter> waiters;
+        CapacityQueue waiters;
         // 0 when the service is not declared.
         int connectionCap{0};
         // Warm-up parameters from the declaration.
@@ -308,7 +304,7 @@
     std::unordered_map<BackendName, Core::Instant> endedConnections;
     TrialPeriod trialPeriod;
     AttemptId nextAttempt{1};
-    std::uint64_t nextWaiter{1};
+    CapacityWaits waits;
     // Invariant: includes every service that has waiters.
     std::set<Core::ServiceName> awaitedServices;
     Core::Duration sweepPeriod{0};
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -13,6 +13,7 @@
 #include <LibCore/Time.h>
 #include <LibFleet/RequestDigest.h>
 #include <LibFleet/Workspaces.h>
+#include <LibGateway/Scheduling/Urgency.h>
 #include <LibWire/Message.h>
 
 #include <cstdint>
@@ -57,13 +58,6 @@
     Wire::Request message;
 };
 
-/** Order in which requests that wait for capacity are served. The smallest value is most urgent; the workspace's priority is compared before the route's. */
-struct Urgency {
-    int workspace{0};
-    int route{0};
-    auto operator<=>(const Urgency &) const = default;
-};
-
 /** The load that a backend server reported in a reply. */
 struct LoadReport {
     int running{0};
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -32,6 +32,19 @@
     addCounter(page, "crankrudder_parts_taken_total", "Parts of searches that other gateways asked for.", counts.partsReceived);
 }
 
+static void addCapacityMetrics(Metrics::MetricsPage &page, const BackendPool &servers)
+{
+    for (const auto &[urgency, count] : servers.waitingByUrgency()) {
+        page.gauge("crankrudder_capacity_waiting",
+            "Sends that wait for free capacity at backend servers.",
+            static_cast<double>(count),
+            {{"workspace_priority", std::to_string(urgency.workspace)}, {"route_priority", std::to_string(urgency.route)}});
+    }
+    static constexpr auto *Help = "Time that sends waited for free capacity, until they were sent or left.";
+    page.histogram("crankrudder_capacity_wait_seconds", Help, servers.capacityWaits().sent(), {{"outcome", "sent"}});
+    page.histogram("crankrudder_capacity_wait_seconds", Help, servers.capacityWaits().left(), {{"outcome", "left"}});
+}
+
 void addSendMetrics(Metrics::MetricsPage &page, const BackendPool &servers, const BackendPool &gateways)
 {
     const auto &sends = servers.counters();
@@ -57,6 +70,7 @@
     addCounter(page, "crankrudder_rows_swept_total", "Backend servers and gateways that sweeps looked at.", sends.swept + gateways.counters().swept);
     page.gauge("crankrudder_connections", "Connections to backend servers.", static_cast<double>(servers.connectionCount()));
     page.gauge("crankrudder_backends", "Backend servers that are known.", static_cast<double>(servers.backendCount()));
+    addCapacityMetrics(page, servers);
 }
 
 void addQuotaMetrics(Metrics::MetricsPage &page, const QuotaLimiter &quotas)
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -44,8 +44,8 @@
 void addRequestMetrics(Metrics::MetricsPage &page, const GatewayCounters &counts);
 
 /**
- * Adds the counters of sends and connections to backend servers. The metrics of discarded answers and of swept rows do not distinguish backend servers from
- * gateways, so they are sums over both pools.
+ * Adds the counters of sends and connections to backend servers, and the waits for capacity at these. The metrics of discarded answers and of swept rows do not
+ * distinguish backend servers from gateways, so they are sums over both pools.
  */
 void addSendMetrics(Metrics::MetricsPage &page, const BackendPool &servers, const BackendPool &gateways);
 
--- a/Libraries/LibGateway/RelayedPart.cpp
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -36,6 +36,7 @@
     this->parameters = makeCallParameters(*context.settings, *this->relayRoute, this->request, *context.relayLatencies, now);
     this->parameters.expiresAt = std::min(this->parameters.expiresAt, partParameters.expiresAt);
     this->parameters.urgency = urgencyOf(context.workspace, route);
+    this->parameters.capacityWeight = capacityWeightOf(context.workspace);
     this->parameters.preferred = plan.owners;
     // The request's body must not be sent to regions where the request may not be served either.
     this->parameters.allowedRegions = partParameters.allowedRegions;
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -58,6 +58,11 @@
     return {.workspace = workspace == nullptr ? 0 : workspace->priority, .route = route.priority};
 }
 
+double capacityWeightOf(const Fleet::Workspace *workspace)
+{
+    return workspace != nullptr && workspace->quota.isBounded() ? workspace->quota.requestsPerSecond : 1.0;
+}
+
 CallParameters makeCallParameters(
     const RequestSettings &settings, const Fleet::Route &route, const CallerRequest &request, const Core::LatencyDigest &latencies, Core::Instant now)
 {
@@ -84,6 +89,7 @@
     , arrivedAt(context.timers->now() - this->request.waited)
 {
     this->parameters.urgency = urgencyOf(context.workspace, route);
+    this->parameters.capacityWeight = capacityWeightOf(context.workspace);
     if (context.workspace != nullptr) {
         this->parameters.allowedRegions = this->parameters.allowedRegions.intersectedWith(context.workspace->allowedRegions);
     }
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -151,7 +151,10 @@
 /** Returns the urgency of a workspace's requests for a route. Requests without a workspace are as urgent as those of the most urgent workspace. */
 [[nodiscard]] Urgency urgencyOf(const Fleet::Workspace *workspace, const Fleet::Route &route);
 
-/** Returns the parameters of a request's calls. Their urgency is not set. */
+/** Returns the weight by which a workspace's requests share capacity with those of others: the rate of its quota, or 1 without a bounded quota. */
+[[nodiscard]] double capacityWeightOf(const Fleet::Workspace *workspace);
+
+/** Returns the parameters of a request's calls. Their urgency and weight are not set. */
 [[nodiscard]] CallParameters makeCallParameters(
     const RequestSettings &settings, const Fleet::Route &route, const CallerRequest &request, const Core::LatencyDigest &latencies, Core::Instant now);
 
--- /dev/null
+++ b/Libraries/LibGateway/Scheduling/CapacityQueue.h
@@ -0,0 +1,198 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// The order in which requests that wait for capacity at one service are offered it.
+//
+// Load pattern: for some seconds more requests wait than the service's backend servers
+// take, because one workspace sends many times its usual demand, or because bursts of all
+// workspaces together exceed the capacity. Without fairness the workspace that sends most
+// takes most of the capacity, and a small one is late with nearly all of its requests.
+// Some requests will be late whatever the order is, and serving them first makes those
+// late that could still be answered in time.
+//
+// A request is in time if it starts at the latest one typical latency before its target,
+// since an answer after the target is worth a tenth of one before it. Half of those that
+// start later are still answered within the target, so they are not refused but come after
+// the others.
+
+#pragma once
+
+#include <LibCore/StrongValue.h>
+#include <LibCore/Time.h>
+#include <LibFleet/Workspaces.h>
+#include <LibGateway/Scheduling/Urgency.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace Gateway
+{
+
+struct RequestTrace;
+
+/** Identifies a waiting request within one CapacityQueue. Later ones have greater numbers. */
+using WaiterNumber = Core::StrongValue<struct WaiterNumberTag, std::uint64_t>;
+
+/** A request that waits for capacity. */
+struct CapacityWaiter {
+    Urgency urgency;
+    /** The workspace among which capacity is divided; empty for requests without one, which share one flow. */
+    Fleet::WorkspaceName flow;
+    /** Share of the flow in relation to the other flows of the same urgency. */
+    double weight{1.0};
+    /** The latest start from which the answer is expected within the target. */
+    Core::Instant startBy;
+    /** Target latency of the request; how long it waited is judged by it. */
+    Core::Duration target{0};
+    /** The request, for logs; may be nullptr. */
+    std::shared_ptr<const RequestTrace> trace;
+    /** Sends the request if it can use the capacity that is free now, and returns whether it did. */
+    std::function<bool()> offer;
+};
+
+/** How a wait for capacity ended. */
+struct CapacityWait {
+    CapacityWaiter waiter;
+    Core::Duration waited{0};
+    /** Whether the request was sent. Otherwise it has left without capacity. */
+    bool wasSent{false};
+    /** Whether the wait ended early enough for an answer within the target. */
+    bool wasInTime{false};
+    /** Number of requests of the same or a higher urgency that waited when this one came. */
+    std::size_t ahead{0};
+    /** Number of offers that the request could not use. */
+    int declined{0};
+    /** Numbers of other requests that waited when the wait ended: all, and those of the same flow and urgency. */
+    std::size_t othersWaiting{0};
+    std::size_t othersOfFlow{0};
+};
+
+/**
+ * The requests that wait at one service. Capacity is offered to them in this order:
+ * C1. By urgency.
+ * C2. Within one urgency, by start-time fair queueing among the flows: the flow with the smallest start time comes first. A request that is sent advances the
+ *     start time of its flow by 1 / weight. The virtual time of the urgency is the greatest start time at which a request was sent; a flow that was idle starts
+ *     there. So each flow that always has waiting requests is sent a share in proportion to its weight, and a flow that wants less than its share comes first
+ *     whenever it has a request.
+ * C3. Within one flow, requests that are in time come before those that are not, and then the newest first. When more requests wait than there is capacity, the
+ *     oldest are late already, and serving in order of arrival would make all of them late.
+ * C4. Only a request that was sent counts. One that can't use the capacity it is offered keeps its place. The same capacity is then offered to the other flows
+ *     of the urgency before another request of its flow: a workspace whose regions exclude the free backend server would hold it back from all others.
+ */
+class CapacityQueue
+{
+public:
+    /** How many waiting requests are offered the same free capacity at most. With hundreds waiting, each answer would make all of them search otherwise. */
+    static constexpr std::size_t MaximumOffers = 4;
+
+    CapacityQueue() = default;
+    CapacityQueue(const CapacityQueue &) = delete;
+    CapacityQueue &operator=(const CapacityQueue &) = delete;
+
+    /** Adds a request. Its `offer` hook may add, remove and offer capacity to other requests of this queue. */
+    [[nodiscard]] WaiterNumber add(CapacityWaiter waiter, Core::Instant now);
+
+    /** Removes a request that waits no longer. Returns nothing when it did not wait. */
+    std::optional<CapacityWait> remove(WaiterNumber number, Core::Instant now);
+
+    /**
+     * Offers free capacity until one request has used it. A request that can't use it may be the only one, since the idle connection has sent its key before,
+     * so the next one is offered it as long as `hasCapacity` returns true. Requests that are added meanwhile are not offered it. Returns the wait of the
+     * request that was sent.
+     */
+    std::optional<CapacityWait> offer(Core::Instant now, const std::function<bool()> &hasCapacity);
+
+    [[nodiscard]] bool isEmpty() const;
+    /** Returns how many requests of this or a higher urgency wait. */
+    [[nodiscard]] std::size_t waitingUpTo(const Urgency &urgency) const;
+    /** Adds the numbers of waiting requests to `counts`. */
+    void countByUrgency(std::map<Urgency, std::size_t> &counts) const;
+    /** Returns the number of flows in the table, including idle ones. */
+    [[nodiscard]] std::size_t flowCount() const;
+
+private:
+    struct Entry {
+        CapacityWaiter waiter;
+        Core::Instant since;
+        std::size_t ahead{0};
+        int declined{0};
+    };
+    // The newest first.
+    using Entries = std::map<WaiterNumber, Entry, std::greater<>>;
+
+    struct Flow {
+        Urgency urgency;
+        Fleet::WorkspaceName name;
+        double startTime{0.0};
+        // The number of the request that ended the flow's last idle time.
+        WaiterNumber activatedBy;
+        // Requests move from `inTime` to `late` when an offer finds them late, and never back, since `startBy` doesn't change.
+        Entries inTime;
+        Entries late;
+
+        [[nodiscard]] std::size_t size() const;
+    };
+    /** By start time. Flows with equal start times follow each other from the one that was idle last, which has received least. */
+    struct FlowOrder {
+        bool operator()(const Flow *left, const Flow *right) const;
+    };
+    using OrderedFlows = std::set<Flow *, FlowOrder>;
+
+    /** The flows of one urgency. */
+    struct Level {
+        double virtualTime{0.0};
+        std::size_t waiting{0};
+        // Invariant: each flow is in `backlogged` if it has entries, and otherwise in `idle`. An idle flow has a start time after the virtual time.
+        std::unordered_map<Fleet::WorkspaceName, Flow> flows;
+        OrderedFlows backlogged;
+        OrderedFlows idle;
+    };
+
+    /** The offers of one call of offer(). */
+    struct Round {
+        struct Declined {
+            WaiterNumber number;
+            // Compared only, since the flow may not exist any more.
+            const Flow *flow{nullptr};
+        };
+
+        // Requests from this number on were added during the round.
+        WaiterNumber firstNew;
+        std::array<Declined, MaximumOffers> declined{};
+        std::size_t offers{0};
+
+        [[nodiscard]] bool mayOffer(WaiterNumber number, const Entry &entry) const;
+        /** Returns how many requests of the flow could not use the capacity. */
+        [[nodiscard]] std::size_t declinedBy(const Flow &flow) const;
+    };
+
+    [[nodiscard]] static Flow &flowFor(Level &level, const CapacityWaiter &waiter, WaiterNumber number);
+    [[nodiscard]] std::optional<WaiterNumber> nextFor(const Round &round, Core::Instant now);
+    [[nodiscard]] static std::optional<WaiterNumber> nextOf(Level &level, const Round &round, Core::Instant now);
+    [[nodiscard]] static std::optional<WaiterNumber> nextOf(Flow &flow, const Round &round, Core::Instant now);
+    /** Returns whether the request used the capacity. */
+    [[nodiscard]] bool offerTo(WaiterNumber number);
+    [[nodiscard]] Entry *entryOf(WaiterNumber number);
+    /** Removes a request from its flow. An idle flow is kept only if its start time is after the virtual time. */
+    [[nodiscard]] std::optional<CapacityWait> extract(WaiterNumber number, bool wasSent, Core::Instant now);
+    static void chargeFlow(Level &level, Flow &flow, double weight);
+    static void setIdle(Level &level, Flow &flow);
+    static void dropIdleFlows(Level &level);
+
+    // Invariant: each level has waiting requests. When the last one leaves, nobody competes, so what the flows received before no longer matters.
+    std::map<Urgency, Level> levels;
+    // Invariant: refers to the flow of each waiting request.
+    std::unordered_map<WaiterNumber, Flow *> flowOf;
+    std::uint64_t nextNumber{1};
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/Scheduling/CapacityWaits.cpp
@@ -0,0 +1,79 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibGateway/Scheduling/CapacityWaits.h>
+
+#include <LibCore/Log.h>
+#include <LibGateway/RequestTrace.h>
+
+#include <utility>
+
+namespace Gateway
+{
+
+// A wait is logged if it took more than this fraction of the target: 1 / 4.
+static constexpr int LoggedTargetDivisor = 4;
+
+static void logWait(const Core::ServiceName &service, const CapacityWait &wait, std::uint64_t omitted)
+{
+    const auto &waiter = wait.waiter;
+    Core::logEvent(Core::LogLevel::Information,
+        "capacity.waited",
+        {{"request", waiter.trace ? waiter.trace->id.value() : std::string()},
+            {"service", service.value()},
+            {"workspace", waiter.flow.value()},
+            {"outcome", wait.wasSent ? "sent" : "left"},
+            {"waited_ms", Core::toMilliseconds(wait.waited)},
+            {"target_ms", Core::toMilliseconds(waiter.target)},
+            {"in_time", wait.wasInTime ? 1 : 0},
+            {"workspace_priority", waiter.urgency.workspace},
+            {"route_priority", waiter.urgency.route},
+            {"weight", waiter.weight},
+            {"ahead", wait.ahead},
+            {"declined", wait.declined},
+            {"others_waiting", wait.othersWaiting},
+            {"others_of_workspace", wait.othersOfFlow},
+            {"omitted", omitted}});
+}
+
+bool CapacityWaits::record(const Core::ServiceName &service, const CapacityWait &wait, Core::Instant now)
+{
+    (wait.wasSent ? this->sentWaits : this->leftWaits).add(wait.waited);
+    const bool isLong = wait.waited > wait.waiter.target / LoggedTargetDivisor;
+    if (!isLong) {
+        return false;
+    }
+    if (!this->takeLine(now)) {
+        ++this->omitted;
+        return false;
+    }
+    logWait(service, wait, std::exchange(this->omitted, 0));
+    return true;
+}
+
+bool CapacityWaits::takeLine(Core::Instant now)
+{
+    if (now - this->secondStartedAt >= Core::seconds(1)) {
+        this->secondStartedAt = now;
+        this->linesOfSecond = 0;
+    }
+    if (this->linesOfSecond >= MaximumLinesPerSecond) {
+        return false;
+    }
+    ++this->linesOfSecond;
+    return true;
+}
+
+const Metrics::LatencyHistogram &CapacityWaits::sent() const
+{
+    return this->sentWaits;
+}
+
+const Metrics::LatencyHistogram &CapacityWaits::left() const
+{
+    return this->leftWaits;
+}
+
+}
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -70,12 +70,15 @@
         .request = this->parameters.request};
 }
 
-void ShardCall::tryNext()
+Backend *ShardCall::chooseBackend()
 {
     auto *backend = this->pool.firstHealthy(this->parameters.preferred, this->wanted());
-    if (backend == nullptr) {
-        backend = this->pool.choose(this->wanted());
-    }
+    return backend != nullptr ? backend : this->pool.choose(this->wanted());
+}
+
+void ShardCall::tryNext()
+{
+    auto *backend = this->chooseBackend();
     if (backend != nullptr) {
         this->sendTo(*backend);
     } else if (this->running.empty()) {
@@ -89,10 +92,28 @@
     if (this->waiter.has_value()) {
         return;
     }
-    this->waiter = this->pool.waitForCapacity(this->serviceName, this->parameters.urgency, [this] {
-        this->waiter.reset();
-        this->tryNext();
-    });
+    const auto &request = *this->parameters.request;
+    this->waiter = this->pool.waitForCapacity(this->serviceName,
+        CapacityWaiter{.urgency = this->parameters.urgency,
+            .flow = request.workspace.value_or(Fleet::WorkspaceName()),
+            .weight = this->parameters.capacityWeight,
+            .startBy = this->parameters.targetAt - this->parameters.typicalLatency,
+            .target = this->parameters.route->targetLatency,
+            .trace = request.trace,
+            .offer = [this] {
+                return this->sendWithOfferedCapacity();
+            }});
+}
+
+bool ShardCall::sendWithOfferedCapacity()
+{
+    auto *backend = this->chooseBackend();
+    if (backend == nullptr) {
+        return false;
+    }
+    this->waiter.reset();
+    this->sendTo(*backend);
+    return true;
 }
 
 void ShardCall::sendTo(Backend &backend)
--- a/Libraries/LibGateway/ShardCall.h
+++ b/Libraries/LibGateway/ShardCall.h
@@ -30,6 +30,8 @@
     /** Time without a reply after which an attempt is hedged. */
     Core::Duration hedgeDelay{0};
     Urgency urgency;
+    /** Share of the request's workspace in the capacity of a service at which requests of several workspaces wait. */
+    double capacityWeight{1.0};
     /** Limits the work on a search that is answered at its target without its late shards; nullptr for other requests. */
     WorkLimit *workLimit{nullptr};
     /** Backend servers that are chosen before all others, in this order, as long as they are healthy. */
@@ -137,9 +139,12 @@
     };
 
     [[nodiscard]] SelectionCriteria wanted(std::optional<Core::Duration> within = std::nullopt) const;
+    [[nodiscard]] Backend *chooseBackend();
     void tryNext();
     void sendTo(Backend &backend);
     void waitForCapacity();
+    /** Sends the request if there is free capacity for it, and returns whether it was sent. */
+    [[nodiscard]] bool sendWithOfferedCapacity();
     void handleOutcome(const BackendName &backend, const AttemptOutcome &outcome);
     void handleReply(const BackendReply &incoming, const Running &attempt);
     void recordLimitOutcome(const Running &attempt, bool answered);
@@ -173,7 +178,7 @@
     bool repeatAlreadyConsumed{false};
     int hedgeCount{0};
     int refusals{0};
-    std::optional<std::uint64_t> waiter;
+    std::optional<WaiterNumber> waiter;
     BackendReply answer;
     Core::Duration answerLatency{0};
     std::optional<Core::Duration> lastBreakAfter;
--- a/Tests/LibGateway/TestConnections.cpp
+++ b/Tests/LibGateway/TestConnections.cpp
@@ -176,9 +176,10 @@
     fixture.send("a");
     fixture.send("b");
     cr_assert(fixture.hasReplies(2));
-    (void)fixture.pool.waitForCapacity(service, {}, [&fixture] {
+    (void)fixture.pool.waitForCapacity(service, {.offer = [&fixture] {
         fixture.send("waits");
-    });
+        return true;
+    }});
     // The first connection expires while the event loop does not run, so that the next send closes it.
     g_usleep(1'000'000);
     fixture.send("c");
@@ -193,9 +194,10 @@
     fixture.send("a");
     fixture.send("b");
     cr_assert(fixture.hasReplies(2));
-    (void)fixture.pool.waitForCapacity(service, {}, [&fixture] {
+    (void)fixture.pool.waitForCapacity(service, {.offer = [&fixture] {
         fixture.send("waits");
-    });
+        return true;
+    }});
     cr_assert(fixture.hasReplies(3));
 }
 
@@ -269,15 +271,13 @@
         return held.has_value();
     }));
     bool nextWasSent = false;
-    (void)fixture.pool.waitForCapacity(service, {}, [&] {
+    (void)fixture.pool.waitForCapacity(service, {.offer = [&] {
         nextWasSent = fixture.send("next");
-    });
-    std::function<void()> first = [&] {
-        if (!fixture.send("x")) {
-            (void)fixture.pool.waitForCapacity(service, {}, first);
-        }
-    };
-    (void)fixture.pool.waitForCapacity(service, {}, first);
+        return nextWasSent;
+    }});
+    (void)fixture.pool.waitForCapacity(service, {.offer = [&fixture] {
+        return fixture.send("x");
+    }});
     held->connection->write(successResponse(held->request, "signature", "body"));
     cr_assert(fixture.runUntil([&nextWasSent] {
         return nextWasSent;
