LibGateway: Say what the flow of a waiting request is

Cause: the comment read as if capacity were divided among one workspace. Change: it names the share that the request counts for. Measured: the whole of TestLibGateway passes (136).

--- a/Libraries/LibGateway/Scheduling/CapacityQueue.h
+++ b/Libraries/LibGateway/Scheduling/CapacityQueue.h
@@ -45,7 +45,7 @@
 /** A request that waits for capacity. */
 struct CapacityWaiter {
     Urgency urgency;
-    /** The workspace among which capacity is divided; empty for requests without one, which share one flow. */
+    /** The workspace whose share of the capacity the request counts for. Requests without one are one flow with an empty name. */
     Fleet::WorkspaceName flow;
     /** Share of the flow in relation to the other flows of the same urgency. */
     double weight{1.0};
