LibGateway: Refuse searches that have not run as such

Searches ended with 502 although no backend server had received them. Two causes: a part that another gateway answered counted as run even if it reported no executions for any shard, and a search that could not reach its coverage cancelled its open parts and counted them as run.

An answered part now counts as what it reports. A lost search cancels everything else and waits for the parts that were sent, until a quarter of the target after its arrival, unless something else shows that it may have run. A shard that is missing from the answered part of a third gateway is reported with the attempts of that answer, no longer with all that the route allows.

If backend servers that are missing or refuse connections prevent a request, Retry-After is a third of the time that the caller has left, 3 s at most: an earlier retry would find them missing, and callers retry once.

request.finished tells why a request may have run (may_have_run), and crankrudder_unanswered_total counts endings by outcome and that reason.

Refused connections of single requests and of parts were counted correctly before.

--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -17,8 +17,6 @@
 namespace Gateway
 {
 
-// A hedged shard has one earlier send that may have run.
-static constexpr int HedgedExecutions = 1;
 // A single hedge is sent directly, because a part of one shard saves no bytes. The exception is a large reply of which most records are not needed.
 static constexpr std::size_t MinimumHedgesInPart = 2;
 // Size from which on a reply is larger than the overhead of a part.
@@ -27,6 +25,9 @@
 static constexpr double MissedRatio = 8.0;
 // Maximum number of shards that are sent to one after the other until one of them answers.
 static constexpr std::size_t MaximumCanaries = 3;
+// A search that can't be answered waits for what other gateways report until this fraction of its target latency has passed since its arrival. A refusal is of
+// use to the caller only within a quarter of the target.
+static constexpr double OutcomeWaitShare = 0.25;
 
 FanOutRequest::FanOutRequest(RequestContext context,
     std::shared_ptr<const Fleet::RouteTable> routes,
@@ -155,7 +156,7 @@
 void FanOutRequest::endAfterCanaries()
 {
     if (this->origin == RequestOrigin::Caller) {
-        this->refuse(this->mayHaveRun());
+        this->refuseSearch();
     } else {
         this->answerOtherGateway();
     }
@@ -297,7 +298,7 @@
 {
     const bool tooFew = this->answeredCount() + this->openCount() < this->requiredShards();
     const bool isDangerous = isDangerousToRepeat(*this->request.trace);
-    if (this->isExpired() || isDangerous || (!this->canBeInTime() && !tooFew)) {
+    if (this->isLost || this->isExpired() || isDangerous || (!this->canBeInTime() && !tooFew)) {
         return;
     }
     std::map<PartRetry, std::vector<std::size_t>> retries;
@@ -475,15 +476,37 @@
     return static_cast<std::size_t>(std::count_if(this->rows.begin(), this->rows.end(), isOpen));
 }
 
-bool FanOutRequest::mayHaveRun() const
+// The executions of a call include those that other gateways reported before it, and hedges in flight at other gateways, which their parts account for.
+bool FanOutRequest::mayHaveRunDirectly(const Row &row)
 {
-    const bool byRow = std::any_of(this->rows.begin(), this->rows.end(), [](const Row &row) {
-        return row.inPart || row.remoteAttempts.executions > 0 || (row.call && row.call->executions() > 0);
+    return row.call && row.call->executions() - row.call->openRelayedHedges() > row.remoteAttempts.executions;
+}
+
+RunEvidence FanOutRequest::runEvidence() const
+{
+    const auto anyPart = [this](bool (RelayedPart::*condition)() const) {
+        return std::any_of(this->parts.begin(), this->parts.end(), [condition](const auto &sentPart) {
+            return (*sentPart->part.*condition)();
+        });
+    };
+    if (anyPart(&RelayedPart::reportsExecutions)) {
+        return RunEvidence::PartReport;
+    }
+    if (std::any_of(this->rows.begin(), this->rows.end(), mayHaveRunDirectly)) {
+        return RunEvidence::DirectAttempt;
+    }
+    return anyPart(&RelayedPart::mayHaveRun) ? RunEvidence::PartInFlight : RunEvidence::None;
+}
+
+bool FanOutRequest::lacksServers() const
+{
+    const auto lacking = std::count_if(this->rows.begin(), this->rows.end(), [](const Row &row) {
+        return row.call && row.call->lacksServers();
     });
-    const bool byPart = std::any_of(this->parts.begin(), this->parts.end(), [](const auto &sentPart) {
-        return sentPart->part->mayHaveRun();
+    const auto refused = std::count_if(this->rows.begin(), this->rows.end(), [](const Row &row) {
+        return row.call && row.call->wasRefused();
     });
-    return byRow || byPart;
+    return this->rows.empty() || lacking > refused;
 }
 
 void FanOutRequest::completeIfPossible()
@@ -502,6 +525,10 @@
 // A merged answer is sent when all shards are answered, when the target is reached and enough are answered, or after the target as soon as enough are answered.
 void FanOutRequest::completeForCallerIfPossible()
 {
+    if (this->isLost) {
+        this->endLostSearch();
+        return;
+    }
     const auto answered = this->answeredCount();
     const auto open = this->openCount();
     const bool enough = answered >= this->requiredShards();
@@ -512,8 +539,52 @@
             this->retryMissingShards();
         });
         if (this->answeredCount() + this->openCount() < this->requiredShards()) {
-            this->cancelCalls(false);
-            this->refuse(this->mayHaveRun());
+            this->endLostSearch();
+        }
+    }
+}
+
+// Requests that have not run are refused as such, which their callers can repeat safely. An open part counts as run, although its gateway may have found no
+// backend server for any of its shards; its answer takes about a round trip. With any other evidence the answer changes nothing and is not waited for.
+void FanOutRequest::endLostSearch()
+{
+    this->isLost = true;
+    this->cancelAllButPartsUnderWay();
+    const auto waitUntil = this->arrivedAt + scaled(this->route.targetLatency, OutcomeWaitShare);
+    const bool isOutcomeOpen = this->runEvidence() == RunEvidence::None && this->hasPartUnderWay();
+    if (!isOutcomeOpen || this->now() >= waitUntil) {
+        this->refuseSearch();
+        return;
+    }
+    this->outcomeTimer = this->context.timers->once(waitUntil - this->now(), [this](Core::Instant) {
+        this->callFinished();
+    });
+}
+
+void FanOutRequest::refuseSearch()
+{
+    this->outcomeTimer.cancel();
+    this->cancelCalls(false);
+    this->refuse(this->runEvidence(), this->lacksServers());
+}
+
+bool FanOutRequest::hasPartUnderWay() const
+{
+    return std::any_of(this->parts.begin(), this->parts.end(), [](const auto &sentPart) {
+        return sentPart->part->isUnderWay();
+    });
+}
+
+void FanOutRequest::cancelAllButPartsUnderWay()
+{
+    for (const auto &row : this->rows) {
+        if (row.call) {
+            row.call->cancel(false);
+        }
+    }
+    for (const auto &sentPart : this->parts) {
+        if (!sentPart->part->isUnderWay()) {
+            sentPart->part->cancel(false);
         }
     }
 }
@@ -620,11 +691,12 @@
 {
     Protocol::MissingShard missing = row.remoteAttempts;
     missing.serviceName = row.shard.value();
+    const bool isReported = row.missingFromPart != nullptr && row.missingFromPart->part.get() == row.part;
     if (row.call) {
         missing.executions = row.call->executions();
         missing.sends = row.remoteAttempts.sends + row.call->attempts();
         missing.counted = true;
-    } else if (row.part != nullptr && row.part->mayHaveRun()) {
+    } else if (row.part != nullptr && !isReported && row.part->mayHaveRun()) {
         // It is not known what the other gateway has run, so all attempts that the route allows are assumed.
         missing.executions = this->route.maximumAttempts;
         missing.sends = 1;
--- a/Libraries/LibGateway/FanOutRequest.h
+++ b/Libraries/LibGateway/FanOutRequest.h
@@ -99,6 +99,13 @@
     [[nodiscard]] bool canBeInTime() const;
     void retryAtOwner(const PartRetry &retry, std::vector<std::size_t> rowNumbers);
     void completeForCallerIfPossible();
+    /** Ends a search that can't reach its coverage, at once or when it is known whether anything has run. Nothing more is sent. */
+    void endLostSearch();
+    /** Refuses the search with what is known now. */
+    void refuseSearch();
+    /** Cancels everything but the parts whose answers will tell what has run. Afterwards only those parts can still change the evidence. */
+    void cancelAllButPartsUnderWay();
+    [[nodiscard]] bool hasPartUnderWay() const;
     void completeForGatewayIfPossible();
     void answerCaller();
     void answerOtherGateway();
@@ -115,7 +122,12 @@
     [[nodiscard]] std::size_t topRecords() const;
     [[nodiscard]] std::size_t answeredCount() const;
     [[nodiscard]] std::size_t openCount() const;
-    [[nodiscard]] bool mayHaveRun() const;
+    /** Returns why the search may have run, by calls and parts that have ended or were cancelled. */
+    [[nodiscard]] RunEvidence runEvidence() const;
+    /** Returns whether the shard may have run by an attempt of this gateway. */
+    [[nodiscard]] static bool mayHaveRunDirectly(const Row &row);
+    /** Returns whether no shard has a backend server, or more of the direct shards have none that accepts connections than have one that refused to run. */
+    [[nodiscard]] bool lacksServers() const;
     /** Returns the greatest records of all parts and of the directly answered rows for which `counts` is true. */
     [[nodiscard]] std::string mergedRecords(const std::function<bool(const Row &row)> &counts) const;
     void recordLatencies() const;
@@ -132,6 +144,9 @@
     std::optional<std::size_t> canaryRow;
     std::size_t canaries{0};
     std::vector<std::unique_ptr<SentPart>> parts;
+    // The search can't reach its coverage and waits for what tells whether it has run. Invariant: no call is open.
+    bool isLost{false};
+    Core::TimerSubscription outcomeTimer;
 };
 
 }
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -27,6 +27,12 @@
     outcome("unauthorized", counts.unauthorized);
     outcome("over-quota", counts.overQuota);
     outcome("quarantined", counts.quarantined);
+    for (const auto &[ending, value] : counts.endings) {
+        page.counter("crankrudder_unanswered_total",
+            "Requests that were refused or failed, by outcome and why they may have run.",
+            static_cast<double>(value),
+            {{"outcome", outcomeName(ending.first)}, {"may_have_run", evidenceName(ending.second)}});
+    }
     addCounter(page, "crankrudder_hedges_total", "Second sends for late ones.", counts.hedges);
     addCounter(page, "crankrudder_parts_given_total", "Parts of searches that other gateways were asked for.", counts.relayed);
     addCounter(page, "crankrudder_parts_taken_total", "Parts of searches that other gateways asked for.", counts.partsReceived);
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -10,6 +10,7 @@
 
 #include <LibGateway/BackendPool.h>
 #include <LibGateway/Quota/QuotaLimiter.h>
+#include <LibGateway/RoutedRequest.h>
 #include <LibMetrics/MetricsPage.h>
 
 namespace Gateway
@@ -33,6 +34,8 @@
     std::uint64_t overQuota{0};
     /** Requests, and parts of searches, that were refused because they crash backend servers. */
     std::uint64_t quarantined{0};
+    /** Requests that were refused or failed, by outcome and why they may have run. */
+    std::map<std::pair<RequestOutcome, RunEvidence>, std::uint64_t> endings;
     std::uint64_t hedges{0};
     /** Parts of callers' searches that were to be relayed to other gateways when the search began. */
     std::uint64_t relayed{0};
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -640,6 +640,9 @@
 void GatewayNode::count(const RequestSummary &summary)
 {
     this->counts.hedges += static_cast<std::uint64_t>(summary.hedges);
+    if (summary.evidence.has_value()) {
+        ++this->counts.endings[{summary.outcome, summary.evidence.value()}];
+    }
     (summary.route->isFanOut() ? this->searchLatencies : this->singleLatencies).add(summary.took);
     switch (summary.outcome) {
     case RequestOutcome::Answered:
@@ -673,6 +676,7 @@
             {"declaration", summary.declarationVersion},
             {"outcome", outcomeName(summary.outcome)},
             {"status", summary.status},
+            {"may_have_run", summary.evidence.has_value() ? evidenceName(summary.evidence.value()) : ""},
             {"shards", summary.shards},
             {"answered", summary.answered},
             {"relayed", summary.relayed},
--- a/Libraries/LibGateway/RelayedPart.cpp
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -126,9 +126,31 @@
     return this->parameters.expiresAt;
 }
 
+bool RelayedPart::isUnderWay() const
+{
+    return this->open && this->relayCall->hasSentAttempt();
+}
+
+bool RelayedPart::wasRead() const
+{
+    return this->partial.signatures.size() + this->partial.missing.size() > 0;
+}
+
+bool RelayedPart::reportsExecutions() const
+{
+    // The serving gateway counts the send that it hedges among the executions.
+    const int own = this->plan.isHedge ? HedgedExecutions : 0;
+    const bool byMissing = std::any_of(this->partial.missing.begin(), this->partial.missing.end(), [own](const Protocol::MissingShard &shard) {
+        return shard.executions > own;
+    });
+    return byMissing || !this->partial.signatures.empty();
+}
+
+// The send that was answered counts as an execution of the call, but what it has run is as the answer reports.
 bool RelayedPart::mayHaveRun() const
 {
-    return this->relayCall->executions() > 0;
+    const int answeredSends = this->wasRead() ? 1 : 0;
+    return this->reportsExecutions() || this->relayCall->executions() > answeredSends;
 }
 
 bool RelayedPart::isHedge() const
@@ -168,11 +190,10 @@
 
 std::vector<Protocol::MissingShard> RelayedPart::missing() const
 {
-    const bool wasRead = this->partial.signatures.size() + this->partial.missing.size() > 0;
     switch (this->relayCall->state()) {
     case CallState::Answered:
         // It is not known what ran for an answer that cannot be read, so all attempts that the route allows are assumed.
-        return wasRead ? this->partial.missing : this->allMissing(this->route.maximumAttempts, 1);
+        return this->wasRead() ? this->partial.missing : this->allMissing(this->route.maximumAttempts, 1);
     case CallState::NotRun:
         return this->allMissing(0, 0);
     default:
--- a/Libraries/LibGateway/RelayedPart.h
+++ b/Libraries/LibGateway/RelayedPart.h
@@ -15,6 +15,9 @@
 namespace Gateway
 {
 
+/** A hedged shard has one earlier send of the requesting gateway, which may have run. */
+constexpr int HedgedExecutions = 1;
+
 /** Time limits of a part and what it should contain. */
 struct PartParameters {
     /** The answer to the whole search should be sent at this time. */
@@ -42,7 +45,11 @@
 
     [[nodiscard]] bool isOpen() const;
     [[nodiscard]] Core::Instant expiresAt() const;
-    /** Returns whether any shard of the part may have run at the serving gateway. */
+    /** Returns whether the part is open and may have been sent, so that its answer will tell what has run. */
+    [[nodiscard]] bool isUnderWay() const;
+    /** Returns whether the serving gateway answered that a backend server has run, or may have run, any shard of the part. */
+    [[nodiscard]] bool reportsExecutions() const;
+    /** Returns whether any shard of the part may have run: the part reports executions, or was sent and its end is not known. */
     [[nodiscard]] bool mayHaveRun() const;
     /** Returns whether the part hedges shards that this gateway has in flight as well. */
     [[nodiscard]] bool isHedge() const;
@@ -62,6 +69,8 @@
 
 private:
     void handleOutcome();
+    /** Returns whether the part was answered with the signature or the attempts of every shard. */
+    [[nodiscard]] bool wasRead() const;
     /** Returns whether the connection broke so soon after the send that each shard was sent at most once. */
     [[nodiscard]] bool brokeImmediately() const;
     /** Returns the shards that the answer lists as missing although they were not requested, or that it lists twice. */
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -14,6 +14,10 @@
 static constexpr double MinimumLatencySamples = 20.0;
 // Length limit of the list of missing shards in a log line, in characters.
 static constexpr std::size_t MaximumDetailLength = 160;
+// Callers wait for a third of the time that they have left at most, whatever they are told, and retry once.
+static constexpr int RetryDelayDivisor = 3;
+// Backend servers that had ended refused connections for about 3 s, so a longer delay is no more likely to find them running.
+static constexpr Core::Duration MaximumRetryDelay = Core::seconds(3);
 
 const char *outcomeName(RequestOutcome outcome)
 {
@@ -36,6 +40,21 @@
     return "failed";
 }
 
+const char *evidenceName(RunEvidence evidence)
+{
+    switch (evidence) {
+    case RunEvidence::None:
+        return "no";
+    case RunEvidence::DirectAttempt:
+        return "direct-attempt";
+    case RunEvidence::PartInFlight:
+        return "part-in-flight";
+    case RunEvidence::PartReport:
+        return "part-report";
+    }
+    return "no";
+}
+
 Core::Duration scaled(Core::Duration duration, double factor)
 {
     return Core::Duration(static_cast<Core::Duration::rep>(static_cast<double>(duration.count()) * factor));
@@ -190,11 +209,24 @@
     this->complete(Wire::Response{}, RequestOutcome::CallerGone);
 }
 
-void RoutedRequest::refuse(bool mayHaveRun)
+// A caller retries once. One that retries while the backend servers are still missing is refused for good, so it is told to wait as long as it may.
+Core::Duration RoutedRequest::retryDelay(bool lacksServers) const
+{
+    const auto usual = this->context.settings->retryAfter;
+    if (!lacksServers) {
+        return usual;
+    }
+    const auto longest = std::min((this->parameters.deadline - this->now()) / RetryDelayDivisor, MaximumRetryDelay);
+    return std::max(usual, longest);
+}
+
+void RoutedRequest::refuse(RunEvidence evidenceOfRun, bool lacksServers)
 {
+    this->evidence = evidenceOfRun;
+    const bool mayHaveRun = evidenceOfRun != RunEvidence::None;
     const auto refusal = !mayHaveRun ? Refusal::NotRun : this->isExpired() ? Refusal::TimedOut : Refusal::Failed;
     const auto outcome = !mayHaveRun ? RequestOutcome::NotRun : this->isExpired() ? RequestOutcome::TimedOut : RequestOutcome::Failed;
-    this->complete(this->context.dialect->writeRefusal(refusal, this->request.id, this->context.settings->retryAfter), outcome);
+    this->complete(this->context.dialect->writeRefusal(refusal, this->request.id, this->retryDelay(lacksServers)), outcome);
 }
 
 void RoutedRequest::describeCall(RequestSummary &summary, const ShardCall &call)
@@ -217,6 +249,7 @@
     summary.declarationVersion = this->routes->declaration().version.value();
     summary.status = response.status;
     summary.outcome = outcome;
+    summary.evidence = outcome == RequestOutcome::FailedByBackend ? RunEvidence::DirectAttempt : this->evidence;
     summary.took = this->now() - this->arrivedAt;
     this->describe(summary);
     const auto answer = std::exchange(this->answerHook, nullptr);
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -35,6 +35,20 @@
 /** Name of the outcome in log lines. */
 [[nodiscard]] const char *outcomeName(RequestOutcome outcome);
 
+/** Why a request may have run, by the strongest evidence. A request without evidence has not run and never will. */
+enum class RunEvidence {
+    None,
+    /** An attempt of this gateway at a backend server was sent, and was not refused as not executed. */
+    DirectAttempt,
+    /** A part was sent to another gateway, which did not report what it has run. */
+    PartInFlight,
+    /** Another gateway reported that it has sent shards of its part. */
+    PartReport,
+};
+
+/** Name of the evidence in log lines and metrics. */
+[[nodiscard]] const char *evidenceName(RunEvidence evidence);
+
 /** Result of a request, for logs and metrics. */
 struct RequestSummary {
     const CallerRequest *request{nullptr};
@@ -42,6 +56,8 @@
     std::int64_t declarationVersion{0};
     int status{0};
     RequestOutcome outcome{RequestOutcome::Failed};
+    /** Why the request may have run; set if it was not answered and its caller has not gone. */
+    std::optional<RunEvidence> evidence;
     std::size_t shards{0};
     std::size_t answered{0};
     /** Number of shards that were relayed to another gateway. */
@@ -116,8 +132,11 @@
     void withCompletionDeferred(const std::function<void()> &steps);
     /** Ends the request with `response`. The finished hook may destroy the request. */
     void complete(Wire::Response response, RequestOutcome outcome);
-    /** Ends the request with a refusal: NotRun if nothing may have run, otherwise TimedOut or Failed. */
-    void refuse(bool mayHaveRun);
+    /**
+     * Ends the request with a refusal: NotRun if there is no evidence that anything has run, otherwise TimedOut or Failed. `lacksServers`: the backend servers
+     * that the request needs do not exist or refuse connections, so that an early retry would fail as well.
+     */
+    void refuse(RunEvidence evidenceOfRun, bool lacksServers);
     [[nodiscard]] std::unique_ptr<ShardCall> makeCall(const Core::ServiceName &service);
     [[nodiscard]] bool isTargetReached() const;
     [[nodiscard]] bool isExpired() const;
@@ -134,7 +153,10 @@
 private:
     void runScheduledCheck();
     void scheduleCheck(Core::Instant due);
+    /** Returns how long the caller of a request that has not run should wait before its retry. */
+    [[nodiscard]] Core::Duration retryDelay(bool lacksServers) const;
 
+    std::optional<RunEvidence> evidence;
     bool completionDeferred{false};
     bool done{false};
     AnswerHook answerHook;
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -223,6 +223,7 @@
         this->handleReply(outcome.reply, attempt);
         break;
     case AttemptEnd::NotSent:
+        ++this->unsentAttempts;
         this->reason = outcome.reason;
         this->retryOrFinish(CallState::NotRun);
         break;
@@ -379,6 +380,28 @@
     return this->executionCount + this->relayedHedges;
 }
 
+int ShardCall::openRelayedHedges() const
+{
+    return this->relayedHedges;
+}
+
+bool ShardCall::hasSentAttempt() const
+{
+    return std::any_of(this->running.begin(), this->running.end(), [this](const Running &attempt) {
+        return this->pool.mayHaveBeenSent(attempt.id);
+    });
+}
+
+bool ShardCall::lacksServers() const
+{
+    return this->current == CallState::NotRun && this->refusals == 0 && this->unsentAttempts > 0;
+}
+
+bool ShardCall::wasRefused() const
+{
+    return this->current == CallState::NotRun && this->refusals > 0;
+}
+
 std::optional<Core::Duration> ShardCall::brokeAfter() const
 {
     return this->lastBreakAfter;
--- a/Libraries/LibGateway/ShardCall.h
+++ b/Libraries/LibGateway/ShardCall.h
@@ -122,6 +122,14 @@
     [[nodiscard]] int hedges() const;
     /** Returns the number of backend servers where the request may have run. The number is final once the call has ended. */
     [[nodiscard]] int executions() const;
+    /** Returns how many of the executions are hedges that another gateway has in flight, whose outcome is not known yet. */
+    [[nodiscard]] int openRelayedHedges() const;
+    /** Returns whether an attempt in flight may have been sent. */
+    [[nodiscard]] bool hasSentAttempt() const;
+    /** Returns whether the call has ended as not run, and no connection to a backend server could be established. */
+    [[nodiscard]] bool lacksServers() const;
+    /** Returns whether the call has ended as not run, and a backend server refused it. */
+    [[nodiscard]] bool wasRefused() const;
     /** Returns the time from send to break of the last attempt whose answer was lost; nullopt if there was none. */
     [[nodiscard]] std::optional<Core::Duration> brokeAfter() const;
     /** Returns why the last attempt failed, for logs. */
@@ -173,6 +181,8 @@
     bool repeatAlreadyConsumed{false};
     int hedgeCount{0};
     int refusals{0};
+    // Attempts whose connection was refused or not established, so that nothing was sent.
+    int unsentAttempts{0};
     std::optional<std::uint64_t> waiter;
     BackendReply answer;
     Core::Duration answerLatency{0};
--- a/Libraries/LibGateway/SingleRequest.cpp
+++ b/Libraries/LibGateway/SingleRequest.cpp
@@ -44,7 +44,7 @@
     case CallState::Failed:
     case CallState::FailedUnacknowledged:
     case CallState::NotRun:
-        this->refuse(this->call->executions() > 0);
+        this->refuse(this->call->executions() > 0 ? RunEvidence::DirectAttempt : RunEvidence::None, this->call->lacksServers());
         break;
     }
 }
