LibGateway: Move the crash checks to a class of their own

CrashChecks now holds the checks in progress and the backend servers that ended recently; the pool gives it hooks to open connections and to complete attempts. No behaviour changes.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -9,7 +9,6 @@
 #include <LibGateway/RequestTrace.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <iterator>
 #include <nlohmann/json.hpp>
 
@@ -22,9 +21,6 @@
 static constexpr Core::Duration IdleSweepPeriod = Core::milliseconds(250);
 // Round trip between availability zones of one region that is assumed until one has been measured.
 static constexpr Core::Duration AssumedZoneRoundTrip = Core::milliseconds(2);
-// A request that crashes backend servers ends several at once. Its caller retries it within this time, at a gateway that may not know of it yet.
-static constexpr Core::Duration EndedConnectionsWindow = Core::seconds(1);
-static constexpr int ServersUntilCautious = 3;
 // How many waiting requests are offered the same free capacity at most.
 static constexpr int MaximumCapacityOffers = 4;
 
@@ -35,6 +31,7 @@
     , timers(timers)
     , choice(this->options.choice)
     , warmupLimiter(this->options.warmup)
+    , crashChecks(timers, this->makeCrashCheckHooks())
     , trialPeriod(timers.now())
 {
     this->sweepEvery(IdleSweepPeriod);
@@ -432,7 +429,7 @@
     const auto service = backend.service;
     const bool wasPlanned = backend.phase != Protocol::BackendPhase::READY;
     if (connection->endedUnexpectedlyWhileIdle() && !wasPlanned) {
-        this->endedConnections[backend.name] = this->timers.now();
+        this->crashChecks.recordEndedConnection(backend);
     }
     backend.connections.remove(connection);
     this->offerCapacity(service);
@@ -440,11 +437,7 @@
 
 bool BackendPool::hasServersEnding() const
 {
-    const auto since = this->timers.now() - EndedConnectionsWindow;
-    const auto count = std::count_if(this->endedConnections.begin(), this->endedConnections.end(), [since](const auto &item) {
-        return item.second >= since;
-    });
-    return count >= ServersUntilCautious;
+    return this->crashChecks.hasServersEnding();
 }
 
 // ---- Attempts
@@ -537,15 +530,9 @@
         backend.connections.closeIdleBeyond(this->connectionLimit(backend, this->serviceOf(backend.service)));
     }
     const bool mayHaveEnded = outcome.end == AttemptEnd::Broken && this->options.recordsCrashes && attempt.trace && this->isEligible(backend, {});
-    auto *check = mayHaveEnded ? this->crashCheckOf(backend) : nullptr;
-    if (check != nullptr) {
-        ++attempt.trace->breaks;
-        if (mustAwaitCrashCheck(*attempt.trace)) {
-            attempt.unverified = std::move(outcome);
-            check->attempts.push_back(id);
-            return;
-        }
-        check->traces.push_back(attempt.trace);
+    if (mayHaveEnded && this->crashChecks.recordBreak(backend, attempt.trace, id)) {
+        attempt.unverified = std::move(outcome);
+        return;
     }
     this->complete(id, outcome);
 }
@@ -593,66 +580,29 @@
 
 // ---- Crashes
 
-// A connection also breaks when it alone is reset, or when an answer is lost. A backend server that has ended refuses a new connection; otherwise that one
-// takes the place of the broken one.
-BackendPool::CrashCheck *BackendPool::crashCheckOf(Backend &backend)
+CrashCheckHooks BackendPool::makeCrashCheckHooks()
 {
-    if (const auto found = this->crashChecks.find(&backend); found != this->crashChecks.end()) {
-        return &found->second;
-    }
-    const auto connection = this->openConnection(backend, false);
-    if (!connection) {
-        return nullptr;
-    }
-    connection->connectEnded = [this, &backend](int error) {
-        this->endCrashCheck(backend, error == ECONNREFUSED);
+    CrashCheckHooks hooks;
+    hooks.openConnection = [this](Backend &backend) {
+        return this->openConnection(backend, false);
     };
-    auto &check = this->crashChecks[&backend];
-    check.startedAt = this->timers.now();
-    check.timeout = this->timers.once(Wire::acknowledgementLimit(this->expectedRoundTrip(backend)), [this, &backend](Core::Instant) {
-        this->endCrashCheck(backend, false);
-    });
-    return &check;
-}
-
-void BackendPool::endCrashCheck(Backend &backend, bool hasEnded)
-{
-    const auto ended = this->crashChecks.extract(&backend);
-    if (ended.empty()) {
-        return;
-    }
-    const auto &check = ended.mapped();
-    if (hasEnded) {
+    hooks.expectedRoundTrip = [this](const Backend &backend) {
+        return this->expectedRoundTrip(backend);
+    };
+    hooks.serverEnded = [this] {
         ++this->counts.crashes;
-        this->endedConnections[backend.name] = this->timers.now();
-        for (const auto &trace : check.traces) {
-            this->recordCrash(*trace, backend, check.startedAt);
-        }
-        for (const auto id : check.attempts) {
-            this->recordCrash(*this->attempts.at(id).trace, backend, check.startedAt);
+    };
+    hooks.requestCrashed = [this](const RequestTrace &trace, const Backend &backend, Core::Instant crashedAt) {
+        if (this->requestCrashed) {
+            this->requestCrashed(trace, backend, crashedAt);
         }
-    }
-    for (const auto id : check.attempts) {
+    };
+    hooks.verified = [this](AttemptId id, bool hasEnded) {
         AttemptOutcome outcome = std::move(this->attempts.at(id).unverified.value());
         outcome.crashed = hasEnded;
         this->complete(id, outcome);
-    }
-}
-
-void BackendPool::recordCrash(RequestTrace &trace, const Backend &backend, Core::Instant crashedAt)
-{
-    ++trace.crashes;
-    Core::logEvent(Core::LogLevel::Information,
-        "backend.crashed",
-        {{"backend", backend.name.value()},
-            {"service", backend.service.value()},
-            {"request", trace.id.value()},
-            {"digest", trace.digest.value()},
-            {"crashes", trace.crashes},
-            {"answered", trace.answered ? 1 : 0}});
-    if (!trace.answered && this->requestCrashed) {
-        this->requestCrashed(trace, backend, crashedAt);
-    }
+    };
+    return hooks;
 }
 
 // An error of the server does not show that it ran the request to its end: it may have failed before, or reached the time limit.
@@ -845,9 +795,7 @@
     const auto now = this->timers.now();
     this->cancelOverdue(now);
     this->warmupLimiter.removeExpired(now);
-    std::erase_if(this->endedConnections, [now](const auto &item) {
-        return now - item.second > EndedConnectionsWindow;
-    });
+    this->crashChecks.removeExpired(now);
     this->closeIdleConnections(now);
     this->offerCapacityToWaiters();
     if (this->attempts.empty() && this->awaitedServices.empty()) {
@@ -906,7 +854,7 @@
 void BackendPool::closeIdleConnections(Core::Instant now)
 {
     const auto isReleasable = [this](Backend &backend) {
-        const bool isUsed = backend.connections.size() != 0 || !backend.inFlight.empty() || this->crashChecks.contains(&backend);
+        const bool isUsed = backend.connections.size() != 0 || !backend.inFlight.empty() || this->crashChecks.isChecking(backend);
         return backend.phase == Protocol::BackendPhase::GONE && !isUsed;
     };
     // Connections to a backend server that is gone are closed once they are idle; LimitsWhenGone has timeouts of zero.
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -13,6 +13,7 @@
 #include <LibCore/TimerService.h>
 #include <LibFleet/Declaration.h>
 #include <LibGateway/BackendChoice.h>
+#include <LibGateway/CrashChecks.h>
 #include <LibGateway/RetryBudget.h>
 #include <LibGateway/WarmupLimiter.h>
 
@@ -220,16 +221,6 @@
         std::set<std::string> zones;
     };
 
-    /** Finds out whether a backend server has ended, after connections to it broke. */
-    struct CrashCheck {
-        // The requests whose connections broke, without those of `attempts`.
-        std::vector<std::shared_ptr<RequestTrace>> traces;
-        // Attempts that end with this check.
-        std::vector<AttemptId> attempts;
-        Core::Instant startedAt;
-        Core::TimerSubscription timeout;
-    };
-
     [[nodiscard]] Service &serviceOf(const Core::ServiceName &name);
     [[nodiscard]] bool isInRegion(const std::string &zone) const;
     [[nodiscard]] std::size_t connectionLimit(const Backend &backend, const Service &service) const;
@@ -262,10 +253,7 @@
     void finish(AttemptId id, Wire::ClientResult result);
     [[nodiscard]] AttemptOutcome outcomeOf(const Attempt &attempt, Wire::ClientResult result);
     void complete(AttemptId id, const AttemptOutcome &outcome);
-    /** Returns the check of a backend server, which is started unless one is in progress; nullptr if none could be started. */
-    [[nodiscard]] CrashCheck *crashCheckOf(Backend &backend);
-    void endCrashCheck(Backend &backend, bool hasEnded);
-    void recordCrash(RequestTrace &trace, const Backend &backend, Core::Instant crashedAt);
+    [[nodiscard]] CrashCheckHooks makeCrashCheckHooks();
     static void recordAnswer(const Attempt &attempt, const BackendReply &reply, const std::function<void(const RequestTrace &trace)> &answered);
     [[nodiscard]] Attempt extractAttempt(AttemptId id);
     void observeOutcome(Backend &backend, const Attempt &attempt, const AttemptOutcome &outcome);
@@ -302,10 +290,7 @@
     std::unordered_set<Backend *> swept;
     std::set<std::string> evacuatedZones;
     std::unordered_map<AttemptId, Attempt> attempts;
-    // Invariant: the attempts of all checks are exactly those with an unverified outcome.
-    std::unordered_map<Backend *, CrashCheck> crashChecks;
-    // When a backend server last crashed or ended an idle connection unexpectedly. Entries that are older than a second are removed by sweeps.
-    std::unordered_map<BackendName, Core::Instant> endedConnections;
+    CrashChecks crashChecks;
     TrialPeriod trialPeriod;
     AttemptId nextAttempt{1};
     std::uint64_t nextWaiter{1};
