LibWire: Send nothing on a kept connection that the server has ended

A request was written to a kept connection whose end the event loop had not processed yet. It then counted as possibly run and ended with 502, although no server had received it. send() now looks for the end of the stream first and reports NotSent, so that the request is sent elsewhere or refused as not run.

The test requestFailsImmediatelyIfSendFailsSynchronously expected 502 for this. It is replaced by requestHasNotRunIfConnectionEndedBeforeSend, which expects that the request has not run, after a reset and after an orderly close, and bounds the time.

--- a/Libraries/LibWire/ClientConnection.cpp
+++ b/Libraries/LibWire/ClientConnection.cpp
@@ -80,9 +80,25 @@
     this->isHead = request.isHead;
     this->startResponse();
     this->lastUse = this->timers.now();
-    if (this->ready) {
-        this->writeFirst();
+    if (!this->ready) {
+        return;
+    }
+    if (this->socket.hasEnded()) {
+        this->endedBeforeSend = true;
+        this->failTimer = this->timers.once(Core::Duration(0), [this](Core::Instant) {
+            this->failUnsent();
+        });
+        return;
     }
+    this->writeFirst();
+}
+
+// The server has ended a kept connection and the event loop has not processed that yet. A request that was written now would have to be assumed to have run.
+// Like a failed write, this is reported from the event loop.
+void ClientConnection::failUnsent()
+{
+    this->endedWhileIdle = this->timers.now() < this->keptAliveUntil;
+    this->finish(ClientResult{.end = ClientEnd::NotSent, .response = {}, .reason = "the server closed the connection before the send"}, false);
 }
 
 // The write fails when the server has reset the connection unnoticed. The failure is reported from the event loop and not from within send(), since
@@ -129,7 +145,7 @@
 
 bool ClientConnection::isConnected() const
 {
-    return this->ready;
+    return this->ready && !this->endedBeforeSend;
 }
 
 bool ClientConnection::isClosed() const
@@ -185,7 +201,7 @@
 
 bool ClientConnection::withdraw()
 {
-    if (this->hasClosed || this->ready || !this->done) {
+    if (this->hasClosed || this->isConnected() || !this->done) {
         return false;
     }
     this->output.clear();
@@ -198,6 +214,10 @@
 
 void ClientConnection::handleEvents(std::uint32_t events)
 {
+    if (this->endedBeforeSend) {
+        this->failUnsent();
+        return;
+    }
     if (this->inTrial) {
         this->connectionRejected("the server reset the new connection");
         return;
--- a/Libraries/LibWire/ClientConnection.h
+++ b/Libraries/LibWire/ClientConnection.h
@@ -28,7 +28,7 @@
 enum class ClientEnd {
     /** A complete response has arrived. */
     Answered,
-    /** The connection was not established, so the server can't have received the request. */
+    /** The connection was not established, or had ended before the send, so the server can't have received the request. */
     NotSent,
     /** The server accepted the connection and reset it before a request was sent on it. A server does so at its connection limit. */
     ConnectionRejected,
@@ -104,7 +104,7 @@
 
     /** Returns whether a request may be sent now. */
     [[nodiscard]] bool isIdle() const;
-    /** Returns whether the connection is established and its trial period is over. */
+    /** Returns whether the connection is established, its trial period is over, and the request in flight, if any, was written or is about to be. */
     [[nodiscard]] bool isConnected() const;
     [[nodiscard]] bool isClosed() const;
     /** Returns whether the server ended the connection while no request was in flight, earlier than it had announced. */
@@ -134,6 +134,7 @@
     void writeFirst();
     void writeMore();
     void writeFailed(Transfer transfer);
+    void failUnsent();
     void startAcknowledgementTimer();
     void connectTimedOut();
     void connectFailed(int error, const std::string &reason);
@@ -168,6 +169,8 @@
     bool hasClosed{false};
     bool unacknowledged{false};
     bool endedWhileIdle{false};
+    // The connection had ended when the request in flight was to be written. Invariant: nothing of that request was written.
+    bool endedBeforeSend{false};
     bool wantsWrite{true};
     std::uint64_t answerCount{0};
     Core::Instant startedAt;
--- a/Libraries/LibWire/Socket.cpp
+++ b/Libraries/LibWire/Socket.cpp
@@ -167,6 +167,14 @@
     return Transfer::Open;
 }
 
+bool Socket::hasEnded() const
+{
+    char next = 0;
+    const ssize_t count = recv(this->descriptor, &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+    const bool isOpen = count > 0 || (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR));
+    return !isOpen;
+}
+
 int Socket::connectError() const
 {
     int error = 0;
--- a/Libraries/LibWire/Socket.h
+++ b/Libraries/LibWire/Socket.h
@@ -68,6 +68,9 @@
     /** Returns whether sent bytes are not acknowledged yet; false when the system does not report it. */
     [[nodiscard]] bool awaitsAcknowledgement() const;
 
+    /** Returns whether the other side has ended its stream or reset the connection, and no received bytes are left to read. */
+    [[nodiscard]] bool hasEnded() const;
+
     /** Ends the stream in this direction, so that the other side sees that no more bytes follow. */
     void finishWriting() const;
 
--- a/Tests/LibGateway/TestEarlyOutcomes.cpp
+++ b/Tests/LibGateway/TestEarlyOutcomes.cpp
@@ -3,9 +3,9 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-// Tests of a send that fails synchronously: the backend server has reset the
-// kept-alive connection, and the event loop has not processed that yet. The
-// outcome is reported before the call knows the id of the attempt.
+// Tests of a send on a kept-alive connection that the backend server has ended, while
+// the event loop has not processed that yet. Nothing is sent then. The outcome must
+// not be reported before the call knows the id of the attempt.
 
 #include <Support/DuplicatingBackend.h>
 #include <Support/GatewayFixture.h>
@@ -33,12 +33,14 @@
         this->settle();
     }
 
-    /** Resets the connection. The pool is notified when the event loop runs next. */
-    void resetConnection() const
+    /** Ends the connection, with a reset or an orderly close. The pool is notified when the event loop runs next. */
+    void endConnection(bool withReset) const
     {
         auto &socket = this->server->connections.front()->socket;
         this->poll->remove(socket.number());
-        socket.resetOnClose();
+        if (withReset) {
+            socket.resetOnClose();
+        }
         socket = Wire::Socket();
     }
 
@@ -47,16 +49,19 @@
 
 }
 
-Test(EarlyOutcomes, requestFailsImmediatelyIfSendFailsSynchronously)
+Test(EarlyOutcomes, requestHasNotRunIfConnectionEndedBeforeSend)
 {
-    KeptConnectionFixture fixture;
-    fixture.route().idempotent = false;
-    fixture.route().timeout = Core::milliseconds(500);
-    fixture.resetConnection();
-    const auto answer = fixture.ask("x", "POST");
-    cr_assert(fixture.summary.has_value());
-    cr_assert_eq(fixture.summary->outcome, Gateway::RequestOutcome::Failed, "the outcome is %s", Gateway::outcomeName(fixture.summary->outcome));
-    cr_assert_eq(answer.status, 502);
+    for (const bool withReset : {true, false}) {
+        KeptConnectionFixture fixture;
+        fixture.route().idempotent = false;
+        fixture.route().timeout = Core::milliseconds(500);
+        fixture.endConnection(withReset);
+        const auto answer = fixture.ask("x", "POST");
+        cr_assert(fixture.summary.has_value());
+        cr_assert_eq(fixture.summary->outcome, Gateway::RequestOutcome::NotRun, "the outcome is %s", Gateway::outcomeName(fixture.summary->outcome));
+        cr_assert_eq(answer.status, 503);
+        cr_assert(fixture.summary->took < Core::milliseconds(100));
+    }
 }
 
 Test(EarlyOutcomes, idempotentRequestIsRetriedNotHedgedIfSendFailsSynchronously)
@@ -73,7 +78,7 @@
             exchange->respond(successResponse(request, "signature", "of the other one"));
         },
         "there");
-    fixture.resetConnection();
+    fixture.endConnection(true);
     fixture.begin("x");
     cr_assert(fixture.runUntil([&fixture] {
         return fixture.answer.has_value();
