LibGateway: Grant repeats by their value when the retry budget is nearly used

Cause: repeats were granted in the order in which they were asked for. While half of all servers refused 0.6 of their requests for 9 s, 1,630 shards were missing because the budget had no repeat left, and repeats also went to searches that had lost too many shards or had enough of them.

RetryBudget grants any value above 0 until two thirds of its limit are used; then the threshold rises linearly to 1. Parts carry the state in Crankrudder-Search-State, a header of its own that gateways of older releases ignore; without it the value is 1. Denied repeats are logged as repeat.denied, at most three lines a second, and counted by kind on the metrics page.

Not measured on a deployment.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -155,11 +155,17 @@
     this->serviceOf(service).budget->recordRequest(this->timers.now());
 }
 
-bool BackendPool::consumeRetry(const Core::ServiceName &service)
+bool BackendPool::consumeRetry(const Core::ServiceName &service, const RepeatRequest &repeat)
 {
+    const auto now = this->timers.now();
     auto &row = this->serviceOf(service);
     const double share = this->slackShare ? this->slackShare(service, row.zones) : 1.0 / this->gateways.all;
-    return row.budget->consumeRetry(this->timers.now(), share);
+    const bool isGranted = row.budget->consumeRetry(now, share, repeat.value);
+    this->counts.repeats.record(repeat.kind, isGranted);
+    if (!isGranted) {
+        this->deniedRepeats.record(service, repeat, row.budget->useAt(now, share), now);
+    }
+    return isGranted;
 }
 
 bool BackendPool::hasReady(const Core::ServiceName &service) const
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -14,6 +14,7 @@
 #include <LibFleet/Declaration.h>
 #include <LibGateway/BackendChoice.h>
 #include <LibGateway/RetryBudget.h>
+#include <LibGateway/Scheduling/DeniedRepeatLog.h>
 #include <LibGateway/WarmupLimiter.h>
 
 #include <map>
@@ -101,6 +102,8 @@
     std::uint64_t reuseAvoided{0};
     /** Backend servers that ended while they ran a request of this gateway. */
     std::uint64_t crashes{0};
+    /** Repeats that the retry budgets of the services granted and denied. */
+    RepeatCounters repeats;
     /** Backend servers that sweeps visited, which is what an idle gateway spends its time on. */
     std::uint64_t swept{0};
 };
@@ -155,8 +158,8 @@
 
     /** Counts a first send, which adds to the retry budget of the service. */
     void recordRequest(const Core::ServiceName &service);
-    /** Consumes one hedge or retry from the retry budget of the service. Returns false when none is left. */
-    [[nodiscard]] bool consumeRetry(const Core::ServiceName &service);
+    /** Consumes one hedge or retry from the retry budget of the service. Returns false when none is left for a repeat of this value. */
+    [[nodiscard]] bool consumeRetry(const Core::ServiceName &service, const RepeatRequest &repeat);
     /** Whether several backend servers crashed within the last second, or ended their idle connections as they do when they crash. */
     [[nodiscard]] bool hasServersEnding() const;
     /** Whether any backend server of the service is ready, in any zone. */
@@ -314,6 +317,7 @@
     Core::Duration sweepPeriod{0};
     Core::TimerSubscription sweepTimer;
     PoolCounters counts;
+    DeniedRepeatLog deniedRepeats;
 };
 
 }
--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -37,6 +37,9 @@
     : RoutedRequest(context, std::move(routes), route, std::move(request)), plan(std::move(plan)), origin(origin)
 {
     this->parameters.workLimit = this->context.workLimit;
+    this->parameters.repeatValue = [this] {
+        return this->repeatValueNow();
+    };
 }
 
 // ---- Calls
@@ -202,17 +205,20 @@
     const auto bySize = (this->maximumMissing() * partPlan.shards.size() + this->rows.size() - 1) / this->rows.size();
     const auto ofCell = this->canBeInTime() ? std::max(bySize, this->maximumMissing() / 2) : 0;
     const auto share = partPlan.owners.empty() ? bySize : ofCell;
+    const auto state = this->searchState();
     const PartParameters partParameters{.targetAt = this->parameters.targetAt,
         .expiresAt = std::min(this->parameters.expiresAt, this->arrivedAt + this->plan.timeoutInTargets * this->route.targetLatency),
         .maximumMissing = partPlan.isHedge ? partPlan.shards.size() - 1 : share,
         .topRecords = this->topRecords(),
-        .allowedRegions = this->parameters.allowedRegions};
+        .allowedRegions = this->parameters.allowedRegions,
+        .searchState = state.has_value() ? std::optional(stateWithout(state.value(), partPlan.shards.size())) : std::nullopt};
     this->parts.push_back(std::make_unique<SentPart>());
     auto &sentPart = *this->parts.back();
     sentPart.part = std::make_unique<RelayedPart>(this->context, this->route, this->request, partPlan, partParameters);
     sentPart.rowNumbers = std::move(rowNumbers);
     for (const auto number : sentPart.rowNumbers) {
         this->rows[number].part = sentPart.part.get();
+        this->rows[number].isRetryPlanned = false;
     }
     sentPart.part->start([this, &sentPart] {
         this->withCompletionDeferred([this, &sentPart] {
@@ -309,6 +315,7 @@
         const auto &sentPart = *row.missingFromPart;
         // A shard is requested from its owner twice at most. After that this gateway sends to the missing shards directly.
         if (sentPart.part->hasOwners() && !sentPart.part->isRetry()) {
+            row.isRetryPlanned = true;
             retries[{&sentPart, row.remoteAttempts.executions, row.remoteAttempts.sends, row.remoteAttempts.counted}].push_back(number);
         } else {
             this->startDirect(row, row.remoteAttempts);
@@ -475,6 +482,35 @@
     return static_cast<std::size_t>(std::count_if(this->rows.begin(), this->rows.end(), isOpen));
 }
 
+bool FanOutRequest::isObtainable(const Row &row)
+{
+    const bool notStarted = !row.call && row.part == nullptr;
+    return !isAnswered(row) && (isOpen(row) || notStarted || row.mayRetry || row.isRetryPlanned);
+}
+
+std::optional<SearchState> FanOutRequest::searchState() const
+{
+    const auto answered = this->answeredCount();
+    const auto open = static_cast<std::size_t>(std::count_if(this->rows.begin(), this->rows.end(), isObtainable));
+    if (this->origin == RequestOrigin::Caller) {
+        return SearchState{.answered = answered, .open = open, .required = this->requiredShards(), .all = this->rows.size()};
+    }
+    const auto others = this->context.relayParameters.has_value() ? this->context.relayParameters->searchState : std::nullopt;
+    if (!others.has_value()) {
+        return std::nullopt;
+    }
+    return stateWith(others.value(), answered, open);
+}
+
+double FanOutRequest::repeatValueNow() const
+{
+    const auto state = this->searchState();
+    if (!state.has_value()) {
+        return HighestRepeatValue;
+    }
+    return repeatValue(state.value(), this->parameters.targetAt - this->now(), this->parameters.typicalLatency);
+}
+
 bool FanOutRequest::mayHaveRun() const
 {
     const bool byRow = std::any_of(this->rows.begin(), this->rows.end(), [](const Row &row) {
--- a/Libraries/LibGateway/FanOutRequest.h
+++ b/Libraries/LibGateway/FanOutRequest.h
@@ -70,6 +70,8 @@
         // The last part from which this shard was missing, and whether the shard may be retried.
         const SentPart *missingFromPart{nullptr};
         bool mayRetry{false};
+        // The shard was missing from a part, and the part that retries it is about to be sent.
+        bool isRetryPlanned{false};
     };
 
     /** Returns whether enough shards have an eligible backend server for the required coverage. */
@@ -115,6 +117,12 @@
     [[nodiscard]] std::size_t topRecords() const;
     [[nodiscard]] std::size_t answeredCount() const;
     [[nodiscard]] std::size_t openCount() const;
+    /** Returns whether the shard can still be answered: its call or part is open, was not started yet, or will be retried. */
+    [[nodiscard]] static bool isObtainable(const Row &row);
+    /** Returns the state of the whole search; nullopt if a part's requesting gateway has not sent it. */
+    [[nodiscard]] std::optional<SearchState> searchState() const;
+    /** Returns the value of a repeat for one of the open shards, from 0 to 1. */
+    [[nodiscard]] double repeatValueNow() const;
     [[nodiscard]] bool mayHaveRun() const;
     /** Returns the greatest records of all parts and of the directly answered rows for which `counts` is true. */
     [[nodiscard]] std::string mergedRecords(const std::function<bool(const Row &row)> &counts) const;
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -5,6 +5,8 @@
 
 #include <LibGateway/GatewayMetrics.h>
 
+#include <array>
+
 namespace Gateway
 {
 
@@ -32,6 +34,20 @@
     addCounter(page, "crankrudder_parts_taken_total", "Parts of searches that other gateways asked for.", counts.partsReceived);
 }
 
+static void addRepeatMetrics(Metrics::MetricsPage &page, const RepeatCounters &repeats)
+{
+    constexpr std::array Kinds{RepeatKind::RetryAfterRefusal, RepeatKind::RetryAfterFailure, RepeatKind::Hedge};
+    const auto add = [&page](const char *name, const char *help, RepeatKind kind, std::uint64_t value) {
+        page.counter(name, help, static_cast<double>(value), {{"kind", repeatKindName(kind)}});
+    };
+    for (const auto kind : Kinds) {
+        add("crankrudder_repeats_total", "Retries and hedges that the retry budgets granted, by kind.", kind, repeats.of(kind).granted);
+    }
+    for (const auto kind : Kinds) {
+        add("crankrudder_repeats_denied_total", "Retries and hedges that the retry budgets denied, by kind.", kind, repeats.of(kind).denied);
+    }
+}
+
 void addSendMetrics(Metrics::MetricsPage &page, const BackendPool &servers, const BackendPool &gateways)
 {
     const auto &sends = servers.counters();
@@ -54,6 +70,7 @@
         "New connections that backend servers reset at once, having as many as they take.",
         sends.connectionRejected);
     addCounter(page, "crankrudder_connections_opened_total", "Connections opened to backend servers.", sends.connectionsOpened);
+    addRepeatMetrics(page, sends.repeats);
     addCounter(page, "crankrudder_rows_swept_total", "Backend servers and gateways that sweeps looked at.", sends.swept + gateways.counters().swept);
     page.gauge("crankrudder_connections", "Connections to backend servers.", static_cast<double>(servers.connectionCount()));
     page.gauge("crankrudder_backends", "Backend servers that are known.", static_cast<double>(servers.backendCount()));
--- a/Libraries/LibGateway/RelayPlan.cpp
+++ b/Libraries/LibGateway/RelayPlan.cpp
@@ -202,6 +202,7 @@
     std::string minimumRecord;
     Fleet::AllowedRegions allowedRegions;
     std::optional<Fleet::WorkspaceName> workspace;
+    std::optional<SearchState> searchState;
     std::erase_if(headers, [&](const Wire::Header &header) {
         if (Wire::sameName(header.name, RelayHeader::Parameters)) {
             parameters = parseRelayParameters(header.value);
@@ -226,6 +227,10 @@
             workspace.emplace(header.value);
             return true;
         }
+        if (Wire::sameName(header.name, RelayHeader::SearchState)) {
+            searchState = parseSearchState(header.value);
+            return true;
+        }
         return false;
     });
     if (!parameters.has_value() || shards.empty()) {
@@ -235,6 +240,7 @@
     parameters->minimumRecord = std::move(minimumRecord);
     parameters->allowedRegions = std::move(allowedRegions);
     parameters->workspace = std::move(workspace);
+    parameters->searchState = searchState;
     return parameters;
 }
 
@@ -263,6 +269,9 @@
     if (parameters.workspace.has_value()) {
         headers.push_back({RelayHeader::Workspace, parameters.workspace->value()});
     }
+    if (parameters.searchState.has_value()) {
+        headers.push_back({RelayHeader::SearchState, formatSearchState(parameters.searchState.value())});
+    }
     if (!parameters.minimumRecord.empty()) {
         headers.push_back({RelayHeader::MinimumRecord, toHexadecimal(parameters.minimumRecord)});
     }
--- a/Libraries/LibGateway/RelayPlan.h
+++ b/Libraries/LibGateway/RelayPlan.h
@@ -12,6 +12,7 @@
 
 #include <LibGateway/BackendPool.h>
 #include <LibGateway/CellMap.h>
+#include <LibGateway/Scheduling/RepeatValue.h>
 #include <LibProtocol/Generated/fleet_types.h>
 
 namespace Gateway
@@ -105,6 +106,11 @@
 constexpr const char *MinimumRecord = "Crankrudder-Least-Record";
 /** Comma-separated names of the regions where the search may be served. Absent if it may be served in any region. */
 constexpr const char *AllowedRegions = "Crankrudder-Allowed-Regions";
+/**
+ * State of the search without the shards of the part, as formatSearchState() writes it. A header of its own, since a gateway of a release without it rejects
+ * parameters with more fields. Absent if the requesting gateway does not know the state.
+ */
+constexpr const char *SearchState = "Crankrudder-Search-State";
 /** Set if the body is a partial answer. */
 constexpr const char *Partial = "Crankrudder-Partial";
 /** Workspace of the search, as the requesting gateway determined it by the caller's API key. Absent if there is none. */
@@ -145,6 +151,8 @@
     Fleet::AllowedRegions allowedRegions;
     /** Workspace of the search, if any. */
     std::optional<Fleet::WorkspaceName> workspace;
+    /** State of the search without the shards of the part, if the requesting gateway has sent it. */
+    std::optional<SearchState> searchState;
 };
 
 /** Extracts the parameters from the headers of a request. Returns nullopt if they are incomplete or invalid. */
--- a/Libraries/LibGateway/RelayedPart.cpp
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -50,7 +50,8 @@
             .minimumRecord = plan.minimumRecord,
             .topRecords = partParameters.topRecords,
             .allowedRegions = partParameters.allowedRegions,
-            .workspace = this->request.workspace});
+            .workspace = this->request.workspace,
+            .searchState = partParameters.searchState});
     this->relayCall = std::make_unique<ShardCall>(this->parameters, this->relayServiceName, *context.relays, *context.timers);
 }
 
--- a/Libraries/LibGateway/RelayedPart.h
+++ b/Libraries/LibGateway/RelayedPart.h
@@ -24,6 +24,8 @@
     std::size_t maximumMissing{0};
     std::size_t topRecords{0};
     Fleet::AllowedRegions allowedRegions;
+    /** State of the search without the shards of the part, if it is known. */
+    std::optional<SearchState> searchState;
 };
 
 /** One relayed part. Open from start() until the serving gateway has answered or failed, or the part was cancelled. */
--- a/Libraries/LibGateway/RetryBudget.cpp
+++ b/Libraries/LibGateway/RetryBudget.cpp
@@ -5,6 +5,8 @@
 
 #include <LibGateway/RetryBudget.h>
 
+#include <algorithm>
+
 namespace Gateway
 {
 
@@ -27,9 +29,18 @@
     ++this->sliceAt(now).requests;
 }
 
-bool RetryBudget::consumeRetry(Core::Instant now, double slackShare)
+double RetryBudget::thresholdFor(double repeats, double limit) const
+{
+    const double unranked = this->options.unrankedShare * limit;
+    if (repeats <= unranked) {
+        return 0.0;
+    }
+    return std::min(HighestRepeatValue, (repeats - unranked) / (limit - unranked));
+}
+
+BudgetUse RetryBudget::useAt(Core::Instant now, double slackShare)
 {
-    auto &current = this->sliceAt(now);
+    const auto &current = this->sliceAt(now);
     double requests = 0.0;
     double repeats = 0.0;
     for (const auto &slice : this->slices) {
@@ -40,10 +51,18 @@
     }
     const double slack = now < this->options.slackFrom ? 0.0 : this->options.slack * slackShare;
     const double allowed = this->options.ratio * requests + slack;
-    if (repeats + 1.0 > this->options.usedShare * allowed) {
+    const double limit = this->options.usedShare * allowed;
+    return {.repeats = repeats, .limit = limit, .threshold = this->thresholdFor(repeats, limit)};
+}
+
+bool RetryBudget::consumeRetry(Core::Instant now, double slackShare, double value)
+{
+    const auto use = this->useAt(now, slackShare);
+    const bool isExhausted = use.repeats + 1.0 > use.limit;
+    if (isExhausted || value <= 0.0 || value < use.threshold) {
         return false;
     }
-    ++current.repeats;
+    ++this->sliceAt(now).repeats;
     return true;
 }
 
--- a/Libraries/LibGateway/RetryBudget.h
+++ b/Libraries/LibGateway/RetryBudget.h
@@ -6,11 +6,13 @@
 // Limits the repeats (hedges and retries) that a service receives beyond the
 // first send of each request. Each gateway enforces its own share of a budget for
 // the whole deployment, so the sum stays within the budget without any
-// communication between gateways. Does no I/O.
+// communication between gateways. When most of the share is used, the rest is kept
+// for the most valuable repeats (Scheduling/RepeatValue). Does no I/O.
 
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibGateway/Scheduling/RepeatValue.h>
 
 #include <array>
 #include <cstdint>
@@ -32,6 +34,21 @@
      * is wrong for a moment.
      */
     double usedShare{0.95};
+    /**
+     * Fraction of the limit that is granted to repeats of any value above 0. Over the rest the least value that gets a repeat rises linearly from 0 to the
+     * highest value. A limit of up to three repeats is too small to keep any of them back, and each goes to the first that asks.
+     */
+    double unrankedShare{2.0 / 3.0};
+};
+
+/** What a gateway has used of its share of a service's budget. */
+struct BudgetUse {
+    /** Repeats in the window that ends now. */
+    double repeats{0.0};
+    /** Maximum number of repeats in the window. */
+    double limit{0.0};
+    /** Least value of a repeat that is granted, from 0 to 1. */
+    double threshold{0.0};
 };
 
 /** Counts the requests and the repeats of one service in a sliding window. */
@@ -42,8 +59,14 @@
 
     void recordRequest(Core::Instant now);
 
-    /** Consumes one repeat of the budget. Returns false if the budget is exhausted. `slackShare` is this gateway's share of the slack, from 0 to 1. */
-    [[nodiscard]] bool consumeRetry(Core::Instant now, double slackShare);
+    /**
+     * Consumes one repeat of the budget. Returns false if the budget is exhausted, or if the value is 0 or below the threshold. `slackShare` is this gateway's
+     * share of the slack, from 0 to 1. Repeats of the highest value are granted until the budget is exhausted.
+     */
+    [[nodiscard]] bool consumeRetry(Core::Instant now, double slackShare, double value = HighestRepeatValue);
+
+    /** Returns what is used; `slackShare` as in consumeRetry(). */
+    [[nodiscard]] BudgetUse useAt(Core::Instant now, double slackShare);
 
 private:
     // One slice more than the window has, so that every span of the window's length lies within the counted slices.
@@ -56,6 +79,7 @@
     };
 
     [[nodiscard]] Slice &sliceAt(Core::Instant now);
+    [[nodiscard]] double thresholdFor(double repeats, double limit) const;
 
     RetryBudgetOptions options;
     std::array<Slice, static_cast<std::size_t>(SliceCount)> slices{};
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -52,7 +52,7 @@
         if (!this->requestAlreadyCounted) {
             this->pool.recordRequest(this->serviceName);
         }
-    } else if (!this->pool.consumeRetry(this->serviceName)) {
+    } else if (!this->consumeRepeat(this->retryKind())) {
         this->reason = "no repeat left in the budget";
         this->finish(this->executionCount > 0 ? CallState::Failed : CallState::NotRun);
         return;
@@ -182,7 +182,7 @@
         this->sendTo(candidate);
         return;
     }
-    if (this->pool.consumeRetry(this->serviceName)) {
+    if (this->consumeRepeat(RepeatKind::Hedge)) {
         ++this->hedgeCount;
         this->sendTo(candidate);
     }
@@ -194,7 +194,7 @@
         // The late attempt has not been sent, so this gateway can send to another backend server without a repeat.
         return false;
     }
-    if (!this->pool.consumeRetry(this->serviceName)) {
+    if (!this->consumeRepeat(RepeatKind::Hedge)) {
         return false;
     }
     ++this->hedgeCount;
@@ -295,7 +295,7 @@
         this->refusedBy.clear();
     }
     if (allowed && choice() != nullptr) {
-        if (!wasSent || this->pool.consumeRetry(this->serviceName)) {
+        if (!wasSent || this->consumeRepeat(this->retryKind())) {
             this->tryNext();
             return;
         }
@@ -303,6 +303,18 @@
     this->finish(nothingRan ? CallState::NotRun : otherwise);
 }
 
+RepeatKind ShardCall::retryKind() const
+{
+    return this->executions() == 0 ? RepeatKind::RetryAfterRefusal : RepeatKind::RetryAfterFailure;
+}
+
+bool ShardCall::consumeRepeat(RepeatKind kind)
+{
+    const auto timeLeftToTarget = this->parameters.targetAt - this->timers.now();
+    const double value = this->parameters.repeatValue ? this->parameters.repeatValue() : singleRepeatValue(timeLeftToTarget, this->parameters.typicalLatency);
+    return this->pool.consumeRetry(this->serviceName, {.request = this->parameters.request->id, .kind = kind, .value = value});
+}
+
 void ShardCall::finish(CallState end)
 {
     this->current = end;
--- a/Libraries/LibGateway/ShardCall.h
+++ b/Libraries/LibGateway/ShardCall.h
@@ -34,6 +34,8 @@
     WorkLimit *workLimit{nullptr};
     /** Backend servers that are chosen before all others, in this order, as long as they are healthy. */
     std::vector<BackendName> preferred;
+    /** Returns the value of a repeat for one of the request's shards, from 0 to 1. Without a hook it is that of a request to a single backend server. */
+    std::function<double()> repeatValue;
     /** Regions where the request may be served. May be restricted while the request is in flight, but never extended. */
     Fleet::AllowedRegions allowedRegions;
 };
@@ -97,12 +99,12 @@
 
     /** Returns whether a hedge is due, and to which backend server it should be sent. */
     [[nodiscard]] HedgeCheck checkHedge();
-    /** Sends a hedge to the candidate that checkHedge() returned, unless the retry budget is exhausted. */
+    /** Sends a hedge to the candidate that checkHedge() returned, unless the retry budget denies it. */
     void hedge(Backend &candidate);
 
     /**
      * Prepares a hedge that another gateway will send: consumes a repeat and counts an attempt that may run. Returns false if it must not be relayed: the
-     * retry budget is exhausted, or the late attempt has not been sent, so that sending from here is no repeat. relayedHedgeEnded() must follow when the
+     * retry budget denies it, or the late attempt has not been sent, so that sending from here is no repeat. relayedHedgeEnded() must follow when the
      * hedge has ended.
      */
     [[nodiscard]] bool reserveRelayedHedge();
@@ -144,6 +146,10 @@
     void handleReply(const BackendReply &incoming, const Running &attempt);
     void recordLimitOutcome(const Running &attempt, bool answered);
     void retryOrFinish(CallState otherwise);
+    /** Consumes a repeat from the retry budget of the service. Returns false if it is denied. */
+    [[nodiscard]] bool consumeRepeat(RepeatKind kind);
+    /** Returns the kind of a repeat that follows the earlier attempts, none of which is in flight. */
+    [[nodiscard]] RepeatKind retryKind() const;
     void finish(CallState end);
     [[nodiscard]] bool isLateHedgeable() const;
     void countRunning();
