LibGateway: Retry shards directly if their owner has no repeat left

Cause: a shard that was missing from an owner's part was requested from the same owner once more, also if the owner's retry budget was exhausted. The second part lacked it as well, while the requesting gateway's own share of the slack, half of which is divided equally among all gateways, stayed unused.

Change: a partial answer names the shards for which a repeat was denied, in Crankrudder-Denied-Repeats. The requesting gateway sends these to a backend server itself and consumes its own share. TestRepeatValue is shorter: cases of one function are in one test, and the cases that others imply (a search that has lost nothing, a budget far from its limit) are left out.

Not measured on a deployment.

--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -6,6 +6,7 @@
 #include <LibGateway/FanOutRequest.h>
 
 #include <LibCore/Log.h>
+#include <LibCore/Settings.h>
 #include <LibGateway/PackedSignatures.h>
 #include <LibGateway/RecordMerge.h>
 #include <LibGateway/RequestTrace.h>
@@ -258,6 +259,7 @@
     const auto before = row.remoteAttempts;
     row.remoteAttempts = missing;
     row.missingFromPart = &sentPart;
+    row.lacksRepeatThere = sentPart.part->lacksRepeatFor(row.shard);
     if (sentPart.part->call().state() != CallState::Answered) {
         // An answered part reports all attempts, including earlier ones. Without an answer only the attempts for this part are known, so the earlier ones are
         // added.
@@ -313,8 +315,9 @@
             continue;
         }
         const auto &sentPart = *row.missingFromPart;
-        // A shard is requested from its owner twice at most. After that this gateway sends to the missing shards directly.
-        if (sentPart.part->hasOwners() && !sentPart.part->isRetry()) {
+        // A shard is requested from its owner twice at most. After that, or if the owner has no repeat left, this gateway sends to the missing shards directly
+        // and consumes its own share of the budget, which it seldom needs otherwise.
+        if (sentPart.part->hasOwners() && !sentPart.part->isRetry() && !row.lacksRepeatThere) {
             row.isRetryPlanned = true;
             retries[{&sentPart, row.remoteAttempts.executions, row.remoteAttempts.sends, row.remoteAttempts.counted}].push_back(number);
         } else {
@@ -669,8 +672,14 @@
     return missing;
 }
 
+bool FanOutRequest::lacksRepeat(const Row &row)
+{
+    return row.call ? row.call->lacksRepeat() : row.lacksRepeatThere;
+}
+
 void FanOutRequest::answerOtherGateway()
 {
+    std::vector<std::string> denied;
     Protocol::PartialAnswer answer;
     this->recordLatencies();
     answer.records = this->mergedRecords(everyRow);
@@ -684,10 +693,17 @@
         if (!isAnswered(row)) {
             answer.missing.push_back(this->describeMissing(row));
         }
+        if (!isAnswered(row) && lacksRepeat(row)) {
+            denied.push_back(row.shard.value());
+        }
     }
     packSignatures(answer);
     const auto outcome = answer.missing.empty() ? RequestOutcome::Answered : RequestOutcome::Partial;
-    this->complete(this->context.dialect->writePartial(this->request.id, Rpc::serialize(answer)), outcome);
+    auto response = this->context.dialect->writePartial(this->request.id, Rpc::serialize(answer));
+    if (!denied.empty()) {
+        response.headers.push_back({RelayHeader::DeniedRepeats, Core::joinList(denied)});
+    }
+    this->complete(std::move(response), outcome);
 }
 
 void FanOutRequest::describe(RequestSummary &summary) const
--- a/Libraries/LibGateway/FanOutRequest.h
+++ b/Libraries/LibGateway/FanOutRequest.h
@@ -70,6 +70,8 @@
         // The last part from which this shard was missing, and whether the shard may be retried.
         const SentPart *missingFromPart{nullptr};
         bool mayRetry{false};
+        // The shard is missing from that part, and the retry budget of the gateway that served it denied a repeat.
+        bool lacksRepeatThere{false};
         // The shard was missing from a part, and the part that retries it is about to be sent.
         bool isRetryPlanned{false};
     };
@@ -110,6 +112,8 @@
     [[nodiscard]] static bool isAnswered(const Row &row);
     [[nodiscard]] static bool isOpen(const Row &row);
     [[nodiscard]] Protocol::MissingShard describeMissing(const Row &row) const;
+    /** Returns whether a missing shard was denied a repeat by this gateway or by the one that it was relayed to last. */
+    [[nodiscard]] static bool lacksRepeat(const Row &row);
     [[nodiscard]] std::size_t requiredShards() const;
     /** Returns how many shards may be missing from the answer to the origin of the search. */
     [[nodiscard]] std::size_t maximumMissing() const;
--- a/Libraries/LibGateway/RelayPlan.h
+++ b/Libraries/LibGateway/RelayPlan.h
@@ -111,6 +111,11 @@
  * parameters with more fields. Absent if the requesting gateway does not know the state.
  */
 constexpr const char *SearchState = "Crankrudder-Search-State";
+/**
+ * In a partial answer: comma-separated names of missing shards for which the retry budget of the serving gateway denied a repeat. Absent if there are none, and
+ * in answers of a release without it.
+ */
+constexpr const char *DeniedRepeats = "Crankrudder-Denied-Repeats";
 /** Set if the body is a partial answer. */
 constexpr const char *Partial = "Crankrudder-Partial";
 /** Workspace of the search, as the requesting gateway determined it by the caller's API key. Absent if there is none. */
--- a/Libraries/LibGateway/RelayedPart.cpp
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -90,6 +90,13 @@
     }
     this->context.relayLatencies->add(this->relayCall->latency());
     this->partial = std::move(answer.value());
+    const auto *denied = Wire::findHeader(this->relayCall->reply().message.headers, RelayHeader::DeniedRepeats);
+    this->deniedRepeats = denied == nullptr ? std::vector<std::string>() : Core::splitList(*denied);
+}
+
+bool RelayedPart::lacksRepeatFor(const Core::ServiceName &shard) const
+{
+    return std::find(this->deniedRepeats.begin(), this->deniedRepeats.end(), shard.value()) != this->deniedRepeats.end();
 }
 
 // Signatures do not tell which shard they belong to: a shard counts as answered if it is not listed as missing. A wrong name among the missing ones would make
--- a/Libraries/LibGateway/RelayedPart.h
+++ b/Libraries/LibGateway/RelayedPart.h
@@ -62,6 +62,9 @@
     /** Returns the missing shards once the part is no longer open, each with the attempts that may have run for it. */
     [[nodiscard]] std::vector<Protocol::MissingShard> missing() const;
 
+    /** Returns whether the shard is missing and the retry budget of the serving gateway denied a repeat for it. */
+    [[nodiscard]] bool lacksRepeatFor(const Core::ServiceName &shard) const;
+
 private:
     void handleOutcome();
     /** Returns whether the connection broke so soon after the send that each shard was sent at most once. */
@@ -80,6 +83,8 @@
     std::unique_ptr<ShardCall> relayCall;
     bool open{true};
     Protocol::PartialAnswer partial;
+    // Names of the shards for which the serving gateway had no repeat.
+    std::vector<std::string> deniedRepeats;
 };
 
 }
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -312,7 +312,8 @@
 {
     const auto timeLeftToTarget = this->parameters.targetAt - this->timers.now();
     const double value = this->parameters.repeatValue ? this->parameters.repeatValue() : singleRepeatValue(timeLeftToTarget, this->parameters.typicalLatency);
-    return this->pool.consumeRetry(this->serviceName, {.request = this->parameters.request->id, .kind = kind, .value = value});
+    this->repeatDenied = !this->pool.consumeRetry(this->serviceName, {.request = this->parameters.request->id, .kind = kind, .value = value});
+    return !this->repeatDenied;
 }
 
 void ShardCall::finish(CallState end)
@@ -396,6 +397,11 @@
     return this->lastBreakAfter;
 }
 
+bool ShardCall::lacksRepeat() const
+{
+    return this->repeatDenied;
+}
+
 const std::string &ShardCall::failureReason() const
 {
     return this->reason;
--- a/Libraries/LibGateway/ShardCall.h
+++ b/Libraries/LibGateway/ShardCall.h
@@ -128,6 +128,8 @@
     [[nodiscard]] std::optional<Core::Duration> brokeAfter() const;
     /** Returns why the last attempt failed, for logs. */
     [[nodiscard]] const std::string &failureReason() const;
+    /** Returns whether the retry budget denied the last repeat that the call asked for. */
+    [[nodiscard]] bool lacksRepeat() const;
 
 private:
     struct Running {
@@ -177,6 +179,7 @@
     int earlierSends{0};
     bool requestAlreadyCounted{false};
     bool repeatAlreadyConsumed{false};
+    bool repeatDenied{false};
     int hedgeCount{0};
     int refusals{0};
     std::optional<std::uint64_t> waiter;
--- a/Tests/LibGateway/TestRepeatValue.cpp
+++ b/Tests/LibGateway/TestRepeatValue.cpp
@@ -22,20 +22,19 @@
 namespace
 {
 
-constexpr Core::Duration InTime = Core::milliseconds(200);
 constexpr Core::Duration Typical = Core::milliseconds(40);
 const Core::Instant testTime(Core::seconds(100));
 
 double valueInTime(const SearchState &state)
 {
-    return Gateway::repeatValue(state, InTime, Typical);
+    return Gateway::repeatValue(state, 5 * Typical, Typical);
 }
 
-int grantedOf(RetryBudget &budget, double value, int repeats)
+int grantedOf(RetryBudget &budget, double value)
 {
     int granted = 0;
-    for (int number = 0; number < repeats; ++number) {
-        granted += budget.consumeRetry(testTime, 1.0, value) ? 1 : 0;
+    while (budget.consumeRetry(testTime, 1.0, value)) {
+        ++granted;
     }
     return granted;
 }
@@ -43,40 +42,26 @@
 }
 
 Test(RepeatValue, isHighestForASearchThatNeedsTheShard)
-{
-    const SearchState needsAllOpen{.answered = 80, .open = 6, .required = 86, .all = 90};
-    const SearchState nothingLost{.answered = 0, .open = 90, .required = 86, .all = 90};
-    const SearchState covered{.answered = 86, .open = 1, .required = 86, .all = 90};
-    const SearchState lost{.answered = 80, .open = 5, .required = 86, .all = 90};
-    cr_assert_eq(valueInTime(needsAllOpen), 1.0);
-    cr_assert_eq(valueInTime(nothingLost), 1.0);
-    cr_assert(valueInTime(covered) > 0.0 && valueInTime(covered) < 0.05, "%f", valueInTime(covered));
-    cr_assert_eq(valueInTime(lost), 0.0);
-}
-
-Test(RepeatValue, isATenthAfterTheTarget)
-{
-    const SearchState decisive{.answered = 80, .open = 6, .required = 86, .all = 90};
-    cr_assert_float_eq(Gateway::repeatValue(decisive, Core::milliseconds(-50), Typical), 0.1, 1e-9);
-    cr_assert_float_eq(Gateway::singleRepeatValue(Core::Duration(0), Core::Duration(0)), 0.1, 1e-9, "the latency is unknown");
-    cr_assert_float_eq(Gateway::singleRepeatValue(Core::milliseconds(40), Typical), 0.55, 1e-9, "half of the answers are in time");
-    cr_assert_eq(Gateway::singleRepeatValue(InTime, Typical), 1.0);
-}
-
-Test(RepeatValue, servingGatewayAddsItsShardsToThoseThatItWasTold)
 {
     const SearchState search{.answered = 70, .open = 16, .required = 77, .all = 90};
+    const SearchState lost{.answered = 70, .open = 6, .required = 77, .all = 90};
+    const SearchState covered{.answered = 77, .open = 1, .required = 77, .all = 90};
+    cr_assert_eq(valueInTime(search), 1.0);
+    cr_assert_eq(valueInTime(lost), 0.0);
+    cr_assert(valueInTime(covered) > 0.0 && valueInTime(covered) < 0.05, "%f", valueInTime(covered));
     const auto others = Gateway::stateWithout(search, 10);
-    cr_assert(others.answered == 70 && others.open == 6);
     cr_assert_eq(valueInTime(Gateway::stateWith(others, 0, 1)), 1.0);
-    cr_assert_eq(valueInTime(Gateway::stateWith(others, 0, 0)), 0.0);
-    cr_assert_lt(valueInTime(Gateway::stateWith(others, 7, 1)), 0.05, "covered");
+    cr_assert_eq(valueInTime(Gateway::stateWith(others, 0, 0)), 0.0, "a serving gateway adds its own shards to the others");
+    cr_assert_lt(valueInTime(Gateway::stateWith(others, 7, 1)), 0.05);
+    cr_assert_float_eq(Gateway::repeatValue(search, -Typical, Typical), 0.1, 1e-9, "after the target");
+    cr_assert_float_eq(Gateway::singleRepeatValue(Core::Duration(0), Core::Duration(0)), 0.1, 1e-9, "the latency is unknown");
+    cr_assert_float_eq(Gateway::singleRepeatValue(Typical, Typical), 0.55, 1e-9, "half of the answers are in time");
 }
 
 Test(RepeatValue, stateIsReadAsWrittenAndInvalidStatesAreIgnored)
 {
-    const auto read = Gateway::parseSearchState(Gateway::formatSearchState({.answered = 12, .open = 34, .required = 77, .all = 90}));
-    cr_assert(read.has_value() && read->answered == 12 && read->open == 34 && read->required == 77 && read->all == 90);
+    const std::string valid = "12,34,77,90";
+    cr_assert_eq(Gateway::formatSearchState(Gateway::parseSearchState(valid).value()), valid);
     for (const char *text : {"", "1,2,3", "1,2,3,4,5", "1,2,x,90", "-1,2,77,90", "1,2,0,90", "1,2,91,90", "50,50,77,90"}) {
         cr_assert_not(Gateway::parseSearchState(text).has_value(), "%s", text);
     }
@@ -85,30 +70,19 @@
 Test(RetryBudget, keepsTheLastThirdForTheMostValuableRepeats)
 {
     RetryBudget budget({.slack = 30.0, .usedShare = 1.0});
-    cr_assert_eq(grantedOf(budget, 0.01, 100), 21, "two thirds are granted for any value");
-    cr_assert_eq(grantedOf(budget, 0.5, 100), 5);
-    cr_assert_eq(grantedOf(budget, 0.0, 1), 0);
-    cr_assert_eq(grantedOf(budget, 1.0, 100), 4, "the highest value is granted until the budget is exhausted");
-}
-
-Test(RetryBudget, grantsAnyValueButZeroFarFromItsLimitAndFromASmallOne)
-{
-    // Guards against holding back the single repeat of a gateway that shares the slack with hundreds of others.
-    for (const double limit : {1.0, 2.0, 3.0}) {
-        RetryBudget small({.slack = limit, .usedShare = 1.0});
-        cr_assert_eq(grantedOf(small, 0.01, 10), static_cast<int>(limit));
-    }
-    RetryBudget unused({.slack = 30.0, .usedShare = 1.0});
-    cr_assert_eq(grantedOf(unused, 0.0, 1), 0);
-    cr_assert_eq(grantedOf(unused, 0.01, 20), 20);
+    cr_assert_eq(grantedOf(budget, 0.0), 0);
+    cr_assert_eq(grantedOf(budget, 0.01), 21, "two thirds are granted for any value above 0");
+    cr_assert_eq(grantedOf(budget, 0.5), 5);
+    cr_assert_eq(grantedOf(budget, 1.0), 4, "the highest value is granted until the budget is exhausted");
+    // Guards against holding back the few repeats of a gateway that shares the slack with hundreds of others.
+    RetryBudget small({.slack = 3.0, .usedShare = 1.0});
+    cr_assert_eq(grantedOf(small, 0.01), 3);
 }
 
 namespace
 {
 
-/**
- * Runs searches of which every second one has lost a fifth of its shards, against one budget for each shard. Counts the others that reach their coverage.
- */
+/** Runs searches of which every second one has lost a fifth of its shards, against one budget for each shard. Counts the others that are covered. */
 int countCovered(bool byValue)
 {
     constexpr std::size_t Shards = 90;
@@ -121,17 +95,15 @@
     int covered = 0;
     for (int search = 0; search < 100; ++search) {
         const auto now = testTime + search * Core::milliseconds(90);
-        const bool isLost = search % 2 == 1;
-        SearchState state{.answered = 0, .open = isLost ? Shards - LostShards : Shards, .required = Required, .all = Shards};
+        const std::size_t lost = search % 2 == 1 ? LostShards : 0;
+        SearchState state{.answered = 0, .open = Shards - lost, .required = Required, .all = Shards};
         // The refusals of a search arrive in any order.
         std::shuffle(budgets.begin(), budgets.end(), random);
-        for (std::size_t shard = isLost ? LostShards : 0; shard < Shards; ++shard) {
-            auto &budget = budgets[shard];
-            budget.recordRequest(now);
+        for (std::size_t shard = lost; shard < Shards; ++shard) {
+            budgets[shard].recordRequest(now);
             bool answered = !isRefused(random);
             for (int sends = 1; !answered && sends < MaximumSends; ++sends) {
-                const double value = byValue ? valueInTime(state) : Gateway::HighestRepeatValue;
-                answered = budget.consumeRetry(now, 1.0, value) && !isRefused(random);
+                answered = budgets[shard].consumeRetry(now, 1.0, byValue ? valueInTime(state) : Gateway::HighestRepeatValue) && !isRefused(random);
             }
             state.answered += answered ? 1 : 0;
             --state.open;
@@ -153,11 +125,10 @@
 Test(DeniedRepeatLog, writesAFewLinesASecond)
 {
     Gateway::DeniedRepeatLog log;
-    const Core::ServiceName service("s");
     const Core::RequestId id("r1");
     int lines = 0;
     for (int number = 0; number < 200; ++number) {
-        lines += log.record(service, {.request = id, .kind = Gateway::RepeatKind::Hedge, .value = 0.5}, {}, testTime + number * Core::milliseconds(10)) ? 1 : 0;
+        lines += log.record(Core::ServiceName("s"), {.request = id}, {}, testTime + number * Core::milliseconds(10)) ? 1 : 0;
     }
     cr_assert_eq(lines, 2 * Gateway::DeniedRepeatLog::LinesPerSecond);
 }
@@ -169,7 +140,7 @@
 class PartFixture : public TestSupport::GatewayFixture
 {
 public:
-    explicit PartFixture(std::optional<SearchState> searchState)
+    explicit PartFixture(std::optional<SearchState> searchState, double slack = 100.0) : GatewayFixture(slack)
     {
         this->route().idempotent = true;
         this->route().maximumAttempts = 3;
@@ -208,6 +179,11 @@
     PartFixture lost(SearchState{.answered = 60, .open = 10, .required = 77, .all = 90});
     cr_assert_eq(lost.countRepeats(), 0);
     cr_assert_eq(lost.pool.counters().repeats.of(Gateway::RepeatKind::RetryAfterRefusal).denied, 1);
+    PartFixture withoutBudget(std::nullopt, 0.0);
+    cr_assert_eq(withoutBudget.countRepeats(), 0);
+    const auto *denied = Wire::findHeader(withoutBudget.answer->headers, Gateway::RelayHeader::DeniedRepeats);
+    cr_assert(denied != nullptr && *denied == "b", "the requesting gateway learns for which shards it may use its own repeats");
+    cr_assert(Wire::findHeader(possible.answer->headers, Gateway::RelayHeader::DeniedRepeats) == nullptr);
 }
 
 Test(FanOutRequest, sendsTheStateOfTheSearchWithAPart)
--- a/Tests/LibGateway/TestRequests.cpp
+++ b/Tests/LibGateway/TestRequests.cpp
@@ -915,7 +915,11 @@
                 part.signatures = {"signature-b"};
                 part.records = record('b');
             }
-            exchange->respond(partOf(request, part));
+            auto response = partOf(request, part);
+            if (this->ownerLacksRepeat) {
+                response.headers.push_back({Gateway::RelayHeader::DeniedRepeats, "b"});
+            }
+            exchange->respond(response);
         });
         for (const auto &shard : this->relayed) {
             this->add(shard.value(), shard.value() + "-near", silent);
@@ -923,6 +927,7 @@
     }
 
     std::vector<Gateway::RelayParameters> requested;
+    bool ownerLacksRepeat{false};
 };
 
 }
@@ -942,6 +947,18 @@
     cr_assert_eq(retry.maximumMissing, 0, "a part without the shard would be useless");
 }
 
+// Guards against asking an owner again that has no repeat left: its second part lacks the shard as well, while this gateway has repeats that it does not use.
+Test(FanOutRequest, retriesDirectlyIfOwnerHasNoRepeatLeft)
+{
+    OwnerFixture fixture(1.0);
+    fixture.ownerLacksRepeat = true;
+    fixture.begin("r1");
+    cr_assert(fixture.runUntil([&fixture] {
+        return fixture.pool.counters().attempts == 1;
+    }));
+    cr_assert_eq(fixture.requested.size(), 1);
+}
+
 Test(FanOutRequest, doesNotRetryIfCoverageIsReached)
 {
     OwnerFixture fixture(0.5);
