LibGateway: Tell a lost search from an exhausted retry budget in the reason

Cause: a shard that is not retried because its search has lost too many others was listed as missing with "no repeat left in the budget", which points operators at the budget.

--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -53,7 +53,7 @@
             this->pool.recordRequest(this->serviceName);
         }
     } else if (!this->consumeRepeat(this->retryKind())) {
-        this->reason = "no repeat left in the budget";
+        this->reason = this->repeatValueNow() > 0.0 ? "no repeat left in the budget" : "too many other shards are lost";
         this->finish(this->executionCount > 0 ? CallState::Failed : CallState::NotRun);
         return;
     }
@@ -308,11 +308,18 @@
     return this->executions() == 0 ? RepeatKind::RetryAfterRefusal : RepeatKind::RetryAfterFailure;
 }
 
+double ShardCall::repeatValueNow() const
+{
+    if (this->parameters.repeatValue) {
+        return this->parameters.repeatValue();
+    }
+    return singleRepeatValue(this->parameters.targetAt - this->timers.now(), this->parameters.typicalLatency);
+}
+
 bool ShardCall::consumeRepeat(RepeatKind kind)
 {
-    const auto timeLeftToTarget = this->parameters.targetAt - this->timers.now();
-    const double value = this->parameters.repeatValue ? this->parameters.repeatValue() : singleRepeatValue(timeLeftToTarget, this->parameters.typicalLatency);
-    this->repeatDenied = !this->pool.consumeRetry(this->serviceName, {.request = this->parameters.request->id, .kind = kind, .value = value});
+    const RepeatRequest repeat{.request = this->parameters.request->id, .kind = kind, .value = this->repeatValueNow()};
+    this->repeatDenied = !this->pool.consumeRetry(this->serviceName, repeat);
     return !this->repeatDenied;
 }
 
--- a/Libraries/LibGateway/ShardCall.h
+++ b/Libraries/LibGateway/ShardCall.h
@@ -148,6 +148,8 @@
     void handleReply(const BackendReply &incoming, const Running &attempt);
     void recordLimitOutcome(const Running &attempt, bool answered);
     void retryOrFinish(CallState otherwise);
+    /** Returns the value of a repeat of this call, from 0 to 1. */
+    [[nodiscard]] double repeatValueNow() const;
     /** Consumes a repeat from the retry budget of the service. Returns false if it is denied. */
     [[nodiscard]] bool consumeRepeat(RepeatKind kind);
     /** Returns the kind of a repeat that follows the earlier attempts, none of which is in flight. */
