--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -6,6 +6,7 @@
 #include <LibGateway/FanOutRequest.h>
 
 #include <LibCore/Log.h>
+#include <LibCore/Settings.h>
 #include <LibGateway/PackedSignatures.h>
 #include <LibGateway/RecordMerge.h>
 #include <LibGateway/RequestTrace.h>
@@ -38,6 +39,9 @@
     : RoutedRequest(context, std::move(routes), route, std::move(request)), plan(std::move(plan)), origin(origin)
 {
     this->parameters.workLimit = this->context.workLimit;
+    this->parameters.repeatValue = [this] {
+        return this->repeatValueNow();
+    };
 }
 
 // ---- Calls
@@ -203,17 +207,20 @@
     const auto bySize = (this->maximumMissing() * partPlan.shards.size() + this->rows.size() - 1) / this->rows.size();
     const auto ofCell = this->canBeInTime() ? std::max(bySize, this->maximumMissing() / 2) : 0;
     const auto share = partPlan.owners.empty() ? bySize : ofCell;
+    const auto state = this->searchState();
     const PartParameters partParameters{.targetAt = this->parameters.targetAt,
         .expiresAt = std::min(this->parameters.expiresAt, this->arrivedAt + this->plan.timeoutInTargets * this->route.targetLatency),
         .maximumMissing = partPlan.isHedge ? partPlan.shards.size() - 1 : share,
         .topRecords = this->topRecords(),
-        .allowedRegions = this->parameters.allowedRegions};
+        .allowedRegions = this->parameters.allowedRegions,
+        .searchState = state.has_value() ? std::optional(stateWithout(state.value(), partPlan.shards.size())) : std::nullopt};
     this->parts.push_back(std::make_unique<SentPart>());
     auto &sentPart = *this->parts.back();
     sentPart.part = std::make_unique<RelayedPart>(this->context, this->route, this->request, partPlan, partParameters);
     sentPart.rowNumbers = std::move(rowNumbers);
     for (const auto number : sentPart.rowNumbers) {
         this->rows[number].part = sentPart.part.get();
+        this->rows[number].isRetryPlanned = false;
     }
     sentPart.part->start([this, &sentPart] {
         this->withCompletionDeferred([this, &sentPart] {
@@ -253,6 +260,7 @@
     const auto before = row.remoteAttempts;
     row.remoteAttempts = missing;
     row.missingFromPart = &sentPart;
+    row.lacksRepeatThere = sentPart.part->lacksRepeatFor(row.shard);
     if (sentPart.part->call().state() != CallState::Answered) {
         // An answered part reports all attempts, including earlier ones. Without an answer only the attempts for this part are known, so the earlier ones are
         // added.
@@ -308,8 +316,10 @@
             continue;
         }
         const auto &sentPart = *row.missingFromPart;
-        // A shard is requested from its owner twice at most. After that this gateway sends to the missing shards directly.
-        if (sentPart.part->hasOwners() && !sentPart.part->isRetry()) {
+        // A shard is requested from its owner twice at most. After that, or if the owner has no repeat left, this gateway sends to the missing shards directly
+        // and consumes its own share of the budget, which it seldom needs otherwise.
+        if (sentPart.part->hasOwners() && !sentPart.part->isRetry() && !row.lacksRepeatThere) {
+            row.isRetryPlanned = true;
             retries[{&sentPart, row.remoteAttempts.executions, row.remoteAttempts.sends, row.remoteAttempts.counted}].push_back(number);
         } else {
             this->startDirect(row, row.remoteAttempts);
@@ -476,6 +486,35 @@
     return static_cast<std::size_t>(std::count_if(this->rows.begin(), this->rows.end(), isOpen));
 }
 
+bool FanOutRequest::isObtainable(const Row &row)
+{
+    const bool notStarted = !row.call && row.part == nullptr;
+    return !isAnswered(row) && (isOpen(row) || notStarted || row.mayRetry || row.isRetryPlanned);
+}
+
+std::optional<SearchState> FanOutRequest::searchState() const
+{
+    const auto answered = this->answeredCount();
+    const auto open = static_cast<std::size_t>(std::count_if(this->rows.begin(), this->rows.end(), isObtainable));
+    if (this->origin == RequestOrigin::Caller) {
+        return SearchState{.answered = answered, .open = open, .required = this->requiredShards(), .all = this->rows.size()};
+    }
+    const auto others = this->context.relayParameters.has_value() ? this->context.relayParameters->searchState : std::nullopt;
+    if (!others.has_value()) {
+        return std::nullopt;
+    }
+    return stateWith(others.value(), answered, open);
+}
+
+double FanOutRequest::repeatValueNow() const
+{
+    const auto state = this->searchState();
+    if (!state.has_value()) {
+        return HighestRepeatValue;
+    }
+    return repeatValue(state.value(), this->parameters.targetAt - this->now(), this->parameters.typicalLatency);
+}
+
 // The executions of a call include those that other gateways reported before it, and hedges in flight at other gateways, which their parts account for.
 bool FanOutRequest::mayHaveRunDirectly(const Row &row)
 {
@@ -705,8 +744,14 @@
     return missing;
 }
 
+bool FanOutRequest::lacksRepeat(const Row &row)
+{
+    return row.call ? row.call->lacksRepeat() : row.lacksRepeatThere;
+}
+
 void FanOutRequest::answerOtherGateway()
 {
+    std::vector<std::string> denied;
     Protocol::PartialAnswer answer;
     this->recordLatencies();
     answer.records = this->mergedRecords(everyRow);
@@ -720,10 +765,17 @@
         if (!isAnswered(row)) {
             answer.missing.push_back(this->describeMissing(row));
         }
+        if (!isAnswered(row) && lacksRepeat(row)) {
+            denied.push_back(row.shard.value());
+        }
     }
     packSignatures(answer);
     const auto outcome = answer.missing.empty() ? RequestOutcome::Answered : RequestOutcome::Partial;
-    this->complete(this->context.dialect->writePartial(this->request.id, Rpc::serialize(answer)), outcome);
+    auto response = this->context.dialect->writePartial(this->request.id, Rpc::serialize(answer));
+    if (!denied.empty()) {
+        response.headers.push_back({RelayHeader::DeniedRepeats, Core::joinList(denied)});
+    }
+    this->complete(std::move(response), outcome);
 }
 
 void FanOutRequest::describe(RequestSummary &summary) const
--- a/Libraries/LibGateway/FanOutRequest.h
+++ b/Libraries/LibGateway/FanOutRequest.h
@@ -70,6 +70,10 @@
         // The last part from which this shard was missing, and whether the shard may be retried.
         const SentPart *missingFromPart{nullptr};
         bool mayRetry{false};
+        // The shard is missing from that part, and the retry budget of the gateway that served it denied a repeat.
+        bool lacksRepeatThere{false};
+        // The shard was missing from a part, and the part that retries it is about to be sent.
+        bool isRetryPlanned{false};
     };
 
     /** Returns whether enough shards have an eligible backend server for the required coverage. */
@@ -115,6 +119,8 @@
     [[nodiscard]] static bool isAnswered(const Row &row);
     [[nodiscard]] static bool isOpen(const Row &row);
     [[nodiscard]] Protocol::MissingShard describeMissing(const Row &row) const;
+    /** Returns whether a missing shard was denied a repeat by this gateway or by the one that it was relayed to last. */
+    [[nodiscard]] static bool lacksRepeat(const Row &row);
     [[nodiscard]] std::size_t requiredShards() const;
     /** Returns how many shards may be missing from the answer to the origin of the search. */
     [[nodiscard]] std::size_t maximumMissing() const;
@@ -128,6 +134,12 @@
     [[nodiscard]] static bool mayHaveRunDirectly(const Row &row);
     /** Returns whether no shard has a backend server, or more of the direct shards have none that accepts connections than have one that refused to run. */
     [[nodiscard]] bool lacksServers() const;
+    /** Returns whether the shard can still be answered: its call or part is open, was not started yet, or will be retried. */
+    [[nodiscard]] static bool isObtainable(const Row &row);
+    /** Returns the state of the whole search; nullopt if a part's requesting gateway has not sent it. */
+    [[nodiscard]] std::optional<SearchState> searchState() const;
+    /** Returns the value of a repeat for one of the open shards, from 0 to 1. */
+    [[nodiscard]] double repeatValueNow() const;
     /** Returns the greatest records of all parts and of the directly answered rows for which `counts` is true. */
     [[nodiscard]] std::string mergedRecords(const std::function<bool(const Row &row)> &counts) const;
     void recordLatencies() const;
--- a/Libraries/LibGateway/RelayedPart.h
+++ b/Libraries/LibGateway/RelayedPart.h
@@ -27,6 +27,8 @@
     std::size_t maximumMissing{0};
     std::size_t topRecords{0};
     Fleet::AllowedRegions allowedRegions;
+    /** State of the search without the shards of the part, if it is known. */
+    std::optional<SearchState> searchState;
 };
 
 /** One relayed part. Open from start() until the serving gateway has answered or failed, or the part was cancelled. */
@@ -67,6 +69,9 @@
     /** Returns the missing shards once the part is no longer open, each with the attempts that may have run for it. */
     [[nodiscard]] std::vector<Protocol::MissingShard> missing() const;
 
+    /** Returns whether the shard is missing and the retry budget of the serving gateway denied a repeat for it. */
+    [[nodiscard]] bool lacksRepeatFor(const Core::ServiceName &shard) const;
+
 private:
     void handleOutcome();
     /** Returns whether the part was answered with the signature or the attempts of every shard. */
@@ -87,6 +92,8 @@
     std::unique_ptr<ShardCall> relayCall;
     bool open{true};
     Protocol::PartialAnswer partial;
+    // Names of the shards for which the serving gateway had no repeat.
+    std::vector<std::string> deniedRepeats;
 };
 
 }
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -52,8 +52,8 @@
         if (!this->requestAlreadyCounted) {
             this->pool.recordRequest(this->serviceName);
         }
-    } else if (!this->pool.consumeRetry(this->serviceName)) {
-        this->reason = "no repeat left in the budget";
+    } else if (!this->consumeRepeat(this->retryKind())) {
+        this->reason = this->repeatValueNow() > 0.0 ? "no repeat left in the budget" : "too many other shards are lost";
         this->finish(this->executionCount > 0 ? CallState::Failed : CallState::NotRun);
         return;
     }
@@ -203,7 +203,7 @@
         this->sendTo(candidate);
         return;
     }
-    if (this->pool.consumeRetry(this->serviceName)) {
+    if (this->consumeRepeat(RepeatKind::Hedge)) {
         ++this->hedgeCount;
         this->sendTo(candidate);
     }
@@ -215,7 +215,7 @@
         // The late attempt has not been sent, so this gateway can send to another backend server without a repeat.
         return false;
     }
-    if (!this->pool.consumeRetry(this->serviceName)) {
+    if (!this->consumeRepeat(RepeatKind::Hedge)) {
         return false;
     }
     ++this->hedgeCount;
@@ -317,7 +317,7 @@
         this->refusedBy.clear();
     }
     if (allowed && choice() != nullptr) {
-        if (!wasSent || this->pool.consumeRetry(this->serviceName)) {
+        if (!wasSent || this->consumeRepeat(this->retryKind())) {
             this->tryNext();
             return;
         }
@@ -325,6 +325,26 @@
     this->finish(nothingRan ? CallState::NotRun : otherwise);
 }
 
+RepeatKind ShardCall::retryKind() const
+{
+    return this->executions() == 0 ? RepeatKind::RetryAfterRefusal : RepeatKind::RetryAfterFailure;
+}
+
+double ShardCall::repeatValueNow() const
+{
+    if (this->parameters.repeatValue) {
+        return this->parameters.repeatValue();
+    }
+    return singleRepeatValue(this->parameters.targetAt - this->timers.now(), this->parameters.typicalLatency);
+}
+
+bool ShardCall::consumeRepeat(RepeatKind kind)
+{
+    const RepeatRequest repeat{.request = this->parameters.request->id, .kind = kind, .value = this->repeatValueNow()};
+    this->repeatDenied = !this->pool.consumeRetry(this->serviceName, repeat);
+    return !this->repeatDenied;
+}
+
 void ShardCall::finish(CallState end)
 {
     this->current = end;
@@ -428,6 +448,11 @@
     return this->lastBreakAfter;
 }
 
+bool ShardCall::lacksRepeat() const
+{
+    return this->repeatDenied;
+}
+
 const std::string &ShardCall::failureReason() const
 {
     return this->reason;
