LibGateway: Choose backend servers by the expected time until an accepted answer

Cause: a refusal as not run counted into the same smoothed rate as failures and cost 160 ms x rate in the choice. That rate said nothing about the price of a repeat, a burst of refusals by a server with a full queue counted as much as lasting ones, and a server that had refused a request got it again only after all others, also when these were avoided.

Change: Scheduling/ServerAcceptance estimates for each server the share of requests that it refuses, with fading counts and the service's mean as the expectation for a server of which little is known. Requests within 40 ms of each other count as one observation. BackendChoice adds the cost of a refusal: round trip, price of a repeat, and the time of the next best candidate. Refusals are neither failures nor latency samples. Hedges skip servers that are expected to accept less than 0.7. A server that refused a request gets it again when the others score much worse. The log event backend.acceptance_changed and the metric crankrudder_sends_low_acceptance_total are new. Where no server refuses, the scores are the same numbers as before.

--- a/Libraries/LibGateway/Backend.h
+++ b/Libraries/LibGateway/Backend.h
@@ -75,6 +75,8 @@
     Core::Instant warmUntil;
 
     BackendHealth health;
+    // Shared by the backend servers of a service.
+    std::shared_ptr<ServiceAcceptance> serviceAcceptance{std::make_shared<ServiceAcceptance>()};
     std::optional<Core::Duration> roundTrip;
     RejectionBackoff connectionRejected;
 
--- a/Libraries/LibGateway/BackendChoice.cpp
+++ b/Libraries/LibGateway/BackendChoice.cpp
@@ -8,12 +8,13 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <utility>
 
 namespace Gateway
 {
 
-// Penalty for a backend server that refuses or fails every request; it scales with the failure rate, so that one that refuses or fails each fourth request
-// loses to one that is 40 ms slower.
+// Penalty for a backend server that fails every request; it scales with the failure rate, so that one that fails each fourth request loses to one that is
+// 40 ms slower.
 static constexpr double FailurePenaltyMilliseconds = 160.0;
 // A backend server is considered stuck when an attempt to it takes this many times the typical latency, and at least StuckFloor.
 static constexpr int StuckFactor = 3;
@@ -27,6 +28,11 @@
 static constexpr double EquallyGoodMilliseconds = 10.0;
 // Each expected latency is increased at random by up to this share, so that the gateways do not all choose the same backend server.
 static constexpr double ChoiceNoise = 0.15;
+// Penalty for a backend server that refused the same request before. It exceeds the path to another region (46 ms, bias included), so that all candidates get
+// the request once when they score about equally, and is less than the penalty of one that is stuck.
+static constexpr double RepeatedRefusalMilliseconds = 60.0;
+// Time until a refusal of a backend server in this region to which no round trip was measured.
+static constexpr Core::Duration AssumedRefusalTime = Core::milliseconds(2);
 
 BackendChoice::BackendChoice(BackendChoiceOptions options) : options(options), random(options.seed)
 {
@@ -46,7 +52,12 @@
     return Core::toFractionalMilliseconds(duration);
 }
 
-double BackendChoice::expectedMilliseconds(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const
+double BackendChoice::refusedShare(const Backend &backend, Core::Instant now)
+{
+    return backend.health.refusedShare(backend.serviceAcceptance->refusedShare(now), now);
+}
+
+double BackendChoice::latencyMilliseconds(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const
 {
     double expected = milliseconds(typicalLatency) * backend.health.expectedFactor(backend.inFlight.size(), backend.slots, now);
     if (now < backend.warmUntil) {
@@ -55,8 +66,6 @@
     if (!backend.sameRegion) {
         expected += milliseconds(backend.roundTrip.value_or(this->options.assumedRegionRoundTrip));
     }
-    expected += isStuck(backend, now) ? StuckPenaltyMilliseconds : 0.0;
-    expected += backend.health.isAvoided(now) ? AvoidedPenaltyMilliseconds : 0.0;
     return expected;
 }
 
@@ -72,19 +81,72 @@
     return bias;
 }
 
-Backend *BackendChoice::best(const std::vector<Backend *> &candidates, Core::Duration typicalLatency, std::optional<Core::Duration> within, Core::Instant now)
+double BackendChoice::refusalMilliseconds(const Backend &backend) const
+{
+    return milliseconds(backend.roundTrip.value_or(backend.sameRegion ? AssumedRefusalTime : this->options.assumedRegionRoundTrip));
+}
+
+std::vector<BackendChoice::Scored> BackendChoice::scored(const std::vector<Backend *> &candidates, Core::Duration typicalLatency, Core::Instant now) const
+{
+    std::vector<Scored> result;
+    result.reserve(candidates.size());
+    bool anyRefuses = false;
+    for (auto *backend : candidates) {
+        auto &row = result.emplace_back();
+        row.backend = backend;
+        row.latency = this->latencyMilliseconds(*backend, typicalLatency, now);
+        row.expected = row.latency;
+        row.expected += isStuck(*backend, now) ? StuckPenaltyMilliseconds : 0.0;
+        row.expected += backend->health.isAvoided(now) ? AvoidedPenaltyMilliseconds : 0.0;
+        row.bias = this->biasMilliseconds(*backend, now);
+        row.refusedShare = refusedShare(*backend, now);
+        anyRefuses = anyRefuses || row.refusedShare > 0.0;
+    }
+    if (anyRefuses) {
+        this->addRefusalCosts(result);
+    }
+    return result;
+}
+
+// After a refusal the request goes to the next best candidate, which may refuse it as well. A single candidate gets it again. The penalties for servers that
+// are stuck or avoided are left out: they exceed all latencies and would hide the differences between the others.
+void BackendChoice::addRefusalCosts(std::vector<Scored> &candidates) const
+{
+    const double repeatPrice = milliseconds(this->options.repeatPrice);
+    const auto timeAsNext = [repeatPrice](const Scored &row) {
+        return row.latency + row.bias + row.refusedShare * repeatPrice;
+    };
+    const Scored *first = nullptr;
+    const Scored *second = nullptr;
+    for (const auto &row : candidates) {
+        if (first == nullptr || timeAsNext(row) < timeAsNext(*first)) {
+            second = std::exchange(first, &row);
+        } else if (second == nullptr || timeAsNext(row) < timeAsNext(*second)) {
+            second = &row;
+        }
+    }
+    for (auto &row : candidates) {
+        const auto *next = &row == first && second != nullptr ? second : first;
+        row.refusalCost = refusalCost(row.refusedShare,
+            {.roundTrip = this->refusalMilliseconds(*row.backend), .repeatPrice = repeatPrice, .own = row.latency + row.bias, .nextBest = timeAsNext(*next)});
+    }
+}
+
+Backend *BackendChoice::best(const std::vector<Backend *> &candidates, const ChoiceTerms &terms, Core::Instant now)
 {
     Backend *best = nullptr;
     double bestScore = 0.0;
-    for (auto *backend : candidates) {
-        const double expected = this->expectedMilliseconds(*backend, typicalLatency, now);
-        if (within.has_value() && expected > milliseconds(within.value())) {
+    for (const auto &row : this->scored(candidates, terms.typicalLatency, now)) {
+        const bool hasRefused = std::find(terms.refusedBy.begin(), terms.refusedBy.end(), row.backend->name) != terms.refusedBy.end();
+        const bool suitsHedge = !hasRefused && 1.0 - row.refusedShare >= MinimumHedgeAcceptance;
+        if (terms.within.has_value() && (row.expected > milliseconds(terms.within.value()) || !suitsHedge)) {
             continue;
         }
         const double noise = 1.0 + std::uniform_real_distribution<double>(0.0, ChoiceNoise)(this->random);
-        const double score = expected * noise + this->biasMilliseconds(*backend, now);
+        const double repeated = hasRefused ? RepeatedRefusalMilliseconds : 0.0;
+        const double score = row.expected * noise + row.bias + row.refusalCost + repeated;
         if (best == nullptr || score < bestScore) {
-            best = backend;
+            best = row.backend;
             bestScore = score;
         }
     }
@@ -95,9 +157,9 @@
 {
     std::map<std::string, double> scoreOfZone;
     double best = std::numeric_limits<double>::max();
-    for (const auto *backend : candidates) {
-        const double score = this->expectedMilliseconds(*backend, typicalLatency, now) + this->biasMilliseconds(*backend, now);
-        const auto [position, isNew] = scoreOfZone.try_emplace(backend->zone, score);
+    for (const auto &row : this->scored(candidates, typicalLatency, now)) {
+        const double score = row.expected + row.bias + row.refusalCost;
+        const auto [position, isNew] = scoreOfZone.try_emplace(row.backend->zone, score);
         position->second = std::min(position->second, score);
         best = std::min(best, score);
     }
--- a/Libraries/LibGateway/BackendChoice.h
+++ b/Libraries/LibGateway/BackendChoice.h
@@ -4,14 +4,15 @@
  */
 
 // Chooses the backend server for a request. The one with the lowest score wins: its
-// expected latency, plus penalties for failures and for traffic that crosses zones or
-// regions. Pure except for its random numbers.
+// expected time until an accepted answer, plus penalties for failures and for traffic
+// that crosses zones or regions. Pure except for its random numbers.
 
 #pragma once
 
 #include <LibGateway/Backend.h>
 
 #include <random>
+#include <span>
 
 namespace Gateway
 {
@@ -24,18 +25,31 @@
     Core::Duration crossZoneBias{Core::milliseconds(2)};
     /** Round trip to another region that is assumed until one has been measured. */
     Core::Duration assumedRegionRoundTrip{Core::milliseconds(20)};
+    /**
+     * Time that one repeat is worth. Repeats are limited to 0.2 of the requests; with this price, a backend server in another region that accepts all requests
+     * (46 ms more, bias included) is preferred to one in this region that refuses about as many.
+     */
+    Core::Duration repeatPrice{Core::milliseconds(200)};
     std::uint64_t seed{1};
 };
 
+/** The request for which a backend server is chosen. */
+struct ChoiceTerms {
+    Core::Duration typicalLatency{0};
+    /** Set for a hedge: its maximum expected latency. Hedges are not sent to backend servers that refuse. */
+    std::optional<Core::Duration> within;
+    /** Backend servers that refused the request. They are chosen again when the others score much worse, and not for a hedge. */
+    std::span<const BackendName> refusedBy;
+};
+
 /** Scores candidate backend servers. The caller passes only candidates that are eligible and have free capacity. */
 class BackendChoice
 {
 public:
     explicit BackendChoice(BackendChoiceOptions options);
 
-    /** Returns the best candidate, or nullptr when there is none. With `within`, only candidates whose expected latency is at most that are considered. */
-    [[nodiscard]] Backend *best(
-        const std::vector<Backend *> &candidates, Core::Duration typicalLatency, std::optional<Core::Duration> within, Core::Instant now);
+    /** Returns the best candidate, or nullptr when there is none. */
+    [[nodiscard]] Backend *best(const std::vector<Backend *> &candidates, const ChoiceTerms &terms, Core::Instant now);
 
     /** Returns the availability zones whose best candidate scores about as well as the best of all, each zone once. */
     [[nodiscard]] std::vector<std::string> goodZones(const std::vector<Backend *> &candidates, Core::Duration typicalLatency, Core::Instant now) const;
@@ -43,8 +57,25 @@
     /** Whether an attempt in flight to this backend server takes much longer than is typical and nothing was received from the server in that time. */
     [[nodiscard]] static bool isStuck(const Backend &backend, Core::Instant now);
 
+    /** Returns the share of requests that the backend server is expected to refuse, from 0 to 1. */
+    [[nodiscard]] static double refusedShare(const Backend &backend, Core::Instant now);
+
 private:
-    [[nodiscard]] double expectedMilliseconds(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const;
+    /** A candidate and the parts of its score; times in milliseconds. */
+    struct Scored {
+        Backend *backend{nullptr};
+        /** Expected latency, without and with the penalties for servers that are stuck or avoided. */
+        double latency{0.0};
+        double expected{0.0};
+        double bias{0.0};
+        double refusedShare{0.0};
+        double refusalCost{0.0};
+    };
+
+    [[nodiscard]] std::vector<Scored> scored(const std::vector<Backend *> &candidates, Core::Duration typicalLatency, Core::Instant now) const;
+    void addRefusalCosts(std::vector<Scored> &candidates) const;
+    [[nodiscard]] double latencyMilliseconds(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const;
+    [[nodiscard]] double refusalMilliseconds(const Backend &backend) const;
     [[nodiscard]] double biasMilliseconds(const Backend &backend, Core::Instant now) const;
 
     BackendChoiceOptions options;
--- a/Libraries/LibGateway/BackendHealth.cpp
+++ b/Libraries/LibGateway/BackendHealth.cpp
@@ -77,7 +77,27 @@
 
 void BackendHealth::recordRefusal(Core::Instant now)
 {
-    this->recordOutcome(true, now);
+    this->acceptance.record(false, now);
+}
+
+void BackendHealth::recordAccepted(Core::Instant now)
+{
+    this->acceptance.record(true, now);
+}
+
+double BackendHealth::refusedShare(double expected, Core::Instant now) const
+{
+    return this->acceptance.refusedShare(expected, now);
+}
+
+std::optional<double> BackendHealth::observedAcceptance(Core::Instant now) const
+{
+    return this->acceptance.observedShare(now);
+}
+
+std::optional<AcceptanceChange> BackendHealth::takeAcceptanceChange(Core::Instant now)
+{
+    return this->acceptance.takeChange(now);
 }
 
 bool BackendHealth::recordFailure(int failuresUntilAvoided, Core::Instant now)
--- a/Libraries/LibGateway/BackendHealth.h
+++ b/Libraries/LibGateway/BackendHealth.h
@@ -3,13 +3,14 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-// Health of one backend server as one gateway observes it: slowness, rate of refusals and
-// failures, outlier ejection (avoidance) and reported load. Pure.
+// Health of one backend server as one gateway observes it: slowness, rate of failures,
+// share of accepted requests, outlier ejection (avoidance) and reported load. Pure.
 
 #pragma once
 
 #include <LibCore/Time.h>
 #include <LibGateway/Dialect.h>
+#include <LibGateway/Scheduling/ServerAcceptance.h>
 
 #include <optional>
 
@@ -29,9 +30,12 @@
      */
     void recordRemoteAnswer(double ratio, Core::Instant now);
 
-    /** Records that the backend server refused a request without executing it. */
+    /** Records that the backend server refused a request without executing it. That is neither a failure nor a sample of its latency. */
     void recordRefusal(Core::Instant now);
 
+    /** Records that the backend server ran a request, whatever its result; recordAnswer() does not include this. */
+    void recordAccepted(Core::Instant now);
+
     /**
      * Records a failed request. After `failuresUntilAvoided` consecutive failures the backend server is avoided. Returns whether it is avoided now and was not
      * before.
@@ -50,9 +54,16 @@
      */
     [[nodiscard]] double expectedFactor(std::size_t own, int slots, Core::Instant now) const;
 
-    /** Returns the smoothed share of requests that were refused or failed, from 0 to 1. */
+    /** Returns the smoothed share of requests that failed, from 0 to 1. */
     [[nodiscard]] double failureRate(Core::Instant now) const;
 
+    /** Returns the expected share of requests that are refused; see ServerAcceptance::refusedShare(). */
+    [[nodiscard]] double refusedShare(double expected, Core::Instant now) const;
+    /** Returns the observed share of accepted requests; see ServerAcceptance::observedShare(). */
+    [[nodiscard]] std::optional<double> observedAcceptance(Core::Instant now) const;
+    /** Returns a change of the acceptance that is to be logged; see ServerAcceptance::takeChange(). */
+    [[nodiscard]] std::optional<AcceptanceChange> takeAcceptanceChange(Core::Instant now);
+
     [[nodiscard]] bool isAvoided(Core::Instant now) const;
     [[nodiscard]] Core::Instant avoidedUntil() const;
     [[nodiscard]] Core::Instant lastReply() const;
@@ -73,6 +84,7 @@
     Core::Instant slowdownTime;
     double smoothedFailureRate{0.0};
     Core::Instant failureRateTime;
+    ServerAcceptance acceptance;
     int failures{0};
     Core::Instant avoidanceEnd;
     Core::Instant replyTime;
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -101,6 +101,7 @@
     auto &row = this->serviceOf(service);
     row.backends.push_back(backend.get());
     row.zones.insert(backend->zone);
+    backend->serviceAcceptance = row.acceptance;
     this->backends[announcement.id] = std::move(backend);
     this->offerCapacity(service);
 }
@@ -337,7 +338,8 @@
         const bool wasTried = std::find(criteria.tried.begin(), criteria.tried.end(), backend->name) != criteria.tried.end();
         return !wasTried && this->isEligible(*backend, criteria.allowedRegions) && this->hasCapacity(*backend, row, criteria.request);
     });
-    return this->choice.best(candidates, criteria.typicalLatency, criteria.within, this->timers.now());
+    const ChoiceTerms terms{.typicalLatency = criteria.typicalLatency, .within = criteria.within, .refusedBy = criteria.refusedBy};
+    return this->choice.best(candidates, terms, this->timers.now());
 }
 
 Backend *BackendPool::firstHealthy(const std::vector<BackendName> &names, const SelectionCriteria &criteria)
@@ -346,7 +348,8 @@
     for (const auto &name : names) {
         const auto found = this->backends.find(name.value());
         const bool wasTried = std::find(criteria.tried.begin(), criteria.tried.end(), name) != criteria.tried.end();
-        if (found == this->backends.end() || wasTried) {
+        const bool hasRefused = std::find(criteria.refusedBy.begin(), criteria.refusedBy.end(), name) != criteria.refusedBy.end();
+        if (found == this->backends.end() || wasTried || hasRefused) {
             continue;
         }
         auto &backend = *found->second;
@@ -456,6 +459,7 @@
     ++this->counts.attempts;
     this->counts.attemptsToOtherRegion += backend.sameRegion ? 0 : 1;
     this->counts.attemptsToOtherZone += backend.sameRegion && !backend.sameZone ? 1 : 0;
+    this->counts.attemptsToLowAcceptance += backend.health.observedAcceptance(this->timers.now()).value_or(1.0) < LowAcceptance ? 1 : 0;
     auto &attempt = this->attempts[id];
     attempt.id = id;
     attempt.backend = &backend;
@@ -698,9 +702,10 @@
     }
     if (reply.notExecuted) {
         ++this->counts.notExecuted;
-        backend.health.recordRefusal(now);
+        this->recordAcceptance(backend, false);
         return;
     }
+    this->recordAcceptance(backend, true);
     if (reply.message.status >= 500) {
         this->recordFailure(backend, "status " + std::to_string(reply.message.status));
         return;
@@ -710,6 +715,23 @@
     backend.health.recordAnswer(Core::toFractionalMilliseconds(now - attempt.startedAt - way) / usual, now);
 }
 
+void BackendPool::recordAcceptance(Backend &backend, bool accepted)
+{
+    const auto now = this->timers.now();
+    accepted ? backend.health.recordAccepted(now) : backend.health.recordRefusal(now);
+    backend.serviceAcceptance->record(accepted, now);
+    const auto change = backend.health.takeAcceptanceChange(now);
+    if (change.has_value()) {
+        Core::logEvent(Core::LogLevel::Information,
+            "backend.acceptance_changed",
+            {{"backend", backend.name.value()},
+                {"service", backend.service.value()},
+                {"share", change->share},
+                {"evidence", change->evidence},
+                {"age_ms", Core::toMilliseconds(change->age)}});
+    }
+}
+
 // The backend server is at its connection cap, which counts the connections of all gateways. That says nothing about its health, so no failure is recorded.
 void BackendPool::recordRejection(Backend &backend)
 {
@@ -952,6 +974,7 @@
             {"connections", backend->connections.size()},
             {"in_flight", backend->inFlight.size()},
             {"trouble_rate", backend->health.failureRate(now)},
+            {"acceptance", 1.0 - BackendChoice::refusedShare(*backend, now)},
             {"avoided_ms", Core::toMilliseconds(std::max(Core::Duration(0), backend->health.avoidedUntil() - now))},
             {"failures", backend->health.consecutiveFailures()}});
     }
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -20,6 +20,7 @@
 #include <memory>
 #include <random>
 #include <set>
+#include <span>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -79,6 +80,8 @@
     std::optional<Core::Duration> within;
     /** The request that would be sent; nullptr when it is not known yet. */
     const CallerRequest *request{nullptr};
+    /** Backend servers that refused the request; see ChoiceTerms::refusedBy. */
+    std::span<const BackendName> refusedBy{};
 };
 
 /** Counters for metrics. */
@@ -93,6 +96,8 @@
     /** Connections that a backend server accepted and reset before a request was sent. */
     std::uint64_t connectionRejected{0};
     std::uint64_t notExecuted{0};
+    /** Sends to backend servers that were observed to accept less than LowAcceptance of their requests. Included in `attempts`. */
+    std::uint64_t attemptsToLowAcceptance{0};
     std::uint64_t cancelled{0};
     std::uint64_t wrongBackend{0};
     /** Answers that were discarded because they belong to another send. */
@@ -215,6 +220,7 @@
         Core::Duration warmupTime{0};
         double warmupRequestsPerSecond{0.0};
         std::unique_ptr<RetryBudget> budget;
+        std::shared_ptr<ServiceAcceptance> acceptance{std::make_shared<ServiceAcceptance>()};
         // Zones of all backend servers that the service has had. A zone that loses its last one still counts, so that no gateway's share of the slack grows
         // when that happens.
         std::set<std::string> zones;
@@ -269,6 +275,8 @@
     static void recordAnswer(const Attempt &attempt, const BackendReply &reply, const std::function<void(const RequestTrace &trace)> &answered);
     [[nodiscard]] Attempt extractAttempt(AttemptId id);
     void observeOutcome(Backend &backend, const Attempt &attempt, const AttemptOutcome &outcome);
+    /** Records whether the backend server accepted a request, and logs a change of its acceptance. */
+    void recordAcceptance(Backend &backend, bool accepted);
     void recordRejection(Backend &backend);
     void recordFailure(Backend &backend, const std::string &reason);
     void recordUnresponsive(Backend &backend, const std::string &reason);
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -40,6 +40,10 @@
     addCounter(page, "crankrudder_sends_broken_total", "Sends whose answer was lost.", sends.broken);
     addCounter(page, "crankrudder_backend_crashes_total", "Backend servers that ended while they ran a request of this gateway.", sends.crashes);
     addCounter(page, "crankrudder_sends_refused_total", "Sends that backend servers refused to run.", sends.notExecuted);
+    addCounter(page,
+        "crankrudder_sends_low_acceptance_total",
+        "Sends to backend servers that were observed to refuse more than half of their requests.",
+        sends.attemptsToLowAcceptance);
     addCounter(page, "crankrudder_sends_cancelled_total", "Sends that were cancelled.", sends.cancelled);
     addCounter(page,
         "crankrudder_answers_passed_over_total",
--- /dev/null
+++ b/Libraries/LibGateway/Scheduling/ServerAcceptance.cpp
@@ -0,0 +1,110 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <LibGateway/Scheduling/ServerAcceptance.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Gateway
+{
+
+// Number of observations that the expectation for an unknown server counts for. With two, one refusal by a server that accepted all before does not move
+// requests to another region.
+static constexpr double ServerPriorWeight = 2.0;
+// Number of accepted requests that are assumed for a service. So a server that was not tried yet is expected to accept more than one that refuses, even when
+// the latter received all requests of the service.
+static constexpr double ServicePriorWeight = 6.0;
+// The acceptance counts as restored only above this share, so that a server close to LowAcceptance does not fill the log.
+static constexpr double RestoredAcceptance = 0.75;
+// Minimum number of observations for the acceptance to be logged and counted.
+static constexpr double MinimumEvidence = 1.5;
+// Minimum time between two changes of one server that are logged.
+static constexpr Core::Duration ChangeInterval = Core::seconds(1);
+
+static FadedOutcomes scaled(const FadedOutcomes &outcomes, double factor)
+{
+    return {.accepted = outcomes.accepted * factor, .refused = outcomes.refused * factor};
+}
+
+// Returns the outcomes with the same mean, but `maximum` observations at most.
+static FadedOutcomes limited(const FadedOutcomes &outcomes, double maximum)
+{
+    return outcomes.total() <= maximum ? outcomes : scaled(outcomes, maximum / outcomes.total());
+}
+
+FadingOutcomes::FadingOutcomes(AcceptanceOptions options) : options(options)
+{
+}
+
+void FadingOutcomes::record(bool accepted, Core::Instant now)
+{
+    if (now - this->windowStart >= this->options.window) {
+        this->settled = this->at(now);
+        this->current = {};
+        this->windowStart = now;
+    }
+    (accepted ? this->current.accepted : this->current.refused) += 1.0;
+}
+
+FadedOutcomes FadingOutcomes::at(Core::Instant now) const
+{
+    const auto counted = limited(this->current, this->options.maximumPerWindow);
+    const FadedOutcomes sum{.accepted = this->settled.accepted + counted.accepted, .refused = this->settled.refused + counted.refused};
+    const double halfLives = Core::toFractionalMilliseconds(now - this->windowStart) / Core::toFractionalMilliseconds(this->options.halfLife);
+    return scaled(limited(sum, this->options.maximumEvidence), std::exp2(-halfLives));
+}
+
+void ServiceAcceptance::record(bool accepted, Core::Instant now)
+{
+    this->outcomes.record(accepted, now);
+}
+
+double ServiceAcceptance::refusedShare(Core::Instant now) const
+{
+    const auto observed = this->outcomes.at(now);
+    return observed.refused / (observed.total() + ServicePriorWeight);
+}
+
+void ServerAcceptance::record(bool accepted, Core::Instant now)
+{
+    this->outcomes.record(accepted, now);
+    this->latestAge = now - this->latest;
+    this->latest = now;
+}
+
+double ServerAcceptance::refusedShare(double expected, Core::Instant now) const
+{
+    const auto observed = this->outcomes.at(now);
+    return (observed.refused + ServerPriorWeight * expected) / (observed.total() + ServerPriorWeight);
+}
+
+std::optional<double> ServerAcceptance::observedShare(Core::Instant now) const
+{
+    const auto observed = this->outcomes.at(now);
+    return observed.total() < MinimumEvidence ? std::nullopt : std::optional(observed.accepted / observed.total());
+}
+
+std::optional<AcceptanceChange> ServerAcceptance::takeChange(Core::Instant now)
+{
+    const auto share = this->observedShare(now);
+    if (!share.has_value() || (this->changedAt.has_value() && now - this->changedAt.value() < ChangeInterval)) {
+        return std::nullopt;
+    }
+    const bool changes = this->isLow ? share.value() > RestoredAcceptance : share.value() < LowAcceptance;
+    if (!changes) {
+        return std::nullopt;
+    }
+    this->isLow = !this->isLow;
+    this->changedAt = now;
+    return AcceptanceChange{.share = share.value(), .evidence = this->outcomes.at(now).total(), .age = this->latestAge};
+}
+
+double refusalCost(double refusedShare, const RefusalTimes &times)
+{
+    return refusedShare * (times.roundTrip + times.repeatPrice + std::max(0.0, times.nextBest - times.own));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/Scheduling/ServerAcceptance.h
@@ -0,0 +1,143 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// What share of requests a backend server accepts, and what a refusal costs.
+//
+// Load pattern: for some seconds half of all backend servers each refuse 0.6 of the
+// requests that reach them. A refusal arrives within a round trip, but it consumes one of
+// the few repeats of the service, and without a repeat the search lacks a shard. So a
+// server is judged by the expected time until an accepted answer, including the repeat.
+// Second pattern: a server whose queue is full refuses a burst of requests and accepts
+// again some tens of milliseconds later. Requests that arrive together meet the same
+// queue, so they count as few observations. Pure.
+
+#pragma once
+
+#include <LibCore/Time.h>
+
+#include <optional>
+
+namespace Gateway
+{
+
+/** A backend server that was observed to accept a smaller share of its requests is logged, and sends to it are counted. */
+inline constexpr double LowAcceptance = 0.5;
+/**
+ * A backend server that is expected to accept a smaller share gets no hedges. One that refuses 0.6 is expected to accept 0.5; one that was not tried yet, in a
+ * service whose other servers refuse 0.6, is expected to accept 0.76.
+ */
+inline constexpr double MinimumHedgeAcceptance = 0.7;
+
+/** How fast observations fade and how many count. A gateway sends a backend server about ten requests a second. */
+struct AcceptanceOptions {
+    /** Observations count for half after this time. With the price of a repeat, a gateway tries a server again about 1 s after its latest refusal. */
+    Core::Duration halfLife{Core::milliseconds(550)};
+    /** Requests within this time of each other meet the same queue; a full queue clears within tens of milliseconds. */
+    Core::Duration window{Core::milliseconds(40)};
+    /** Maximum number of observations that the requests of one window count for. With 2, a burst of refusals moves the requests of all gateways away. */
+    double maximumPerWindow{1.0};
+    /** Maximum number of observations in all. More would delay the detection of a fault and of a recovery. */
+    double maximumEvidence{4.0};
+};
+
+/** Numbers of accepted and refused requests after fading. */
+struct FadedOutcomes {
+    double accepted{0.0};
+    double refused{0.0};
+
+    [[nodiscard]] double total() const
+    {
+        return this->accepted + this->refused;
+    }
+};
+
+/** Counts accepted and refused requests, which fade with time. */
+class FadingOutcomes
+{
+public:
+    explicit FadingOutcomes(AcceptanceOptions options = {});
+
+    void record(bool accepted, Core::Instant now);
+    [[nodiscard]] FadedOutcomes at(Core::Instant now) const;
+
+private:
+    AcceptanceOptions options;
+    // Observations before the current window, faded to its start.
+    FadedOutcomes settled;
+    // Invariant: includes all observations since windowStart, and no earlier ones.
+    FadedOutcomes current;
+    Core::Instant windowStart;
+};
+
+/** What is expected of a backend server of which little is known: the mean of its service, as one gateway observes it. */
+class ServiceAcceptance
+{
+public:
+    void record(bool accepted, Core::Instant now);
+
+    /** Returns the share of requests that is refused, from 0 to 1. It is exactly 0 as long as none was refused. */
+    [[nodiscard]] double refusedShare(Core::Instant now) const;
+
+private:
+    FadingOutcomes outcomes;
+};
+
+/** The observed acceptance of a backend server fell below LowAcceptance or rose again. */
+struct AcceptanceChange {
+    /** Share of accepted requests, from 0 to 1. */
+    double share{1.0};
+    /** Number of observations after fading. */
+    double evidence{0.0};
+    /** Time between the latest observation and the one before. */
+    Core::Duration age{0};
+};
+
+/** The share of requests that one backend server accepts. */
+class ServerAcceptance
+{
+public:
+    /** Records that a request was refused as not run, or was accepted, whatever its result. */
+    void record(bool accepted, Core::Instant now);
+
+    /**
+     * Returns the expected share of refused requests, from 0 to 1, given the share that is expected of a server of which nothing is known. It is exactly 0
+     * when that is 0 and no request was refused.
+     */
+    [[nodiscard]] double refusedShare(double expected, Core::Instant now) const;
+
+    /** Returns the observed share of accepted requests, from 0 to 1; nullopt if there are too few observations. */
+    [[nodiscard]] std::optional<double> observedShare(Core::Instant now) const;
+
+    /** Returns the change since the last call that returned one, if there is one to log: at most one a second. */
+    [[nodiscard]] std::optional<AcceptanceChange> takeChange(Core::Instant now);
+
+private:
+    FadingOutcomes outcomes;
+    Core::Instant latest;
+    Core::Duration latestAge{0};
+    bool isLow{false};
+    // Nothing until the first change.
+    std::optional<Core::Instant> changedAt;
+};
+
+/** Times that determine what a refusal costs; all in milliseconds. */
+struct RefusalTimes {
+    /** Time until the refusal is received. */
+    double roundTrip{0.0};
+    /** Time that one repeat is worth. */
+    double repeatPrice{0.0};
+    /** Expected time until the answer of this backend server. */
+    double own{0.0};
+    /** Expected time until the answer of the best other backend server. */
+    double nextBest{0.0};
+};
+
+/**
+ * Returns how many milliseconds the possibility of a refusal adds to the expected time until an accepted answer. Never less than 0, so that a server that
+ * refuses fast is not preferred to one that accepts.
+ */
+[[nodiscard]] double refusalCost(double refusedShare, const RefusalTimes &times);
+
+}
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -67,7 +67,8 @@
         .typicalLatency = this->parameters.typicalLatency,
         .allowedRegions = this->parameters.allowedRegions,
         .within = within,
-        .request = this->parameters.request};
+        .request = this->parameters.request,
+        .refusedBy = this->refusedBy};
 }
 
 void ShardCall::tryNext()
@@ -255,6 +256,8 @@
     if (incoming.notExecuted || incoming.wrongBackend) {
         ++this->refusals;
         if (!incoming.wrongBackend) {
+            // The backend server did not run the request, so it may be chosen again.
+            std::erase(this->tried, attempt.backend);
             this->refusedBy.push_back(attempt.backend);
         }
         this->reason = incoming.wrongBackend ? "the address belongs to another backend server now" : "the backend server refused";
@@ -284,17 +287,7 @@
     const bool nothingRan = this->executions() == 0;
     const bool allowed = (this->parameters.route->idempotent || nothingRan) && this->refusals < MaximumRefusals && this->mayTryAnother();
     const bool wasSent = otherwise != CallState::NotRun || this->refusals > 0;
-    // Once all backend servers were tried, those that refused may be chosen again, since they did not run the request.
-    const auto choice = [this] {
-        return this->pool.choose(this->wanted());
-    };
-    if (allowed && choice() == nullptr) {
-        std::erase_if(this->tried, [this](const BackendName &name) {
-            return std::find(this->refusedBy.begin(), this->refusedBy.end(), name) != this->refusedBy.end();
-        });
-        this->refusedBy.clear();
-    }
-    if (allowed && choice() != nullptr) {
+    if (allowed && this->pool.choose(this->wanted()) != nullptr) {
         if (!wasSent || this->pool.consumeRetry(this->serviceName)) {
             this->tryNext();
             return;
--- a/Libraries/LibGateway/ShardCall.h
+++ b/Libraries/LibGateway/ShardCall.h
@@ -161,7 +161,7 @@
     std::vector<Running> running;
     // Backend servers that are not chosen again.
     std::vector<BackendName> tried;
-    // Backend servers in `tried` that refused the request without running it.
+    // Backend servers that refused the request without running it. They may be chosen again.
     std::vector<BackendName> refusedBy;
     // Attempts that may have run; limited by the route.
     int executionCount{0};
--- a/Tests/LibGateway/TestBackendHealth.cpp
+++ b/Tests/LibGateway/TestBackendHealth.cpp
@@ -60,15 +60,17 @@
     cr_assert(busy.expectedFactor(4, 2, at(300)) == 2.5, "own requests in flight count without a report");
 }
 
-Test(BackendHealth, failureRateFollowsRefusalsAndDecays)
+// Refusals used to count as failures. TestServerAcceptance.cpp covers how they count now.
+Test(BackendHealth, failureRateFollowsFailuresAndDecays)
 {
     BackendHealth health;
     for (int round = 0; round < 40; ++round) {
         if (round % 2 == 0) {
-            health.recordRefusal(at(round));
+            health.recordFailure(2, at(round));
         } else {
             health.recordAnswer(1.0, at(round));
         }
+        health.recordRefusal(at(round));
     }
     const double rate = health.failureRate(at(40));
     cr_assert(rate > 0.35 && rate < 0.65, "%f", rate);
