--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -59,6 +59,36 @@
     page.gauge("crankrudder_backends", "Backend servers that are known.", static_cast<double>(servers.backendCount()));
 }
 
+static void addRefusalMetrics(Metrics::MetricsPage &page, const QuotaCounters &counts)
+{
+    for (const auto &[urgency, count] : counts.refusedByUrgency) {
+        page.counter("crankrudder_quota_refusals_total",
+            "Requests that were refused by quota, by the priorities of their workspace and their route.",
+            static_cast<double>(count),
+            {{"workspace_priority", std::to_string(urgency.workspace)}, {"route_priority", std::to_string(urgency.route)}});
+    }
+    for (std::size_t queries = 0; queries < counts.refusedAfterQueries.size(); ++queries) {
+        page.counter("crankrudder_quota_refusals_by_queries_total",
+            "Requests that were refused by quota, by queries to other gateways before (3: or more).",
+            static_cast<double>(counts.refusedAfterQueries[queries]),
+            {{"queries", std::to_string(queries)}});
+    }
+    page.histogram("crankrudder_quota_refusal_seconds", "Time until a request was refused by quota.", counts.refusalTimes);
+}
+
+static void addReservationMetrics(Metrics::MetricsPage &page, const QuotaLimiter &quotas)
+{
+    const auto &counts = quotas.reservationCounters();
+    const auto event = [&page](const char *name, std::uint64_t value) {
+        page.counter("crankrudder_quota_reservations_total", "Reservations of tokens by what became of them.", static_cast<double>(value), {{"event", name}});
+    };
+    event("made", counts.made);
+    event("claimed", counts.claimed);
+    event("expired", counts.expired);
+    event("dropped", counts.dropped);
+    page.gauge("crankrudder_quota_reservations", "Reservations whose callers are expected.", static_cast<double>(quotas.outstandingReservations()));
+}
+
 void addQuotaMetrics(Metrics::MetricsPage &page, const QuotaLimiter &quotas)
 {
     const auto &counts = quotas.counters();
@@ -67,6 +97,9 @@
     addCounter(page, "crankrudder_quota_no_keeper_total", "Requests refused because no keeper of their workspace's quota answered.", counts.noKeeper);
     addCounter(page, "crankrudder_quota_asked_total", "Questions about quotas to other gateways.", counts.asked);
     addCounter(page, "crankrudder_quota_answered_total", "Questions about quotas from other gateways.", counts.answered);
+    addCounter(page, "crankrudder_quota_starting_total", "Requests refused because a keeper has taken over its share only now.", counts.starting);
+    addRefusalMetrics(page, counts);
+    addReservationMetrics(page, quotas);
     page.gauge("crankrudder_quota_kept", "Workspaces that this gateway keeps a part of the quota of.", static_cast<double>(quotas.heldShareCount()));
 }
 
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -338,7 +338,7 @@
         return;
     }
     if (workspace != nullptr && workspace->quota.isBounded()) {
-        this->admit(*workspace, std::move(request), exchange);
+        this->admit(*workspace, *route, std::move(request), exchange);
         return;
     }
     this->startRequest(*route, workspace, std::move(request), exchange);
@@ -353,12 +353,16 @@
     this->quotas.setMayHoldShares(!this->draining && lastSync.has_value() && this->timers.now() - lastSync.value() < LeaderlessHoldTime);
 }
 
-void GatewayNode::admit(const Fleet::Workspace &workspace, CallerRequest request, const Wire::ExchangePointer &exchange)
+void GatewayNode::admit(const Fleet::Workspace &workspace, const Fleet::Route &route, CallerRequest request, const Wire::ExchangePointer &exchange)
 {
     this->updateQuotas();
     const auto id = this->nextRequest++;
     const auto requestId = request.id;
-    this->admissions[id] = Admission{.request = std::move(request), .exchange = exchange};
+    const QuotaTerms terms{.urgency = urgencyOf(&workspace, route),
+        .digest = digestOf(request),
+        .timeLeft = request.callerTimeout.value_or(this->options.requests.defaultTimeout),
+        .targetLeft = route.targetLatency};
+    this->admissions[id] = Admission{.request = std::move(request), .exchange = exchange, .terms = terms};
     exchange->aborted = [this, id] {
         const auto waiting = this->admissions.extract(id);
         if (!waiting.empty()) {
@@ -366,7 +370,7 @@
             this->quotas.cancel(waiting.mapped().decisionNumber);
         }
     };
-    const auto decisionNumber = this->quotas.decide(workspace, requestId, [this, id](const QuotaDecision &decision) {
+    const auto decisionNumber = this->quotas.decide(workspace, terms, requestId, [this, id](const QuotaDecision &decision) {
         this->handleDecision(id, decision);
     });
     // NOTE: decide() may have called the hook already, which removes the admission.
@@ -381,25 +385,10 @@
     if (admission.empty()) {
         return;
     }
-    auto &[request, exchange, decisionNumber] = admission.mapped();
+    auto &[request, exchange, decisionNumber, terms] = admission.mapped();
     request.waited = decision.waited;
     if (decision.verdict != QuotaDecision::Verdict::Granted) {
-        const bool isOverQuota = decision.verdict == QuotaDecision::Verdict::OverQuota;
-        this->counts.overQuota += isOverQuota ? 1 : 0;
-        Core::logEvent(Core::LogLevel::Information,
-            "quota.refused",
-            {{"request", request.id.value()},
-                {"workspace", request.workspace.value().value()},
-                {"asked", decision.asked},
-                {"waited_ms", Core::toMilliseconds(decision.waited)},
-                {"free_in_ms", Core::toMilliseconds(decision.retryAfter)},
-                {"over_quota", isOverQuota ? 1 : 0}});
-        this->refuse(isOverQuota ? Refusal::OverQuota : Refusal::NotRun,
-            request,
-            answerTo(exchange),
-            isOverQuota ? "over-quota" : "no-quota-keeper",
-            // When no keeper has replied, the caller should retry when a keeper that takes over now begins to grant requests, which is after about this time.
-            isOverQuota ? decision.retryAfter : this->options.quotas.quota.handoverTime);
+        this->refuseByQuota(request, exchange, terms, decision);
         return;
     }
     // Another declaration may have become active while the request waited.
@@ -412,15 +401,41 @@
     this->startRequest(*route, workspace, std::move(request), exchange);
 }
 
-void GatewayNode::answerQuotaQuery(const Fleet::WorkspaceName &workspace, const CallerRequest &query, const RoutedRequest::AnswerHook &answer)
+void GatewayNode::refuseByQuota(const CallerRequest &request, const Wire::ExchangePointer &exchange, const QuotaTerms &terms, const QuotaDecision &decision)
+{
+    const bool isOverQuota = decision.verdict == QuotaDecision::Verdict::OverQuota;
+    const bool isStarting = decision.verdict == QuotaDecision::Verdict::Starting;
+    // When no keeper has replied, the caller should retry when a keeper that takes over now begins to grant requests, which is after about this time.
+    const auto retryAfter = isOverQuota || isStarting ? decision.retryAfter : this->options.quotas.quota.handoverTime;
+    const char *const outcome = isStarting ? "quota-share-starting" : "no-quota-keeper";
+    this->counts.overQuota += isOverQuota ? 1 : 0;
+    Core::logEvent(Core::LogLevel::Information,
+        "quota.refused",
+        {{"request", request.id.value()},
+            {"workspace", request.workspace.value().value()},
+            {"digest", terms.digest.value()},
+            {"urgency", terms.urgency.route},
+            {"asked", decision.asked},
+            {"waited_ms", Core::toMilliseconds(decision.waited)},
+            {"reserved", decision.isReserved ? 1 : 0},
+            {"retry_ms", Core::toMilliseconds(retryAfter)},
+            {"caller_left_ms", Core::toMilliseconds(terms.timeLeft)},
+            {"known_exhausted", decision.knownExhausted},
+            {"known_age_ms", Core::toMilliseconds(decision.knownAge)},
+            {"over_quota", isOverQuota ? 1 : 0},
+            {"starting", isStarting ? 1 : 0}});
+    this->refuse(isOverQuota ? Refusal::OverQuota : Refusal::NotRun, request, answerTo(exchange), isOverQuota ? "over-quota" : outcome, retryAfter);
+}
+
+void GatewayNode::answerQuotaQuery(const ReceivedQuotaQuery &received, const CallerRequest &query, const RoutedRequest::AnswerHook &answer)
 {
     this->updateQuotas();
-    const auto reply = this->quotas.answer(workspace);
+    const auto reply = this->quotas.answer(received);
     if (!reply.isKeeper) {
         this->refuse(Refusal::NotRun, query, answer, "not-quota-keeper");
         return;
     }
-    answer(this->options.dialect.writePartial(query.id, writeQuotaReply(reply)));
+    answer(this->options.dialect.writePartial(query.id, writeQuotaReply(reply, received.query.terms.has_value())));
 }
 
 // ---- Refusals and targets
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -83,6 +83,7 @@
         Wire::ExchangePointer exchange;
         // The pending decision in the quota limiter.
         std::uint64_t decisionNumber{0};
+        QuotaTerms terms;
     };
 
     void applyDeclaration(Fleet::DeclarationVersion version, const std::string &content);
@@ -90,9 +91,10 @@
     /** Returns the workspace that the request's API key belongs to and stores its name in the request; nullptr without a known key. */
     [[nodiscard]] const Fleet::Workspace *authenticate(CallerRequest &request) const;
     /** Requests a quota decision; the request starts or is refused when the decision is made. */
-    void admit(const Fleet::Workspace &workspace, CallerRequest request, const Wire::ExchangePointer &exchange);
+    void admit(const Fleet::Workspace &workspace, const Fleet::Route &route, CallerRequest request, const Wire::ExchangePointer &exchange);
     void handleDecision(std::uint64_t id, const QuotaDecision &decision);
-    void answerQuotaQuery(const Fleet::WorkspaceName &workspace, const CallerRequest &query, const RoutedRequest::AnswerHook &answer);
+    void refuseByQuota(const CallerRequest &request, const Wire::ExchangePointer &exchange, const QuotaTerms &terms, const QuotaDecision &decision);
+    void answerQuotaQuery(const ReceivedQuotaQuery &received, const CallerRequest &query, const RoutedRequest::AnswerHook &answer);
     void updateQuotas();
     void startRequest(const Fleet::Route &route, const Fleet::Workspace *workspace, CallerRequest request, const Wire::ExchangePointer &exchange);
     [[nodiscard]] RequestContext contextFor(const Fleet::Route &route, const Fleet::Workspace *workspace, std::optional<RelayParameters> relayParameters);
--- a/Libraries/LibGateway/Quota/QuotaLedger.cpp
+++ b/Libraries/LibGateway/Quota/QuotaLedger.cpp
@@ -70,31 +70,144 @@
                 held.emplace(workspace->name,
                     Share{.bucket = TokenBucket(size, std::max(now, this->mayHoldSince.value() + this->options.propagationTime)),
                         .grantsFrom = std::max(now + this->options.propagationTime, this->mayHoldSince.value() + this->options.handoverTime),
-                        .promisedRetryAt = now});
+                        .promisedRetryAt = now,
+                        .demand = DemandShares(this->options.window),
+                        .reservations = QuotaReservations({})});
                 continue;
             }
-            before.mapped().bucket.resize(size, now);
+            auto &share = before.mapped();
+            share.bucket.resize(size, now);
+            this->reservationCounts.dropped += share.reservations.fitTo(share.supplyAt(now), now);
             held.insert(std::move(before));
         }
     }
+    for (const auto &[workspace, share] : this->shares) {
+        this->reservationCounts.dropped += share.reservations.count();
+    }
     this->shares = std::move(held);
 }
 
-QuotaReply QuotaLedger::admit(const Fleet::WorkspaceName &workspace, Core::Instant now)
+// ---- Queries
+
+TokenSupply QuotaLedger::Share::supplyAt(Core::Instant now)
+{
+    const double tokens = this->bucket.tokensAt(now);
+    return {.tokens = tokens, .perSecond = this->bucket.currentSize().perSecond, .fillsFrom = std::max(now, this->bucket.filledUntil())};
+}
+
+static ShareSupply sizeOf(const TokenBucket &bucket)
+{
+    return {.perSecond = bucket.currentSize().perSecond, .capacity = bucket.currentSize().capacity};
+}
+
+static Urgency urgencyIn(const QuotaQuery &query)
+{
+    return query.terms.has_value() ? query.terms->urgency : Urgency{};
+}
+
+// Rounds up, so that nobody returns before the time that was meant.
+static Core::Duration wholeMilliseconds(Core::Duration duration)
 {
-    const auto found = this->shares.find(workspace);
+    return std::chrono::ceil<Core::milliseconds>(duration);
+}
+
+QuotaReply QuotaLedger::admit(const QuotaQuery &query, Core::Instant now)
+{
+    const auto found = this->shares.find(query.workspace);
     if (found == this->shares.end()) {
         return {};
     }
     auto &share = found->second;
-    if (now >= share.grantsFrom && share.bucket.take(now)) {
-        return {.isKeeper = true, .granted = true};
+    this->expire(query.workspace, share, now);
+    share.demand.recordRequest(urgencyIn(query), sizeOf(share.bucket), now);
+    const auto *own = query.terms.has_value() ? share.reservations.find(query.terms->digest, now + query.terms->timeLeft, now) : nullptr;
+    if (now >= share.grantsFrom && this->grant(share, query, own, now)) {
+        return {.isKeeper = true, .granted = true, .isClaimed = own != nullptr, .exhausted = {}};
+    }
+    return this->refuse(share, query, own, now);
+}
+
+bool QuotaLedger::grant(Share &share, const QuotaQuery &query, const QuotaReservation *own, Core::Instant now)
+{
+    const bool isDue = own != nullptr && share.reservations.isDue(*own, now);
+    const double forOthers = share.demand.tokensForOthers(urgencyIn(query), sizeOf(share.bucket));
+    const bool hasFreeToken = share.reservations.freeTokens(share.supplyAt(now), now) - forOthers >= 1.0;
+    if ((!isDue && !hasFreeToken) || !share.bucket.take(now)) {
+        return false;
+    }
+    if (own != nullptr) {
+        share.reservations.remove(own);
+        ++this->reservationCounts.claimed;
+    } else {
+        share.demand.recordGrant(urgencyIn(query));
+    }
+    return true;
+}
+
+QuotaReply QuotaLedger::refuse(Share &share, const QuotaQuery &query, const QuotaReservation *own, Core::Instant now)
+{
+    const auto size = sizeOf(share.bucket);
+    const auto urgency = urgencyIn(query);
+    const auto freeAt = share.reservations.nextFreeToken(
+        share.supplyAt(now), share.demand.tokensForOthers(urgency, size), share.demand.rateFor(urgency, size), std::max(now, share.grantsFrom), now);
+    const auto freeAfter = wholeMilliseconds(freeAt - now);
+    QuotaReply reply{.isKeeper = true, .isStarting = now < share.grantsFrom, .freeAfter = freeAfter, .retryAfter = freeAfter, .exhausted = {}};
+    if (!query.terms.has_value()) {
+        // Retry times are spaced by one token, so that callers that were refused earlier come first.
+        reply.retryAfter = std::clamp(share.promisedRetryAt + share.bucket.timePerToken() - now, freeAfter, std::max(freeAfter, MaximumRetryAfter));
+        share.promisedRetryAt = now + reply.retryAfter;
+        return reply;
+    }
+    if (own != nullptr) {
+        // The caller returned early, or its token comes a moment late.
+        reply.isReserved = true;
+        reply.retryAfter = wholeMilliseconds(std::max(own->at - now, share.bucket.timeToToken(now)));
+        return reply;
+    }
+    reply.isReserved = query.reservation == ReservationMode::Always && isWaitUseful(query.terms.value(), freeAfter)
+        && this->reserve(share, query.terms.value(), freeAfter, now);
+    return reply;
+}
+
+bool QuotaLedger::reserve(Share &share, const QuotaTerms &terms, Core::Duration wait, Core::Instant now)
+{
+    const bool isAdded = share.reservations.add({.digest = terms.digest, .urgency = terms.urgency, .at = now + wait, .deadline = now + terms.timeLeft}, now);
+    if (isAdded) {
+        share.demand.recordGrant(terms.urgency);
+        ++this->reservationCounts.made;
+    }
+    return isAdded;
+}
+
+void QuotaLedger::expire(const Fleet::WorkspaceName &workspace, Share &share, Core::Instant now)
+{
+    const auto count = share.reservations.expire(now);
+    this->reservationCounts.expired += count;
+    if (count > 0) {
+        this->unreportedExpired[workspace] += count;
+    }
+}
+
+std::map<Fleet::WorkspaceName, std::size_t> QuotaLedger::expireReservations(Core::Instant now)
+{
+    for (auto &[workspace, share] : this->shares) {
+        this->expire(workspace, share, now);
+    }
+    return std::exchange(this->unreportedExpired, {});
+}
+
+const ReservationCounters &QuotaLedger::reservationCounters() const
+{
+    return this->reservationCounts;
+}
+
+std::size_t QuotaLedger::outstandingReservations() const
+{
+    std::size_t count = 0;
+    for (const auto &[workspace, share] : this->shares) {
+        count += share.reservations.count();
     }
-    const auto freeAfter = std::max(share.bucket.timeToToken(now), share.grantsFrom - now);
-    // Retry times are spaced by one token, so that callers that were refused earlier come first.
-    const auto callerDelay = std::clamp(share.promisedRetryAt + share.bucket.timePerToken() - now, freeAfter, std::max(freeAfter, MaximumRetryAfter));
-    share.promisedRetryAt = now + callerDelay;
-    return {.isKeeper = true, .granted = false, .freeAfter = freeAfter, .retryAfter = callerDelay};
+    return count;
 }
 
 }
--- a/Libraries/LibGateway/Quota/QuotaLedger.h
+++ b/Libraries/LibGateway/Quota/QuotaLedger.h
@@ -8,22 +8,25 @@
 #pragma once
 
 #include <LibFleet/Declaration.h>
+#include <LibGateway/Quota/DemandShares.h>
 #include <LibGateway/Quota/QuotaKeepers.h>
+#include <LibGateway/Quota/QuotaMessages.h>
+#include <LibGateway/Quota/QuotaReservations.h>
 
+#include <map>
 #include <unordered_map>
 
 namespace Gateway
 {
 
-/** Reply of a keeper to a quota query. */
-struct QuotaReply {
-    /** Whether the replying gateway holds a share of the workspace's quota; if not, the other fields say nothing. */
-    bool isKeeper{false};
-    bool granted{false};
-    /** When not granted: time until this keeper may grant a request again; querying it earlier is useless. */
-    Core::Duration freeAfter{0};
-    /** When not granted: when the caller should retry, which is after the callers that were refused before it. */
-    Core::Duration retryAfter{0};
+/** Counters of the reservations of all shares of a gateway. */
+struct ReservationCounters {
+    std::uint64_t made{0};
+    std::uint64_t claimed{0};
+    /** The caller did not return in time. */
+    std::uint64_t expired{0};
+    /** The quota was lowered, or the share was given up. */
+    std::uint64_t dropped{0};
 };
 
 /**
@@ -34,6 +37,8 @@
  *     changes of its share (QuotaKeepers::shareOf()).
  * Q2. A gateway that can no longer confirm that the coordinators' leader knows it holds no shares, and gives them up before any other gateway takes its place.
  * Q3. Requests that were granted but not sent are not returned to the share.
+ * Q4. Every grant takes a token from the share's bucket when it is made, also one that was reserved. Reservations and the division by urgency only decide who
+ *     gets a token; they end with the share.
  */
 class QuotaLedger
 {
@@ -45,12 +50,22 @@
     /** Q2: must be false while this gateway drains, or when the others may already have removed it from their lists. */
     void setMayHoldShares(bool may, Core::Instant now);
 
-    /** Admits one request of a workspace if this gateway holds a share of its quota with a token left. */
-    [[nodiscard]] QuotaReply admit(const Fleet::WorkspaceName &workspace, Core::Instant now);
+    /**
+     * Admits one request of a workspace if this gateway holds a share of its quota with a token for it: its reserved one, or one that is neither reserved nor
+     * due to others (DemandShares). A query without terms counts as most urgent and gets no reservation, nor does one with another mode than
+     * ReservationMode::Always.
+     */
+    [[nodiscard]] QuotaReply admit(const QuotaQuery &query, Core::Instant now);
+
+    /** Removes the reservations whose callers did not return in time. Returns the number that expired since the last call, by workspace. */
+    std::map<Fleet::WorkspaceName, std::size_t> expireReservations(Core::Instant now);
 
     [[nodiscard]] const QuotaKeepers &keepers() const;
     /** Returns the number of workspaces of whose quotas this gateway holds a share. */
     [[nodiscard]] std::size_t heldShareCount() const;
+    [[nodiscard]] const ReservationCounters &reservationCounters() const;
+    /** Returns the number of reservations whose callers are expected. */
+    [[nodiscard]] std::size_t outstandingReservations() const;
 
 private:
     struct Share {
@@ -58,8 +73,20 @@
         Core::Instant grantsFrom;
         // The retry time that was given to the caller refused last.
         Core::Instant promisedRetryAt;
+        DemandShares demand;
+        QuotaReservations reservations;
+
+        [[nodiscard]] TokenSupply supplyAt(Core::Instant now);
     };
 
+    /** Grants the token that is reserved for the query's caller, or another free one. Returns whether there was one. */
+    [[nodiscard]] bool grant(Share &share, const QuotaQuery &query, const QuotaReservation *own, Core::Instant now);
+    /** Says when a request that was not granted may be, and reserves a token if that helps. */
+    [[nodiscard]] QuotaReply refuse(Share &share, const QuotaQuery &query, const QuotaReservation *own, Core::Instant now);
+    void expire(const Fleet::WorkspaceName &workspace, Share &share, Core::Instant now);
+    /** Reserves the token that is there after `wait`. Returns whether that was possible. */
+    [[nodiscard]] bool reserve(Share &share, const QuotaTerms &terms, Core::Duration wait, Core::Instant now);
+
     void update(Core::Instant now);
 
     QuotaOptions options;
@@ -69,6 +96,8 @@
     // Start of the current uninterrupted period in which this gateway may hold shares; nothing while it may not.
     std::optional<Core::Instant> mayHoldSince;
     std::unordered_map<Fleet::WorkspaceName, Share> shares;
+    ReservationCounters reservationCounts;
+    std::map<Fleet::WorkspaceName, std::size_t> unreportedExpired;
 };
 
 }
--- a/Libraries/LibGateway/Quota/QuotaLimiter.cpp
+++ b/Libraries/LibGateway/Quota/QuotaLimiter.cpp
@@ -6,8 +6,8 @@
 #include <LibGateway/Quota/QuotaLimiter.h>
 
 #include <LibCore/Log.h>
-#include <LibCore/Settings.h>
 #include <LibGateway/RelayPlan.h>
+#include <LibGateway/StableHash.h>
 
 #include <algorithm>
 
@@ -17,36 +17,8 @@
 // Assumed as a keeper's reply time until enough replies have been measured.
 static constexpr Core::Duration AssumedReplyTime = Core::milliseconds(10);
 static constexpr double MinimumReplies = 20.0;
-static constexpr std::int64_t MaximumMilliseconds = 86'400'000;
-
-std::optional<Fleet::WorkspaceName> extractQuotaQuery(Wire::Headers &headers)
-{
-    auto name = Wire::extractHeader(headers, RelayHeader::Quota);
-    return name.has_value() ? std::optional(Fleet::WorkspaceName(std::move(name.value()))) : std::nullopt;
-}
-
-std::string writeQuotaReply(const QuotaReply &reply)
-{
-    return (reply.granted ? "1," : "0,") + std::to_string(Core::toMilliseconds(reply.freeAfter)) + "," + std::to_string(Core::toMilliseconds(reply.retryAfter));
-}
-
-std::optional<QuotaReply> readQuotaReply(const std::string &body)
-{
-    const auto words = Core::splitList(body);
-    static constexpr std::size_t FieldCount = 3;
-    if (words.size() != FieldCount) {
-        return std::nullopt;
-    }
-    std::vector<std::int64_t> numbers;
-    for (const auto &word : words) {
-        const auto number = Core::parseInteger(word, 0, MaximumMilliseconds);
-        if (!number.has_value()) {
-            return std::nullopt;
-        }
-        numbers.push_back(number.value());
-    }
-    return QuotaReply{.isKeeper = true, .granted = numbers[0] == 1, .freeAfter = Core::milliseconds(numbers[1]), .retryAfter = Core::milliseconds(numbers[2])};
-}
+// Log lines about reservations between two sweeps, which are a second apart. Bounds the log of a keeper while very many callers are refused.
+static constexpr int MaximumReservationLines = 50;
 
 QuotaLimiter::QuotaLimiter(const QuotaLimiterOptions &options,
     const Fleet::RegionOfZone &regions,
@@ -100,9 +72,10 @@
     this->hasQuotas = workspaces.has_value() && std::any_of(workspaces->all().begin(), workspaces->all().end(), [](const auto &workspace) {
         return workspace->quota.isBounded();
     });
+    this->declaration = declaration;
     this->ledger.setDeclaration(declaration, this->timers.now());
     // The earlier replies of keepers refer to the previous quota.
-    this->exhaustedShares.clear();
+    this->exhausted.clear();
 }
 
 void QuotaLimiter::setMayHoldShares(bool mayHold)
@@ -110,60 +83,140 @@
     this->ledger.setMayHoldShares(mayHold, this->timers.now());
 }
 
-QuotaReply QuotaLimiter::answer(const Fleet::WorkspaceName &workspace)
+const ReservationCounters &QuotaLimiter::reservationCounters() const
 {
-    ++this->counts.answered;
-    return this->ledger.admit(workspace, this->timers.now());
+    return this->ledger.reservationCounters();
+}
+
+std::size_t QuotaLimiter::outstandingReservations() const
+{
+    return this->ledger.outstandingReservations();
 }
 
 void QuotaLimiter::sweep()
 {
     const auto now = this->timers.now();
     this->latencies.decay(now);
-    std::erase_if(this->exhaustedShares, [now](const auto &item) {
-        return item.second.until <= now;
-    });
+    this->exhausted.forgetExpired(now);
+    this->reservationLines = 0;
+    for (const auto &[workspace, count] : this->ledger.expireReservations(now)) {
+        if (++this->reservationLines <= MaximumReservationLines) {
+            Core::logEvent(Core::LogLevel::Information, "quota.reservation_expired", {{"workspace", workspace.value()}, {"count", count}});
+        }
+    }
 }
 
-std::vector<KeeperGateway> QuotaLimiter::candidatesFor(const Fleet::Workspace &workspace, PendingDecision &pending)
+// ---- As a keeper
+
+static Urgency urgencyIn(const QuotaQuery &query)
+{
+    return query.terms.has_value() ? query.terms->urgency : Urgency{};
+}
+
+// Keeps what another gateway knows, if it is of keepers that this gateway knows as well.
+void QuotaLimiter::learn(const QuotaQuery &query, const std::vector<ExhaustedKeeper> &exhausted)
+{
+    const auto *workspace = this->declaration ? this->declaration->workspaceNamed(query.workspace) : nullptr;
+    if (workspace == nullptr || !query.terms.has_value() || exhausted.empty()) {
+        return;
+    }
+    const auto keepers = this->ledger.keepers().keepersOf(*workspace);
+    for (const auto &known : exhausted) {
+        const bool isOtherKeeper = known.address != this->ownAddress && std::any_of(keepers.begin(), keepers.end(), [&known](const KeeperGateway *keeper) {
+            return keeper->address == known.address;
+        });
+        if (isOtherKeeper) {
+            this->exhausted.learnFromOther(query.workspace, known, query.terms->urgency, this->timers.now());
+        }
+    }
+}
+
+QuotaReply QuotaLimiter::admitHere(QuotaQuery query)
 {
     const auto now = this->timers.now();
-    std::vector<KeeperGateway> sameRegion;
-    std::vector<KeeperGateway> otherRegions;
+    const auto *workspace = this->declaration ? this->declaration->workspaceNamed(query.workspace) : nullptr;
+    if (workspace != nullptr && query.reservation == ReservationMode::IfOthersExhausted) {
+        const auto keepers = this->ledger.keepers().keepersOf(*workspace);
+        const bool areExhausted = std::all_of(keepers.begin(), keepers.end(), [this, &query, now](const KeeperGateway *keeper) {
+            return keeper->address == this->ownAddress || this->exhausted.find(query.workspace, keeper->address, query.terms->urgency, now).has_value();
+        });
+        query.reservation = areExhausted ? ReservationMode::Always : ReservationMode::Never;
+    }
+    const auto reply = this->ledger.admit(query, now);
+    this->logReservation(query, reply);
+    return reply;
+}
+
+void QuotaLimiter::logReservation(const QuotaQuery &query, const QuotaReply &reply)
+{
+    if ((!reply.isClaimed && !reply.isReserved) || ++this->reservationLines > MaximumReservationLines) {
+        return;
+    }
+    Core::logEvent(Core::LogLevel::Information,
+        reply.isClaimed ? "quota.reservation_claimed" : "quota.reserved",
+        {{"workspace", query.workspace.value()},
+            {"digest", query.terms->digest.value()},
+            {"urgency", query.terms->urgency.route},
+            {"retry_ms", Core::toMilliseconds(reply.retryAfter)},
+            {"caller_left_ms", Core::toMilliseconds(query.terms->timeLeft)}});
+}
+
+QuotaReply QuotaLimiter::answer(const ReceivedQuotaQuery &received)
+{
+    ++this->counts.answered;
+    this->learn(received.query, received.exhausted);
+    auto reply = this->admitHere(received.query);
+    if (reply.isKeeper && !reply.granted) {
+        reply.exhausted = this->exhausted.list(received.query.workspace, urgencyIn(received.query), this->timers.now());
+    }
+    return reply;
+}
+
+// ---- Decisions
+
+static bool isHome(const std::optional<KeeperGateway> &home, const KeeperGateway &keeper)
+{
+    return home.has_value() && home->address == keeper.address;
+}
+
+std::vector<KeeperGateway> QuotaLimiter::keepersInOrder(const Fleet::Workspace &workspace, const Fleet::RequestDigest &digest) const
+{
+    std::vector<std::pair<std::uint64_t, KeeperGateway>> sameRegion;
+    std::vector<std::pair<std::uint64_t, KeeperGateway>> otherRegions;
     for (const auto *keeper : this->ledger.keepers().keepersOf(workspace)) {
-        const auto exhausted = this->exhaustedShares.find({workspace.name, keeper->name});
-        if (exhausted != this->exhaustedShares.end() && exhausted->second.until > now) {
-            const auto wait = std::max(exhausted->second.until, exhausted->second.retryAt) - now;
-            pending.retryAfter = std::min(wait, pending.retryAfter.value_or(wait));
-            continue;
-        }
-        (this->ledger.keepers().isInRegionOf(*keeper, this->ownZone) ? sameRegion : otherRegions).push_back(*keeper);
+        auto &group = this->ledger.keepers().isInRegionOf(*keeper, this->ownZone) ? sameRegion : otherRegions;
+        group.emplace_back(stableHash(digest.value() + "/" + keeper->address), *keeper);
     }
-    // Rotating the keepers spreads the requests over them. A share that this gateway holds itself comes first, since using it needs no round trip.
+    std::vector<KeeperGateway> keepers;
     for (auto *group : {&sameRegion, &otherRegions}) {
-        if (!group->empty()) {
-            std::rotate(group->begin(), group->begin() + static_cast<std::ptrdiff_t>(this->nextDecision % group->size()), group->end());
+        std::sort(group->begin(), group->end(), [](const auto &left, const auto &right) {
+            return left.first > right.first;
+        });
+        for (auto &[hash, keeper] : *group) {
+            keepers.push_back(std::move(keeper));
         }
     }
-    std::stable_partition(sameRegion.begin(), sameRegion.end(), [this](const KeeperGateway &keeper) {
-        return keeper.address == this->ownAddress;
-    });
-    sameRegion.insert(sameRegion.end(), otherRegions.begin(), otherRegions.end());
-    sameRegion.resize(std::min(sameRegion.size(), this->options.maximumQueries));
-    std::reverse(sameRegion.begin(), sameRegion.end());
-    return sameRegion;
+    return keepers;
 }
 
-std::uint64_t QuotaLimiter::decide(const Fleet::Workspace &workspace, const Core::RequestId &request, DecisionHook done)
+std::uint64_t QuotaLimiter::decide(const Fleet::Workspace &workspace, const QuotaTerms &terms, const Core::RequestId &request, DecisionHook done)
 {
     const auto number = this->nextDecision++;
     auto &pending = this->pendingDecisions[number];
-    pending.workspace = workspace.name;
+    pending.query = {.workspace = workspace.name, .terms = terms};
     pending.startedAt = this->timers.now();
     pending.done = std::move(done);
     pending.message.id = request;
-    pending.message.message = Wire::Request{.method = "GET", .target = "/", .headers = {{RelayHeader::Quota, workspace.name.value()}}, .body = {}};
-    pending.candidates = this->candidatesFor(workspace, pending);
+    auto keepers = this->keepersInOrder(workspace, terms.digest);
+    if (!keepers.empty()) {
+        pending.home = keepers.front();
+    }
+    // The share of this gateway comes before the home, since using it needs no round trip. It refuses at once when it has no token.
+    std::stable_partition(keepers.begin(), keepers.end(), [this](const KeeperGateway &keeper) {
+        return keeper.address == this->ownAddress;
+    });
+    std::reverse(keepers.begin(), keepers.end());
+    pending.candidates = std::move(keepers);
     this->queryNext(number);
     return number;
 }
@@ -182,22 +235,70 @@
 
 void QuotaLimiter::queryNext(std::uint64_t number)
 {
-    while (!this->pendingDecisions.at(number).candidates.empty()) {
-        auto &pending = this->pendingDecisions.at(number);
-        const KeeperGateway keeper = std::move(pending.candidates.back());
-        pending.candidates.pop_back();
-        if (keeper.address != this->ownAddress) {
-            if (this->queryRemote(number, keeper)) {
-                return;
-            }
-            continue;
+    while (!this->pendingDecisions.at(number).candidates.empty() && this->pendingDecisions.at(number).decision.asked < this->options.maximumQueries) {
+        auto &candidates = this->pendingDecisions.at(number).candidates;
+        const KeeperGateway keeper = std::move(candidates.back());
+        candidates.pop_back();
+        if (this->query(number, keeper)) {
+            return;
         }
-        if (this->handleReply(number, keeper, this->ledger.admit(pending.workspace, this->timers.now()))) {
+    }
+    auto &pending = this->pendingDecisions.at(number);
+    if (std::exchange(pending.mayWaitAtHome, false) && !pending.decision.isReserved) {
+        // All have refused, so a token is reserved where the caller will be sent first when it returns.
+        pending.haveAllRefused = true;
+        const auto home = pending.home.value();
+        if (this->query(number, home)) {
             return;
         }
     }
-    const bool anyAnswered = this->pendingDecisions.at(number).retryAfter.has_value();
-    this->finish(number, anyAnswered ? QuotaDecision::Verdict::OverQuota : QuotaDecision::Verdict::NoKeeper);
+    auto &refused = this->pendingDecisions.at(number);
+    // What is known of exhausted keepers is valid for a short time only, so the times in replies are the true ones.
+    refused.decision.retryAfter = refused.hasReply ? refused.decision.retryAfter : refused.knownWait;
+    const bool isKnown = refused.hasReply || refused.decision.knownExhausted > 0;
+    const auto refusal = refused.isStarting ? QuotaDecision::Verdict::Starting : QuotaDecision::Verdict::OverQuota;
+    this->finish(number, isKnown ? refusal : QuotaDecision::Verdict::NoKeeper);
+}
+
+bool QuotaLimiter::query(std::uint64_t number, const KeeperGateway &keeper)
+{
+    auto &pending = this->pendingDecisions.at(number);
+    const auto now = this->timers.now();
+    if (keeper.address == this->ownAddress) {
+        return this->handleReply(number, keeper, this->admitHere(this->queryNow(pending, keeper)));
+    }
+    const auto known = this->exhausted.find(pending.query.workspace, keeper.address, urgencyIn(pending.query), now);
+    // The home is queried also when it is exhausted, since it may keep a token for this caller.
+    if (known.has_value() && !isHome(pending.home, keeper)) {
+        auto &decision = pending.decision;
+        const auto wait = known->until - now;
+        pending.knownWait = decision.knownExhausted > 0 ? std::min(wait, pending.knownWait) : wait;
+        decision.knownAge = std::max(decision.knownAge, now - known->learnedAt);
+        ++decision.knownExhausted;
+        pending.isStarting = pending.isStarting || known->isStarting;
+        return false;
+    }
+    return this->queryRemote(number, keeper);
+}
+
+bool QuotaLimiter::areOthersExhausted(const PendingDecision &pending) const
+{
+    return std::all_of(pending.candidates.begin(), pending.candidates.end(), [this, &pending](const KeeperGateway &keeper) {
+        return this->exhausted.find(pending.query.workspace, keeper.address, urgencyIn(pending.query), this->timers.now()).has_value();
+    });
+}
+
+QuotaQuery QuotaLimiter::queryNow(const PendingDecision &pending, const KeeperGateway &keeper) const
+{
+    auto query = pending.query;
+    const auto elapsed = this->timers.now() - pending.startedAt;
+    query.terms->timeLeft = std::max(Core::Duration(0), query.terms->timeLeft - elapsed);
+    query.terms->targetLeft = std::max(Core::Duration(0), query.terms->targetLeft - elapsed);
+    if (isHome(pending.home, keeper)) {
+        const bool isLast = pending.haveAllRefused || this->areOthersExhausted(pending);
+        query.reservation = isLast ? ReservationMode::Always : ReservationMode::IfOthersExhausted;
+    }
+    return query;
 }
 
 bool QuotaLimiter::queryRemote(std::uint64_t number, const KeeperGateway &keeper)
@@ -211,8 +312,11 @@
         return false;
     }
     auto &pending = this->pendingDecisions.at(number);
-    ++pending.asked;
+    ++pending.decision.asked;
     ++this->counts.asked;
+    const auto query = this->queryNow(pending, keeper);
+    pending.message.message = Wire::Request{.method = "GET", .target = "/", .headers = {}, .body = {}};
+    addQuotaQuery(pending.message.message.headers, query, this->exhausted.list(query.workspace, urgencyIn(query), this->timers.now()));
     pending.attempt = this->relays.send(*backend,
         AttemptOptions{.caller = &pending.message,
             .timeLeft = this->options.keeperTimeout,
@@ -254,35 +358,58 @@
         return false;
     }
     auto &pending = this->pendingDecisions.at(number);
+    const auto &workspace = pending.query.workspace;
+    const auto urgency = urgencyIn(pending.query);
     if (reply.granted) {
+        this->exhausted.learnOfGrant(workspace, keeper.address, urgency);
         this->finish(number, QuotaDecision::Verdict::Granted);
         return true;
     }
-    const auto now = this->timers.now();
-    this->exhaustedShares[{pending.workspace, keeper.name}] = {.until = now + reply.freeAfter, .retryAt = now + reply.retryAfter};
-    pending.retryAfter = std::min(reply.retryAfter, pending.retryAfter.value_or(reply.retryAfter));
+    if (keeper.address != this->ownAddress) {
+        this->exhausted.learnFromKeeper(workspace, keeper.address, urgency, reply, this->timers.now());
+    }
+    this->learn(pending.query, reply.exhausted);
+    auto &decision = pending.decision;
+    const bool isSooner = !decision.isReserved && (!pending.hasReply || reply.retryAfter < decision.retryAfter);
+    decision.retryAfter = reply.isReserved || isSooner ? reply.retryAfter : decision.retryAfter;
+    decision.isReserved = decision.isReserved || reply.isReserved;
+    pending.hasReply = true;
+    pending.isStarting = pending.isStarting || reply.isStarting;
+    if (isHome(pending.home, keeper) && !pending.haveAllRefused) {
+        pending.mayWaitAtHome = isWaitUseful(pending.query.terms.value(), reply.retryAfter);
+    }
     return false;
 }
 
 void QuotaLimiter::finish(std::uint64_t number, QuotaDecision::Verdict verdict)
 {
-    const auto row = this->pendingDecisions.extract(number);
-    const auto &pending = row.mapped();
-    switch (verdict) {
+    auto row = this->pendingDecisions.extract(number);
+    auto &pending = row.mapped();
+    pending.decision.verdict = verdict;
+    pending.decision.waited = this->timers.now() - pending.startedAt;
+    this->count(pending, pending.decision);
+    pending.done(pending.decision);
+}
+
+void QuotaLimiter::count(const PendingDecision &pending, const QuotaDecision &decision)
+{
+    switch (decision.verdict) {
     case QuotaDecision::Verdict::Granted:
         ++this->counts.granted;
-        break;
+        return;
     case QuotaDecision::Verdict::OverQuota:
         ++this->counts.refused;
         break;
+    case QuotaDecision::Verdict::Starting:
+        ++this->counts.starting;
+        break;
     case QuotaDecision::Verdict::NoKeeper:
         ++this->counts.noKeeper;
         break;
     }
-    pending.done({.verdict = verdict,
-        .retryAfter = pending.retryAfter.value_or(Core::Duration(0)),
-        .asked = pending.asked,
-        .waited = this->timers.now() - pending.startedAt});
+    ++this->counts.refusedAfterQueries[std::min(decision.asked, this->counts.refusedAfterQueries.size() - 1)];
+    ++this->counts.refusedByUrgency[urgencyIn(pending.query)];
+    this->counts.refusalTimes.add(decision.waited);
 }
 
 }
--- a/Libraries/LibGateway/Quota/QuotaLimiter.h
+++ b/Libraries/LibGateway/Quota/QuotaLimiter.h
@@ -11,7 +11,11 @@
 #include <LibCore/LatencyDigest.h>
 #include <LibFleet/BackendRegistry.h>
 #include <LibGateway/BackendPool.h>
+#include <LibGateway/Quota/ExhaustedKeepers.h>
 #include <LibGateway/Quota/QuotaLedger.h>
+#include <LibMetrics/LatencyHistogram.h>
+
+#include <array>
 
 namespace Gateway
 {
@@ -21,7 +25,7 @@
     QuotaOptions quota;
     /** A keeper that does not reply within this time is skipped for the next one; the longest known round trip between regions is 24 ms. */
     Core::Duration keeperTimeout{Core::milliseconds(60)};
-    /** Maximum number of keepers queried for one request: those of the own region and one more. */
+    /** Maximum number of queries for one request, before one that only reserves a token: the keepers of the own region and one more. */
     std::size_t maximumQueries{3};
 };
 
@@ -31,14 +35,21 @@
         Granted,
         /** The workspace has exhausted its quota. */
         OverQuota,
+        /** A keeper has taken over its share only now and grants nothing yet, so the quota is not known to be exhausted. */
+        Starting,
         /** No keeper replied. */
         NoKeeper,
     };
     Verdict verdict{Verdict::NoKeeper};
-    /** With OverQuota: when the workspace has some quota again. */
+    /** With OverQuota and Starting: when the caller should return. */
     Core::Duration retryAfter{0};
-    /** Number of other gateways that were queried. */
+    /** A keeper keeps a token for the caller at that time. */
+    bool isReserved{false};
+    /** Number of queries to other gateways. */
     std::size_t asked{0};
+    /** Number of keepers that were not queried since they were known to be exhausted, and how long ago the oldest of these facts was learned. */
+    std::size_t knownExhausted{0};
+    Core::Duration knownAge{0};
     Core::Duration waited{0};
 };
 
@@ -47,6 +58,13 @@
     std::uint64_t granted{0};
     std::uint64_t refused{0};
     std::uint64_t noKeeper{0};
+    /** Requests refused because a keeper has taken over its share only now. */
+    std::uint64_t starting{0};
+    /** Requests refused after 0, 1, 2, and 3 or more queries to other gateways. */
+    std::array<std::uint64_t, 4> refusedAfterQueries{};
+    std::map<Urgency, std::uint64_t> refusedByUrgency;
+    /** Time until a request was refused. */
+    Metrics::LatencyHistogram refusalTimes;
     /** Quota queries sent to other gateways, and received from other gateways. */
     std::uint64_t asked{0};
     std::uint64_t answered{0};
@@ -76,51 +94,63 @@
     void setMayHoldShares(bool mayHold);
 
     /** Decides on a request of a workspace whose quota is bounded. Calls the hook once, during this call or later, unless cancel() is called first. */
-    std::uint64_t decide(const Fleet::Workspace &workspace, const Core::RequestId &request, DecisionHook done);
+    std::uint64_t decide(const Fleet::Workspace &workspace, const QuotaTerms &terms, const Core::RequestId &request, DecisionHook done);
     void cancel(std::uint64_t number);
 
     /** Answers a quota query of another gateway. */
-    [[nodiscard]] QuotaReply answer(const Fleet::WorkspaceName &workspace);
+    [[nodiscard]] QuotaReply answer(const ReceivedQuotaQuery &received);
 
     /** Removes expired state. */
     void sweep();
 
     [[nodiscard]] const QuotaCounters &counters() const;
     [[nodiscard]] std::size_t heldShareCount() const;
+    [[nodiscard]] const ReservationCounters &reservationCounters() const;
+    [[nodiscard]] std::size_t outstandingReservations() const;
 
 private:
     /** A decision that waits for replies of keepers. */
     struct PendingDecision {
         CallerRequest message;
-        Fleet::WorkspaceName workspace;
+        QuotaQuery query;
         // Keepers to be queried next, in reverse order.
         std::vector<KeeperGateway> candidates;
+        // The keeper that holds the reservations of this content; queried first.
+        std::optional<KeeperGateway> home;
+        // Set when `home` replied that a caller of this request could wait for a token, until it is asked to reserve one.
+        bool mayWaitAtHome{false};
+        bool haveAllRefused{false};
         std::optional<AttemptId> attempt;
         Core::Instant startedAt;
-        std::size_t asked{0};
-        // The shortest retry time of all replies; nothing while no keeper has replied.
-        std::optional<Core::Duration> retryAfter;
+        // What is decided so far. Its retryAfter is the shortest of all replies, or that of the reservation.
+        QuotaDecision decision;
+        bool hasReply{false};
+        // The shortest time until a keeper that was not queried may have a token.
+        Core::Duration knownWait{0};
+        bool isStarting{false};
         DecisionHook done;
         Core::TimerSubscription keeperTimer;
     };
-    // What a keeper replied when its share of a workspace's quota was exhausted.
-    using ExhaustedKey = std::pair<Fleet::WorkspaceName, BackendName>;
-    struct ExhaustedShare {
-        Core::Instant until;
-        Core::Instant retryAt;
-    };
 
-    /**
-     * Returns the keepers that may have quota left, those of the own region first. For the keepers whose share is still exhausted, updates the retry time of
-     * the pending decision instead.
-     */
-    [[nodiscard]] std::vector<KeeperGateway> candidatesFor(const Fleet::Workspace &workspace, PendingDecision &pending);
+    /** Returns the keepers of a workspace in the order in which they are queried, which gateways of one region agree on. */
+    [[nodiscard]] std::vector<KeeperGateway> keepersInOrder(const Fleet::Workspace &workspace, const Fleet::RequestDigest &digest) const;
     void queryNext(std::uint64_t number);
+    /** Queries a keeper unless it is known to be exhausted. Returns whether the decision is made or waits for a reply. */
+    [[nodiscard]] bool query(std::uint64_t number, const KeeperGateway &keeper);
+    /** Returns whether no further keeper needs to be queried if this one refuses. */
+    [[nodiscard]] bool areOthersExhausted(const PendingDecision &pending) const;
     [[nodiscard]] bool queryRemote(std::uint64_t number, const KeeperGateway &keeper);
+    /** Returns the query of a decision with the time that is left now. */
+    [[nodiscard]] QuotaQuery queryNow(const PendingDecision &pending, const KeeperGateway &keeper) const;
+    /** Admits a request by the share of this gateway. */
+    [[nodiscard]] QuotaReply admitHere(QuotaQuery query);
+    void logReservation(const QuotaQuery &query, const QuotaReply &reply);
     void handleOutcome(std::uint64_t number, const KeeperGateway &keeper, const AttemptOutcome &outcome);
     /** Handles the reply of a keeper. Returns whether the request was admitted, which ends the decision. */
     [[nodiscard]] bool handleReply(std::uint64_t number, const KeeperGateway &keeper, const QuotaReply &reply);
+    void learn(const QuotaQuery &query, const std::vector<ExhaustedKeeper> &exhausted);
     void finish(std::uint64_t number, QuotaDecision::Verdict verdict);
+    void count(const PendingDecision &pending, const QuotaDecision &decision);
 
     QuotaLimiterOptions options;
     std::string ownZone;
@@ -133,16 +163,12 @@
     std::int64_t gatewaysPosition{-1};
     std::unordered_map<std::uint64_t, PendingDecision> pendingDecisions;
     std::uint64_t nextDecision{1};
-    std::map<ExhaustedKey, ExhaustedShare> exhaustedShares;
+    ExhaustedKeepers exhausted;
+    std::shared_ptr<const Fleet::Declaration> declaration;
+    // Number of log lines about reservations since the latest sweep.
+    int reservationLines{0};
     Core::LatencyDigest latencies;
     QuotaCounters counts;
 };
 
-/** Extracts the workspace from the headers of a quota query; nothing when they are not those of a quota query. */
-[[nodiscard]] std::optional<Fleet::WorkspaceName> extractQuotaQuery(Wire::Headers &headers);
-
-/** Writes and reads the body of a quota reply. Reading returns nothing when the body is malformed. */
-[[nodiscard]] std::string writeQuotaReply(const QuotaReply &reply);
-[[nodiscard]] std::optional<QuotaReply> readQuotaReply(const std::string &body);
-
 }
--- a/Libraries/LibGateway/Quota/TokenBucket.cpp
+++ b/Libraries/LibGateway/Quota/TokenBucket.cpp
@@ -35,6 +35,22 @@
     this->tokens = std::min(this->tokens, newSize.capacity);
 }
 
+double TokenBucket::tokensAt(Core::Instant now)
+{
+    this->fill(now);
+    return this->tokens;
+}
+
+Core::Instant TokenBucket::filledUntil() const
+{
+    return this->filledAt;
+}
+
+const BucketSize &TokenBucket::currentSize() const
+{
+    return this->size;
+}
+
 bool TokenBucket::take(Core::Instant now)
 {
     this->fill(now);
--- a/Libraries/LibGateway/Quota/TokenBucket.h
+++ b/Libraries/LibGateway/Quota/TokenBucket.h
@@ -33,6 +33,14 @@
 
     [[nodiscard]] bool take(Core::Instant now);
 
+    /** Returns the tokens at this time, with fractions. */
+    [[nodiscard]] double tokensAt(Core::Instant now);
+
+    /** Returns the time up to which the bucket is filled: that of the latest call, or `fillStart` while that lies in the future. */
+    [[nodiscard]] Core::Instant filledUntil() const;
+
+    [[nodiscard]] const BucketSize &currentSize() const;
+
     /** Returns how long it takes to fill one token; at most a day. */
     [[nodiscard]] Core::Duration timePerToken() const;
 
--- a/Libraries/LibGateway/RelayPlan.h
+++ b/Libraries/LibGateway/RelayPlan.h
@@ -111,6 +111,10 @@
 constexpr const char *Workspace = "Crankrudder-Workspace";
 /** Quota query to a quota keeper, with the workspace's name: whether one more request may be admitted. */
 constexpr const char *Quota = "Crankrudder-Quota";
+/** Terms of a quota query: WORKSPACE_PRIORITY,ROUTE_PRIORITY,DIGEST,TIME_LEFT_MS,TARGET_LEFT_MS,RESERVATION_MODE. Absent from gateways of an older build. */
+constexpr const char *QuotaTerms = "Crankrudder-Quota-Terms";
+/** Keepers that the querying gateway knows to be exhausted: ADDRESS=MS,... with the time for which that is valid. */
+constexpr const char *QuotaExhausted = "Crankrudder-Quota-Exhausted";
 /** Identifies one send of a part. The serving gateway returns it with the answer, since all parts of a search have the same request id. */
 constexpr const char *Send = "Crankrudder-Send";
 }
--- a/Tests/LibGateway/TestQuotaLedger.cpp
+++ b/Tests/LibGateway/TestQuotaLedger.cpp
@@ -107,8 +107,48 @@
         }
     }
 
+    /** A request as its caller sends it. */
+    struct Call {
+        // Without terms, as from a gateway of an older build.
+        std::optional<Gateway::QuotaTerms> terms;
+        // When the caller returns, if it was told to.
+        Core::Instant returnsAt;
+    };
+
+    /** Returns a call with one of few digests, so that several callers have the same content, and with time enough to be given reservations. */
+    Call randomCall()
+    {
+        if (this->random() % 4 == 0) {
+            return {.terms = {}, .returnsAt = {}};
+        }
+        return {.terms = {{.urgency = {.workspace = 0, .route = static_cast<int>(this->random() % 3)},
+                    .digest = Fleet::RequestDigest("d" + std::to_string(this->random() % 50)),
+                    .timeLeft = this->upTo(6000),
+                    .targetLeft = Core::milliseconds(200)}},
+            .returnsAt = {}};
+    }
+
+    /** Sends the requests of callers who were told to return at this time, to any gateway. Some come early, late or twice. */
+    void sendReturningCalls()
+    {
+        std::vector<Call> due;
+        std::erase_if(this->returning, [this, &due](const Call &call) {
+            const bool isDue = call.returnsAt <= this->now;
+            if (isDue) {
+                due.push_back(call);
+            }
+            return isDue;
+        });
+        for (const auto &call : due) {
+            const bool comesTwice = this->random() % 10 == 0;
+            for (int attempt = 0; attempt < (comesTwice ? 2 : 1); ++attempt) {
+                (void)this->requestAt(this->rows[this->random() % this->rows.size()], call);
+            }
+        }
+    }
+
     /** Sends a caller's request to a gateway; returns whether it was admitted. */
-    bool requestAt(Row &gateway)
+    bool requestAt(Row &gateway, const Call &call)
     {
         if (!this->isRunning(gateway) || !gateway.held) {
             return false;
@@ -118,17 +158,32 @@
         std::shuffle(keepers.begin(), keepers.end(), this->random);
         for (const auto *keeper : keepers) {
             auto &row = this->rows[std::stoul(keeper->name.value().substr(1))];
-            if (this->isRunning(row) && row.ledger->admit(workspace.name, this->now).granted) {
+            if (!this->isRunning(row)) {
+                continue;
+            }
+            const auto reply
+                = row.ledger->admit({.workspace = workspace.name, .terms = call.terms, .reservation = Gateway::ReservationMode::Always}, this->now);
+            if (reply.granted) {
                 this->granted.push_back(this->now);
+                this->claimed += reply.isClaimed ? 1 : 0;
                 return true;
             }
+            if (reply.isReserved) {
+                this->returning.push_back({.terms = call.terms, .returnsAt = this->now + reply.retryAfter + this->upTo(400) - Core::milliseconds(50)});
+                break;
+            }
         }
         return false;
     }
 
     bool requestAtRandomGateway()
     {
-        return this->requestAt(this->rows[this->random() % this->rows.size()]);
+        return this->requestAt(this->rows[this->random() % this->rows.size()], {.terms = {}, .returnsAt = {}});
+    }
+
+    void sendRandomCall()
+    {
+        (void)this->requestAt(this->rows[this->random() % this->rows.size()], this->randomCall());
     }
 
     void declare(const Quota &quota)
@@ -169,6 +224,8 @@
     QuotaOptions options{.overshoot = 0.1, .slack = 20.0, .window = Core::seconds(5)};
     Core::Instant now;
     std::vector<Row> rows;
+    // Reserved tokens that were granted.
+    std::size_t claimed{0};
 
 private:
     [[nodiscard]] bool isRunning(const Row &row) const
@@ -219,6 +276,7 @@
     std::vector<bool> actualReady;
     std::vector<std::pair<Core::Instant, Quota>> quotas;
     std::deque<Core::Instant> granted;
+    std::vector<Call> returning;
 };
 
 const std::vector<Quota> testQuotas{
@@ -245,9 +303,11 @@
     cr_assert(bucket.take(at(Core::seconds(64))) && !bucket.take(at(Core::seconds(64))));
 }
 
-// Offered load is many times the quota, at gateways that freeze, are disconnected and come back, while the quota is changed.
+// Offered load is many times the quota, at gateways that freeze, are disconnected and come back, while the quota is changed. Callers get reservations and
+// return to other gateways, which may know other keepers by then.
 Test(QuotaLedger, noWindowExceedsTheQuotaUnderFaults)
 {
+    std::size_t claimed = 0;
     for (unsigned seed = 1; seed <= 24; ++seed) {
         const auto &quota = testQuotas[seed % testQuotas.size()];
         Model model(seed, 6 + seed % 4 * 24, quota);
@@ -268,8 +328,9 @@
                 }
             }
             for (int request = 0; request < static_cast<int>(offeredInStep); ++request) {
-                (void)model.requestAtRandomGateway();
+                model.sendRandomCall();
             }
+            model.sendReturningCalls();
             const auto sent = static_cast<double>(model.grantedInWindow());
             cr_assert(sent <= model.allowed(),
                 "seed %u: %.0f of %.0f at %ld ms",
@@ -278,7 +339,9 @@
                 model.allowed(),
                 static_cast<long>(Core::toMilliseconds(model.now.sinceStart())));
         }
+        claimed += model.claimed;
     }
+    cr_assert(claimed > 1000, "reservations are claimed in the model: %zu", claimed);
 }
 
 // Offered load is as high as the quota permits, at gateways that each receive a request of the workspace every few seconds.
@@ -311,13 +374,13 @@
     ledger.setGateways({gatewayNumber(0)}, at(Core::Duration(0)));
     ledger.setDeclaration(declarationWith(testQuotas[1]), at(Core::Duration(0)));
     const Fleet::WorkspaceName name("w");
-    cr_assert_not(ledger.admit(name, at(Core::seconds(10))).isKeeper);
+    cr_assert_not(ledger.admit({.workspace = name, .terms = {}}, at(Core::seconds(10))).isKeeper);
     ledger.setMayHoldShares(true, at(Core::seconds(10)));
-    const auto early = ledger.admit(name, at(Core::milliseconds(11'900)));
+    const auto early = ledger.admit({.workspace = name, .terms = {}}, at(Core::milliseconds(11'900)));
     cr_assert(early.isKeeper && !early.granted && early.freeAfter == Core::milliseconds(100), "the previous keeper may still grant requests");
-    cr_assert(ledger.admit(name, at(Core::seconds(12))).granted);
+    cr_assert(ledger.admit({.workspace = name, .terms = {}}, at(Core::seconds(12))).granted);
     ledger.setMayHoldShares(false, at(Core::seconds(15)));
-    cr_assert_not(ledger.admit(name, at(Core::seconds(20))).isKeeper);
+    cr_assert_not(ledger.admit({.workspace = name, .terms = {}}, at(Core::seconds(20))).isKeeper);
 }
 
 Test(QuotaLedger, retryTimesOfRefusedCallersAreSpaced)
@@ -327,10 +390,10 @@
     ledger.setDeclaration(declarationWith({.requestsPerSecond = 2.0, .burst = 1.0}), at(Core::Duration(0)));
     ledger.setMayHoldShares(true, at(Core::Duration(0)));
     const Fleet::WorkspaceName name("w");
-    cr_assert(ledger.admit(name, at(Core::seconds(10))).granted);
-    const auto first = ledger.admit(name, at(Core::seconds(10)));
-    const auto second = ledger.admit(name, at(Core::seconds(10)));
+    cr_assert(ledger.admit({.workspace = name, .terms = {}}, at(Core::seconds(10))).granted);
+    const auto first = ledger.admit({.workspace = name, .terms = {}}, at(Core::seconds(10)));
+    const auto second = ledger.admit({.workspace = name, .terms = {}}, at(Core::seconds(10)));
     cr_assert(!first.granted && first.freeAfter == second.freeAfter);
     cr_assert(second.retryAfter - first.retryAfter >= Core::milliseconds(490), "retry times are one token apart");
-    cr_assert(ledger.admit(name, at(Core::seconds(10)) + first.retryAfter).granted);
+    cr_assert(ledger.admit({.workspace = name, .terms = {}}, at(Core::seconds(10)) + first.retryAfter).granted);
 }
--- a/Tests/LibGateway/TestQuotas.cpp
+++ b/Tests/LibGateway/TestQuotas.cpp
@@ -51,6 +51,16 @@
         return this->ask(node, "/one/1", {{"Credential", key}});
     }
 
+    /** Returns how many queries gateways have sent each other. */
+    [[nodiscard]] std::uint64_t queries() const
+    {
+        std::uint64_t count = 0;
+        for (const auto &node : this->nodes) {
+            count += node->relayed.size();
+        }
+        return count;
+    }
+
     TestSupport::ScriptedBackend *backend{nullptr};
 };
 
@@ -107,6 +117,50 @@
     cr_assert_null(Wire::findHeader(fixture.backend->requests.back().headers, Gateway::RelayHeader::Quota), "the header is not forwarded");
 }
 
+// Guards against callers that are refused again when they return as they were told, and against refusals that take several queries.
+Test(Quotas, refusedCallersReturnToAnyGatewayOfTheRegion)
+{
+    QuotaFixture fixture({"here", "here", "beside", "beside", "here"});
+    cr_assert(fixture.awaitReady());
+    fixture.settle(Core::milliseconds(2300));
+    int refused = 0;
+    int served = 0;
+    std::uint64_t queriesWhenKnown = 0;
+    for (int request = 0; request < 30 && refused < 4; ++request) {
+        const auto content = "/one/" + std::to_string(request);
+        const auto &node = *fixture.nodes[static_cast<std::size_t>(request) % fixture.nodes.size()];
+        const auto first = fixture.ask(node, content, {{"Credential", "small-secret"}});
+        if (first.status != OverQuota) {
+            continue;
+        }
+        ++refused;
+        const auto wait = std::stod(*Wire::findHeader(first.headers, "Retry-After"));
+        cr_assert(wait > 0.0 && wait < 1.7, "%.3f", wait);
+        const auto before = fixture.queries();
+        // Another caller, who is refused as well unless a reserved token has just expired.
+        (void)fixture.ask(*fixture.nodes[0], content + "-other", {{"Credential", "small-secret"}});
+        queriesWhenKnown += fixture.queries() - before;
+        fixture.settle(Core::milliseconds(static_cast<std::int64_t>(wait * 1000.0) + 5));
+        const auto &other = *fixture.nodes[static_cast<std::size_t>(request + 2) % fixture.nodes.size()];
+        served += fixture.ask(other, content, {{"Credential", "small-secret"}}).status == Ok ? 1 : 0;
+    }
+    cr_assert(refused == 4 && served == 4, "%d of %d", served, refused);
+    cr_assert(queriesWhenKnown <= 8, "two each: a keeper may have become free in between: %d", static_cast<int>(queriesWhenKnown));
+}
+
+// Guards against calling a quota used up when its keepers have only just started, and against a Retry-After at which they still grant nothing.
+Test(Quotas, keepersThatJustStartedDoNotSayOverQuota)
+{
+    QuotaFixture fixture({"here", "here"});
+    cr_assert(fixture.awaitReady());
+    const auto answer = fixture.askAs(*fixture.nodes.front(), "small-secret");
+    cr_assert_eq(answer.status, NotRun, "%d", answer.status);
+    const auto wait = std::stod(*Wire::findHeader(answer.headers, "Retry-After"));
+    cr_assert(wait > 0.5 && wait <= 2.0, "%.3f", wait);
+    fixture.settle(Core::milliseconds(static_cast<std::int64_t>(wait * 1000.0) + 5));
+    cr_assert_eq(fixture.askAs(*fixture.nodes.front(), "small-secret").status, Ok);
+}
+
 // Scenario: all gateways restart while a declared service has no server, so that none of them is ready yet, and callers send requests nevertheless.
 Test(Quotas, areKeptByGatewaysThatAreNotReady)
 {
@@ -127,9 +181,9 @@
 Test(QuotaReplies, roundTrip)
 {
     const Gateway::QuotaReply refused{.isKeeper = true, .granted = false, .freeAfter = Core::milliseconds(12), .retryAfter = Core::milliseconds(345)};
-    const auto read = Gateway::readQuotaReply(Gateway::writeQuotaReply(refused));
+    const auto read = Gateway::readQuotaReply(Gateway::writeQuotaReply(refused, false));
     cr_assert(read.has_value() && !read->granted && read->freeAfter == refused.freeAfter && read->retryAfter == refused.retryAfter);
-    cr_assert(Gateway::readQuotaReply(Gateway::writeQuotaReply({.isKeeper = true, .granted = true}))->granted);
+    cr_assert(Gateway::readQuotaReply(Gateway::writeQuotaReply({.isKeeper = true, .granted = true}, false))->granted);
     for (const char *bad : {"", "1", "1,2", "1,2,3,4", "1,x,3", "1,-2,3"}) {
         cr_assert_not(Gateway::readQuotaReply(bad).has_value(), "%s", bad);
     }
