Tests/LibGateway: Check that the last repeats go to lost answers that are needed

Cause: no test covered answers that are lost while repeats are scarce.

Change: a search loses an answer while 17 of about 19 repeats are used. The shard is repeated if the coverage needs it, and not otherwise.

--- a/Tests/LibGateway/TestRepeatValue.cpp
+++ b/Tests/LibGateway/TestRepeatValue.cpp
@@ -207,3 +207,48 @@
     cr_assert(received->searchState.has_value());
     cr_assert_eq(Gateway::formatSearchState(received->searchState.value()), "0,1,2,3", "shard a is open at the requesting gateway");
 }
+
+// Guards against spending the last repeats on searches that have enough shards, while answers are lost.
+Test(FanOutRequest, repeatsALostAnswerWithTheLastRepeatsOnlyIfItsShardIsNeeded)
+{
+    for (const bool isNeeded : {true, false}) {
+        TestSupport::GatewayFixture fixture(20.0);
+        fixture.route().idempotent = true;
+        fixture.route().maximumAttempts = 2;
+        fixture.route().targetLatency = Core::seconds(5);
+        fixture.route().minimumCoverage = isNeeded ? 1.0 : 0.3;
+        fixture.route().shards = {Core::ServiceName("a"), Core::ServiceName("b"), Core::ServiceName("c")};
+        fixture.add("a", "a1", [](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+            exchange->respond(TestSupport::successResponse(request, "signature-a", std::string(16, 'a')));
+        });
+        std::function<void()> loseAnswer;
+        for (const char *id : {"b1", "b2"}) {
+            fixture.add("b", id, [&loseAnswer](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+                loseAnswer = [request, exchange] {
+                    exchange->respond(TestSupport::errorResponse(request, 500, false));
+                };
+            });
+        }
+        fixture.add("c", "c1", [](const Wire::Request &, const Wire::ExchangePointer &) {
+        });
+        const Core::RequestId other("other");
+        for (int number = 0; number < 17; ++number) {
+            cr_assert(fixture.pool.consumeRetry(Core::ServiceName("b"), {.request = other}));
+        }
+        fixture.begin("r1");
+        cr_assert(fixture.runUntil([&] {
+            return loseAnswer != nullptr;
+        }));
+        // Long enough for the answer of "a", however busy the machine is.
+        fixture.settle(Core::milliseconds(300));
+        const auto before = fixture.pool.counters().repeats.of(Gateway::RepeatKind::RetryAfterFailure);
+        loseAnswer();
+        auto after = before;
+        cr_assert(fixture.runUntil([&] {
+            after = fixture.pool.counters().repeats.of(Gateway::RepeatKind::RetryAfterFailure);
+            return after.granted + after.denied > before.granted + before.denied;
+        }));
+        cr_assert_eq(after.granted - before.granted, isNeeded ? 1 : 0);
+        cr_assert_eq(after.denied - before.denied, isNeeded ? 0 : 1);
+    }
+}
