Tests: Check outcomes after a first shard, reports of third gateways, metrics

Adds tests of a search that is sent to one shard first and finds every connection refused, and of a part that passes on what a third gateway reported.

--- a/Tests/Incidents/TestMissingServers.cpp
+++ b/Tests/Incidents/TestMissingServers.cpp
@@ -25,7 +25,7 @@
     MissingServersFixture()
     {
         auto document = nlohmann::json::parse(R"({"version": 1, "services": [], "routes": [
-            {"name": "search", "host": "h.example", "path_prefix": "/search/", "route_type": "idempotent", "timeout_ms": 4000, "target_latency_ms": 400,
+            {"name": "search", "host": "h.example", "path_prefix": "/search/", "route_type": "idempotent", "timeout_ms": 4000, "target_latency_ms": 2000,
              "gather": [], "max_attempts": 2, "top_k": 5, "min_coverage": 0.9}]})");
         for (const std::string zone : {"here", "there"}) {
             this->addNode(zone);
@@ -70,5 +70,6 @@
         cr_assert_not_null(Wire::findHeader(answer.headers, "Retry-After"));
     }
     cr_assert_eq(fixture.runs(), before);
+    cr_assert(fixture.nodes[0]->node.metrics().find("crankrudder_unanswered_total{may_have_run=\"no\",outcome=\"not-run\"} 5") != std::string::npos);
     cr_assert(!fixture.nodes[0]->relayed.empty() && !fixture.nodes[1]->relayed.empty(), "parts were relayed");
 }
--- a/Tests/LibGateway/TestOutcomes.cpp
+++ b/Tests/LibGateway/TestOutcomes.cpp
@@ -27,7 +27,7 @@
     {
         this->route().idempotent = true;
         this->route().maximumAttempts = 2;
-        this->route().targetLatency = Core::milliseconds(400);
+        this->route().targetLatency = Core::seconds(2);
         this->route().minimumCoverage = coverage;
         this->route().shards = {Core::ServiceName("direct"), Core::ServiceName("relayed")};
         this->relayed = {Core::ServiceName("relayed")};
@@ -106,9 +106,9 @@
     OutcomeFixture fixture;
     fixture.addRefusingLate();
     const auto &server = fixture.add("relayed", "r1", silent);
-    fixture.addAnswering(0, Core::milliseconds(60));
+    fixture.addAnswering(0, Core::milliseconds(150));
     fixture.expect(NotRun, RunEvidence::None);
-    fixture.expectTook(Core::milliseconds(55), Core::milliseconds(99));
+    fixture.expectTook(Core::milliseconds(145), Core::milliseconds(490));
     cr_assert(server.requests.empty(), "a lost search sends nothing more");
 }
 
@@ -116,20 +116,20 @@
 {
     OutcomeFixture fixture;
     fixture.addRefusingLate();
-    fixture.addAnswering(0, Core::milliseconds(200));
+    fixture.addAnswering(0, Core::milliseconds(800));
     fixture.expect(Failed, RunEvidence::PartInFlight);
-    fixture.expectTook(Core::milliseconds(90), Core::milliseconds(150));
+    fixture.expectTook(Core::milliseconds(490), Core::milliseconds(750));
     // The part's answer arrives after the refusal.
-    fixture.settle(Core::milliseconds(200));
+    fixture.settle(Core::milliseconds(500));
 }
 
 Test(Outcomes, lostSearchFailsIfPartReportsExecutions)
 {
     OutcomeFixture fixture;
     fixture.addRefusingLate();
-    fixture.addAnswering(1, Core::milliseconds(60));
+    fixture.addAnswering(1, Core::milliseconds(150));
     fixture.expect(Failed, RunEvidence::PartReport);
-    fixture.expectTook(Core::milliseconds(9), Core::milliseconds(95));
+    fixture.expectTook(Core::milliseconds(9), Core::milliseconds(450));
 }
 
 Test(Outcomes, lostSearchFailsIfPartWasAnswered)
@@ -139,7 +139,7 @@
     fixture.addGateway([&fixture](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
         Protocol::PartialAnswer part;
         part.signatures.emplace_back("signature");
-        fixture.respondAfter(Core::milliseconds(60), partOf(request, part), exchange);
+        fixture.respondAfter(Core::milliseconds(150), partOf(request, part), exchange);
     });
     fixture.expect(Failed, RunEvidence::PartReport);
 }
@@ -150,12 +150,12 @@
     fixture.addRefusingLate();
     ScriptedBackend *gateway = nullptr;
     gateway = &fixture.addGateway([&](const Wire::Request &, const Wire::ExchangePointer &) {
-        fixture.responseTimer = fixture.timers.once(Core::milliseconds(60), [&](Core::Instant) {
+        fixture.responseTimer = fixture.timers.once(Core::milliseconds(150), [&](Core::Instant) {
             gateway->server.reset();
         });
     });
     fixture.expect(Failed, RunEvidence::PartInFlight);
-    fixture.expectTook(Core::milliseconds(9), Core::milliseconds(95));
+    fixture.expectTook(Core::milliseconds(9), Core::milliseconds(450));
 }
 
 Test(Outcomes, lostSearchFailsImmediatelyIfDirectAttemptMayHaveRun)
@@ -166,7 +166,7 @@
     fixture.add("other", "o1", silent);
     fixture.addGateway(silent);
     fixture.expect(Failed, RunEvidence::DirectAttempt);
-    fixture.expectTook(Core::milliseconds(9), Core::milliseconds(95));
+    fixture.expectTook(Core::milliseconds(9), Core::milliseconds(450));
 }
 
 Test(Outcomes, searchHasNotRunIfEveryConnectionIsRefused)
@@ -179,6 +179,35 @@
     fixture.expectTook(Core::Duration(0), Core::milliseconds(100));
 }
 
+Test(Outcomes, searchSentToOneShardFirstHasNotRunIfEveryConnectionIsRefused)
+{
+    OutcomeFixture fixture;
+    fixture.relayed.clear();
+    fixture.isCautious = true;
+    fixture.addRefusing("direct", "d1");
+    fixture.addRefusing("relayed", "r1");
+    fixture.expect(NotRun, RunEvidence::None);
+}
+
+// A gateway that is told too many executions must fail a search that nobody has run.
+Test(Outcomes, partReportsWhatAThirdGatewayReported)
+{
+    OutcomeFixture fixture(0.5);
+    fixture.relayed = fixture.route().shards;
+    fixture.relayParameters = Gateway::RelayParameters{.timeLeftToDeadline = Core::milliseconds(500), .shards = fixture.route().shards};
+    fixture.addGateway([](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+        Protocol::PartialAnswer part;
+        part.signatures.emplace_back("signature");
+        part.missing.emplace_back();
+        part.missing.back().serviceName = "relayed";
+        exchange->respond(partOf(request, part));
+    });
+    const auto part = Rpc::deserialize<Protocol::PartialAnswer>(fixture.ask("r1").body);
+    cr_assert(part.has_value());
+    cr_assert_eq(part->missing.size(), 1);
+    cr_assert_eq(part->missing[0].executions, 0, "%d executions", part->missing[0].executions);
+}
+
 // Callers retry once: an early retry would find the same backend servers missing.
 Test(Outcomes, callerIsToldToWaitAThirdOfItsTimeIfServersAreMissing)
 {
--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -220,6 +220,7 @@
             .latencies = &this->latencies,
             .relayLatencies = &this->relayLatencies,
             .cells = &this->cells,
+            .isCautious = this->isCautious,
             .relayParameters = this->relayParameters};
         if (context.relayParameters.has_value() && context.relayParameters->topRecords == 0) {
             context.relayParameters->topRecords = this->editableRoute.topRecords;
@@ -257,6 +258,8 @@
     Gateway::Dialect dialect;
     Gateway::Dialect relayDialect{Gateway::makeRelayDialect(this->dialect)};
     std::vector<Core::ServiceName> relayed;
+    // Whether several backend servers have just ended.
+    bool isCautious{false};
     // Timeout of a relayed part, in target latencies.
     int timeoutInTargets{4};
     // Gateways that the relayed part should be sent to, the preferred one first. Empty: any gateway of the zone.
