--- a/Tests/Incidents/TestMissingServers.cpp
+++ b/Tests/Incidents/TestMissingServers.cpp
@@ -7,6 +7,7 @@
 // searches were answered with 502 although none of them had reached a backend server.
 
 #include <Support/NodeFixture.h>
+#include <Support/RefusingEndpoint.h>
 
 #include <criterion/criterion.h>
 
@@ -42,6 +43,15 @@
         this->settle(Core::milliseconds(200));
     }
 
+    /** Ends all backend servers. Their addresses refuse connections from then on. */
+    void endAll()
+    {
+        for (const auto &backend : this->backends) {
+            backend->server.reset();
+            this->refusing.emplace_back(backend->endpoint.port);
+        }
+    }
+
     [[nodiscard]] std::size_t runs() const
     {
         std::size_t all = 0;
@@ -50,6 +60,9 @@
         }
         return all;
     }
+
+private:
+    std::vector<TestSupport::RefusingEndpoint> refusing;
 };
 
 }
@@ -60,9 +73,7 @@
     cr_assert_eq(fixture.ask(*fixture.nodes[0], "/search/first").status, 200);
     cr_assert_eq(fixture.ask(*fixture.nodes[1], "/search/first").status, 200);
     const auto before = fixture.runs();
-    for (const auto &backend : fixture.backends) {
-        backend->server.reset();
-    }
+    fixture.endAll();
     fixture.settle(Core::milliseconds(20));
     for (int number = 0; number < 10; ++number) {
         const auto answer = fixture.ask(*fixture.nodes[static_cast<std::size_t>(number % 2)], "/search/" + std::to_string(number));
--- a/Tests/LibGateway/TestOutcomes.cpp
+++ b/Tests/LibGateway/TestOutcomes.cpp
@@ -7,6 +7,7 @@
 // them, and against requests that end with 503 although one may have.
 
 #include <Support/GatewayFixture.h>
+#include <Support/RefusingEndpoint.h>
 
 #include <criterion/criterion.h>
 
@@ -36,7 +37,8 @@
     /** Adds a backend server whose address refuses connections. */
     void addRefusing(const std::string &service, const std::string &id)
     {
-        announce(this->pool, service, id, freeEndpoint(), "here");
+        this->refusing.emplace_back();
+        announce(this->pool, service, id, this->refusing.back().endpoint, "here");
     }
 
     /** Adds the backend server of "direct", which refuses the request once the part has been sent. */
@@ -82,6 +84,7 @@
         cr_assert(took >= atLeast && took <= atMost, "took %ld ms", static_cast<long>(Core::toMilliseconds(took)));
     }
 
+    std::vector<RefusingEndpoint> refusing;
     Core::TimerSubscription responseTimer;
     Core::TimerSubscription refusalTimer;
 };
@@ -174,7 +177,8 @@
     OutcomeFixture fixture;
     fixture.addRefusing("direct", "d1");
     fixture.addRefusing("relayed", "r1");
-    GatewayFixture::announce(fixture.relays, Gateway::relayService("there").value(), "gateway", freeEndpoint(), "there");
+    const RefusingEndpoint gateway;
+    GatewayFixture::announce(fixture.relays, Gateway::relayService("there").value(), "gateway", gateway.endpoint, "there");
     fixture.expect(NotRun, RunEvidence::None);
     fixture.expectTook(Core::Duration(0), Core::milliseconds(100));
 }
