--- a/Libraries/LibGateway/BackendChoice.cpp
+++ b/Libraries/LibGateway/BackendChoice.cpp
@@ -54,7 +54,7 @@
 
 double BackendChoice::refusedShare(const Backend &backend, Core::Instant now)
 {
-    return backend.health.refusedShare(*backend.serviceAcceptance, now);
+    return backend.health.refusedShare(backend.serviceAcceptance->refusedShare(now), now);
 }
 
 double BackendChoice::latencyMilliseconds(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const
--- a/Libraries/LibGateway/BackendHealth.cpp
+++ b/Libraries/LibGateway/BackendHealth.cpp
@@ -75,29 +75,29 @@
     this->slownessTime = now;
 }
 
-void BackendHealth::recordRefusal(const ServiceAcceptance &service, Core::Instant now)
+void BackendHealth::recordRefusal(Core::Instant now)
 {
-    this->acceptance.record(false, service, now);
+    this->acceptance.record(false, now);
 }
 
-void BackendHealth::recordAccepted(const ServiceAcceptance &service, Core::Instant now)
+void BackendHealth::recordAccepted(Core::Instant now)
 {
-    this->acceptance.record(true, service, now);
+    this->acceptance.record(true, now);
 }
 
-double BackendHealth::refusedShare(const ServiceAcceptance &service, Core::Instant now) const
+double BackendHealth::refusedShare(double expected, Core::Instant now) const
 {
-    return this->acceptance.refusedShare(service, now);
+    return this->acceptance.refusedShare(expected, now);
 }
 
-std::optional<double> BackendHealth::observedAcceptance(const ServiceAcceptance &service, Core::Instant now) const
+std::optional<double> BackendHealth::observedAcceptance(Core::Instant now) const
 {
-    return this->acceptance.observedShare(service, now);
+    return this->acceptance.observedShare(now);
 }
 
-std::optional<AcceptanceChange> BackendHealth::takeAcceptanceChange(const ServiceAcceptance &service, Core::Instant now)
+std::optional<AcceptanceChange> BackendHealth::takeAcceptanceChange(Core::Instant now)
 {
-    return this->acceptance.takeChange(service, now);
+    return this->acceptance.takeChange(now);
 }
 
 bool BackendHealth::recordFailure(int failuresUntilAvoided, Core::Instant now)
--- a/Libraries/LibGateway/BackendHealth.h
+++ b/Libraries/LibGateway/BackendHealth.h
@@ -30,11 +30,11 @@
      */
     void recordRemoteAnswer(double ratio, Core::Instant now);
 
-    /** Records that the backend server refused a request without executing it. That is neither a failure nor a sample of its latency. `service` is its own. */
-    void recordRefusal(const ServiceAcceptance &service, Core::Instant now);
+    /** Records that the backend server refused a request without executing it. That is neither a failure nor a sample of its latency. */
+    void recordRefusal(Core::Instant now);
 
     /** Records that the backend server ran a request, whatever its result; recordAnswer() does not include this. */
-    void recordAccepted(const ServiceAcceptance &service, Core::Instant now);
+    void recordAccepted(Core::Instant now);
 
     /**
      * Records a failed request. After `failuresUntilAvoided` consecutive failures the backend server is avoided. Returns whether it is avoided now and was not
@@ -58,11 +58,11 @@
     [[nodiscard]] double failureRate(Core::Instant now) const;
 
     /** Returns the expected share of requests that are refused; see ServerAcceptance::refusedShare(). */
-    [[nodiscard]] double refusedShare(const ServiceAcceptance &service, Core::Instant now) const;
+    [[nodiscard]] double refusedShare(double expected, Core::Instant now) const;
     /** Returns the observed share of accepted requests; see ServerAcceptance::observedShare(). */
-    [[nodiscard]] std::optional<double> observedAcceptance(const ServiceAcceptance &service, Core::Instant now) const;
+    [[nodiscard]] std::optional<double> observedAcceptance(Core::Instant now) const;
     /** Returns a change of the acceptance that is to be logged; see ServerAcceptance::takeChange(). */
-    [[nodiscard]] std::optional<AcceptanceChange> takeAcceptanceChange(const ServiceAcceptance &service, Core::Instant now);
+    [[nodiscard]] std::optional<AcceptanceChange> takeAcceptanceChange(Core::Instant now);
 
     [[nodiscard]] bool isAvoided(Core::Instant now) const;
     [[nodiscard]] Core::Instant avoidedUntil() const;
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -456,8 +456,7 @@
     ++this->counts.attempts;
     this->counts.attemptsToOtherRegion += backend.sameRegion ? 0 : 1;
     this->counts.attemptsToOtherZone += backend.sameRegion && !backend.sameZone ? 1 : 0;
-    const auto acceptance = backend.health.observedAcceptance(*backend.serviceAcceptance, this->timers.now());
-    this->counts.attemptsToLowAcceptance += acceptance.value_or(1.0) < LowAcceptance ? 1 : 0;
+    this->counts.attemptsToLowAcceptance += backend.health.observedAcceptance(this->timers.now()).value_or(1.0) < LowAcceptance ? 1 : 0;
     auto &attempt = this->attempts[id];
     attempt.id = id;
     attempt.backend = &backend;
@@ -673,10 +672,9 @@
 void BackendPool::recordAcceptance(Backend &backend, bool accepted)
 {
     const auto now = this->timers.now();
-    auto &service = *backend.serviceAcceptance;
-    service.record(accepted, now);
-    accepted ? backend.health.recordAccepted(service, now) : backend.health.recordRefusal(service, now);
-    const auto change = backend.health.takeAcceptanceChange(service, now);
+    accepted ? backend.health.recordAccepted(now) : backend.health.recordRefusal(now);
+    backend.serviceAcceptance->record(accepted, now);
+    const auto change = backend.health.takeAcceptanceChange(now);
     if (change.has_value()) {
         Core::logEvent(Core::LogLevel::Information,
             "backend.acceptance_changed",
--- a/Libraries/LibGateway/Scheduling/ServerAcceptance.cpp
+++ b/Libraries/LibGateway/Scheduling/ServerAcceptance.cpp
@@ -7,19 +7,13 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numbers>
 
 namespace Gateway
 {
 
-// Bounds of the half-life of observations. With the lower one and the price of a repeat in BackendChoiceOptions, a gateway tries a server again about 1 s after
-// its latest refusal. With the upper one, all requests of a service return to a recovered server within about 4 s.
-static constexpr Core::Duration MinimumHalfLife = Core::milliseconds(550);
-static constexpr Core::Duration MaximumHalfLife = Core::seconds(2);
-// Number of requests to the service within a half-life between these bounds: seven requests a second reach the lower one.
-static constexpr double RequestsPerHalfLife = 3.7;
-// The rate of requests to a service is smoothed over this half-life.
-static constexpr Core::Duration RateHalfLife = Core::seconds(2);
+// Observations count for half after this time. With the price of a repeat in BackendChoiceOptions, a gateway tries a server again about 1 s after its latest
+// refusal.
+static constexpr Core::Duration HalfLife = Core::milliseconds(550);
 // Requests within this time of each other meet the same queue; a full queue clears within tens of milliseconds.
 static constexpr Core::Duration Window = Core::milliseconds(40);
 // Maximum number of observations that the requests of one window count for. With 2, a burst of refusals moves the requests of all gateways away.
@@ -39,12 +33,6 @@
 // Minimum time between two changes of one server that are logged.
 static constexpr Core::Duration ChangeInterval = Core::seconds(1);
 
-// Returns what remains of 1 after `age`.
-static double fadedTo(Core::Duration age, Core::Duration halfLife)
-{
-    return std::exp2(-Core::toFractionalMilliseconds(age) / Core::toFractionalMilliseconds(halfLife));
-}
-
 static FadedOutcomes scaled(const FadedOutcomes &outcomes, double factor)
 {
     return {.accepted = outcomes.accepted * factor, .refused = outcomes.refused * factor};
@@ -56,67 +44,57 @@
     return outcomes.total() <= maximum ? outcomes : scaled(outcomes, maximum / outcomes.total());
 }
 
-void FadingOutcomes::record(bool accepted, Core::Duration halfLife, Core::Instant now)
+void FadingOutcomes::record(bool accepted, Core::Instant now)
 {
     if (now - this->windowStart >= Window) {
-        this->settled = this->at(halfLife, now);
+        this->settled = this->at(now);
         this->current = {};
         this->windowStart = now;
     }
     (accepted ? this->current.accepted : this->current.refused) += 1.0;
 }
 
-FadedOutcomes FadingOutcomes::at(Core::Duration halfLife, Core::Instant now) const
+FadedOutcomes FadingOutcomes::at(Core::Instant now) const
 {
     const auto counted = limited(this->current, MaximumPerWindow);
     const FadedOutcomes sum{.accepted = this->settled.accepted + counted.accepted, .refused = this->settled.refused + counted.refused};
-    return scaled(limited(sum, MaximumEvidence), fadedTo(now - this->windowStart, halfLife));
+    const double halfLives = Core::toFractionalMilliseconds(now - this->windowStart) / Core::toFractionalMilliseconds(HalfLife);
+    return scaled(limited(sum, MaximumEvidence), std::exp2(-halfLives));
 }
 
 void ServiceAcceptance::record(bool accepted, Core::Instant now)
 {
-    this->requests = this->requests * fadedTo(now - this->requestsTime, RateHalfLife) + 1.0;
-    this->requestsTime = now;
-    // In a steady state the faded number of requests is the rate times the half-life / ln 2.
-    const double interval = Core::toFractionalMilliseconds(RateHalfLife) / std::numbers::ln2 / this->requests;
-    const auto wanted = Core::Duration(std::llround(RequestsPerHalfLife * interval * 1000.0));
-    this->currentHalfLife = std::clamp(wanted, MinimumHalfLife, MaximumHalfLife);
-    this->outcomes.record(accepted, this->currentHalfLife, now);
-}
-
-Core::Duration ServiceAcceptance::halfLife() const
-{
-    return std::max(this->currentHalfLife, MinimumHalfLife);
+    this->outcomes.record(accepted, now);
 }
 
 double ServiceAcceptance::refusedShare(Core::Instant now) const
 {
-    const auto observed = this->outcomes.at(this->halfLife(), now);
+    const auto observed = this->outcomes.at(now);
     return observed.refused / (observed.total() + ServicePriorWeight);
 }
 
-void ServerAcceptance::record(bool accepted, const ServiceAcceptance &service, Core::Instant now)
+void ServerAcceptance::record(bool accepted, Core::Instant now)
 {
-    this->outcomes.record(accepted, service.halfLife(), now);
+    this->outcomes.record(accepted, now);
     this->latestAge = now - this->latest;
     this->latest = now;
 }
 
-double ServerAcceptance::refusedShare(const ServiceAcceptance &service, Core::Instant now) const
+double ServerAcceptance::refusedShare(double expected, Core::Instant now) const
 {
-    const auto observed = this->outcomes.at(service.halfLife(), now);
-    return (observed.refused + ServerPriorWeight * service.refusedShare(now)) / (observed.total() + ServerPriorWeight);
+    const auto observed = this->outcomes.at(now);
+    return (observed.refused + ServerPriorWeight * expected) / (observed.total() + ServerPriorWeight);
 }
 
-std::optional<double> ServerAcceptance::observedShare(const ServiceAcceptance &service, Core::Instant now) const
+std::optional<double> ServerAcceptance::observedShare(Core::Instant now) const
 {
-    const auto observed = this->outcomes.at(service.halfLife(), now);
+    const auto observed = this->outcomes.at(now);
     return observed.total() < MinimumEvidence ? std::nullopt : std::optional(observed.accepted / observed.total());
 }
 
-std::optional<AcceptanceChange> ServerAcceptance::takeChange(const ServiceAcceptance &service, Core::Instant now)
+std::optional<AcceptanceChange> ServerAcceptance::takeChange(Core::Instant now)
 {
-    const auto share = this->observedShare(service, now);
+    const auto share = this->observedShare(now);
     if (!share.has_value() || (this->changedAt.has_value() && now - this->changedAt.value() < ChangeInterval)) {
         return std::nullopt;
     }
@@ -126,7 +104,7 @@
     }
     this->isLow = !this->isLow;
     this->changedAt = now;
-    return AcceptanceChange{.share = share.value(), .evidence = this->outcomes.at(service.halfLife(), now).total(), .age = this->latestAge};
+    return AcceptanceChange{.share = share.value(), .evidence = this->outcomes.at(now).total(), .age = this->latestAge};
 }
 
 double refusalCost(double refusedShare, const RefusalTimes &times)
--- a/Libraries/LibGateway/Scheduling/ServerAcceptance.h
+++ b/Libraries/LibGateway/Scheduling/ServerAcceptance.h
@@ -41,13 +41,13 @@
     }
 };
 
-/** Counts accepted and refused requests, which count for half after a half-life. */
+/** Counts accepted and refused requests, which fade with time. */
 class FadingOutcomes
 {
 public:
-    void record(bool accepted, Core::Duration halfLife, Core::Instant now);
+    void record(bool accepted, Core::Instant now);
     /** Returns the numbers that still count. */
-    [[nodiscard]] FadedOutcomes at(Core::Duration halfLife, Core::Instant now) const;
+    [[nodiscard]] FadedOutcomes at(Core::Instant now) const;
 
 private:
     // Observations before the current window, faded to its start.
@@ -66,18 +66,8 @@
     /** Returns the share of requests that is refused, from 0 to 1. It is exactly 0 as long as none was refused. */
     [[nodiscard]] double refusedShare(Core::Instant now) const;
 
-    /**
-     * Returns the half-life of observations of the service's servers. It is longer at a gateway that sends the service few requests, so that it learns
-     * anything at all, and so that all gateways together try a refusing server about equally often, whether they are few or many.
-     */
-    [[nodiscard]] Core::Duration halfLife() const;
-
 private:
     FadingOutcomes outcomes;
-    // Number of requests, faded to requestsTime.
-    double requests{0.0};
-    Core::Instant requestsTime;
-    Core::Duration currentHalfLife{0};
 };
 
 /** The observed acceptance of a backend server fell below LowAcceptance or rose again. */
@@ -90,24 +80,24 @@
     Core::Duration age{0};
 };
 
-/** The share of requests that one backend server accepts. `service` is always that of the server. */
+/** The share of requests that one backend server accepts. */
 class ServerAcceptance
 {
 public:
     /** Records that a request was refused as not run, or was accepted, whatever its result. */
-    void record(bool accepted, const ServiceAcceptance &service, Core::Instant now);
+    void record(bool accepted, Core::Instant now);
 
     /**
-     * Returns the expected share of refused requests, from 0 to 1. Where little was observed it is close to that of the service. It is exactly 0 as long as no
-     * request to the service was refused.
+     * Returns the expected share of refused requests, from 0 to 1, given the share that is expected of a server of which nothing is known. It is exactly 0
+     * when that is 0 and no request was refused.
      */
-    [[nodiscard]] double refusedShare(const ServiceAcceptance &service, Core::Instant now) const;
+    [[nodiscard]] double refusedShare(double expected, Core::Instant now) const;
 
     /** Returns the observed share of accepted requests, from 0 to 1; nullopt if there are too few observations. */
-    [[nodiscard]] std::optional<double> observedShare(const ServiceAcceptance &service, Core::Instant now) const;
+    [[nodiscard]] std::optional<double> observedShare(Core::Instant now) const;
 
     /** Returns the change since the last call that returned one, if there is one to log: at most one a second. */
-    [[nodiscard]] std::optional<AcceptanceChange> takeChange(const ServiceAcceptance &service, Core::Instant now);
+    [[nodiscard]] std::optional<AcceptanceChange> takeChange(Core::Instant now);
 
 private:
     FadingOutcomes outcomes;
--- a/Tests/LibGateway/TestBackendHealth.cpp
+++ b/Tests/LibGateway/TestBackendHealth.cpp
@@ -64,14 +64,13 @@
 Test(BackendHealth, failureRateFollowsFailuresAndDecays)
 {
     BackendHealth health;
-    const Gateway::ServiceAcceptance service;
     for (int round = 0; round < 40; ++round) {
         if (round % 2 == 0) {
             health.recordFailure(2, at(round));
         } else {
             health.recordAnswer(1.0, at(round));
         }
-        health.recordRefusal(service, at(round));
+        health.recordRefusal(at(round));
     }
     const double rate = health.failureRate(at(40));
     cr_assert(rate > 0.35 && rate < 0.65, "%f", rate);
--- a/Tests/LibGateway/TestServerAcceptance.cpp
+++ b/Tests/LibGateway/TestServerAcceptance.cpp
@@ -41,11 +41,9 @@
 
     void record(int region, bool accepted, Core::Instant now)
     {
-        auto &health = this->servers[region].health;
-        auto &service = *this->servers[region].serviceAcceptance;
-        service.record(accepted, now);
-        accepted ? health.recordAccepted(service, now) : health.recordRefusal(service, now);
-        this->changes += health.takeAcceptanceChange(service, now).has_value() ? 1 : 0;
+        accepted ? this->servers[region].health.recordAccepted(now) : this->servers[region].health.recordRefusal(now);
+        this->servers[region].serviceAcceptance->record(accepted, now);
+        this->changes += this->servers[region].health.takeAcceptanceChange(now).has_value() ? 1 : 0;
     }
 
     /** Records ten requests a second to each of the servers for two seconds, of which they refuse 0.6. */
@@ -108,19 +106,6 @@
     cr_assert(tries.front() <= 3500, "%d", tries.front());
 }
 
-// Guards against a gateway that sends so few requests that it forgets each refusal before the next request.
-Test(ServerAcceptance, aGatewayWithFewRequestsLearnsAsWell)
-{
-    View view(0);
-    int tries = 0;
-    for (int time = 0; time < 60'000; time += 1000) {
-        const int chosen = view.best(at(time));
-        view.record(chosen, chosen != 0, at(time));
-        tries += chosen == 0 ? 1 : 0;
-    }
-    cr_assert_leq(tries, 24, "%d of 60", tries);
-}
-
 // Guards against load reports that are false, old or missing and make a server look fast, and against the speed of refusals counting in its favour.
 Test(ServerAcceptance, noLoadReportMakesARefusingServerAttractive)
 {
