LibGateway: Let evidence about servers last for seconds, and probe low ones

Where 30 gateways share the servers, a gateway sends a server one to three requests a second. Observations that fade within 550 ms are gone before its next request.

Observations now count for half after 3 s, and up to six of them count. A server with a low share that would be chosen if it had recovered gets one request at a time when its latest observation is older than 900 ms, 100 ms after an accepted request. Only the first send of a request probes. From the third accepted request in succession on, earlier refusals count for a quarter each time.

--- a/Libraries/LibGateway/BackendChoice.cpp
+++ b/Libraries/LibGateway/BackendChoice.cpp
@@ -136,7 +136,8 @@
 {
     Backend *best = nullptr;
     double bestScore = 0.0;
-    for (const auto &row : this->scored(candidates, terms.typicalLatency, now)) {
+    const auto rows = this->scored(candidates, terms.typicalLatency, now);
+    for (const auto &row : rows) {
         const bool hasRefused = std::find(terms.refusedBy.begin(), terms.refusedBy.end(), row.backend->name) != terms.refusedBy.end();
         const bool suitsHedge = !hasRefused && 1.0 - row.refusedShare >= MinimumHedgeAcceptance;
         if (terms.within.has_value() && (row.expected > milliseconds(terms.within.value()) || !suitsHedge)) {
@@ -150,7 +151,18 @@
             bestScore = score;
         }
     }
-    return best;
+    auto *probe = terms.mayProbe ? probed(rows, bestScore, now) : nullptr;
+    return probe != nullptr ? probe : best;
+}
+
+// One probe at a time, and only of a server that would be chosen again if it had recovered. One that is stuck or avoided scores too high.
+Backend *BackendChoice::probed(const std::vector<Scored> &candidates, double limit, Core::Instant now)
+{
+    const auto found = std::find_if(candidates.begin(), candidates.end(), [limit, now](const Scored &row) {
+        const bool isWorthwhile = row.refusedShare > 0.0 && row.expected + row.bias < limit;
+        return isWorthwhile && row.backend->inFlight.empty() && row.backend->health.isProbeDue(now);
+    });
+    return found == candidates.end() ? nullptr : found->backend;
 }
 
 std::vector<std::string> BackendChoice::goodZones(const std::vector<Backend *> &candidates, Core::Duration typicalLatency, Core::Instant now) const
--- a/Libraries/LibGateway/BackendChoice.h
+++ b/Libraries/LibGateway/BackendChoice.h
@@ -40,6 +40,8 @@
     std::optional<Core::Duration> within;
     /** Backend servers that refused the request. They are chosen again when the others score much worse, and not for a hedge. */
     std::span<const BackendName> refusedBy;
+    /** Whether the request may probe a backend server that refuses: it is the first send of the request, so that a refusal can be repeated. */
+    bool mayProbe{false};
 };
 
 /** Scores candidate backend servers. The caller passes only candidates that are eligible and have free capacity. */
@@ -74,6 +76,8 @@
 
     [[nodiscard]] std::vector<Scored> scored(const std::vector<Backend *> &candidates, Core::Duration typicalLatency, Core::Instant now) const;
     void addRefusalCosts(std::vector<Scored> &candidates) const;
+    /** Returns a backend server that is to be probed and scored less than `limit` if it accepted all requests; nullptr when there is none. */
+    [[nodiscard]] static Backend *probed(const std::vector<Scored> &candidates, double limit, Core::Instant now);
     [[nodiscard]] double latencyMilliseconds(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const;
     [[nodiscard]] double refusalMilliseconds(const Backend &backend) const;
     [[nodiscard]] double biasMilliseconds(const Backend &backend, Core::Instant now) const;
--- a/Libraries/LibGateway/BackendHealth.cpp
+++ b/Libraries/LibGateway/BackendHealth.cpp
@@ -95,6 +95,11 @@
     return this->acceptance.observedShare(now);
 }
 
+bool BackendHealth::isProbeDue(Core::Instant now) const
+{
+    return this->acceptance.isProbeDue(now);
+}
+
 std::optional<AcceptanceChange> BackendHealth::takeAcceptanceChange(Core::Instant now)
 {
     return this->acceptance.takeChange(now);
--- a/Libraries/LibGateway/BackendHealth.h
+++ b/Libraries/LibGateway/BackendHealth.h
@@ -61,6 +61,8 @@
     [[nodiscard]] double refusedShare(double expected, Core::Instant now) const;
     /** Returns the observed share of accepted requests; see ServerAcceptance::observedShare(). */
     [[nodiscard]] std::optional<double> observedAcceptance(Core::Instant now) const;
+    /** Whether one request may try the backend server again; see ServerAcceptance::isProbeDue(). */
+    [[nodiscard]] bool isProbeDue(Core::Instant now) const;
     /** Returns a change of the acceptance that is to be logged; see ServerAcceptance::takeChange(). */
     [[nodiscard]] std::optional<AcceptanceChange> takeAcceptanceChange(Core::Instant now);
 
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -339,7 +339,8 @@
         const bool wasTried = std::find(criteria.tried.begin(), criteria.tried.end(), backend->name) != criteria.tried.end();
         return !wasTried && this->isEligible(*backend, criteria.allowedRegions) && this->hasCapacity(*backend, row, criteria.request);
     });
-    const ChoiceTerms terms{.typicalLatency = criteria.typicalLatency, .within = criteria.within, .refusedBy = criteria.refusedBy};
+    const ChoiceTerms terms{
+        .typicalLatency = criteria.typicalLatency, .within = criteria.within, .refusedBy = criteria.refusedBy, .mayProbe = criteria.mayProbe};
     return this->choice.best(candidates, terms, this->timers.now());
 }
 
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -85,6 +85,8 @@
     const CallerRequest *request{nullptr};
     /** Backend servers that refused the request; see ChoiceTerms::refusedBy. */
     std::span<const BackendName> refusedBy{};
+    /** Whether the request may probe a backend server; see ChoiceTerms::mayProbe. */
+    bool mayProbe{false};
 };
 
 /** Counters for metrics. */
--- a/Libraries/LibGateway/Scheduling/ServerAcceptance.h
+++ b/Libraries/LibGateway/Scheduling/ServerAcceptance.h
@@ -11,7 +11,9 @@
 // server is judged by the expected time until an accepted answer, including the repeat.
 // Second pattern: a server whose queue is full refuses a burst of requests and accepts
 // again some tens of milliseconds later. Requests that arrive together meet the same
-// queue, so they count as few observations. Pure.
+// queue, so they count as few observations. Third pattern: dozens of gateways send a server
+// one to three requests a second each. Observations last for seconds, so that they reach the
+// next request, and a server with a low share is probed about once a second. Pure.
 
 #pragma once
 
@@ -46,6 +48,8 @@
 {
 public:
     void record(bool accepted, Core::Instant now);
+    /** Multiplies the refused requests so far by `factor`. */
+    void discountRefused(double factor, Core::Instant now);
     /** Returns the numbers that still count. */
     [[nodiscard]] FadedOutcomes at(Core::Instant now) const;
 
@@ -96,6 +100,9 @@
     /** Returns the observed share of accepted requests, from 0 to 1; nullopt if there are too few observations. */
     [[nodiscard]] std::optional<double> observedShare(Core::Instant now) const;
 
+    /** Whether the server has a low share and its latest observation is so old that one request may try it again. */
+    [[nodiscard]] bool isProbeDue(Core::Instant now) const;
+
     /** Returns the change since the last call that returned one, if there is one to log: at most one a second. */
     [[nodiscard]] std::optional<AcceptanceChange> takeChange(Core::Instant now);
 
@@ -103,6 +110,8 @@
     FadingOutcomes outcomes;
     Core::Instant latest;
     Core::Duration latestAge{0};
+    // Accepted requests since the latest refusal; those of one window count once.
+    int acceptedInRow{0};
     bool isLow{false};
     // Nothing until the first change.
     std::optional<Core::Instant> changedAt;
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -68,7 +68,8 @@
         .allowedRegions = this->parameters.allowedRegions,
         .within = within,
         .request = this->parameters.request,
-        .refusedBy = this->refusedBy};
+        .refusedBy = this->refusedBy,
+        .mayProbe = !within.has_value() && this->tried.empty() && this->refusedBy.empty()};
 }
 
 Backend *ShardCall::chooseBackend()
--- a/Tests/LibGateway/TestServerAcceptance.cpp
+++ b/Tests/LibGateway/TestServerAcceptance.cpp
@@ -58,13 +58,17 @@
     /** Returns the region of the chosen server, or -1. */
     int best(Core::Instant now, const std::vector<BackendName> &refusedBy = {}, std::optional<Core::Duration> within = {})
     {
+        const bool mayProbe = this->probes && refusedBy.empty() && !within.has_value();
         const std::vector<Gateway::Backend *> candidates{&this->servers[0], &this->servers[1], &this->servers[2]};
-        const auto *chosen = this->choice.best(candidates, {.typicalLatency = Core::milliseconds(15), .within = within, .refusedBy = refusedBy}, now);
+        const auto *chosen
+            = this->choice.best(candidates, {.typicalLatency = Core::milliseconds(15), .within = within, .refusedBy = refusedBy, .mayProbe = mayProbe}, now);
         return chosen == nullptr ? -1 : std::stoi(chosen->name.value());
     }
 
     Gateway::BackendChoice choice;
     std::array<Gateway::Backend, Replicas> servers;
+    // Whether requests that were not refused yet may probe.
+    bool probes{true};
     // Changes of the acceptance that were logged.
     int changes{0};
 };
@@ -89,6 +93,36 @@
     cr_assert_eq(lasting.best(at(2000)), 0, "a path of 300 ms costs more than a repeat");
 }
 
+// Guards against gateways that forget a refusal before their next request: with 30 gateways, one sends a server one to three requests a second.
+Test(ServerAcceptance, aGatewayWithTwoRequestsASecondRemembersRefusals)
+{
+    View view(0);
+    for (int request = 0; request < 10; ++request) {
+        view.record(0, request % 5 < 2, at(request * 500));
+    }
+    view.probes = false;
+    cr_assert_neq(view.best(at(5900)), 0);
+    cr_assert_geq(view.servers[0].health.refusedShare(0.0, at(5900)), 0.3);
+}
+
+// Guards against several requests that probe a server at a time, and against probes of servers that would not be chosen anyway.
+Test(ServerAcceptance, oneRequestAtATimeProbesAServerThatWouldBeChosen)
+{
+    View view(0);
+    view.recordRefusing({0});
+    cr_assert_neq(view.best(at(2700)), 0, "too early");
+    cr_assert_eq(view.best(at(2900)), 0);
+    Gateway::Attempt attempt{.startedAt = at(2900)};
+    view.servers[0].inFlight.push_back(&attempt);
+    cr_assert_neq(view.best(at(2901)), 0, "a probe is in flight");
+    View far(0);
+    far.recordRefusing({1});
+    for (int time = 2000; time < 6000; time += 20) {
+        far.record(0, true, at(time));
+        cr_assert_eq(far.best(at(time)), 0, "the server in the own region is better than one that recovers in another");
+    }
+}
+
 // Guards against a recovered server that stays without requests, and against one that is tried all the time while it refuses.
 Test(ServerAcceptance, aRefusingServerIsTriedAboutOnceASecond)
 {
