LibGateway: Share evidence about backend servers between gateways

A gateway that sends a server one to three requests a second learns too late that the server refuses and too late that it has recovered.

Parts and their answers now carry what gateways observed of the servers of the part's shards, in Crankrudder-Evidence. One report per server is kept; own observations go first, and no gateway gets its own observations back. A newer report takes the place of a probe or, after a recovery, calls for one. Due probes are limited to one in eight requests, since gateways with few requests together sent a refusing server half of its usual arrivals.

The test of single probes now allows for their random choice and checks that there is exactly one in 2 s.

--- a/Libraries/LibGateway/BackendChoice.cpp
+++ b/Libraries/LibGateway/BackendChoice.cpp
@@ -52,9 +52,14 @@
     return Core::toFractionalMilliseconds(duration);
 }
 
-double BackendChoice::refusedShare(const Backend &backend, Core::Instant now)
+double BackendChoice::refusedShare(const Backend &backend, Core::Instant now, EvidenceScope scope)
 {
-    return backend.health.refusedShare(backend.serviceAcceptance->refusedShare(now), now);
+    return backend.health.refusedShare(backend.serviceAcceptance->refusedShare(now), now, scope);
+}
+
+std::uint64_t BackendChoice::choicesChangedByReports() const
+{
+    return this->changedByReports;
 }
 
 double BackendChoice::latencyMilliseconds(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const
@@ -132,25 +137,45 @@
     }
 }
 
-Backend *BackendChoice::best(const std::vector<Backend *> &candidates, const ChoiceTerms &terms, Core::Instant now)
+std::pair<Backend *, double> BackendChoice::leastScored(const std::vector<Scored> &candidates, const ChoiceTerms &terms)
 {
-    Backend *best = nullptr;
-    double bestScore = 0.0;
-    const auto rows = this->scored(candidates, terms.typicalLatency, now);
-    for (const auto &row : rows) {
+    std::pair<Backend *, double> best{nullptr, 0.0};
+    for (const auto &row : candidates) {
         const bool hasRefused = std::find(terms.refusedBy.begin(), terms.refusedBy.end(), row.backend->name) != terms.refusedBy.end();
         const bool suitsHedge = !hasRefused && 1.0 - row.refusedShare >= MinimumHedgeAcceptance;
         if (terms.within.has_value() && (row.expected > milliseconds(terms.within.value()) || !suitsHedge)) {
             continue;
         }
-        const double noise = 1.0 + std::uniform_real_distribution<double>(0.0, ChoiceNoise)(this->random);
         const double repeated = hasRefused ? RepeatedRefusalMilliseconds : 0.0;
-        const double score = row.expected * noise + row.bias + row.refusalCost + repeated;
-        if (best == nullptr || score < bestScore) {
-            best = row.backend;
-            bestScore = score;
+        const double score = row.expected * row.noise + row.bias + row.refusalCost + repeated;
+        if (best.first == nullptr || score < best.second) {
+            best = {row.backend, score};
         }
     }
+    return best;
+}
+
+Backend *BackendChoice::bestByOwnEvidence(std::vector<Scored> candidates, const ChoiceTerms &terms, Core::Instant now) const
+{
+    for (auto &row : candidates) {
+        row.refusedShare = refusedShare(*row.backend, now, EvidenceScope::Own);
+    }
+    this->addRefusalCosts(candidates);
+    return leastScored(candidates, terms).first;
+}
+
+Backend *BackendChoice::best(const std::vector<Backend *> &candidates, const ChoiceTerms &terms, Core::Instant now)
+{
+    auto rows = this->scored(candidates, terms.typicalLatency, now);
+    bool hasReports = false;
+    for (auto &row : rows) {
+        row.noise += std::uniform_real_distribution<double>(0.0, ChoiceNoise)(this->random);
+        hasReports = hasReports || row.backend->health.sharedAcceptance().hasReport(now);
+    }
+    const auto [best, bestScore] = leastScored(rows, terms);
+    if (hasReports && this->bestByOwnEvidence(rows, terms, now) != best) {
+        ++this->changedByReports;
+    }
     auto *probe = terms.mayProbe ? probed(rows, bestScore, now) : nullptr;
     return probe != nullptr ? probe : best;
 }
@@ -158,9 +183,10 @@
 // One probe at a time, and only of a server that would be chosen again if it had recovered. One that is stuck or avoided scores too high.
 Backend *BackendChoice::probed(const std::vector<Scored> &candidates, double limit, Core::Instant now)
 {
-    const auto found = std::find_if(candidates.begin(), candidates.end(), [limit, now](const Scored &row) {
+    const auto found = std::find_if(candidates.begin(), candidates.end(), [this, limit, now](const Scored &row) {
         const bool isWorthwhile = row.refusedShare > 0.0 && row.expected + row.bias < limit;
-        return isWorthwhile && row.backend->inFlight.empty() && row.backend->health.isProbeDue(now);
+        const double share = isWorthwhile && row.backend->inFlight.empty() ? row.backend->health.probeShare(now) : 0.0;
+        return share > 0.0 && std::uniform_real_distribution<double>(0.0, 1.0)(this->random) < share;
     });
     return found == candidates.end() ? nullptr : found->backend;
 }
--- a/Libraries/LibGateway/BackendChoice.h
+++ b/Libraries/LibGateway/BackendChoice.h
@@ -60,7 +60,10 @@
     [[nodiscard]] static bool isStuck(const Backend &backend, Core::Instant now);
 
     /** Returns the share of requests that the backend server is expected to refuse, from 0 to 1. */
-    [[nodiscard]] static double refusedShare(const Backend &backend, Core::Instant now);
+    [[nodiscard]] static double refusedShare(const Backend &backend, Core::Instant now, EvidenceScope scope = EvidenceScope::All);
+
+    /** Returns the number of choices that would have been different without reports from other gateways. */
+    [[nodiscard]] std::uint64_t choicesChangedByReports() const;
 
 private:
     /** A candidate and the parts of its score; times in milliseconds. */
@@ -72,18 +75,25 @@
         double bias{0.0};
         double refusedShare{0.0};
         double refusalCost{0.0};
+        /** Factor by which the expected latency is increased at random. */
+        double noise{1.0};
     };
 
     [[nodiscard]] std::vector<Scored> scored(const std::vector<Backend *> &candidates, Core::Duration typicalLatency, Core::Instant now) const;
+    /** Returns the candidate with the least score, and the score; nullptr when there is none. */
+    [[nodiscard]] static std::pair<Backend *, double> leastScored(const std::vector<Scored> &candidates, const ChoiceTerms &terms);
+    /** Returns the best candidate according to the observations of this gateway alone. */
+    [[nodiscard]] Backend *bestByOwnEvidence(std::vector<Scored> candidates, const ChoiceTerms &terms, Core::Instant now) const;
     void addRefusalCosts(std::vector<Scored> &candidates) const;
     /** Returns a backend server that is to be probed and scored less than `limit` if it accepted all requests; nullptr when there is none. */
-    [[nodiscard]] static Backend *probed(const std::vector<Scored> &candidates, double limit, Core::Instant now);
+    [[nodiscard]] Backend *probed(const std::vector<Scored> &candidates, double limit, Core::Instant now);
     [[nodiscard]] double latencyMilliseconds(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const;
     [[nodiscard]] double refusalMilliseconds(const Backend &backend) const;
     [[nodiscard]] double biasMilliseconds(const Backend &backend, Core::Instant now) const;
 
     BackendChoiceOptions options;
     std::mt19937_64 random;
+    std::uint64_t changedByReports{0};
 };
 
 }
--- a/Libraries/LibGateway/BackendHealth.cpp
+++ b/Libraries/LibGateway/BackendHealth.cpp
@@ -85,9 +85,19 @@
     this->acceptance.record(true, now);
 }
 
-double BackendHealth::refusedShare(double expected, Core::Instant now) const
+double BackendHealth::refusedShare(double expected, Core::Instant now, EvidenceScope scope) const
 {
-    return this->acceptance.refusedShare(expected, now);
+    return this->acceptance.refusedShare(expected, now, scope);
+}
+
+ServerAcceptance &BackendHealth::sharedAcceptance()
+{
+    return this->acceptance;
+}
+
+const ServerAcceptance &BackendHealth::sharedAcceptance() const
+{
+    return this->acceptance;
 }
 
 std::optional<double> BackendHealth::observedAcceptance(Core::Instant now) const
@@ -95,9 +105,9 @@
     return this->acceptance.observedShare(now);
 }
 
-bool BackendHealth::isProbeDue(Core::Instant now) const
+double BackendHealth::probeShare(Core::Instant now) const
 {
-    return this->acceptance.isProbeDue(now);
+    return this->acceptance.probeShare(now);
 }
 
 std::optional<AcceptanceChange> BackendHealth::takeAcceptanceChange(Core::Instant now)
--- a/Libraries/LibGateway/BackendHealth.h
+++ b/Libraries/LibGateway/BackendHealth.h
@@ -58,11 +58,14 @@
     [[nodiscard]] double failureRate(Core::Instant now) const;
 
     /** Returns the expected share of requests that are refused; see ServerAcceptance::refusedShare(). */
-    [[nodiscard]] double refusedShare(double expected, Core::Instant now) const;
+    [[nodiscard]] double refusedShare(double expected, Core::Instant now, EvidenceScope scope = EvidenceScope::All) const;
+    /** Returns the share of accepted requests, with the reports of other gateways. */
+    [[nodiscard]] ServerAcceptance &sharedAcceptance();
+    [[nodiscard]] const ServerAcceptance &sharedAcceptance() const;
     /** Returns the observed share of accepted requests; see ServerAcceptance::observedShare(). */
     [[nodiscard]] std::optional<double> observedAcceptance(Core::Instant now) const;
-    /** Whether one request may try the backend server again; see ServerAcceptance::isProbeDue(). */
-    [[nodiscard]] bool isProbeDue(Core::Instant now) const;
+    /** Returns the share of requests that may try the backend server again; see ServerAcceptance::probeShare(). */
+    [[nodiscard]] double probeShare(Core::Instant now) const;
     /** Returns a change of the acceptance that is to be logged; see ServerAcceptance::takeChange(). */
     [[nodiscard]] std::optional<AcceptanceChange> takeAcceptanceChange(Core::Instant now);
 
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -675,6 +675,13 @@
     const auto now = this->timers.now();
     accepted ? backend.health.recordAccepted(now) : backend.health.recordRefusal(now);
     backend.serviceAcceptance->record(accepted, now);
+    this->evidenceUntil = std::max(this->evidenceUntil, backend.health.sharedAcceptance().tellableUntil());
+    this->logAcceptanceChange(backend);
+}
+
+void BackendPool::logAcceptanceChange(Backend &backend)
+{
+    const auto now = this->timers.now();
     const auto change = backend.health.takeAcceptanceChange(now);
     if (change.has_value()) {
         Core::logEvent(Core::LogLevel::Information,
@@ -683,10 +690,69 @@
                 {"service", backend.service.value()},
                 {"share", change->share},
                 {"evidence", change->evidence},
+                {"remote_evidence", change->remoteEvidence},
+                {"source", change->source},
                 {"age_ms", Core::toMilliseconds(change->age)}});
     }
 }
 
+bool BackendPool::hasEvidence() const
+{
+    return this->timers.now() < this->evidenceUntil;
+}
+
+std::string BackendPool::evidenceOf(const std::vector<Core::ServiceName> &names, EvidenceScope scope)
+{
+    if (!this->hasEvidence()) {
+        return {};
+    }
+    const auto now = this->timers.now();
+    std::vector<EvidenceEntry> entries;
+    for (const auto &name : names) {
+        const auto row = this->services.find(name);
+        if (row == this->services.end()) {
+            continue;
+        }
+        for (const auto *backend : row->second.backends) {
+            const auto report = backend->health.sharedAcceptance().reportFor(scope, now);
+            if (report.has_value()) {
+                entries.push_back({.server = backend->name.value(), .report = report.value()});
+            }
+        }
+    }
+    chooseEntries(entries, now);
+    this->evidence.sent += entries.size();
+    return encodeEvidence(entries, now);
+}
+
+void BackendPool::receiveEvidence(std::string_view header, const std::string &source, Core::Duration transit)
+{
+    const auto now = this->timers.now();
+    const auto decoded = decodeEvidence(header, source, transit, now);
+    EvidenceReceipt receipt{.source = source, .ignored = decoded.ignored};
+    for (const auto &[server, report] : decoded.entries) {
+        const auto found = this->backends.find(server);
+        if (found == this->backends.end() || !found->second->health.sharedAcceptance().receive(report, now)) {
+            ++receipt.ignored;
+            continue;
+        }
+        ++receipt.kept;
+        receipt.oldest = std::max(receipt.oldest, now - report.observedAt);
+        this->evidenceUntil = std::max(this->evidenceUntil, found->second->health.sharedAcceptance().tellableUntil());
+        this->logAcceptanceChange(*found->second);
+    }
+    this->evidence.received += decoded.entries.size() + decoded.ignored;
+    this->evidence.ignored += receipt.ignored;
+    this->evidenceLog.record(receipt, now);
+}
+
+EvidenceCounters BackendPool::evidenceCounters() const
+{
+    auto counters = this->evidence;
+    counters.changedChoices = this->choice.choicesChangedByReports();
+    return counters;
+}
+
 // The backend server is at its connection cap, which counts the connections of all gateways. That says nothing about its health, so no failure is recorded.
 void BackendPool::recordRejection(Backend &backend)
 {
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -187,6 +187,17 @@
     [[nodiscard]] bool isGoodInRegion(const Core::ServiceName &service, Core::Duration typicalLatency, const Fleet::AllowedRegions &allowedRegions) const;
     /** Records the latency of a part that another gateway sent to a service in a zone; `ratio` as in BackendHealth::recordAnswer(). */
     void recordPartLatency(const Core::ServiceName &service, const std::string &zone, double ratio);
+    /** Whether there may be anything to tell to other gateways; never while no backend server refuses. */
+    [[nodiscard]] bool hasEvidence() const;
+    /** Returns the header with what this gateway tells another one of the servers of these services; see SharedEvidence.h. Empty if there is nothing to tell.
+     */
+    [[nodiscard]] std::string evidenceOf(const std::vector<Core::ServiceName> &names, EvidenceScope scope);
+    /**
+     * Takes in what another gateway tells. `source` is its name, empty if it is not known; `transit` is the time that the header may have been on the way.
+     * Entries that are invalid or about unknown servers are ignored.
+     */
+    void receiveEvidence(std::string_view header, const std::string &source, Core::Duration transit);
+    [[nodiscard]] EvidenceCounters evidenceCounters() const;
     /** Returns the shortest measured round trip to a backend server of the service, at most the round trip that is assumed until one has been measured. */
     [[nodiscard]] Core::Duration roundTripTo(const Core::ServiceName &service) const;
     [[nodiscard]] const PoolCounters &counters() const;
@@ -266,6 +277,7 @@
     void observeOutcome(Backend &backend, const Attempt &attempt, const AttemptOutcome &outcome);
     /** Records whether the backend server accepted a request, and logs a change of its acceptance. */
     void recordAcceptance(Backend &backend, bool accepted);
+    void logAcceptanceChange(Backend &backend);
     void recordRejection(Backend &backend);
     void recordFailure(Backend &backend, const std::string &reason);
     void recordUnresponsive(Backend &backend, const std::string &reason);
@@ -309,6 +321,10 @@
     Core::TimerSubscription sweepTimer;
     PoolCounters counts;
     DeniedRepeatLog deniedRepeats;
+    // Invariant: no server has anything to tell to other gateways after this time.
+    Core::Instant evidenceUntil;
+    EvidenceCounters evidence;
+    EvidenceLog evidenceLog;
 };
 
 }
--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -749,6 +749,18 @@
     return row.call ? row.call->lacksRepeat() : row.lacksRepeatThere;
 }
 
+std::string FanOutRequest::ownEvidence() const
+{
+    if (!this->context.pool->hasEvidence()) {
+        return {};
+    }
+    std::vector<Core::ServiceName> shards;
+    std::transform(this->rows.begin(), this->rows.end(), std::back_inserter(shards), [](const Row &row) {
+        return row.shard;
+    });
+    return this->context.pool->evidenceOf(shards, EvidenceScope::Own);
+}
+
 void FanOutRequest::answerOtherGateway()
 {
     std::vector<std::string> denied;
@@ -775,6 +787,9 @@
     if (!denied.empty()) {
         response.headers.push_back({RelayHeader::DeniedRepeats, Core::joinList(denied)});
     }
+    if (auto evidence = this->ownEvidence(); !evidence.empty()) {
+        response.headers.push_back({RelayHeader::Evidence, std::move(evidence)});
+    }
     this->complete(std::move(response), outcome);
 }
 
--- a/Libraries/LibGateway/FanOutRequest.h
+++ b/Libraries/LibGateway/FanOutRequest.h
@@ -113,6 +113,8 @@
     void completeForGatewayIfPossible();
     void answerCaller();
     void answerOtherGateway();
+    /** Returns the header with what this gateway observed of the backend servers of the shards; see SharedEvidence.h. */
+    [[nodiscard]] std::string ownEvidence() const;
     [[nodiscard]] static bool everyRow(const Row &row);
     /** Returns whether the shard was answered by a direct call, and its answer is not part of a relayed part. */
     [[nodiscard]] static bool isAnsweredDirectly(const Row &row);
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -79,6 +79,14 @@
         "crankrudder_sends_low_acceptance_total",
         "Sends to backend servers that were observed to refuse more than half of their requests.",
         sends.attemptsToLowAcceptance);
+    const auto evidence = servers.evidenceCounters();
+    addCounter(page, "crankrudder_evidence_sent_total", "Entries about backend servers that were sent to other gateways.", evidence.sent);
+    addCounter(page, "crankrudder_evidence_received_total", "Entries about backend servers that other gateways sent.", evidence.received);
+    addCounter(page, "crankrudder_evidence_ignored_total", "Of these, invalid, old, about unknown servers, or weaker than one that is held.", evidence.ignored);
+    addCounter(page,
+        "crankrudder_choices_changed_by_evidence_total",
+        "Choices of a backend server that would have been different without evidence from other gateways.",
+        evidence.changedChoices);
     addCounter(page, "crankrudder_sends_cancelled_total", "Sends that were cancelled.", sends.cancelled);
     addCounter(page,
         "crankrudder_answers_passed_over_total",
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -514,6 +514,9 @@
         this->refuse(Refusal::NotRun, request, answer, "part-refused");
         return;
     }
+    if (!parameters->evidence.empty()) {
+        this->pool.receiveEvidence(parameters->evidence, {}, Core::Duration(0));
+    }
     RelayPlan plan;
     if (parameters->mayRelayFurther) {
         auto view = this->relayView(*route, workspace, true);
--- a/Libraries/LibGateway/RelayPlan.cpp
+++ b/Libraries/LibGateway/RelayPlan.cpp
@@ -6,6 +6,7 @@
 #include <LibGateway/RelayPlan.h>
 
 #include <LibCore/Settings.h>
+#include <LibGateway/Scheduling/SharedEvidence.h>
 
 #include <algorithm>
 #include <charconv>
@@ -203,6 +204,7 @@
     Fleet::AllowedRegions allowedRegions;
     std::optional<Fleet::WorkspaceName> workspace;
     std::optional<SearchState> searchState;
+    std::string evidence;
     std::erase_if(headers, [&](const Wire::Header &header) {
         if (Wire::sameName(header.name, RelayHeader::Parameters)) {
             parameters = parseRelayParameters(header.value);
@@ -231,6 +233,10 @@
             searchState = parseSearchState(header.value);
             return true;
         }
+        if (Wire::sameName(header.name, RelayHeader::Evidence)) {
+            evidence = header.value;
+            return true;
+        }
         return false;
     });
     if (!parameters.has_value() || shards.empty()) {
@@ -241,6 +247,7 @@
     parameters->allowedRegions = std::move(allowedRegions);
     parameters->workspace = std::move(workspace);
     parameters->searchState = searchState;
+    parameters->evidence = std::move(evidence);
     return parameters;
 }
 
@@ -272,6 +279,9 @@
     if (parameters.searchState.has_value()) {
         headers.push_back({RelayHeader::SearchState, formatSearchState(parameters.searchState.value())});
     }
+    if (!parameters.evidence.empty()) {
+        headers.push_back({RelayHeader::Evidence, parameters.evidence});
+    }
     if (!parameters.minimumRecord.empty()) {
         headers.push_back({RelayHeader::MinimumRecord, toHexadecimal(parameters.minimumRecord)});
     }
@@ -298,6 +308,12 @@
         CallerRequest named = *request.caller;
         // The serving gateway takes the workspace from the part's parameters.
         named.workspace.reset();
+        // Only now is it known which gateway gets the part.
+        if (const auto evidence = Wire::extractHeader(named.message.headers, RelayHeader::Evidence); evidence.has_value()) {
+            if (auto sent = withoutOwnReports(evidence.value(), request.backend.value()); !sent.empty()) {
+                named.message.headers.push_back({RelayHeader::Evidence, std::move(sent)});
+            }
+        }
         named.message.headers.push_back({RelayHeader::Send, std::to_string(request.number)});
         BackendRequest sent = request;
         sent.caller = &named;
--- a/Libraries/LibGateway/RelayPlan.h
+++ b/Libraries/LibGateway/RelayPlan.h
@@ -116,6 +116,8 @@
  * in answers of a release without it.
  */
 constexpr const char *DeniedRepeats = "Crankrudder-Denied-Repeats";
+/** What the sending gateway knows of the backend servers of a part; see SharedEvidence.h. In parts and partial answers. Absent if there is nothing to tell. */
+constexpr const char *Evidence = "Crankrudder-Evidence";
 /** Set if the body is a partial answer. */
 constexpr const char *Partial = "Crankrudder-Partial";
 /** Workspace of the search, as the requesting gateway determined it by the caller's API key. Absent if there is none. */
@@ -162,6 +164,8 @@
     std::optional<Fleet::WorkspaceName> workspace;
     /** State of the search without the shards of the part, if the requesting gateway has sent it. */
     std::optional<SearchState> searchState;
+    /** Header with what the requesting gateway knows of the backend servers of the shards; empty if it has nothing to tell. */
+    std::string evidence{};
 };
 
 /** Extracts the parameters from the headers of a request. Returns nullopt if they are incomplete or invalid. */
--- a/Libraries/LibGateway/RelayedPart.cpp
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -52,7 +52,8 @@
             .topRecords = partParameters.topRecords,
             .allowedRegions = partParameters.allowedRegions,
             .workspace = this->request.workspace,
-            .searchState = partParameters.searchState});
+            .searchState = partParameters.searchState,
+            .evidence = context.pool->evidenceOf(plan.shards, EvidenceScope::All)});
     this->relayCall = std::make_unique<ShardCall>(this->parameters, this->relayServiceName, *context.relays, *context.timers);
 }
 
@@ -92,6 +93,11 @@
     this->context.relayLatencies->add(this->relayCall->latency());
     this->partial = std::move(answer.value());
     const auto *denied = Wire::findHeader(this->relayCall->reply().message.headers, RelayHeader::DeniedRepeats);
+    const auto *evidence = Wire::findHeader(this->relayCall->reply().message.headers, RelayHeader::Evidence);
+    if (evidence != nullptr) {
+        // When the answer was written is not known. It was on the way for at most as long as the call took, also if this gateway was stopped meanwhile.
+        this->context.pool->receiveEvidence(*evidence, this->relayCall->answeredBy().value(), this->relayCall->latency());
+    }
     this->deniedRepeats = denied == nullptr ? std::vector<std::string>() : Core::splitList(*denied);
 }
 
--- a/Libraries/LibGateway/Scheduling/ServerAcceptance.cpp
+++ b/Libraries/LibGateway/Scheduling/ServerAcceptance.cpp
@@ -6,22 +6,19 @@
 #include <LibGateway/Scheduling/ServerAcceptance.h>
 
 #include <algorithm>
-#include <cmath>
+#include <utility>
 
 namespace Gateway
 {
 
-// Observations count for half after this time. A gateway sends a server one to three requests a second where 30 gateways share it: with 550 ms, servers that
-// refuse 0.6 rejected 19,255 of 196,234 arrivals, with 3 s they rejected 12,649 of 181,246. A recovery is detected by probes, not by forgetting.
-static constexpr Core::Duration HalfLife = Core::seconds(3);
 // Requests within this time of each other meet the same queue; a full queue clears within tens of milliseconds.
 static constexpr Core::Duration Window = Core::milliseconds(40);
 // Maximum number of observations that the requests of one window count for. With 2, a burst of refusals moves the requests of all gateways away.
 static constexpr double MaximumPerWindow = 1.0;
-// Maximum number of observations in all. More would delay the detection of a fault and of a recovery.
-static constexpr double MaximumEvidence = 6.0;
 // A server with a low share is probed when its latest observation is older. Recoveries are to be detected within about a second.
-static constexpr Core::Duration ProbeInterval = Core::milliseconds(900);
+static constexpr Core::Duration ProbeInterval = Core::milliseconds(800);
+// Share of the requests that probe a server once that is due. A gateway that sends few requests is one of many that probe the same server.
+static constexpr double ProbeShare = 0.125;
 // The same after an accepted request: long enough that a full queue that has let one request in counts as a different observation.
 static constexpr Core::Duration FollowUpInterval = Core::milliseconds(100);
 // Minimum number of refusals after fading for a server to need probes; with fewer it is chosen by its score again.
@@ -43,17 +40,6 @@
 // Minimum time between two changes of one server that are logged.
 static constexpr Core::Duration ChangeInterval = Core::seconds(1);
 
-static FadedOutcomes scaled(const FadedOutcomes &outcomes, double factor)
-{
-    return {.accepted = outcomes.accepted * factor, .refused = outcomes.refused * factor};
-}
-
-// Returns the outcomes with the same mean, but `maximum` observations at most.
-static FadedOutcomes limited(const FadedOutcomes &outcomes, double maximum)
-{
-    return outcomes.total() <= maximum ? outcomes : scaled(outcomes, maximum / outcomes.total());
-}
-
 void FadingOutcomes::record(bool accepted, Core::Instant now)
 {
     if (now - this->windowStart >= Window) {
@@ -74,10 +60,9 @@
 
 FadedOutcomes FadingOutcomes::at(Core::Instant now) const
 {
-    const auto counted = limited(this->current, MaximumPerWindow);
+    const auto counted = this->current.limited(MaximumPerWindow);
     const FadedOutcomes sum{.accepted = this->settled.accepted + counted.accepted, .refused = this->settled.refused + counted.refused};
-    const double halfLives = Core::toFractionalMilliseconds(now - this->windowStart) / Core::toFractionalMilliseconds(HalfLife);
-    return scaled(limited(sum, MaximumEvidence), std::exp2(-halfLives));
+    return sum.limited(MaximumEvidence).faded(now - this->windowStart);
 }
 
 void ServiceAcceptance::record(bool accepted, Core::Instant now)
@@ -105,27 +90,95 @@
     if (accepted && isNewWindow && this->acceptedInRow >= RecoveryAccepted) {
         this->outcomes.discountRefused(RecoveryFactor, now);
     }
+    const auto own = this->outcomes.at(now);
+    if (own.total() >= MinimumEvidence && own.accepted <= RestoredAcceptance * own.total()) {
+        this->ownTellableUntil = now + EvidenceLifetime;
+    }
+}
+
+FadedOutcomes ServerAcceptance::remoteAt(const FadedOutcomes &own, Core::Instant now) const
+{
+    return this->remote.has_value() ? this->remote->at(now).limited(std::max(0.0, MaximumEvidence - own.total())) : FadedOutcomes{};
 }
 
-bool ServerAcceptance::isProbeDue(Core::Instant now) const
+FadedOutcomes ServerAcceptance::observedAt(Core::Instant now, EvidenceScope scope) const
 {
-    const auto interval = this->acceptedInRow > 0 ? FollowUpInterval : ProbeInterval;
-    if (now - this->latest < interval) {
+    const auto own = this->outcomes.at(now);
+    const auto reported = scope == EvidenceScope::All ? this->remoteAt(own, now) : FadedOutcomes{};
+    return {.accepted = own.accepted + reported.accepted, .refused = own.refused + reported.refused};
+}
+
+bool ServerAcceptance::hasReport(Core::Instant now) const
+{
+    return this->remote.has_value() && !this->remote->isExpired(now);
+}
+
+bool ServerAcceptance::isReportNewer(Core::Instant now) const
+{
+    return this->hasReport(now) && this->remote->observedAt > this->latest;
+}
+
+bool ServerAcceptance::receive(EvidenceReport report, Core::Instant now)
+{
+    this->newestReport = std::max(this->newestReport, std::min(report.observedAt, now));
+    if (!replacesReport(this->remote, report, now)) {
         return false;
     }
-    const auto observed = this->outcomes.at(now);
-    return observed.refused >= MinimumProbedRefusals && observed.accepted <= RestoredAcceptance * observed.total();
+    this->remote = std::move(report);
+    return true;
 }
 
-double ServerAcceptance::refusedShare(double expected, Core::Instant now) const
+std::optional<EvidenceReport> ServerAcceptance::ownReport(Core::Instant now) const
 {
-    const auto observed = this->outcomes.at(now);
+    if (now >= this->ownTellableUntil) {
+        return std::nullopt;
+    }
+    return EvidenceReport{.outcomes = this->outcomes.at(this->latest), .observedAt = this->latest};
+}
+
+std::optional<EvidenceReport> ServerAcceptance::forwardableReport(Core::Instant now) const
+{
+    return this->hasReport(now) && !this->remote->source.empty() ? this->remote : std::nullopt;
+}
+
+std::optional<EvidenceReport> ServerAcceptance::reportFor(EvidenceScope scope, Core::Instant now) const
+{
+    auto own = this->ownReport(now);
+    auto reported = scope == EvidenceScope::All ? this->forwardableReport(now) : std::nullopt;
+    const bool isOwnStronger = own.has_value() && (!reported.has_value() || own->at(now).total() >= reported->at(now).total());
+    return isOwnStronger ? own : reported;
+}
+
+Core::Instant ServerAcceptance::tellableUntil() const
+{
+    const bool isForwardable = this->remote.has_value() && !this->remote->source.empty();
+    return isForwardable ? std::max(this->ownTellableUntil, this->remote->observedAt + EvidenceLifetime) : this->ownTellableUntil;
+}
+
+// A newer report of a recovery lets this gateway try the server itself, one request at a time. Any other newer report is another gateway's probe and takes the
+// place of one of this gateway, so that all gateways together do not probe much more often than one.
+double ServerAcceptance::probeShare(Core::Instant now) const
+{
+    const bool isRecovering = this->isReportNewer(now) && this->remote->isGood();
+    const bool isHopeful = isRecovering || (this->acceptedInRow > 0 && this->latest >= this->newestReport);
+    const auto latestNews = isHopeful ? this->latest : std::max(this->latest, this->newestReport);
+    if (now - latestNews < (isHopeful ? FollowUpInterval : ProbeInterval)) {
+        return 0.0;
+    }
+    const auto observed = this->observedAt(now);
+    const bool isLowNow = observed.refused >= MinimumProbedRefusals && observed.accepted <= RestoredAcceptance * observed.total();
+    return !isLowNow ? 0.0 : isHopeful ? 1.0 : ProbeShare;
+}
+
+double ServerAcceptance::refusedShare(double expected, Core::Instant now, EvidenceScope scope) const
+{
+    const auto observed = this->observedAt(now, scope);
     return (observed.refused + ServerPriorWeight * expected) / (observed.total() + ServerPriorWeight);
 }
 
 std::optional<double> ServerAcceptance::observedShare(Core::Instant now) const
 {
-    const auto observed = this->outcomes.at(now);
+    const auto observed = this->observedAt(now);
     return observed.total() < MinimumEvidence ? std::nullopt : std::optional(observed.accepted / observed.total());
 }
 
@@ -141,7 +194,13 @@
     }
     this->isLow = !this->isLow;
     this->changedAt = now;
-    return AcceptanceChange{.share = share.value(), .evidence = this->outcomes.at(now).total(), .age = this->latestAge};
+    const auto own = this->outcomes.at(now);
+    const bool isReportNewer = this->isReportNewer(now);
+    return AcceptanceChange{.share = share.value(),
+        .evidence = this->observedAt(now).total(),
+        .age = isReportNewer ? now - this->remote->observedAt : this->latestAge,
+        .remoteEvidence = this->remoteAt(own, now).total(),
+        .source = this->hasReport(now) ? this->remote->source : std::string()};
 }
 
 double refusalCost(double refusedShare, const RefusalTimes &times)
--- a/Libraries/LibGateway/Scheduling/ServerAcceptance.h
+++ b/Libraries/LibGateway/Scheduling/ServerAcceptance.h
@@ -17,9 +17,10 @@
 
 #pragma once
 
-#include <LibCore/Time.h>
+#include <LibGateway/Scheduling/SharedEvidence.h>
 
 #include <optional>
+#include <string>
 
 namespace Gateway
 {
@@ -32,17 +33,6 @@
  */
 inline constexpr double MinimumHedgeAcceptance = 0.7;
 
-/** Numbers of accepted and refused requests after fading. */
-struct FadedOutcomes {
-    double accepted{0.0};
-    double refused{0.0};
-
-    [[nodiscard]] double total() const
-    {
-        return this->accepted + this->refused;
-    }
-};
-
 /** Counts accepted and refused requests, which fade with time. */
 class FadingOutcomes
 {
@@ -80,11 +70,26 @@
     double share{1.0};
     /** Number of observations after fading. */
     double evidence{0.0};
-    /** Time between the latest observation and the one before. */
+    /** Time between the latest observation and the one before; the age of the report if that changed the acceptance. */
     Core::Duration age{0};
+    /** How much of `evidence` is from a report of another gateway. */
+    double remoteEvidence{0.0};
+    /** Gateway that sent the report; empty without one, and if it came with a part. */
+    std::string source{};
+};
+
+/** Whose observations of a backend server count. */
+enum class EvidenceScope {
+    /** Those of this gateway, and the report of another gateway as far as it has few. */
+    All,
+    /** Only those of this gateway. */
+    Own,
 };
 
-/** The share of requests that one backend server accepts. */
+/**
+ * The share of requests that one backend server accepts. Observations of this gateway go first: a report of another gateway adds only as many as they lack of
+ * MaximumEvidence.
+ */
 class ServerAcceptance
 {
 public:
@@ -95,21 +100,47 @@
      * Returns the expected share of refused requests, from 0 to 1, given the share that is expected of a server of which nothing is known. It is exactly 0
      * when that is 0 and no request was refused.
      */
-    [[nodiscard]] double refusedShare(double expected, Core::Instant now) const;
+    [[nodiscard]] double refusedShare(double expected, Core::Instant now, EvidenceScope scope = EvidenceScope::All) const;
 
     /** Returns the observed share of accepted requests, from 0 to 1; nullopt if there are too few observations. */
     [[nodiscard]] std::optional<double> observedShare(Core::Instant now) const;
 
-    /** Whether the server has a low share and its latest observation is so old that one request may try it again. */
-    [[nodiscard]] bool isProbeDue(Core::Instant now) const;
+    /**
+     * Returns the share of requests, from 0 to 1, of which one may try the server again: 0 unless the server has a low share and its latest observation is old,
+     * and 1 if there is a sign that it has recovered.
+     */
+    [[nodiscard]] double probeShare(Core::Instant now) const;
+
+    /** Keeps a report of another gateway if it says more than the one that is held. Returns whether it does. */
+    bool receive(EvidenceReport report, Core::Instant now);
+    /** Returns what this gateway observed itself, if the server was low within EvidenceLifetime. */
+    [[nodiscard]] std::optional<EvidenceReport> ownReport(Core::Instant now) const;
+    /** Returns the report of another gateway that is held and may be sent on: it has a source and reports refusals or a recovery. */
+    [[nodiscard]] std::optional<EvidenceReport> forwardableReport(Core::Instant now) const;
+    /** Returns what is told to another gateway: ownReport(), or with EvidenceScope::All the one of both with more evidence after fading. */
+    [[nodiscard]] std::optional<EvidenceReport> reportFor(EvidenceScope scope, Core::Instant now) const;
+    /** Whether a report of another gateway counts. */
+    [[nodiscard]] bool hasReport(Core::Instant now) const;
+    /** Until when there is something to tell; see ownReport() and forwardableReport(). */
+    [[nodiscard]] Core::Instant tellableUntil() const;
 
     /** Returns the change since the last call that returned one, if there is one to log: at most one a second. */
     [[nodiscard]] std::optional<AcceptanceChange> takeChange(Core::Instant now);
 
 private:
+    [[nodiscard]] FadedOutcomes remoteAt(const FadedOutcomes &own, Core::Instant now) const;
+    [[nodiscard]] FadedOutcomes observedAt(Core::Instant now, EvidenceScope scope = EvidenceScope::All) const;
+    /** Whether the report is newer than the observations of this gateway. */
+    [[nodiscard]] bool isReportNewer(Core::Instant now) const;
+
     FadingOutcomes outcomes;
     Core::Instant latest;
     Core::Duration latestAge{0};
+    std::optional<EvidenceReport> remote;
+    // Time of the latest observation that any gateway reported, also in a report that is not kept.
+    Core::Instant newestReport;
+    // EvidenceLifetime after this gateway observed a low share for the last time.
+    Core::Instant ownTellableUntil;
     // Accepted requests since the latest refusal; those of one window count once.
     int acceptedInRow{0};
     bool isLow{false};
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -293,6 +293,7 @@
     const bool worthRetry = !goodSuccess && (incoming.isSuccess() || incoming.message.status >= 500);
     this->answer = incoming;
     this->answerLatency = this->timers.now() - attempt.startedAt;
+    this->answerer = attempt.backend;
     if (!worthRetry) {
         this->finish(goodSuccess ? CallState::Answered : CallState::FailedWithReply);
         return;
@@ -395,6 +396,11 @@
     return this->answer;
 }
 
+const BackendName &ShardCall::answeredBy() const
+{
+    return this->answerer;
+}
+
 Core::Duration ShardCall::latency() const
 {
     return this->answerLatency;
--- a/Libraries/LibGateway/ShardCall.h
+++ b/Libraries/LibGateway/ShardCall.h
@@ -120,6 +120,8 @@
     [[nodiscard]] const Core::ServiceName &service() const;
     /** Returns the reply; valid in the states Answered and FailedWithReply. */
     [[nodiscard]] BackendReply &reply();
+    /** Returns the backend server that answered; empty until one has. */
+    [[nodiscard]] const BackendName &answeredBy() const;
     /** Returns how long the answered attempt took. */
     [[nodiscard]] Core::Duration latency() const;
     [[nodiscard]] int attempts() const;
@@ -202,6 +204,7 @@
     std::optional<WaiterNumber> waiter;
     BackendReply answer;
     Core::Duration answerLatency{0};
+    BackendName answerer;
     std::optional<Core::Duration> lastBreakAfter;
     std::string reason;
     std::shared_ptr<int> alive{std::make_shared<int>(0)};
--- a/Tests/LibGateway/TestServerAcceptance.cpp
+++ b/Tests/LibGateway/TestServerAcceptance.cpp
@@ -110,11 +110,18 @@
 {
     View view(0);
     view.recordRefusing({0});
-    cr_assert_neq(view.best(at(2700)), 0, "too early");
-    cr_assert_eq(view.best(at(2900)), 0);
-    Gateway::Attempt attempt{.startedAt = at(2900)};
-    view.servers[0].inFlight.push_back(&attempt);
-    cr_assert_neq(view.best(at(2901)), 0, "a probe is in flight");
+    int probes = 0;
+    Gateway::Attempt attempt{.startedAt = at(2700)};
+    for (int time = 2000; time < 4000; time += 10) {
+        if (view.best(at(time)) != 0) {
+            continue;
+        }
+        cr_assert(time >= 2700, "too early");
+        ++probes;
+        // The probe stays in flight.
+        view.servers[0].inFlight.push_back(&attempt);
+    }
+    cr_assert_eq(probes, 1);
     View far(0);
     far.recordRefusing({1});
     for (int time = 2000; time < 6000; time += 20) {
