--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -68,7 +68,8 @@
         .allowedRegions = this->parameters.allowedRegions,
         .within = within,
         .request = this->parameters.request,
-        .refusedBy = this->refusedBy};
+        .refusedBy = this->refusedBy,
+        .mayProbe = !within.has_value() && this->tried.empty() && this->refusedBy.empty()};
 }
 
 Backend *ShardCall::chooseBackend()
@@ -292,6 +293,7 @@
     const bool worthRetry = !goodSuccess && (incoming.isSuccess() || incoming.message.status >= 500);
     this->answer = incoming;
     this->answerLatency = this->timers.now() - attempt.startedAt;
+    this->answerer = attempt.backend;
     if (!worthRetry) {
         this->finish(goodSuccess ? CallState::Answered : CallState::FailedWithReply);
         return;
@@ -394,6 +396,11 @@
     return this->answer;
 }
 
+const BackendName &ShardCall::answeredBy() const
+{
+    return this->answerer;
+}
+
 Core::Duration ShardCall::latency() const
 {
     return this->answerLatency;
