LibGateway: Check shared evidence between whole gateways

The header was tested on single requests and as text only. A test with two gateways now checks that one learns from an answer and from a part, that a caller's header neither counts nor reaches a backend server, and that a gateway is not told its own observations. It replaces the test that only checked the removal of the header. It fails if parts are not read or the header is not removed.

--- a/Libraries/LibGateway/Scheduling/ServerAcceptance.cpp
+++ b/Libraries/LibGateway/Scheduling/ServerAcceptance.cpp
@@ -33,8 +33,6 @@
 // Number of accepted requests that are assumed for a service. So a server that was not tried yet is expected to accept more than one that refuses, even when
 // the latter received all requests of the service.
 static constexpr double ServicePriorWeight = 9.0;
-// The acceptance counts as restored only above this share, so that a server close to LowAcceptance does not fill the log.
-static constexpr double RestoredAcceptance = 0.75;
 // Minimum number of observations for the acceptance to be logged and counted.
 static constexpr double MinimumEvidence = 1.5;
 // Minimum time between two changes of one server that are logged.
--- a/Libraries/LibGateway/Scheduling/SharedEvidence.cpp
+++ b/Libraries/LibGateway/Scheduling/SharedEvidence.cpp
@@ -16,8 +16,6 @@
 namespace Gateway
 {
 
-// A server that accepts a larger share of its requests counts as recovered; the same share as RestoredAcceptance in ServerAcceptance.cpp.
-static constexpr double GoodShare = 0.75;
 // Fields of an entry as sent, and with its source.
 static constexpr std::size_t SentFields = 4;
 static constexpr std::size_t FieldsWithSource = 5;
@@ -38,7 +36,7 @@
 
 bool EvidenceReport::isGood() const
 {
-    return this->outcomes.accepted > GoodShare * this->outcomes.total();
+    return this->outcomes.accepted > RestoredAcceptance * this->outcomes.total();
 }
 
 // E3. Evidence that arrives on two ways replaces itself.
--- a/Libraries/LibGateway/Scheduling/SharedEvidence.h
+++ b/Libraries/LibGateway/Scheduling/SharedEvidence.h
@@ -35,6 +35,10 @@
 
 /** A report is dropped, and a server that is no longer low stops being reported, after this time. */
 inline constexpr Core::Duration EvidenceLifetime = Core::seconds(3);
+/**
+ * A server that accepts a larger share of its requests counts as recovered. Larger than LowAcceptance, so that a server close to that does not fill the log.
+ */
+inline constexpr double RestoredAcceptance = 0.75;
 /** Maximum number of entries in one header. */
 inline constexpr std::size_t MaximumEvidenceEntries = 16;
 
@@ -50,7 +54,7 @@
     [[nodiscard]] bool isExpired(Core::Instant now) const;
     /** Returns the observations that still count; none once the report has expired. */
     [[nodiscard]] FadedOutcomes at(Core::Instant now) const;
-    /** Whether at least RestoredAcceptance of the observed requests were accepted. */
+    /** Whether more than RestoredAcceptance of the observed requests were accepted. */
     [[nodiscard]] bool isGood() const;
 };
 
--- a/Tests/LibGateway/TestSharedEvidence.cpp
+++ b/Tests/LibGateway/TestSharedEvidence.cpp
@@ -8,7 +8,7 @@
 // and half of the servers refuse 0.6 of what reaches them for some seconds.
 
 #include <LibGateway/BackendChoice.h>
-#include <Support/GatewayFixture.h>
+#include <Support/NodeFixture.h>
 
 #include <array>
 #include <criterion/criterion.h>
@@ -289,12 +289,52 @@
     cr_assert(fixture.evidence(EvidenceScope::All).find("b2") == std::string::npos, "what came with a part is not sent on");
 }
 
-// Guards against callers that pass for gateways.
-Test(SharedEvidence, theHeaderIsRemovedFromRequests)
+// Guards against gateways that learn nothing from answers or parts, against callers that pass for gateways, and against headers that reach backend servers.
+Test(SharedEvidence, gatewaysLearnFromAnswersAndPartsAndNotFromCallers)
 {
-    Wire::Headers headers{{"crankrudder-evidence", "b1=0/6/1/0"}, {"Host", "h"}};
-    cr_assert_not(Gateway::extractRelayParameters(headers).has_value());
-    cr_assert_eq(headers.size(), 1);
+    TestSupport::NodeFixture fixture;
+    fixture.coordinator.declare(nlohmann::json::parse(
+        R"({"version": 1, "services": [{"name": "s0", "max_conns": 200}, {"name": "s1", "max_conns": 200}, {"name": "s2", "max_conns": 200}], "routes": [
+        {"name": "search", "host": "h.example", "path_prefix": "/search/", "route_type": "idempotent", "timeout_ms": 4000, "target_latency_ms": 1000, "public": true,
+         "gather": ["s0", "s1", "s2"], "max_attempts": 2, "top_k": 5, "min_coverage": 0.5}]})"));
+    for (const char *shard : {"s0", "s1", "s2"}) {
+        fixture.addBackend(shard, std::string("server-") + shard, "beside");
+    }
+    fixture.backends[0]->script = [](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+        exchange->respond(TestSupport::errorResponse(request, 503, true));
+    };
+    Core::Endpoint relayEndpoint;
+    auto &asked = fixture.addNode("here", [&relayEndpoint](Gateway::GatewayOptions &options) {
+        relayEndpoint = options.relayEndpoint;
+    });
+    const auto &serving = fixture.addNode("beside");
+    cr_assert(fixture.awaitReady());
+    const auto acceptanceOf = [&asked](const std::string &server) {
+        const auto rows = nlohmann::json::parse(asked.node.backends().dump());
+        const auto row = std::find_if(rows.begin(), rows.end(), [&server](const auto &candidate) {
+            return candidate["backend"] == server;
+        });
+        return row->at("acceptance").template get<double>();
+    };
+    const Wire::Header forged{Evidence, "server-s1=0/6/1/0"};
+    for (int search = 0; search < 200 && asked.node.backends().evidenceCounters().received == 0; ++search) {
+        (void)fixture.ask(asked, "/search/1", {forged});
+    }
+    cr_assert_lt(acceptanceOf("server-s0"), 0.7, "from an answer");
+    cr_assert_eq(acceptanceOf("server-s1"), 1.0, "what a caller sends does not count");
+    Wire::Headers part{forged};
+    Gateway::addRelayParameters(
+        part, {.timeLeftToTarget = Core::seconds(1), .timeLeftToDeadline = Core::seconds(2), .shards = {Core::ServiceName("s1")}, .topRecords = 5});
+    asked.callerEndpoint = relayEndpoint;
+    cr_assert_eq(fixture.ask(asked, "/search/1", part).status, 200);
+    cr_assert_lt(acceptanceOf("server-s1"), 0.7, "from a part");
+    const auto carriesEvidence = [](const Wire::Request &request) {
+        return Wire::findHeader(request.headers, Evidence) != nullptr;
+    };
+    cr_assert_not(std::any_of(serving.relayed.begin(), serving.relayed.end(), carriesEvidence), "it observed all of it itself");
+    for (const auto &backend : fixture.backends) {
+        cr_assert(!backend->requests.empty() && std::none_of(backend->requests.begin(), backend->requests.end(), carriesEvidence));
+    }
 }
 
 // Guards against an answer without the observations of its gateway: a refusing server would stay unknown to the gateways that send the parts.
