LibGateway: Judge whole searches before they are sent

A search that can't include enough shards before its timeout took a slot at each of its shards, delayed all others, and was refused after its whole time.

SearchAdmission counts the shards that can be included by the target and by the deadline, from eligible and avoided servers, what waits at the same or a higher urgency, and the measured pace of the queue (ServicePace). A search that is impossible is refused as not run if that has held for 300 ms for half of the searches of its route and urgency; one that is late is sent. Owners judge parts by what these may lack. Nothing is computed while no request waits and no server is avoided.

--- a/Libraries/LibGateway/BackendChoice.cpp
+++ b/Libraries/LibGateway/BackendChoice.cpp
@@ -6,6 +6,7 @@
 #include <LibGateway/BackendChoice.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <map>
 
@@ -60,6 +61,11 @@
     return expected;
 }
 
+Core::Duration BackendChoice::expectedLatency(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const
+{
+    return Core::milliseconds(std::lround(this->expectedMilliseconds(backend, typicalLatency, now)));
+}
+
 // Penalties and biases that are added to the expected latency: the failure rate, and crossing a zone or a region.
 double BackendChoice::biasMilliseconds(const Backend &backend, Core::Instant now) const
 {
--- a/Libraries/LibGateway/BackendChoice.h
+++ b/Libraries/LibGateway/BackendChoice.h
@@ -43,6 +43,9 @@
     /** Whether an attempt in flight to this backend server takes much longer than is typical and nothing was received from the server in that time. */
     [[nodiscard]] static bool isStuck(const Backend &backend, Core::Instant now);
 
+    /** Returns the latency that is expected of a backend server, with what it reports about its load. */
+    [[nodiscard]] Core::Duration expectedLatency(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const;
+
 private:
     [[nodiscard]] double expectedMilliseconds(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const;
     [[nodiscard]] double biasMilliseconds(const Backend &backend, Core::Instant now) const;
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -73,6 +73,29 @@
     addCapacityMetrics(page, servers);
 }
 
+void addSearchAdmissionMetrics(Metrics::MetricsPage &page, const std::map<SearchClass, SearchAdmission> &admissions)
+{
+    for (const bool isPart : {false, true}) {
+        SearchAdmissionCounts sum;
+        for (const auto &[searchClass, admission] : admissions) {
+            if (searchClass.isPart == isPart) {
+                sum.admittedLate += admission.counts().admittedLate;
+                sum.admittedImpossible += admission.counts().admittedImpossible;
+                sum.refused += admission.counts().refused;
+            }
+        }
+        const auto decision = [&page, isPart](const char *name, std::uint64_t value) {
+            page.counter("crankrudder_search_admissions_total",
+                "Searches and parts of searches that were judged to miss their target.",
+                static_cast<double>(value),
+                {{"kind", isPart ? "part" : "search"}, {"decision", name}});
+        };
+        decision("refused", sum.refused);
+        decision("admitted-late", sum.admittedLate);
+        decision("admitted-impossible", sum.admittedImpossible);
+    }
+}
+
 void addQuotaMetrics(Metrics::MetricsPage &page, const QuotaLimiter &quotas)
 {
     const auto &counts = quotas.counters();
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -520,6 +520,7 @@
 
 RequestContext GatewayNode::contextFor(const Fleet::Route &route, const Fleet::Workspace *workspace, std::optional<RelayParameters> relayParameters)
 {
+    const SearchClass searchClass{.route = route.name, .urgency = urgencyOf(workspace, route), .isPart = relayParameters.has_value()};
     return RequestContext{.pool = &this->pool,
         .relays = &this->relays,
         .timers = &this->timers,
@@ -527,6 +528,7 @@
         .settings = &this->options.requests,
         .latencies = &this->latencies[route.name],
         .relayLatencies = &this->relayLatencies[route.name],
+        .admission = &this->searchAdmissions[searchClass],
         .workLimit = &this->workLimits[route.name],
         .cells = &this->ownership.cells(),
         .workspace = workspace,
@@ -687,6 +689,7 @@
     Metrics::MetricsPage page;
     addRequestMetrics(page, this->counts);
     addSendMetrics(page, this->pool, this->relays);
+    addSearchAdmissionMetrics(page, this->searchAdmissions);
     addQuotaMetrics(page, this->quotas);
     Fleet::addCrashMetrics(page, this->crashes, this->timers.now());
     page.gauge("crankrudder_evacuated_zones", "Availability zones that are evacuated.", static_cast<double>(this->watcher.evacuations().zones.size()));
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -141,6 +141,7 @@
     std::unordered_map<std::string, Core::LatencyDigest> latencies;
     std::unordered_map<std::string, Core::LatencyDigest> relayLatencies;
     std::unordered_map<std::string, WorkLimit> workLimits;
+    std::map<SearchClass, SearchAdmission> searchAdmissions;
     std::unordered_map<std::uint64_t, Admission> admissions;
     std::unordered_map<std::uint64_t, std::unique_ptr<RoutedRequest>> requests;
     std::uint64_t nextRequest{1};
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -200,7 +200,7 @@
 {
     const auto refusal = !mayHaveRun ? Refusal::NotRun : this->isExpired() ? Refusal::TimedOut : Refusal::Failed;
     const auto outcome = !mayHaveRun ? RequestOutcome::NotRun : this->isExpired() ? RequestOutcome::TimedOut : RequestOutcome::Failed;
-    this->complete(this->context.dialect->writeRefusal(refusal, this->request.id, this->context.settings->retryAfter), outcome);
+    this->complete(this->context.dialect->writeRefusal(refusal, this->request.id, this->retryAfter.value_or(this->context.settings->retryAfter)), outcome);
 }
 
 void RoutedRequest::describeCall(RequestSummary &summary, const ShardCall &call)
--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -219,6 +219,7 @@
             .settings = &this->settings,
             .latencies = &this->latencies,
             .relayLatencies = &this->relayLatencies,
+            .admission = this->admission,
             .cells = &this->cells,
             .relayParameters = this->relayParameters};
         if (context.relayParameters.has_value() && context.relayParameters->topRecords == 0) {
@@ -266,6 +267,8 @@
     Gateway::BackendPool pool;
     Gateway::BackendPool *usedPool{&this->pool};
     Gateway::BackendPool relays;
+    // Admission of searches; nullptr if they are sent without it.
+    Gateway::SearchAdmission *admission{nullptr};
     Gateway::CellMap cells{{}, "here", poolOptions(0.0).regions, "here:1"};
     Gateway::RequestSettings settings;
     Core::LatencyDigest latencies;
