LibGateway: Let gateways set when they refuse searches

GatewayOptions gains the options of SearchAdmission, with the same defaults. The test of a whole gateway uses them and sees a refusal.

--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -533,7 +533,7 @@
         .settings = &this->options.requests,
         .latencies = &this->latencies[route.name],
         .relayLatencies = &this->relayLatencies[route.name],
-        .admission = &this->searchAdmissions[searchClass],
+        .admission = &this->searchAdmissions.try_emplace(searchClass, this->options.searchAdmission).first->second,
         .workLimit = &this->workLimits[route.name],
         .cells = &this->ownership.cells(),
         .workspace = workspace,
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -23,6 +23,7 @@
     std::string name;
     BackendPoolOptions pool;
     RequestSettings requests;
+    SearchAdmissionOptions searchAdmission;
     std::vector<Core::Endpoint> coordinators;
     Dialect dialect;
     /** Address on which this gateway serves parts of searches and quota queries of other gateways. */
--- a/Tests/LibGateway/TestSearchAdmission.cpp
+++ b/Tests/LibGateway/TestSearchAdmission.cpp
@@ -273,8 +273,8 @@
     cr_assert_eq(fixture.searches.counts().admittedLate, 1);
 }
 
-// A gateway keeps one admission for each route, urgency and kind of search.
-Test(SearchAdmission, gatewayCountsVerdictsOfItsSearches)
+// Guards against a gateway that judges its searches without state, so that none stays impossible for long enough.
+Test(SearchAdmission, gatewayKeepsTheAdmissionsOfItsSearches)
 {
     TestSupport::NodeFixture fixture;
     fixture.coordinator.declare(nlohmann::json::parse(R"({"version": 1,
@@ -282,13 +282,15 @@
                     "gather": ["a"], "max_attempts": 2, "top_k": 5, "min_coverage": 1.0}],
         "services": [{"name": "a", "max_conns": 20}]})"));
     fixture.addBackend("a", "a1", "here").script = failing;
-    const auto &gateway = fixture.addNode("here");
+    const auto &gateway = fixture.addNode("here", [](auto &options) {
+        options.searchAdmission.holdTime = Core::Duration(0);
+    });
     cr_assert(fixture.awaitReady());
-    for (int number = 0; number < 3; ++number) {
-        cr_assert_eq(fixture.ask(gateway, "/all/1").status, 502);
-    }
+    cr_assert_eq(fixture.ask(gateway, "/all/1").status, 502);
+    cr_assert_eq(fixture.ask(gateway, "/all/1").status, 502);
+    cr_assert_eq(fixture.ask(gateway, "/all/1").status, 503, "its server is avoided for longer than the timeout");
     const auto page = gateway.node.metrics();
-    cr_assert(page.find("crankrudder_search_admissions_total{decision=\"admitted-impossible\",kind=\"search\"} 1") != std::string::npos, "%s", page.c_str());
+    cr_assert(page.find("crankrudder_search_admissions_total{decision=\"refused\",kind=\"search\"} 1") != std::string::npos, "%s", page.c_str());
 }
 
 Test(SearchAdmission, urgentSearchIsJudgedByWhatWaitsAtItsUrgencyOrAbove)
