--- a/Libraries/LibGateway/BackendChoice.h
+++ b/Libraries/LibGateway/BackendChoice.h
@@ -59,6 +59,8 @@
 
     /** Returns the share of requests that the backend server is expected to refuse, from 0 to 1. */
     [[nodiscard]] static double refusedShare(const Backend &backend, Core::Instant now);
+    /** Returns the latency that is expected of a backend server, with what it reports about its load. */
+    [[nodiscard]] Core::Duration expectedLatency(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const;
 
 private:
     /** A candidate and the parts of its score; times in milliseconds. */
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -232,7 +232,8 @@
     const bool mayHaveRun = evidenceOfRun != RunEvidence::None;
     const auto refusal = !mayHaveRun ? Refusal::NotRun : this->isExpired() ? Refusal::TimedOut : Refusal::Failed;
     const auto outcome = !mayHaveRun ? RequestOutcome::NotRun : this->isExpired() ? RequestOutcome::TimedOut : RequestOutcome::Failed;
-    this->complete(this->context.dialect->writeRefusal(refusal, this->request.id, this->retryDelay(lacksServers)), outcome);
+    const auto delay = this->retryAfter.value_or(this->retryDelay(lacksServers));
+    this->complete(this->context.dialect->writeRefusal(refusal, this->request.id, delay), outcome);
 }
 
 void RoutedRequest::describeCall(RequestSummary &summary, const ShardCall &call)
