--- /dev/null
+++ b/Libraries/LibGateway/BackendLog.h
@@ -0,0 +1,30 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// Log lines about backend servers and their attempts, and the rows of the state dump.
+
+#pragma once
+
+#include <LibGateway/Backend.h>
+
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+namespace Gateway
+{
+
+/** Logs that the answer of an attempt was lost. */
+void logBroken(const Attempt &attempt, const std::string &reason, Core::Instant now);
+
+/** Logs that a backend server is avoided from now on. */
+void logAvoidance(const Backend &backend, const std::string &reason, Core::Instant now);
+
+/** Logs that the acceptance of a backend server crossed a threshold. */
+void logAcceptanceChange(const Backend &backend, const AcceptanceChange &change);
+
+/** Returns the row of a backend server in the state dump; times in milliseconds. */
+[[nodiscard]] nlohmann::json describeBackend(const Backend &backend, bool isEvacuated, Core::Instant now);
+
+}
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -6,6 +6,7 @@
 #include <LibGateway/BackendPool.h>
 
 #include <LibCore/Log.h>
+#include <LibGateway/BackendLog.h>
 #include <LibGateway/RequestTrace.h>
 
 #include <algorithm>
@@ -567,11 +568,11 @@
         if (attempt.connection->answered() == 0) {
             this->trialPeriod.recordReset(this->timers.now());
         }
-        this->logBroken(attempt, outcome.reason);
+        logBroken(attempt, outcome.reason, this->timers.now());
         break;
     case Wire::ClientEnd::Unacknowledged:
         outcome.end = AttemptEnd::Unacknowledged;
-        this->logBroken(attempt, outcome.reason);
+        logBroken(attempt, outcome.reason, this->timers.now());
         break;
     }
     return outcome;
@@ -676,23 +677,14 @@
     accepted ? backend.health.recordAccepted(now) : backend.health.recordRefusal(now);
     backend.serviceAcceptance->record(accepted, now);
     this->evidenceUntil = std::max(this->evidenceUntil, backend.health.sharedAcceptance().tellableUntil());
-    this->logAcceptanceChange(backend);
+    this->takeAcceptanceChange(backend);
 }
 
-void BackendPool::logAcceptanceChange(Backend &backend)
+void BackendPool::takeAcceptanceChange(Backend &backend)
 {
-    const auto now = this->timers.now();
-    const auto change = backend.health.takeAcceptanceChange(now);
+    const auto change = backend.health.takeAcceptanceChange(this->timers.now());
     if (change.has_value()) {
-        Core::logEvent(Core::LogLevel::Information,
-            "backend.acceptance_changed",
-            {{"backend", backend.name.value()},
-                {"service", backend.service.value()},
-                {"share", change->share},
-                {"evidence", change->evidence},
-                {"remote_evidence", change->remoteEvidence},
-                {"source", change->source},
-                {"age_ms", Core::toMilliseconds(change->age)}});
+        logAcceptanceChange(backend, change.value());
     }
 }
 
@@ -739,7 +731,7 @@
         ++receipt.kept;
         receipt.oldest = std::max(receipt.oldest, now - report.observedAt);
         this->evidenceUntil = std::max(this->evidenceUntil, found->second->health.sharedAcceptance().tellableUntil());
-        this->logAcceptanceChange(*found->second);
+        this->takeAcceptanceChange(*found->second);
     }
     this->evidence.received += decoded.entries.size() + decoded.ignored;
     this->evidence.ignored += receipt.ignored;
@@ -764,7 +756,7 @@
 void BackendPool::recordFailure(Backend &backend, const std::string &reason)
 {
     if (backend.health.recordFailure(this->options.failuresUntilAvoided, this->timers.now())) {
-        this->logAvoidance(backend, reason);
+        logAvoidance(backend, reason, this->timers.now());
     }
     this->avoidanceEnd = std::max(this->avoidanceEnd, backend.health.avoidedUntil());
 }
@@ -772,34 +764,11 @@
 void BackendPool::recordUnresponsive(Backend &backend, const std::string &reason)
 {
     if (backend.health.recordUnresponsive(this->timers.now())) {
-        this->logAvoidance(backend, reason);
+        logAvoidance(backend, reason, this->timers.now());
     }
     this->avoidanceEnd = std::max(this->avoidanceEnd, backend.health.avoidedUntil());
 }
 
-void BackendPool::logBroken(const Attempt &attempt, const std::string &reason) const
-{
-    Core::logEvent(Core::LogLevel::Information,
-        "attempt.broken",
-        {{"request", attempt.trace ? attempt.trace->id.value() : std::string()},
-            {"digest", attempt.trace ? attempt.trace->digest.value() : std::string()},
-            {"backend", attempt.backend->name.value()},
-            {"service", attempt.backend->service.value()},
-            {"after_ms", Core::toMilliseconds(this->timers.now() - attempt.startedAt)},
-            {"reason", reason}});
-}
-
-void BackendPool::logAvoidance(const Backend &backend, const std::string &reason) const
-{
-    Core::logEvent(Core::LogLevel::Information,
-        "backend.avoided",
-        {{"backend", backend.name.value()},
-            {"service", backend.service.value()},
-            {"failures", backend.health.consecutiveFailures()},
-            {"for_ms", Core::toMilliseconds(backend.health.avoidedUntil() - this->timers.now())},
-            {"reason", reason}});
-}
-
 void BackendPool::abandon(AttemptId id, bool callerGone)
 {
     const auto found = this->attempts.find(id);
@@ -1021,22 +990,9 @@
 
 std::string BackendPool::dump() const
 {
-    const auto now = this->timers.now();
     nlohmann::json rows = nlohmann::json::array();
     for (const auto &[name, backend] : this->backends) {
-        rows.push_back({{"backend", name},
-            {"service", backend->service.value()},
-            {"address", backend->endpoint.toString()},
-            {"phase", static_cast<int>(backend->phase)},
-            {"evacuated", this->evacuatedZones.contains(backend->zone)},
-            {"cold_ms", Core::toMilliseconds(std::max(Core::Duration(0), backend->warmUntil - now))},
-            {"born", backend->born},
-            {"connections", backend->connections.size()},
-            {"in_flight", backend->inFlight.size()},
-            {"trouble_rate", backend->health.failureRate(now)},
-            {"acceptance", 1.0 - BackendChoice::refusedShare(*backend, now)},
-            {"avoided_ms", Core::toMilliseconds(std::max(Core::Duration(0), backend->health.avoidedUntil() - now))},
-            {"failures", backend->health.consecutiveFailures()}});
+        rows.push_back(describeBackend(*backend, this->evacuatedZones.contains(backend->zone), this->timers.now()));
     }
     return rows.dump(2);
 }
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -285,12 +285,11 @@
     void observeOutcome(Backend &backend, const Attempt &attempt, const AttemptOutcome &outcome);
     /** Records whether the backend server accepted a request, and logs a change of its acceptance. */
     void recordAcceptance(Backend &backend, bool accepted);
-    void logAcceptanceChange(Backend &backend);
+    /** Logs a change of the acceptance once. */
+    void takeAcceptanceChange(Backend &backend);
     void recordRejection(Backend &backend);
     void recordFailure(Backend &backend, const std::string &reason);
     void recordUnresponsive(Backend &backend, const std::string &reason);
-    void logBroken(const Attempt &attempt, const std::string &reason) const;
-    void logAvoidance(const Backend &backend, const std::string &reason) const;
     void remove(Backend &backend);
     void offerCapacity(const Core::ServiceName &service);
     void offerCapacityToWaiters();
