--- a/Libraries/LibGateway/BackendChoice.cpp
+++ b/Libraries/LibGateway/BackendChoice.cpp
@@ -6,7 +6,6 @@
 #include <LibGateway/BackendChoice.h>
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <map>
 #include <utility>
@@ -75,12 +74,6 @@
     return expected;
 }
 
-Core::Duration BackendChoice::expectedLatency(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const
-{
-    const double stuck = isStuck(backend, now) ? StuckPenaltyMilliseconds : 0.0;
-    return Core::milliseconds(std::lround(this->latencyMilliseconds(backend, typicalLatency, now) + stuck));
-}
-
 // Penalties and biases that are added to the expected latency: the failure rate, and crossing a zone or a region.
 double BackendChoice::biasMilliseconds(const Backend &backend, Core::Instant now) const
 {
--- a/Libraries/LibGateway/BackendChoice.h
+++ b/Libraries/LibGateway/BackendChoice.h
@@ -65,9 +65,6 @@
     /** Returns the number of choices that would have been different without reports from other gateways. */
     [[nodiscard]] std::uint64_t choicesChangedByReports() const;
 
-    /** Returns the latency that is expected of a backend server, with what it reports about its load. */
-    [[nodiscard]] Core::Duration expectedLatency(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const;
-
 private:
     /** A candidate and the parts of its score; times in milliseconds. */
     struct Scored {
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -758,7 +758,6 @@
     if (backend.health.recordFailure(this->options.failuresUntilAvoided, this->timers.now())) {
         logAvoidance(backend, reason, this->timers.now());
     }
-    this->avoidanceEnd = std::max(this->avoidanceEnd, backend.health.avoidedUntil());
 }
 
 void BackendPool::recordUnresponsive(Backend &backend, const std::string &reason)
@@ -766,7 +765,6 @@
     if (backend.health.recordUnresponsive(this->timers.now())) {
         logAvoidance(backend, reason, this->timers.now());
     }
-    this->avoidanceEnd = std::max(this->avoidanceEnd, backend.health.avoidedUntil());
 }
 
 void BackendPool::abandon(AttemptId id, bool callerGone)
@@ -799,18 +797,14 @@
 {
     this->awaitedServices.insert(service);
     this->sweepEvery(SweepPeriod);
-    auto &row = this->serviceOf(service);
-    row.pace.recordWaiting(true, this->timers.now());
-    return row.waiters.add(std::move(waiter), this->timers.now());
+    return this->serviceOf(service).waiters.add(std::move(waiter), this->timers.now());
 }
 
 void BackendPool::stopWaiting(const Core::ServiceName &service, WaiterNumber number)
 {
     const auto now = this->timers.now();
-    auto &row = this->serviceOf(service);
-    if (const auto wait = row.waiters.remove(number, now); wait.has_value()) {
+    if (const auto wait = this->serviceOf(service).waiters.remove(number, now); wait.has_value()) {
         this->waits.record(service, wait.value(), now);
-        row.pace.recordWaiting(!row.waiters.isEmpty(), now);
     }
 }
 
@@ -823,8 +817,6 @@
     });
     if (sent.has_value()) {
         this->waits.record(service, sent.value(), now);
-        row.pace.recordSent(now);
-        row.pace.recordWaiting(!row.waiters.isEmpty(), now);
     }
 }
 
@@ -843,37 +835,6 @@
     return counts;
 }
 
-bool BackendPool::mayDelayRequests() const
-{
-    return !this->awaitedServices.empty() || this->timers.now() < this->avoidanceEnd;
-}
-
-ShardEstimate BackendPool::estimateOf(
-    const Core::ServiceName &service, const Urgency &urgency, Core::Duration typicalLatency, const Fleet::AllowedRegions &allowedRegions) const
-{
-    ShardEstimate estimate;
-    const auto found = this->services.find(service);
-    if (found == this->services.end()) {
-        return estimate;
-    }
-    const auto now = this->timers.now();
-    for (const auto *backend : found->second.backends) {
-        if (!this->isEligible(*backend, allowedRegions)) {
-            continue;
-        }
-        const auto avoidedFor = std::max(Core::Duration(0), backend->health.avoidedUntil() - now);
-        const auto latency = this->choice.expectedLatency(*backend, typicalLatency, now);
-        estimate.avoidedFor = estimate.hasServer ? std::min(estimate.avoidedFor, avoidedFor) : avoidedFor;
-        estimate.expectedLatency = estimate.hasServer ? std::min(estimate.expectedLatency, latency) : latency;
-        estimate.hasServer = true;
-    }
-    estimate.measuredLatency = typicalLatency;
-    estimate.waiting = found->second.waiters.waitingUpTo(urgency);
-    estimate.sentPerSecond = found->second.pace.perSecond(now);
-    estimate.unsentFor = found->second.pace.unsentFor(now);
-    return estimate;
-}
-
 const CapacityWaits &BackendPool::capacityWaits() const
 {
     return this->waits;
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -17,8 +17,6 @@
 #include <LibGateway/RetryBudget.h>
 #include <LibGateway/Scheduling/CapacityWaits.h>
 #include <LibGateway/Scheduling/DeniedRepeatLog.h>
-#include <LibGateway/Scheduling/SearchAdmission.h>
-#include <LibGateway/Scheduling/ServicePace.h>
 #include <LibGateway/WarmupLimiter.h>
 
 #include <map>
@@ -166,11 +164,6 @@
     [[nodiscard]] std::size_t waitingUpTo(const Core::ServiceName &service, const Urgency &urgency) const;
     /** Returns how many requests wait for capacity at all services, by urgency. */
     [[nodiscard]] std::map<Urgency, std::size_t> waitingByUrgency() const;
-    /** Whether requests wait for capacity, or backend servers are avoided, or either was so a sweep period ago. Otherwise no estimate is worth its time. */
-    [[nodiscard]] bool mayDelayRequests() const;
-    /** Returns what is known of a service for a request of this urgency; see SearchOutlook. */
-    [[nodiscard]] ShardEstimate estimateOf(
-        const Core::ServiceName &service, const Urgency &urgency, Core::Duration typicalLatency, const Fleet::AllowedRegions &allowedRegions) const;
     /** Returns the histograms of waits for capacity that have ended. */
     [[nodiscard]] const CapacityWaits &capacityWaits() const;
 
@@ -234,7 +227,6 @@
     struct Service {
         std::vector<Backend *> backends;
         CapacityQueue waiters;
-        ServicePace pace;
         // 0 when the service is not declared.
         int connectionCap{0};
         // Warm-up parameters from the declaration.
@@ -322,8 +314,6 @@
     TrialPeriod trialPeriod;
     AttemptId nextAttempt{1};
     CapacityWaits waits;
-    // No backend server is avoided from this time on.
-    Core::Instant avoidanceEnd;
     // Invariant: includes every service that has waiters.
     std::set<Core::ServiceName> awaitedServices;
     Core::Duration sweepPeriod{0};
--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -10,12 +10,10 @@
 #include <LibGateway/PackedSignatures.h>
 #include <LibGateway/RecordMerge.h>
 #include <LibGateway/RequestTrace.h>
-#include <LibGateway/StableHash.h>
 #include <LibRpc/Serialization.h>
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace Gateway
 {
@@ -67,14 +65,6 @@
         // Nothing is sent, so completeIfPossible() refuses the search immediately as not run.
         return;
     }
-    std::size_t elsewhere = 0;
-    for (const auto &part : this->plan.parts) {
-        elsewhere += part.shards.size();
-    }
-    this->isNotAdmitted = !this->isAdmitted(this->plan.direct, elsewhere);
-    if (this->isNotAdmitted) {
-        return;
-    }
     this->addRows();
     if (this->needsCanary()) {
         this->startCanary();
@@ -127,92 +117,6 @@
     }
 }
 
-// ---- Admission
-
-SearchOutlook FanOutRequest::outlookFor(const std::vector<Core::ServiceName> &direct, std::size_t elsewhere) const
-{
-    const auto all = direct.size() + elsewhere;
-    // A part is useful to the requesting gateway with at most the maximum missing.
-    const auto neededInPart = std::max<std::size_t>(1, all - std::min(all, this->maximumMissing()));
-    const SearchLimits limits{.needed = this->origin == RequestOrigin::Caller ? this->requiredShards() : neededInPart,
-        .timeToTarget = this->parameters.targetAt - this->now(),
-        .timeToDeadline = this->parameters.expiresAt - this->now()};
-    SearchOutlook outlook(limits, elsewhere);
-    for (const auto &shard : direct) {
-        outlook.add(this->context.pool->estimateOf(shard, this->parameters.urgency, this->parameters.typicalLatency, this->parameters.allowedRegions));
-    }
-    return outlook;
-}
-
-bool FanOutRequest::isAdmitted(const std::vector<Core::ServiceName> &direct, std::size_t elsewhere)
-{
-    auto *admission = this->context.admission;
-    const bool isHedge = this->context.relayParameters.has_value() && this->context.relayParameters->isHedge;
-    if (admission == nullptr || isHedge) {
-        return true;
-    }
-    if (!this->context.pool->mayDelayRequests()) {
-        admission->recordNothingWaits();
-        return true;
-    }
-    const auto outlook = this->outlookFor(direct, elsewhere);
-    if (admission->admit(outlook, this->now())) {
-        return true;
-    }
-    // Each attempt has an id of its own, so callers that are refused together return at different times.
-    const double spread = static_cast<double>(stableHash(this->request.id.value())) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-    this->retryAfter = returnAfter({.backlog = outlook.backlog(),
-        .usual = this->context.settings->retryAfter,
-        .callerTimeLeft = this->parameters.deadline - this->now(),
-        .urgency = this->parameters.urgency,
-        .spread = spread});
-    this->logNotAdmitted(outlook);
-    return false;
-}
-
-// With nothing in flight and nothing run, the refusal of the last part decides: the shards would be sent to directly next.
-bool FanOutRequest::isLostAfterRefusal(const SentPart &refused)
-{
-    const bool wasRefused = refused.part->call().state() == CallState::NotRun;
-    const bool isDirectNext = !refused.part->hasOwners() || refused.part->isRetry();
-    if (this->origin != RequestOrigin::Caller || this->isExpired()) {
-        return false;
-    }
-    if (!wasRefused || !isDirectNext || this->openCount() > 0 || this->runEvidence() != RunEvidence::None) {
-        return false;
-    }
-    return !this->isAdmitted(this->route.shards, 0);
-}
-
-void FanOutRequest::logNotAdmitted(const SearchOutlook &outlook) const
-{
-    auto &admission = *this->context.admission;
-    const auto omitted = admission.takeLogLine(this->now());
-    if (!omitted.has_value()) {
-        return;
-    }
-    Core::logEvent(Core::LogLevel::Information,
-        "search.refused",
-        {{"request", this->request.id.value()},
-            {"route", this->route.name},
-            {"workspace", this->request.workspace.has_value() ? this->request.workspace->value() : std::string()},
-            {"kind", this->origin == RequestOrigin::Caller ? "search" : "part"},
-            {"workspace_priority", this->parameters.urgency.workspace},
-            {"route_priority", this->parameters.urgency.route},
-            {"shards", outlook.all()},
-            {"needed", outlook.limits().needed},
-            {"possible", outlook.possible()},
-            {"possible_in_time", outlook.inTime()},
-            {"target_left_ms", Core::toMilliseconds(outlook.limits().timeToTarget)},
-            {"deadline_left_ms", Core::toMilliseconds(outlook.limits().timeToDeadline)},
-            {"backlog_ms", Core::toMilliseconds(outlook.backlog())},
-            {"unsent_ms", Core::toMilliseconds(outlook.unsentFor())},
-            {"impossible_share", admission.impossibleShare()},
-            {"held_ms", Core::toMilliseconds(admission.heldFor(this->now()))},
-            {"retry_ms", Core::toMilliseconds(this->retryAfter.value_or(Core::Duration(0)))},
-            {"omitted", omitted.value()}});
-}
-
 // ---- Canaries
 
 bool FanOutRequest::needsCanary() const
@@ -348,10 +252,6 @@
             this->recordMissing(sentPart, row, *found);
         }
     }
-    this->isNotAdmitted = this->isLostAfterRefusal(sentPart);
-    if (this->isNotAdmitted) {
-        return;
-    }
     this->retryMissingShards();
 }
 
@@ -650,10 +550,6 @@
 
 void FanOutRequest::completeIfPossible()
 {
-    if (this->isNotAdmitted) {
-        this->refuse(RunEvidence::None, false);
-        return;
-    }
     if (this->canaryRow.has_value()) {
         this->handleCanary();
         return;
--- a/Libraries/LibGateway/FanOutRequest.h
+++ b/Libraries/LibGateway/FanOutRequest.h
@@ -78,15 +78,6 @@
 
     /** Returns whether enough shards have an eligible backend server for the required coverage. */
     [[nodiscard]] bool canBeServed() const;
-    /**
-     * Returns whether enough shards are possible for the search or part to be sent, if it sends to the shards in `direct` itself and `elsewhere` others are
-     * judged by other gateways. A search that is not admitted is refused as not run.
-     */
-    [[nodiscard]] bool isAdmitted(const std::vector<Core::ServiceName> &direct, std::size_t elsewhere);
-    [[nodiscard]] SearchOutlook outlookFor(const std::vector<Core::ServiceName> &direct, std::size_t elsewhere) const;
-    /** Returns whether other gateways have refused to run any of the search, and sending to its shards directly is no use either. */
-    [[nodiscard]] bool isLostAfterRefusal(const SentPart &refused);
-    void logNotAdmitted(const SearchOutlook &outlook) const;
     void addRow(const Core::ServiceName &shard);
     void addRows();
     /** Starts the calls and parts of all shards that were not sent to as canaries. */
@@ -163,8 +154,6 @@
     RequestOrigin origin;
     // Invariant: one row for each shard that was requested, in any order: the direct ones first, then those of each part.
     std::vector<Row> rows;
-    // Set if the search is refused because too few shards are possible. Invariant: nothing of it has run.
-    bool isNotAdmitted{false};
     // The number of the shard that is sent to first, while its call is in flight.
     std::optional<std::size_t> canaryRow;
     std::size_t canaries{0};
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -138,29 +138,6 @@
     page.gauge("crankrudder_quota_reservations", "Reservations whose callers are expected.", static_cast<double>(quotas.outstandingReservations()));
 }
 
-void addSearchAdmissionMetrics(Metrics::MetricsPage &page, const std::map<SearchClass, SearchAdmission> &admissions)
-{
-    for (const bool isPart : {false, true}) {
-        SearchAdmissionCounts sum;
-        for (const auto &[searchClass, admission] : admissions) {
-            if (searchClass.cell.has_value() == isPart) {
-                sum.admittedLate += admission.counts().admittedLate;
-                sum.admittedImpossible += admission.counts().admittedImpossible;
-                sum.refused += admission.counts().refused;
-            }
-        }
-        const auto decision = [&page, isPart](const char *name, std::uint64_t value) {
-            page.counter("crankrudder_search_admissions_total",
-                "Searches and parts of searches that were judged to miss their target.",
-                static_cast<double>(value),
-                {{"kind", isPart ? "part" : "search"}, {"decision", name}});
-        };
-        decision("refused", sum.refused);
-        decision("admitted-late", sum.admittedLate);
-        decision("admitted-impossible", sum.admittedImpossible);
-    }
-}
-
 void addQuotaMetrics(Metrics::MetricsPage &page, const QuotaLimiter &quotas)
 {
     const auto &counts = quotas.counters();
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -52,9 +52,6 @@
  */
 void addSendMetrics(Metrics::MetricsPage &page, const BackendPool &servers, const BackendPool &gateways);
 
-/** Adds the counters of searches and parts that were refused, or sent although they are expected to be late, summed over routes and urgencies. */
-void addSearchAdmissionMetrics(Metrics::MetricsPage &page, const std::map<SearchClass, SearchAdmission> &admissions);
-
 /** Adds the counters of quota decisions, of queries to and from other gateways, and the number of quotas of which this gateway holds a share. */
 void addQuotaMetrics(Metrics::MetricsPage &page, const QuotaLimiter &quotas);
 
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -538,12 +538,6 @@
 
 RequestContext GatewayNode::contextFor(const Fleet::Route &route, const Fleet::Workspace *workspace, std::optional<RelayParameters> relayParameters)
 {
-    SearchClass searchClass{.route = route.name, .urgency = urgencyOf(workspace, route)};
-    if (relayParameters.has_value()) {
-        // Parameters without shards are not valid; see extractRelayParameters().
-        const auto &shard = relayParameters->shards.front();
-        searchClass.cell = this->ownership.cells().cellOf(shard, route.shards.size(), this->options.pool.zone.value());
-    }
     return RequestContext{.pool = &this->pool,
         .relays = &this->relays,
         .timers = &this->timers,
@@ -551,7 +545,6 @@
         .settings = &this->options.requests,
         .latencies = &this->latencies[route.name],
         .relayLatencies = &this->relayLatencies[route.name],
-        .admission = &this->searchAdmissions.try_emplace(searchClass, this->options.searchAdmission).first->second,
         .workLimit = &this->workLimits[route.name],
         .cells = &this->ownership.cells(),
         .workspace = workspace,
@@ -716,7 +709,6 @@
     Metrics::MetricsPage page;
     addRequestMetrics(page, this->counts);
     addSendMetrics(page, this->pool, this->relays);
-    addSearchAdmissionMetrics(page, this->searchAdmissions);
     addQuotaMetrics(page, this->quotas);
     Fleet::addCrashMetrics(page, this->crashes, this->timers.now());
     page.gauge("crankrudder_evacuated_zones", "Availability zones that are evacuated.", static_cast<double>(this->watcher.evacuations().zones.size()));
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -23,7 +23,6 @@
     std::string name;
     BackendPoolOptions pool;
     RequestSettings requests;
-    SearchAdmissionOptions searchAdmission;
     std::vector<Core::Endpoint> coordinators;
     Dialect dialect;
     /** Address on which this gateway serves parts of searches and quota queries of other gateways. */
@@ -144,7 +143,6 @@
     std::unordered_map<std::string, Core::LatencyDigest> latencies;
     std::unordered_map<std::string, Core::LatencyDigest> relayLatencies;
     std::unordered_map<std::string, WorkLimit> workLimits;
-    std::map<SearchClass, SearchAdmission> searchAdmissions;
     std::unordered_map<std::uint64_t, Admission> admissions;
     std::unordered_map<std::uint64_t, std::unique_ptr<RoutedRequest>> requests;
     std::uint64_t nextRequest{1};
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -232,8 +232,7 @@
     const bool mayHaveRun = evidenceOfRun != RunEvidence::None;
     const auto refusal = !mayHaveRun ? Refusal::NotRun : this->isExpired() ? Refusal::TimedOut : Refusal::Failed;
     const auto outcome = !mayHaveRun ? RequestOutcome::NotRun : this->isExpired() ? RequestOutcome::TimedOut : RequestOutcome::Failed;
-    const auto delay = this->retryAfter.value_or(this->retryDelay(lacksServers));
-    this->complete(this->context.dialect->writeRefusal(refusal, this->request.id, delay), outcome);
+    this->complete(this->context.dialect->writeRefusal(refusal, this->request.id, this->retryDelay(lacksServers)), outcome);
 }
 
 void RoutedRequest::describeCall(RequestSummary &summary, const ShardCall &call)
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -80,8 +80,6 @@
     /** Latencies of this route's replies, and of partial answers from other gateways. */
     Core::LatencyDigest *latencies{nullptr};
     Core::LatencyDigest *relayLatencies{nullptr};
-    /** Admission of searches like this one; nullptr if they are sent without it. */
-    SearchAdmission *admission{nullptr};
     /** Limits the time that backend servers are told for this route's searches; may be nullptr. */
     WorkLimit *workLimit{nullptr};
     /** Owners of the shards of each zone. */
@@ -151,8 +149,6 @@
     CallerRequest request;
     CallParameters parameters;
     Core::Instant arrivedAt;
-    // Retry-After of a refusal; nothing for the usual one.
-    std::optional<Core::Duration> retryAfter;
 
 private:
     void runScheduledCheck();
--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -219,7 +219,6 @@
             .settings = &this->settings,
             .latencies = &this->latencies,
             .relayLatencies = &this->relayLatencies,
-            .admission = this->admission,
             .cells = &this->cells,
             .isCautious = this->isCautious,
             .relayParameters = this->relayParameters};
@@ -270,8 +269,6 @@
     Gateway::BackendPool pool;
     Gateway::BackendPool *usedPool{&this->pool};
     Gateway::BackendPool relays;
-    // Admission of searches; nullptr if they are sent without it.
-    Gateway::SearchAdmission *admission{nullptr};
     Gateway::CellMap cells{{}, "here", poolOptions(0.0).regions, "here:1"};
     Gateway::RequestSettings settings;
     Core::LatencyDigest latencies;
