LibGateway: Bound the log of acceptance, remove an unused function

Cause: while half of the backend servers refuse, each gateway wrote about ten lines a second; search admission, which was taken out, left an accessor that nothing calls. Two names say what they mean.

--- a/Libraries/LibGateway/BackendLog.cpp
+++ b/Libraries/LibGateway/BackendLog.cpp
@@ -38,7 +38,7 @@
             {"reason", reason}});
 }
 
-void logAcceptanceChange(const Backend &backend, const AcceptanceChange &change)
+void logAcceptanceChange(const Backend &backend, const AcceptanceChange &change, std::uint64_t omitted)
 {
     Core::logEvent(Core::LogLevel::Information,
         "backend.acceptance_changed",
@@ -48,7 +48,8 @@
             {"evidence", change.evidence},
             {"remote_evidence", change.remoteEvidence},
             {"source", change.source},
-            {"age_ms", Core::toMilliseconds(change.age)}});
+            {"age_ms", Core::toMilliseconds(change.age)},
+            {"omitted", omitted}});
 }
 
 nlohmann::json describeBackend(const Backend &backend, bool isEvacuated, Core::Instant now)
--- a/Libraries/LibGateway/BackendLog.h
+++ b/Libraries/LibGateway/BackendLog.h
@@ -21,8 +21,8 @@
 /** Logs that a backend server is avoided from now on. */
 void logAvoidance(const Backend &backend, const std::string &reason, Core::Instant now);
 
-/** Logs that the acceptance of a backend server crossed a threshold. */
-void logAcceptanceChange(const Backend &backend, const AcceptanceChange &change);
+/** Logs that the acceptance of a backend server crossed a threshold. `omitted` is the number of changes since the last line that were not logged. */
+void logAcceptanceChange(const Backend &backend, const AcceptanceChange &change, std::uint64_t omitted);
 
 /** Returns the row of a backend server in the state dump; times in milliseconds. */
 [[nodiscard]] nlohmann::json describeBackend(const Backend &backend, bool isEvacuated, Core::Instant now);
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -677,15 +677,18 @@
     const auto now = this->timers.now();
     accepted ? backend.health.recordAccepted(now) : backend.health.recordRefusal(now);
     backend.serviceAcceptance->record(accepted, now);
-    this->evidenceUntil = std::max(this->evidenceUntil, backend.health.sharedAcceptance().tellableUntil());
+    this->evidenceUntil = std::max(this->evidenceUntil, backend.health.sharedAcceptance().reportableUntil());
     this->takeAcceptanceChange(backend);
 }
 
 void BackendPool::takeAcceptanceChange(Backend &backend)
 {
     const auto change = backend.health.takeAcceptanceChange(this->timers.now());
-    if (change.has_value()) {
-        logAcceptanceChange(backend, change.value());
+    if (!change.has_value()) {
+        return;
+    }
+    if (const auto omitted = this->acceptanceLines.take(this->timers.now()); omitted.has_value()) {
+        logAcceptanceChange(backend, change.value(), omitted.value());
     }
 }
 
@@ -731,7 +734,7 @@
         }
         ++receipt.kept;
         receipt.oldest = std::max(receipt.oldest, now - report.observedAt);
-        this->evidenceUntil = std::max(this->evidenceUntil, found->second->health.sharedAcceptance().tellableUntil());
+        this->evidenceUntil = std::max(this->evidenceUntil, found->second->health.sharedAcceptance().reportableUntil());
         this->takeAcceptanceChange(*found->second);
     }
     this->evidence.received += decoded.entries.size() + decoded.ignored;
@@ -821,12 +824,6 @@
     }
 }
 
-std::size_t BackendPool::waitingUpTo(const Core::ServiceName &service, const Urgency &urgency) const
-{
-    const auto row = this->services.find(service);
-    return row == this->services.end() ? 0 : row->second.waiters.waitingUpTo(urgency);
-}
-
 std::map<Urgency, std::size_t> BackendPool::waitingByUrgency() const
 {
     std::map<Urgency, std::size_t> counts;
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -17,6 +17,7 @@
 #include <LibGateway/RetryBudget.h>
 #include <LibGateway/Scheduling/CapacityWaits.h>
 #include <LibGateway/Scheduling/DeniedRepeatLog.h>
+#include <LibGateway/Scheduling/LogLimit.h>
 #include <LibGateway/WarmupLimiter.h>
 
 #include <map>
@@ -162,8 +163,6 @@
     WaiterNumber waitForCapacity(const Core::ServiceName &service, CapacityWaiter waiter);
     /** Ends a wait. Does nothing if it has ended. */
     void stopWaiting(const Core::ServiceName &service, WaiterNumber number);
-    /** Returns how many requests of this or a higher urgency wait for capacity at the service. */
-    [[nodiscard]] std::size_t waitingUpTo(const Core::ServiceName &service, const Urgency &urgency) const;
     /** Returns how many requests wait for capacity at all services, by urgency. */
     [[nodiscard]] std::map<Urgency, std::size_t> waitingByUrgency() const;
     /** Returns the histograms of waits for capacity that have ended. */
@@ -322,6 +321,7 @@
     Core::TimerSubscription sweepTimer;
     PoolCounters counts;
     DeniedRepeatLog deniedRepeats;
+    LogLimit acceptanceLines;
     // Invariant: no server has anything to tell to other gateways after this time.
     Core::Instant evidenceUntil;
     EvidenceCounters evidence;
--- a/Libraries/LibGateway/Scheduling/ServerAcceptance.cpp
+++ b/Libraries/LibGateway/Scheduling/ServerAcceptance.cpp
@@ -90,7 +90,7 @@
     }
     const auto own = this->outcomes.at(now);
     if (own.total() >= MinimumEvidence && own.accepted <= RestoredAcceptance * own.total()) {
-        this->ownTellableUntil = now + EvidenceLifetime;
+        this->ownReportableUntil = now + EvidenceLifetime;
     }
 }
 
@@ -128,7 +128,7 @@
 
 std::optional<EvidenceReport> ServerAcceptance::ownReport(Core::Instant now) const
 {
-    if (now >= this->ownTellableUntil) {
+    if (now >= this->ownReportableUntil) {
         return std::nullopt;
     }
     return EvidenceReport{.outcomes = this->outcomes.at(this->latest), .observedAt = this->latest};
@@ -147,10 +147,10 @@
     return isOwnStronger ? own : reported;
 }
 
-Core::Instant ServerAcceptance::tellableUntil() const
+Core::Instant ServerAcceptance::reportableUntil() const
 {
     const bool isForwardable = this->remote.has_value() && !this->remote->source.empty();
-    return isForwardable ? std::max(this->ownTellableUntil, this->remote->observedAt + EvidenceLifetime) : this->ownTellableUntil;
+    return isForwardable ? std::max(this->ownReportableUntil, this->remote->observedAt + EvidenceLifetime) : this->ownReportableUntil;
 }
 
 // A newer report of a recovery lets this gateway try the server itself, one request at a time. Any other newer report is another gateway's probe and takes the
@@ -158,14 +158,14 @@
 double ServerAcceptance::probeShare(Core::Instant now) const
 {
     const bool isRecovering = this->isReportNewer(now) && this->remote->isGood();
-    const bool isHopeful = isRecovering || (this->acceptedInRow > 0 && this->latest >= this->newestReport);
-    const auto latestNews = isHopeful ? this->latest : std::max(this->latest, this->newestReport);
-    if (now - latestNews < (isHopeful ? FollowUpInterval : ProbeInterval)) {
+    const bool mayHaveRecovered = isRecovering || (this->acceptedInRow > 0 && this->latest >= this->newestReport);
+    const auto latestNews = mayHaveRecovered ? this->latest : std::max(this->latest, this->newestReport);
+    if (now - latestNews < (mayHaveRecovered ? FollowUpInterval : ProbeInterval)) {
         return 0.0;
     }
     const auto observed = this->observedAt(now);
     const bool isLowNow = observed.refused >= MinimumProbedRefusals && observed.accepted <= RestoredAcceptance * observed.total();
-    return !isLowNow ? 0.0 : isHopeful ? 1.0 : ProbeShare;
+    return !isLowNow ? 0.0 : mayHaveRecovered ? 1.0 : ProbeShare;
 }
 
 double ServerAcceptance::refusedShare(double expected, Core::Instant now, EvidenceScope scope) const
--- a/Libraries/LibGateway/Scheduling/ServerAcceptance.h
+++ b/Libraries/LibGateway/Scheduling/ServerAcceptance.h
@@ -122,7 +122,7 @@
     /** Whether a report of another gateway counts. */
     [[nodiscard]] bool hasReport(Core::Instant now) const;
     /** Until when there is something to tell; see ownReport() and forwardableReport(). */
-    [[nodiscard]] Core::Instant tellableUntil() const;
+    [[nodiscard]] Core::Instant reportableUntil() const;
 
     /** Returns the change since the last call that returned one, if there is one to log: at most one a second. */
     [[nodiscard]] std::optional<AcceptanceChange> takeChange(Core::Instant now);
@@ -140,7 +140,7 @@
     // Time of the latest observation that any gateway reported, also in a report that is not kept.
     Core::Instant newestReport;
     // EvidenceLifetime after this gateway observed a low share for the last time.
-    Core::Instant ownTellableUntil;
+    Core::Instant ownReportableUntil;
     // Accepted requests since the latest refusal; those of one window count once.
     int acceptedInRow{0};
     bool isLow{false};
--- a/Tests/LibGateway/TestServerAcceptance.cpp
+++ b/Tests/LibGateway/TestServerAcceptance.cpp
@@ -10,6 +10,7 @@
 #include <LibGateway/BackendChoice.h>
 #include <Support/GatewayFixture.h>
 
+#include <LibGateway/Scheduling/LogLimit.h>
 #include <array>
 #include <criterion/criterion.h>
 
@@ -262,3 +263,16 @@
     cr_assert(refusing.requests.size() == 2 && avoided.requests.empty());
     cr_assert_eq(fixture.pool.counters().notExecuted, 1);
 }
+
+// Guards against a log line for each of thousands of servers that begin to refuse in the same second.
+Test(ServerAcceptance, changesAreLoggedWithinABound)
+{
+    Gateway::LogLimit limit;
+    int lines = 0;
+    for (int change = 0; change < 1000; ++change) {
+        lines += limit.take(Core::Instant() + change * Core::Duration(900)).has_value() ? 1 : 0;
+    }
+    cr_assert_eq(lines, Gateway::LogLimit::LinesPerSecond);
+    const auto omitted = limit.take(Core::Instant() + Core::seconds(1));
+    cr_assert(omitted == 1000 - Gateway::LogLimit::LinesPerSecond);
+}
