LibGateway: Limit log lines in one place, fade nothing where nothing was refused

Cause: three logs counted their lines of a second as LogLimit does, and each candidate of each choice computed its fading although its server never refused, so that the result was always 0. Change: the logs use LogLimit with a bound of their own. A share is 0 at once while no refusal was recorded.

--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -321,7 +321,7 @@
     Core::TimerSubscription sweepTimer;
     PoolCounters counts;
     DeniedRepeatLog deniedRepeats;
-    LogLimit acceptanceLines;
+    LogLimit acceptanceLines{AcceptanceLinesPerSecond};
     // Invariant: no server has anything to tell to other gateways after this time.
     Core::Instant evidenceUntil;
     EvidenceCounters evidence;
--- a/Libraries/LibGateway/Scheduling/CapacityWaits.cpp
+++ b/Libraries/LibGateway/Scheduling/CapacityWaits.cpp
@@ -8,8 +8,6 @@
 #include <LibCore/Log.h>
 #include <LibGateway/RequestTrace.h>
 
-#include <utility>
-
 namespace Gateway
 {
 
@@ -45,25 +43,11 @@
     if (!isLong) {
         return false;
     }
-    if (!this->takeLine(now)) {
-        ++this->omitted;
-        return false;
-    }
-    logWait(service, wait, std::exchange(this->omitted, 0));
-    return true;
-}
-
-bool CapacityWaits::takeLine(Core::Instant now)
-{
-    if (now - this->secondStartedAt >= Core::seconds(1)) {
-        this->secondStartedAt = now;
-        this->linesOfSecond = 0;
-    }
-    if (this->linesOfSecond >= MaximumLinesPerSecond) {
-        return false;
+    const auto omitted = this->lines.take(now);
+    if (omitted.has_value()) {
+        logWait(service, wait, omitted.value());
     }
-    ++this->linesOfSecond;
-    return true;
+    return omitted.has_value();
 }
 
 const Metrics::LatencyHistogram &CapacityWaits::sent() const
--- a/Libraries/LibGateway/Scheduling/CapacityWaits.h
+++ b/Libraries/LibGateway/Scheduling/CapacityWaits.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include <LibGateway/Scheduling/CapacityQueue.h>
+#include <LibGateway/Scheduling/LogLimit.h>
 #include <LibMetrics/LatencyHistogram.h>
 
 namespace Gateway
@@ -35,14 +36,9 @@
     [[nodiscard]] const Metrics::LatencyHistogram &left() const;
 
 private:
-    [[nodiscard]] bool takeLine(Core::Instant now);
-
     Metrics::LatencyHistogram sentWaits;
     Metrics::LatencyHistogram leftWaits;
-    Core::Instant secondStartedAt;
-    int linesOfSecond{0};
-    // Long waits that were not logged since the last line.
-    std::uint64_t omitted{0};
+    LogLimit lines{MaximumLinesPerSecond};
 };
 
 }
--- a/Libraries/LibGateway/Scheduling/DeniedRepeatLog.cpp
+++ b/Libraries/LibGateway/Scheduling/DeniedRepeatLog.cpp
@@ -7,13 +7,9 @@
 
 #include <LibCore/Log.h>
 
-#include <utility>
-
 namespace Gateway
 {
 
-static constexpr Core::Duration Period = Core::seconds(1);
-
 void RepeatCounters::record(RepeatKind kind, bool isGranted)
 {
     auto &ofKind = this->counts.at(static_cast<std::size_t>(kind));
@@ -27,15 +23,10 @@
 
 bool DeniedRepeatLog::record(const Core::ServiceName &service, const RepeatRequest &repeat, const BudgetUse &use, Core::Instant now)
 {
-    if (now - this->periodFrom >= Period) {
-        this->periodFrom = now;
-        this->linesInPeriod = 0;
-    }
-    if (this->linesInPeriod >= LinesPerSecond) {
-        ++this->leftOut;
+    const auto leftOut = this->lines.take(now);
+    if (!leftOut.has_value()) {
         return false;
     }
-    ++this->linesInPeriod;
     Core::logEvent(Core::LogLevel::Information,
         "repeat.denied",
         {{"request", repeat.request.value()},
@@ -45,7 +36,7 @@
             {"threshold", use.threshold},
             {"used", use.repeats},
             {"limit", use.limit},
-            {"left_out", std::exchange(this->leftOut, 0)}});
+            {"left_out", leftOut.value()}});
     return true;
 }
 
--- a/Libraries/LibGateway/Scheduling/DeniedRepeatLog.h
+++ b/Libraries/LibGateway/Scheduling/DeniedRepeatLog.h
@@ -12,6 +12,7 @@
 
 #include <LibCore/StrongValue.h>
 #include <LibGateway/RetryBudget.h>
+#include <LibGateway/Scheduling/LogLimit.h>
 
 #include <array>
 #include <cstdint>
@@ -55,10 +56,7 @@
     bool record(const Core::ServiceName &service, const RepeatRequest &repeat, const BudgetUse &use, Core::Instant now);
 
 private:
-    Core::Instant periodFrom;
-    int linesInPeriod{0};
-    // Denied repeats since the last line.
-    std::uint64_t leftOut{0};
+    LogLimit lines{LinesPerSecond};
 };
 
 }
--- a/Libraries/LibGateway/Scheduling/LogLimit.h
+++ b/Libraries/LibGateway/Scheduling/LogLimit.h
@@ -19,13 +19,14 @@
 class LogLimit
 {
 public:
-    /** Lines in any period of one second that starts with a line. */
-    static constexpr int LinesPerSecond = 5;
+    /** `linesPerSecond` is the maximum number of lines in any period of one second that starts with a line. */
+    explicit LogLimit(int linesPerSecond);
 
     /** Returns the number of events that were not logged since the last line; nothing if this event is not to be logged either. */
     [[nodiscard]] std::optional<std::uint64_t> take(Core::Instant now);
 
 private:
+    int linesPerSecond{0};
     std::optional<Core::Instant> periodFrom;
     int linesInPeriod{0};
     std::uint64_t omitted{0};
--- a/Libraries/LibGateway/Scheduling/ServerAcceptance.cpp
+++ b/Libraries/LibGateway/Scheduling/ServerAcceptance.cpp
@@ -56,6 +56,11 @@
     this->windowStart = now;
 }
 
+bool FadingOutcomes::hasRefused() const
+{
+    return this->settled.refused > 0.0 || this->current.refused > 0.0;
+}
+
 FadedOutcomes FadingOutcomes::at(Core::Instant now) const
 {
     const auto counted = this->current.limited(MaximumPerWindow);
@@ -70,6 +75,9 @@
 
 double ServiceAcceptance::refusedShare(Core::Instant now) const
 {
+    if (!this->outcomes.hasRefused()) {
+        return 0.0;
+    }
     const auto observed = this->outcomes.at(now);
     return observed.refused / (observed.total() + ServicePriorWeight);
 }
@@ -170,6 +178,9 @@
 
 double ServerAcceptance::refusedShare(double expected, Core::Instant now, EvidenceScope scope) const
 {
+    if (expected == 0.0 && !this->outcomes.hasRefused() && !this->remote.has_value()) {
+        return 0.0;
+    }
     const auto observed = this->observedAt(now, scope);
     return (observed.refused + ServerPriorWeight * expected) / (observed.total() + ServerPriorWeight);
 }
--- a/Libraries/LibGateway/Scheduling/ServerAcceptance.h
+++ b/Libraries/LibGateway/Scheduling/ServerAcceptance.h
@@ -27,6 +27,8 @@
 
 /** A backend server that was observed to accept a smaller share of its requests is logged, and sends to it are counted. */
 inline constexpr double LowAcceptance = 0.5;
+/** Maximum number of log lines about changes of acceptance, for all servers of a pool. */
+inline constexpr int AcceptanceLinesPerSecond = 5;
 /**
  * A backend server that is expected to accept a smaller share gets no hedges. One that refuses 0.6 is expected to accept 0.5; one that was not tried yet, in a
  * service whose other servers refuse 0.6, is expected to accept 0.76.
@@ -40,6 +42,8 @@
     void record(bool accepted, Core::Instant now);
     /** Multiplies the refused requests so far by `factor`. */
     void discountRefused(double factor, Core::Instant now);
+    /** Whether any refused request was recorded, however long ago. Without one the fading need not be computed. */
+    [[nodiscard]] bool hasRefused() const;
     /** Returns the numbers that still count. */
     [[nodiscard]] FadedOutcomes at(Core::Instant now) const;
 
--- a/Libraries/LibGateway/Scheduling/SharedEvidence.cpp
+++ b/Libraries/LibGateway/Scheduling/SharedEvidence.cpp
@@ -21,8 +21,6 @@
 static constexpr std::size_t FieldsWithSource = 5;
 // Bounds of a valid number. Larger ones come from no gateway.
 static constexpr double MaximumNumber = 1000.0;
-static constexpr Core::Duration LogPeriod = Core::seconds(1);
-static constexpr int LogLinesPerPeriod = 2;
 
 bool EvidenceReport::isExpired(Core::Instant now) const
 {
@@ -169,22 +167,17 @@
 
 bool EvidenceLog::record(const EvidenceReceipt &receipt, Core::Instant now)
 {
-    if (now - this->periodFrom >= LogPeriod) {
-        this->periodFrom = now;
-        this->linesInPeriod = 0;
-    }
-    if (this->linesInPeriod >= LogLinesPerPeriod) {
-        ++this->leftOut;
+    const auto leftOut = this->lines.take(now);
+    if (!leftOut.has_value()) {
         return false;
     }
-    ++this->linesInPeriod;
     Core::logEvent(Core::LogLevel::Information,
         "evidence.received",
         {{"source", receipt.source.empty() ? std::string("part") : receipt.source},
             {"kept", receipt.kept},
             {"ignored", receipt.ignored},
             {"oldest_ms", Core::toMilliseconds(receipt.oldest)},
-            {"left_out", std::exchange(this->leftOut, 0)}});
+            {"left_out", leftOut.value()}});
     return true;
 }
 
--- a/Libraries/LibGateway/Scheduling/SharedEvidence.h
+++ b/Libraries/LibGateway/Scheduling/SharedEvidence.h
@@ -24,6 +24,7 @@
 
 #include <LibCore/StrongValue.h>
 #include <LibGateway/Scheduling/FadedOutcomes.h>
+#include <LibGateway/Scheduling/LogLimit.h>
 
 #include <optional>
 #include <string>
@@ -119,10 +120,9 @@
     bool record(const EvidenceReceipt &receipt, Core::Instant now);
 
 private:
-    Core::Instant periodFrom;
-    int linesInPeriod{0};
-    // Receipts since the latest line.
-    std::uint64_t leftOut{0};
+    static constexpr int LinesPerSecond = 2;
+
+    LogLimit lines{LinesPerSecond};
 };
 
 }
--- a/Tests/LibGateway/TestServerAcceptance.cpp
+++ b/Tests/LibGateway/TestServerAcceptance.cpp
@@ -267,12 +267,12 @@
 // Guards against a log line for each of thousands of servers that begin to refuse in the same second.
 Test(ServerAcceptance, changesAreLoggedWithinABound)
 {
-    Gateway::LogLimit limit;
+    Gateway::LogLimit limit(Gateway::AcceptanceLinesPerSecond);
     int lines = 0;
     for (int change = 0; change < 1000; ++change) {
         lines += limit.take(Core::Instant() + change * Core::Duration(900)).has_value() ? 1 : 0;
     }
-    cr_assert_eq(lines, Gateway::LogLimit::LinesPerSecond);
+    cr_assert_eq(lines, Gateway::AcceptanceLinesPerSecond);
     const auto omitted = limit.take(Core::Instant() + Core::seconds(1));
-    cr_assert(omitted == 1000 - Gateway::LogLimit::LinesPerSecond);
+    cr_assert(omitted == 1000 - Gateway::AcceptanceLinesPerSecond);
 }
