LibWire: Do not count the time in which this process did not run as silence

Traced with logs: the test process was descheduled for 21 ms between the send of a part and the read of its reply, the timer of the acknowledgement (20 ms and four round trips) ran first, and the system delays acknowledgements of bytes that a program does not read. The search ended with evidence part-in-flight, and the healthy gateway was avoided for 500 ms. The same happens to gateways that are held up. Ruled out: evidence of runs (truthful, the part was sent), ports taken by other programs. Change: the limit is divided into four checks; a check that runs late by its own period does not count. The new test fails without the change. Also: ports of test fixtures lie outside of the range of outgoing connections and differ between parallel programs; fixtures failed to bind beside many sockets in TIME_WAIT. Open: a system may delay acknowledgements for 40 ms and more while the other program is held up, so a gateway that does not run for 20 ms can still count as silent.

--- a/Libraries/LibWire/ClientConnection.cpp
+++ b/Libraries/LibWire/ClientConnection.cpp
@@ -28,6 +28,9 @@
 // A running machine acknowledges within one round trip. Further round trips and the margin allow for saturated links.
 static constexpr int RoundTripsToAcknowledgement = 4;
 static constexpr Core::Duration AcknowledgementMargin = Core::milliseconds(20);
+// The limit is divided into this many checks. A check that runs late by its own period does not count, so the time in which this process did not run is not
+// taken for time in which the other machine was silent.
+static constexpr int AcknowledgementChecks = 4;
 // A connection closes after this many requests, since it stores the key hashes of all of them: at most 8 KiB, at the cost of one new connection per
 // thousand sends.
 static constexpr std::size_t RequestsPerConnection = 1024;
@@ -122,14 +125,29 @@
         return;
     }
     const auto limit = std::min(this->options.acknowledgementTimeout, acknowledgementLimit(this->connectDuration));
-    this->acknowledgementTimer = this->timers.once(limit, [this](Core::Instant) {
-        if (this->done && this->options.awaitsAcknowledgement(this->socket)) {
-            this->unacknowledged = true;
-            // The reset discards the bytes in transit. After an orderly close the system would retransmit them, and a machine that recovers seconds
-            // later would run the request.
-            this->socket.resetOnClose();
-            this->fail("sent bytes were not acknowledged in time");
+    this->acknowledgementChecksLeft = AcknowledgementChecks;
+    this->scheduleAcknowledgementCheck(limit / AcknowledgementChecks);
+}
+
+void ClientConnection::scheduleAcknowledgementCheck(Core::Duration period)
+{
+    const auto dueAt = this->timers.now() + period;
+    this->acknowledgementTimer = this->timers.once(period, [this, period, dueAt](Core::Instant now) {
+        if (!this->done || !this->options.awaitsAcknowledgement(this->socket)) {
+            return;
         }
+        // After this process was held up, the reply may be there unread, or come from a process on the same machine that was held up as well.
+        const bool wasHeldUp = now - dueAt >= period;
+        this->acknowledgementChecksLeft -= wasHeldUp ? 0 : 1;
+        if (this->acknowledgementChecksLeft > 0) {
+            this->scheduleAcknowledgementCheck(period);
+            return;
+        }
+        this->unacknowledged = true;
+        // The reset discards the bytes in transit. After an orderly close the system would retransmit them, and a machine that recovers seconds
+        // later would run the request.
+        this->socket.resetOnClose();
+        this->fail("sent bytes were not acknowledged in time");
     });
 }
 
--- a/Libraries/LibWire/ClientConnection.h
+++ b/Libraries/LibWire/ClientConnection.h
@@ -138,6 +138,7 @@
     void writeFailed(Transfer transfer);
     void failUnsent();
     void startAcknowledgementTimer();
+    void scheduleAcknowledgementCheck(Core::Duration period);
     void connectTimedOut();
     void connectFailed(int error, const std::string &reason);
     void startResponse();
@@ -183,6 +184,8 @@
     Core::TimerSubscription failTimer;
     // Active while a request is in flight whose missing acknowledgement the system would notice too late.
     Core::TimerSubscription acknowledgementTimer;
+    // Number of further checks without an acknowledgement after which the request fails.
+    int acknowledgementChecksLeft{0};
     Core::TimerSubscription connectTimer;
 };
 
--- a/Tests/LibWire/TestClientConnection.cpp
+++ b/Tests/LibWire/TestClientConnection.cpp
@@ -9,6 +9,7 @@
 #include <Support/LoopFixture.h>
 
 #include <criterion/criterion.h>
+#include <thread>
 
 using TestSupport::LoopFixture;
 
@@ -410,6 +411,21 @@
     cr_assert(held.result->end == Wire::ClientEnd::Answered && held.result->response.body == "late");
 }
 
+// Guards against a healthy gateway that counts as unreachable: after this process was held up, the limit has passed although the response is there unread.
+Test(AcknowledgementTimeout, doesNotCountTheTimeInWhichThisProcessDidNotRun)
+{
+    HeldRequest held(false);
+    cr_assert(held.fixture.runUntil([&held] {
+        return held.exchange != nullptr;
+    }));
+    held.exchange->respond({.status = 200, .headers = {}, .body = "unread"});
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    cr_assert(held.fixture.runUntil([&held] {
+        return held.result.has_value();
+    }));
+    cr_assert(held.result->end == Wire::ClientEnd::Answered, "%s", held.result->reason.c_str());
+}
+
 Test(AcknowledgementTimeout, isNotTriggeredByBytesThatTheSystemAcknowledged)
 {
     TestSupport::LoopFixture fixture;
--- a/Tests/Support/LoopFixture.h
+++ b/Tests/Support/LoopFixture.h
@@ -63,18 +63,24 @@
     std::unique_ptr<Core::EventPoll> poll;
 };
 
-/** Finds a free port of the loopback interface. The port is not reserved: another program may bind it first. */
+/**
+ * Finds a free port of the loopback interface. The port is not reserved, so it lies outside of the range from which the system takes ports for outgoing
+ * connections (32768 and above), and test programs that run in parallel search in different blocks: otherwise another program binds it first now and then.
+ */
 [[nodiscard]] inline Core::Endpoint freeEndpoint()
 {
-    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t length = sizeof(address);
-    (void)bind(descriptor, reinterpret_cast<sockaddr *>(&address), length);
-    (void)getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &length);
-    close(descriptor);
-    return Core::Endpoint{.address = "127.0.0.1", .port = ntohs(address.sin_port)};
+    constexpr int FirstPort = 23'000;
+    constexpr int PortsInBlock = 32;
+    constexpr int Blocks = 300;
+    static int used = 0;
+    for (int tries = 0; tries < Blocks * PortsInBlock; ++tries) {
+        const int port = FirstPort + (static_cast<int>(getpid()) * PortsInBlock + used++) % (Blocks * PortsInBlock);
+        const Core::Endpoint endpoint{.address = "127.0.0.1", .port = static_cast<std::uint16_t>(port)};
+        if (Wire::Socket::listenOn(endpoint, 1).has_value()) {
+            return endpoint;
+        }
+    }
+    return {};
 }
 
 }
