LibGateway: Move the rows and the merged answer of a search out of FanOutRequest

Change: SearchRow is the state of one shard, SearchAnswer merges what rows and parts have answered. No behaviour changes.

--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 namespace Gateway
 {
@@ -169,11 +170,11 @@
 void FanOutRequest::addRow(const Core::ServiceName &shard)
 {
     // The attempts before this part are reported with it: a shard that seems not to have been sent yet would be sent again without a repeat.
-    this->rows.push_back(Row{.shard = shard, .call = nullptr, .part = nullptr, .inPart = false, .remoteAttempts = this->plan.before});
+    this->rows.push_back(SearchRow{.shard = shard, .call = nullptr, .part = nullptr, .inPart = false, .remoteAttempts = this->plan.before});
 }
 
 // `before` describes the attempts of other gateways for the shard.
-void FanOutRequest::startDirect(Row &row, const Protocol::MissingShard &before)
+void FanOutRequest::startDirect(SearchRow &row, const Protocol::MissingShard &before)
 {
     row.call = this->makeCall(row.shard);
     row.call->recordEarlierAttempts(before.executions, before.sends, before.counted);
@@ -182,7 +183,7 @@
 
 // Runs a hedge for another gateway whose own send is late. The hedge is sent only within this region, since the requesting gateway can reach other regions as
 // well as this one.
-void FanOutRequest::startHedgeForGateway(Row &row)
+void FanOutRequest::startHedgeForGateway(SearchRow &row)
 {
     row.remoteAttempts.executions = HedgedExecutions;
     if (this->request.trace->isSuspect || !this->context.pool->isGoodInRegion(row.shard, this->parameters.typicalLatency, this->parameters.allowedRegions)) {
@@ -193,7 +194,7 @@
     this->startCall(row);
 }
 
-void FanOutRequest::startCall(const Row &row)
+void FanOutRequest::startCall(const SearchRow &row)
 {
     row.call->start([this] {
         this->callFinished();
@@ -250,35 +251,14 @@
         } else if (isInPart) {
             row.inPart = true;
         } else {
-            this->recordMissing(sentPart, row, *found);
+            row.recordMissing(sentPart, *found, this->route.maximumAttempts);
         }
     }
     this->retryMissingShards();
 }
 
-void FanOutRequest::recordMissing(const SentPart &sentPart, Row &row, const Protocol::MissingShard &missing)
-{
-    const auto before = row.remoteAttempts;
-    row.remoteAttempts = missing;
-    // A gateway of another build may report less than it was told.
-    const auto &told = sentPart.part->sentPlan().before;
-    row.remoteAttempts.executions = std::max(missing.executions, told.executions);
-    row.remoteAttempts.sends = std::max(missing.sends, told.sends);
-    row.remoteAttempts.counted = missing.counted || told.counted;
-    row.missingFromPart = &sentPart;
-    row.lacksRepeatThere = sentPart.part->lacksRepeatFor(row.shard);
-    if (sentPart.part->call().state() != CallState::Answered) {
-        // An answered part reports all attempts, including earlier ones. Without an answer only the attempts for this part are known, so the earlier ones are
-        // added.
-        row.remoteAttempts.executions += before.executions;
-        row.remoteAttempts.sends += before.sends;
-        row.remoteAttempts.counted = row.remoteAttempts.counted || before.counted;
-    }
-    row.mayRetry = row.remoteAttempts.executions < this->route.maximumAttempts;
-}
-
 // `missing` is nullptr if the part contains the shard's answer.
-void FanOutRequest::handleHedgedPart(const SentPart &sentPart, Row &row, const Protocol::MissingShard *missing)
+void FanOutRequest::handleHedgedPart(const SentPart &sentPart, SearchRow &row, const Protocol::MissingShard *missing)
 {
     if (missing == nullptr) {
         // NOTE: This also replaces a direct answer that has arrived meanwhile: the records of a part cannot be told apart by shard, so its answer is the one
@@ -353,7 +333,7 @@
 }
 
 // Hedges for one zone of another region are sent as one part, since separate replies would each cost as many bytes as the whole part.
-bool FanOutRequest::mayHedgeTogether(const Row &row, const Backend &candidate) const
+bool FanOutRequest::mayHedgeTogether(const SearchRow &row, const Backend &candidate) const
 {
     const bool isRelayed = row.part != nullptr && row.part->isOpen();
     return !candidate.sameRegion && !isRelayed && !this->isTargetReached() && this->context.relays->hasReady(relayService(candidate.zone));
@@ -385,7 +365,7 @@
 
 void FanOutRequest::hedgeTogether(const std::string &zone, const std::vector<std::size_t> &rowNumbers)
 {
-    PartPlan hedges{.zone = zone, .shards = {}, .mayRelayFurther = false, .isHedge = true, .minimumRecord = this->minimumRecord(), .owners = {}};
+    PartPlan hedges{.zone = zone, .shards = {}, .mayRelayFurther = false, .isHedge = true, .minimumRecord = this->mergedAnswer().minimumRecord(), .owners = {}};
     std::vector<Core::ServiceName> late;
     for (const auto number : rowNumbers) {
         late.push_back(this->rows[number].shard);
@@ -443,28 +423,6 @@
 
 // ---- Coverage
 
-bool FanOutRequest::everyRow(const Row &)
-{
-    return true;
-}
-
-bool FanOutRequest::isAnsweredDirectly(const Row &row)
-{
-    return !row.inPart && row.call && row.call->state() == CallState::Answered;
-}
-
-bool FanOutRequest::isAnswered(const Row &row)
-{
-    return row.inPart || isAnsweredDirectly(row);
-}
-
-bool FanOutRequest::isOpen(const Row &row)
-{
-    const bool byPart = row.part != nullptr && row.part->isOpen();
-    const bool byCall = row.call && !isFinished(row.call->state());
-    return !isAnswered(row) && (byPart || byCall);
-}
-
 std::size_t FanOutRequest::requiredShards() const
 {
     // The product is reduced slightly, so that 0.89 of 100 shards are 89 of them despite rounding errors.
@@ -484,24 +442,18 @@
 
 std::size_t FanOutRequest::answeredCount() const
 {
-    return static_cast<std::size_t>(std::count_if(this->rows.begin(), this->rows.end(), isAnswered));
+    return static_cast<std::size_t>(std::count_if(this->rows.begin(), this->rows.end(), std::mem_fn(&SearchRow::isAnswered)));
 }
 
 std::size_t FanOutRequest::openCount() const
 {
-    return static_cast<std::size_t>(std::count_if(this->rows.begin(), this->rows.end(), isOpen));
-}
-
-bool FanOutRequest::isObtainable(const Row &row)
-{
-    const bool notStarted = !row.call && row.part == nullptr;
-    return !isAnswered(row) && (isOpen(row) || notStarted || row.mayRetry || row.isRetryPlanned);
+    return static_cast<std::size_t>(std::count_if(this->rows.begin(), this->rows.end(), std::mem_fn(&SearchRow::isOpen)));
 }
 
 std::optional<SearchState> FanOutRequest::searchState() const
 {
     const auto answered = this->answeredCount();
-    const auto open = static_cast<std::size_t>(std::count_if(this->rows.begin(), this->rows.end(), isObtainable));
+    const auto open = static_cast<std::size_t>(std::count_if(this->rows.begin(), this->rows.end(), std::mem_fn(&SearchRow::isObtainable)));
     if (this->origin == RequestOrigin::Caller) {
         return SearchState{.answered = answered, .open = open, .required = this->requiredShards(), .all = this->rows.size()};
     }
@@ -521,12 +473,6 @@
     return repeatValue(state.value(), this->parameters.targetAt - this->now(), this->parameters.typicalLatency);
 }
 
-// The executions of a call include those that other gateways reported before it, and hedges in flight at other gateways, which their parts account for.
-bool FanOutRequest::mayHaveRunDirectly(const Row &row)
-{
-    return row.call && row.call->executions() - row.call->openRelayedHedges() > row.remoteAttempts.executions;
-}
-
 RunEvidence FanOutRequest::runEvidence() const
 {
     const auto anyPart = [this](bool (RelayedPart::*condition)() const) {
@@ -537,7 +483,7 @@
     if (anyPart(&RelayedPart::reportsExecutions)) {
         return RunEvidence::PartReport;
     }
-    if (std::any_of(this->rows.begin(), this->rows.end(), mayHaveRunDirectly)) {
+    if (std::any_of(this->rows.begin(), this->rows.end(), std::mem_fn(&SearchRow::mayHaveRunDirectly))) {
         return RunEvidence::DirectAttempt;
     }
     return anyPart(&RelayedPart::mayHaveRun) ? RunEvidence::PartInFlight : RunEvidence::None;
@@ -545,10 +491,10 @@
 
 bool FanOutRequest::lacksServers() const
 {
-    const auto lacking = std::count_if(this->rows.begin(), this->rows.end(), [](const Row &row) {
+    const auto lacking = std::count_if(this->rows.begin(), this->rows.end(), [](const SearchRow &row) {
         return row.call && row.call->lacksServers();
     });
-    const auto refused = std::count_if(this->rows.begin(), this->rows.end(), [](const Row &row) {
+    const auto refused = std::count_if(this->rows.begin(), this->rows.end(), [](const SearchRow &row) {
         return row.call && row.call->wasRefused();
     });
     return this->rows.empty() || lacking > refused;
@@ -649,122 +595,42 @@
 
 // ---- Answers
 
-void FanOutRequest::recordLatencies() const
-{
-    for (const auto &row : this->rows) {
-        if (isAnsweredDirectly(row)) {
-            this->context.latencies->add(row.call->latency());
-        }
-    }
-}
-
-// Returns the lowest of the wanted records that have arrived: a lesser record cannot be in the answer if these stay. A direct answer whose hedge is in
-// flight may still be replaced by the answer of another backend server, which need not hold the same records, so such rows are left out.
-std::string FanOutRequest::minimumRecord() const
+SearchAnswer FanOutRequest::mergedAnswer() const
 {
-    const auto records = this->mergedRecords([](const Row &row) {
-        return row.part == nullptr || !row.part->isOpen();
-    });
-    const bool isFull = !records.empty() && records.size() == this->topRecords() * RecordBytes;
-    return isFull ? records.substr(records.size() - RecordBytes) : std::string();
+    return SearchAnswer(this->rows, this->parts, this->topRecords());
 }
 
-std::string FanOutRequest::mergedRecords(const std::function<bool(const Row &row)> &counts) const
-{
-    std::vector<std::string_view> merged;
-    for (const auto &row : this->rows) {
-        if (isAnsweredDirectly(row) && counts(row)) {
-            merged.emplace_back(row.call->reply().message.body);
-        }
-    }
-    for (const auto &sentPart : this->parts) {
-        merged.emplace_back(sentPart->part->answer().records);
-    }
-    return mergeGreatest(merged, this->topRecords());
-}
-
-std::vector<std::string> FanOutRequest::signatures() const
+void FanOutRequest::recordLatencies() const
 {
-    std::vector<std::string> all;
     for (const auto &row : this->rows) {
-        if (isAnsweredDirectly(row)) {
-            all.push_back(row.call->reply().signature);
-        }
-    }
-    for (const auto &sentPart : this->parts) {
-        const auto &others = sentPart->part->answer().signatures;
-        all.insert(all.end(), others.begin(), others.end());
-    }
-    return all;
-}
-
-// Logs an error if records may be missing from the answer: parts leave out records below the minimum record that they were sent, so the answer must not end
-// with a lesser one.
-void FanOutRequest::verifyMinimumRecords(const std::string &records) const
-{
-    const bool isFull = records.size() == this->topRecords() * RecordBytes;
-    for (const auto &sentPart : this->parts) {
-        const auto &minimum = sentPart->part->sentPlan().minimumRecord;
-        const bool mayLackRecords = !minimum.empty() && !sentPart->part->answer().signatures.empty();
-        if (mayLackRecords && (!isFull || records.compare(records.size() - RecordBytes, RecordBytes, minimum) < 0)) {
-            Core::logEvent(Core::LogLevel::Error, "answer.lacks_records", {{"request", this->request.id.value()}, {"zone", sentPart->part->zone()}});
+        if (row.isAnsweredDirectly()) {
+            this->context.latencies->add(row.call->latency());
         }
     }
 }
 
-// Logs an error if a shard is counted in two parts: each signature stands for one shard, so none may occur twice.
-void FanOutRequest::verifySignatures(std::vector<std::string> all) const
-{
-    std::sort(all.begin(), all.end());
-    if (const auto duplicate = std::adjacent_find(all.begin(), all.end()); duplicate != all.end()) {
-        Core::logEvent(Core::LogLevel::Error, "answer.signature_twice", {{"request", this->request.id.value()}, {"signature", *duplicate}});
-    }
-}
-
 void FanOutRequest::answerCaller()
 {
     MergedAnswer answer;
     answer.id = this->request.id;
     this->recordLatencies();
-    answer.body = this->mergedRecords(everyRow);
-    answer.signatures = this->signatures();
-    this->verifyMinimumRecords(answer.body);
-    this->verifySignatures(answer.signatures);
+    const auto merged = this->mergedAnswer();
+    answer.body = merged.records();
+    answer.signatures = merged.signatures();
+    merged.verifyMinimumRecords(answer.body, this->request.id);
+    verifySignatures(answer.signatures, this->request.id);
     answer.missing = this->route.shards.size() - answer.signatures.size();
     this->cancelCalls(false);
     this->complete(this->context.dialect->writeMerged(answer), answer.missing == 0 ? RequestOutcome::Answered : RequestOutcome::Partial);
 }
 
-Protocol::MissingShard FanOutRequest::describeMissing(const Row &row) const
-{
-    Protocol::MissingShard missing = row.remoteAttempts;
-    missing.serviceName = row.shard.value();
-    const bool isReported = row.missingFromPart != nullptr && row.missingFromPart->part.get() == row.part;
-    if (row.call) {
-        missing.executions = row.call->executions();
-        missing.sends = row.remoteAttempts.sends + row.call->attempts();
-        missing.counted = true;
-    } else if (row.part != nullptr && !isReported && row.part->mayHaveRun()) {
-        // It is not known what the other gateway has run, so all attempts that the route allows are assumed.
-        missing.executions = this->route.maximumAttempts;
-        missing.sends = 1;
-        missing.counted = true;
-    }
-    return missing;
-}
-
-bool FanOutRequest::lacksRepeat(const Row &row)
-{
-    return row.call ? row.call->lacksRepeat() : row.lacksRepeatThere;
-}
-
 std::string FanOutRequest::ownEvidence() const
 {
     if (!this->context.pool->hasEvidence()) {
         return {};
     }
     std::vector<Core::ServiceName> shards;
-    std::transform(this->rows.begin(), this->rows.end(), std::back_inserter(shards), [](const Row &row) {
+    std::transform(this->rows.begin(), this->rows.end(), std::back_inserter(shards), [](const SearchRow &row) {
         return row.shard;
     });
     return this->context.pool->evidenceOf(shards, EvidenceScope::Own);
@@ -775,18 +641,18 @@
     std::vector<std::string> denied;
     Protocol::PartialAnswer answer;
     this->recordLatencies();
-    answer.records = this->mergedRecords(everyRow);
+    answer.records = this->mergedAnswer().records();
     if (this->context.relayParameters.has_value()) {
         dropLessThan(answer.records, this->context.relayParameters->minimumRecord);
     }
-    answer.signatures = this->signatures();
+    answer.signatures = this->mergedAnswer().signatures();
     answer.crashes = crashesToReport(*this->request.trace);
     this->cancelCalls(false);
     for (const auto &row : this->rows) {
-        if (!isAnswered(row)) {
-            answer.missing.push_back(this->describeMissing(row));
+        if (!row.isAnswered()) {
+            answer.missing.push_back(row.describeMissing(this->route.maximumAttempts));
         }
-        if (!isAnswered(row) && lacksRepeat(row)) {
+        if (!row.isAnswered() && row.lacksRepeat()) {
             denied.push_back(row.shard.value());
         }
     }
--- a/Libraries/LibGateway/FanOutRequest.h
+++ b/Libraries/LibGateway/FanOutRequest.h
@@ -9,7 +9,8 @@
 
 #pragma once
 
-#include <LibGateway/RelayedPart.h>
+#include <LibGateway/RoutedRequest.h>
+#include <LibGateway/SearchAnswer.h>
 
 namespace Gateway
 {
@@ -41,12 +42,6 @@
     void describe(RequestSummary &summary) const override;
 
 private:
-    /** A part that was relayed to another gateway, with the indexes of its shards in `rows`. */
-    struct SentPart {
-        std::unique_ptr<RelayedPart> part;
-        std::vector<std::size_t> rowNumbers;
-    };
-
     /** Groups shards that can be retried in one part: missing from the same part, after the same attempts. */
     struct PartRetry {
         const SentPart *sentPart{nullptr};
@@ -56,26 +51,6 @@
         auto operator<=>(const PartRetry &) const = default;
     };
 
-    /** State of one shard of the search. */
-    struct Row {
-        Core::ServiceName shard;
-        // Set if this gateway sends to the shard directly.
-        std::unique_ptr<ShardCall> call;
-        // Set if the shard was relayed to another gateway.
-        RelayedPart *part{nullptr};
-        // The answer of the shard is in `part`.
-        bool inPart{false};
-        // Attempts of other gateways that may have run and have ended.
-        Protocol::MissingShard remoteAttempts;
-        // The last part from which this shard was missing, and whether the shard may be retried.
-        const SentPart *missingFromPart{nullptr};
-        bool mayRetry{false};
-        // The shard is missing from that part, and the retry budget of the gateway that served it denied a repeat.
-        bool lacksRepeatThere{false};
-        // The shard was missing from a part, and the part that retries it is about to be sent.
-        bool isRetryPlanned{false};
-    };
-
     /** Returns whether enough shards have an eligible backend server for the required coverage. */
     [[nodiscard]] bool canBeServed() const;
     void addRow(const Core::ServiceName &shard);
@@ -88,16 +63,15 @@
     void handleCanary();
     /** Ends the search after the canaries, which have shown that it crashes backend servers or can't be run. */
     void endAfterCanaries();
-    void startDirect(Row &row, const Protocol::MissingShard &before);
-    void startHedgeForGateway(Row &row);
-    void startCall(const Row &row);
+    void startDirect(SearchRow &row, const Protocol::MissingShard &before);
+    void startHedgeForGateway(SearchRow &row);
+    void startCall(const SearchRow &row);
     void startPart(const PartPlan &partPlan, std::vector<std::size_t> rowNumbers);
     void handlePart(const SentPart &sentPart);
-    void handleHedgedPart(const SentPart &sentPart, Row &row, const Protocol::MissingShard *missing);
-    [[nodiscard]] bool mayHedgeTogether(const Row &row, const Backend &candidate) const;
+    void handleHedgedPart(const SentPart &sentPart, SearchRow &row, const Protocol::MissingShard *missing);
+    [[nodiscard]] bool mayHedgeTogether(const SearchRow &row, const Backend &candidate) const;
     void hedgeTogether(const std::string &zone, const std::vector<std::size_t> &rowNumbers);
     [[nodiscard]] Core::Instant hedgeLateCalls();
-    void recordMissing(const SentPart &sentPart, Row &row, const Protocol::MissingShard &missing);
     void retryMissingShards();
     /** Returns whether the answer to an attempt that is sent now is expected before the target. */
     [[nodiscard]] bool canBeInTime() const;
@@ -115,14 +89,6 @@
     void answerOtherGateway();
     /** Returns the header with what this gateway observed of the backend servers of the shards; see SharedEvidence.h. */
     [[nodiscard]] std::string ownEvidence() const;
-    [[nodiscard]] static bool everyRow(const Row &row);
-    /** Returns whether the shard was answered by a direct call, and its answer is not part of a relayed part. */
-    [[nodiscard]] static bool isAnsweredDirectly(const Row &row);
-    [[nodiscard]] static bool isAnswered(const Row &row);
-    [[nodiscard]] static bool isOpen(const Row &row);
-    [[nodiscard]] Protocol::MissingShard describeMissing(const Row &row) const;
-    /** Returns whether a missing shard was denied a repeat by this gateway or by the one that it was relayed to last. */
-    [[nodiscard]] static bool lacksRepeat(const Row &row);
     [[nodiscard]] std::size_t requiredShards() const;
     /** Returns how many shards may be missing from the answer to the origin of the search. */
     [[nodiscard]] std::size_t maximumMissing() const;
@@ -132,28 +98,19 @@
     [[nodiscard]] std::size_t openCount() const;
     /** Returns why the search may have run, by calls and parts that have ended or were cancelled. */
     [[nodiscard]] RunEvidence runEvidence() const;
-    /** Returns whether the shard may have run by an attempt of this gateway. */
-    [[nodiscard]] static bool mayHaveRunDirectly(const Row &row);
     /** Returns whether no shard has a backend server, or more of the direct shards have none that accepts connections than have one that refused to run. */
     [[nodiscard]] bool lacksServers() const;
-    /** Returns whether the shard can still be answered: its call or part is open, was not started yet, or will be retried. */
-    [[nodiscard]] static bool isObtainable(const Row &row);
     /** Returns the state of the whole search; nullopt if a part's requesting gateway has not sent it. */
     [[nodiscard]] std::optional<SearchState> searchState() const;
     /** Returns the value of a repeat for one of the open shards, from 0 to 1. */
     [[nodiscard]] double repeatValueNow() const;
-    /** Returns the greatest records of all parts and of the directly answered rows for which `counts` is true. */
-    [[nodiscard]] std::string mergedRecords(const std::function<bool(const Row &row)> &counts) const;
     void recordLatencies() const;
-    [[nodiscard]] std::string minimumRecord() const;
-    void verifyMinimumRecords(const std::string &records) const;
-    void verifySignatures(std::vector<std::string> all) const;
-    [[nodiscard]] std::vector<std::string> signatures() const;
+    [[nodiscard]] SearchAnswer mergedAnswer() const;
 
     RelayPlan plan;
     RequestOrigin origin;
     // Invariant: one row for each shard that was requested, in any order: the direct ones first, then those of each part.
-    std::vector<Row> rows;
+    std::vector<SearchRow> rows;
     // The number of the shard that is sent to first, while its call is in flight.
     std::optional<std::size_t> canaryRow;
     std::size_t canaries{0};
