LibGateway: Query every keeper before a refusal while there is time

A workspace near its quota was refused while other keepers had tokens, since at most three of up to six keepers were queried. KeeperQueries, a class without sockets, now decides which keeper comes next: all of them, unless one is known to be exhausted or the query would leave too little time to answer. It also holds the order of the homes: the second keeper of a digest takes the place of a home that does not reply, and reserves when the home has no token in time.

Further: the refill is divided by urgency only while overload is certain and no other keeper has tokens; refused callers without a reservation are spread over the tokens that come; a starting share is passed on as starting; a query that repeats one to the same keeper is not counted again; log lines about reservations use LogLimit.

--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -147,6 +147,10 @@
     addCounter(page, "crankrudder_quota_asked_total", "Questions about quotas to other gateways.", counts.asked);
     addCounter(page, "crankrudder_quota_answered_total", "Questions about quotas from other gateways.", counts.answered);
     addCounter(page, "crankrudder_quota_starting_total", "Requests refused because a keeper has taken over its share only now.", counts.starting);
+    addCounter(page,
+        "crankrudder_quota_out_of_time_total",
+        "Requests refused although a keeper was not asked, since the answer would have been late.",
+        counts.outOfTime);
     addRefusalMetrics(page, counts);
     addReservationMetrics(page, quotas);
     page.gauge("crankrudder_quota_kept", "Workspaces that this gateway keeps a part of the quota of.", static_cast<double>(quotas.heldShareCount()));
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -361,7 +361,8 @@
     const QuotaTerms terms{.urgency = urgencyOf(&workspace, route),
         .digest = digestOf(request),
         .timeLeft = request.callerTimeout.value_or(this->options.requests.defaultTimeout),
-        .targetLeft = route.targetLatency};
+        .targetLeft = route.targetLatency,
+        .typicalLatency = typicalLatencyOf(this->options.requests, route, this->latencies[route.name])};
     this->admissions[id] = Admission{.request = std::move(request), .exchange = exchange, .terms = terms};
     exchange->aborted = [this, id] {
         const auto waiting = this->admissions.extract(id);
@@ -422,6 +423,7 @@
             {"caller_left_ms", Core::toMilliseconds(terms.timeLeft)},
             {"known_exhausted", decision.knownExhausted},
             {"known_age_ms", Core::toMilliseconds(decision.knownAge)},
+            {"unqueried", decision.unqueried},
             {"over_quota", isOverQuota ? 1 : 0},
             {"starting", isStarting ? 1 : 0}});
     this->refuse(isOverQuota ? Refusal::OverQuota : Refusal::NotRun, request, answerTo(exchange), isOverQuota ? "over-quota" : outcome, retryAfter);
--- a/Libraries/LibGateway/Quota/ExhaustedKeepers.cpp
+++ b/Libraries/LibGateway/Quota/ExhaustedKeepers.cpp
@@ -14,7 +14,7 @@
     const Fleet::WorkspaceName &workspace, const std::string &address, const Urgency &urgency, const QuotaReply &reply, Core::Instant now)
 {
     this->keepers[{workspace, address}][urgency]
-        = {.until = now + std::min(reply.freeAfter, MaximumValidity), .learnedAt = now, .isStarting = reply.isStarting};
+        = {.until = now + std::min(reply.freeAfter, MaximumValidity), .learnedAt = now, .statedAt = now + reply.freeAfter, .isStarting = reply.isStarting};
 }
 
 void ExhaustedKeepers::learnOfGrant(const Fleet::WorkspaceName &workspace, const std::string &address, const Urgency &urgency)
@@ -31,10 +31,19 @@
 void ExhaustedKeepers::learnFromOther(const Fleet::WorkspaceName &workspace, const ExhaustedKeeper &keeper, const Urgency &urgency, Core::Instant now)
 {
     const auto until = now + std::min(keeper.validFor, MaximumValidity);
-    const auto [known, isNew] = this->keepers[{workspace, keeper.address}].try_emplace(urgency, Knowledge{.until = until, .learnedAt = now});
-    if (!isNew && known->second.until < until) {
-        known->second = {.until = until, .learnedAt = now};
+    const Knowledge learned{.until = until, .learnedAt = now, .statedAt = until, .isStarting = keeper.isStarting};
+    const auto [known, isNew] = this->keepers[{workspace, keeper.address}].try_emplace(urgency, learned);
+    auto &held = known->second;
+    if (isNew || held.until >= until) {
+        held.isStarting = held.isStarting || keeper.isStarting;
+        return;
     }
+    // A gateway of an older build does not pass on that a keeper is starting.
+    const bool wasStarting = held.isStarting && held.until > now;
+    const auto statedAt = std::max(held.statedAt, until);
+    held = learned;
+    held.isStarting = wasStarting || keeper.isStarting;
+    held.statedAt = statedAt;
 }
 
 std::optional<ExhaustedKeepers::Knowledge> ExhaustedKeepers::latestOf(const ByUrgency &known, const Urgency &urgency, Core::Instant now)
@@ -63,7 +72,7 @@
     for (auto next = this->keepers.lower_bound({workspace, std::string()}); next != this->keepers.end() && next->first.first == workspace; ++next) {
         const auto known = latestOf(next->second, urgency, now);
         if (known.has_value()) {
-            exhausted.push_back({.address = next->first.second, .validFor = known->until - now});
+            exhausted.push_back({.address = next->first.second, .validFor = known->until - now, .isStarting = known->isStarting});
         }
     }
     return exhausted;
--- a/Libraries/LibGateway/Quota/ExhaustedKeepers.h
+++ b/Libraries/LibGateway/Quota/ExhaustedKeepers.h
@@ -29,6 +29,8 @@
         Core::Instant until;
         /** When this gateway learned it. */
         Core::Instant learnedAt;
+        /** When the keeper may have a token, as far as that is known; unlike `until` it may be further ahead than MaximumValidity. */
+        Core::Instant statedAt;
         /** It has replied that it grants nothing yet, so its share is not used up. */
         bool isStarting{false};
     };
--- a/Libraries/LibGateway/Quota/QuotaLedger.cpp
+++ b/Libraries/LibGateway/Quota/QuotaLedger.cpp
@@ -10,9 +10,6 @@
 namespace Gateway
 {
 
-// Callers are not told to retry later than this, since the use of the quota cannot be predicted that far.
-static constexpr Core::Duration MaximumRetryAfter = Core::seconds(5);
-
 QuotaLedger::QuotaLedger(const Fleet::RegionOfZone &regions, const QuotaOptions &options, std::string ownAddress)
     : options(options), allKeepers(regions, options), ownAddress(std::move(ownAddress))
 {
@@ -70,9 +67,10 @@
                 held.emplace(workspace->name,
                     Share{.bucket = TokenBucket(size, std::max(now, this->mayHoldSince.value() + this->options.propagationTime)),
                         .grantsFrom = std::max(now + this->options.propagationTime, this->mayHoldSince.value() + this->options.handoverTime),
-                        .promisedRetryAt = now,
                         .demand = DemandShares(this->options.window),
-                        .reservations = QuotaReservations({})});
+                        .reservations = QuotaReservations({}),
+                        .retryTimes = {},
+                        .unreserved = {}});
                 continue;
             }
             auto &share = before.mapped();
@@ -120,7 +118,10 @@
     }
     auto &share = found->second;
     this->expire(query.workspace, share, now);
-    share.demand.recordRequest(urgencyIn(query), sizeOf(share.bucket), now);
+    if (!query.isRepeated) {
+        share.demand.setMayOthersGrant(query.mayOthersGrant);
+        share.demand.recordRequest(urgencyIn(query), sizeOf(share.bucket), now);
+    }
     const auto *own = query.terms.has_value() ? share.reservations.find(query.terms->digest, now + query.terms->timeLeft, now) : nullptr;
     if (now >= share.grantsFrom && this->grant(share, query, own, now)) {
         return {.isKeeper = true, .granted = true, .isClaimed = own != nullptr, .exhausted = {}};
@@ -153,20 +154,29 @@
     const auto freeAt = share.reservations.nextFreeToken(share.supplyAt(now), demand, std::max(now, share.grantsFrom), now);
     const auto freeAfter = wholeMilliseconds(freeAt - now);
     QuotaReply reply{.isKeeper = true, .isStarting = now < share.grantsFrom, .freeAfter = freeAfter, .retryAfter = freeAfter, .exhausted = {}};
+    const auto spreadReturn = [&share, &demand, &reply, freeAt, now] {
+        reply.retryAfter = wholeMilliseconds(share.retryTimes.next(demand.urgency, freeAt, demand.perSecond, now) - now);
+    };
     if (!query.terms.has_value()) {
-        // Retry times are spaced by one token, so that callers that were refused earlier come first.
-        reply.retryAfter = std::clamp(share.promisedRetryAt + share.bucket.timePerToken() - now, freeAfter, std::max(freeAfter, MaximumRetryAfter));
-        share.promisedRetryAt = now + reply.retryAfter;
+        spreadReturn();
         return reply;
     }
+    const auto &digest = query.terms->digest;
+    reply.mayNextHaveReserved = share.unreserved.contains(digest, now);
     if (own != nullptr) {
         // The caller returned early, or its token comes a moment late.
         reply.isReserved = true;
         reply.retryAfter = wholeMilliseconds(std::max(own->at - now, share.bucket.timeToToken(now)));
         return reply;
     }
-    reply.isReserved = query.reservation == ReservationMode::Always && isWaitUseful(query.terms.value(), freeAfter)
-        && this->reserve(share, query.terms.value(), freeAfter, now);
+    const bool mayWait = isWaitUseful(query.terms.value(), freeAfter);
+    const bool isLast = query.reservation == ReservationMode::Always;
+    reply.isReserved = isLast && mayWait && this->reserve(share, query.terms.value(), freeAfter, now);
+    const bool isFinal = isLast || (query.reservation == ReservationMode::IfOthersExhausted && !mayWait);
+    if (isFinal && !reply.isReserved) {
+        share.unreserved.add(digest, now);
+        spreadReturn();
+    }
     return reply;
 }
 
--- a/Libraries/LibGateway/Quota/QuotaLedger.h
+++ b/Libraries/LibGateway/Quota/QuotaLedger.h
@@ -12,6 +12,8 @@
 #include <LibGateway/Quota/QuotaKeepers.h>
 #include <LibGateway/Quota/QuotaMessages.h>
 #include <LibGateway/Quota/QuotaReservations.h>
+#include <LibGateway/Quota/RetryTimes.h>
+#include <LibGateway/Quota/UnreservedDigests.h>
 
 #include <map>
 #include <unordered_map>
@@ -53,7 +55,8 @@
     /**
      * Admits one request of a workspace if this gateway holds a share of its quota with a token for it: its reserved one, or one that is neither reserved nor
      * due to others (DemandShares). A query without terms counts as most urgent and gets no reservation, nor does one with another mode than
-     * ReservationMode::Always.
+     * ReservationMode::Always. One with ReservationMode::IfOthersExhausted is final only if its caller can't wait for a token, and followed by another
+     * otherwise.
      */
     [[nodiscard]] QuotaReply admit(const QuotaQuery &query, Core::Instant now);
 
@@ -71,10 +74,10 @@
     struct Share {
         TokenBucket bucket;
         Core::Instant grantsFrom;
-        // The retry time that was given to the caller refused last.
-        Core::Instant promisedRetryAt;
         DemandShares demand;
         QuotaReservations reservations;
+        RetryTimes retryTimes;
+        UnreservedDigests unreserved;
 
         [[nodiscard]] TokenSupply supplyAt(Core::Instant now);
     };
--- a/Libraries/LibGateway/Quota/QuotaLimiter.cpp
+++ b/Libraries/LibGateway/Quota/QuotaLimiter.cpp
@@ -10,16 +10,11 @@
 #include <LibGateway/StableHash.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace Gateway
 {
 
-// Assumed as a keeper's reply time until enough replies have been measured.
-static constexpr Core::Duration AssumedReplyTime = Core::milliseconds(10);
-static constexpr double MinimumReplies = 20.0;
-// Log lines about reservations between two sweeps, which are a second apart. Bounds the log of a keeper while very many callers are refused.
-static constexpr int MaximumReservationLines = 50;
-
 QuotaLimiter::QuotaLimiter(const QuotaLimiterOptions &options,
     const Fleet::RegionOfZone &regions,
     std::string ownZone,
@@ -92,12 +87,16 @@
 void QuotaLimiter::sweep()
 {
     const auto now = this->timers.now();
-    this->latencies.decay(now);
+    this->roundTrips.forgetOld(now);
     this->exhausted.forgetExpired(now);
-    this->reservationLines = 0;
+    std::erase_if(this->othersExhaustedAt, [this, now](const auto &item) {
+        return now - item.second > this->options.quota.window;
+    });
     for (const auto &[workspace, count] : this->ledger.expireReservations(now)) {
-        if (++this->reservationLines <= MaximumReservationLines) {
-            Core::logEvent(Core::LogLevel::Information, "quota.reservation_expired", {{"workspace", workspace.value()}, {"count", count}});
+        const auto omitted = this->reservationLines.take(now);
+        if (omitted.has_value()) {
+            Core::logEvent(
+                Core::LogLevel::Information, "quota.reservation_expired", {{"workspace", workspace.value()}, {"count", count}, {"omitted", omitted.value()}});
         }
     }
 }
@@ -131,21 +130,39 @@
 {
     const auto now = this->timers.now();
     const auto *workspace = this->declaration ? this->declaration->workspaceNamed(query.workspace) : nullptr;
-    if (workspace != nullptr && query.reservation == ReservationMode::IfOthersExhausted) {
-        const auto keepers = this->ledger.keepers().keepersOf(*workspace);
-        const bool areExhausted = std::all_of(keepers.begin(), keepers.end(), [this, &query, now](const KeeperGateway *keeper) {
-            return keeper->address == this->ownAddress || this->exhausted.find(query.workspace, keeper->address, query.terms->urgency, now).has_value();
-        });
-        query.reservation = areExhausted ? ReservationMode::Always : ReservationMode::Never;
+    if (workspace != nullptr && query.reservation == ReservationMode::IfOthersExhausted && this->areOthersExhausted(*workspace, urgencyIn(query))) {
+        query.reservation = ReservationMode::Always;
     }
+    query.mayOthersGrant = this->mayOthersGrant(query.workspace);
     const auto reply = this->ledger.admit(query, now);
+    if (workspace != nullptr && reply.isKeeper && !reply.granted && this->areOthersExhausted(*workspace, urgencyIn(query))) {
+        this->othersExhaustedAt[query.workspace] = now;
+    }
     this->logReservation(query, reply);
     return reply;
 }
 
+bool QuotaLimiter::areOthersExhausted(const Fleet::Workspace &workspace, const Urgency &urgency) const
+{
+    const auto keepers = this->ledger.keepers().keepersOf(workspace);
+    return std::all_of(keepers.begin(), keepers.end(), [this, &workspace, &urgency](const KeeperGateway *keeper) {
+        return keeper->address == this->ownAddress || this->exhausted.find(workspace.name, keeper->address, urgency, this->timers.now()).has_value();
+    });
+}
+
+bool QuotaLimiter::mayOthersGrant(const Fleet::WorkspaceName &workspace) const
+{
+    const auto found = this->othersExhaustedAt.find(workspace);
+    return found == this->othersExhaustedAt.end() || this->timers.now() - found->second > this->options.quota.window;
+}
+
 void QuotaLimiter::logReservation(const QuotaQuery &query, const QuotaReply &reply)
 {
-    if ((!reply.isClaimed && !reply.isReserved) || ++this->reservationLines > MaximumReservationLines) {
+    if (!reply.isClaimed && !reply.isReserved) {
+        return;
+    }
+    const auto omitted = this->reservationLines.take(this->timers.now());
+    if (!omitted.has_value()) {
         return;
     }
     Core::logEvent(Core::LogLevel::Information,
@@ -154,7 +171,8 @@
             {"digest", query.terms->digest.value()},
             {"urgency", query.terms->urgency.route},
             {"retry_ms", Core::toMilliseconds(reply.retryAfter)},
-            {"caller_left_ms", Core::toMilliseconds(query.terms->timeLeft)}});
+            {"caller_left_ms", Core::toMilliseconds(query.terms->timeLeft)},
+            {"omitted", omitted.value()}});
 }
 
 QuotaReply QuotaLimiter::answer(const ReceivedQuotaQuery &received)
@@ -170,27 +188,19 @@
 
 // ---- Decisions
 
-static bool isHome(const std::optional<KeeperGateway> &home, const KeeperGateway &keeper)
-{
-    return home.has_value() && home->address == keeper.address;
-}
-
-std::vector<KeeperGateway> QuotaLimiter::keepersInOrder(const Fleet::Workspace &workspace, const Fleet::RequestDigest &digest) const
+std::vector<RankedKeeper> QuotaLimiter::keepersInOrder(const Fleet::Workspace &workspace, const Fleet::RequestDigest &digest) const
 {
-    std::vector<std::pair<std::uint64_t, KeeperGateway>> sameRegion;
-    std::vector<std::pair<std::uint64_t, KeeperGateway>> otherRegions;
+    std::vector<std::pair<std::uint64_t, RankedKeeper>> ranked;
     for (const auto *keeper : this->ledger.keepers().keepersOf(workspace)) {
-        auto &group = this->ledger.keepers().isInRegionOf(*keeper, this->ownZone) ? sameRegion : otherRegions;
-        group.emplace_back(stableHash(digest.value() + "/" + keeper->address), *keeper);
+        const bool isInOwnRegion = this->ledger.keepers().isInRegionOf(*keeper, this->ownZone);
+        ranked.emplace_back(stableHash(digest.value() + "/" + keeper->address), RankedKeeper{.gateway = *keeper, .isInOwnRegion = isInOwnRegion});
     }
-    std::vector<KeeperGateway> keepers;
-    for (auto *group : {&sameRegion, &otherRegions}) {
-        std::sort(group->begin(), group->end(), [](const auto &left, const auto &right) {
-            return left.first > right.first;
-        });
-        for (auto &[hash, keeper] : *group) {
-            keepers.push_back(std::move(keeper));
-        }
+    std::sort(ranked.begin(), ranked.end(), [](const auto &left, const auto &right) {
+        return std::tie(left.second.isInOwnRegion, left.first) > std::tie(right.second.isInOwnRegion, right.first);
+    });
+    std::vector<RankedKeeper> keepers;
+    for (auto &[hash, keeper] : ranked) {
+        keepers.push_back(std::move(keeper));
     }
     return keepers;
 }
@@ -199,20 +209,10 @@
 {
     const auto number = this->nextDecision++;
     auto &pending = this->pendingDecisions[number];
-    pending.query = {.workspace = workspace.name, .terms = terms};
-    pending.startedAt = this->timers.now();
+    auto keepers = this->keepersInOrder(workspace, terms.digest);
+    pending.queries = KeeperQueries({.workspace = workspace.name, .terms = terms}, std::move(keepers), this->ownAddress, this->timers.now());
     pending.done = std::move(done);
     pending.message.id = request;
-    auto keepers = this->keepersInOrder(workspace, terms.digest);
-    if (!keepers.empty()) {
-        pending.home = keepers.front();
-    }
-    // The share of this gateway comes before the home, since using it needs no round trip. It refuses at once when it has no token.
-    std::stable_partition(keepers.begin(), keepers.end(), [this](const KeeperGateway &keeper) {
-        return keeper.address == this->ownAddress;
-    });
-    std::reverse(keepers.begin(), keepers.end());
-    pending.candidates = std::move(keepers);
     this->queryNext(number);
     return number;
 }
@@ -231,109 +231,62 @@
 
 void QuotaLimiter::queryNext(std::uint64_t number)
 {
-    const auto mayQueryMore = [this, number] {
-        const auto &row = this->pendingDecisions.at(number);
-        return !row.candidates.empty() && !row.decision.isReserved && row.decision.asked < this->options.maximumQueries;
+    const auto nextStep = [this, number] {
+        return this->pendingDecisions.at(number).queries.next(this->exhausted, this->roundTrips, this->timers.now());
     };
-    while (mayQueryMore()) {
-        auto &candidates = this->pendingDecisions.at(number).candidates;
-        const KeeperGateway keeper = std::move(candidates.back());
-        candidates.pop_back();
-        if (this->query(number, keeper)) {
-            return;
-        }
-    }
-    auto &pending = this->pendingDecisions.at(number);
-    if (std::exchange(pending.mayWaitAtHome, false) && !pending.decision.isReserved) {
-        // All have refused, so a token is reserved where the caller will be sent first when it returns.
-        pending.haveAllRefused = true;
-        const auto home = pending.home.value();
-        if (this->query(number, home)) {
+    for (auto step = nextStep(); step.has_value(); step = nextStep()) {
+        if (this->query(number, step.value())) {
             return;
         }
     }
-    auto &refused = this->pendingDecisions.at(number);
-    // What is known of exhausted keepers is valid for a short time only, so the times in replies are the true ones.
-    refused.decision.retryAfter = refused.hasReply ? refused.decision.retryAfter : refused.knownWait;
-    const bool isKnown = refused.hasReply || refused.decision.knownExhausted > 0;
-    const auto refusal = refused.isStarting ? QuotaDecision::Verdict::Starting : QuotaDecision::Verdict::OverQuota;
-    this->finish(number, isKnown ? refusal : QuotaDecision::Verdict::NoKeeper);
-}
-
-bool QuotaLimiter::query(std::uint64_t number, const KeeperGateway &keeper)
-{
-    auto &pending = this->pendingDecisions.at(number);
-    const auto now = this->timers.now();
-    if (keeper.address == this->ownAddress) {
-        return this->handleReply(number, keeper, this->admitHere(this->queryNow(pending, keeper)));
-    }
-    const auto known = this->exhausted.find(pending.query.workspace, keeper.address, urgencyIn(pending.query), now);
-    // The home is queried also when it is exhausted, since it may keep a token for this caller.
-    if (known.has_value() && !isHome(pending.home, keeper)) {
-        auto &decision = pending.decision;
-        const auto wait = known->until - now;
-        pending.knownWait = decision.knownExhausted > 0 ? std::min(wait, pending.knownWait) : wait;
-        decision.knownAge = std::max(decision.knownAge, now - known->learnedAt);
-        ++decision.knownExhausted;
-        pending.isStarting = pending.isStarting || known->isStarting;
-        return false;
-    }
-    return this->queryRemote(number, keeper);
-}
-
-bool QuotaLimiter::areOthersExhausted(const PendingDecision &pending) const
-{
-    return std::all_of(pending.candidates.begin(), pending.candidates.end(), [this, &pending](const KeeperGateway &keeper) {
-        return this->exhausted.find(pending.query.workspace, keeper.address, urgencyIn(pending.query), this->timers.now()).has_value();
-    });
+    this->finish(number, this->pendingDecisions.at(number).queries.refusal(this->timers.now()));
 }
 
-QuotaQuery QuotaLimiter::queryNow(const PendingDecision &pending, const KeeperGateway &keeper) const
+bool QuotaLimiter::query(std::uint64_t number, const KeeperQueries::Step &step)
 {
-    auto query = pending.query;
-    const auto elapsed = this->timers.now() - pending.startedAt;
-    query.terms->timeLeft = std::max(Core::Duration(0), query.terms->timeLeft - elapsed);
-    query.terms->targetLeft = std::max(Core::Duration(0), query.terms->targetLeft - elapsed);
-    if (isHome(pending.home, keeper)) {
-        const bool isLast = pending.haveAllRefused || this->areOthersExhausted(pending);
-        query.reservation = isLast ? ReservationMode::Always : ReservationMode::IfOthersExhausted;
+    if (step.keeper.address == this->ownAddress) {
+        return this->handleReply(number, step.rank, this->admitHere(step.query));
     }
-    return query;
+    return this->queryRemote(number, step);
 }
 
-bool QuotaLimiter::queryRemote(std::uint64_t number, const KeeperGateway &keeper)
+bool QuotaLimiter::queryRemote(std::uint64_t number, const KeeperQueries::Step &step)
 {
+    const auto &keeper = step.keeper;
+    auto &pending = this->pendingDecisions.at(number);
     const auto service = relayService(keeper.zone);
     const Fleet::AllowedRegions anywhere;
-    const auto typical = this->latencies.quantile(0.5, AssumedReplyTime, MinimumReplies);
+    const auto typical = this->roundTrips.expected(keeper.address, this->ledger.keepers().isInRegionOf(keeper, this->ownZone));
     auto *backend
         = this->relays.firstHealthy({keeper.name}, SelectionCriteria{.service = service, .tried = {}, .typicalLatency = typical, .allowedRegions = anywhere});
     if (backend == nullptr) {
+        pending.queries.recordSilence(step.rank);
         return false;
     }
-    auto &pending = this->pendingDecisions.at(number);
-    ++pending.decision.asked;
+    pending.queries.recordSent();
     ++this->counts.asked;
-    const auto query = this->queryNow(pending, keeper);
+    pending.sentAt = this->timers.now();
     pending.message.message = Wire::Request{.method = "GET", .target = "/", .headers = {}, .body = {}};
-    addQuotaQuery(pending.message.message.headers, query, this->exhausted.list(query.workspace, urgencyIn(query), this->timers.now()));
+    const auto known = this->exhausted.list(step.query.workspace, urgencyIn(step.query), pending.sentAt);
+    addQuotaQuery(pending.message.message.headers, step.query, known);
     pending.attempt = this->relays.send(*backend,
         AttemptOptions{.caller = &pending.message,
             .timeLeft = this->options.keeperTimeout,
             .typicalLatency = typical,
-            .done = [this, number, keeper](const AttemptOutcome &outcome) {
-                this->handleOutcome(number, keeper, outcome);
+            .done = [this, number, rank = step.rank](const AttemptOutcome &outcome) {
+                this->handleOutcome(number, rank, outcome);
             }});
-    pending.keeperTimer = this->timers.once(this->options.keeperTimeout, [this, number](Core::Instant) {
+    pending.keeperTimer = this->timers.once(this->options.keeperTimeout, [this, number, rank = step.rank](Core::Instant) {
         auto &late = this->pendingDecisions.at(number);
         this->relays.abandon(late.attempt.value(), false);
         late.attempt.reset();
+        late.queries.recordSilence(rank);
         this->queryNext(number);
     });
     return true;
 }
 
-void QuotaLimiter::handleOutcome(std::uint64_t number, const KeeperGateway &keeper, const AttemptOutcome &outcome)
+void QuotaLimiter::handleOutcome(std::uint64_t number, std::size_t rank, const AttemptOutcome &outcome)
 {
     const auto found = this->pendingDecisions.find(number);
     if (found == this->pendingDecisions.end()) {
@@ -345,53 +298,49 @@
     const bool hasReply = outcome.end == AttemptEnd::Replied && outcome.reply.isSuccess();
     const auto reply = hasReply ? readQuotaReply(outcome.reply.message.body) : std::nullopt;
     if (reply.has_value()) {
-        this->latencies.add(this->timers.now() - pending.startedAt);
+        const auto now = this->timers.now();
+        this->roundTrips.add(pending.queries.keeper(rank).address, now - pending.sentAt, now);
     }
-    if (!this->handleReply(number, keeper, reply.value_or(QuotaReply{}))) {
+    if (!this->handleReply(number, rank, reply.value_or(QuotaReply{}))) {
         this->queryNext(number);
     }
 }
 
-bool QuotaLimiter::handleReply(std::uint64_t number, const KeeperGateway &keeper, const QuotaReply &reply)
+bool QuotaLimiter::handleReply(std::uint64_t number, std::size_t rank, const QuotaReply &reply)
 {
+    auto &queries = this->pendingDecisions.at(number).queries;
     if (!reply.isKeeper) {
+        queries.recordSilence(rank);
         return false;
     }
-    auto &pending = this->pendingDecisions.at(number);
-    const auto &workspace = pending.query.workspace;
-    const auto urgency = urgencyIn(pending.query);
+    const auto &workspace = queries.query().workspace;
+    const auto urgency = urgencyIn(queries.query());
+    const auto &address = queries.keeper(rank).address;
+    const auto now = this->timers.now();
     if (reply.granted) {
-        this->exhausted.learnOfGrant(workspace, keeper.address, urgency);
-        this->finish(number, QuotaDecision::Verdict::Granted);
+        this->exhausted.learnOfGrant(workspace, address, urgency);
+        auto decision = queries.refusal(now);
+        decision.verdict = QuotaDecision::Verdict::Granted;
+        this->finish(number, decision);
         return true;
     }
-    if (keeper.address != this->ownAddress) {
-        this->exhausted.learnFromKeeper(workspace, keeper.address, urgency, reply, this->timers.now());
-    }
-    this->learn(pending.query, reply.exhausted);
-    auto &decision = pending.decision;
-    const bool isSooner = !decision.isReserved && (!pending.hasReply || reply.retryAfter < decision.retryAfter);
-    decision.retryAfter = reply.isReserved || isSooner ? reply.retryAfter : decision.retryAfter;
-    decision.isReserved = decision.isReserved || reply.isReserved;
-    pending.hasReply = true;
-    pending.isStarting = pending.isStarting || reply.isStarting;
-    if (isHome(pending.home, keeper) && !pending.haveAllRefused) {
-        pending.mayWaitAtHome = isWaitUseful(pending.query.terms.value(), reply.retryAfter);
+    if (address != this->ownAddress) {
+        this->exhausted.learnFromKeeper(workspace, address, urgency, reply, now);
     }
+    this->learn(queries.query(), reply.exhausted);
+    queries.recordRefusal(rank, reply);
     return false;
 }
 
-void QuotaLimiter::finish(std::uint64_t number, QuotaDecision::Verdict verdict)
+void QuotaLimiter::finish(std::uint64_t number, QuotaDecision decision)
 {
     auto row = this->pendingDecisions.extract(number);
     auto &pending = row.mapped();
-    pending.decision.verdict = verdict;
-    pending.decision.waited = this->timers.now() - pending.startedAt;
-    this->count(pending, pending.decision);
-    pending.done(pending.decision);
+    this->count(urgencyIn(pending.queries.query()), decision);
+    pending.done(decision);
 }
 
-void QuotaLimiter::count(const PendingDecision &pending, const QuotaDecision &decision)
+void QuotaLimiter::count(const Urgency &urgency, const QuotaDecision &decision)
 {
     switch (decision.verdict) {
     case QuotaDecision::Verdict::Granted:
@@ -408,7 +357,8 @@
         break;
     }
     ++this->counts.refusedAfterQueries[std::min(decision.asked, this->counts.refusedAfterQueries.size() - 1)];
-    ++this->counts.refusedByUrgency[urgencyIn(pending.query)];
+    ++this->counts.refusedByUrgency[urgency];
+    this->counts.outOfTime += decision.unqueried > 0 ? 1 : 0;
     this->counts.refusalTimes.add(decision.waited);
 }
 
--- a/Libraries/LibGateway/Quota/QuotaLimiter.h
+++ b/Libraries/LibGateway/Quota/QuotaLimiter.h
@@ -8,11 +8,11 @@
 
 #pragma once
 
-#include <LibCore/LatencyDigest.h>
 #include <LibFleet/BackendRegistry.h>
 #include <LibGateway/BackendPool.h>
-#include <LibGateway/Quota/ExhaustedKeepers.h>
+#include <LibGateway/Quota/KeeperQueries.h>
 #include <LibGateway/Quota/QuotaLedger.h>
+#include <LibGateway/Scheduling/LogLimit.h>
 #include <LibMetrics/LatencyHistogram.h>
 
 #include <array>
@@ -20,38 +20,15 @@
 namespace Gateway
 {
 
-/** How many keepers are queried, and for how long. */
+/** How quotas are counted, and how long a keeper is waited for. */
 struct QuotaLimiterOptions {
     QuotaOptions quota;
     /** A keeper that does not reply within this time is skipped for the next one; the longest known round trip between regions is 24 ms. */
     Core::Duration keeperTimeout{Core::milliseconds(60)};
-    /** Maximum number of queries for one request, before one that only reserves a token: the keepers of the own region and one more. */
-    std::size_t maximumQueries{3};
 };
 
-/** Whether a request was admitted. */
-struct QuotaDecision {
-    enum class Verdict {
-        Granted,
-        /** The workspace has exhausted its quota. */
-        OverQuota,
-        /** A keeper has taken over its share only now and grants nothing yet, so the quota is not known to be exhausted. */
-        Starting,
-        /** No keeper replied. */
-        NoKeeper,
-    };
-    Verdict verdict{Verdict::NoKeeper};
-    /** With OverQuota and Starting: when the caller should return. */
-    Core::Duration retryAfter{0};
-    /** A keeper keeps a token for the caller at that time. */
-    bool isReserved{false};
-    /** Number of queries to other gateways. */
-    std::size_t asked{0};
-    /** Number of keepers that were not queried since they were known to be exhausted, and how long ago the oldest of these facts was learned. */
-    std::size_t knownExhausted{0};
-    Core::Duration knownAge{0};
-    Core::Duration waited{0};
-};
+/** Maximum number of log lines a second about reservations. Bounds the log of a keeper while very many callers are refused. */
+inline constexpr int MaximumReservationLines = 50;
 
 /** Counters for metrics. */
 struct QuotaCounters {
@@ -60,6 +37,8 @@
     std::uint64_t noKeeper{0};
     /** Requests refused because a keeper has taken over its share only now. */
     std::uint64_t starting{0};
+    /** Requests refused although not every keeper was queried or known to be exhausted, since the answer would have been late. */
+    std::uint64_t outOfTime{0};
     /** Requests refused after 0, 1, 2, and 3 or more queries to other gateways. */
     std::array<std::uint64_t, 4> refusedAfterQueries{};
     std::map<Urgency, std::uint64_t> refusedByUrgency;
@@ -112,45 +91,32 @@
     /** A decision that waits for replies of keepers. */
     struct PendingDecision {
         CallerRequest message;
-        QuotaQuery query;
-        // Keepers to be queried next, in reverse order.
-        std::vector<KeeperGateway> candidates;
-        // The keeper that holds the reservations of this content; queried first.
-        std::optional<KeeperGateway> home;
-        // Set when `home` replied that a caller of this request could wait for a token, until it is asked to reserve one.
-        bool mayWaitAtHome{false};
-        bool haveAllRefused{false};
+        KeeperQueries queries;
         std::optional<AttemptId> attempt;
-        Core::Instant startedAt;
-        // What is decided so far. Its retryAfter is the shortest of all replies, or that of the reservation.
-        QuotaDecision decision;
-        bool hasReply{false};
-        // The shortest time until a keeper that was not queried may have a token.
-        Core::Duration knownWait{0};
-        bool isStarting{false};
+        Core::Instant sentAt;
         DecisionHook done;
         Core::TimerSubscription keeperTimer;
     };
 
-    /** Returns the keepers of a workspace in the order in which they are queried, which gateways of one region agree on. */
-    [[nodiscard]] std::vector<KeeperGateway> keepersInOrder(const Fleet::Workspace &workspace, const Fleet::RequestDigest &digest) const;
+    /** Returns the keepers of a workspace in the order of a digest, which gateways of one region agree on. */
+    [[nodiscard]] std::vector<RankedKeeper> keepersInOrder(const Fleet::Workspace &workspace, const Fleet::RequestDigest &digest) const;
     void queryNext(std::uint64_t number);
-    /** Queries a keeper unless it is known to be exhausted. Returns whether the decision is made or waits for a reply. */
-    [[nodiscard]] bool query(std::uint64_t number, const KeeperGateway &keeper);
-    /** Returns whether no further keeper needs to be queried if this one refuses. */
-    [[nodiscard]] bool areOthersExhausted(const PendingDecision &pending) const;
-    [[nodiscard]] bool queryRemote(std::uint64_t number, const KeeperGateway &keeper);
-    /** Returns the query of a decision with the time that is left now. */
-    [[nodiscard]] QuotaQuery queryNow(const PendingDecision &pending, const KeeperGateway &keeper) const;
+    /** Makes a query. Returns whether the decision is made or waits for a reply. */
+    [[nodiscard]] bool query(std::uint64_t number, const KeeperQueries::Step &step);
+    [[nodiscard]] bool queryRemote(std::uint64_t number, const KeeperQueries::Step &step);
     /** Admits a request by the share of this gateway. */
     [[nodiscard]] QuotaReply admitHere(QuotaQuery query);
+    /** Returns whether all other keepers of a workspace are known to be exhausted for an urgency. */
+    [[nodiscard]] bool areOthersExhausted(const Fleet::Workspace &workspace, const Urgency &urgency) const;
+    /** Returns whether another keeper of a workspace may have had tokens within the last quota window. */
+    [[nodiscard]] bool mayOthersGrant(const Fleet::WorkspaceName &workspace) const;
     void logReservation(const QuotaQuery &query, const QuotaReply &reply);
-    void handleOutcome(std::uint64_t number, const KeeperGateway &keeper, const AttemptOutcome &outcome);
+    void handleOutcome(std::uint64_t number, std::size_t rank, const AttemptOutcome &outcome);
     /** Handles the reply of a keeper. Returns whether the request was admitted, which ends the decision. */
-    [[nodiscard]] bool handleReply(std::uint64_t number, const KeeperGateway &keeper, const QuotaReply &reply);
+    [[nodiscard]] bool handleReply(std::uint64_t number, std::size_t rank, const QuotaReply &reply);
     void learn(const QuotaQuery &query, const std::vector<ExhaustedKeeper> &exhausted);
-    void finish(std::uint64_t number, QuotaDecision::Verdict verdict);
-    void count(const PendingDecision &pending, const QuotaDecision &decision);
+    void finish(std::uint64_t number, QuotaDecision decision);
+    void count(const Urgency &urgency, const QuotaDecision &decision);
 
     QuotaLimiterOptions options;
     std::string ownZone;
@@ -165,9 +131,10 @@
     std::uint64_t nextDecision{1};
     ExhaustedKeepers exhausted;
     std::shared_ptr<const Fleet::Declaration> declaration;
-    // Number of log lines about reservations since the latest sweep.
-    int reservationLines{0};
-    Core::LatencyDigest latencies;
+    // When all other keepers of a workspace were last known to be exhausted. Invariant: only of workspaces of which this gateway holds a share.
+    std::unordered_map<Fleet::WorkspaceName, Core::Instant> othersExhaustedAt;
+    LogLimit reservationLines{MaximumReservationLines};
+    KeeperRoundTrips roundTrips;
     QuotaCounters counts;
 };
 
--- a/Libraries/LibGateway/Quota/QuotaMessages.cpp
+++ b/Libraries/LibGateway/Quota/QuotaMessages.cpp
@@ -29,12 +29,21 @@
 // A request that has less than this part of its target left after the wait is usually not answered before its caller gives up.
 static constexpr int NeededTargetDivisor = 2;
 
+// Facts that gateways of an older build don't know are written as entries of the list of exhausted keepers, with an address that no keeper has: those gateways
+// read any entry ADDRESS=NUMBER and ignore unknown keepers.
+static constexpr std::string_view StartingSuffix = ";starting";
+static constexpr std::string_view NextHasReservedEntry = ";next=1";
+
 static std::string joinExhausted(const std::vector<ExhaustedKeeper> &exhausted)
 {
     std::string text;
     for (const auto &keeper : exhausted) {
         text += text.empty() ? "" : ",";
-        text += keeper.address + "=" + std::to_string(Core::toMilliseconds(keeper.validFor));
+        const auto validity = "=" + std::to_string(Core::toMilliseconds(keeper.validFor));
+        text += keeper.address + validity;
+        if (keeper.isStarting) {
+            text += "," + keeper.address + std::string(StartingSuffix) + validity;
+        }
     }
     return text;
 }
@@ -52,6 +61,18 @@
     return ExhaustedKeeper{.address = field.substr(0, separator), .validFor = Core::milliseconds(milliseconds.value())};
 }
 
+// Adds a keeper to the list. The entry that says that it is starting follows the keeper's own and adds nothing else.
+static void addExhausted(std::vector<ExhaustedKeeper> &exhausted, ExhaustedKeeper keeper)
+{
+    if (!exhausted.empty() && keeper.address == exhausted.back().address + std::string(StartingSuffix)) {
+        exhausted.back().isStarting = true;
+        return;
+    }
+    if (exhausted.size() < MaximumExhausted) {
+        exhausted.push_back(std::move(keeper));
+    }
+}
+
 static std::optional<QuotaTerms> readTerms(const std::vector<std::string> &fields)
 {
     static constexpr std::size_t TermCount = 5;
@@ -79,20 +100,26 @@
     return mode.has_value() ? static_cast<ReservationMode>(mode.value()) : ReservationMode::Never;
 }
 
-static std::string writeTerms(const QuotaTerms &terms, ReservationMode reservation)
+static bool readIsRepeated(const std::vector<std::string> &fields)
+{
+    static constexpr std::size_t RepeatedField = 6;
+    return fields.size() > RepeatedField && fields[RepeatedField] == "1";
+}
+
+static std::string writeTerms(const QuotaTerms &terms, ReservationMode reservation, bool isRepeated)
 {
     const auto milliseconds = [](Core::Duration duration) {
         return std::to_string(std::clamp<std::int64_t>(Core::toMilliseconds(duration), 0, MaximumMilliseconds));
     };
     return std::to_string(terms.urgency.workspace) + "," + std::to_string(terms.urgency.route) + "," + terms.digest.value() + "," + milliseconds(terms.timeLeft)
-        + "," + milliseconds(terms.targetLeft) + "," + std::to_string(static_cast<int>(reservation));
+        + "," + milliseconds(terms.targetLeft) + "," + std::to_string(static_cast<int>(reservation)) + (isRepeated ? ",1" : "");
 }
 
 void addQuotaQuery(Wire::Headers &headers, const QuotaQuery &query, const std::vector<ExhaustedKeeper> &exhausted)
 {
     headers.push_back({RelayHeader::Quota, query.workspace.value()});
     if (query.terms.has_value()) {
-        headers.push_back({RelayHeader::QuotaTerms, writeTerms(query.terms.value(), query.reservation)});
+        headers.push_back({RelayHeader::QuotaTerms, writeTerms(query.terms.value(), query.reservation, query.isRepeated)});
     }
     if (!exhausted.empty()) {
         headers.push_back({RelayHeader::QuotaExhausted, joinExhausted(exhausted)});
@@ -112,10 +139,11 @@
     const auto fields = Core::splitList(terms.value_or(std::string()));
     received.query.terms = readTerms(fields);
     received.query.reservation = received.query.terms.has_value() ? readReservationMode(fields) : ReservationMode::Never;
+    received.query.isRepeated = received.query.terms.has_value() && readIsRepeated(fields);
     for (const auto &field : Core::splitList(exhausted.value_or(std::string()))) {
         auto keeper = readExhausted(field);
-        if (keeper.has_value() && received.exhausted.size() < MaximumExhausted) {
-            received.exhausted.push_back(std::move(keeper.value()));
+        if (keeper.has_value()) {
+            addExhausted(received.exhausted, std::move(keeper.value()));
         }
     }
     return received;
@@ -130,7 +158,8 @@
         return body;
     }
     body += reply.isReserved ? ",1" : ",0";
-    return reply.exhausted.empty() ? body : body + "," + joinExhausted(reply.exhausted);
+    body += reply.exhausted.empty() ? "" : "," + joinExhausted(reply.exhausted);
+    return reply.mayNextHaveReserved ? body + "," + std::string(NextHasReservedEntry) : body;
 }
 
 std::optional<QuotaReply> readQuotaReply(const std::string &body)
@@ -161,11 +190,15 @@
     }
     reply.isReserved = reserved.value() == 1;
     for (std::size_t index = OldFieldCount + 1; index < fields.size(); ++index) {
+        if (fields[index] == NextHasReservedEntry) {
+            reply.mayNextHaveReserved = true;
+            continue;
+        }
         auto keeper = readExhausted(fields[index]);
         if (!keeper.has_value()) {
             return std::nullopt;
         }
-        reply.exhausted.push_back(std::move(keeper.value()));
+        addExhausted(reply.exhausted, std::move(keeper.value()));
     }
     return reply;
 }
--- a/Libraries/LibGateway/Quota/QuotaMessages.h
+++ b/Libraries/LibGateway/Quota/QuotaMessages.h
@@ -25,6 +25,8 @@
     Core::Duration timeLeft{0};
     /** Time until the answer should leave. */
     Core::Duration targetLeft{0};
+    /** Typical time until the answer of an admitted request. Not sent. */
+    Core::Duration typicalLatency{0};
 };
 
 /** When a keeper may reserve a token for a request that it does not grant. A token that is reserved in vain is withheld from others for a while. */
@@ -43,6 +45,10 @@
     /** Empty in queries of gateways of an older build. */
     std::optional<QuotaTerms> terms;
     ReservationMode reservation{ReservationMode::Never};
+    /** The keeper has replied to a query for this request before, so the request is in its measured demand. */
+    bool isRepeated{false};
+    /** Set by the keeper itself, not sent: others have had tokens recently, so the workspace as a whole does not request more than its quota. */
+    bool mayOthersGrant{false};
 };
 
 /** A keeper that grants nothing to requests of some urgency. */
@@ -51,6 +57,8 @@
     std::string address;
     /** How long this is valid. */
     Core::Duration validFor{0};
+    /** Its share was taken over only now and grants nothing yet. */
+    bool isStarting{false};
 };
 
 /** Reply of a keeper to a quota query. */
@@ -66,6 +74,8 @@
     Core::Duration retryAfter{0};
     /** When not granted: a token is kept for the caller at `retryAfter`. */
     bool isReserved{false};
+    /** When not granted: this keeper could not reserve a token for the content before, so the next keeper in the order of the digest may have done so. */
+    bool mayNextHaveReserved{false};
     /** When granted: the token was reserved. Not sent. */
     bool isClaimed{false};
     /** Other keepers of the workspace that the replying one knows to be exhausted. */
