LibGateway: Test the queries for a request, and certain overload

The first bound for certain overload, four standard deviations, divided a share of 0.5 tokens a second once in 1325 s at 0.85 of its refill, so the bound has Bernstein's term for few requests now.

--- a/Libraries/LibGateway/Quota/DemandShares.cpp
+++ b/Libraries/LibGateway/Quota/DemandShares.cpp
@@ -25,8 +25,8 @@
 static constexpr double MinimumDueTokens = 1.0;
 // An urgency with fewer requests than this within a window is forgotten.
 static constexpr double MinimumRequestsInWindow = 0.05;
-// Demand counts as more than the refill if it is so many standard deviations above it. A keeper compares them at each request of a day, so chance must not
-// reach this within hundreds of thousands of comparisons. A window shows only demand of twice the refill at a share of one or two tokens a second.
+// Demand counts as more than the refill if it is so many standard deviations above it, since a keeper compares them at each request, all day. A window
+// shows only demand of two to three times the refill at a share of one or two tokens a second.
 static constexpr double CertaintyDeviations = 4.0;
 // The longer time in windows: at a share of one or two tokens a second it shows demand of half more than the refill.
 static constexpr double LastingWindows = 6.0;
@@ -72,12 +72,13 @@
     this->mayOthersGrant = mayGrant;
 }
 
-// Returns whether random arrivals at the rate of the refill would hardly be measured as such a demand. The variance of a count that decays exponentially is
-// half of its mean.
+// Returns whether random arrivals at the rate of the refill would hardly be measured as such a demand, by Bernstein's inequality. The variance of a count that
+// decays exponentially is half of its mean; the last term accounts for requests that are few.
 static bool isCertainlyAbove(double demand, double refill, double seconds)
 {
     const double expected = refill * seconds;
-    return demand * seconds > expected + CertaintyDeviations * std::sqrt(expected / 2.0);
+    constexpr double FewRequests = CertaintyDeviations * CertaintyDeviations / 6.0;
+    return demand * seconds > expected + CertaintyDeviations * std::sqrt(expected / 2.0) + FewRequests;
 }
 
 bool DemandShares::isOverloaded(const ShareSupply &supply) const
--- a/Tests/LibGateway/TestQuotaSharing.cpp
+++ b/Tests/LibGateway/TestQuotaSharing.cpp
@@ -11,6 +11,7 @@
 #include <LibGateway/Quota/TokenBucket.h>
 
 #include <criterion/criterion.h>
+#include <random>
 
 using Gateway::QuotaLedger;
 using Gateway::QuotaQuery;
@@ -324,3 +325,103 @@
     // The limit of what may be due has moved a little since the first value was added up.
     cr_assert_float_eq(demand.tokensForOthers(patient, supply), before, 0.1);
 }
+
+namespace
+{
+
+/** Requests of two urgencies that arrive at random at one share. */
+struct RandomArrivals {
+    Gateway::ShareSupply supply;
+    double perSecond{0.0};
+    unsigned seed{1};
+    bool mayOthersGrant{false};
+
+    /** Returns when tokens are first set aside for the urgent ones, in seconds; nothing if that does not happen within `seconds`. */
+    [[nodiscard]] std::optional<double> dividedAt(double seconds) const
+    {
+        std::mt19937 random(this->seed);
+        std::exponential_distribution<double> gap(this->perSecond);
+        Gateway::DemandShares demand(Core::seconds(5));
+        demand.setMayOthersGrant(this->mayOthersGrant);
+        const Urgency urgent{.workspace = 0, .route = 0};
+        const Urgency patient{.workspace = 0, .route = 2};
+        for (double time = gap(random); time < seconds; time += gap(random)) {
+            demand.recordRequest(random() % 2 == 0 ? urgent : patient, this->supply, at(static_cast<std::int64_t>(time * 1000.0)));
+            if (demand.rateFor(patient, this->supply) < this->supply.perSecond) {
+                return time;
+            }
+        }
+        return std::nullopt;
+    }
+};
+
+}
+
+// Guards against a few requests that come together by chance being taken for overload: tokens are then withheld from less urgent requests in vain.
+Test(QuotaSharing, chanceIsNotOverload)
+{
+    constexpr double Hour = 3600.0;
+    for (const double refill : {0.5, 1.0, 2.0, 8.0}) {
+        const Gateway::ShareSupply supply{.perSecond = refill, .capacity = 6.0};
+        for (unsigned seed = 1; seed <= 5; ++seed) {
+            const auto quiet = RandomArrivals{.supply = supply, .perSecond = 0.85 * refill, .seed = seed}.dividedAt(Hour);
+            cr_assert_not(quiet.has_value(), "refill %.1f, seed %u: divided after %.0f s", refill, seed, quiet.value_or(0.0));
+            const auto overloaded = RandomArrivals{.supply = supply, .perSecond = 5.0 * refill, .seed = seed}.dividedAt(Hour);
+            cr_assert(overloaded.value_or(Hour) <= 15.0, "refill %.1f, seed %u: divided after %.0f s", refill, seed, overloaded.value_or(Hour));
+            const auto lasting = RandomArrivals{.supply = supply, .perSecond = 1.7 * refill, .seed = seed}.dividedAt(Hour);
+            cr_assert(lasting.value_or(Hour) <= 600.0, "refill %.1f, seed %u: divided after %.0f s", refill, seed, lasting.value_or(Hour));
+        }
+        const auto elsewhere = RandomArrivals{.supply = supply, .perSecond = 5.0 * refill, .mayOthersGrant = true}.dividedAt(Hour);
+        cr_assert_not(elsewhere.has_value(), "other keepers have tokens");
+    }
+}
+
+// Guards against callers without a reservation who return at the same time, so that all but one are refused again.
+Test(QuotaSharing, returnsAreSpreadOverTheTokens)
+{
+    OneShare share({.requestsPerSecond = 2.0, .burst = 1.0});
+    cr_assert(share.ask("first", 10'000).granted);
+    std::int64_t before = 0;
+    for (int caller = 0; caller < 5; ++caller) {
+        const auto reply = share.ask("caller-" + std::to_string(caller), 10'000, 900);
+        cr_assert(!reply.isReserved && waitOf(reply) >= before + 490, "%d: %d", static_cast<int>(before), static_cast<int>(waitOf(reply)));
+        before = waitOf(reply);
+    }
+    cr_assert(before <= 2'600, "one for each token: %d", static_cast<int>(before));
+    // One caller whose query is not its last one does not take a place.
+    (void)share.ledger.admit(
+        {.workspace = workspaceName, .terms = {{.digest = Fleet::RequestDigest("other"), .timeLeft = Core::milliseconds(900)}}}, at(10'000));
+    cr_assert(waitOf(share.ask("last", 10'000, 900)) <= 3'100);
+}
+
+// Guards against overload that is measured because each refused request queries its home twice.
+Test(QuotaSharing, aRepeatedQueryIsCountedOnce)
+{
+    OneShare share({.requestsPerSecond = 2.0, .burst = 5.0});
+    for (int caller = 0; caller < 15; ++caller) {
+        QuotaQuery query{.workspace = workspaceName,
+            .terms = {{.digest = Fleet::RequestDigest(std::to_string(caller)), .timeLeft = Core::milliseconds(900)}},
+            .reservation = ReservationMode::IfOthersExhausted};
+        (void)share.ledger.admit(query, at(10'000));
+        query.isRepeated = true;
+        (void)share.ledger.admit(query, at(10'000));
+    }
+    const auto patient = share.ask("patient", 10'000, 0, 2);
+    cr_assert(waitOf(patient) <= 510, "nothing is set aside: %d", static_cast<int>(waitOf(patient)));
+}
+
+// Guards against a home that does not remember for whom the next keeper may have reserved a token.
+Test(QuotaSharing, unreservedContentIsRemembered)
+{
+    OneShare share({.requestsPerSecond = 2.0, .burst = 1.0});
+    cr_assert(share.ask("first", 10'000).granted);
+    cr_assert_not(share.ask("popular", 10'000, 900).mayNextHaveReserved, "nobody has been sent to the next keeper yet");
+    cr_assert(share.ask("popular", 10'010, 900).mayNextHaveReserved);
+    cr_assert_not(share.ask("other", 10'010).mayNextHaveReserved);
+    for (int digest = 0; digest < 200; ++digest) {
+        (void)share.ask("d" + std::to_string(digest), 10'020, 0);
+    }
+    cr_assert_not(share.ask("popular", 10'030, 0).mayNextHaveReserved, "bounded in number");
+    cr_assert(share.ask("d199", 10'030, 0).mayNextHaveReserved);
+    cr_assert_not(share.ask("d198", 15'300, 0).mayNextHaveReserved, "and in time");
+}
