--- a/Tests/LibGateway/TestQuotas.cpp
+++ b/Tests/LibGateway/TestQuotas.cpp
@@ -172,6 +172,54 @@
     cr_assert(refused > 150 && quick >= 0.9 * refused, "%d of %d", quick, refused);
 }
 
+// Guards against refusals while keepers of another region have tokens.
+Test(Quotas, nothingIsRefusedWhileAnyKeeperHasATokenAndThereIsTime)
+{
+    QuotaFixture fixture({"here", "here", "there", "there"});
+    cr_assert(fixture.awaitReady());
+    // Each of the four shares has filled up to three tokens.
+    fixture.settle(Core::milliseconds(2300) + Core::seconds(3));
+    int granted = 0;
+    while (granted < 30 && fixture.ask(*fixture.nodes.front(), "/one/" + std::to_string(granted), {{"Credential", "small-secret"}}).status == Ok) {
+        ++granted;
+    }
+    cr_assert(granted >= SmallBurst, "%d", granted);
+}
+
+// Guards against many callers with the same content who compete for the tokens of one share, and against one who does not find the reservation of the next.
+Test(Quotas, popularContentIsReservedAtTwoKeepers)
+{
+    QuotaFixture fixture({"here", "beside", "here", "beside"});
+    cr_assert(fixture.awaitReady());
+    fixture.settle(Core::milliseconds(2300));
+    const auto askForContent = [&fixture](std::size_t number) {
+        return fixture.ask(*fixture.nodes[number % fixture.nodes.size()], "/one/popular", {{"Credential", "small-secret"}});
+    };
+    // In 1.6 s, the longest that these callers wait, a share gains three tokens. Twelve callers more arrive than the burst, 60 ms apart, since callers whose
+    // time ends within 50 ms of each other would be taken for one.
+    std::vector<Core::Instant> returns;
+    std::size_t told = 0;
+    std::size_t served = 0;
+    std::size_t sent = 0;
+    for (auto nextAt = fixture.timers.now(); sent < 24 || !returns.empty(); fixture.settle(Core::milliseconds(5))) {
+        const auto due = std::min_element(returns.begin(), returns.end());
+        const auto now = fixture.timers.now();
+        if (due != returns.end() && *due <= now) {
+            returns.erase(due);
+            served += askForContent(told + served).status == Ok ? 1 : 0;
+        } else if (sent < 24 && nextAt <= now) {
+            nextAt = now + Core::milliseconds(60);
+            const auto answer = askForContent(++sent);
+            const auto wait = answer.status == OverQuota ? std::stod(*Wire::findHeader(answer.headers, "Retry-After")) : 0.0;
+            if (wait > 0.0 && wait < 1.6) {
+                ++told;
+                returns.push_back(fixture.timers.now() + Core::milliseconds(static_cast<std::int64_t>(wait * 1000.0) + 5));
+            }
+        }
+    }
+    cr_assert(told >= 5 && served + 1 >= told, "%zu of %zu", served, told);
+}
+
 // Guards against calling a quota used up when its keepers have only just started, and against a Retry-After at which they still grant nothing.
 Test(Quotas, keepersThatJustStartedDoNotSayOverQuota)
 {
