--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -90,6 +90,10 @@
     this->watcher.ownAnnouncement = [this] {
         return this->makeOwnAnnouncement();
     };
+    this->watcher.wantsContacts = [this] {
+        this->updateQuotas();
+        return !this->draining && this->quotas.isTakeoverPending();
+    };
     this->watcher.declarationReceived = [this](Fleet::DeclarationVersion version, const std::string &content) {
         this->applyDeclaration(version, content);
     };
@@ -351,6 +355,9 @@
     this->quotas.updateGateways(this->gateways);
     const auto lastSync = this->watcher.lastLeaderSync();
     this->quotas.setMayHoldShares(!this->draining && lastSync.has_value() && this->timers.now() - lastSync.value() < LeaderlessHoldTime);
+    if (const auto &statement = this->watcher.contactStatement(); statement.has_value()) {
+        this->quotas.setContactStatement(statement.value());
+    }
 }
 
 void GatewayNode::admit(const Fleet::Workspace &workspace, const Fleet::Route &route, CallerRequest request, const Wire::ExchangePointer &exchange)
@@ -361,7 +368,8 @@
     const QuotaTerms terms{.urgency = urgencyOf(&workspace, route),
         .digest = digestOf(request),
         .timeLeft = request.callerTimeout.value_or(this->options.requests.defaultTimeout),
-        .targetLeft = route.targetLatency};
+        .targetLeft = route.targetLatency,
+        .typicalLatency = typicalLatencyOf(this->options.requests, route, this->latencies[route.name])};
     this->admissions[id] = Admission{.request = std::move(request), .exchange = exchange, .terms = terms};
     exchange->aborted = [this, id] {
         const auto waiting = this->admissions.extract(id);
@@ -422,6 +430,7 @@
             {"caller_left_ms", Core::toMilliseconds(terms.timeLeft)},
             {"known_exhausted", decision.knownExhausted},
             {"known_age_ms", Core::toMilliseconds(decision.knownAge)},
+            {"unqueried", decision.unqueried},
             {"over_quota", isOverQuota ? 1 : 0},
             {"starting", isStarting ? 1 : 0}});
     this->refuse(isOverQuota ? Refusal::OverQuota : Refusal::NotRun, request, answerTo(exchange), isOverQuota ? "over-quota" : outcome, retryAfter);
