--- a/Libraries/LibGateway/Quota/QuotaLedger.cpp
+++ b/Libraries/LibGateway/Quota/QuotaLedger.cpp
@@ -71,7 +71,7 @@
 bool QuotaLedger::isTakeoverPending(Core::Instant now)
 {
     this->updateTakeover(now);
-    return !this->takeoverWait.end().has_value();
+    return this->takeoverWait.isMember() ? !this->takeoverWait.end().has_value() : !this->hasBeenMember;
 }
 
 std::size_t QuotaLedger::waitingShareCount(Core::Instant now) const
@@ -117,6 +117,7 @@
 {
     const bool wasMember = this->takeoverWait.isMember();
     this->takeoverWait.update(this->mayHoldSince.has_value() && this->isListed, this->hasOthers, now);
+    this->hasBeenMember = this->hasBeenMember || this->takeoverWait.isMember();
     if (wasMember != this->takeoverWait.isMember()) {
         this->appliedEnd = this->takeoverWait.expectedEnd(now);
     }
--- a/Libraries/LibGateway/Quota/QuotaLedger.h
+++ b/Libraries/LibGateway/Quota/QuotaLedger.h
@@ -54,7 +54,10 @@
     void setContactStatement(const Fleet::ContactStatement &statement, Core::Instant now);
     /** Returns the wait of Q1; its shares grant nothing until it is over. */
     [[nodiscard]] const TakeoverWait &takeover() const;
-    /** Whether this gateway waits until it may grant, or will when it joins. */
+    /**
+     * Whether this gateway waits until it may grant, or will when it joins for the first time. One that has lost the coordinators waits only once it has joined
+     * again, so that nothing is added to their load while they have no leader.
+     */
     [[nodiscard]] bool isTakeoverPending(Core::Instant now);
 
     /**
@@ -117,6 +120,7 @@
     bool isListed{false};
     bool hasOthers{false};
     TakeoverWait takeoverWait;
+    bool hasBeenMember{false};
     // The expected end of the takeover from which the shares fill; nothing after its end was applied.
     std::optional<Core::Instant> appliedEnd;
     std::unordered_map<Fleet::WorkspaceName, Share> shares;
--- a/Tests/LibFleet/TestFleetWatcher.cpp
+++ b/Tests/LibFleet/TestFleetWatcher.cpp
@@ -504,3 +504,69 @@
         return reportsOf(coordinator, "request") == 2;
     }));
 }
+
+namespace
+{
+
+/** Makes the watcher a gateway that announces itself. */
+void announceSelf(WatcherFixture &fixture)
+{
+    fixture.watcher.ownAnnouncement = [] {
+        Protocol::BackendAnnouncement announcement;
+        announcement.id = "gateway";
+        announcement.address = "127.0.0.1:1";
+        announcement.phase = Protocol::BackendPhase::READY;
+        return announcement;
+    };
+}
+
+}
+
+// Guards against requests for contacts in deployments that need none, and against a contact from before the coordinator listed this gateway, or from before its
+// restart, that counts as one with the list that contains it.
+Test(FleetWatcher, holdsAStatementAboutContactsWithTheTimeSinceWhenItIsListed)
+{
+    WatcherFixture fixture;
+    announceSelf(fixture);
+    bool wantsContacts = false;
+    fixture.watcher.wantsContacts = [&wantsContacts] {
+        return wantsContacts;
+    };
+    std::int64_t incarnation = 1;
+    const auto stated = [&](std::int32_t ageMs) {
+        auto reply = fixture.reply(-1);
+        reply.coordinatorIncarnation = incarnation;
+        reply.__set_oldestContactAgeMs(ageMs);
+        return reply;
+    };
+    auto &coordinator = fixture.add("near", [](const WatchRequest &) {
+        return std::nullopt;
+    });
+    fixture.start();
+    cr_assert(fixture.runUntil([&] {
+        return coordinator.held.size() == 1;
+    }));
+    cr_assert_not(coordinator.requests.back().wantsContacts);
+    wantsContacts = true;
+    coordinator.held.back()(fixture.reply(-1));
+    cr_assert(fixture.runUntil([&] {
+        return coordinator.held.size() == 2;
+    }));
+    cr_assert(coordinator.requests.back().wantsContacts && !fixture.watcher.contactStatement().has_value());
+    const auto sentBefore = fixture.timers.now();
+    fixture.settle(Core::milliseconds(300));
+    coordinator.held.back()(stated(100));
+    cr_assert(fixture.runUntil([&] {
+        return coordinator.held.size() == 3;
+    }));
+    const auto first = fixture.watcher.contactStatement().value();
+    cr_assert(first.statedAt <= sentBefore && first.oldestContact == first.statedAt - Core::milliseconds(100), "counted from the sending of the request");
+    cr_assert(first.listedSince < sentBefore);
+    ++incarnation;
+    coordinator.held.back()(stated(5));
+    cr_assert(fixture.runUntil([&] {
+        return coordinator.held.size() == 4;
+    }));
+    const auto restarted = fixture.watcher.contactStatement().value();
+    cr_assert(restarted.listedSince > first.listedSince && restarted.listedSince >= sentBefore, "the new process lists this gateway since its reply");
+}
