LibGateway: Judge servers by lasting speed and confirmed slowdowns

Cause: one smoothed factor with a half-life of 2 s combined lasting speeds, slowdowns, pauses, queueing and the latency of parts that other gateways served. One late answer of a pause moved the following requests.

Ruled out: a single late answer as evidence with less weight.

Change: ServerSpeed keeps the lasting speed (about 30 answers, kept for a minute) apart from a slowdown, which takes two late answers that one pause can't explain, or one and a report of another gateway. Queueing is taken out of samples. The latency of parts is kept apart in BackendHealth. SLOWNESS of the evidence carries what a gateway observed itself. Servers that report their slowdown are judged as before.

A test of BackendHealth expected one late answer to triple the expected latency.

--- a/Libraries/LibGateway/Backend.h
+++ b/Libraries/LibGateway/Backend.h
@@ -51,6 +51,8 @@
     std::shared_ptr<RequestTrace> trace;
     Core::Instant startedAt;
     Core::Duration typicalLatency{0};
+    // Work that was ahead of the request when it was sent; see BackendHealth::queueing().
+    double queueing{0.0};
     // Set once nobody waits for the outcome any more: when the attempt is cancelled.
     std::optional<Core::Instant> cancelAt;
     // Set while it is being checked whether the backend server has ended.
--- a/Libraries/LibGateway/BackendChoice.cpp
+++ b/Libraries/LibGateway/BackendChoice.cpp
@@ -62,9 +62,9 @@
     return this->changedByReports;
 }
 
-double BackendChoice::latencyMilliseconds(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const
+double BackendChoice::latencyMilliseconds(const Backend &backend, Core::Duration typicalLatency, Core::Instant now, SpeedBasis basis) const
 {
-    double expected = milliseconds(typicalLatency) * backend.health.expectedFactor(backend.inFlight.size(), backend.slots, now);
+    double expected = milliseconds(typicalLatency) * backend.health.expectedFactor(backend.inFlight.size(), backend.slots, now, basis);
     if (now < backend.warmUntil) {
         expected *= WarmupLatencyFactor;
     }
@@ -91,15 +91,24 @@
     return milliseconds(backend.roundTrip.value_or(backend.sameRegion ? AssumedRefusalTime : this->options.assumedRegionRoundTrip));
 }
 
+// Usually the first candidate decides.
+static bool areAllSlow(const std::vector<Backend *> &candidates, Core::Instant now)
+{
+    return std::all_of(candidates.begin(), candidates.end(), [now](const Backend *backend) {
+        return backend->health.wasSlow(now);
+    });
+}
+
 std::vector<BackendChoice::Scored> BackendChoice::scored(const std::vector<Backend *> &candidates, Core::Duration typicalLatency, Core::Instant now) const
 {
     std::vector<Scored> result;
     result.reserve(candidates.size());
     bool anyRefuses = false;
+    const auto basis = areAllSlow(candidates, now) ? SpeedBasis::Latest : SpeedBasis::All;
     for (auto *backend : candidates) {
         auto &row = result.emplace_back();
         row.backend = backend;
-        row.latency = this->latencyMilliseconds(*backend, typicalLatency, now);
+        row.latency = this->latencyMilliseconds(*backend, typicalLatency, now, basis);
         row.expected = row.latency;
         row.expected += isStuck(*backend, now) ? StuckPenaltyMilliseconds : 0.0;
         row.expected += backend->health.isAvoided(now) ? AvoidedPenaltyMilliseconds : 0.0;
@@ -159,6 +168,8 @@
 {
     for (auto &row : candidates) {
         row.refusedShare = refusedShare(*row.backend, now, EvidenceScope::Own);
+        const double latency = this->latencyMilliseconds(*row.backend, terms.typicalLatency, now, SpeedBasis::Own);
+        row.expected += latency - std::exchange(row.latency, latency);
     }
     this->addRefusalCosts(candidates);
     return leastScored(candidates, terms).first;
@@ -170,10 +181,10 @@
     bool hasReports = false;
     for (auto &row : rows) {
         row.noise += std::uniform_real_distribution<double>(0.0, ChoiceNoise)(this->random);
-        hasReports = hasReports || row.backend->health.sharedAcceptance().hasReport(now);
+        hasReports = hasReports || row.backend->health.hasReport(now);
     }
     const auto [best, bestScore] = leastScored(rows, terms);
-    if (hasReports && this->bestByOwnEvidence(rows, terms, now) != best) {
+    if (hasReports && !areAllSlow(candidates, now) && this->bestByOwnEvidence(rows, terms, now) != best) {
         ++this->changedByReports;
     }
     auto *probe = terms.mayProbe ? probed(rows, bestScore, now) : nullptr;
--- a/Libraries/LibGateway/BackendChoice.h
+++ b/Libraries/LibGateway/BackendChoice.h
@@ -87,7 +87,7 @@
     void addRefusalCosts(std::vector<Scored> &candidates) const;
     /** Returns a backend server that is to be probed and scored less than `limit` if it accepted all requests; nullptr when there is none. */
     [[nodiscard]] Backend *probed(const std::vector<Scored> &candidates, double limit, Core::Instant now);
-    [[nodiscard]] double latencyMilliseconds(const Backend &backend, Core::Duration typicalLatency, Core::Instant now) const;
+    [[nodiscard]] double latencyMilliseconds(const Backend &backend, Core::Duration typicalLatency, Core::Instant now, SpeedBasis basis) const;
     [[nodiscard]] double refusalMilliseconds(const Backend &backend) const;
     [[nodiscard]] double biasMilliseconds(const Backend &backend, Core::Instant now) const;
 
--- a/Libraries/LibGateway/BackendHealth.h
+++ b/Libraries/LibGateway/BackendHealth.h
@@ -3,7 +3,7 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-// Health of one backend server as one gateway observes it: slowness, rate of failures,
+// Health of one backend server as one gateway observes it: speed, rate of failures,
 // share of accepted requests, outlier ejection (avoidance) and reported load. Pure.
 
 #pragma once
@@ -11,6 +11,7 @@
 #include <LibCore/Time.h>
 #include <LibGateway/Dialect.h>
 #include <LibGateway/Scheduling/ServerAcceptance.h>
+#include <LibGateway/Scheduling/ServerSpeed.h>
 
 #include <optional>
 
@@ -21,12 +22,15 @@
 class BackendHealth
 {
 public:
-    /** Records a successful answer that took `ratio` times the typical latency of such requests. Resets the failure count and ends avoidance. */
+    /** Records a successful answer that this gateway received. Resets the failure count and ends avoidance. */
+    void recordAnswer(const SpeedSample &sample, Core::Instant now);
+    /** The same for a request that was sent after all earlier answers were received; it took `ratio` times the typical latency. */
     void recordAnswer(double ratio, Core::Instant now);
 
     /**
-     * Records the latency of an answer that another gateway received, as recordAnswer() does. It does not affect failures and avoidance, since it says nothing
-     * about connections from this gateway.
+     * Records the latency of a part that another gateway served, as a multiple of the typical latency. It includes the way to that gateway and the queue there,
+     * so it is kept apart from the speed of the server, and an answer in time that this gateway received replaces it. It does not affect failures and
+     * avoidance, since it says nothing about connections from this gateway.
      */
     void recordRemoteAnswer(double ratio, Core::Instant now);
 
@@ -49,10 +53,29 @@
     void recordReply(const std::optional<LoadReport> &report, Core::Instant now);
 
     /**
-     * Returns the expected latency in multiples of the typical latency, from slowness and queueing. `own` is the number of requests in flight from this
+     * Returns the expected latency in multiples of the typical latency, from speed and queueing. `own` is the number of requests in flight from this
      * gateway, `slots` how many the backend server executes concurrently.
      */
-    [[nodiscard]] double expectedFactor(std::size_t own, int slots, Core::Instant now) const;
+    [[nodiscard]] double expectedFactor(std::size_t own, int slots, Core::Instant now, SpeedBasis basis = SpeedBasis::All) const;
+    /** Returns the work ahead of a request, in multiples of its own: from the latest load report if it is fresh, and from this gateway's own requests. */
+    [[nodiscard]] double queueing(std::size_t own, int slots, Core::Instant now) const;
+    /** Returns the factor by which requests are known to take longer here than usual, without queueing; 1 where the server reports its slowdown itself. */
+    [[nodiscard]] double observedFactor(Core::Instant now) const;
+    /** Whether this gateway observed a slowdown within the last two seconds; never where the server reports it itself. */
+    [[nodiscard]] bool wasSlow(Core::Instant now) const;
+    /** Whether the backend server counts as slow: it takes at least twice its usual time. */
+    [[nodiscard]] bool isSlow(Core::Instant now) const;
+    /** Returns a change of the speed that is to be logged; see ServerSpeed::takeChange(). */
+    [[nodiscard]] std::optional<SpeedChange> takeSpeedChange(Core::Instant now);
+
+    /** Keeps what another gateway reports, as far as it is news. Returns whether any of it is. */
+    bool receiveReport(EvidenceReport report, Core::Instant now);
+    /** Returns what is told to another gateway: see ServerAcceptance::reportFor(), and a slowdown that this gateway observed itself. */
+    [[nodiscard]] std::optional<EvidenceReport> reportFor(EvidenceScope scope, Core::Instant now) const;
+    /** Until when there is something to tell. */
+    [[nodiscard]] Core::Instant reportableUntil() const;
+    /** Whether a report of another gateway counts. */
+    [[nodiscard]] bool hasReport(Core::Instant now) const;
 
     /** Returns the smoothed share of requests that failed, from 0 to 1. */
     [[nodiscard]] double failureRate(Core::Instant now) const;
@@ -77,13 +100,14 @@
 private:
     void recordOutcome(bool isFailure, Core::Instant now);
     bool avoid(int doublings, Core::Instant now);
-    [[nodiscard]] double slownessAt(Core::Instant now) const;
-    /** Returns the reported slowdown, which one reply is enough to know, or the slowness observed from latencies where replies do not report it. */
-    [[nodiscard]] double currentSlowdown(Core::Instant now) const;
-
-    // Smoothed latency in multiples of the typical latency.
-    double slowness{1.0};
-    Core::Instant slownessTime;
+    [[nodiscard]] double partSlownessAt(Core::Instant now) const;
+    /** Returns the reported slowdown, which one reply is enough to know, or the observed speed where replies do not report it. */
+    [[nodiscard]] double currentSlowdown(Core::Instant now, SpeedBasis basis) const;
+
+    ServerSpeed speed;
+    // Smoothed latency of parts that other gateways served, in multiples of the typical latency.
+    double partSlowness{1.0};
+    Core::Instant partSlownessTime;
     // Factor by which the machine is slower than usual, from the latest load report; nothing when that report did not include it.
     std::optional<double> slowdown;
     Core::Instant slowdownTime;
--- a/Libraries/LibGateway/BackendLog.cpp
+++ b/Libraries/LibGateway/BackendLog.cpp
@@ -52,6 +52,32 @@
             {"omitted", omitted}});
 }
 
+static const char *nameOf(SpeedChangeKind kind)
+{
+    switch (kind) {
+    case SpeedChangeKind::Lasting:
+        return "lasting";
+    case SpeedChangeKind::Slowdown:
+        return "slowdown";
+    case SpeedChangeKind::Pause:
+        return "pause";
+    }
+    return "";
+}
+
+void logSpeedChange(const Backend &backend, const SpeedChange &change, std::uint64_t omitted)
+{
+    Core::logEvent(Core::LogLevel::Information,
+        "backend.speed_changed",
+        {{"backend", backend.name.value()},
+            {"service", backend.service.value()},
+            {"kind", nameOf(change.kind)},
+            {"factor", change.factor},
+            {"samples", change.samples},
+            {"age_ms", Core::toMilliseconds(change.age)},
+            {"omitted", omitted}});
+}
+
 nlohmann::json describeBackend(const Backend &backend, bool isEvacuated, Core::Instant now)
 {
     return {{"backend", backend.name.value()},
@@ -65,6 +91,7 @@
         {"in_flight", backend.inFlight.size()},
         {"trouble_rate", backend.health.failureRate(now)},
         {"acceptance", 1.0 - BackendChoice::refusedShare(backend, now)},
+        {"slowness", backend.health.observedFactor(now)},
         {"avoided_ms", Core::toMilliseconds(std::max(Core::Duration(0), backend.health.avoidedUntil() - now))},
         {"failures", backend.health.consecutiveFailures()}};
 }
--- a/Libraries/LibGateway/BackendLog.h
+++ b/Libraries/LibGateway/BackendLog.h
@@ -24,6 +24,9 @@
 /** Logs that the acceptance of a backend server crossed a threshold. `omitted` is the number of changes since the last line that were not logged. */
 void logAcceptanceChange(const Backend &backend, const AcceptanceChange &change, std::uint64_t omitted);
 
+/** Logs that the speed of a backend server changed, or that it answered after a pause. `omitted` as for logAcceptanceChange(). */
+void logSpeedChange(const Backend &backend, const SpeedChange &change, std::uint64_t omitted);
+
 /** Returns the row of a backend server in the state dump; times in milliseconds. */
 [[nodiscard]] nlohmann::json describeBackend(const Backend &backend, bool isEvacuated, Core::Instant now);
 
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -22,6 +22,8 @@
 static constexpr Core::Duration IdleSweepPeriod = Core::milliseconds(250);
 // Round trip between availability zones of one region that is assumed until one has been measured.
 static constexpr Core::Duration AssumedZoneRoundTrip = Core::milliseconds(2);
+// Shortest typical latency against which speed is judged; the event loop's own delays are of this order.
+static constexpr Core::Duration ShortestTypicalLatency = Core::milliseconds(1);
 
 BackendPool::BackendPool(BackendPoolOptions options, const Dialect &dialect, Core::EventPoll &poll, Core::TimerService &timers)
     : options(std::move(options))
@@ -465,6 +467,7 @@
     attempt.trace = attemptOptions.caller->trace;
     attempt.startedAt = this->timers.now();
     attempt.typicalLatency = attemptOptions.typicalLatency;
+    attempt.queueing = backend.health.queueing(backend.inFlight.size(), backend.slots, attempt.startedAt);
     attempt.done = std::move(attemptOptions.done);
     backend.inFlight.push_back(&attempt);
     const bool eligible = this->isEligible(backend, attemptOptions.allowedRegions);
@@ -645,6 +648,7 @@
         return;
     }
     const auto &reply = outcome.reply;
+    this->recordPauseEnd(backend, attempt);
     backend.health.recordReply(reply.load, now);
     backend.connectionRejected.recordReply();
     if (attempt.connection->connectTime() > Core::Duration(0)) {
@@ -667,9 +671,54 @@
         this->recordFailure(backend, "status " + std::to_string(reply.message.status));
         return;
     }
-    const double usual = std::max(1.0, Core::toFractionalMilliseconds(attempt.typicalLatency));
+    this->recordSpeed(backend, attempt);
+}
+
+void BackendPool::recordSpeed(Backend &backend, const Attempt &attempt)
+{
+    const auto now = this->timers.now();
+    const auto usual = std::max(ShortestTypicalLatency, attempt.typicalLatency);
     const auto way = backend.sameRegion ? Core::Duration(0) : backend.roundTrip.value_or(Core::Duration(0));
-    backend.health.recordAnswer(Core::toFractionalMilliseconds(now - attempt.startedAt - way) / usual, now);
+    const double ratio = Core::toFractionalMilliseconds(now - attempt.startedAt - way) / Core::toFractionalMilliseconds(usual);
+    backend.health.recordAnswer({.ratio = ratio, .typical = usual, .sentAt = attempt.startedAt, .queueing = attempt.queueing}, now);
+    this->evidenceUntil = std::max(this->evidenceUntil, backend.health.reportableUntil());
+    this->takeSpeedChange(backend);
+}
+
+void BackendPool::takeSpeedChange(Backend &backend)
+{
+    const auto change = backend.health.takeSpeedChange(this->timers.now());
+    if (!change.has_value()) {
+        return;
+    }
+    if (const auto omitted = this->speedLines.take(this->timers.now()); omitted.has_value()) {
+        logSpeedChange(backend, change.value(), omitted.value());
+    }
+}
+
+void BackendPool::recordPauseEnd(const Backend &backend, const Attempt &attempt)
+{
+    const auto now = this->timers.now();
+    if (!BackendChoice::isStuck(backend, now)) {
+        return;
+    }
+    ++this->counts.pauses;
+    const auto silence = now - std::max(attempt.startedAt, backend.health.lastReply());
+    const double factor = Core::toFractionalMilliseconds(silence) / Core::toFractionalMilliseconds(std::max(ShortestTypicalLatency, attempt.typicalLatency));
+    if (const auto omitted = this->speedLines.take(now); omitted.has_value()) {
+        logSpeedChange(backend, {.kind = SpeedChangeKind::Pause, .factor = factor, .samples = 1, .age = silence}, omitted.value());
+    }
+}
+
+SpeedCounts BackendPool::speedCounts() const
+{
+    const auto now = this->timers.now();
+    SpeedCounts result;
+    for (const auto &[name, backend] : this->backends) {
+        result.slow += backend->health.isSlow(now) ? 1 : 0;
+        result.paused += BackendChoice::isStuck(*backend, now) ? 1 : 0;
+    }
+    return result;
 }
 
 void BackendPool::recordAcceptance(Backend &backend, bool accepted)
@@ -677,7 +726,7 @@
     const auto now = this->timers.now();
     accepted ? backend.health.recordAccepted(now) : backend.health.recordRefusal(now);
     backend.serviceAcceptance->record(accepted, now);
-    this->evidenceUntil = std::max(this->evidenceUntil, backend.health.sharedAcceptance().reportableUntil());
+    this->evidenceUntil = std::max(this->evidenceUntil, backend.health.reportableUntil());
     this->takeAcceptanceChange(backend);
 }
 
@@ -710,7 +759,7 @@
             continue;
         }
         for (const auto *backend : row->second.backends) {
-            const auto report = backend->health.sharedAcceptance().reportFor(scope, now);
+            const auto report = backend->health.reportFor(scope, now);
             if (report.has_value()) {
                 entries.push_back({.server = backend->name.value(), .report = report.value()});
             }
@@ -728,14 +777,15 @@
     EvidenceReceipt receipt{.source = source, .ignored = decoded.ignored};
     for (const auto &[server, report] : decoded.entries) {
         const auto found = this->backends.find(server);
-        if (found == this->backends.end() || !found->second->health.sharedAcceptance().receive(report, now)) {
+        if (found == this->backends.end() || !found->second->health.receiveReport(report, now)) {
             ++receipt.ignored;
             continue;
         }
         ++receipt.kept;
         receipt.oldest = std::max(receipt.oldest, now - report.observedAt);
-        this->evidenceUntil = std::max(this->evidenceUntil, found->second->health.sharedAcceptance().reportableUntil());
+        this->evidenceUntil = std::max(this->evidenceUntil, found->second->health.reportableUntil());
         this->takeAcceptanceChange(*found->second);
+        this->takeSpeedChange(*found->second);
     }
     this->evidence.received += decoded.entries.size() + decoded.ignored;
     this->evidence.ignored += receipt.ignored;
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -116,10 +116,18 @@
     std::uint64_t crashes{0};
     /** Repeats that the retry budgets of the services granted and denied. */
     RepeatCounters repeats;
+    /** Answers that arrived after a pause of their backend server. */
+    std::uint64_t pauses{0};
     /** Backend servers that sweeps visited, which is what an idle gateway spends its time on. */
     std::uint64_t swept{0};
 };
 
+/** Numbers of backend servers for metrics. */
+struct SpeedCounts {
+    std::size_t slow{0};
+    std::size_t paused{0};
+};
+
 /** Table of backend servers and of the attempts in flight. */
 class BackendPool
 {
@@ -186,9 +194,9 @@
         const Core::ServiceName &service, Core::Duration typicalLatency, const Fleet::AllowedRegions &allowedRegions) const;
     /** Whether one of the zones that goodZonesOf() returns is in this region. */
     [[nodiscard]] bool isGoodInRegion(const Core::ServiceName &service, Core::Duration typicalLatency, const Fleet::AllowedRegions &allowedRegions) const;
-    /** Records the latency of a part that another gateway sent to a service in a zone; `ratio` as in BackendHealth::recordAnswer(). */
+    /** Records the latency of a part that another gateway sent to a service in a zone; `ratio` as in BackendHealth::recordRemoteAnswer(). */
     void recordPartLatency(const Core::ServiceName &service, const std::string &zone, double ratio);
-    /** Whether there may be anything to tell to other gateways; never while no backend server refuses. */
+    /** Whether there may be anything to tell to other gateways; never while no backend server refuses or is slow. */
     [[nodiscard]] bool hasEvidence() const;
     /** Returns the header with what this gateway tells another one of the servers of these services; see SharedEvidence.h. Empty if there is nothing to tell.
      */
@@ -202,6 +210,8 @@
     /** Returns the shortest measured round trip to a backend server of the service, at most the round trip that is assumed until one has been measured. */
     [[nodiscard]] Core::Duration roundTripTo(const Core::ServiceName &service) const;
     [[nodiscard]] const PoolCounters &counters() const;
+    /** Returns how many backend servers are known to be slow, and how many look paused: requests in flight show no sign of life. */
+    [[nodiscard]] SpeedCounts speedCounts() const;
     [[nodiscard]] std::size_t connectionCount() const;
     [[nodiscard]] std::size_t backendCount() const;
 
@@ -280,6 +290,12 @@
     void recordAcceptance(Backend &backend, bool accepted);
     /** Logs a change of the acceptance once. */
     void takeAcceptanceChange(Backend &backend);
+    /** Records the speed of a backend server that sent a successful answer. */
+    void recordSpeed(Backend &backend, const Attempt &attempt);
+    /** Logs a change of the speed once. */
+    void takeSpeedChange(Backend &backend);
+    /** Logs and counts the end of a pause; called before the reply is recorded. */
+    void recordPauseEnd(const Backend &backend, const Attempt &attempt);
     void recordRejection(Backend &backend);
     void recordFailure(Backend &backend, const std::string &reason);
     void recordUnresponsive(Backend &backend, const std::string &reason);
@@ -322,6 +338,7 @@
     PoolCounters counts;
     DeniedRepeatLog deniedRepeats;
     LogLimit acceptanceLines{AcceptanceLinesPerSecond};
+    LogLimit speedLines{SpeedLinesPerSecond};
     // Invariant: no server has anything to tell to other gateways after this time.
     Core::Instant evidenceUntil;
     EvidenceCounters evidence;
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -87,6 +87,10 @@
         "crankrudder_choices_changed_by_evidence_total",
         "Choices of a backend server that would have been different without evidence from other gateways.",
         evidence.changedChoices);
+    addCounter(page, "crankrudder_backend_pauses_total", "Answers of backend servers that arrived after a pause.", sends.pauses);
+    const auto speeds = servers.speedCounts();
+    page.gauge("crankrudder_backends_slow", "Backend servers that are known to be temporarily slow.", static_cast<double>(speeds.slow));
+    page.gauge("crankrudder_backends_paused", "Backend servers whose requests in flight show no sign of life.", static_cast<double>(speeds.paused));
     addCounter(page, "crankrudder_sends_cancelled_total", "Sends that were cancelled.", sends.cancelled);
     addCounter(page,
         "crankrudder_answers_passed_over_total",
--- a/Libraries/LibGateway/Scheduling/ServerAcceptance.cpp
+++ b/Libraries/LibGateway/Scheduling/ServerAcceptance.cpp
@@ -139,9 +139,19 @@
     if (now >= this->ownReportableUntil) {
         return std::nullopt;
     }
+    return this->observations();
+}
+
+EvidenceReport ServerAcceptance::observations() const
+{
     return EvidenceReport{.outcomes = this->outcomes.at(this->latest), .observedAt = this->latest};
 }
 
+bool ServerAcceptance::knowsRefusals() const
+{
+    return this->outcomes.hasRefused() || this->remote.has_value();
+}
+
 std::optional<EvidenceReport> ServerAcceptance::forwardableReport(Core::Instant now) const
 {
     return this->hasReport(now) && !this->remote->source.empty() ? this->remote : std::nullopt;
--- a/Libraries/LibGateway/Scheduling/ServerAcceptance.h
+++ b/Libraries/LibGateway/Scheduling/ServerAcceptance.h
@@ -121,6 +121,10 @@
     [[nodiscard]] std::optional<EvidenceReport> ownReport(Core::Instant now) const;
     /** Returns the report of another gateway that is held and may be sent on: it has a source and reports refusals or a recovery. */
     [[nodiscard]] std::optional<EvidenceReport> forwardableReport(Core::Instant now) const;
+    /** Returns what this gateway observed itself, however much it is. */
+    [[nodiscard]] EvidenceReport observations() const;
+    /** Whether any refusal was observed or reported, however long ago. */
+    [[nodiscard]] bool knowsRefusals() const;
     /** Returns what is told to another gateway: ownReport(), or with EvidenceScope::All the one of both with more evidence after fading. */
     [[nodiscard]] std::optional<EvidenceReport> reportFor(EvidenceScope scope, Core::Instant now) const;
     /** Whether a report of another gateway counts. */
--- a/Libraries/LibGateway/Scheduling/SharedEvidence.cpp
+++ b/Libraries/LibGateway/Scheduling/SharedEvidence.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <fmt/format.h>
 #include <utility>
 
@@ -19,6 +20,10 @@
 // Fields of an entry as sent, and with its source.
 static constexpr std::size_t SentFields = 4;
 static constexpr std::size_t FieldsWithSource = 5;
+// A server that is slowed down by the greatest factor ranks like one that refused about five requests of the six that count.
+static constexpr double SlownessWeight = 0.5;
+// Factor by which SLOWNESS is rounded to two decimals.
+static constexpr double Hundredths = 100.0;
 // Bounds of a valid number. Larger ones come from no gateway.
 static constexpr double MaximumNumber = 1000.0;
 
@@ -58,7 +63,8 @@
         return;
     }
     const auto rank = [now](const EvidenceEntry &entry) {
-        return std::pair(entry.report.isGood(), entry.report.at(now).refused);
+        const double slowness = SlownessWeight * (entry.report.slowness - 1.0);
+        return std::pair(entry.report.isGood() && slowness == 0.0, entry.report.at(now).refused + slowness);
     };
     std::partial_sort(entries.begin(), entries.begin() + MaximumEvidenceEntries, entries.end(), [&rank](const auto &left, const auto &right) {
         return rank(left) > rank(right);
@@ -82,11 +88,12 @@
         if (!isEncodable(server) || (!source.empty() && !isEncodable(source))) {
             continue;
         }
-        text += fmt::format("{}{}={:.2f}/{:.2f}/1/{}",
+        text += fmt::format("{}{}={:.2f}/{:.2f}/{:g}/{}",
             text.empty() ? "" : ",",
             server,
             report.outcomes.accepted,
             report.outcomes.refused,
+            std::round(report.slowness * Hundredths) / Hundredths,
             std::max<std::int64_t>(0, Core::toMilliseconds(now - report.observedAt)));
         text += source.empty() ? std::string() : "/" + source;
     }
@@ -147,7 +154,8 @@
         return std::nullopt;
     }
     const FadedOutcomes outcomes{.accepted = accepted.value(), .refused = refused.value()};
-    return EvidenceReport{.outcomes = outcomes.limited(MaximumEvidence), .observedAt = sentAt - Core::milliseconds(age.value()), .source = source};
+    return EvidenceReport{
+        .outcomes = outcomes.limited(MaximumEvidence), .observedAt = sentAt - Core::milliseconds(age.value()), .source = source, .slowness = slowness.value()};
 }
 
 DecodedEvidence decodeEvidence(std::string_view text, const std::string &source, Core::Duration transit, Core::Instant now)
--- a/Libraries/LibGateway/Scheduling/SharedEvidence.h
+++ b/Libraries/LibGateway/Scheduling/SharedEvidence.h
@@ -3,7 +3,7 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-// What gateways tell each other about backend servers that refuse requests.
+// What gateways tell each other about backend servers that refuse requests or are slow.
 //
 // Load pattern: dozens of gateways send a server one to three requests a second each. Some
 // need seconds to learn by themselves that the server refuses, and as long to learn that it
@@ -18,6 +18,8 @@
 // E3. Reports are not added up: one per server is kept.
 // E4. A report fades from the time of its latest observation and is dropped after
 //     EvidenceLifetime.
+// E5. A slowdown is told only by the gateway that observed it, and is not sent on. It lasts
+//     for less time than news needs for a second hop.
 // Pure.
 
 #pragma once
@@ -51,6 +53,8 @@
     Core::Instant observedAt;
     /** Name of the gateway that observed it; empty if it is not known, as for what came with a part. */
     std::string source{};
+    /** Slowdown of the server as of `observedAt`; 1 if none was observed, or if the report is sent on. See ServerSpeed. */
+    double slowness{1.0};
 
     [[nodiscard]] bool isExpired(Core::Instant now) const;
     /** Returns the observations that still count; none once the report has expired. */
@@ -77,13 +81,13 @@
 
 /**
  * Leaves the MaximumEvidenceEntries entries that differ most from what others expect: servers that have recovered first, since others still avoid them, then
- * those with the most refusals.
+ * those with the most refusals and the greatest slowdowns.
  */
 void chooseEntries(std::vector<EvidenceEntry> &entries, Core::Instant now);
 
 /**
  * Encodes entries as NAME=ACCEPTED/REFUSED/SLOWNESS/AGE_MS,... and, within a gateway, with /SOURCE after the age where it is known; withoutOwnReports() removes
- * it. SLOWNESS is always 1: it is reserved and not observed yet. Entries whose names cannot be encoded are left out.
+ * it. SLOWNESS is the slowdown with at most two decimals, and 1 without one. Entries whose names cannot be encoded are left out.
  */
 [[nodiscard]] std::string encodeEvidence(const std::vector<EvidenceEntry> &entries, Core::Instant now);
 
--- a/Libraries/LibGateway/SingleRequest.cpp
+++ b/Libraries/LibGateway/SingleRequest.cpp
@@ -64,6 +64,11 @@
     return std::min(next, roomUntil);
 }
 
+Core::Instant SingleRequest::firstHedgeDueAt() const
+{
+    return this->call->hedgeDueAt().value_or(this->parameters.expiresAt);
+}
+
 void SingleRequest::cancelCalls(bool callerIsGone)
 {
     this->call->cancel(callerIsGone);
--- a/Tests/LibGateway/TestBackendHealth.cpp
+++ b/Tests/LibGateway/TestBackendHealth.cpp
@@ -93,5 +93,7 @@
     health.recordAnswer(10.0, at(2100));
     cr_assert(health.expectedFactor(0, 2, at(2100)) == 1.0, "a late answer does not outweigh the reported slowdown");
     health.recordReply(reportWith(std::nullopt), at(2200));
+    cr_assert(health.expectedFactor(0, 2, at(2200)) < 1.1, "one late answer may be due to a pause");
+    health.recordAnswer(10.0, at(2200));
     cr_assert(health.expectedFactor(0, 2, at(2200)) > 3.0, "without a reported slowdown latencies count");
 }
