LibGateway: Test shared slowdowns, hedges by speed and the end of a wave

Cause: the sharing of slowdowns, the hedge delay of the chosen server and the return of several gateways to a server after a wave had no tests.

--- a/Tests/LibGateway/TestServerSpeed.cpp
+++ b/Tests/LibGateway/TestServerSpeed.cpp
@@ -7,6 +7,7 @@
 // which some become 7 times slower for 6 s, and all of which pause for 200 ms now and then.
 
 #include <LibGateway/BackendChoice.h>
+#include <Support/GatewayFixture.h>
 
 #include <array>
 #include <criterion/criterion.h>
@@ -217,3 +218,126 @@
     speed.record(sample(3000, 3105), at(3105));
     cr_assert_gt(speed.slowdown(at(3105)), 5.0, "one late answer confirms a report");
 }
+
+// Guards against an old form of the entry where nothing is slow, a factor that is misread, and entries about slow servers that displace those about refusals.
+Test(ServerSpeed, slownessTravelsWithEvidence)
+{
+    const auto entry = [](double refused, double slowness, const std::string &server) {
+        return Gateway::EvidenceEntry{
+            .server = server, .report = {.outcomes = {.accepted = 6.0 - refused, .refused = refused}, .observedAt = at(0), .slowness = slowness}};
+    };
+    const auto text = Gateway::encodeEvidence({entry(0, 7.126, "a"), entry(0, 2.5, "b"), entry(4, 1, "c")}, at(100));
+    cr_assert_eq(text, "a=6.00/0.00/7.13/100,b=6.00/0.00/2.5/100,c=2.00/4.00/1/100", "%s", text.c_str());
+    cr_assert_float_eq(Gateway::decodeEvidence(text, "g", {}, at(100)).entries.at(0).report.slowness, 7.13, 1e-9);
+    std::vector<Gateway::EvidenceEntry> entries(20, entry(0, 2.5, "slow"));
+    entries.push_back(entry(4, 1, "refuses"));
+    entries.push_back(entry(0, 10, "slower"));
+    Gateway::chooseEntries(entries, at(0));
+    cr_assert(entries[0].server == "slower" && entries[1].server == "refuses");
+}
+
+// Guards against a slowdown that is told by a gateway that did not observe it, or that no other gateway hears of because the server refuses nothing.
+Test(ServerSpeed, aGatewayTellsOnlySlowdownsThatItObservedItself)
+{
+    const auto scope = Gateway::EvidenceScope::All;
+    View observer;
+    observer.record(0, 0, 105);
+    cr_assert_not(observer.servers[0].health.reportFor(scope, at(105)).has_value(), "one late answer may be due to a pause");
+    observer.record(0, 106, 105);
+    auto report = observer.servers[0].health.reportFor(scope, at(300));
+    cr_assert(report.has_value() && report->slowness > 6.0 && report->outcomes.refused == 0.0 && report->observedAt == at(211));
+    report->source = "observer";
+    View other;
+    cr_assert(other.servers[0].health.receiveReport(report.value(), at(300)));
+    cr_assert_neq(other.best(310), 0);
+    cr_assert_eq(other.choice.choicesChangedByReports(), 1);
+    cr_assert_not(other.servers[0].health.reportFor(scope, at(310)).has_value(), "not sent on");
+    cr_assert_eq(other.servers[0].health.refusedShare(0.0, at(310)), 0.0);
+    report->outcomes.refused = 4.0;
+    report->observedAt = at(320);
+    cr_assert(other.servers[0].health.receiveReport(report.value(), at(320)));
+    cr_assert_eq(other.servers[0].health.reportFor(scope, at(320)).value().slowness, 1.0, "refusals are sent on without the slowdown");
+    cr_assert_not(observer.servers[0].health.reportFor(scope, at(1800)).has_value());
+    observer.servers[0].health.recordReply(Gateway::LoadReport{.running = 0, .waiting = 0, .slots = 2, .slowdown = 1.0}, at(300));
+    cr_assert_not(observer.servers[0].health.reportFor(scope, at(300)).has_value(), "every gateway gets the slowdown from the server");
+}
+
+// Guards against gateways that all return at once when a wave ends, or that stay away: twelve with two requests a second each, sharing what they observe.
+Test(ServerSpeed, afterAWaveAServerIsUsedAgainWithinASecondButNotByAllAtOnce)
+{
+    constexpr int Gateways = 12;
+    constexpr int WaveEnd = 8000;
+    std::array<int, 28> arrivals{};
+    std::mt19937_64 random(3);
+    for (int shard = 0; shard < 20; ++shard) {
+        std::array<View, Gateways> views;
+        std::multimap<int, std::array<int, 3>> due;
+        for (int time = shard * 2; time < 14'000; time += 40) {
+            for (; !due.empty() && due.begin()->first <= time; due.erase(due.begin())) {
+                const auto [gateway, chosen, sentAt] = due.begin()->second;
+                views[gateway].record(chosen, sentAt, due.begin()->first - sentAt);
+            }
+            const int gateway = static_cast<int>(random() % Gateways);
+            const int chosen = views[gateway].best(time);
+            const bool isSlow = chosen == 0 && time >= 2000 && time < WaveEnd;
+            due.emplace(time + (isSlow ? 105 : WorkMilliseconds) + (chosen == 0 ? 0 : WorkMilliseconds), std::array{gateway, chosen, time});
+            arrivals[time / 500] += chosen == 0 ? 1 : 0;
+            if (auto report = views[gateway].servers[0].health.reportFor(Gateway::EvidenceScope::Own, at(time)); report.has_value()) {
+                views[random() % Gateways].servers[0].health.receiveReport(report.value(), at(time));
+            }
+        }
+    }
+    const int usual = arrivals[2];
+    const int first = WaveEnd / 500;
+    cr_assert_lt(arrivals[first - 1], usual / 2, "in the wave: %d of %d", arrivals[first - 1], usual);
+    cr_assert_lt(arrivals[first], usual * 3 / 4, "in the first half second after the wave: %d of %d", arrivals[first], usual);
+    cr_assert_gt(arrivals[first + 1], usual / 2, "in the second half second: %d of %d", arrivals[first + 1], usual);
+    cr_assert_eq(arrivals[first + 6], usual, "longer than any slowdown is known");
+}
+
+// Guards against hedges that a server known to be slow or fast gets after the route's time, and against a change where servers report their slowdown.
+Test(ServerSpeed, aHedgeStartsAfterTheExpectedTimeOfTheChosenServer)
+{
+    struct Case {
+        const char *name;
+        double ratio;
+        int answers;
+        std::optional<double> reported;
+        // Hedge delay in multiples of the usual one, which is about 44 ms. The maximum is 400 ms.
+        double factor;
+    };
+    for (const auto &item : {Case{"unknown", 1.0, 0, std::nullopt, 1.0},
+             Case{"usual", 1.05, 40, std::nullopt, 1.0},
+             Case{"fast", 0.5, 40, std::nullopt, 0.5},
+             Case{"slow", 3.0, 2, std::nullopt, 3.0},
+             Case{"slowest", 12.0, 2, std::nullopt, 12.0},
+             Case{"reports its slowdown", 3.0, 2, 3.0, 1.0}}) {
+        TestSupport::GatewayFixture fixture;
+        fixture.add("s", "one", [](const Wire::Request &, const Wire::ExchangePointer &) {
+        });
+        fixture.route().idempotent = true;
+        fixture.route().targetLatency = Core::seconds(1);
+        for (int count = 0; count < 30; ++count) {
+            fixture.latencies.add(Core::milliseconds(20));
+        }
+        auto request = fixture.dialect.readRequest({.method = "GET", .target = "/x/1", .headers = {{"Request-Id", "r1"}}, .body = {}});
+        request.trace = Gateway::makeTrace(request, fixture.timers.now());
+        const auto parameters = Gateway::makeCallParameters(fixture.settings, fixture.route(), request, fixture.latencies, fixture.timers.now());
+        const Core::ServiceName service("s");
+        auto *server = fixture.pool.choose({.service = service, .tried = {}, .allowedRegions = parameters.allowedRegions});
+        for (int answer = 0; answer < item.answers; ++answer) {
+            server->health.recordAnswer(item.ratio, fixture.timers.now());
+        }
+        if (item.reported.has_value()) {
+            server->health.recordReply(Gateway::LoadReport{.running = 0, .waiting = 0, .slots = 2, .slowdown = item.reported}, fixture.timers.now());
+        }
+        Gateway::ShardCall call(parameters, service, fixture.pool, fixture.timers);
+        const auto before = fixture.timers.now();
+        call.start([] {
+        });
+        const auto due = call.hedgeDueAt().value();
+        const Core::Duration scaled(static_cast<Core::Duration::rep>(static_cast<double>(parameters.hedgeDelay.count()) * item.factor));
+        const auto delay = std::min(scaled, Core::Duration(Core::milliseconds(400)));
+        cr_assert(due >= before + delay && due <= fixture.timers.now() + delay, "%s: %ld us", item.name, static_cast<long>((due - before).count()));
+    }
+}
