LibGateway: Distribute parts among owners by their load, decline parts that would be late

Each gateway always preferred the same owner of a cell, however busy that owner was. A gateway now measures how long its loop waits and how late its timers run, and reports both with its answers to parts (Crankrudder-Owner-Load). OwnerLoad diverts a share of the parts from a busy owner in proportion to the difference of loads. An owner that would answer late declines a part as not run if the part names another owner that is less busy.

The processor time of the thread was ruled out as a measure: a gateway that is limited to a tenth of a core is full at a tenth.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -559,6 +559,9 @@
         if (this->options.recordsCrashes) {
             recordAnswer(attempt, outcome.reply, this->requestAnswered);
         }
+        if (this->replied) {
+            this->replied(*attempt.backend, outcome.reply, this->timers.now() - attempt.startedAt);
+        }
         break;
     case Wire::ClientEnd::NotSent:
     case Wire::ClientEnd::ConnectionRejected:
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -212,6 +212,8 @@
     std::function<void(const RequestTrace &trace, const Backend &backend, Core::Instant crashedAt)> requestCrashed;
     /** Called when a backend server has answered a request that it ran. */
     std::function<void(const RequestTrace &trace)> requestAnswered;
+    /** Called with each reply, and the time since its request was sent. Not used for backend servers. */
+    std::function<void(const Backend &backend, const BackendReply &reply, Core::Duration took)> replied;
 
     /**
      * Returns this gateway's share of the slack in a service's retry budget, from 0 to 1. `zones` are those that have or had its backend servers. Without a
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -38,6 +38,7 @@
     addCounter(page, "crankrudder_hedges_total", "Second sends for late ones.", counts.hedges);
     addCounter(page, "crankrudder_parts_given_total", "Parts of searches that other gateways were asked for.", counts.relayed);
     addCounter(page, "crankrudder_parts_taken_total", "Parts of searches that other gateways asked for.", counts.partsReceived);
+    addCounter(page, "crankrudder_parts_declined_busy_total", "Of these, declined because another owner is less busy.", counts.partsDeclined);
 }
 
 static void addCapacityMetrics(Metrics::MetricsPage &page, const BackendPool &servers)
@@ -152,4 +153,22 @@
     page.gauge("crankrudder_quota_kept", "Workspaces that this gateway keeps a part of the quota of.", static_cast<double>(quotas.heldShareCount()));
 }
 
+void addOwnerMetrics(Metrics::MetricsPage &page, const OwnerLoadCounters &counts, const std::optional<LoopReport> &ownLoad)
+{
+    for (std::size_t rank = 0; rank < counts.answeredByRank.size(); ++rank) {
+        page.counter("crankrudder_parts_by_owner_rank_total",
+            "Parts that owners of their cells answered, by the rank of the owner in this gateway's preference (3: or later).",
+            static_cast<double>(counts.answeredByRank[rank]),
+            {{"rank", std::to_string(rank)}});
+    }
+    addCounter(page, "crankrudder_owners_passed_over_total", "Parts sent to another owner because the preferred one was busier.", counts.passedOver);
+    addCounter(page, "crankrudder_owner_probes_total", "Parts sent to an owner to learn its load.", counts.probes);
+    addCounter(page, "crankrudder_owner_reports_total", "Loads that other gateways reported.", counts.reports);
+    addCounter(page, "crankrudder_owner_reports_ignored_total", "Reports of load that were invalid or too old.", counts.ignored);
+    if (ownLoad.has_value()) {
+        page.gauge("crankrudder_loop_busy_share", "Share of the time in which the event loop does not wait.", ownLoad->busyPercent / 100.0);
+        page.gauge("crankrudder_timer_late_seconds", "How late timers run.", Core::toFractionalMilliseconds(ownLoad->late) / 1000.0);
+    }
+}
+
 }
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -11,6 +11,7 @@
 #include <LibGateway/BackendPool.h>
 #include <LibGateway/Quota/QuotaLimiter.h>
 #include <LibGateway/RoutedRequest.h>
+#include <LibGateway/Scheduling/OwnerLoad.h>
 #include <LibMetrics/MetricsPage.h>
 
 namespace Gateway
@@ -41,6 +42,8 @@
     std::uint64_t relayed{0};
     /** Parts that other gateways requested from this one, including those that it refused. */
     std::uint64_t partsReceived{0};
+    /** Of these, parts that were declined because this gateway is too busy and another owner is not. */
+    std::uint64_t partsDeclined{0};
 };
 
 /** Adds the numbers of requests by outcome, of hedges and of relayed parts. */
@@ -55,4 +58,7 @@
 /** Adds the counters of quota decisions, of queries to and from other gateways, and the number of quotas of which this gateway holds a share. */
 void addQuotaMetrics(Metrics::MetricsPage &page, const QuotaLimiter &quotas);
 
+/** Adds the counters of parts by owner and the load of this gateway, if it is measured. */
+void addOwnerMetrics(Metrics::MetricsPage &page, const OwnerLoadCounters &counts, const std::optional<LoopReport> &ownLoad);
+
 }
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -107,6 +107,23 @@
     this->housekeeping = timers.every(HousekeepingPeriod, [this](Core::Instant now) {
         this->housekeep(now);
     });
+    this->measureLoad();
+}
+
+void GatewayNode::measureLoad()
+{
+    this->relays.replied = [this](const Backend &owner, const BackendReply &reply, Core::Duration took) {
+        if (const auto *load = Wire::findHeader(reply.message.headers, RelayHeader::OwnerLoad); load != nullptr) {
+            this->ownerLoad.receive(owner.name, *load, took, this->timers.now());
+        }
+    };
+    if (!this->options.loopWaited) {
+        return;
+    }
+    this->loopLoad.emplace(this->timers.now());
+    this->loadTimer = this->timers.every(LoadSamplePeriod, [this](Core::Instant now) {
+        this->loopLoad->sample(this->options.loopWaited(), now);
+    });
 }
 
 void GatewayNode::housekeep(Core::Instant now)
@@ -122,6 +139,7 @@
     this->registry.forget(now);
     this->gateways.forget(now);
     this->crashes.forget(now);
+    this->ownerLoad.forget(now);
     this->countGateways(now);
     if (this->watcher.reachableCount() > 0) {
         this->lastReachableAt = now;
@@ -317,6 +335,17 @@
     };
 }
 
+RoutedRequest::AnswerHook GatewayNode::withOwnLoad(RoutedRequest::AnswerHook answer) const
+{
+    if (!this->loopLoad.has_value()) {
+        return answer;
+    }
+    return [this, answer = std::move(answer)](Wire::Response response) {
+        response.headers.push_back({RelayHeader::OwnerLoad, formatLoad(this->loopLoad->report())});
+        answer(std::move(response));
+    };
+}
+
 void GatewayNode::handle(Wire::Request message, const Wire::ExchangePointer &exchange)
 {
     ++this->counts.requests;
@@ -492,14 +521,15 @@
 void GatewayNode::handleRelayed(Wire::Request message, const Wire::ExchangePointer &exchange)
 {
     auto parameters = extractRelayParameters(message.headers);
-    const auto answer = answerToSend(exchange, extractSendId(message.headers));
+    const auto answerToQuery = answerToSend(exchange, extractSendId(message.headers));
     const auto quotaQuery = extractQuotaQuery(message.headers);
     CallerRequest request = this->options.dialect.readRequest(std::move(message));
     if (quotaQuery.has_value()) {
-        this->answerQuotaQuery(quotaQuery.value(), request, answer);
+        this->answerQuotaQuery(quotaQuery.value(), request, answerToQuery);
         return;
     }
     ++this->counts.partsReceived;
+    const auto answer = this->withOwnLoad(answerToQuery);
     request.workspace = parameters.has_value() ? parameters->workspace : std::nullopt;
     const auto *route = this->routes && this->watcher.isConfirmed() ? this->routes->match(request.host, request.message.target) : nullptr;
     const auto *workspace = this->routes && request.workspace.has_value() ? this->routes->declaration().workspaceNamed(request.workspace.value()) : nullptr;
@@ -514,6 +544,9 @@
         this->refuse(Refusal::NotRun, request, answer, "part-refused");
         return;
     }
+    if (this->declineIfBusy(request, parameters.value(), answer)) {
+        return;
+    }
     if (!parameters->evidence.empty()) {
         this->pool.receiveEvidence(parameters->evidence, {}, Core::Duration(0));
     }
@@ -536,6 +569,32 @@
         answer);
 }
 
+bool GatewayNode::declineIfBusy(const CallerRequest &request, const RelayParameters &parameters, const RoutedRequest::AnswerHook &answer)
+{
+    if (!this->loopLoad.has_value() || !parameters.otherOwner.has_value()) {
+        return false;
+    }
+    const auto load = this->loopLoad->report();
+    if (!shouldDecline(load, parameters.otherOwner.value(), parameters.timeLeftToTarget)) {
+        return false;
+    }
+    ++this->counts.partsDeclined;
+    if (const auto omitted = this->declineLines.take(this->timers.now()); omitted.has_value()) {
+        Core::logEvent(Core::LogLevel::Information,
+            "part.declined",
+            {{"request", request.id.value()},
+                {"shards", parameters.shards.size()},
+                {"busy_percent", load.busyPercent},
+                {"late_ms", Core::toMilliseconds(load.late)},
+                {"target_left_ms", Core::toMilliseconds(parameters.timeLeftToTarget)},
+                {"other_busy_percent", parameters.otherOwner->busyPercent},
+                {"other_late_ms", Core::toMilliseconds(parameters.otherOwner->late)},
+                {"omitted", omitted.value()}});
+    }
+    answer(this->options.dialect.writeRefusal(Refusal::NotRun, request.id, this->options.requests.retryAfter));
+    return true;
+}
+
 RequestContext GatewayNode::contextFor(const Fleet::Route &route, const Fleet::Workspace *workspace, std::optional<RelayParameters> relayParameters)
 {
     return RequestContext{.pool = &this->pool,
@@ -549,7 +608,8 @@
         .cells = &this->ownership.cells(),
         .workspace = workspace,
         .isCautious = this->pool.hasServersEnding(),
-        .relayParameters = std::move(relayParameters)};
+        .relayParameters = std::move(relayParameters),
+        .ownerLoad = &this->ownerLoad};
 }
 
 // ---- Crashing requests
@@ -710,6 +770,7 @@
     addRequestMetrics(page, this->counts);
     addSendMetrics(page, this->pool, this->relays);
     addQuotaMetrics(page, this->quotas);
+    addOwnerMetrics(page, this->ownerLoad.counters(), this->loopLoad.has_value() ? std::optional(this->loopLoad->report()) : std::nullopt);
     Fleet::addCrashMetrics(page, this->crashes, this->timers.now());
     page.gauge("crankrudder_evacuated_zones", "Availability zones that are evacuated.", static_cast<double>(this->watcher.evacuations().zones.size()));
     page.gauge("crankrudder_requests_under_way", "Requests that wait for their answer.", static_cast<double>(this->requests.size()));
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -39,6 +39,8 @@
      * periods, so every running backend server is known by then.
      */
     Core::Duration readinessTimeout{Core::milliseconds(2600)};
+    /** Returns the time that the event loop has waited for events so far. Without a hook the gateway does not measure its load and reports none. */
+    std::function<Core::Duration()> loopWaited;
 };
 
 /** Routes requests, limits them by quota, and watches the coordinators. The owner of the object runs the listeners and passes their requests in. */
@@ -108,6 +110,12 @@
     void updateRelays(const Fleet::BackendRecord &record);
     /** Removes what has expired and applies the known gateways to ownership, quotas and connection limits. Runs once per HousekeepingPeriod. */
     void housekeep(Core::Instant now);
+    /** Starts to measure the load of this gateway, if it can be measured. */
+    void measureLoad();
+    /** Declines a part if this gateway is too busy for it and another owner is not. Returns whether it was declined. */
+    [[nodiscard]] bool declineIfBusy(const CallerRequest &request, const RelayParameters &parameters, const RoutedRequest::AnswerHook &answer);
+    /** Adds the load of this gateway to an answer to another gateway. */
+    [[nodiscard]] RoutedRequest::AnswerHook withOwnLoad(RoutedRequest::AnswerHook answer) const;
     /** Tells the pool how many gateways share the backend servers. */
     void countGateways(Core::Instant now);
     void refuse(Refusal refusal,
@@ -161,6 +169,12 @@
     Metrics::LatencyHistogram singleLatencies;
     Core::TimerSubscription housekeeping;
     Core::TimerSubscription counterTimer;
+    // Set if the load of this gateway is measured.
+    std::optional<LoopLoad> loopLoad;
+    OwnerLoad ownerLoad;
+    Core::TimerSubscription loadTimer;
+    static constexpr int DeclineLinesPerSecond = 2;
+    LogLimit declineLines{DeclineLinesPerSecond};
 };
 
 }
--- a/Libraries/LibGateway/RelayPlan.cpp
+++ b/Libraries/LibGateway/RelayPlan.cpp
@@ -205,6 +205,7 @@
     std::optional<Fleet::WorkspaceName> workspace;
     std::optional<SearchState> searchState;
     std::string evidence;
+    std::optional<LoopReport> otherOwner;
     std::erase_if(headers, [&](const Wire::Header &header) {
         if (Wire::sameName(header.name, RelayHeader::Parameters)) {
             parameters = parseRelayParameters(header.value);
@@ -237,6 +238,10 @@
             evidence = header.value;
             return true;
         }
+        if (Wire::sameName(header.name, RelayHeader::OwnerLoad)) {
+            otherOwner = parseLoad(header.value);
+            return true;
+        }
         return false;
     });
     if (!parameters.has_value() || shards.empty()) {
@@ -248,6 +253,7 @@
     parameters->workspace = std::move(workspace);
     parameters->searchState = searchState;
     parameters->evidence = std::move(evidence);
+    parameters->otherOwner = otherOwner;
     return parameters;
 }
 
@@ -301,6 +307,20 @@
     return relayed;
 }
 
+// Within a gateway the header is OWNER=LOAD.
+Wire::Header makeOtherOwnerHeader(const KnownOwner &owner)
+{
+    return {RelayHeader::OwnerLoad, owner.name.value() + "=" + formatLoad(owner.load)};
+}
+
+// Returns the load as it is sent; an empty string if the part goes to that owner.
+static std::string loadOfOther(const std::string &header, const std::string &receiver)
+{
+    const auto separator = header.rfind('=');
+    const bool isOther = separator != std::string::npos && header.substr(0, separator) != receiver;
+    return isOther ? header.substr(separator + 1) : std::string();
+}
+
 Dialect makeRelayDialect(const Dialect &dialect)
 {
     Dialect relay = dialect;
@@ -314,6 +334,11 @@
                 named.message.headers.push_back({RelayHeader::Evidence, std::move(sent)});
             }
         }
+        if (const auto other = Wire::extractHeader(named.message.headers, RelayHeader::OwnerLoad); other.has_value()) {
+            if (const auto load = loadOfOther(other.value(), request.backend.value()); !load.empty()) {
+                named.message.headers.push_back({RelayHeader::OwnerLoad, load});
+            }
+        }
         named.message.headers.push_back({RelayHeader::Send, std::to_string(request.number)});
         BackendRequest sent = request;
         sent.caller = &named;
--- a/Libraries/LibGateway/RelayPlan.h
+++ b/Libraries/LibGateway/RelayPlan.h
@@ -12,6 +12,7 @@
 
 #include <LibGateway/BackendPool.h>
 #include <LibGateway/CellMap.h>
+#include <LibGateway/Scheduling/OwnerLoad.h>
 #include <LibGateway/Scheduling/RepeatValue.h>
 #include <LibProtocol/Generated/fleet_types.h>
 
@@ -130,6 +131,11 @@
 constexpr const char *QuotaExhausted = "Crankrudder-Quota-Exhausted";
 /** Identifies one send of a part. The serving gateway returns it with the answer, since all parts of a search have the same request id. */
 constexpr const char *Send = "Crankrudder-Send";
+/**
+ * In answers to parts: load of the serving gateway, as formatLoad() writes it. Absent if it does not measure its load. In parts: load of the least busy other
+ * owner of the cell, which gets the part if this one declines it. Absent if the requesting gateway knows none, and once the part goes to that owner.
+ */
+constexpr const char *OwnerLoad = "Crankrudder-Owner-Load";
 }
 
 /** What a gateway sends with a relayed part in addition to the caller's request. */
@@ -166,8 +172,14 @@
     std::optional<SearchState> searchState;
     /** Header with what the requesting gateway knows of the backend servers of the shards; empty if it has nothing to tell. */
     std::string evidence{};
+    /** Load of the owner that gets the part if the serving gateway declines it. Without one the part is not declined. */
+    std::optional<LoopReport> otherOwner{};
 };
 
+/** Makes the header of a part that names the owner that gets it if the first one declines. The relay dialect removes the name, and the header for that owner.
+ */
+[[nodiscard]] Wire::Header makeOtherOwnerHeader(const KnownOwner &owner);
+
 /** Extracts the parameters from the headers of a request. Returns nullopt if they are incomplete or invalid. */
 [[nodiscard]] std::optional<RelayParameters> extractRelayParameters(Wire::Headers &headers);
 
--- a/Libraries/LibGateway/RelayedPart.cpp
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -41,6 +41,11 @@
     this->parameters.urgency = urgencyOf(context.workspace, route);
     this->parameters.capacityWeight = capacityWeightOf(context.workspace);
     this->parameters.preferred = plan.owners;
+    if (context.ownerLoad != nullptr) {
+        if (const auto other = context.ownerLoad->arrange(this->parameters.preferred, now); other.has_value()) {
+            this->request.message.headers.push_back(makeOtherOwnerHeader(other.value()));
+        }
+    }
     // The request's body must not be sent to regions where the request may not be served either.
     this->parameters.allowedRegions = partParameters.allowedRegions;
     addRelayParameters(this->request.message.headers,
@@ -94,6 +99,7 @@
         return;
     }
     this->context.relayLatencies->add(this->relayCall->latency());
+    this->countOwner();
     this->partial = std::move(answer.value());
     for (auto &shard : this->partial.missing) {
         shard.executions = std::clamp(shard.executions, 0, MaximumReportedAttempts);
@@ -108,6 +114,14 @@
     this->deniedRepeats = denied == nullptr ? std::vector<std::string>() : Core::splitList(*denied);
 }
 
+void RelayedPart::countOwner()
+{
+    const auto owner = std::find(this->plan.owners.begin(), this->plan.owners.end(), this->relayCall->answeredBy());
+    if (this->context.ownerLoad != nullptr && owner != this->plan.owners.end()) {
+        this->context.ownerLoad->recordAnswer(static_cast<std::size_t>(owner - this->plan.owners.begin()));
+    }
+}
+
 bool RelayedPart::lacksRepeatFor(const Core::ServiceName &shard) const
 {
     return std::find(this->deniedRepeats.begin(), this->deniedRepeats.end(), shard.value()) != this->deniedRepeats.end();
--- a/Libraries/LibGateway/RelayedPart.h
+++ b/Libraries/LibGateway/RelayedPart.h
@@ -76,6 +76,8 @@
 
 private:
     void handleOutcome();
+    /** Counts the rank of the owner that answered. */
+    void countOwner();
     /** Returns whether the part was answered with the signature or the attempts of every shard. */
     [[nodiscard]] bool wasRead() const;
     /** Returns whether the connection broke so soon after the send that each shard was sent at most once. */
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -11,6 +11,7 @@
 
 #include <LibCore/LatencyDigest.h>
 #include <LibGateway/RelayPlan.h>
+#include <LibGateway/Scheduling/OwnerLoad.h>
 #include <LibGateway/ShardCall.h>
 
 namespace Gateway
@@ -90,6 +91,8 @@
     bool isCautious{false};
     /** Set if the request is a part of a search that another gateway relayed to this one. */
     std::optional<RelayParameters> relayParameters;
+    /** Loads of other gateways, by which parts are distributed among the owners of a cell; may be nullptr. */
+    OwnerLoad *ownerLoad{nullptr};
 };
 
 /** A request from its route to its answer. Its owner destroys it when the `finished` hook is called. */
--- a/Services/gatewayd/main.cpp
+++ b/Services/gatewayd/main.cpp
@@ -10,6 +10,7 @@
 #include <LibCore/EventPoll.h>
 #include <LibCore/Identity.h>
 #include <LibCore/Log.h>
+#include <LibCore/LoopWait.h>
 #include <LibFleet/HeartbeatTimes.h>
 #include <LibGateway/GatewayNode.h>
 #include <platform/ConfigurationCodec.h>
@@ -117,7 +118,12 @@
     if (!poll.has_value()) {
         return tl::make_unexpected(poll.error());
     }
-    Gateway::GatewayNode node(makeOptions(settings.value(), timers.now()), *poll.value(), timers);
+    const Core::LoopWait loopWait(nullptr);
+    auto options = makeOptions(settings.value(), timers.now());
+    options.loopWaited = [&loopWait] {
+        return loopWait.total();
+    };
+    Gateway::GatewayNode node(std::move(options), *poll.value(), timers);
     const auto callers = Wire::Server::create({.name = "caller",
                                                   .endpoint = settings->callerListen.value(),
                                                   .handler =
--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -221,7 +221,8 @@
             .relayLatencies = &this->relayLatencies,
             .cells = &this->cells,
             .isCautious = this->isCautious,
-            .relayParameters = this->relayParameters};
+            .relayParameters = this->relayParameters,
+            .ownerLoad = &this->ownerLoad};
         if (context.relayParameters.has_value() && context.relayParameters->topRecords == 0) {
             context.relayParameters->topRecords = this->editableRoute.topRecords;
         }
@@ -265,6 +266,8 @@
     int timeoutInTargets{4};
     // Gateways that the relayed part should be sent to, the preferred one first. Empty: any gateway of the zone.
     std::vector<Gateway::BackendName> owners;
+    // What this gateway knows of the loads of the owners.
+    Gateway::OwnerLoad ownerLoad;
     // Set if the request comes from another gateway. If its number of top records is 0, that of the route is used.
     std::optional<Gateway::RelayParameters> relayParameters;
     Gateway::BackendPool pool;
