--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -11,6 +11,7 @@
 
 #include <LibCore/LatencyDigest.h>
 #include <LibGateway/RelayPlan.h>
+#include <LibGateway/Scheduling/OwnerLoad.h>
 #include <LibGateway/ShardCall.h>
 
 namespace Gateway
@@ -92,6 +93,8 @@
     std::optional<RelayParameters> relayParameters;
     /** See RelayOptions::cancelsParts. */
     bool cancelsParts{false};
+    /** Loads of other gateways, by which parts are distributed among the owners of a cell; may be nullptr. */
+    OwnerLoad *ownerLoad{nullptr};
 };
 
 /** A request from its route to its answer. Its owner destroys it when the `finished` hook is called. */
