--- a/Libraries/LibGateway/RelayPlan.h
+++ b/Libraries/LibGateway/RelayPlan.h
@@ -180,10 +180,9 @@
     /** Header with what the requesting gateway knows of the backend servers of the shards; empty if it has nothing to tell. */
     std::string evidence{};
     /** Id of the send, which is unique for its gateway; empty if it has none. Not sent with the parameters, but in a header of its own. */
-    std::string send
-    { /** Load of the owner that gets the part if the serving gateway declines it. Without one the part is not declined. */
-        std::optional<LoopReport> otherOwner{};
-    };
+    std::string send{};
+    /** Load of the owner that gets the part if the serving gateway declines it. Without one the part is not declined. */
+    std::optional<LoopReport> otherOwner{};
 };
 
 /** Identifies a part at the gateway that serves it. The id of the request distinguishes sends of several gateways with the same id. */
