Soak, LibCoordinator: Check that takeovers are confirmed, state hold times to fewer

Cause: no test ran several coordinators that exchange contacts, and while one gateway waited, the hold time went to every watcher.

--- a/Libraries/LibCoordinator/WatchService.cpp
+++ b/Libraries/LibCoordinator/WatchService.cpp
@@ -243,7 +243,9 @@
         return;
     }
     const auto &request = watcher.request;
-    reply.__set_heldMs(static_cast<std::int32_t>(Core::toMilliseconds(now - watcher.receivedAt)));
+    if (request.wantsHeard || request.wantsContacts) {
+        reply.__set_heldMs(static_cast<std::int32_t>(Core::toMilliseconds(now - watcher.receivedAt)));
+    }
     if (!request.wantsContacts) {
         return;
     }
--- a/Libraries/LibProtocol/Generated/fleet_types.h
+++ b/Libraries/LibProtocol/Generated/fleet_types.h
@@ -928,7 +928,7 @@
    */
   int32_t oldestContactAgeMs;
   /**
-   * How long the request was held, in milliseconds. Set while any watcher wants contacts.
+   * How long the request was held, in milliseconds. Set for coordinators and for watchers that want contacts, while any watcher wants contacts.
    */
   int32_t heldMs;
   /**
--- a/Libraries/LibProtocol/fleet.thrift
+++ b/Libraries/LibProtocol/fleet.thrift
@@ -160,7 +160,7 @@
    * Absent while it is unknown.
    */
   16: optional i32 oldestContactAgeMs,
-  /** How long the request was held, in milliseconds. Set while any watcher wants contacts. */
+  /** How long the request was held, in milliseconds. Set for coordinators and for watchers that want contacts, while any watcher wants contacts. */
   17: optional i32 heldMs,
   /**
    * For a coordinator that wants contacts: by the id of a gateway, the age in milliseconds of the latest time at which it was known to hold this
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -158,7 +158,7 @@
         # Acknowledged versions as (version, time of the acknowledgement), in order, and the document of each version that was sent.
         self.acknowledged = []
         self.sent = {}
-        self.counts = {"answered": 0, "partial": 0, "not_run": 0, "failed": 0, "no_answer": 0, "unrouted": 0, "over_quota": 0, "no_key": 0, "returned": 0, "returned_served": 0}
+        self.counts = {"answered": 0, "partial": 0, "not_run": 0, "failed": 0, "no_answer": 0, "unrouted": 0, "over_quota": 0, "no_key": 0, "returned": 0, "returned_served": 0, "takeovers_confirmed": 0, "takeovers_waited": 0}
         self.non_idempotent = set()
         # Ids of backend servers that crashed while they ran a crashing request (crashing.py). Runs there do not count as attempts.
         self.crashed_under_requests = set()
@@ -576,6 +576,16 @@
                 self.fail("over-quota", f"{sent} of {maximum} requests in a window")
                 break
 
+    def check_takeovers(self):
+        """Gateways join while all others are in contact with the coordinators, at the first start at the latest, and have to learn that from other coordinators."""
+        for process in self.gateways:
+            with open(os.path.join(process.folder, "log.txt"), "rb") as log:
+                content = log.read()
+            self.counts["takeovers_confirmed"] += content.count(b"ended_by=contacts")
+            self.counts["takeovers_waited"] += content.count(b"ended_by=maximum_time")
+        if self.counts["takeovers_confirmed"] == 0:
+            self.fail("takeover-unconfirmed", f"{self.counts['takeovers_waited']} gateways waited for the maximum time")
+
     def check_drains(self):
         late = [(backend, after) for backend, after in self.journal.late_arrivals if after > DRAIN_SECONDS]
         for backend, after in late:
@@ -632,6 +642,7 @@
         self.check_runs()
         self.check_drains()
         self.check_workspaces()
+        self.check_takeovers()
         self.check_places()
         await self.stop_processes()
 
