--- a/Tests/LibGateway/TestQuotas.cpp
+++ b/Tests/LibGateway/TestQuotas.cpp
@@ -231,6 +231,31 @@
     cr_assert_eq(keepersWith("claimed"), 2);
 }
 
+// Guards against a division by urgency that never applies: the keepers of an overloaded workspace have to learn from each other that none has a token.
+Test(Quotas, urgentRequestsComeFirstWhenAllKeepersAreExhausted)
+{
+    QuotaFixture fixture({"here", "here", "there", "there"});
+    cr_assert(fixture.awaitReady());
+    fixture.settle(Core::milliseconds(2300));
+    const auto urgentPeriod = Core::milliseconds(400);
+    const int urgentRequests = 16;
+    int urgent = 0;
+    int granted = 0;
+    std::size_t request = 0;
+    // The urgent requests alone are fewer than the quota; the others are some fifty times the quota.
+    for (auto urgentAt = fixture.timers.now() + Core::seconds(2); urgent < urgentRequests; fixture.settle(Core::milliseconds(4))) {
+        const bool isUrgent = fixture.timers.now() >= urgentAt;
+        const auto &node = *fixture.nodes[++request % fixture.nodes.size()];
+        const auto answer = fixture.ask(node, (isUrgent ? "/urgent/" : "/one/") + std::to_string(request), {{"Credential", "small-secret"}});
+        if (isUrgent) {
+            ++urgent;
+            urgentAt = urgentAt + urgentPeriod;
+            granted += answer.status == Ok ? 1 : 0;
+        }
+    }
+    cr_assert(granted >= urgentRequests / 2, "%d of %d", granted, urgentRequests);
+}
+
 // Guards against calling a quota used up when its keepers have only just started, and against a Retry-After at which they still grant nothing.
 Test(Quotas, keepersThatJustStartedDoNotSayOverQuota)
 {
