LibGateway: Move the queues of a pool's services into a class

Cause: BackendPool kept the queues, the set of services at which requests wait, the offers and the records of ended waits beside everything else. Change: CapacityQueues holds them, with two hooks for what it needs to know of the servers. The number of offers and their order are the same. An answer at a service looks for its queue only if any request waits.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -33,6 +33,7 @@
     , warmupLimiter(this->options.warmup)
     , crashChecks(timers, this->makeCrashCheckHooks())
     , trialPeriod(timers.now())
+    , waiters(timers, this->makeCapacityHooks())
 {
     this->sweepEvery(IdleSweepPeriod);
 }
@@ -100,7 +101,7 @@
     row.zones.insert(backend->zone);
     backend->serviceAcceptance = row.acceptance;
     this->backends[announcement.id] = std::move(backend);
-    this->offerCapacity(service);
+    this->waiters.offer(service);
 }
 
 void BackendPool::markGone(Backend &backend)
@@ -449,7 +450,7 @@
         this->crashChecks.recordEndedConnection(backend);
     }
     backend.connections.remove(connection);
-    this->offerCapacity(service);
+    this->waiters.offer(service);
 }
 
 bool BackendPool::hasServersEnding() const
@@ -594,7 +595,7 @@
     if (attempt.done) {
         attempt.done(outcome);
     }
-    this->offerCapacity(service);
+    this->waiters.offer(service);
 }
 
 // ---- Crashes
@@ -794,7 +795,7 @@
     if (attempt.connection && attempt.connection->withdraw()) {
         const auto service = attempt.backend->service;
         (void)this->extractAttempt(id);
-        this->offerCapacity(service);
+        this->waiters.offer(service);
         return;
     }
     attempt.cancelAt = this->timers.now() + (callerGone ? this->options.cancelTimeout : this->options.abandonTimeout);
@@ -821,92 +822,52 @@
 
 // ---- Capacity
 
+CapacityHooks BackendPool::makeCapacityHooks()
+{
+    CapacityHooks hooks;
+    hooks.hasCapacity = [this](const Core::ServiceName &service, const Fleet::AllowedRegions &regions) {
+        return this->hasAnyCapacity(this->serviceOf(service), regions);
+    };
+    hooks.limitOf = [this](const Core::ServiceName &service) {
+        return this->connectionLimitOfAll(this->serviceOf(service));
+    };
+    return hooks;
+}
+
 WaiterNumber BackendPool::waitForCapacity(const Core::ServiceName &service, CapacityWaiter waiter)
 {
-    this->awaitedServices.insert(service);
     this->sweepEvery(SweepPeriod);
-    return this->serviceOf(service).waiters.add(std::move(waiter), this->timers.now());
+    return this->waiters.add(service, std::move(waiter));
 }
 
 void BackendPool::stopWaiting(const Core::ServiceName &service, WaiterNumber number)
 {
-    const auto now = this->timers.now();
-    if (const auto wait = this->serviceOf(service).waiters.remove(number, now); wait.has_value()) {
-        this->waits.record(service, wait.value(), now);
-    }
+    this->waiters.remove(service, number);
 }
 
 bool BackendPool::hasWaiting(const Core::ServiceName &service) const
 {
-    if (this->awaitedServices.empty()) {
-        return false;
-    }
-    const auto found = this->services.find(service);
-    return found != this->services.end() && !found->second.waiters.isEmpty();
-}
-
-// Bounded by what the servers can take, since a send that fails at once leaves its capacity free.
-void BackendPool::offerCapacity(const Core::ServiceName &service)
-{
-    const auto &row = this->serviceOf(service);
-    if (row.waiters.isEmpty()) {
-        return;
-    }
-    bool wasSent = true;
-    for (auto left = this->connectionLimitOfAll(row); wasSent && left > 0; --left) {
-        wasSent = this->offerCapacityOnce(service, std::nullopt);
-    }
+    return this->waiters.isAwaited(service);
 }
 
 void BackendPool::offerCapacityToNew(const Core::ServiceName &service, WaiterNumber number)
 {
     ++this->counts.joinedWaiting;
-    this->offerCapacity(service);
-    (void)this->offerCapacityOnce(service, number);
-}
-
-bool BackendPool::offerCapacityOnce(const Core::ServiceName &service, std::optional<WaiterNumber> only)
-{
-    const auto now = this->timers.now();
-    auto &row = this->serviceOf(service);
-    const auto check = [this, &row](const Fleet::AllowedRegions &regions) {
-        return this->hasAnyCapacity(row, regions);
-    };
-    const auto sent = only.has_value() ? row.waiters.offerTo(only.value(), now, check) : row.waiters.offer(now, check);
-    if (sent.has_value()) {
-        this->waits.record(service, sent.value(), now);
-    }
-    return sent.has_value();
+    this->waiters.offerToNew(service, number);
 }
 
 std::map<Urgency, std::size_t> BackendPool::waitingByUrgency() const
 {
-    std::map<Urgency, std::size_t> counts;
-    for (const auto &service : this->awaitedServices) {
-        this->services.at(service).waiters.countByUrgency(counts);
-    }
-    return counts;
+    return this->waiters.waitingByUrgency();
 }
 
 const CapacityWaits &BackendPool::capacityWaits() const
 {
-    return this->waits;
+    return this->waiters.waits();
 }
 
 // ---- Sweeps
 
-// Capacity can become free by time alone: a warm-up limit or a rejection backoff elapses.
-void BackendPool::offerCapacityToWaiters()
-{
-    std::erase_if(this->awaitedServices, [this](const Core::ServiceName &name) {
-        return this->serviceOf(name).waiters.isEmpty();
-    });
-    const auto awaited = this->awaitedServices;
-    for (const auto &name : awaited) {
-        this->offerCapacity(name);
-    }
-}
-
 void BackendPool::sweep()
 {
     const auto now = this->timers.now();
@@ -914,8 +875,9 @@
     this->warmupLimiter.removeExpired(now);
     this->crashChecks.removeExpired(now);
     this->closeIdleConnections(now);
-    this->offerCapacityToWaiters();
-    if (this->attempts.empty() && this->awaitedServices.empty()) {
+    // Capacity can become free by time alone: a warm-up limit or a rejection backoff elapses.
+    this->waiters.offerAtAll();
+    if (this->attempts.empty() && this->waiters.isEmpty()) {
         this->sweepEvery(IdleSweepPeriod);
     }
 }
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -15,7 +15,7 @@
 #include <LibGateway/BackendChoice.h>
 #include <LibGateway/CrashChecks.h>
 #include <LibGateway/RetryBudget.h>
-#include <LibGateway/Scheduling/CapacityWaits.h>
+#include <LibGateway/Scheduling/CapacityQueues.h>
 #include <LibGateway/Scheduling/DeniedRepeatLog.h>
 #include <LibGateway/Scheduling/LogLimit.h>
 #include <LibGateway/WarmupLimiter.h>
@@ -238,7 +238,6 @@
 private:
     struct Service {
         std::vector<Backend *> backends;
-        CapacityQueue waiters;
         // 0 when the service is not declared.
         int connectionCap{0};
         // Warm-up parameters from the declaration.
@@ -297,11 +296,7 @@
     void recordFailure(Backend &backend, const std::string &reason);
     void recordUnresponsive(Backend &backend, const std::string &reason);
     void remove(Backend &backend);
-    /** Offers as long as there is capacity and a request that uses it. */
-    void offerCapacity(const Core::ServiceName &service);
-    /** Offers capacity until one request, or this one only, has used it; returns whether it did. */
-    [[nodiscard]] bool offerCapacityOnce(const Core::ServiceName &service, std::optional<WaiterNumber> only);
-    void offerCapacityToWaiters();
+    [[nodiscard]] CapacityHooks makeCapacityHooks();
     void sweep();
     void sweepEvery(Core::Duration period);
     void cancelOverdue(Core::Instant now);
@@ -330,9 +325,7 @@
     CrashChecks crashChecks;
     TrialPeriod trialPeriod;
     AttemptId nextAttempt{1};
-    CapacityWaits waits;
-    // Invariant: includes every service that has waiters.
-    std::set<Core::ServiceName> awaitedServices;
+    CapacityQueues waiters;
     Core::Duration sweepPeriod{0};
     Core::TimerSubscription sweepTimer;
     PoolCounters counts;
