--- a/Tests/LibGateway/TestCancelledParts.cpp
+++ b/Tests/LibGateway/TestCancelledParts.cpp
@@ -118,3 +118,23 @@
         third->close();
     }
 }
+
+// A gateway of a release without cancellations refuses the message. It must not pass for one that refuses parts.
+Test(CancelledParts, aRefusedMessageSaysNothingAboutItsGateway)
+{
+    TestSupport::GatewayFixture fixture;
+    const auto &gateway = fixture.addGateway([](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+        exchange->respond(TestSupport::errorResponse(request, 503, true));
+    });
+    Gateway::CallerRequest message{.id = Core::RequestId("x"), .message = {.method = "GET", .target = "/", .headers = {{"Request-Id", "x"}}, .body = {}}};
+    Gateway::addCancellation(message.message.headers, {.send = "7", .request = "x"});
+    fixture.relays.sendMessage(Gateway::BackendName("gateway"), message);
+    cr_assert(fixture.runUntil([&fixture] {
+        return nlohmann::json::parse(fixture.relays.dump()).at(0).at("in_flight") == 0;
+    }));
+    cr_assert_eq(gateway.requests.size(), 1);
+    cr_assert_eq(fixture.relays.counters().notExecuted, 0);
+    auto headers = gateway.requests.front().headers;
+    const auto part = Gateway::extractCancellation(headers);
+    cr_assert(part.has_value() && part->send == "7" && part->request == "x");
+}
