LibGateway: Leave hedges at the route's delay, limit the log of pauses

Cause: a hedge that starts after the expected time of the chosen server starts later where the server is slow, which is when it is needed.

Change: the hedge delay is that of the route again. The test of the delay is removed with the delay. Pauses have a log limit of their own, since every server has them. The pool has a test for slowdowns that it receives.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -705,7 +705,7 @@
     ++this->counts.pauses;
     const auto silence = now - std::max(attempt.startedAt, backend.health.lastReply());
     const double factor = Core::toFractionalMilliseconds(silence) / Core::toFractionalMilliseconds(std::max(ShortestTypicalLatency, attempt.typicalLatency));
-    if (const auto omitted = this->speedLines.take(now); omitted.has_value()) {
+    if (const auto omitted = this->pauseLines.take(now); omitted.has_value()) {
         logSpeedChange(backend, {.kind = SpeedChangeKind::Pause, .factor = factor, .samples = 1, .age = silence}, omitted.value());
     }
 }
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -339,6 +339,7 @@
     DeniedRepeatLog deniedRepeats;
     LogLimit acceptanceLines{AcceptanceLinesPerSecond};
     LogLimit speedLines{SpeedLinesPerSecond};
+    LogLimit pauseLines{PauseLinesPerSecond};
     // Invariant: no server has anything to tell to other gateways after this time.
     Core::Instant evidenceUntil;
     EvidenceCounters evidence;
--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -409,16 +409,6 @@
     }
 }
 
-Core::Instant FanOutRequest::firstHedgeDueAt() const
-{
-    auto first = this->parameters.expiresAt;
-    for (const auto &row : this->rows) {
-        const auto due = row.call ? row.call->hedgeDueAt() : std::nullopt;
-        first = std::min(first, due.value_or(first));
-    }
-    return first;
-}
-
 Core::Instant FanOutRequest::handleLateCalls()
 {
     auto next = this->hedgeLateCalls();
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -95,10 +95,7 @@
     parameters.typicalLatency = typicalLatencyOf(settings, route, latencies);
     parameters.allowedRegions = route.allowedRegions;
     const auto ceiling = std::max(settings.hedgeFloor, scaled(route.targetLatency, settings.hedgeCeilingShare));
-    parameters.hedgeDelayUnbounded = scaled(parameters.typicalLatency, settings.hedgeFactor);
-    parameters.hedgeFloor = settings.hedgeFloor;
-    parameters.hedgeCeiling = ceiling;
-    parameters.hedgeDelay = std::clamp(parameters.hedgeDelayUnbounded, parameters.hedgeFloor, parameters.hedgeCeiling);
+    parameters.hedgeDelay = std::clamp(scaled(parameters.typicalLatency, settings.hedgeFactor), settings.hedgeFloor, ceiling);
     return parameters;
 }
 
@@ -141,7 +138,7 @@
     this->withCompletionDeferred([this] {
         this->startCalls();
     });
-    this->scheduleCheck(std::min(this->arrivedAt + this->parameters.hedgeDelay, this->firstHedgeDueAt()));
+    this->scheduleCheck(this->arrivedAt + this->parameters.hedgeDelay);
     this->callFinished();
 }
 
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -121,8 +121,6 @@
     virtual void completeIfPossible() = 0;
     /** Hedges late calls and ends those that have timed out. Returns the latest time for the next check. */
     [[nodiscard]] virtual Core::Instant handleLateCalls() = 0;
-    /** Returns when the first of the calls becomes late, at most the time at which the request expires. */
-    [[nodiscard]] virtual Core::Instant firstHedgeDueAt() const = 0;
     /** Cancels all calls. */
     virtual void cancelCalls(bool callerIsGone) = 0;
     /** Adds the figures of the calls to the summary. */
--- a/Libraries/LibGateway/Scheduling/ServerSpeed.h
+++ b/Libraries/LibGateway/Scheduling/ServerSpeed.h
@@ -38,6 +38,8 @@
 inline constexpr double MaximumSlowdown = 12.0;
 /** Maximum number of log lines about changes of speed, for all servers of a pool. */
 inline constexpr int SpeedLinesPerSecond = 5;
+/** The same for pauses, which every server has every few seconds: they must not displace the lines about slowdowns. */
+inline constexpr int PauseLinesPerSecond = 1;
 
 /** Which information on a slowdown counts. */
 enum class SpeedBasis {
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -8,7 +8,6 @@
 #include <LibGateway/RequestTrace.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace Gateway
 {
@@ -18,21 +17,6 @@
 // Expected latency that a hedge may have once the target has passed. Less than the penalty of a backend server that looks stuck, so none of these is chosen.
 static constexpr Core::Duration LateHedgeLimit = Core::milliseconds(250);
 
-// A hedge delay follows a server's speed in steps of this size, so that a search over servers of many speeds needs few checks for hedges.
-static constexpr double HedgeFactorStep = 0.25;
-// Minimum factor; no server is known to take less than about this share of the usual time for long.
-static constexpr double MinimumHedgeFactor = 0.5;
-
-Core::Duration CallParameters::hedgeDelayAt(double factor) const
-{
-    const double step = std::max(MinimumHedgeFactor, std::round(factor / HedgeFactorStep) * HedgeFactorStep);
-    if (step == 1.0) {
-        return this->hedgeDelay;
-    }
-    const Core::Duration scaled(static_cast<Core::Duration::rep>(static_cast<double>(this->hedgeDelayUnbounded.count()) * step));
-    return std::clamp(scaled, this->hedgeFloor, this->hedgeCeiling);
-}
-
 ShardCall::ShardCall(const CallParameters &parameters, Core::ServiceName service, BackendPool &pool, Core::TimerService &timers)
     : parameters(parameters), serviceName(std::move(service)), pool(pool), timers(timers)
 {
@@ -139,7 +123,6 @@
     this->current = CallState::InFlight;
     const auto now = this->timers.now();
     const auto name = backend.name;
-    const auto hedgeDelay = this->parameters.hedgeDelayAt(backend.health.observedFactor(now));
     this->tried.push_back(name);
     ++this->sends;
     const auto timeLeft = std::min(this->parameters.deadline, this->parameters.expiresAt) - now;
@@ -161,7 +144,7 @@
                 }
             }});
     const auto limit = told < timeLeft ? std::optional(told) : std::nullopt;
-    this->running.push_back(Running{.id = id, .backend = name, .startedAt = now, .limit = limit, .hedgeDelay = hedgeDelay});
+    this->running.push_back(Running{.id = id, .backend = name, .startedAt = now, .limit = limit});
 }
 
 bool ShardCall::mayTryAnother() const
@@ -193,18 +176,13 @@
     return std::nullopt;
 }
 
-std::optional<Core::Instant> ShardCall::hedgeDueAt() const
-{
-    return this->running.empty() ? std::nullopt : std::optional(this->running.back().startedAt + this->running.back().hedgeDelay);
-}
-
 HedgeCheck ShardCall::checkHedge()
 {
     if (!this->isLateHedgeable()) {
         return {};
     }
     const auto now = this->timers.now();
-    const auto due = std::max(this->running.back().startedAt + this->running.back().hedgeDelay, this->hedgeDeniedUntil);
+    const auto due = std::max(this->running.back().startedAt + this->parameters.hedgeDelay, this->hedgeDeniedUntil);
     if (now < due) {
         return {.candidate = nullptr, .nextCheckAt = due};
     }
--- a/Libraries/LibGateway/ShardCall.h
+++ b/Libraries/LibGateway/ShardCall.h
@@ -40,13 +40,6 @@
     std::function<double()> repeatValue;
     /** Regions where the request may be served. May be restricted while the request is in flight, but never extended. */
     Fleet::AllowedRegions allowedRegions;
-    /** The hedge delay without its bounds, and the bounds; for servers that are known to be slower or faster than usual. */
-    Core::Duration hedgeDelayUnbounded{0};
-    Core::Duration hedgeFloor{0};
-    Core::Duration hedgeCeiling{0};
-
-    /** Returns the hedge delay for a server that takes `factor` times as long as usual. */
-    [[nodiscard]] Core::Duration hedgeDelayAt(double factor) const;
 };
 
 /** State of a call. */
@@ -106,8 +99,6 @@
     /** Sends a hedge if one is due. Returns the time of the next check, or nullopt if there is nothing to wait for. */
     std::optional<Core::Instant> hedgeIfDue();
 
-    /** Returns when the latest attempt in flight becomes late; nullopt without one. */
-    [[nodiscard]] std::optional<Core::Instant> hedgeDueAt() const;
     /** Returns whether a hedge is due, and to which backend server it should be sent. */
     [[nodiscard]] HedgeCheck checkHedge();
     /** Sends a hedge to the candidate that checkHedge() returned, unless the retry budget denies it. */
@@ -162,8 +153,6 @@
         Core::Instant startedAt;
         // Time limit that was sent to the backend server; set if it is less than the caller has left.
         std::optional<Core::Duration> limit;
-        // Time after startedAt from which on the attempt is hedged.
-        Core::Duration hedgeDelay{0};
     };
 
     [[nodiscard]] SelectionCriteria wanted(std::optional<Core::Duration> within = std::nullopt) const;
--- a/Libraries/LibGateway/SingleRequest.cpp
+++ b/Libraries/LibGateway/SingleRequest.cpp
@@ -64,11 +64,6 @@
     return std::min(next, roomUntil);
 }
 
-Core::Instant SingleRequest::firstHedgeDueAt() const
-{
-    return this->call->hedgeDueAt().value_or(this->parameters.expiresAt);
-}
-
 void SingleRequest::cancelCalls(bool callerIsGone)
 {
     this->call->cancel(callerIsGone);
--- a/Libraries/LibGateway/SingleRequest.h
+++ b/Libraries/LibGateway/SingleRequest.h
@@ -27,7 +27,6 @@
     void startCalls() override;
     void completeIfPossible() override;
     [[nodiscard]] Core::Instant handleLateCalls() override;
-    [[nodiscard]] Core::Instant firstHedgeDueAt() const override;
     void cancelCalls(bool callerIsGone) override;
     void describe(RequestSummary &summary) const override;
 
--- a/Tests/LibGateway/TestServerSpeed.cpp
+++ b/Tests/LibGateway/TestServerSpeed.cpp
@@ -295,49 +295,24 @@
     cr_assert_eq(arrivals[first + 6], usual, "longer than any slowdown is known");
 }
 
-// Guards against hedges that a server known to be slow or fast gets after the route's time, and against a change where servers report their slowdown.
-Test(ServerSpeed, aHedgeStartsAfterTheExpectedTimeOfTheChosenServer)
+// Guards against a pool that observes or receives slowdowns without using them, and against servers that are not counted.
+Test(ServerSpeed, thePoolReceivesSlowdownsAndCountsSlowAndPausedServers)
 {
-    struct Case {
-        const char *name;
-        double ratio;
-        int answers;
-        std::optional<double> reported;
-        // Hedge delay in multiples of the usual one, which is about 44 ms. The maximum is 400 ms.
-        double factor;
-    };
-    for (const auto &item : {Case{"unknown", 1.0, 0, std::nullopt, 1.0},
-             Case{"usual", 1.05, 40, std::nullopt, 1.0},
-             Case{"fast", 0.5, 40, std::nullopt, 0.5},
-             Case{"slow", 3.0, 2, std::nullopt, 3.0},
-             Case{"slowest", 12.0, 2, std::nullopt, 12.0},
-             Case{"reports its slowdown", 3.0, 2, 3.0, 1.0}}) {
-        TestSupport::GatewayFixture fixture;
-        fixture.add("s", "one", [](const Wire::Request &, const Wire::ExchangePointer &) {
-        });
-        fixture.route().idempotent = true;
-        fixture.route().targetLatency = Core::seconds(1);
-        for (int count = 0; count < 30; ++count) {
-            fixture.latencies.add(Core::milliseconds(20));
-        }
-        auto request = fixture.dialect.readRequest({.method = "GET", .target = "/x/1", .headers = {{"Request-Id", "r1"}}, .body = {}});
-        request.trace = Gateway::makeTrace(request, fixture.timers.now());
-        const auto parameters = Gateway::makeCallParameters(fixture.settings, fixture.route(), request, fixture.latencies, fixture.timers.now());
-        const Core::ServiceName service("s");
-        auto *server = fixture.pool.choose({.service = service, .tried = {}, .allowedRegions = parameters.allowedRegions});
-        for (int answer = 0; answer < item.answers; ++answer) {
-            server->health.recordAnswer(item.ratio, fixture.timers.now());
-        }
-        if (item.reported.has_value()) {
-            server->health.recordReply(Gateway::LoadReport{.running = 0, .waiting = 0, .slots = 2, .slowdown = item.reported}, fixture.timers.now());
-        }
-        Gateway::ShardCall call(parameters, service, fixture.pool, fixture.timers);
-        const auto before = fixture.timers.now();
-        call.start([] {
-        });
-        const auto due = call.hedgeDueAt().value();
-        const Core::Duration scaled(static_cast<Core::Duration::rep>(static_cast<double>(parameters.hedgeDelay.count()) * item.factor));
-        const auto delay = std::min(scaled, Core::Duration(Core::milliseconds(400)));
-        cr_assert(due >= before + delay && due <= fixture.timers.now() + delay, "%s: %ld us", item.name, static_cast<long>((due - before).count()));
-    }
+    TestSupport::GatewayFixture fixture;
+    const Core::ServiceName service("s");
+    fixture.add("s", "one", [](const Wire::Request &, const Wire::ExchangePointer &) {
+    });
+    auto *server = fixture.pool.choose({.service = service, .tried = {}, .allowedRegions = {}});
+    fixture.pool.receiveEvidence("one=3.00/0.00/1/20", "old build", Core::Duration(0));
+    cr_assert_eq(fixture.pool.speedCounts().slow, 0);
+    fixture.pool.receiveEvidence("one=3.00/0.00/7.5/20", "gateway", Core::seconds(2));
+    cr_assert_eq(fixture.pool.speedCounts().slow, 0, "the gateway or the answer was held up");
+    fixture.pool.receiveEvidence("one=3.00/0.00/7.5/20", "gateway", Core::milliseconds(100));
+    cr_assert_eq(fixture.pool.speedCounts().slow, 1);
+    cr_assert_eq(fixture.pool.evidenceOf({service}, Gateway::EvidenceScope::All), "", "not sent on");
+    const auto now = fixture.timers.now();
+    Gateway::Attempt attempt{.backend = server, .startedAt = now - Core::milliseconds(200), .typicalLatency = Core::milliseconds(WorkMilliseconds)};
+    server->inFlight.push_back(&attempt);
+    cr_assert_eq(fixture.pool.speedCounts().paused, 1);
+    server->inFlight.clear();
 }
