--- a/Libraries/LibGateway/BackendHealth.h
+++ b/Libraries/LibGateway/BackendHealth.h
@@ -61,7 +61,7 @@
     [[nodiscard]] double queueing(std::size_t own, int slots, Core::Instant now) const;
     /** Returns the factor by which requests are known to take longer here than usual, without queueing; 1 where the server reports its slowdown itself. */
     [[nodiscard]] double observedFactor(Core::Instant now) const;
-    /** Whether this gateway observed a slowdown within the last two seconds; never where the server reports it itself. */
+    /** Whether this gateway observed a slowdown within the last three seconds; never where the server reports it itself. */
     [[nodiscard]] bool wasSlow(Core::Instant now) const;
     /** Whether the backend server counts as slow: it takes at least twice its usual time. */
     [[nodiscard]] bool isSlow(Core::Instant now) const;
--- a/Libraries/LibGateway/Scheduling/ServerSpeed.h
+++ b/Libraries/LibGateway/Scheduling/ServerSpeed.h
@@ -15,8 +15,9 @@
 // Rules:
 // V1. One late answer is not a slowdown. It takes a second one that can't be due to the
 //     same pause: counted from the arrival of the first late answer, it was late as well.
-// V2. A slowdown fades to nothing within 1.2 to 1.8 s after its latest late answer. So a server
-//     that has recovered gets requests again within about a second.
+// V2. A slowdown fades to half within 0.6 s after its latest late answer, and within up to 1.5 s
+//     where a gateway has few answers. So a server that has recovered gets requests again
+//     within about a second, and the gateways do not all return at the same time.
 // V3. What another gateway observed counts as long as this one has no newer answer, and for
 //     ReportedSlowdownLifetime at most.
 // Pure.
@@ -48,7 +49,7 @@
     /** Only what this gateway observed, as it fades. */
     Own,
     /**
-     * What this gateway observed within the last two seconds, without fading. Where all servers of a shard are slow, the one that was used last would
+     * What this gateway observed within the last three seconds, without fading. Where all servers of a shard are slow, the one that was used last would
      * otherwise always look slowest, and the requests would move from one to the next.
      */
     Latest,
