--- a/Tests/LibGateway/TestOwnerLoad.cpp
+++ b/Tests/LibGateway/TestOwnerLoad.cpp
@@ -299,28 +299,14 @@
     cr_assert_lt(report.pressure(), 0.4, "used again after 2 s");
 }
 
-// Guards against thresholds apart from what callers need: a part is too late if it waits for half of the time that is left.
-Test(LoopLoad, isTooHighForAPartThatWouldBeLate)
-{
-    const Gateway::LoopReport busy{.busyPercent = 80, .late = Core::Duration(0)};
-    cr_assert(busy.isTooBusyFor(Core::milliseconds(80)) && !busy.isTooBusyFor(Core::milliseconds(200)));
-    const Gateway::LoopReport late{.busyPercent = 10, .late = Core::milliseconds(50)};
-    cr_assert(late.isTooBusyFor(Core::milliseconds(120)) && !late.isTooBusyFor(Core::milliseconds(300)));
-    const Gateway::LoopReport full{.busyPercent = 100, .late = Core::Duration(0)};
-    cr_assert(full.isTooBusyFor(Core::seconds(2)) && Gateway::LoopReport().isTooBusyFor(Core::Duration(0)));
-    cr_assert_not(Gateway::LoopReport().isTooBusyFor(Core::milliseconds(80)));
-    cr_assert_eq(Gateway::formatLoad(late), "10,50");
-}
-
-// Guards against a gateway that declines what it can serve in time, or what no other owner serves sooner.
+// Guards against a gateway that declines what it can serve in time, or what no other owner serves sooner: a part is late if it waits for half of the time left.
 Test(LoopLoad, partsAreDeclinedOnlyForALessBusyOwner)
 {
     const auto declines = [](const char *own, const char *other, int timeLeft) {
         return Gateway::shouldDecline(Gateway::parseLoad(own).value(), Gateway::parseLoad(other).value(), Core::milliseconds(timeLeft));
     };
-    cr_assert(declines("85,0", "30,0", 80));
-    cr_assert(declines("30,60", "30,0", 80));
-    cr_assert_not(declines("85,0", "30,0", 300), "in time");
+    cr_assert(declines("85,0", "30,0", 80) && declines("30,60", "30,0", 120) && declines("100,0", "30,0", 2000));
+    cr_assert_not(declines("85,0", "30,0", 300) || declines("30,60", "30,0", 400) || declines("50,0", "0,0", 80), "in time");
     cr_assert_not(declines("85,0", "80,0", 80), "the other one is too busy as well");
     cr_assert_not(declines("75,0", "70,0", 80), "the other one is hardly less busy");
     cr_assert_not(declines("85,0", "0,0", 0), "it is late anywhere");
@@ -361,51 +347,37 @@
         }
     }
 
-    static void decline(const Wire::Request &request, const Wire::ExchangePointer &exchange)
-    {
-        exchange->respond(TestSupport::errorResponse(request, 503, false));
-    }
-
-    static void serve(const Wire::Request &request, const Wire::ExchangePointer &exchange)
-    {
-        Protocol::PartialAnswer part;
-        part.signatures = {"part-b", "part-c"};
-        exchange->respond(TestSupport::partOf(request, part));
-    }
-
     std::vector<TestSupport::ScriptedBackend *> servers;
     std::vector<TestSupport::ScriptedBackend *> gateways;
 };
 
 }
 
-// Guards against a declined part that counts as run, so that nobody may serve it, and against owners that decline a part in turn.
-Test(OwnerLoad, aDeclinedPartGoesToTheOtherOwner)
-{
-    OwnersFixture fixture;
-    fixture.ownerLoad.receive(first, "60,0", Core::Duration(0), fixture.timers.now());
-    fixture.ownerLoad.receive(second, "50,0", Core::Duration(0), fixture.timers.now());
-    fixture.gateways[0]->script = OwnersFixture::decline;
-    fixture.gateways[1]->script = OwnersFixture::serve;
-    cr_assert_eq(fixture.ask("r1").status, 200);
-    cr_assert(fixture.gateways[0]->requests.size() == 1 && fixture.gateways[1]->requests.size() == 1);
-    cr_assert_eq(headerOf(fixture.gateways[0]->requests[0].headers), "50,0");
-    cr_assert_eq(headerOf(fixture.gateways[1]->requests[0].headers), "none", "it is the other owner itself");
-    cr_assert(fixture.servers[1]->requests.empty() && fixture.servers[2]->requests.empty());
-}
-
-// Guards against a shard that runs twice, or not at all, when no owner serves its part.
-Test(OwnerLoad, aPartThatAllOwnersDeclineIsSentDirectlyOnce)
+// Guards against a declined part that counts as run, so that nobody may serve it, and against a shard that runs twice or not at all when no owner serves it.
+Test(OwnerLoad, aDeclinedPartGoesToTheOtherOwnerAndOtherwiseDirectly)
 {
-    OwnersFixture fixture;
-    fixture.ownerLoad.receive(first, "90,0", Core::Duration(0), fixture.timers.now());
-    fixture.ownerLoad.receive(second, "10,0", Core::Duration(0), fixture.timers.now());
-    for (auto *gateway : fixture.gateways) {
-        gateway->script = OwnersFixture::decline;
-    }
-    cr_assert_eq(fixture.ask("r1").status, 200);
-    for (const auto *server : fixture.servers) {
-        cr_assert_eq(server->requests.size(), 1, "%s: %zu", server->id.c_str(), server->requests.size());
+    for (const bool otherServes : {true, false}) {
+        OwnersFixture fixture;
+        fixture.ownerLoad.receive(first, "60,0", Core::Duration(0), fixture.timers.now());
+        fixture.ownerLoad.receive(second, "50,0", Core::Duration(0), fixture.timers.now());
+        fixture.gateways[0]->script = [](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+            exchange->respond(TestSupport::errorResponse(request, 503, false));
+        };
+        fixture.gateways[1]->script = fixture.gateways[0]->script;
+        if (otherServes) {
+            fixture.gateways[1]->script = [](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+                Protocol::PartialAnswer part;
+                part.signatures = {"part-b", "part-c"};
+                exchange->respond(TestSupport::partOf(request, part));
+            };
+        }
+        cr_assert_eq(fixture.ask("r1").status, 200);
+        cr_assert_eq(headerOf(fixture.gateways[0]->requests[0].headers), "50,0");
+        cr_assert_eq(headerOf(fixture.gateways[1]->requests[0].headers), "none", "it is the other owner itself");
+        cr_assert_eq(fixture.gateways[1]->requests.size(), otherServes ? 1 : 2);
+        for (std::size_t shard = 1; shard < fixture.servers.size(); ++shard) {
+            cr_assert_eq(fixture.servers[shard]->requests.size(), otherServes ? 0 : 1);
+        }
     }
 }
 
@@ -422,10 +394,11 @@
     const auto addNode = [&](bool measuresLoad) -> TestSupport::NodeUnderTest & {
         return fixture.addNode("here", [&](Gateway::GatewayOptions &options) {
             relayEndpoints.push_back(options.relayEndpoint);
-            options.loopWaited = measuresLoad ? std::function<Core::Duration()>([] {
-                return Core::Duration(0);
-            })
-                                              : nullptr;
+            if (measuresLoad) {
+                options.loopWaited = [] {
+                    return Core::Duration(0);
+                };
+            }
         });
     };
     auto &busy = addNode(true);
