LibGateway: Keep reservations of a takeover that is confirmed

Cause: while a gateway waited, its share was expected to fill from 1 s after the join. A confirmation at 1.7 s moved that, and reservations whose tokens were missing then were dropped, so their callers would return as told and be refused again. Change: the share is expected to fill from 2 s after the join.

--- a/Libraries/LibGateway/Quota/TakeoverWait.cpp
+++ b/Libraries/LibGateway/Quota/TakeoverWait.cpp
@@ -71,7 +71,7 @@
     const auto joined = this->joinedAt.value();
     const bool isSomeoneSilent = this->statement.has_value() && this->statement->oldestContact + SilentAfter < this->statement->statedAt;
     const bool isLate = now >= joined + this->options.expectedTime;
-    return isSomeoneSilent || isLate ? joined + this->options.maximumTime : joined + this->options.propagationTime;
+    return isSomeoneSilent || isLate ? joined + this->options.maximumTime : joined + this->options.expectedTime;
 }
 
 bool TakeoverWait::isMember() const
--- a/Tests/LibGateway/TestTakeoverWait.cpp
+++ b/Tests/LibGateway/TestTakeoverWait.cpp
@@ -153,6 +153,21 @@
     cr_assert_eq(grantsAt(unconfirmed, 18'000), 1, "the initial token");
 }
 
+// Guards against a caller who returns as it was told and finds its reservation dropped, as the share fills later than was expected.
+Test(TakeoverWait, reservationsOfTheWaitAreKeptWhenItIsConfirmed)
+{
+    auto ledger = joinedLedger();
+    for (int caller = 0; caller < 8; ++caller) {
+        const Gateway::QuotaTerms terms{
+            .urgency = {}, .digest = Fleet::RequestDigest(std::to_string(caller)), .timeLeft = Core::seconds(30), .targetLeft = Core::seconds(30)};
+        (void)ledger.admit({.workspace = Fleet::WorkspaceName("w"), .terms = terms, .reservation = Gateway::ReservationMode::Always}, at(10'500));
+    }
+    cr_assert_eq(ledger.outstandingReservations(), 8);
+    ledger.setContactStatement({.oldestContact = at(11'500), .listedSince = at(10'100), .statedAt = at(11'700)}, at(11'900));
+    cr_assert_eq(ledger.outstandingReservations(), 8);
+    cr_assert_eq(ledger.reservationCounters().dropped, 0);
+}
+
 // Guards against a takeover that takes longer than 2 s although all gateways are in contact.
 Test(TakeoverWait, aConfirmedShareGrantsAfterTheHandoverTime)
 {
