--- a/Libraries/LibGateway/Quota/ExhaustedKeepers.h
+++ b/Libraries/LibGateway/Quota/ExhaustedKeepers.h
@@ -5,7 +5,7 @@
 
 // Which quota keepers have nothing left, as a gateway knows it from their replies and from
 // what other gateways pass on. Load pattern: a workspace requests several times its quota,
-// and each of its requests is refused only after three keepers were queried one after the
+// and each of its requests is refused only after its keepers were queried one after the
 // other, which costs the time in which a refusal is still worth something. Pure.
 
 #pragma once
