LibGateway: Move the opening of connections into a class

Cause: BackendPool picked connections, opened them and knew when they are tried out, beside the attempts, choices and evidence. Change: BackendConnector does it, with hooks for the round trips and the counters of the pool. Behaviour is the same.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -21,18 +21,15 @@
 // Sweep period while no attempt is in flight and no request waits for capacity. Sweeps then only close idle connections, and an expired connection is also
 // closed before the next send picks one.
 static constexpr Core::Duration IdleSweepPeriod = Core::milliseconds(250);
-// Round trip between availability zones of one region that is assumed until one has been measured.
-static constexpr Core::Duration AssumedZoneRoundTrip = Core::milliseconds(2);
 
 BackendPool::BackendPool(BackendPoolOptions options, const Dialect &dialect, Core::EventPoll &poll, Core::TimerService &timers)
     : options(std::move(options))
     , dialect(dialect)
-    , poll(poll)
     , timers(timers)
     , choice(this->options.choice)
     , warmupLimiter(this->options.warmup)
     , crashChecks(timers, this->makeCrashCheckHooks())
-    , trialPeriod(timers.now())
+    , connector(this->connectorOptions(), poll, timers, this->makeConnectorHooks())
     , waiters(timers, this->makeCapacityHooks())
 {
     this->sweepEvery(IdleSweepPeriod);
@@ -376,70 +373,31 @@
 
 // ---- Connections
 
-std::optional<Core::Duration> BackendPool::connectLimit(const Backend &backend) const
+BackendConnectorOptions BackendPool::connectorOptions() const
 {
-    if (!this->options.acceptsPromptly) {
-        return std::nullopt;
-    }
-    return std::min(this->options.connectTimeout, Wire::acknowledgementLimit(this->expectedRoundTrip(backend)));
-}
-
-Core::Duration BackendPool::expectedRoundTrip(const Backend &backend) const
-{
-    // The measured round trip of this backend server if there is one, else the shortest one to its service.
-    const auto nearest = this->roundTripTo(backend.service);
-    return backend.roundTrip.value_or(backend.sameRegion ? std::min(nearest, AssumedZoneRoundTrip) : nearest);
-}
-
-std::optional<Core::Duration> BackendPool::trialMargin(bool reuseAvoided) const
-{
-    if (!this->options.trial.has_value()) {
-        return std::nullopt;
-    }
-    const auto &trial = this->options.trial.value();
-    return reuseAvoided ? trial.margin : this->trialPeriod.marginAt(trial, this->timers.now());
+    return {.connectTimeout = this->options.connectTimeout,
+        .acceptsPromptly = this->options.acceptsPromptly,
+        .acknowledgementTimeout = this->options.acknowledgementTimeout,
+        .trial = this->options.trial};
 }
 
-ConnectionPointer BackendPool::openConnection(Backend &backend, bool reuseAvoided)
+BackendConnectorHooks BackendPool::makeConnectorHooks()
 {
-    auto opened = Wire::ClientConnection::create({.endpoint = backend.endpoint,
-                                                     .acknowledgementTimeout = this->options.acknowledgementTimeout,
-                                                     .connectLimit = this->connectLimit(backend),
-                                                     .trialMargin = this->trialMargin(reuseAvoided),
-                                                     .limits = {}},
-        this->poll,
-        this->timers);
-    if (!opened.has_value()) {
-        Core::logEvent(Core::LogLevel::Warning, "backend.connect_failed", {{"backend", backend.name.value()}, {"reason", opened.error().message}});
-        return nullptr;
-    }
-    ++this->counts.connectionsOpened;
-    const auto &connection = opened.value();
-    // NOTE: A backend server is removed from the pool only once it has no connections, so this reference stays valid as long as the connection exists.
-    connection->closed = [this, &backend, raw = connection.get()] {
-        this->connectionClosed(backend, raw);
+    BackendConnectorHooks hooks;
+    hooks.nearestRoundTrip = [this](const Core::ServiceName &service) {
+        return this->roundTripTo(service);
     };
-    backend.connections.add(connection);
-    this->swept.insert(&backend);
-    return connection;
-}
-
-ConnectionPointer BackendPool::connectionFor(Backend &backend, const ReplyKey &key)
-{
-    // NOTE: Expired connections are closed before one is picked: closing one notifies requests that wait for capacity, which may then use one of the remaining
-    // connections.
-    closeIdle(backend.connections.expired(this->timers.now()));
-    if (auto idle = backend.connections.idleFor(key)) {
-        return idle;
-    }
-    const bool reuseAvoided = backend.connections.hasIdle();
-    if (reuseAvoided) {
+    hooks.opened = [this](Backend &backend) {
+        ++this->counts.connectionsOpened;
+        this->swept.insert(&backend);
+    };
+    hooks.closed = [this](Backend &backend, const Wire::ClientConnection *connection) {
+        this->connectionClosed(backend, connection);
+    };
+    hooks.keptApart = [this] {
         ++this->counts.reuseAvoided;
-        Core::logEvent(Core::LogLevel::Information,
-            "connection.kept_apart",
-            {{"request", key.value()}, {"backend", backend.name.value()}, {"connections", backend.connections.size()}});
-    }
-    return this->openConnection(backend, reuseAvoided);
+    };
+    return hooks;
 }
 
 void BackendPool::connectionClosed(Backend &backend, const Wire::ClientConnection *connection)
@@ -482,7 +440,7 @@
     }
     const BackendRequest request{.caller = attemptOptions.caller, .backend = backend.name, .timeLeft = attemptOptions.timeLeft, .number = id};
     const auto key = this->dialect.replyKey(request);
-    attempt.connection = eligible ? this->connectionFor(backend, key) : nullptr;
+    attempt.connection = eligible ? this->connector.connectionFor(backend, key) : nullptr;
     if (!attempt.connection) {
         // Reports the outcome from the event loop at the next sweep, as all outcomes are reported from the loop.
         attempt.cancelAt = attempt.startedAt;
@@ -576,7 +534,7 @@
     case Wire::ClientEnd::Broken:
         outcome.end = AttemptEnd::Broken;
         if (attempt.connection->answered() == 0) {
-            this->trialPeriod.recordReset(this->timers.now());
+            this->connector.recordReset();
         }
         logBroken(attempt, outcome.reason, this->timers.now());
         break;
@@ -604,10 +562,10 @@
 {
     CrashCheckHooks hooks;
     hooks.openConnection = [this](Backend &backend) {
-        return this->openConnection(backend, false);
+        return this->connector.open(backend, false);
     };
     hooks.expectedRoundTrip = [this](const Backend &backend) {
-        return this->expectedRoundTrip(backend);
+        return this->connector.expectedRoundTrip(backend);
     };
     hooks.serverEnded = [this] {
         ++this->counts.crashes;
@@ -765,7 +723,7 @@
 void BackendPool::recordRejection(Backend &backend)
 {
     ++this->counts.connectionRejected;
-    this->trialPeriod.recordReset(this->timers.now());
+    this->connector.recordReset();
     backend.connectionRejected.recordRejection(this->options.connectionRejected, this->timers.now());
 }
 
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -13,6 +13,7 @@
 #include <LibCore/TimerService.h>
 #include <LibFleet/Declaration.h>
 #include <LibGateway/BackendChoice.h>
+#include <LibGateway/BackendConnector.h>
 #include <LibGateway/CrashChecks.h>
 #include <LibGateway/RetryBudget.h>
 #include <LibGateway/Scheduling/CapacityQueues.h>
@@ -269,15 +270,8 @@
     /** Treats the backend server as warming up, since it may have restarted or become reachable again without a heartbeat that reports the warm-up. */
     void assumeWarmingUp(Backend &backend);
     void retire(std::unique_ptr<Backend> former);
-    /** Returns an idle connection that has not sent this key, or else a new one; nullptr when the connection failed. */
-    [[nodiscard]] ConnectionPointer connectionFor(Backend &backend, const ReplyKey &key);
-    /** `reuseAvoided`: idle connections exist but have sent the key, so the backend server may be at its cap and the new connection is tried out. */
-    [[nodiscard]] ConnectionPointer openConnection(Backend &backend, bool reuseAvoided);
-    [[nodiscard]] std::optional<Core::Duration> trialMargin(bool reuseAvoided) const;
-    /** Returns how long establishing a new connection may take; nothing when only connectTimeout bounds it. */
-    [[nodiscard]] std::optional<Core::Duration> connectLimit(const Backend &backend) const;
-    /** Returns the round trip to a backend server, as measured or, until then, as assumed. */
-    [[nodiscard]] Core::Duration expectedRoundTrip(const Backend &backend) const;
+    [[nodiscard]] BackendConnectorOptions connectorOptions() const;
+    [[nodiscard]] BackendConnectorHooks makeConnectorHooks();
     void connectionClosed(Backend &backend, const Wire::ClientConnection *connection);
     /** Whether a response from `backend` answers the send with the key `expected`. */
     [[nodiscard]] bool isAnswerTo(const ReplyKey &expected, const BackendName &backend, const Wire::Response &response);
@@ -305,7 +299,6 @@
 
     BackendPoolOptions options;
     const Dialect &dialect;
-    Core::EventPoll &poll;
     Core::TimerService &timers;
     BackendChoice choice;
     WarmupLimiter warmupLimiter;
@@ -323,7 +316,7 @@
     std::set<std::string> evacuatedZones;
     std::unordered_map<AttemptId, Attempt> attempts;
     CrashChecks crashChecks;
-    TrialPeriod trialPeriod;
+    BackendConnector connector;
     AttemptId nextAttempt{1};
     CapacityQueues waiters;
     Core::Duration sweepPeriod{0};
