--- a/Tests/LibGateway/TestRegionRate.cpp
+++ b/Tests/LibGateway/TestRegionRate.cpp
@@ -154,12 +154,17 @@
             fixture.addBackend(shard, std::string("server-") + shard, zone);
         }
         const auto &asked = fixture.addNode("here");
-        const auto &serving = fixture.addNode(zone);
+        const auto &serving = fixture.addNode(zone, [](Gateway::GatewayOptions &options) {
+            options.loopWaited = [] {
+                return Core::Duration(0);
+            };
+        });
         cr_assert(fixture.awaitReady());
         for (int search = 0; search < 20 && serving.relayed.empty(); ++search) {
             cr_assert_eq(fixture.ask(asked, "/search/1", {{Header, "9000000"}}).status, 200);
         }
         cr_assert_not(serving.relayed.empty());
+        cr_assert(asked.node.metrics().find("crankrudder_owner_reports_total 0") == std::string::npos, "the load of the serving gateway is taken in");
         const auto *told = Wire::findHeader(serving.relayed.front().headers, Header);
         cr_assert_eq(told != nullptr && Gateway::parseRate(*told).value() < 100.0, std::string(zone) == "beside", "%s", zone);
         for (const auto &backend : fixture.backends) {
