--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <numeric>
 
 namespace Gateway
 {
@@ -22,16 +23,18 @@
 static constexpr Core::Duration IdleSweepPeriod = Core::milliseconds(250);
 // Round trip between availability zones of one region that is assumed until one has been measured.
 static constexpr Core::Duration AssumedZoneRoundTrip = Core::milliseconds(2);
+// Shortest typical latency against which speed is judged; the event loop's own delays are of this order.
+static constexpr Core::Duration ShortestTypicalLatency = Core::milliseconds(1);
 
 BackendPool::BackendPool(BackendPoolOptions options, const Dialect &dialect, Core::EventPoll &poll, Core::TimerService &timers)
     : options(std::move(options))
     , dialect(dialect)
-    , poll(poll)
     , timers(timers)
     , choice(this->options.choice)
     , warmupLimiter(this->options.warmup)
     , crashChecks(timers, this->makeCrashCheckHooks())
-    , trialPeriod(timers.now())
+    , connector(this->connectorOptions(), poll, timers, this->makeConnectorHooks())
+    , waiters(timers, this->makeCapacityHooks())
 {
     this->sweepEvery(IdleSweepPeriod);
 }
@@ -99,7 +102,7 @@
     row.zones.insert(backend->zone);
     backend->serviceAcceptance = row.acceptance;
     this->backends[announcement.id] = std::move(backend);
-    this->offerCapacity(service);
+    this->waiters.offer(service);
 }
 
 void BackendPool::markGone(Backend &backend)
@@ -287,10 +290,17 @@
     return backend.connections.hasIdleFor(this->dialect.replyKey({.caller = request, .backend = backend.name, .number = this->nextAttempt}));
 }
 
-bool BackendPool::hasAnyCapacity(const Service &service) const
+bool BackendPool::hasAnyCapacity(const Service &service, const Fleet::AllowedRegions &allowedRegions) const
 {
-    return std::any_of(service.backends.begin(), service.backends.end(), [this, &service](const Backend *backend) {
-        return this->hasCapacity(*backend, service);
+    return std::any_of(service.backends.begin(), service.backends.end(), [&](const Backend *backend) {
+        return this->isEligible(*backend, allowedRegions) && this->hasCapacity(*backend, service);
+    });
+}
+
+std::size_t BackendPool::connectionLimitOfAll(const Service &service) const
+{
+    return std::accumulate(service.backends.begin(), service.backends.end(), std::size_t(0), [&](std::size_t sum, const Backend *backend) {
+        return sum + this->connectionLimit(*backend, service);
     });
 }
 
@@ -367,70 +377,31 @@
 
 // ---- Connections
 
-std::optional<Core::Duration> BackendPool::connectLimit(const Backend &backend) const
-{
-    if (!this->options.acceptsPromptly) {
-        return std::nullopt;
-    }
-    return std::min(this->options.connectTimeout, Wire::acknowledgementLimit(this->expectedRoundTrip(backend)));
-}
-
-Core::Duration BackendPool::expectedRoundTrip(const Backend &backend) const
-{
-    // The measured round trip of this backend server if there is one, else the shortest one to its service.
-    const auto nearest = this->roundTripTo(backend.service);
-    return backend.roundTrip.value_or(backend.sameRegion ? std::min(nearest, AssumedZoneRoundTrip) : nearest);
-}
-
-std::optional<Core::Duration> BackendPool::trialMargin(bool reuseAvoided) const
+BackendConnectorOptions BackendPool::connectorOptions() const
 {
-    if (!this->options.trial.has_value()) {
-        return std::nullopt;
-    }
-    const auto &trial = this->options.trial.value();
-    return reuseAvoided ? trial.margin : this->trialPeriod.marginAt(trial, this->timers.now());
+    return {.connectTimeout = this->options.connectTimeout,
+        .acceptsPromptly = this->options.acceptsPromptly,
+        .acknowledgementTimeout = this->options.acknowledgementTimeout,
+        .trial = this->options.trial};
 }
 
-ConnectionPointer BackendPool::openConnection(Backend &backend, bool reuseAvoided)
+BackendConnectorHooks BackendPool::makeConnectorHooks()
 {
-    auto opened = Wire::ClientConnection::create({.endpoint = backend.endpoint,
-                                                     .acknowledgementTimeout = this->options.acknowledgementTimeout,
-                                                     .connectLimit = this->connectLimit(backend),
-                                                     .trialMargin = this->trialMargin(reuseAvoided),
-                                                     .limits = {}},
-        this->poll,
-        this->timers);
-    if (!opened.has_value()) {
-        Core::logEvent(Core::LogLevel::Warning, "backend.connect_failed", {{"backend", backend.name.value()}, {"reason", opened.error().message}});
-        return nullptr;
-    }
-    ++this->counts.connectionsOpened;
-    const auto &connection = opened.value();
-    // NOTE: A backend server is removed from the pool only once it has no connections, so this reference stays valid as long as the connection exists.
-    connection->closed = [this, &backend, raw = connection.get()] {
-        this->connectionClosed(backend, raw);
+    BackendConnectorHooks hooks;
+    hooks.nearestRoundTrip = [this](const Core::ServiceName &service) {
+        return this->roundTripTo(service);
     };
-    backend.connections.add(connection);
-    this->swept.insert(&backend);
-    return connection;
-}
-
-ConnectionPointer BackendPool::connectionFor(Backend &backend, const ReplyKey &key)
-{
-    // NOTE: Expired connections are closed before one is picked: closing one notifies requests that wait for capacity, which may then use one of the remaining
-    // connections.
-    closeIdle(backend.connections.expired(this->timers.now()));
-    if (auto idle = backend.connections.idleFor(key)) {
-        return idle;
-    }
-    const bool reuseAvoided = backend.connections.hasIdle();
-    if (reuseAvoided) {
+    hooks.opened = [this](Backend &backend) {
+        ++this->counts.connectionsOpened;
+        this->swept.insert(&backend);
+    };
+    hooks.closed = [this](Backend &backend, const Wire::ClientConnection *connection) {
+        this->connectionClosed(backend, connection);
+    };
+    hooks.keptApart = [this] {
         ++this->counts.reuseAvoided;
-        Core::logEvent(Core::LogLevel::Information,
-            "connection.kept_apart",
-            {{"request", key.value()}, {"backend", backend.name.value()}, {"connections", backend.connections.size()}});
-    }
-    return this->openConnection(backend, reuseAvoided);
+    };
+    return hooks;
 }
 
 void BackendPool::connectionClosed(Backend &backend, const Wire::ClientConnection *connection)
@@ -441,7 +412,7 @@
         this->crashChecks.recordEndedConnection(backend);
     }
     backend.connections.remove(connection);
-    this->offerCapacity(service);
+    this->waiters.offer(service);
 }
 
 bool BackendPool::hasServersEnding() const
@@ -465,6 +436,7 @@
     attempt.trace = attemptOptions.caller->trace;
     attempt.startedAt = this->timers.now();
     attempt.typicalLatency = attemptOptions.typicalLatency;
+    attempt.queueing = backend.health.queueing(backend.inFlight.size(), backend.slots, attempt.startedAt);
     attempt.done = std::move(attemptOptions.done);
     backend.inFlight.push_back(&attempt);
     const bool eligible = this->isEligible(backend, attemptOptions.allowedRegions);
@@ -473,7 +445,7 @@
     }
     const BackendRequest request{.caller = attemptOptions.caller, .backend = backend.name, .timeLeft = attemptOptions.timeLeft, .number = id};
     const auto key = this->dialect.replyKey(request);
-    attempt.connection = eligible ? this->connectionFor(backend, key) : nullptr;
+    attempt.connection = eligible ? this->connector.connectionFor(backend, key) : nullptr;
     if (!attempt.connection) {
         // Reports the outcome from the event loop at the next sweep, as all outcomes are reported from the loop.
         attempt.cancelAt = attempt.startedAt;
@@ -559,6 +531,9 @@
         if (this->options.recordsCrashes) {
             recordAnswer(attempt, outcome.reply, this->requestAnswered);
         }
+        if (this->replied) {
+            this->replied(*attempt.backend, outcome.reply, this->timers.now() - attempt.startedAt);
+        }
         break;
     case Wire::ClientEnd::NotSent:
     case Wire::ClientEnd::ConnectionRejected:
@@ -567,7 +542,7 @@
     case Wire::ClientEnd::Broken:
         outcome.end = AttemptEnd::Broken;
         if (attempt.connection->answered() == 0) {
-            this->trialPeriod.recordReset(this->timers.now());
+            this->connector.recordReset();
         }
         logBroken(attempt, outcome.reason, this->timers.now());
         break;
@@ -586,7 +561,7 @@
     if (attempt.done) {
         attempt.done(outcome);
     }
-    this->offerCapacity(service);
+    this->waiters.offer(service);
 }
 
 // ---- Crashes
@@ -595,10 +570,10 @@
 {
     CrashCheckHooks hooks;
     hooks.openConnection = [this](Backend &backend) {
-        return this->openConnection(backend, false);
+        return this->connector.open(backend, false);
     };
     hooks.expectedRoundTrip = [this](const Backend &backend) {
-        return this->expectedRoundTrip(backend);
+        return this->connector.expectedRoundTrip(backend);
     };
     hooks.serverEnded = [this] {
         ++this->counts.crashes;
@@ -645,6 +620,7 @@
         return;
     }
     const auto &reply = outcome.reply;
+    this->recordPauseEnd(backend, attempt);
     backend.health.recordReply(reply.load, now);
     backend.connectionRejected.recordReply();
     if (attempt.connection->connectTime() > Core::Duration(0)) {
@@ -657,6 +633,9 @@
         this->markGone(backend);
         return;
     }
+    if (attempt.isMessage) {
+        return;
+    }
     if (reply.notExecuted) {
         ++this->counts.notExecuted;
         this->recordAcceptance(backend, false);
@@ -667,9 +646,54 @@
         this->recordFailure(backend, "status " + std::to_string(reply.message.status));
         return;
     }
-    const double usual = std::max(1.0, Core::toFractionalMilliseconds(attempt.typicalLatency));
+    this->recordSpeed(backend, attempt);
+}
+
+void BackendPool::recordSpeed(Backend &backend, const Attempt &attempt)
+{
+    const auto now = this->timers.now();
+    const auto usual = std::max(ShortestTypicalLatency, attempt.typicalLatency);
     const auto way = backend.sameRegion ? Core::Duration(0) : backend.roundTrip.value_or(Core::Duration(0));
-    backend.health.recordAnswer(Core::toFractionalMilliseconds(now - attempt.startedAt - way) / usual, now);
+    const double ratio = Core::toFractionalMilliseconds(now - attempt.startedAt - way) / Core::toFractionalMilliseconds(usual);
+    backend.health.recordAnswer({.ratio = ratio, .typical = usual, .sentAt = attempt.startedAt, .queueing = attempt.queueing}, now);
+    this->evidenceUntil = std::max(this->evidenceUntil, backend.health.reportableUntil());
+    this->takeSpeedChange(backend);
+}
+
+void BackendPool::takeSpeedChange(Backend &backend)
+{
+    const auto change = backend.health.takeSpeedChange(this->timers.now());
+    if (!change.has_value()) {
+        return;
+    }
+    if (const auto omitted = this->speedLines.take(this->timers.now()); omitted.has_value()) {
+        logSpeedChange(backend, change.value(), omitted.value());
+    }
+}
+
+void BackendPool::recordPauseEnd(const Backend &backend, const Attempt &attempt)
+{
+    const auto now = this->timers.now();
+    if (!BackendChoice::isStuck(backend, now)) {
+        return;
+    }
+    ++this->counts.pauses;
+    const auto silence = now - std::max(attempt.startedAt, backend.health.lastReply());
+    const double factor = Core::toFractionalMilliseconds(silence) / Core::toFractionalMilliseconds(std::max(ShortestTypicalLatency, attempt.typicalLatency));
+    if (const auto omitted = this->pauseLines.take(now); omitted.has_value()) {
+        logSpeedChange(backend, {.kind = SpeedChangeKind::Pause, .factor = factor, .samples = 1, .age = silence}, omitted.value());
+    }
+}
+
+SpeedCounts BackendPool::speedCounts() const
+{
+    const auto now = this->timers.now();
+    SpeedCounts result;
+    for (const auto &[name, backend] : this->backends) {
+        result.slow += backend->health.isSlow(now) ? 1 : 0;
+        result.paused += BackendChoice::isStuck(*backend, now) ? 1 : 0;
+    }
+    return result;
 }
 
 void BackendPool::recordAcceptance(Backend &backend, bool accepted)
@@ -677,7 +701,7 @@
     const auto now = this->timers.now();
     accepted ? backend.health.recordAccepted(now) : backend.health.recordRefusal(now);
     backend.serviceAcceptance->record(accepted, now);
-    this->evidenceUntil = std::max(this->evidenceUntil, backend.health.sharedAcceptance().reportableUntil());
+    this->evidenceUntil = std::max(this->evidenceUntil, backend.health.reportableUntil());
     this->takeAcceptanceChange(backend);
 }
 
@@ -710,7 +734,7 @@
             continue;
         }
         for (const auto *backend : row->second.backends) {
-            const auto report = backend->health.sharedAcceptance().reportFor(scope, now);
+            const auto report = backend->health.reportFor(scope, now);
             if (report.has_value()) {
                 entries.push_back({.server = backend->name.value(), .report = report.value()});
             }
@@ -728,14 +752,15 @@
     EvidenceReceipt receipt{.source = source, .ignored = decoded.ignored};
     for (const auto &[server, report] : decoded.entries) {
         const auto found = this->backends.find(server);
-        if (found == this->backends.end() || !found->second->health.sharedAcceptance().receive(report, now)) {
+        if (found == this->backends.end() || !found->second->health.receiveReport(report, now)) {
             ++receipt.ignored;
             continue;
         }
         ++receipt.kept;
         receipt.oldest = std::max(receipt.oldest, now - report.observedAt);
-        this->evidenceUntil = std::max(this->evidenceUntil, found->second->health.sharedAcceptance().reportableUntil());
+        this->evidenceUntil = std::max(this->evidenceUntil, found->second->health.reportableUntil());
         this->takeAcceptanceChange(*found->second);
+        this->takeSpeedChange(*found->second);
     }
     this->evidence.received += decoded.entries.size() + decoded.ignored;
     this->evidence.ignored += receipt.ignored;
@@ -753,7 +778,7 @@
 void BackendPool::recordRejection(Backend &backend)
 {
     ++this->counts.connectionRejected;
-    this->trialPeriod.recordReset(this->timers.now());
+    this->connector.recordReset();
     backend.connectionRejected.recordRejection(this->options.connectionRejected, this->timers.now());
 }
 
@@ -783,12 +808,25 @@
     if (attempt.connection && attempt.connection->withdraw()) {
         const auto service = attempt.backend->service;
         (void)this->extractAttempt(id);
-        this->offerCapacity(service);
+        this->waiters.offer(service);
         return;
     }
     attempt.cancelAt = this->timers.now() + (callerGone ? this->options.cancelTimeout : this->options.abandonTimeout);
 }
 
+void BackendPool::sendMessage(const BackendName &gateway, const CallerRequest &message)
+{
+    const auto found = this->backends.find(gateway.value());
+    if (found == this->backends.end() || !this->isEligible(*found->second, {}) || !this->hasCapacity(*found->second, this->serviceOf(found->second->service))) {
+        return;
+    }
+    ++this->counts.messages;
+    const auto id = this->send(*found->second, {.caller = &message, .timeLeft = this->options.cancelTimeout});
+    auto &attempt = this->attempts.at(id);
+    attempt.isMessage = true;
+    attempt.cancelAt = this->timers.now() + this->options.cancelTimeout;
+}
+
 bool BackendPool::mayHaveBeenSent(AttemptId id) const
 {
     const auto found = this->attempts.find(id);
@@ -797,61 +835,52 @@
 
 // ---- Capacity
 
+CapacityHooks BackendPool::makeCapacityHooks()
+{
+    CapacityHooks hooks;
+    hooks.hasCapacity = [this](const Core::ServiceName &service, const Fleet::AllowedRegions &regions) {
+        return this->hasAnyCapacity(this->serviceOf(service), regions);
+    };
+    hooks.limitOf = [this](const Core::ServiceName &service) {
+        return this->connectionLimitOfAll(this->serviceOf(service));
+    };
+    return hooks;
+}
+
 WaiterNumber BackendPool::waitForCapacity(const Core::ServiceName &service, CapacityWaiter waiter)
 {
-    this->awaitedServices.insert(service);
     this->sweepEvery(SweepPeriod);
-    return this->serviceOf(service).waiters.add(std::move(waiter), this->timers.now());
+    return this->waiters.add(service, std::move(waiter));
 }
 
 void BackendPool::stopWaiting(const Core::ServiceName &service, WaiterNumber number)
 {
-    const auto now = this->timers.now();
-    if (const auto wait = this->serviceOf(service).waiters.remove(number, now); wait.has_value()) {
-        this->waits.record(service, wait.value(), now);
-    }
+    this->waiters.remove(service, number);
 }
 
-void BackendPool::offerCapacity(const Core::ServiceName &service)
+bool BackendPool::hasWaiting(const Core::ServiceName &service) const
 {
-    const auto now = this->timers.now();
-    auto &row = this->serviceOf(service);
-    const auto sent = row.waiters.offer(now, [this, &row] {
-        return this->hasAnyCapacity(row);
-    });
-    if (sent.has_value()) {
-        this->waits.record(service, sent.value(), now);
-    }
+    return this->waiters.isAwaited(service);
+}
+
+void BackendPool::offerCapacityToNew(const Core::ServiceName &service, WaiterNumber number)
+{
+    ++this->counts.joinedWaiting;
+    this->waiters.offerToNew(service, number);
 }
 
 std::map<Urgency, std::size_t> BackendPool::waitingByUrgency() const
 {
-    std::map<Urgency, std::size_t> counts;
-    for (const auto &service : this->awaitedServices) {
-        this->services.at(service).waiters.countByUrgency(counts);
-    }
-    return counts;
+    return this->waiters.waitingByUrgency();
 }
 
 const CapacityWaits &BackendPool::capacityWaits() const
 {
-    return this->waits;
+    return this->waiters.waits();
 }
 
 // ---- Sweeps
 
-// Capacity can become free by time alone: a warm-up limit or a rejection backoff elapses.
-void BackendPool::offerCapacityToWaiters()
-{
-    std::erase_if(this->awaitedServices, [this](const Core::ServiceName &name) {
-        return this->serviceOf(name).waiters.isEmpty();
-    });
-    const auto awaited = this->awaitedServices;
-    for (const auto &name : awaited) {
-        this->offerCapacity(name);
-    }
-}
-
 void BackendPool::sweep()
 {
     const auto now = this->timers.now();
@@ -859,8 +888,9 @@
     this->warmupLimiter.removeExpired(now);
     this->crashChecks.removeExpired(now);
     this->closeIdleConnections(now);
-    this->offerCapacityToWaiters();
-    if (this->attempts.empty() && this->awaitedServices.empty()) {
+    // Capacity can become free by time alone: a warm-up limit or a rejection backoff elapses.
+    this->waiters.offerAtAll();
+    if (this->attempts.empty() && this->waiters.isEmpty()) {
         this->sweepEvery(IdleSweepPeriod);
     }
 }
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -13,9 +13,10 @@
 #include <LibCore/TimerService.h>
 #include <LibFleet/Declaration.h>
 #include <LibGateway/BackendChoice.h>
+#include <LibGateway/BackendConnector.h>
 #include <LibGateway/CrashChecks.h>
 #include <LibGateway/RetryBudget.h>
-#include <LibGateway/Scheduling/CapacityWaits.h>
+#include <LibGateway/Scheduling/CapacityQueues.h>
 #include <LibGateway/Scheduling/DeniedRepeatLog.h>
 #include <LibGateway/Scheduling/LogLimit.h>
 #include <LibGateway/WarmupLimiter.h>
@@ -116,8 +117,20 @@
     std::uint64_t crashes{0};
     /** Repeats that the retry budgets of the services granted and denied. */
     RepeatCounters repeats;
+    /** Answers that arrived after a pause of their backend server. */
+    std::uint64_t pauses{0};
     /** Backend servers that sweeps visited, which is what an idle gateway spends its time on. */
     std::uint64_t swept{0};
+    /** New requests that joined those waiting for capacity, instead of looking for some themselves. */
+    std::uint64_t joinedWaiting{0};
+    /** Messages to gateways; see sendMessage(). Included in `attempts`. */
+    std::uint64_t messages{0};
+};
+
+/** Numbers of backend servers for metrics. */
+struct SpeedCounts {
+    std::size_t slow{0};
+    std::size_t paused{0};
 };
 
 /** Table of backend servers and of the attempts in flight. */
@@ -156,11 +169,18 @@
     /** Gives up the outcome of an attempt, which is cancelled after abandonTimeout, or after the shorter cancelTimeout when `callerGone`. */
     void abandon(AttemptId id, bool callerGone);
 
+    /** Sends a message to a gateway over a connection that is free, or not at all. The answer is ignored. */
+    void sendMessage(const BackendName &gateway, const CallerRequest &message);
+
     /** Whether the request may have been sent: its attempt has ended, or its connection is established. */
     [[nodiscard]] bool mayHaveBeenSent(AttemptId id) const;
 
+    /** Whether requests wait for capacity at the service. A new request then joins them, so that it doesn't pass those that come before it. */
+    [[nodiscard]] bool hasWaiting(const Core::ServiceName &service) const;
     /** Offers the waiter capacity when some may be free, in the order of CapacityQueue, until it has used it. Returns a number for stopWaiting(). */
     WaiterNumber waitForCapacity(const Core::ServiceName &service, CapacityWaiter waiter);
+    /** Offers free capacity to those that wait and, as one of them, to a request that has just joined them. */
+    void offerCapacityToNew(const Core::ServiceName &service, WaiterNumber number);
     /** Ends a wait. Does nothing if it has ended. */
     void stopWaiting(const Core::ServiceName &service, WaiterNumber number);
     /** Returns how many requests wait for capacity at all services, by urgency. */
@@ -186,9 +206,9 @@
         const Core::ServiceName &service, Core::Duration typicalLatency, const Fleet::AllowedRegions &allowedRegions) const;
     /** Whether one of the zones that goodZonesOf() returns is in this region. */
     [[nodiscard]] bool isGoodInRegion(const Core::ServiceName &service, Core::Duration typicalLatency, const Fleet::AllowedRegions &allowedRegions) const;
-    /** Records the latency of a part that another gateway sent to a service in a zone; `ratio` as in BackendHealth::recordAnswer(). */
+    /** Records the latency of a part that another gateway sent to a service in a zone; `ratio` as in BackendHealth::recordRemoteAnswer(). */
     void recordPartLatency(const Core::ServiceName &service, const std::string &zone, double ratio);
-    /** Whether there may be anything to tell to other gateways; never while no backend server refuses. */
+    /** Whether there may be anything to tell to other gateways; never while no backend server refuses or is slow. */
     [[nodiscard]] bool hasEvidence() const;
     /** Returns the header with what this gateway tells another one of the servers of these services; see SharedEvidence.h. Empty if there is nothing to tell.
      */
@@ -202,6 +222,8 @@
     /** Returns the shortest measured round trip to a backend server of the service, at most the round trip that is assumed until one has been measured. */
     [[nodiscard]] Core::Duration roundTripTo(const Core::ServiceName &service) const;
     [[nodiscard]] const PoolCounters &counters() const;
+    /** Returns how many backend servers are known to be slow, and how many look paused: requests in flight show no sign of life. */
+    [[nodiscard]] SpeedCounts speedCounts() const;
     [[nodiscard]] std::size_t connectionCount() const;
     [[nodiscard]] std::size_t backendCount() const;
 
@@ -212,6 +234,8 @@
     std::function<void(const RequestTrace &trace, const Backend &backend, Core::Instant crashedAt)> requestCrashed;
     /** Called when a backend server has answered a request that it ran. */
     std::function<void(const RequestTrace &trace)> requestAnswered;
+    /** Called with each reply, and the time since its request was sent. Not used for backend servers. */
+    std::function<void(const Backend &backend, const BackendReply &reply, Core::Duration took)> replied;
 
     /**
      * Returns this gateway's share of the slack in a service's retry budget, from 0 to 1. `zones` are those that have or had its backend servers. Without a
@@ -227,7 +251,6 @@
 private:
     struct Service {
         std::vector<Backend *> backends;
-        CapacityQueue waiters;
         // 0 when the service is not declared.
         int connectionCap{0};
         // Warm-up parameters from the declaration.
@@ -245,8 +268,10 @@
     [[nodiscard]] std::size_t connectionLimit(const Backend &backend, const Service &service) const;
     /** Whether one more request can be sent now; `request` as in SelectionCriteria. */
     [[nodiscard]] bool hasCapacity(const Backend &backend, const Service &service, const CallerRequest *request = nullptr) const;
-    /** Whether any backend server of the service could get some request now. */
-    [[nodiscard]] bool hasAnyCapacity(const Service &service) const;
+    /** Whether any backend server of the service could get some request with these allowed regions now. */
+    [[nodiscard]] bool hasAnyCapacity(const Service &service, const Fleet::AllowedRegions &allowedRegions) const;
+    /** Returns how many requests all backend servers of the service can take if none is in flight. */
+    [[nodiscard]] std::size_t connectionLimitOfAll(const Service &service) const;
     /**
      * Whether the backend server may get requests at all: it is ready, its zone is not evacuated, and its region is allowed. This is the only place that
      * decides it; send() checks it again, so that no path can bypass it.
@@ -257,15 +282,8 @@
     /** Treats the backend server as warming up, since it may have restarted or become reachable again without a heartbeat that reports the warm-up. */
     void assumeWarmingUp(Backend &backend);
     void retire(std::unique_ptr<Backend> former);
-    /** Returns an idle connection that has not sent this key, or else a new one; nullptr when the connection failed. */
-    [[nodiscard]] ConnectionPointer connectionFor(Backend &backend, const ReplyKey &key);
-    /** `reuseAvoided`: idle connections exist but have sent the key, so the backend server may be at its cap and the new connection is tried out. */
-    [[nodiscard]] ConnectionPointer openConnection(Backend &backend, bool reuseAvoided);
-    [[nodiscard]] std::optional<Core::Duration> trialMargin(bool reuseAvoided) const;
-    /** Returns how long establishing a new connection may take; nothing when only connectTimeout bounds it. */
-    [[nodiscard]] std::optional<Core::Duration> connectLimit(const Backend &backend) const;
-    /** Returns the round trip to a backend server, as measured or, until then, as assumed. */
-    [[nodiscard]] Core::Duration expectedRoundTrip(const Backend &backend) const;
+    [[nodiscard]] BackendConnectorOptions connectorOptions() const;
+    [[nodiscard]] BackendConnectorHooks makeConnectorHooks();
     void connectionClosed(Backend &backend, const Wire::ClientConnection *connection);
     /** Whether a response from `backend` answers the send with the key `expected`. */
     [[nodiscard]] bool isAnswerTo(const ReplyKey &expected, const BackendName &backend, const Wire::Response &response);
@@ -280,12 +298,17 @@
     void recordAcceptance(Backend &backend, bool accepted);
     /** Logs a change of the acceptance once. */
     void takeAcceptanceChange(Backend &backend);
+    /** Records the speed of a backend server that sent a successful answer. */
+    void recordSpeed(Backend &backend, const Attempt &attempt);
+    /** Logs a change of the speed once. */
+    void takeSpeedChange(Backend &backend);
+    /** Logs and counts the end of a pause; called before the reply is recorded. */
+    void recordPauseEnd(const Backend &backend, const Attempt &attempt);
     void recordRejection(Backend &backend);
     void recordFailure(Backend &backend, const std::string &reason);
     void recordUnresponsive(Backend &backend, const std::string &reason);
     void remove(Backend &backend);
-    void offerCapacity(const Core::ServiceName &service);
-    void offerCapacityToWaiters();
+    [[nodiscard]] CapacityHooks makeCapacityHooks();
     void sweep();
     void sweepEvery(Core::Duration period);
     void cancelOverdue(Core::Instant now);
@@ -294,7 +317,6 @@
 
     BackendPoolOptions options;
     const Dialect &dialect;
-    Core::EventPoll &poll;
     Core::TimerService &timers;
     BackendChoice choice;
     WarmupLimiter warmupLimiter;
@@ -312,16 +334,16 @@
     std::set<std::string> evacuatedZones;
     std::unordered_map<AttemptId, Attempt> attempts;
     CrashChecks crashChecks;
-    TrialPeriod trialPeriod;
+    BackendConnector connector;
     AttemptId nextAttempt{1};
-    CapacityWaits waits;
-    // Invariant: includes every service that has waiters.
-    std::set<Core::ServiceName> awaitedServices;
+    CapacityQueues waiters;
     Core::Duration sweepPeriod{0};
     Core::TimerSubscription sweepTimer;
     PoolCounters counts;
     DeniedRepeatLog deniedRepeats;
     LogLimit acceptanceLines{AcceptanceLinesPerSecond};
+    LogLimit speedLines{SpeedLinesPerSecond};
+    LogLimit pauseLines{PauseLinesPerSecond};
     // Invariant: no server has anything to tell to other gateways after this time.
     Core::Instant evidenceUntil;
     EvidenceCounters evidence;
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -38,6 +38,8 @@
     addCounter(page, "crankrudder_hedges_total", "Second sends for late ones.", counts.hedges);
     addCounter(page, "crankrudder_parts_given_total", "Parts of searches that other gateways were asked for.", counts.relayed);
     addCounter(page, "crankrudder_parts_taken_total", "Parts of searches that other gateways asked for.", counts.partsReceived);
+    addCounter(page, "crankrudder_parts_cancelled_total", "Parts that ended because the gateways that asked for them cancelled them.", counts.partsCancelled);
+    addCounter(page, "crankrudder_parts_declined_busy_total", "Of these, declined because another owner is less busy.", counts.partsDeclined);
 }
 
 static void addCapacityMetrics(Metrics::MetricsPage &page, const BackendPool &servers)
@@ -51,6 +53,9 @@
     static constexpr auto *Help = "Time that sends waited for free capacity, until they were sent or left.";
     page.histogram("crankrudder_capacity_wait_seconds", Help, servers.capacityWaits().sent(), {{"outcome", "sent"}});
     page.histogram("crankrudder_capacity_wait_seconds", Help, servers.capacityWaits().left(), {{"outcome", "left"}});
+    addCounter(page, "crankrudder_capacity_late_total", "Waits for capacity that ended too late for the target.", servers.capacityWaits().late());
+    addCounter(page, "crankrudder_capacity_newest_first_total", "Waits for capacity that ended under overload.", servers.capacityWaits().overloaded());
+    addCounter(page, "crankrudder_capacity_joined_total", "New sends that joined waiting ones.", servers.counters().joinedWaiting);
 }
 
 static void addRepeatMetrics(Metrics::MetricsPage &page, const RepeatCounters &repeats)
@@ -87,6 +92,10 @@
         "crankrudder_choices_changed_by_evidence_total",
         "Choices of a backend server that would have been different without evidence from other gateways.",
         evidence.changedChoices);
+    addCounter(page, "crankrudder_backend_pauses_total", "Answers of backend servers that arrived after a pause.", sends.pauses);
+    const auto speeds = servers.speedCounts();
+    page.gauge("crankrudder_backends_slow", "Backend servers that are known to be temporarily slow.", static_cast<double>(speeds.slow));
+    page.gauge("crankrudder_backends_paused", "Backend servers whose requests in flight show no sign of life.", static_cast<double>(speeds.paused));
     addCounter(page, "crankrudder_sends_cancelled_total", "Sends that were cancelled.", sends.cancelled);
     addCounter(page,
         "crankrudder_answers_passed_over_total",
@@ -106,6 +115,7 @@
     page.gauge("crankrudder_connections", "Connections to backend servers.", static_cast<double>(servers.connectionCount()));
     page.gauge("crankrudder_backends", "Backend servers that are known.", static_cast<double>(servers.backendCount()));
     addCapacityMetrics(page, servers);
+    addCounter(page, "crankrudder_cancellations_sent_total", "Messages to gateways that cancel parts.", gateways.counters().messages);
 }
 
 static void addRefusalMetrics(Metrics::MetricsPage &page, const QuotaCounters &counts)
@@ -147,9 +157,35 @@
     addCounter(page, "crankrudder_quota_asked_total", "Questions about quotas to other gateways.", counts.asked);
     addCounter(page, "crankrudder_quota_answered_total", "Questions about quotas from other gateways.", counts.answered);
     addCounter(page, "crankrudder_quota_starting_total", "Requests refused because a keeper has taken over its share only now.", counts.starting);
+    addCounter(page,
+        "crankrudder_quota_out_of_time_total",
+        "Requests refused although a keeper was not asked, since the answer would have been late.",
+        counts.outOfTime);
     addRefusalMetrics(page, counts);
     addReservationMetrics(page, quotas);
+    page.gauge("crankrudder_quota_divided", "Kept workspaces whose tokens are divided by urgency.", static_cast<double>(quotas.dividedShareCount()));
     page.gauge("crankrudder_quota_kept", "Workspaces that this gateway keeps a part of the quota of.", static_cast<double>(quotas.heldShareCount()));
+    page.gauge("crankrudder_quota_shares_waiting",
+        "Shares of quotas that this gateway has taken over and does not grant from yet.",
+        static_cast<double>(quotas.waitingShareCount()));
+}
+
+void addOwnerMetrics(Metrics::MetricsPage &page, const OwnerLoadCounters &counts, const std::optional<LoopReport> &ownLoad)
+{
+    for (std::size_t rank = 0; rank < counts.answeredByRank.size(); ++rank) {
+        page.counter("crankrudder_parts_by_owner_rank_total",
+            "Parts that owners of their cells answered, by the rank of the owner in this gateway's preference (3: or later).",
+            static_cast<double>(counts.answeredByRank[rank]),
+            {{"rank", std::to_string(rank)}});
+    }
+    addCounter(page, "crankrudder_owners_passed_over_total", "Parts sent to another owner because the preferred one was busier.", counts.passedOver);
+    addCounter(page, "crankrudder_owner_probes_total", "Parts sent to an owner to learn its load.", counts.probes);
+    addCounter(page, "crankrudder_owner_reports_total", "Loads that other gateways reported.", counts.reports);
+    addCounter(page, "crankrudder_owner_reports_ignored_total", "Reports of load that were invalid or too old.", counts.ignored);
+    if (ownLoad.has_value()) {
+        page.gauge("crankrudder_loop_busy_share", "Share of the time in which the event loop does not wait.", ownLoad->busyPercent / 100.0);
+        page.gauge("crankrudder_timer_late_seconds", "How late timers run.", Core::toFractionalMilliseconds(ownLoad->late) / 1000.0);
+    }
 }
 
 }
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -90,6 +90,10 @@
     this->watcher.ownAnnouncement = [this] {
         return this->makeOwnAnnouncement();
     };
+    this->watcher.wantsContacts = [this] {
+        this->updateQuotas();
+        return !this->draining && this->quotas.isTakeoverPending();
+    };
     this->watcher.declarationReceived = [this](Fleet::DeclarationVersion version, const std::string &content) {
         this->applyDeclaration(version, content);
     };
@@ -107,6 +111,27 @@
     this->housekeeping = timers.every(HousekeepingPeriod, [this](Core::Instant now) {
         this->housekeep(now);
     });
+    this->measureLoad();
+}
+
+void GatewayNode::measureLoad()
+{
+    this->relays.replied = [this](const Backend &owner, const BackendReply &reply, Core::Duration took) {
+        if (const auto *load = Wire::findHeader(reply.message.headers, RelayHeader::OwnerLoad); load != nullptr) {
+            this->ownerLoad.receive(owner.name, *load, took, this->timers.now());
+        }
+        const auto *rate = Wire::findHeader(reply.message.headers, RelayHeader::SearchRate);
+        if (const auto parsed = rate == nullptr ? std::nullopt : parseRate(*rate); parsed.has_value()) {
+            this->ownership.receiveRate(parsed.value(), this->timers.now());
+        }
+    };
+    if (!this->options.loopWaited) {
+        return;
+    }
+    this->loopLoad.emplace(this->timers.now());
+    this->loadTimer = this->timers.every(LoadSamplePeriod, [this](Core::Instant now) {
+        this->loopLoad->sample(this->options.loopWaited(), now);
+    });
 }
 
 void GatewayNode::housekeep(Core::Instant now)
@@ -122,6 +147,7 @@
     this->registry.forget(now);
     this->gateways.forget(now);
     this->crashes.forget(now);
+    this->ownerLoad.forget(now);
     this->countGateways(now);
     if (this->watcher.reachableCount() > 0) {
         this->lastReachableAt = now;
@@ -317,6 +343,25 @@
     };
 }
 
+RoutedRequest::AnswerHook GatewayNode::withOwnLoad(RoutedRequest::AnswerHook answer) const
+{
+    if (!this->loopLoad.has_value()) {
+        return answer;
+    }
+    return [this, answer = std::move(answer)](Wire::Response response) {
+        response.headers.push_back({RelayHeader::OwnerLoad, formatLoad(this->loopLoad->report())});
+        answer(std::move(response));
+    };
+}
+
+RoutedRequest::AnswerHook GatewayNode::withRate(RoutedRequest::AnswerHook answer) const
+{
+    return [this, answer = std::move(answer)](Wire::Response response) {
+        response.headers.push_back({RelayHeader::SearchRate, formatRate(this->ownership.rate().estimate())});
+        answer(std::move(response));
+    };
+}
+
 void GatewayNode::handle(Wire::Request message, const Wire::ExchangePointer &exchange)
 {
     ++this->counts.requests;
@@ -351,6 +396,9 @@
     this->quotas.updateGateways(this->gateways);
     const auto lastSync = this->watcher.lastLeaderSync();
     this->quotas.setMayHoldShares(!this->draining && lastSync.has_value() && this->timers.now() - lastSync.value() < LeaderlessHoldTime);
+    if (const auto &statement = this->watcher.contactStatement(); statement.has_value()) {
+        this->quotas.setContactStatement(statement.value());
+    }
 }
 
 void GatewayNode::admit(const Fleet::Workspace &workspace, const Fleet::Route &route, CallerRequest request, const Wire::ExchangePointer &exchange)
@@ -361,7 +409,8 @@
     const QuotaTerms terms{.urgency = urgencyOf(&workspace, route),
         .digest = digestOf(request),
         .timeLeft = request.callerTimeout.value_or(this->options.requests.defaultTimeout),
-        .targetLeft = route.targetLatency};
+        .targetLeft = route.targetLatency,
+        .typicalLatency = typicalLatencyOf(this->options.requests, route, this->latencies[route.name])};
     this->admissions[id] = Admission{.request = std::move(request), .exchange = exchange, .terms = terms};
     exchange->aborted = [this, id] {
         const auto waiting = this->admissions.extract(id);
@@ -422,6 +471,7 @@
             {"caller_left_ms", Core::toMilliseconds(terms.timeLeft)},
             {"known_exhausted", decision.knownExhausted},
             {"known_age_ms", Core::toMilliseconds(decision.knownAge)},
+            {"unqueried", decision.unqueried},
             {"over_quota", isOverQuota ? 1 : 0},
             {"starting", isStarting ? 1 : 0}});
     this->refuse(isOverQuota ? Refusal::OverQuota : Refusal::NotRun, request, answerTo(exchange), isOverQuota ? "over-quota" : outcome, retryAfter);
@@ -492,14 +542,21 @@
 void GatewayNode::handleRelayed(Wire::Request message, const Wire::ExchangePointer &exchange)
 {
     auto parameters = extractRelayParameters(message.headers);
-    const auto answer = answerToSend(exchange, extractSendId(message.headers));
+    const auto send = extractSendId(message.headers);
+    const auto answerToQuery = answerToSend(exchange, send);
+    if (const auto cancelled = extractCancellation(message.headers); cancelled.has_value()) {
+        this->cancelPart(cancelled.value());
+        answerToQuery(Wire::Response{.status = 200, .headers = {}, .body = {}});
+        return;
+    }
     const auto quotaQuery = extractQuotaQuery(message.headers);
     CallerRequest request = this->options.dialect.readRequest(std::move(message));
     if (quotaQuery.has_value()) {
-        this->answerQuotaQuery(quotaQuery.value(), request, answer);
+        this->answerQuotaQuery(quotaQuery.value(), request, answerToQuery);
         return;
     }
     ++this->counts.partsReceived;
+    auto answer = this->withOwnLoad(answerToQuery);
     request.workspace = parameters.has_value() ? parameters->workspace : std::nullopt;
     const auto *route = this->routes && this->watcher.isConfirmed() ? this->routes->match(request.host, request.message.target) : nullptr;
     const auto *workspace = this->routes && request.workspace.has_value() ? this->routes->declaration().workspaceNamed(request.workspace.value()) : nullptr;
@@ -514,9 +571,17 @@
         this->refuse(Refusal::NotRun, request, answer, "part-refused");
         return;
     }
+    if (parameters->searchRate.has_value()) {
+        this->ownership.receiveRate(parameters->searchRate.value(), this->timers.now());
+        answer = this->withRate(std::move(answer));
+    }
+    if (this->declineIfBusy(request, parameters.value(), answer)) {
+        return;
+    }
     if (!parameters->evidence.empty()) {
         this->pool.receiveEvidence(parameters->evidence, {}, Core::Duration(0));
     }
+    parameters->send = send;
     RelayPlan plan;
     if (parameters->mayRelayFurther) {
         auto view = this->relayView(*route, workspace, true);
@@ -536,6 +601,44 @@
         answer);
 }
 
+// A part that has ended, or has not arrived, is not found.
+void GatewayNode::cancelPart(const PartId &part)
+{
+    const auto found = std::find_if(this->requests.begin(), this->requests.end(), [&part](const auto &row) {
+        return row.second->isPart(part);
+    });
+    if (found != this->requests.end()) {
+        ++this->counts.partsCancelled;
+        found->second->searchEnded();
+    }
+}
+
+bool GatewayNode::declineIfBusy(const CallerRequest &request, const RelayParameters &parameters, const RoutedRequest::AnswerHook &answer)
+{
+    if (!this->loopLoad.has_value() || !parameters.otherOwner.has_value()) {
+        return false;
+    }
+    const auto load = this->loopLoad->report();
+    if (!shouldDecline(load, parameters.otherOwner.value(), parameters.timeLeftToTarget)) {
+        return false;
+    }
+    ++this->counts.partsDeclined;
+    if (const auto omitted = this->declineLines.take(this->timers.now()); omitted.has_value()) {
+        Core::logEvent(Core::LogLevel::Information,
+            "part.declined",
+            {{"request", request.id.value()},
+                {"shards", parameters.shards.size()},
+                {"busy_percent", load.busyPercent},
+                {"late_ms", Core::toMilliseconds(load.late)},
+                {"target_left_ms", Core::toMilliseconds(parameters.timeLeftToTarget)},
+                {"other_busy_percent", parameters.otherOwner->busyPercent},
+                {"other_late_ms", Core::toMilliseconds(parameters.otherOwner->late)},
+                {"omitted", omitted.value()}});
+    }
+    answer(this->options.dialect.writeRefusal(Refusal::NotRun, request.id, this->options.requests.retryAfter));
+    return true;
+}
+
 RequestContext GatewayNode::contextFor(const Fleet::Route &route, const Fleet::Workspace *workspace, std::optional<RelayParameters> relayParameters)
 {
     return RequestContext{.pool = &this->pool,
@@ -549,7 +652,10 @@
         .cells = &this->ownership.cells(),
         .workspace = workspace,
         .isCautious = this->pool.hasServersEnding(),
-        .relayParameters = std::move(relayParameters)};
+        .relayParameters = std::move(relayParameters),
+        .cancelsParts = this->options.relay.cancelsParts,
+        .ownerLoad = &this->ownerLoad,
+        .regionRate = &this->ownership.rate()};
 }
 
 // ---- Crashing requests
@@ -619,6 +725,7 @@
     // Removes the headers that only gateways may send, so that callers can't pass for gateways.
     (void)extractRelayParameters(request.message.headers);
     (void)extractSendId(request.message.headers);
+    (void)extractCancellation(request.message.headers);
     (void)extractQuotaQuery(request.message.headers);
     if (!this->startTrace(request, answerTo(exchange))) {
         return;
@@ -710,11 +817,15 @@
     addRequestMetrics(page, this->counts);
     addSendMetrics(page, this->pool, this->relays);
     addQuotaMetrics(page, this->quotas);
+    addOwnerMetrics(page, this->ownerLoad.counters(), this->loopLoad.has_value() ? std::optional(this->loopLoad->report()) : std::nullopt);
     Fleet::addCrashMetrics(page, this->crashes, this->timers.now());
     page.gauge("crankrudder_evacuated_zones", "Availability zones that are evacuated.", static_cast<double>(this->watcher.evacuations().zones.size()));
     page.gauge("crankrudder_requests_under_way", "Requests that wait for their answer.", static_cast<double>(this->requests.size()));
     page.gauge("crankrudder_ready", "Whether callers should come here.", this->isReady() ? 1 : 0);
     page.gauge("crankrudder_coordinators_in_reach", "Coordinators that answer.", static_cast<double>(this->watcher.reachableCount()));
+    page.gauge("crankrudder_region_search_rate",
+        "Searches a second of an average gateway of the region, as this gateway estimates it.",
+        this->ownership.rate().estimate());
     page.gauge("crankrudder_gateways", "Gateways that are known to be ready.", this->pool.gatewayCount());
     page.gauge(
         "crankrudder_declaration_version", "The declaration in force.", this->routes ? static_cast<double>(this->routes->declaration().version.value()) : -1.0);
--- a/Libraries/LibGateway/Quota/ExhaustedKeepers.h
+++ b/Libraries/LibGateway/Quota/ExhaustedKeepers.h
@@ -5,7 +5,7 @@
 
 // Which quota keepers have nothing left, as a gateway knows it from their replies and from
 // what other gateways pass on. Load pattern: a workspace requests several times its quota,
-// and each of its requests is refused only after three keepers were queried one after the
+// and each of its requests is refused only after its keepers were queried one after the
 // other, which costs the time in which a refusal is still worth something. Pure.
 
 #pragma once
@@ -29,6 +29,8 @@
         Core::Instant until;
         /** When this gateway learned it. */
         Core::Instant learnedAt;
+        /** When the keeper may have a token, as far as that is known; unlike `until` it may be further ahead than MaximumValidity. */
+        Core::Instant statedAt;
         /** It has replied that it grants nothing yet, so its share is not used up. */
         bool isStarting{false};
     };
--- a/Libraries/LibGateway/RelayPlan.cpp
+++ b/Libraries/LibGateway/RelayPlan.cpp
@@ -205,6 +205,8 @@
     std::optional<Fleet::WorkspaceName> workspace;
     std::optional<SearchState> searchState;
     std::string evidence;
+    std::optional<LoopReport> otherOwner;
+    std::optional<double> searchRate;
     std::erase_if(headers, [&](const Wire::Header &header) {
         if (Wire::sameName(header.name, RelayHeader::Parameters)) {
             parameters = parseRelayParameters(header.value);
@@ -237,6 +239,14 @@
             evidence = header.value;
             return true;
         }
+        if (Wire::sameName(header.name, RelayHeader::OwnerLoad)) {
+            otherOwner = parseLoad(header.value);
+            return true;
+        }
+        if (Wire::sameName(header.name, RelayHeader::SearchRate)) {
+            searchRate = parseRate(header.value);
+            return true;
+        }
         return false;
     });
     if (!parameters.has_value() || shards.empty()) {
@@ -248,6 +258,8 @@
     parameters->workspace = std::move(workspace);
     parameters->searchState = searchState;
     parameters->evidence = std::move(evidence);
+    parameters->otherOwner = otherOwner;
+    parameters->searchRate = searchRate;
     return parameters;
 }
 
@@ -256,6 +268,21 @@
     return Wire::extractHeader(headers, RelayHeader::Send).value_or(std::string());
 }
 
+std::optional<PartId> extractCancellation(Wire::Headers &headers)
+{
+    const auto value = Wire::extractHeader(headers, RelayHeader::Cancel);
+    const auto separator = value.has_value() ? value->find(',') : std::string::npos;
+    if (separator == std::string::npos) {
+        return std::nullopt;
+    }
+    return PartId{.send = value->substr(0, separator), .request = value->substr(separator + 1)};
+}
+
+void addCancellation(Wire::Headers &headers, const PartId &part)
+{
+    headers.push_back({RelayHeader::Cancel, part.send + "," + part.request});
+}
+
 void addRelayParameters(Wire::Headers &headers, const RelayParameters &parameters)
 {
     std::vector<std::string> shards;
@@ -282,6 +309,9 @@
     if (!parameters.evidence.empty()) {
         headers.push_back({RelayHeader::Evidence, parameters.evidence});
     }
+    if (parameters.searchRate.has_value()) {
+        headers.push_back({RelayHeader::SearchRate, formatRate(parameters.searchRate.value())});
+    }
     if (!parameters.minimumRecord.empty()) {
         headers.push_back({RelayHeader::MinimumRecord, toHexadecimal(parameters.minimumRecord)});
     }
@@ -301,6 +331,20 @@
     return relayed;
 }
 
+// Within a gateway the header is OWNER=LOAD.
+Wire::Header makeOtherOwnerHeader(const KnownOwner &owner)
+{
+    return {RelayHeader::OwnerLoad, owner.name.value() + "=" + formatLoad(owner.load)};
+}
+
+// Returns the load as it is sent; an empty string if the part goes to that owner.
+static std::string loadOfOther(const std::string &header, const std::string &receiver)
+{
+    const auto separator = header.rfind('=');
+    const bool isOther = separator != std::string::npos && header.substr(0, separator) != receiver;
+    return isOther ? header.substr(separator + 1) : std::string();
+}
+
 Dialect makeRelayDialect(const Dialect &dialect)
 {
     Dialect relay = dialect;
@@ -314,6 +358,11 @@
                 named.message.headers.push_back({RelayHeader::Evidence, std::move(sent)});
             }
         }
+        if (const auto other = Wire::extractHeader(named.message.headers, RelayHeader::OwnerLoad); other.has_value()) {
+            if (const auto load = loadOfOther(other.value(), request.backend.value()); !load.empty()) {
+                named.message.headers.push_back({RelayHeader::OwnerLoad, load});
+            }
+        }
         named.message.headers.push_back({RelayHeader::Send, std::to_string(request.number)});
         BackendRequest sent = request;
         sent.caller = &named;
--- a/Libraries/LibGateway/RelayPlan.h
+++ b/Libraries/LibGateway/RelayPlan.h
@@ -12,6 +12,8 @@
 
 #include <LibGateway/BackendPool.h>
 #include <LibGateway/CellMap.h>
+#include <LibGateway/RegionRate.h>
+#include <LibGateway/Scheduling/OwnerLoad.h>
 #include <LibGateway/Scheduling/RepeatValue.h>
 #include <LibProtocol/Generated/fleet_types.h>
 
@@ -36,6 +38,11 @@
      * regions.
      */
     Core::Duration acknowledgementTimeout{Core::milliseconds(80)};
+    /**
+     * Whether the gateway of a part is told when its search has ended. Otherwise it learns it when the connection is closed, 150 to 300 ms later, which is more
+     * than the target of an urgent search (80 ms).
+     */
+    bool cancelsParts{true};
 };
 
 /** A part of a search that is relayed to one other gateway. */
@@ -118,6 +125,8 @@
 constexpr const char *DeniedRepeats = "Crankrudder-Denied-Repeats";
 /** What the sending gateway knows of the backend servers of a part; see SharedEvidence.h. In parts and partial answers. Absent if there is nothing to tell. */
 constexpr const char *Evidence = "Crankrudder-Evidence";
+/** Cancels a part whose search has ended: the id of its send, a comma, and the id of its request. A gateway of a release without it refuses the message. */
+constexpr const char *Cancel = "Crankrudder-Cancel";
 /** Set if the body is a partial answer. */
 constexpr const char *Partial = "Crankrudder-Partial";
 /** Workspace of the search, as the requesting gateway determined it by the caller's API key. Absent if there is none. */
@@ -130,6 +139,13 @@
 constexpr const char *QuotaExhausted = "Crankrudder-Quota-Exhausted";
 /** Identifies one send of a part. The serving gateway returns it with the answer, since all parts of a search have the same request id. */
 constexpr const char *Send = "Crankrudder-Send";
+/**
+ * In answers to parts: load of the serving gateway, as formatLoad() writes it. Absent if it does not measure its load. In parts: load of the least busy other
+ * owner of the cell, which gets the part if this one declines it. Absent if the requesting gateway knows none, and once the part goes to that owner.
+ */
+constexpr const char *OwnerLoad = "Crankrudder-Owner-Load";
+/** In parts within a region and their answers: the sender's estimate of the region's mean search rate, as formatRate() writes it; see RegionRate.h. */
+constexpr const char *SearchRate = "Crankrudder-Search-Rate";
 }
 
 /** What a gateway sends with a relayed part in addition to the caller's request. */
@@ -166,14 +182,34 @@
     std::optional<SearchState> searchState;
     /** Header with what the requesting gateway knows of the backend servers of the shards; empty if it has nothing to tell. */
     std::string evidence{};
+    /** Id of the send, which is unique for its gateway; empty if it has none. Not sent with the parameters, but in a header of its own. */
+    std::string send{};
+    /** Load of the owner that gets the part if the serving gateway declines it. Without one the part is not declined. */
+    std::optional<LoopReport> otherOwner{};
+    /** Search rate that the requesting gateway estimates for the region; nothing if it is in another region. */
+    std::optional<double> searchRate{};
 };
 
+/** Identifies a part at the gateway that serves it. The id of the request distinguishes sends of several gateways with the same id. */
+struct PartId {
+    std::string send;
+    std::string request;
+};
+
+/** Makes the header of a part that names the owner that gets it if the first one declines. The relay dialect removes the name, and the header for that owner.
+ */
+[[nodiscard]] Wire::Header makeOtherOwnerHeader(const KnownOwner &owner);
+
 /** Extracts the parameters from the headers of a request. Returns nullopt if they are incomplete or invalid. */
 [[nodiscard]] std::optional<RelayParameters> extractRelayParameters(Wire::Headers &headers);
 
 /** Extracts the id of a send from the headers of a request. Returns an empty string if there is none. */
 [[nodiscard]] std::string extractSendId(Wire::Headers &headers);
 
+/** Extracts the part that a message cancels. Returns nullopt if it cancels none. */
+[[nodiscard]] std::optional<PartId> extractCancellation(Wire::Headers &headers);
+void addCancellation(Wire::Headers &headers, const PartId &part);
+
 /** Adds the parameters to the headers of a request. */
 void addRelayParameters(Wire::Headers &headers, const RelayParameters &parameters);
 
--- a/Libraries/LibGateway/RelayedPart.cpp
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -41,8 +41,15 @@
     this->parameters.urgency = urgencyOf(context.workspace, route);
     this->parameters.capacityWeight = capacityWeightOf(context.workspace);
     this->parameters.preferred = plan.owners;
+    if (context.ownerLoad != nullptr) {
+        if (const auto other = context.ownerLoad->arrange(this->parameters.preferred, now); other.has_value()) {
+            this->request.message.headers.push_back(makeOtherOwnerHeader(other.value()));
+        }
+    }
     // The request's body must not be sent to regions where the request may not be served either.
     this->parameters.allowedRegions = partParameters.allowedRegions;
+    // Gateways of other regions may have other rates.
+    const bool tellsRate = context.regionRate != nullptr && context.cells->isInOwnRegion(plan.zone);
     addRelayParameters(this->request.message.headers,
         RelayParameters{.timeLeftToTarget = std::max(Core::Duration(0), partParameters.targetAt - now - transitTime),
             .timeLeftToDeadline = std::max(Core::Duration(0), this->parameters.expiresAt - now - transitTime),
@@ -56,7 +63,16 @@
             .allowedRegions = partParameters.allowedRegions,
             .workspace = this->request.workspace,
             .searchState = partParameters.searchState,
-            .evidence = context.pool->evidenceOf(plan.shards, EvidenceScope::All)});
+            .evidence = context.pool->evidenceOf(plan.shards, EvidenceScope::All),
+            .searchRate = tellsRate ? std::optional(context.regionRate->estimate()) : std::nullopt});
+    if (context.cancelsParts) {
+        // NOTE: Called also while this part is destroyed, so it refers to nothing in it.
+        this->parameters.attemptAbandoned = [relays = context.relays, id = this->request.id](const BackendName &gateway, AttemptId send) {
+            CallerRequest message{.id = id, .message = {.method = "GET", .target = "/", .headers = {}, .body = {}}};
+            addCancellation(message.message.headers, {.send = std::to_string(send), .request = id.value()});
+            relays->sendMessage(gateway, message);
+        };
+    }
     this->relayCall = std::make_unique<ShardCall>(this->parameters, this->relayServiceName, *context.relays, *context.timers);
 }
 
@@ -94,6 +110,7 @@
         return;
     }
     this->context.relayLatencies->add(this->relayCall->latency());
+    this->countOwner();
     this->partial = std::move(answer.value());
     for (auto &shard : this->partial.missing) {
         shard.executions = std::clamp(shard.executions, 0, MaximumReportedAttempts);
@@ -108,6 +125,14 @@
     this->deniedRepeats = denied == nullptr ? std::vector<std::string>() : Core::splitList(*denied);
 }
 
+void RelayedPart::countOwner()
+{
+    const auto owner = std::find(this->plan.owners.begin(), this->plan.owners.end(), this->relayCall->answeredBy());
+    if (this->context.ownerLoad != nullptr && owner != this->plan.owners.end()) {
+        this->context.ownerLoad->recordAnswer(static_cast<std::size_t>(owner - this->plan.owners.begin()));
+    }
+}
+
 bool RelayedPart::lacksRepeatFor(const Core::ServiceName &shard) const
 {
     return std::find(this->deniedRepeats.begin(), this->deniedRepeats.end(), shard.value()) != this->deniedRepeats.end();
--- a/Tests/LibGateway/TestQuotas.cpp
+++ b/Tests/LibGateway/TestQuotas.cpp
@@ -172,6 +172,89 @@
     cr_assert(refused > 150 && quick >= 0.9 * refused, "%d of %d", quick, refused);
 }
 
+// Guards against refusals while one of the keepers of other regions has a token.
+Test(Quotas, nothingIsRefusedWhileAnyKeeperHasATokenAndThereIsTime)
+{
+    // A zone that belongs to no region is one of its own, so there are six keepers with two tokens each.
+    QuotaFixture fixture({"here", "here", "there", "there", "far", "far"});
+    cr_assert(fixture.awaitReady());
+    fixture.settle(Core::milliseconds(2300) + Core::seconds(3));
+    const auto askUntil = [&fixture](int count, const std::string &path) {
+        int granted = 0;
+        while (granted < count && fixture.ask(*fixture.nodes.front(), path + std::to_string(granted), {{"Credential", "small-secret"}}).status == Ok) {
+            ++granted;
+        }
+        return granted;
+    };
+    cr_assert_eq(askUntil(8, "/one/"), 8);
+    // Of which keepers are exhausted for more urgent requests nothing is known.
+    cr_assert_eq(askUntil(4, "/urgent/"), 4);
+}
+
+// Guards against many callers with the same content who compete for the tokens of one share, and against reservations at the next one that nobody finds.
+Test(Quotas, popularContentIsReservedAtTwoKeepers)
+{
+    QuotaFixture fixture({"here", "beside", "here", "beside"});
+    cr_assert(fixture.awaitReady());
+    fixture.settle(Core::milliseconds(2300));
+    const auto keepersWith = [&fixture](const std::string &event) {
+        return std::count_if(fixture.nodes.begin(), fixture.nodes.end(), [&event](const auto &node) {
+            const auto page = node->node.metrics();
+            const auto sample = "crankrudder_quota_reservations_total{event=\"" + event + "\"} ";
+            const auto place = page.find(sample);
+            return place != std::string::npos && page[place + sample.size()] != '0';
+        });
+    };
+    // Callers whose time ends within 50 ms of each other would be taken for one, and the longest that they wait is 1.6 s. They return as told, one after the
+    // other, to any gateway.
+    std::vector<Core::Instant> returns;
+    std::size_t sent = 0;
+    for (auto nextAt = fixture.timers.now(); sent < 24 || !returns.empty(); fixture.settle(Core::milliseconds(5))) {
+        const auto now = fixture.timers.now();
+        const auto &node = *fixture.nodes[(sent + returns.size()) % fixture.nodes.size()];
+        const auto due = std::min_element(returns.begin(), returns.end());
+        if (due != returns.end() && *due <= now) {
+            returns.erase(due);
+            (void)fixture.ask(node, "/one/popular", {{"Credential", "small-secret"}});
+        } else if (sent < 24 && nextAt <= now) {
+            ++sent;
+            nextAt = now + Core::milliseconds(60);
+            const auto answer = fixture.ask(node, "/one/popular", {{"Credential", "small-secret"}});
+            const auto wait = answer.status == OverQuota ? std::stod(*Wire::findHeader(answer.headers, "Retry-After")) : 2.0;
+            if (wait < 1.6) {
+                returns.push_back(fixture.timers.now() + Core::milliseconds(static_cast<std::int64_t>(wait * 1000.0) + 5));
+            }
+        }
+    }
+    cr_assert_eq(keepersWith("made"), 2);
+    cr_assert_eq(keepersWith("claimed"), 2);
+}
+
+// Guards against a division by urgency that never applies: the keepers of an overloaded workspace have to learn from each other that none has a token.
+Test(Quotas, urgentRequestsComeFirstWhenAllKeepersAreExhausted)
+{
+    QuotaFixture fixture({"here", "here", "there", "there"});
+    cr_assert(fixture.awaitReady());
+    fixture.settle(Core::milliseconds(2300));
+    const auto urgentPeriod = Core::milliseconds(400);
+    const int urgentRequests = 16;
+    int urgent = 0;
+    int granted = 0;
+    std::size_t request = 0;
+    // The urgent requests alone are fewer than the quota; the others are some fifty times the quota.
+    for (auto urgentAt = fixture.timers.now() + Core::seconds(2); urgent < urgentRequests; fixture.settle(Core::milliseconds(4))) {
+        const bool isUrgent = fixture.timers.now() >= urgentAt;
+        const auto &node = *fixture.nodes[++request % fixture.nodes.size()];
+        const auto answer = fixture.ask(node, (isUrgent ? "/urgent/" : "/one/") + std::to_string(request), {{"Credential", "small-secret"}});
+        if (isUrgent) {
+            ++urgent;
+            urgentAt = urgentAt + urgentPeriod;
+            granted += answer.status == Ok ? 1 : 0;
+        }
+    }
+    cr_assert(granted >= urgentRequests / 2, "%d of %d", granted, urgentRequests);
+}
+
 // Guards against calling a quota used up when its keepers have only just started, and against a Retry-After at which they still grant nothing.
 Test(Quotas, keepersThatJustStartedDoNotSayOverQuota)
 {
