LibGateway: Prefer servers that answered fast over unknown ones

One fast answer made a server 0.93 of the usual time, which the noise of the choice hid, so that servers without open connections were chosen.

Change: 5 instead of 8 usual answers are assumed, a sample may be as low as 0.1, and the lasting speed has a floor of 0.5. A test of ServerSpeed guards it.

--- a/Libraries/LibGateway/Scheduling/ServerSpeed.cpp
+++ b/Libraries/LibGateway/Scheduling/ServerSpeed.cpp
@@ -13,13 +13,16 @@
 
 // The lasting speed is the mean over about this many answers: enough that the random durations of requests hardly change it.
 static constexpr int SpeedSamples = 30;
-// Number of answers at usual speed that are assumed of a server, so that the first few do not decide.
-static constexpr int PriorSamples = 8;
+// Number of answers at usual speed that are assumed of a server, so that the first few do not decide. Few enough that one very fast answer outweighs the noise
+// of the choice (0.15): of servers that are not known otherwise, the one to which connections are open is used again.
+static constexpr int PriorSamples = 5;
 // The lasting speed is kept for this time after the latest answer that it was learned from. Then the server is tried again as any other.
 static constexpr Core::Duration SpeedLifetime = Core::seconds(60);
 // Bounds of one answer in the lasting speed.
-static constexpr double SpeedFloor = 0.4;
-static constexpr double SpeedCeiling = 2.5;
+static constexpr double SampleFloor = 0.1;
+static constexpr double SampleCeiling = 2.5;
+// Least lasting speed. A server that answers at once, whatever it is asked, must not get all requests for that.
+static constexpr double SpeedFloor = 0.5;
 // An answer is late if it also takes this much longer than usual. With less no caller's target is at risk.
 static constexpr Core::Duration LateExcess = Core::milliseconds(8);
 // Two late answers confirm each other if they are less apart: long enough for one request a second, less than half of the time between two pauses.
@@ -164,7 +167,8 @@
         this->speedSamples = 0;
     }
     this->speedSamples = std::min(this->speedSamples + 1, SpeedSamples);
-    this->speed += (std::clamp(ratio, SpeedFloor, SpeedCeiling) - this->speed) / (this->speedSamples + PriorSamples);
+    const double change = (std::clamp(ratio, SampleFloor, SampleCeiling) - this->speed) / (this->speedSamples + PriorSamples);
+    this->speed = std::max(SpeedFloor, this->speed + change);
     this->speedAt = now;
 }
 
--- a/Tests/LibGateway/TestServerSpeed.cpp
+++ b/Tests/LibGateway/TestServerSpeed.cpp
@@ -82,6 +82,9 @@
     ServerSpeed speed;
     recordMany(speed, 0, 400, 12, 100);
     cr_assert_gt(speed.lasting(at(400)), 0.9, "four answers");
+    ServerSpeed used;
+    used.record(sample(0, 1), at(1));
+    cr_assert_lt(1.15 * used.lasting(at(1)), 1.0, "a server that answered fast is used again rather than one without connections");
     recordMany(speed, 1000, 7000, 12, 100);
     const double learned = speed.lasting(at(7000));
     cr_assert(learned > 0.78 && learned < 0.86, "%f", learned);
