--- a/Libraries/LibGateway/Quota/TakeoverWait.h
+++ b/Libraries/LibGateway/Quota/TakeoverWait.h
@@ -50,8 +50,8 @@
     /** Whether shares may be granted from. Ends the wait when its time is over. */
     [[nodiscard]] bool isOver(Core::Instant now);
     /**
-     * When the wait ended or, as far as is known, will end. Tokens from before this time belong to the former keepers. A wait that is confirmed ends earlier than
-     * expected, so that no token is missing that a caller was told to return for.
+     * When the wait ended or, as far as is known, will end. Tokens from before this time belong to the former keepers. A wait that is confirmed ends earlier
+     * than expected, so that no token is missing that a caller was told to return for.
      */
     [[nodiscard]] Core::Instant expectedEnd(Core::Instant now) const;
     [[nodiscard]] bool isMember() const;
