LibGateway: Remove a constant that a merge left behind

Cause: the linter found AssumedZoneRoundTrip unused in BackendPool.cpp; it had moved to BackendConnector.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -21,8 +21,6 @@
 // Sweep period while no attempt is in flight and no request waits for capacity. Sweeps then only close idle connections, and an expired connection is also
 // closed before the next send picks one.
 static constexpr Core::Duration IdleSweepPeriod = Core::milliseconds(250);
-// Round trip between availability zones of one region that is assumed until one has been measured.
-static constexpr Core::Duration AssumedZoneRoundTrip = Core::milliseconds(2);
 // Shortest typical latency against which speed is judged; the event loop's own delays are of this order.
 static constexpr Core::Duration ShortestTypicalLatency = Core::milliseconds(1);
 
