Tests, LibGateway: Share the faults of the quota model, remove an unused accessor

Cause: reading the whole change: TestQuotaOverlap and TestQuotaLedger injected the same faults and checked the same window with lines of their own, and nothing called ServerSpeed::latestAnswer(). Change: QuotaModel injects the faults and verifies the window; draws, bounds and messages are the same.

--- a/Libraries/LibGateway/Scheduling/ServerSpeed.cpp
+++ b/Libraries/LibGateway/Scheduling/ServerSpeed.cpp
@@ -87,11 +87,6 @@
     return basis == SpeedBasis::Own ? own : std::max(own, this->reportedSlowdown(now));
 }
 
-Core::Instant ServerSpeed::latestAnswer() const
-{
-    return this->latest;
-}
-
 Core::Instant ServerSpeed::reportableUntil() const
 {
     return this->slowFactor == 1.0 ? Core::Instant() : this->lateAt + std::min(this->slowdownLifetime(), ReportedSlowdownLifetime);
--- a/Libraries/LibGateway/Scheduling/ServerSpeed.h
+++ b/Libraries/LibGateway/Scheduling/ServerSpeed.h
@@ -101,8 +101,6 @@
     [[nodiscard]] double slowdown(Core::Instant now, SpeedBasis basis = SpeedBasis::All) const;
     /** Whether a slowdown reported by another gateway counts. */
     [[nodiscard]] bool hasReport(Core::Instant now) const;
-    /** Time of the latest answer. */
-    [[nodiscard]] Core::Instant latestAnswer() const;
     /** Until when this gateway's own slowdown is told to others. */
     [[nodiscard]] Core::Instant reportableUntil() const;
     /** Returns the change since the last call that returned one, if there is one to log. */
--- a/Tests/LibGateway/TestQuotaLedger.cpp
+++ b/Tests/LibGateway/TestQuotaLedger.cpp
@@ -45,29 +45,15 @@
         const auto offeredInStep = std::max(1.0, 0.08 * quota.requestsPerSecond);
         while (model.now < at(Core::seconds(60))) {
             model.advance();
-            if (model.random() % 100 == 0) {
-                auto &row = model.rows[model.random() % model.rows.size()];
-                (model.random() % 2 == 0 ? row.frozenUntil : row.disconnectedUntil) = model.now + model.upTo(25'000);
-            }
+            model.freezeOrDisconnectAtRandom();
             if (model.random() % 1500 == 0) {
                 model.declare(testQuotas[model.random() % testQuotas.size()]);
             }
-            if (model.random() % 2000 == 0) {
-                // Disconnects half of the gateways at once.
-                for (std::size_t number = 0; number < model.rows.size(); number += 2) {
-                    model.rows[number].disconnectedUntil = model.now + model.upTo(20'000);
-                }
-            }
+            model.disconnectHalfAtRandom();
             for (int request = 0; request < static_cast<int>(offeredInStep); ++request) {
                 (void)model.requestAtRandomGateway();
             }
-            const auto sent = static_cast<double>(model.grantedInWindow());
-            cr_assert(sent <= model.allowed(),
-                "seed %u: %.0f of %.0f at %ld ms",
-                seed,
-                sent,
-                model.allowed(),
-                static_cast<long>(Core::toMilliseconds(model.now.sinceStart())));
+            model.verifyWindow(seed);
         }
     }
 }
@@ -106,13 +92,7 @@
                 model.sendRandomCall();
             }
             model.sendReturningCalls();
-            const auto sent = static_cast<double>(model.grantedInWindow());
-            cr_assert(sent <= model.allowed(),
-                "seed %u: %.0f of %.0f at %ld ms",
-                seed,
-                sent,
-                model.allowed(),
-                static_cast<long>(Core::toMilliseconds(model.now.sinceStart())));
+            model.verifyWindow(seed);
         }
         claimed += model.claimed;
     }
--- a/Tests/QuotaOverlap/TestQuotaOverlap.cpp
+++ b/Tests/QuotaOverlap/TestQuotaOverlap.cpp
@@ -29,26 +29,13 @@
         const auto offeredInStep = static_cast<int>(std::max(1.0, 0.08 * quota.requestsPerSecond));
         while (model.now < at(Core::seconds(60))) {
             model.advance();
-            if (model.random() % 100 == 0) {
-                auto &row = model.rows[model.random() % model.rows.size()];
-                (model.random() % 2 == 0 ? row.frozenUntil : row.disconnectedUntil) = model.now + model.upTo(25'000);
-            }
-            if (model.random() % 2000 == 0) {
-                for (std::size_t number = 0; number < model.rows.size(); number += 2) {
-                    model.rows[number].disconnectedUntil = model.now + model.upTo(20'000);
-                }
-            }
+            model.freezeOrDisconnectAtRandom();
+            model.disconnectHalfAtRandom();
             const bool isIdle = Core::toMilliseconds(model.now.sinceStart()) / PhaseMs % 2 == 0;
             for (int request = 0; !isIdle && request < offeredInStep; ++request) {
                 (void)model.requestAtRandomGateway();
             }
-            const auto sent = static_cast<double>(model.grantedInWindow());
-            cr_assert(sent <= model.allowed(),
-                "seed %u: %.0f of %.0f at %ld ms",
-                seed,
-                sent,
-                model.allowed(),
-                static_cast<long>(Core::toMilliseconds(model.now.sinceStart())));
+            model.verifyWindow(seed);
         }
     }
 }
--- a/Tests/Support/QuotaModel.h
+++ b/Tests/Support/QuotaModel.h
@@ -134,6 +134,37 @@
         }
     }
 
+    /** In one of a hundred steps, freezes or disconnects a gateway for up to 25 s. */
+    void freezeOrDisconnectAtRandom()
+    {
+        if (this->random() % 100 == 0) {
+            auto &row = this->rows[this->random() % this->rows.size()];
+            (this->random() % 2 == 0 ? row.frozenUntil : row.disconnectedUntil) = this->now + this->upTo(25'000);
+        }
+    }
+
+    /** In one of two thousand steps, disconnects half of the gateways at once, each for up to 20 s. */
+    void disconnectHalfAtRandom()
+    {
+        if (this->random() % 2000 == 0) {
+            for (std::size_t number = 0; number < this->rows.size(); number += 2) {
+                this->rows[number].disconnectedUntil = this->now + this->upTo(20'000);
+            }
+        }
+    }
+
+    /** Fails the test if the window that ends now has more grants than the quota permits. */
+    void verifyWindow(unsigned seed)
+    {
+        const auto sent = static_cast<double>(this->grantedInWindow());
+        cr_assert(sent <= this->allowed(),
+            "seed %u: %.0f of %.0f at %ld ms",
+            seed,
+            sent,
+            this->allowed(),
+            static_cast<long>(Core::toMilliseconds(this->now.sinceStart())));
+    }
+
     /** A request as its caller sends it. */
     struct Call {
         // Without terms, as from a gateway of an older build.
