LibGateway: Show lost parts, attempts by shard and the use of retry windows

Callers' requests ran more often than the rule allows, and the logs could not say by which of its bounds: a part that is given up had a line without the attempts that are assumed for it, request.finished had no number of attempts at one shard, and the use of a window showed only once a repeat was denied.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -157,7 +157,7 @@
 {
     const auto now = this->timers.now();
     auto &row = this->serviceOf(service);
-    const double share = this->slackShare ? this->slackShare(service, row.zones) : 1.0 / this->gateways.all;
+    const double share = this->slackShareOf(service, row);
     const bool isGranted = row.budget->consumeRetry(now, share, repeat.value);
     this->counts.repeats.record(repeat.kind, isGranted);
     if (!isGranted) {
@@ -166,6 +166,28 @@
     return isGranted;
 }
 
+double BackendPool::slackShareOf(const Core::ServiceName &name, const Service &service) const
+{
+    return this->slackShare ? this->slackShare(name, service.zones) : 1.0 / this->gateways.all;
+}
+
+std::vector<ServiceBudgetUse> BackendPool::mostRepeated(std::size_t count) const
+{
+    std::vector<ServiceBudgetUse> used;
+    for (const auto &[name, service] : this->services) {
+        const auto use = service.budget ? service.budget->useAt(this->timers.now(), this->slackShareOf(name, service)) : BudgetUse{};
+        if (use.repeats > 0.0) {
+            used.push_back({.service = name, .use = use});
+        }
+    }
+    const auto end = used.begin() + static_cast<std::ptrdiff_t>(std::min(count, used.size()));
+    std::partial_sort(used.begin(), end, used.end(), [](const ServiceBudgetUse &first, const ServiceBudgetUse &second) {
+        return first.use.repeats > second.use.repeats;
+    });
+    used.erase(end, used.end());
+    return used;
+}
+
 bool BackendPool::hasReady(const Core::ServiceName &service) const
 {
     const auto found = this->services.find(service);
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -127,6 +127,12 @@
     std::uint64_t messages{0};
 };
 
+/** How much of its retry budget a service uses at this gateway. */
+struct ServiceBudgetUse {
+    Core::ServiceName service;
+    BudgetUse use;
+};
+
 /** Numbers of backend servers for metrics. */
 struct SpeedCounts {
     std::size_t slow{0};
@@ -192,6 +198,9 @@
     void recordRequest(const Core::ServiceName &service);
     /** Consumes one hedge or retry from the retry budget of the service. Returns false when none is left for a repeat of this value. */
     [[nodiscard]] bool consumeRetry(const Core::ServiceName &service, const RepeatRequest &repeat);
+
+    /** Returns the services with most repeats in the window that ends now, at most `count`, the one with most first. Services without repeats are left out. */
+    [[nodiscard]] std::vector<ServiceBudgetUse> mostRepeated(std::size_t count) const;
     /** Whether several backend servers crashed within the last second, or ended their idle connections as they do when they crash. */
     [[nodiscard]] bool hasServersEnding() const;
     /** Whether any backend server of the service is ready, in any zone. */
@@ -263,6 +272,7 @@
         std::set<std::string> zones;
     };
 
+    [[nodiscard]] double slackShareOf(const Core::ServiceName &name, const Service &service) const;
     [[nodiscard]] Service &serviceOf(const Core::ServiceName &name);
     [[nodiscard]] bool isInRegion(const std::string &zone) const;
     [[nodiscard]] std::size_t connectionLimit(const Backend &backend, const Service &service) const;
--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -236,6 +236,7 @@
 {
     this->request.trace->crashes += sentPart.part->answer().crashes;
     this->request.trace->answered = this->request.trace->answered || !sentPart.part->answer().signatures.empty();
+    sentPart.part->recordIfLost();
     const auto missing = sentPart.part->missing();
     for (const auto number : sentPart.rowNumbers) {
         auto &row = this->rows[number];
@@ -673,6 +674,7 @@
     summary.shards = this->origin == RequestOrigin::Caller ? this->route.shards.size() : this->rows.size();
     summary.answered = this->answeredCount();
     for (const auto &row : this->rows) {
+        summary.mostAttempts = std::max(summary.mostAttempts, row.call ? row.call->executions() : row.remoteAttempts.executions);
         if (row.call) {
             describeCall(summary, *row.call);
         }
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -10,6 +10,9 @@
 namespace Gateway
 {
 
+// Number of services whose use of the retry budget is shown, so that the page does not grow with the number of shards.
+static constexpr std::size_t ServicesWithWindow = 10;
+
 static void addCounter(Metrics::MetricsPage &page, const char *name, const char *help, std::uint64_t value)
 {
     page.counter(name, help, static_cast<double>(value));
@@ -72,6 +75,28 @@
     }
 }
 
+static void addWindowMetrics(Metrics::MetricsPage &page, const std::vector<ServiceBudgetUse> &used)
+{
+    const auto add = [&](const char *name, const char *help, double BudgetUse::*value) {
+        for (const auto &[service, use] : used) {
+            page.gauge(name, help, use.*value, {{"service", service.value()}});
+        }
+    };
+    add("crankrudder_window_repeats", "Repeats in the window of the retry budget, of the services with most of them.", &BudgetUse::repeats);
+    add("crankrudder_window_requests", "First sends in the same window, of the same services.", &BudgetUse::requests);
+    add("crankrudder_window_limit", "Repeats that this gateway may send in a window, of the same services.", &BudgetUse::limit);
+}
+
+void addLostPartMetrics(Metrics::MetricsPage &page, const LostParts &lost)
+{
+    for (const bool mayRetry : {true, false}) {
+        page.counter("crankrudder_parts_lost_total",
+            "Parts of searches that were sent and not answered, by whether their shards may be sent again.",
+            static_cast<double>(lost.count(mayRetry)),
+            {{"may_retry", mayRetry ? "1" : "0"}});
+    }
+}
+
 void addSendMetrics(Metrics::MetricsPage &page, const BackendPool &servers, const BackendPool &gateways)
 {
     const auto &sends = servers.counters();
@@ -111,6 +136,7 @@
         sends.connectionRejected);
     addCounter(page, "crankrudder_connections_opened_total", "Connections opened to backend servers.", sends.connectionsOpened);
     addRepeatMetrics(page, sends.repeats);
+    addWindowMetrics(page, servers.mostRepeated(ServicesWithWindow));
     addCounter(page, "crankrudder_rows_swept_total", "Backend servers and gateways that sweeps looked at.", sends.swept + gateways.counters().swept);
     page.gauge("crankrudder_connections", "Connections to backend servers.", static_cast<double>(servers.connectionCount()));
     page.gauge("crankrudder_backends", "Backend servers that are known.", static_cast<double>(servers.backendCount()));
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <LibGateway/BackendPool.h>
+#include <LibGateway/LostParts.h>
 #include <LibGateway/Quota/QuotaLimiter.h>
 #include <LibGateway/RoutedRequest.h>
 #include <LibGateway/Scheduling/OwnerLoad.h>
@@ -57,6 +58,9 @@
  */
 void addSendMetrics(Metrics::MetricsPage &page, const BackendPool &servers, const BackendPool &gateways);
 
+/** Adds the numbers of relayed parts whose outcome stays unknown. */
+void addLostPartMetrics(Metrics::MetricsPage &page, const LostParts &lost);
+
 /** Adds the counters of quota decisions, of queries to and from other gateways, and the number of quotas of which this gateway holds a share. */
 void addQuotaMetrics(Metrics::MetricsPage &page, const QuotaLimiter &quotas);
 
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -167,14 +167,27 @@
         this->maximumAt = now;
     }
     const bool known = this->isReady() && all > 0;
-    if (known) {
-        this->pool.setGatewayCount(this->maximumGateways, this->gatewaysInZone);
+    if (!known) {
+        return;
+    }
+    if (this->maximumGateways != this->pool.gatewayCount()) {
+        // The share of the retry budgets' slack follows the number.
+        Core::logEvent(Core::LogLevel::Information,
+            "gateways.counted",
+            {{"gateways", this->maximumGateways},
+                {"before", this->pool.gatewayCount()},
+                {"ready_now", all},
+                {"age_ms", Core::toMilliseconds(now - this->maximumAt)},
+                {"coordinators", this->watcher.reachableCount()}});
     }
+    this->pool.setGatewayCount(this->maximumGateways, this->gatewaysInZone);
 }
 
 void GatewayNode::logCounters() const
 {
     const auto &sends = this->pool.counters();
+    const auto repeated = this->pool.mostRepeated(1);
+    const auto most = repeated.empty() ? ServiceBudgetUse{} : repeated.front();
     Core::logEvent(Core::LogLevel::Information,
         "gateway.counters",
         {{"requests", this->counts.requests},
@@ -202,6 +215,12 @@
             {"kept_apart", sends.reuseAvoided},
             {"connections_opened", sends.connectionsOpened},
             {"connections", this->pool.connectionCount()},
+            {"parts_lost_retriable", this->lostParts.count(true)},
+            {"parts_lost_unknown", this->lostParts.count(false)},
+            {"most_repeated", most.service.value()},
+            {"window_repeats", most.use.repeats},
+            {"window_requests", most.use.requests},
+            {"window_limit", most.use.limit},
             {"gateways", this->pool.gatewayCount()},
             {"coordinators", this->watcher.reachableCount()}});
 }
@@ -638,6 +657,7 @@
         .isCautious = this->pool.hasServersEnding(),
         .relayParameters = std::move(relayParameters),
         .cancelsParts = this->options.relay.cancelsParts,
+        .lostParts = &this->lostParts,
         .ownerLoad = &this->ownerLoad};
 }
 
@@ -790,6 +810,8 @@
             {"relayed", summary.relayed},
             {"attempts", summary.attempts},
             {"hedges", summary.hedges},
+            {"most_attempts", summary.mostAttempts},
+            {"max_attempts", summary.route->maximumAttempts},
             {"took_ms", Core::toMilliseconds(summary.took)},
             {"missing", summary.detail}});
 }
@@ -799,6 +821,7 @@
     Metrics::MetricsPage page;
     addRequestMetrics(page, this->counts);
     addSendMetrics(page, this->pool, this->relays);
+    addLostPartMetrics(page, this->lostParts);
     addQuotaMetrics(page, this->quotas);
     addOwnerMetrics(page, this->ownerLoad.counters(), this->loopLoad.has_value() ? std::optional(this->loopLoad->report()) : std::nullopt);
     Fleet::addCrashMetrics(page, this->crashes, this->timers.now());
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -172,6 +172,7 @@
     Core::TimerSubscription counterTimer;
     // Set if the load of this gateway is measured.
     std::optional<LoopLoad> loopLoad;
+    LostParts lostParts;
     OwnerLoad ownerLoad;
     Core::TimerSubscription loadTimer;
     static constexpr int DeclineLinesPerSecond = 2;
--- a/Libraries/LibGateway/RelayedPart.cpp
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -248,12 +248,34 @@
     default:
         break;
     }
+    return this->allMissing(this->assumedAttempts(), 1);
+}
+
+int RelayedPart::assumedAttempts() const
+{
     if (this->relayCall->state() == CallState::FailedUnacknowledged || this->brokeImmediately()) {
         // The machine stopped responding or was restarted, so the part most likely did not arrive. One attempt at each shard is counted for it nevertheless.
-        return this->allMissing(this->relayCall->executions(), this->relayCall->executions());
+        return 1;
     }
     // It is not known what the serving gateway has run, so all attempts that the route allows are assumed and none is sent in its place.
-    return this->allMissing(this->route.maximumAttempts, 1);
+    return this->route.maximumAttempts;
+}
+
+void RelayedPart::recordIfLost() const
+{
+    const auto state = this->relayCall->state();
+    const bool isLost = !this->open && (state == CallState::Failed || state == CallState::FailedUnacknowledged);
+    if (!isLost || this->context.lostParts == nullptr) {
+        return;
+    }
+    this->context.lostParts->record({.request = this->request.id,
+                                        .zone = this->plan.zone,
+                                        .shards = this->plan.shards.size(),
+                                        .after = this->relayCall->brokeAfter(),
+                                        .reason = this->relayCall->failureReason(),
+                                        .assumedAttempts = this->assumedAttempts(),
+                                        .maximumAttempts = this->route.maximumAttempts},
+        this->context.timers->now());
 }
 
 // A machine that was restarted resets connections it does not know, one round trip after the send. A gateway that did receive the part has sent each shard at
--- a/Libraries/LibGateway/RelayedPart.h
+++ b/Libraries/LibGateway/RelayedPart.h
@@ -71,6 +71,9 @@
     /** Returns the missing shards once the part is no longer open, each with the attempts that may have run for it. */
     [[nodiscard]] std::vector<Protocol::MissingShard> missing() const;
 
+    /** Records the part as lost if it was sent and is no longer open without an answer. */
+    void recordIfLost() const;
+
     /** Returns whether the shard is missing and the retry budget of the serving gateway denied a repeat for it. */
     [[nodiscard]] bool lacksRepeatFor(const Core::ServiceName &shard) const;
 
@@ -80,6 +83,8 @@
     void countOwner();
     /** Returns whether the part was answered with the signature or the attempts of every shard. */
     [[nodiscard]] bool wasRead() const;
+    /** Returns the attempts that each shard is assumed to have had by this part, which was not answered. */
+    [[nodiscard]] int assumedAttempts() const;
     /** Returns whether the connection broke so soon after the send that each shard was sent at most once. */
     [[nodiscard]] bool brokeImmediately() const;
     /** Returns the shards that the answer lists as missing although they were not requested, or that it lists twice. */
--- a/Libraries/LibGateway/RetryBudget.cpp
+++ b/Libraries/LibGateway/RetryBudget.cpp
@@ -14,9 +14,14 @@
 {
 }
 
+std::int64_t RetryBudget::sliceNumberAt(Core::Instant now) const
+{
+    return now.sinceStart() / (this->options.window / SlicesInWindow);
+}
+
 RetryBudget::Slice &RetryBudget::sliceAt(Core::Instant now)
 {
-    const std::int64_t number = now.sinceStart() / (this->options.window / SlicesInWindow);
+    const auto number = this->sliceNumberAt(now);
     auto &slice = this->slices[static_cast<std::size_t>(number % SliceCount)];
     if (slice.number != number) {
         slice = Slice{.number = number, .requests = 0, .repeats = 0};
@@ -38,13 +43,13 @@
     return std::min(HighestRepeatValue, (repeats - unranked) / (limit - unranked));
 }
 
-BudgetUse RetryBudget::useAt(Core::Instant now, double slackShare)
+BudgetUse RetryBudget::useAt(Core::Instant now, double slackShare) const
 {
-    const auto &current = this->sliceAt(now);
+    const auto current = this->sliceNumberAt(now);
     double requests = 0.0;
     double repeats = 0.0;
     for (const auto &slice : this->slices) {
-        if (slice.number > current.number - SliceCount) {
+        if (slice.number > current - SliceCount) {
             requests += slice.requests;
             repeats += slice.repeats;
         }
@@ -52,7 +57,7 @@
     const double slack = now < this->options.slackFrom ? 0.0 : this->options.slack * slackShare;
     const double allowed = this->options.ratio * requests + slack;
     const double limit = this->options.usedShare * allowed;
-    return {.repeats = repeats, .limit = limit, .threshold = this->thresholdFor(repeats, limit)};
+    return {.repeats = repeats, .requests = requests, .limit = limit, .threshold = this->thresholdFor(repeats, limit)};
 }
 
 bool RetryBudget::consumeRetry(Core::Instant now, double slackShare, double value)
--- a/Libraries/LibGateway/RetryBudget.h
+++ b/Libraries/LibGateway/RetryBudget.h
@@ -43,8 +43,9 @@
 
 /** What a gateway has used of its share of a service's budget. */
 struct BudgetUse {
-    /** Repeats in the window that ends now. */
+    /** Repeats and first sends in the window that ends now. */
     double repeats{0.0};
+    double requests{0.0};
     /** Maximum number of repeats in the window. */
     double limit{0.0};
     /** Least value of a repeat that is granted, from 0 to 1. */
@@ -66,7 +67,7 @@
     [[nodiscard]] bool consumeRetry(Core::Instant now, double slackShare, double value = HighestRepeatValue);
 
     /** Returns what is used; `slackShare` as in consumeRetry(). */
-    [[nodiscard]] BudgetUse useAt(Core::Instant now, double slackShare);
+    [[nodiscard]] BudgetUse useAt(Core::Instant now, double slackShare) const;
 
 private:
     // One slice more than the window has, so that every span of the window's length lies within the counted slices.
@@ -78,6 +79,7 @@
         std::uint32_t repeats{0};
     };
 
+    [[nodiscard]] std::int64_t sliceNumberAt(Core::Instant now) const;
     [[nodiscard]] Slice &sliceAt(Core::Instant now);
     [[nodiscard]] double thresholdFor(double repeats, double limit) const;
 
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <LibCore/LatencyDigest.h>
+#include <LibGateway/LostParts.h>
 #include <LibGateway/RelayPlan.h>
 #include <LibGateway/Scheduling/OwnerLoad.h>
 #include <LibGateway/ShardCall.h>
@@ -65,6 +66,8 @@
     std::size_t relayed{0};
     int attempts{0};
     int hedges{0};
+    /** Largest number of attempts that one shard may have had, at all gateways as far as this one knows. */
+    int mostAttempts{0};
     Core::Duration took{0};
     /** The missing shards, each with the reason. */
     std::string detail;
@@ -93,6 +96,8 @@
     std::optional<RelayParameters> relayParameters;
     /** See RelayOptions::cancelsParts. */
     bool cancelsParts{false};
+    /** Records the parts of searches that are lost; may be nullptr. */
+    LostParts *lostParts{nullptr};
     /** Loads of other gateways, by which parts are distributed among the owners of a cell; may be nullptr. */
     OwnerLoad *ownerLoad{nullptr};
 };
--- a/Libraries/LibGateway/SingleRequest.cpp
+++ b/Libraries/LibGateway/SingleRequest.cpp
@@ -73,6 +73,7 @@
 {
     summary.shards = 1;
     summary.answered = this->call->state() == CallState::Answered ? 1 : 0;
+    summary.mostAttempts = this->call->executions();
     describeCall(summary, *this->call);
 }
 
