Tests: Count repeats, attempts and time limits in the soak

The soak could see none of the three bounds on repeats: its shards have as many servers as the route allows attempts, and nothing counted windows or compared time limits. The check of attempts is as strict as before: it leaves out only servers that ended under a crashing request.

--- a/Tests/Soak/backends.py
+++ b/Tests/Soak/backends.py
@@ -151,6 +151,7 @@
 
     def crash(self):
         self.gone = True
+        self.soak.budget.record_end(time.monotonic(), self.id)
         for task in self.tasks:
             task.cancel()
         self.server.close()
@@ -176,6 +177,7 @@
     async def answer(self, writer, words, headers, body):
         """Answers one request and runs it unless it is refused. Returns whether the connection stays open."""
         request_id = headers.get("request-id", "")
+        self.soak.budget.record_arrival(time.monotonic(), self.service, self.id, request_id, headers.get("deadline-ms"))
         if self.drain_acknowledged is not None:
             self.soak.journal.late_arrivals.append((self, time.monotonic() - self.drain_acknowledged))
         if headers.get("target-instance") != self.id:
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -22,6 +22,7 @@
 import time
 
 from backends import Backend, Journal, RECORD_BYTES, call, part_of, read_message, signature_of, single_answer
+from budget import BudgetCheck
 from load import Load
 from proxy import FaultProxy
 
@@ -39,6 +40,7 @@
 QUOTA_WINDOW_SECONDS = 5.0
 QUOTA_OVERSHOOT = 0.1
 QUOTA_SLACK = 20
+RETRY_SLACK = 60
 # API keys of every declaration, with their workspaces. Callers send about twice as many requests for beta as its quota allows.
 KEYS = {"alpha-key-1": "alpha", "alpha-key-2": "alpha", "beta-key-1": "beta"}
 QUOTA = {"rate_per_s": 25, "burst": 10}
@@ -85,7 +87,7 @@
                  "listen_addrs.control": f"{self.address}:{base + 2}", "data_dir": os.path.join(self.folder, "data"),
                  "seed_nodes": ",".join(f"{address}:{base + 2}" for address in self.soak.seed_addresses),
                  "bootstrap": "true" if self.first else "false", "fault_tolerance.machines": "1", "heartbeat_ms": "400",
-                 "bounds.grace_s": str(int(GRACE_SECONDS)), "bounds.retry_budget_ratio": "0.2", "bounds.retry_window_s": "10", "bounds.retry_slack": "60",
+                 "bounds.grace_s": str(int(GRACE_SECONDS)), "bounds.retry_budget_ratio": "0.2", "bounds.retry_window_s": "10", "bounds.retry_slack": str(RETRY_SLACK),
                  "bounds.quota_window_s": str(int(QUOTA_WINDOW_SECONDS)), "bounds.quota_overshoot": str(QUOTA_OVERSHOOT), "bounds.quota_slack": str(QUOTA_SLACK)}
         lines.update({f"zones.{zone}": zone.replace("zone", "region") for zone in ZONES})
         path = os.path.join(self.folder, "settings.conf")
@@ -141,6 +143,7 @@
         self.key_of = {}
         self.port = 20000 + (seed * 37) % 20000
         self.journal = Journal()
+        self.budget = BudgetCheck(RETRY_SLACK)
         self.failures = []
         self.ending = False
         self.drain_seconds = DRAIN_SECONDS
@@ -149,7 +152,7 @@
         self.addresses = [f"127.0.1.{index + 1}" for index in range(options.coordinators)]
         # With --divided one zone gets six more gateways, so that searches are divided among its gateways, and most of the shards. Each shard has one
         # server only and a search may lack one shard, so a shard that was late for its part is requested again from the same gateway and server.
-        self.gateway_zones = [ZONES[index % len(ZONES)] for index in range(options.coordinators)] + ZONES[:1] * (6 if options.divided else 0)
+        self.gateway_zones = [ZONES[index % len(ZONES)] for index in range(max(options.coordinators, options.gateways))] + ZONES[:1] * (6 if options.divided else 0)
         self.minimum_coverage = DIVIDED_MINIMUM_COVERAGE if options.divided else MINIMUM_COVERAGE
         self.seed_addresses = self.addresses[:3]
         self.backends = []
@@ -191,11 +194,17 @@
 
     async def start_backends(self):
         for shard in range(SHARDS):
-            for zone in [ZONES[shard // 4]] if self.options.divided else [ZONES[(shard + replica) % 3] for replica in range(2)]:
+            for zone in self.zones_of(shard):
                 await self.add_backend(f"shard-{shard}", zone, True)
         for index in range(3):
             await self.add_backend("records", ZONES[index], False)
 
+    def zones_of(self, shard):
+        """The zones with a server of the shard. More servers than attempts are needed to see an attempt too many."""
+        if self.options.servers == 3:
+            return ZONES
+        return [ZONES[shard // 4]] if self.options.divided else [ZONES[(shard + replica) % 3] for replica in range(2)]
+
     def uses_proxy(self):
         return self.random.random() < 0.5
 
@@ -391,6 +400,7 @@
         # Some requests claim a workspace by its header, which gateways must ignore.
         lines += ["Tenant: alpha"] if self.key_random.random() < 0.2 else []
         self.key_of[request.request_id] = request.key
+        self.budget.record_request(time.monotonic(), request.request_id, request.kind, request.caller_timeout / 1000)
         if request.kind == "action":
             self.non_idempotent.add(request.request_id)
         try:
@@ -553,10 +563,9 @@
             runs = self.journal.runs.get(request_id, [])
             if len(runs) > 1:
                 self.fail("ran-twice", f"{request_id} at {[run.backend for run in runs]}")
-        for request_id, runs in self.journal.runs.items():
-            for service in {run.service for run in runs}:
-                if len({run.backend for run in runs if run.service == service} - self.crashed_under_requests) > 2:
-                    self.fail("too-many-attempts", f"{request_id} at {service}")
+        for promise, detail in self.budget.failures(self.journal.runs, self.crashed_under_requests):
+            self.fail(promise, detail)
+        self.counts["window_use_percent"] = round(100 * max(self.budget.window_use().values(), default=0))
 
     def check_workspaces(self):
         for request_id, name in self.journal.workspaces:
@@ -677,6 +686,8 @@
     parser.add_argument("--seeds", default="1", help="seeds such as 1-5,9; 0 takes the seed from the clock")
     parser.add_argument("--seconds", type=float, default=20.0, help="how long faults are injected for each seed")
     parser.add_argument("--coordinators", type=int, default=3, choices=range(3, 10), metavar="3-9", help="number of coordinators, and of gateways")
+    parser.add_argument("--gateways", type=int, default=0, help="number of gateways if it is larger than that of coordinators")
+    parser.add_argument("--servers", type=int, default=2, choices=[2, 3], help="servers of each shard: 2 (1 with --divided), or one in each zone")
     parser.add_argument("--divided", action="store_true", help="add gateways to one zone, so that it divides searches among them, and use one server per shard")
     parser.add_argument("--crashing", action="store_true", help="send requests that crash every backend server that runs them")
     parser.add_argument("--callers", type=int, default=8, help="number of concurrent callers")
