LibGateway: Make one attempt at each shard while a part may be given up

Cause: a requesting gateway that gave up a part, because sent bytes were not acknowledged within 20 ms or its connection broke within 6 ms, counted one attempt for each shard and sent the shards again. The gateway that served the part had made two by then, by a hedge or by a part of its own. Each kept to the limit by its own count.

Now a part names the time in which it may be given up, and the serving gateway makes one attempt in it; later repeats look first whether the connection still stands. A part that breaks in that time counts as one attempt, one that is lost later as all. That holds however late acknowledgements are, and replaces the rule of 6 ms: a part whose gateway ends within the time is now sent again, too.

--- a/Libraries/LibGateway/BackendConnector.cpp
+++ b/Libraries/LibGateway/BackendConnector.cpp
@@ -55,6 +55,7 @@
     auto opened = Wire::ClientConnection::create({.endpoint = backend.endpoint,
                                                      .acknowledgementTimeout = this->options.acknowledgementTimeout,
                                                      .connectLimit = this->connectLimit(backend),
+                                                     .awaitsAcknowledgement = this->options.awaitsAcknowledgement,
                                                      .trialMargin = this->trialMargin(reuseAvoided),
                                                      .limits = {}},
         this->poll,
--- a/Libraries/LibGateway/BackendConnector.h
+++ b/Libraries/LibGateway/BackendConnector.h
@@ -27,6 +27,7 @@
     Core::Duration connectTimeout{0};
     bool acceptsPromptly{false};
     Core::Duration acknowledgementTimeout{0};
+    std::function<bool(const Wire::Socket &socket)> awaitsAcknowledgement;
     std::optional<TrialOptions> trial;
 };
 
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -166,6 +166,16 @@
     return isGranted;
 }
 
+void BackendPool::recordPostponedRepeat()
+{
+    ++this->counts.repeatsPostponed;
+}
+
+void BackendPool::recordUnawaitedRepeat()
+{
+    ++this->counts.repeatsNotAwaited;
+}
+
 double BackendPool::slackShareOf(const Core::ServiceName &name, const Service &service) const
 {
     return this->slackShare ? this->slackShare(name, service.zones) : 1.0 / this->gateways.all;
@@ -258,6 +268,11 @@
     return shortest;
 }
 
+Core::Duration BackendPool::acknowledgementLimitTo(const Core::ServiceName &service) const
+{
+    return std::min(this->options.acknowledgementTimeout, Wire::acknowledgementLimit(this->roundTripTo(service)));
+}
+
 const PoolCounters &BackendPool::counters() const
 {
     return this->counts;
@@ -402,6 +417,7 @@
     return {.connectTimeout = this->options.connectTimeout,
         .acceptsPromptly = this->options.acceptsPromptly,
         .acknowledgementTimeout = this->options.acknowledgementTimeout,
+        .awaitsAcknowledgement = this->options.awaitsAcknowledgement,
         .trial = this->options.trial};
 }
 
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -43,6 +43,8 @@
     bool acceptsPromptly{false};
     /** A connection whose sent bytes stay unacknowledged for this long is broken; a running machine acknowledges within a round trip. */
     Core::Duration acknowledgementTimeout{Core::milliseconds(1200)};
+    /** See Wire::ClientConnectionOptions. */
+    std::function<bool(const Wire::Socket &socket)> awaitsAcknowledgement{&Wire::Socket::awaitsAcknowledgement};
     /** Consecutive failures after which a backend server is avoided. One that does not respond at all is avoided at once. */
     int failuresUntilAvoided{2};
     /** When new connections are tried out before a request is sent; nothing when the servers have no connection cap. */
@@ -117,6 +119,9 @@
     std::uint64_t crashes{0};
     /** Repeats that the retry budgets of the services granted and denied. */
     RepeatCounters repeats;
+    /** Attempts that waited because another gateway may have sent the part again, and those that were not made since it had closed the connection. */
+    std::uint64_t repeatsPostponed{0};
+    std::uint64_t repeatsNotAwaited{0};
     /** Answers that arrived after a pause of their backend server. */
     std::uint64_t pauses{0};
     /** Backend servers that sweeps visited, which is what an idle gateway spends its time on. */
@@ -199,6 +204,10 @@
     /** Consumes one hedge or retry from the retry budget of the service. Returns false when none is left for a repeat of this value. */
     [[nodiscard]] bool consumeRetry(const Core::ServiceName &service, const RepeatRequest &repeat);
 
+    /** Counts an attempt that has to wait (CallParameters::repeatFrom), or one that is not made because its answer is no longer awaited. */
+    void recordPostponedRepeat();
+    void recordUnawaitedRepeat();
+
     /** Returns the services with most repeats in the window that ends now, at most `count`, the one with most first. Services without repeats are left out. */
     [[nodiscard]] std::vector<ServiceBudgetUse> mostRepeated(std::size_t count) const;
     /** Whether several backend servers crashed within the last second, or ended their idle connections as they do when they crash. */
@@ -230,6 +239,8 @@
     [[nodiscard]] EvidenceCounters evidenceCounters() const;
     /** Returns the shortest measured round trip to a backend server of the service, at most the round trip that is assumed until one has been measured. */
     [[nodiscard]] Core::Duration roundTripTo(const Core::ServiceName &service) const;
+    /** Returns how long the nearest backend server of the service may take to acknowledge sent bytes before its connection fails. */
+    [[nodiscard]] Core::Duration acknowledgementLimitTo(const Core::ServiceName &service) const;
     [[nodiscard]] const PoolCounters &counters() const;
     /** Returns how many backend servers are known to be slow, and how many look paused: requests in flight show no sign of life. */
     [[nodiscard]] SpeedCounts speedCounts() const;
--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -215,7 +215,8 @@
         .maximumMissing = partPlan.isHedge ? partPlan.shards.size() - 1 : share,
         .topRecords = this->topRecords(),
         .allowedRegions = this->parameters.allowedRegions,
-        .searchState = state.has_value() ? std::optional(stateWithout(state.value(), partPlan.shards.size())) : std::nullopt};
+        .searchState = state.has_value() ? std::optional(stateWithout(state.value(), partPlan.shards.size())) : std::nullopt,
+        .repeatHold = std::max(Core::Duration(0), this->parameters.repeatFrom - this->now())};
     this->parts.push_back(std::make_unique<SentPart>());
     auto &sentPart = *this->parts.back();
     sentPart.part = std::make_unique<RelayedPart>(this->context, this->route, this->request, partPlan, partParameters);
@@ -277,7 +278,7 @@
         row.call->relayedHedgeEnded(0);
         break;
     default:
-        row.call->relayedHedgeEnded(1);
+        row.call->relayedHedgeEnded(std::max(1, sentPart.part->assumedAttempts() - HedgedExecutions));
         break;
     }
 }
@@ -305,7 +306,8 @@
         const auto &sentPart = *row.missingFromPart;
         // A shard is requested from its owner twice at most. After that, or if the owner has no repeat left, this gateway sends to the missing shards directly
         // and consumes its own share of the budget, which it seldom needs otherwise.
-        if (sentPart.part->hasOwners() && !sentPart.part->isRetry() && !row.lacksRepeatThere) {
+        const bool isHeld = this->now() < this->parameters.repeatFrom;
+        if (sentPart.part->hasOwners() && !sentPart.part->isRetry() && !row.lacksRepeatThere && !isHeld) {
             row.isRetryPlanned = true;
             retries[{&sentPart, row.remoteAttempts.executions, row.remoteAttempts.sends, row.remoteAttempts.counted}].push_back(number);
         } else {
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -136,6 +136,9 @@
         sends.connectionRejected);
     addCounter(page, "crankrudder_connections_opened_total", "Connections opened to backend servers.", sends.connectionsOpened);
     addRepeatMetrics(page, sends.repeats);
+    addCounter(page, "crankrudder_repeats_postponed_total", "Retries that waited because the part may have been given up.", sends.repeatsPostponed);
+    addCounter(
+        page, "crankrudder_repeats_not_awaited_total", "Retries and hedges that were not sent because the part had been given up.", sends.repeatsNotAwaited);
     addWindowMetrics(page, servers.mostRepeated(ServicesWithWindow));
     addCounter(page, "crankrudder_rows_swept_total", "Backend servers and gateways that sweeps looked at.", sends.swept + gateways.counters().swept);
     page.gauge("crankrudder_connections", "Connections to backend servers.", static_cast<double>(servers.connectionCount()));
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -597,9 +597,11 @@
     if (!this->startTrace(request, answer)) {
         return;
     }
-    this->run(
-        std::make_unique<FanOutRequest>(
-            this->contextFor(*route, workspace, std::move(parameters)), this->routes, *route, std::move(request), std::move(plan), RequestOrigin::OtherGateway),
+    auto context = this->contextFor(*route, workspace, std::move(parameters));
+    context.isAwaited = [exchange] {
+        return exchange->isAwaited();
+    };
+    this->run(std::make_unique<FanOutRequest>(std::move(context), this->routes, *route, std::move(request), std::move(plan), RequestOrigin::OtherGateway),
         exchange,
         answer);
 }
--- a/Libraries/LibGateway/RelayPlan.cpp
+++ b/Libraries/LibGateway/RelayPlan.cpp
@@ -206,6 +206,7 @@
     std::optional<SearchState> searchState;
     std::string evidence;
     std::optional<LoopReport> otherOwner;
+    Core::Duration repeatHold{0};
     std::erase_if(headers, [&](const Wire::Header &header) {
         if (Wire::sameName(header.name, RelayHeader::Parameters)) {
             parameters = parseRelayParameters(header.value);
@@ -242,6 +243,10 @@
             otherOwner = parseLoad(header.value);
             return true;
         }
+        if (Wire::sameName(header.name, RelayHeader::RepeatHold)) {
+            repeatHold = Core::milliseconds(Core::parseInteger(header.value, 0, MaximumMilliseconds).value_or(0));
+            return true;
+        }
         return false;
     });
     if (!parameters.has_value() || shards.empty()) {
@@ -254,6 +259,7 @@
     parameters->searchState = searchState;
     parameters->evidence = std::move(evidence);
     parameters->otherOwner = otherOwner;
+    parameters->repeatHold = repeatHold;
     return parameters;
 }
 
@@ -303,6 +309,9 @@
     if (!parameters.evidence.empty()) {
         headers.push_back({RelayHeader::Evidence, parameters.evidence});
     }
+    if (parameters.repeatHold > Core::Duration(0)) {
+        headers.push_back({RelayHeader::RepeatHold, std::to_string(Core::toMilliseconds(parameters.repeatHold))});
+    }
     if (!parameters.minimumRecord.empty()) {
         headers.push_back({RelayHeader::MinimumRecord, toHexadecimal(parameters.minimumRecord)});
     }
--- a/Libraries/LibGateway/RelayPlan.h
+++ b/Libraries/LibGateway/RelayPlan.h
@@ -136,6 +136,11 @@
 constexpr const char *QuotaTerms = "Crankrudder-Quota-Terms";
 /** Keepers that the querying gateway knows to be exhausted: ADDRESS=MS,... with the time for which that is valid. */
 constexpr const char *QuotaExhausted = "Crankrudder-Quota-Exhausted";
+/**
+ * Milliseconds from the arrival of a part in which the serving gateway makes at most one attempt at each shard: RelayParameters::repeatHold. Absent from
+ * gateways of an older build, which means 0.
+ */
+constexpr const char *RepeatHold = "Crankrudder-Repeat-Hold";
 /** Identifies one send of a part. The serving gateway returns it with the answer, since all parts of a search have the same request id. */
 constexpr const char *Send = "Crankrudder-Send";
 /**
@@ -145,6 +150,9 @@
 constexpr const char *OwnerLoad = "Crankrudder-Owner-Load";
 }
 
+/** A hedged shard has one earlier send of the requesting gateway, which may have run. */
+constexpr int HedgedExecutions = 1;
+
 /** What a gateway sends with a relayed part in addition to the caller's request. */
 struct RelayParameters {
     /** Time from arrival until the part should be sent if at most `maximumMissing` shards are missing. */
@@ -183,6 +191,17 @@
     std::string send{};
     /** Load of the owner that gets the part if the serving gateway declines it. Without one the part is not declined. */
     std::optional<LoopReport> otherOwner{};
+    /**
+     * Time from arrival in which at most one attempt is made at each shard in addition to `before`. The requesting gateway may give the part up in this time,
+     * and then counts one attempt for each shard.
+     */
+    Core::Duration repeatHold{0};
+
+    /** Returns the number of attempts at each shard that the requesting gateway has counted apart from this part. */
+    [[nodiscard]] int earlierAttempts() const
+    {
+        return this->isHedge ? HedgedExecutions : this->before.executions;
+    }
 };
 
 /** Identifies a part at the gateway that serves it. The id of the request distinguishes sends of several gateways with the same id. */
--- a/Libraries/LibGateway/RelayedPart.cpp
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -21,6 +21,8 @@
 
 // Multiple of the measured shortest round trip that is expected for a part. Queues and a connection that has to be opened make it longer.
 static constexpr double RoundTripFactor = 1.3;
+// Added to the time after which missing acknowledgements break a connection: timers run late, and a connection may have to be opened first.
+static constexpr Core::Duration GiveUpMargin = Core::milliseconds(8);
 // Time for the additional hop: two gateways that run on small shares of a core.
 static constexpr Core::Duration RelayOverhead = Core::milliseconds(4);
 
@@ -46,6 +48,9 @@
             this->request.message.headers.push_back(makeOtherOwnerHeader(other.value()));
         }
     }
+    this->giveUpTime = std::min(context.settings->maximumGiveUpTime, context.relays->acknowledgementLimitTo(this->relayServiceName) + GiveUpMargin);
+    // The reset of the connection that gives the part up takes up to a round trip to arrive.
+    const auto repeatHold = std::max(partParameters.repeatHold, this->giveUpTime + context.relays->roundTripTo(this->relayServiceName));
     // The request's body must not be sent to regions where the request may not be served either.
     this->parameters.allowedRegions = partParameters.allowedRegions;
     addRelayParameters(this->request.message.headers,
@@ -61,7 +66,8 @@
             .allowedRegions = partParameters.allowedRegions,
             .workspace = this->request.workspace,
             .searchState = partParameters.searchState,
-            .evidence = context.pool->evidenceOf(plan.shards, EvidenceScope::All)});
+            .evidence = context.pool->evidenceOf(plan.shards, EvidenceScope::All),
+            .repeatHold = repeatHold});
     if (context.cancelsParts) {
         // NOTE: Called also while this part is destroyed, so it refers to nothing in it.
         this->parameters.attemptAbandoned = [relays = context.relays, id = this->request.id](const BackendName &gateway, AttemptId send) {
@@ -251,14 +257,13 @@
     return this->allMissing(this->assumedAttempts(), 1);
 }
 
+// A part that broke in time has made one attempt at each shard at most: until then the serving gateway makes no second one, and later the reset of the
+// connection keeps it from doing so. Whether the part has arrived is not known: a running machine may acknowledge it late.
 int RelayedPart::assumedAttempts() const
 {
-    if (this->relayCall->state() == CallState::FailedUnacknowledged || this->brokeImmediately()) {
-        // The machine stopped responding or was restarted, so the part most likely did not arrive. One attempt at each shard is counted for it nevertheless.
-        return 1;
-    }
-    // It is not known what the serving gateway has run, so all attempts that the route allows are assumed and none is sent in its place.
-    return this->route.maximumAttempts;
+    const auto brokeAfter = this->relayCall->brokeAfter();
+    const bool brokeInTime = brokeAfter.has_value() && brokeAfter.value() <= this->giveUpTime;
+    return brokeInTime ? 1 : this->route.maximumAttempts;
 }
 
 void RelayedPart::recordIfLost() const
@@ -278,14 +283,6 @@
         this->context.timers->now());
 }
 
-// A machine that was restarted resets connections it does not know, one round trip after the send. A gateway that did receive the part has sent each shard at
-// most once by then, because no backend server can have answered within that time.
-bool RelayedPart::brokeImmediately() const
-{
-    const auto brokeAfter = this->relayCall->brokeAfter();
-    return this->relayCall->state() == CallState::Failed && brokeAfter.has_value() && brokeAfter.value() <= this->context.settings->immediateBreak;
-}
-
 std::vector<Protocol::MissingShard> RelayedPart::allMissing(int executions, int sends) const
 {
     std::vector<Protocol::MissingShard> all;
--- a/Libraries/LibGateway/RelayedPart.h
+++ b/Libraries/LibGateway/RelayedPart.h
@@ -15,9 +15,6 @@
 namespace Gateway
 {
 
-/** A hedged shard has one earlier send of the requesting gateway, which may have run. */
-constexpr int HedgedExecutions = 1;
-
 /** Time limits of a part and what it should contain. */
 struct PartParameters {
     /** The answer to the whole search should be sent at this time. */
@@ -29,6 +26,8 @@
     Fleet::AllowedRegions allowedRegions;
     /** State of the search without the shards of the part, if it is known. */
     std::optional<SearchState> searchState;
+    /** Time in which the part may make one attempt at each shard, since it belongs to a part that this gateway serves. */
+    Core::Duration repeatHold{0};
 };
 
 /** One relayed part. Open from start() until the serving gateway has answered or failed, or the part was cancelled. */
@@ -71,6 +70,9 @@
     /** Returns the missing shards once the part is no longer open, each with the attempts that may have run for it. */
     [[nodiscard]] std::vector<Protocol::MissingShard> missing() const;
 
+    /** Returns the attempts that each shard is assumed to have had by this part, which was not answered. */
+    [[nodiscard]] int assumedAttempts() const;
+
     /** Records the part as lost if it was sent and is no longer open without an answer. */
     void recordIfLost() const;
 
@@ -83,10 +85,6 @@
     void countOwner();
     /** Returns whether the part was answered with the signature or the attempts of every shard. */
     [[nodiscard]] bool wasRead() const;
-    /** Returns the attempts that each shard is assumed to have had by this part, which was not answered. */
-    [[nodiscard]] int assumedAttempts() const;
-    /** Returns whether the connection broke so soon after the send that each shard was sent at most once. */
-    [[nodiscard]] bool brokeImmediately() const;
     /** Returns the shards that the answer lists as missing although they were not requested, or that it lists twice. */
     [[nodiscard]] std::vector<std::string> unrequestedMissing(const Protocol::PartialAnswer &answer) const;
     [[nodiscard]] std::vector<Protocol::MissingShard> allMissing(int executions, int sends) const;
@@ -98,6 +96,8 @@
     std::shared_ptr<const Fleet::Route> relayRoute;
     CallerRequest request;
     CallParameters parameters;
+    // Until this long after the send, the part counts as one attempt at each shard if its connection breaks.
+    Core::Duration giveUpTime{0};
     std::unique_ptr<ShardCall> relayCall;
     bool open{true};
     Protocol::PartialAnswer partial;
--- a/Libraries/LibGateway/RequestSettings.h
+++ b/Libraries/LibGateway/RequestSettings.h
@@ -40,11 +40,10 @@
     /** Fraction of the target latency that a single request waits for free capacity before it is refused. */
     double capacityWaitShare{0.2};
     /**
-     * A connection to another gateway that breaks within this time after a send was reset by a machine that does not know the connection: one round trip
-     * within a region (2 ms) plus processing time in both programs. This is shorter than any backend server takes to lose an answer, so each shard was
-     * sent at most once by then.
+     * Upper limit of the time in which a relayed part may be given up and its shards sent again. The serving gateway makes one attempt at each shard in that
+     * time, so a longer one delays its hedges.
      */
-    Core::Duration immediateBreak{Core::milliseconds(6)};
+    Core::Duration maximumGiveUpTime{Core::milliseconds(90)};
     /** Time limit of a request whose caller sent no timeout. */
     Core::Duration defaultTimeout{Core::seconds(10)};
 };
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -116,6 +116,9 @@
         this->parameters.targetAt = this->arrivedAt + context.relayParameters->timeLeftToTarget;
         this->parameters.expiresAt = std::min(this->parameters.expiresAt, this->arrivedAt + context.relayParameters->timeLeftToDeadline);
         this->parameters.allowedRegions = this->parameters.allowedRegions.intersectedWith(context.relayParameters->allowedRegions);
+        this->parameters.repeatFrom = this->arrivedAt + context.relayParameters->repeatHold;
+        this->parameters.earlierAttempts = context.relayParameters->earlierAttempts();
+        this->parameters.isAwaited = context.isAwaited;
     }
 }
 
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -94,6 +94,8 @@
     bool isCautious{false};
     /** Set if the request is a part of a search that another gateway relayed to this one. */
     std::optional<RelayParameters> relayParameters;
+    /** Returns whether the connection on which the answer is awaited is still open. Set with `relayParameters`. */
+    std::function<bool()> isAwaited;
     /** See RelayOptions::cancelsParts. */
     bool cancelsParts{false};
     /** Records the parts of searches that are lost; may be nullptr. */
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -46,6 +46,35 @@
 void ShardCall::start(std::function<void()> finishedHook)
 {
     this->finished = std::move(finishedHook);
+    if (this->isHeld()) {
+        this->postpone([this] {
+            this->begin();
+        });
+        return;
+    }
+    this->begin();
+}
+
+bool ShardCall::hasAttempt() const
+{
+    return this->executions() > this->parameters.earlierAttempts || this->hasSentAttempt();
+}
+
+bool ShardCall::isHeld() const
+{
+    return this->timers.now() < this->parameters.repeatFrom && this->hasAttempt();
+}
+
+void ShardCall::postpone(std::function<void()> step)
+{
+    this->pool.recordPostponedRepeat();
+    this->holdTimer = this->timers.once(this->parameters.repeatFrom - this->timers.now(), [step = std::move(step)](Core::Instant) {
+        step();
+    });
+}
+
+void ShardCall::begin()
+{
     if (this->repeatAlreadyConsumed) {
         // The requesting gateway has already counted the send in its budget.
     } else if (this->earlierSends == 0) {
@@ -193,7 +222,10 @@
         return {};
     }
     const auto now = this->timers.now();
-    const auto due = std::max(this->running.back().startedAt + this->parameters.hedgeDelay, this->hedgeDeniedUntil);
+    auto due = std::max(this->running.back().startedAt + this->parameters.hedgeDelay, this->hedgeDeniedUntil);
+    if (this->isHeld()) {
+        due = std::max(due, this->parameters.repeatFrom);
+    }
     if (now < due) {
         return {.candidate = nullptr, .nextCheckAt = due};
     }
@@ -334,6 +366,12 @@
     const bool nothingRan = this->executions() == 0;
     const bool allowed = (this->parameters.route->idempotent || nothingRan) && this->refusals < MaximumRefusals && this->mayTryAnother();
     const bool wasSent = otherwise != CallState::NotRun || this->refusals > 0;
+    if (allowed && this->isHeld()) {
+        this->postpone([this, otherwise] {
+            this->retryOrFinish(otherwise);
+        });
+        return;
+    }
     if (allowed && this->pool.choose(this->wanted()) != nullptr) {
         if (!wasSent || this->consumeRepeat(this->retryKind())) {
             this->tryNext();
@@ -360,6 +398,11 @@
 
 bool ShardCall::consumeRepeat(RepeatKind kind)
 {
+    if (this->hasAttempt() && this->parameters.isAwaited && !this->parameters.isAwaited()) {
+        this->pool.recordUnawaitedRepeat();
+        this->repeatDenied = true;
+        return false;
+    }
     const RepeatRequest repeat{.request = this->parameters.request->id, .kind = kind, .value = this->repeatValueNow()};
     this->repeatDenied = !this->pool.consumeRetry(this->serviceName, repeat);
     return !this->repeatDenied;
@@ -407,6 +450,7 @@
     this->countRunning();
     this->current = this->executions() > 0 ? CallState::Failed : CallState::NotRun;
     this->finished = nullptr;
+    this->holdTimer.cancel();
     this->abandonRunning(callerGone);
     if (this->waiter.has_value()) {
         this->pool.stopWaiting(this->serviceName, this->waiter.value());
--- a/Libraries/LibGateway/ShardCall.h
+++ b/Libraries/LibGateway/ShardCall.h
@@ -38,6 +38,11 @@
     std::vector<BackendName> preferred;
     /** Returns the value of a repeat for one of the request's shards, from 0 to 1. Without a hook it is that of a request to a single backend server. */
     std::function<double()> repeatValue;
+    /** Until this time at most one attempt is made at each shard in addition to `earlierAttempts`; see RelayParameters::repeatHold. */
+    Core::Instant repeatFrom;
+    int earlierAttempts{0};
+    /** Returns whether the answer is still awaited. Asked before a repeat, since another gateway may have sent the request again. Optional. */
+    std::function<bool()> isAwaited;
     /** Regions where the request may be served. May be restricted while the request is in flight, but never extended. */
     Fleet::AllowedRegions allowedRegions;
     /** Called for each attempt that is given up and may have been sent. Optional. */
@@ -157,6 +162,13 @@
         std::optional<Core::Duration> limit;
     };
 
+    void begin();
+    /** Returns whether this call has made an attempt, or one of another gateway for the same part is assumed. */
+    [[nodiscard]] bool hasAttempt() const;
+    /** Returns whether another attempt has to wait for CallParameters::repeatFrom. */
+    [[nodiscard]] bool isHeld() const;
+    /** Takes the step at CallParameters::repeatFrom. */
+    void postpone(std::function<void()> step);
     [[nodiscard]] SelectionCriteria wanted(std::optional<Core::Duration> within = std::nullopt) const;
     [[nodiscard]] Backend *chooseBackend();
     void tryFirst();
@@ -212,6 +224,8 @@
     // Attempts whose connection was refused or not established, so that nothing was sent.
     int unsentAttempts{0};
     std::optional<WaiterNumber> waiter;
+    // Active while the next attempt is postponed. Invariant: no attempt is in flight then.
+    Core::TimerSubscription holdTimer;
     BackendReply answer;
     Core::Duration answerLatency{0};
     BackendName answerer;
--- a/Libraries/LibWire/Server.cpp
+++ b/Libraries/LibWire/Server.cpp
@@ -45,6 +45,12 @@
     return this->open;
 }
 
+bool Exchange::isAwaited() const
+{
+    const auto target = this->connection.lock();
+    return this->open && target && target->isConnected();
+}
+
 // ---- Server
 
 Server::Server(ServerOptions options, Core::EventPoll &poll, Core::TimerService &timers) : options(std::move(options)), poll(poll), timers(timers)
@@ -200,6 +206,11 @@
     return this->stage == Stage::Reading && !this->parser.hasBegun() && this->input.empty() && this->written == this->output.size();
 }
 
+bool ServerConnection::isConnected() const
+{
+    return this->stage != Stage::Closed && !this->socket.hasEnded();
+}
+
 void ServerConnection::handleEvents(std::uint32_t events)
 {
     if ((events & EPOLLERR) != 0 || (events & EPOLLHUP) != 0) {
--- a/Libraries/LibWire/Server.h
+++ b/Libraries/LibWire/Server.h
@@ -35,6 +35,9 @@
     /** Returns whether the caller still waits for the response. */
     [[nodiscard]] bool isOpen() const;
 
+    /** Like isOpen(), but also notices a caller that has disconnected since the event loop last ran, which takes a system call. */
+    [[nodiscard]] bool isAwaited() const;
+
     /** Called once if the caller disconnects before the response. */
     std::function<void()> aborted;
 
@@ -141,6 +144,8 @@
     void close();
     /** Returns whether the connection has neither a request in progress nor unwritten output. */
     [[nodiscard]] bool isIdle() const;
+    /** Returns whether the other side has neither ended nor reset the connection. */
+    [[nodiscard]] bool isConnected() const;
     /** Enforces the timeouts of ServerLimits and the linger timeout. */
     void closeIfTimedOut(Core::Instant now);
 
--- a/Tests/LibGateway/TestRelayedPart.cpp
+++ b/Tests/LibGateway/TestRelayedPart.cpp
@@ -171,7 +171,7 @@
         restarted.announcement.zone = "there";
         restarted.announcement.phase = Protocol::BackendPhase::READY;
         fixture.relays.update(restarted);
-        fixture.settings.immediateBreak = isImmediate ? Core::seconds(10) : Core::Duration(0);
+        fixture.settings.maximumGiveUpTime = isImmediate ? Core::seconds(10) : Core::Duration(0);
         const auto answer = fixture.ask("r1");
         cr_assert_eq(gateway->resets, 1);
         cr_assert_eq(answer.status, isImmediate ? 200 : 502);
--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -222,6 +222,7 @@
             .cells = &this->cells,
             .isCautious = this->isCautious,
             .relayParameters = this->relayParameters,
+            .isAwaited = this->isAwaited,
             .ownerLoad = &this->ownerLoad};
         if (context.relayParameters.has_value() && context.relayParameters->topRecords == 0) {
             context.relayParameters->topRecords = this->editableRoute.topRecords;
@@ -270,6 +271,7 @@
     Gateway::OwnerLoad ownerLoad;
     // Set if the request comes from another gateway. If its number of top records is 0, that of the route is used.
     std::optional<Gateway::RelayParameters> relayParameters;
+    std::function<bool()> isAwaited;
     Gateway::BackendPool pool;
     Gateway::BackendPool *usedPool{&this->pool};
     Gateway::BackendPool relays;
