LibWire: Acknowledge parts when they are read

What callers saw: searches that were answered late, lacked shards or failed although every gateway was running: gateways took each other for silent, sent the shards of the part again, and avoided the other gateway for half a second.

Cause: ClientConnection takes bytes that are not acknowledged within four round trips and 20 ms for bytes that no running machine has. Linux holds the acknowledgement of a request back, for 40 ms and longer, to send it with the response.

The relay server now asks for the acknowledgement when it reads a request, one system call for each part. A missing one therefore means that the other program has not read the part, and sending it again is right.

--- a/Libraries/LibWire/Server.cpp
+++ b/Libraries/LibWire/Server.cpp
@@ -241,6 +241,9 @@
         return;
     }
     this->lastActivity = this->server->timers.now();
+    if (this->server->options.acknowledgesAtOnce) {
+        this->socket.acknowledge();
+    }
     this->parse();
 }
 
--- a/Libraries/LibWire/Server.h
+++ b/Libraries/LibWire/Server.h
@@ -70,6 +70,8 @@
     ServerLimits limits;
     /** Further connections wait in the listening queue. */
     std::size_t maximumConnections{2000};
+    /** Acknowledges requests when they are read, so that callers can tell a server that runs from one that does not before it responds. */
+    bool acknowledgesAtOnce{false};
 };
 
 /** Counts for metrics. */
--- a/Libraries/LibWire/Socket.cpp
+++ b/Libraries/LibWire/Socket.cpp
@@ -167,6 +167,12 @@
     return Transfer::Open;
 }
 
+void Socket::acknowledge() const
+{
+    // The system returns to its own mode with the next bytes that are sent, so this is called for each request.
+    setOption(this->descriptor, IPPROTO_TCP, TCP_QUICKACK, 1);
+}
+
 bool Socket::hasEnded() const
 {
     char next = 0;
--- a/Libraries/LibWire/Socket.h
+++ b/Libraries/LibWire/Socket.h
@@ -68,6 +68,10 @@
     /** Returns whether sent bytes are not acknowledged yet; false when the system does not report it. */
     [[nodiscard]] bool awaitsAcknowledgement() const;
 
+    /** Acknowledges the bytes that have arrived. Without this the system may hold the acknowledgement back, for 40 ms and longer, to send it with the response.
+     */
+    void acknowledge() const;
+
     /** Returns whether the other side has ended its stream or reset the connection, and no received bytes are left to read. */
     [[nodiscard]] bool hasEnded() const;
 
--- a/Services/gatewayd/main.cpp
+++ b/Services/gatewayd/main.cpp
@@ -156,7 +156,8 @@
                                                     [&node](Wire::Request request, const auto &exchange) {
                                                         node.handleRelayed(std::move(request), exchange);
                                                     },
-                                                .limits = {}},
+                                                .limits = {},
+                                                .acknowledgesAtOnce = true},
         *poll.value(),
         timers);
     if (!relay.has_value()) {
--- a/Tests/LibWire/TestServer.cpp
+++ b/Tests/LibWire/TestServer.cpp
@@ -143,3 +143,46 @@
         return served.caller.read(more, 100) == Wire::Transfer::Ended;
     }));
 }
+
+// A gateway that held back its acknowledgement of a part, as systems do for requests that are answered later, was taken for one that does not run.
+Test(Server, acknowledgesARequestBeforeItIsAnswered)
+{
+    constexpr int Rounds = 60;
+    // A system acknowledges the first segments of a connection at once, and may do so later now and then.
+    constexpr int MaximumHeldBack = Rounds / 2;
+    LoopFixture fixture;
+    const auto endpoint = TestSupport::freeEndpoint();
+    Wire::ExchangePointer waiting;
+    int heldBack = 0;
+    Wire::Socket caller;
+    const auto server = Wire::Server::create({.name = "test",
+                                                 .endpoint = endpoint,
+                                                 .handler =
+                                                     [&](const Wire::Request &, const auto &exchange) {
+                                                         heldBack += caller.awaitsAcknowledgement() ? 1 : 0;
+                                                         waiting = exchange;
+                                                     },
+                                                 .limits = {},
+                                                 .acknowledgesAtOnce = true},
+        *fixture.poll,
+        fixture.timers)
+                            .value();
+    caller = std::move(Wire::Socket::connectTo(endpoint, Core::seconds(5)).value());
+    fixture.settle();
+    std::string received;
+    for (int round = 0; round < Rounds; ++round) {
+        std::size_t offset = 0;
+        (void)caller.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n", offset);
+        cr_assert(fixture.runUntil([&waiting] {
+            return waiting != nullptr;
+        }));
+        std::exchange(waiting, nullptr)->respond({.status = 200, .headers = {}, .body = "x"});
+        received.clear();
+        cr_assert(fixture.runUntil([&] {
+            (void)caller.read(received, 65536);
+            g_main_context_iteration(fixture.context, FALSE);
+            return received.find("\r\n\r\nx") != std::string::npos;
+        }));
+    }
+    cr_assert(heldBack < MaximumHeldBack, "%d of %d requests were not acknowledged when they were handled", heldBack, Rounds);
+}
