--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -114,7 +114,8 @@
             self.soak.fail("crash", f"{self.name} ended with {code}")
         self.record_fault(0.5)
         await asyncio.sleep(self.soak.random.uniform(0.05, 0.6))
-        await self.start()
+        if not self.soak.ending:
+            await self.start()
 
     def record_fault(self, seconds):
         self.disturbed_until = max(self.disturbed_until, time.monotonic() + seconds)
