LibGateway: Confirm parts that are acknowledged, so that they are hedged early

What callers saw: with the time in which a part may be given up, hedges and retries of parts waited 30 ms within a region and 100 ms between regions.

Cause: the serving gateway could not know that the requesting one had its acknowledgement, so it waited for the whole time.

The requesting gateway now sends an empty line after a part whose acknowledgement it has seen, and counts all attempts if that part is lost. The serving gateway hedges from then on. A part of a part is not confirmed before the first one. CallState::FailedUnacknowledged has no meaning of its own any more and is removed.

Tests: RepeatHold/endsWhenThePartIsConfirmed and isNotReliedOnForAConfirmedPart, Confirmation, Server/reportsTheConfirmationOfARequest.

--- a/Libraries/LibGateway/Backend.h
+++ b/Libraries/LibGateway/Backend.h
@@ -39,6 +39,8 @@
     AttemptEnd end{AttemptEnd::Broken};
     /** Set if the end is Broken and the backend server was found to have ended. */
     bool crashed{false};
+    /** See Wire::ClientResult. */
+    bool confirmed{false};
     BackendReply reply;
     std::string reason;
 };
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -496,6 +496,7 @@
         .key = key.value(),
         .isHead = attemptOptions.caller->message.method == "HEAD",
         .verifyOpen = attemptOptions.verifyOpen,
+        .mayConfirm = std::move(attemptOptions.mayConfirm),
         .recognise =
             [this, key, name = backend.name](const Wire::Response &response) {
                 return this->isAnswerTo(key, name, response);
@@ -560,6 +561,7 @@
 {
     AttemptOutcome outcome;
     outcome.reason = std::move(result.reason);
+    outcome.confirmed = result.confirmed;
     switch (result.end) {
     case Wire::ClientEnd::Answered:
         outcome.end = AttemptEnd::Replied;
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -73,8 +73,9 @@
     Core::Duration typicalLatency{0};
     /** Regions in which the request may be served. */
     Fleet::AllowedRegions allowedRegions;
-    /** See Wire::ClientRequest::verifyOpen. */
+    /** See Wire::ClientRequest. */
     bool verifyOpen{false};
+    std::function<bool()> mayConfirm;
     std::function<void(const AttemptOutcome &outcome)> done;
 };
 
--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -216,7 +216,10 @@
         .topRecords = this->topRecords(),
         .allowedRegions = this->parameters.allowedRegions,
         .searchState = state.has_value() ? std::optional(stateWithout(state.value(), partPlan.shards.size())) : std::nullopt,
-        .repeatHold = std::max(Core::Duration(0), this->parameters.repeatFrom - this->now())};
+        .repeatHold = std::max(Core::Duration(0), this->parameters.repeatFrom - this->now()),
+        .isHoldOver = [this] {
+            return this->now() >= this->parameters.repeatFrom;
+        }};
     this->parts.push_back(std::make_unique<SentPart>());
     auto &sentPart = *this->parts.back();
     sentPart.part = std::make_unique<RelayedPart>(this->context, this->route, this->request, partPlan, partParameters);
@@ -671,6 +674,15 @@
     this->complete(std::move(response), outcome);
 }
 
+void FanOutRequest::releaseCalls()
+{
+    for (const auto &row : this->rows) {
+        if (row.call) {
+            row.call->endHold();
+        }
+    }
+}
+
 void FanOutRequest::describe(RequestSummary &summary) const
 {
     summary.shards = this->origin == RequestOrigin::Caller ? this->route.shards.size() : this->rows.size();
--- a/Libraries/LibGateway/FanOutRequest.h
+++ b/Libraries/LibGateway/FanOutRequest.h
@@ -40,6 +40,7 @@
     [[nodiscard]] Core::Instant handleLateCalls() override;
     void cancelCalls(bool callerIsGone) override;
     void describe(RequestSummary &summary) const override;
+    void releaseCalls() override;
 
 private:
     /** Groups shards that can be retried in one part: missing from the same part, after the same attempts. */
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -759,6 +759,12 @@
             found->second->callerGone();
         }
     };
+    exchange->confirmed = [this, id] {
+        const auto found = this->requests.find(id);
+        if (found != this->requests.end()) {
+            found->second->receiptConfirmed();
+        }
+    };
     started.start(std::move(answer), [this, id](const RequestSummary &summary) {
         this->count(summary);
         this->log(summary);
--- a/Libraries/LibGateway/RelayedPart.cpp
+++ b/Libraries/LibGateway/RelayedPart.cpp
@@ -76,6 +76,9 @@
             relays->sendMessage(gateway, message);
         };
     }
+    this->parameters.mayConfirm = [weak = std::weak_ptr<int>(this->alive), isHoldOver = partParameters.isHoldOver] {
+        return !weak.expired() && isHoldOver();
+    };
     this->relayCall = std::make_unique<ShardCall>(this->parameters, this->relayServiceName, *context.relays, *context.timers);
 }
 
@@ -257,19 +260,18 @@
     return this->allMissing(this->assumedAttempts(), 1);
 }
 
-// A part that broke in time has made one attempt at each shard at most: until then the serving gateway makes no second one, and later the reset of the
-// connection keeps it from doing so. Whether the part has arrived is not known: a running machine may acknowledge it late.
+// A part that broke in time has made one attempt at each shard at most: until then the serving gateway makes no second one unless the part was confirmed, and
+// later the reset of the connection keeps it from doing so. Whether the part has arrived is not known.
 int RelayedPart::assumedAttempts() const
 {
     const auto brokeAfter = this->relayCall->brokeAfter();
     const bool brokeInTime = brokeAfter.has_value() && brokeAfter.value() <= this->giveUpTime;
-    return brokeInTime ? 1 : this->route.maximumAttempts;
+    return brokeInTime && !this->relayCall->wasConfirmed() ? 1 : this->route.maximumAttempts;
 }
 
 void RelayedPart::recordIfLost() const
 {
-    const auto state = this->relayCall->state();
-    const bool isLost = !this->open && (state == CallState::Failed || state == CallState::FailedUnacknowledged);
+    const bool isLost = !this->open && this->relayCall->state() == CallState::Failed;
     if (!isLost || this->context.lostParts == nullptr) {
         return;
     }
--- a/Libraries/LibGateway/RelayedPart.h
+++ b/Libraries/LibGateway/RelayedPart.h
@@ -28,6 +28,8 @@
     std::optional<SearchState> searchState;
     /** Time in which the part may make one attempt at each shard, since it belongs to a part that this gateway serves. */
     Core::Duration repeatHold{0};
+    /** Returns whether that time is over. */
+    std::function<bool()> isHoldOver;
 };
 
 /** One relayed part. Open from start() until the serving gateway has answered or failed, or the part was cancelled. */
@@ -99,6 +101,8 @@
     // Until this long after the send, the part counts as one attempt at each shard if its connection breaks.
     Core::Duration giveUpTime{0};
     std::unique_ptr<ShardCall> relayCall;
+    // Expires with this part.
+    std::shared_ptr<int> alive{std::make_shared<int>(0)};
     bool open{true};
     Protocol::PartialAnswer partial;
     // Names of the shards for which the serving gateway had no repeat.
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -218,6 +218,23 @@
     this->complete(Wire::Response{}, RequestOutcome::CallerGone);
 }
 
+void RoutedRequest::receiptConfirmed()
+{
+    const auto now = this->now();
+    if (this->done || now >= this->parameters.repeatFrom) {
+        return;
+    }
+    this->parameters.repeatFrom = now;
+    this->withCompletionDeferred([this] {
+        this->releaseCalls();
+    });
+    this->runScheduledCheck();
+}
+
+void RoutedRequest::releaseCalls()
+{
+}
+
 bool RoutedRequest::isPart(const PartId &part) const
 {
     return this->context.relayParameters.has_value() && this->context.relayParameters->send == part.send && this->request.id.value() == part.request;
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -130,6 +130,8 @@
     [[nodiscard]] bool isPart(const PartId &part) const;
     /** Handles that the search of this part has ended, as callerGone() does. An answer without content leaves the connection open for other parts. */
     void searchEnded();
+    /** The requesting gateway of this part will not give it up any more, so its shards may be sent again from now on. */
+    void receiptConfirmed();
 
 protected:
     /** Starts the calls. The hooks of the calls must call callFinished(). */
@@ -142,6 +144,8 @@
     virtual void cancelCalls(bool callerIsGone) = 0;
     /** Adds the figures of the calls to the summary. */
     virtual void describe(RequestSummary &summary) const = 0;
+    /** Lets the calls that wait for CallParameters::repeatFrom go on. */
+    virtual void releaseCalls();
 
     /** To be called when a call has ended. */
     void callFinished();
--- a/Libraries/LibGateway/ShardCall.cpp
+++ b/Libraries/LibGateway/ShardCall.cpp
@@ -68,11 +68,20 @@
 void ShardCall::postpone(std::function<void()> step)
 {
     this->pool.recordPostponedRepeat();
-    this->holdTimer = this->timers.once(this->parameters.repeatFrom - this->timers.now(), [step = std::move(step)](Core::Instant) {
-        step();
+    this->postponedStep = std::move(step);
+    this->holdTimer = this->timers.once(this->parameters.repeatFrom - this->timers.now(), [this](Core::Instant) {
+        this->endHold();
     });
 }
 
+void ShardCall::endHold()
+{
+    this->holdTimer.cancel();
+    if (const auto step = std::exchange(this->postponedStep, nullptr); step) {
+        step();
+    }
+}
+
 void ShardCall::begin()
 {
     if (this->repeatAlreadyConsumed) {
@@ -178,6 +187,7 @@
             .allowedRegions = this->parameters.allowedRegions,
             // A search sends to dozens of shards, and loses only one of them with a connection.
             .verifyOpen = !this->parameters.route->isFanOut(),
+            .mayConfirm = this->parameters.mayConfirm,
             .done = [this, weak, name](const AttemptOutcome &outcome) {
                 if (!weak.expired()) {
                     this->handleOutcome(name, outcome);
@@ -309,8 +319,9 @@
     case AttemptEnd::Unacknowledged:
         ++this->executionCount;
         this->lastBreakAfter = this->timers.now() - attempt.startedAt;
+        this->lastBreakConfirmed = outcome.confirmed;
         this->reason = outcome.crashed ? "the backend server crashed" : outcome.reason;
-        this->retryOrFinish(outcome.end == AttemptEnd::Broken ? CallState::Failed : CallState::FailedUnacknowledged);
+        this->retryOrFinish(CallState::Failed);
         break;
     }
 }
@@ -451,6 +462,7 @@
     this->current = this->executions() > 0 ? CallState::Failed : CallState::NotRun;
     this->finished = nullptr;
     this->holdTimer.cancel();
+    this->postponedStep = nullptr;
     this->abandonRunning(callerGone);
     if (this->waiter.has_value()) {
         this->pool.stopWaiting(this->serviceName, this->waiter.value());
@@ -525,6 +537,11 @@
     return this->lastBreakAfter;
 }
 
+bool ShardCall::wasConfirmed() const
+{
+    return this->lastBreakConfirmed;
+}
+
 bool ShardCall::lacksRepeat() const
 {
     return this->repeatDenied;
--- a/Libraries/LibGateway/ShardCall.h
+++ b/Libraries/LibGateway/ShardCall.h
@@ -43,6 +43,8 @@
     int earlierAttempts{0};
     /** Returns whether the answer is still awaited. Asked before a repeat, since another gateway may have sent the request again. Optional. */
     std::function<bool()> isAwaited;
+    /** See Wire::ClientRequest. Optional. */
+    std::function<bool()> mayConfirm;
     /** Regions where the request may be served. May be restricted while the request is in flight, but never extended. */
     Fleet::AllowedRegions allowedRegions;
     /** Called for each attempt that is given up and may have been sent. Optional. */
@@ -60,8 +62,6 @@
     FailedWithReply,
     /** No reply was received; the request may have run. */
     Failed,
-    /** Like Failed, but the request has most likely not reached the backend server. */
-    FailedUnacknowledged,
     /** The request did not run anywhere and will not run. */
     NotRun,
 };
@@ -123,6 +123,9 @@
     /** Cancels the call and abandons its attempts in flight. Afterwards state() tells whether any of them may have run. */
     void cancel(bool callerGone);
 
+    /** Takes a postponed step now that CallParameters::repeatFrom has passed early. */
+    void endHold();
+
     /** Lets the attempts in flight end, and sends no further ones. */
     void sendNoMore();
 
@@ -148,6 +151,8 @@
     [[nodiscard]] bool wasRefused() const;
     /** Returns the time from send to break of the last attempt whose answer was lost; nullopt if there was none. */
     [[nodiscard]] std::optional<Core::Duration> brokeAfter() const;
+    /** Returns whether that attempt was confirmed before it broke. */
+    [[nodiscard]] bool wasConfirmed() const;
     /** Returns why the last attempt failed, for logs. */
     [[nodiscard]] const std::string &failureReason() const;
     /** Returns whether the retry budget denied the last repeat that the call asked for. */
@@ -226,10 +231,12 @@
     std::optional<WaiterNumber> waiter;
     // Active while the next attempt is postponed. Invariant: no attempt is in flight then.
     Core::TimerSubscription holdTimer;
+    std::function<void()> postponedStep;
     BackendReply answer;
     Core::Duration answerLatency{0};
     BackendName answerer;
     std::optional<Core::Duration> lastBreakAfter;
+    bool lastBreakConfirmed{false};
     std::string reason;
     std::shared_ptr<int> alive{std::make_shared<int>(0)};
 };
--- a/Libraries/LibGateway/SingleRequest.cpp
+++ b/Libraries/LibGateway/SingleRequest.cpp
@@ -42,7 +42,6 @@
         this->complete(this->context.dialect->forwardReply(std::move(this->call->reply())), RequestOutcome::FailedByBackend);
         break;
     case CallState::Failed:
-    case CallState::FailedUnacknowledged:
     case CallState::NotRun:
         this->refuse(this->call->executions() > 0 ? RunEvidence::DirectAttempt : RunEvidence::None, this->call->lacksServers());
         break;
--- a/Libraries/LibWire/ClientConnection.cpp
+++ b/Libraries/LibWire/ClientConnection.cpp
@@ -28,6 +28,8 @@
 // A running machine acknowledges within one round trip. Further round trips and the margin allow for saturated links.
 static constexpr int RoundTripsToAcknowledgement = 4;
 static constexpr Core::Duration AcknowledgementMargin = Core::milliseconds(20);
+// Added to the round trip before the first check.
+static constexpr Core::Duration EarliestCheckMargin = Core::milliseconds(2);
 // The limit is divided into this many checks. A check that runs late by its own period does not count, so the time in which this process did not run is not
 // taken for time in which the other machine was silent.
 static constexpr int AcknowledgementChecks = 4;
@@ -80,6 +82,8 @@
     this->written = 0;
     this->recognise = std::move(request.recognise);
     this->done = std::move(request.done);
+    this->mayConfirm = std::move(request.mayConfirm);
+    this->confirmed = false;
     this->isHead = request.isHead;
     this->startResponse();
     this->lastUse = this->timers.now();
@@ -126,31 +130,61 @@
     }
     const auto limit = std::min(this->options.acknowledgementTimeout, acknowledgementLimit(this->connectDuration));
     this->acknowledgementChecksLeft = AcknowledgementChecks;
-    this->scheduleAcknowledgementCheck(limit / AcknowledgementChecks);
+    const auto period = limit / AcknowledgementChecks;
+    // The acknowledgement can't be there before a round trip has passed.
+    this->scheduleAcknowledgementCheck(std::max(period, this->connectDuration + EarliestCheckMargin), period);
 }
 
-void ClientConnection::scheduleAcknowledgementCheck(Core::Duration period)
+void ClientConnection::scheduleAcknowledgementCheck(Core::Duration delay, Core::Duration period)
 {
-    const auto dueAt = this->timers.now() + period;
-    this->acknowledgementTimer = this->timers.once(period, [this, period, dueAt](Core::Instant now) {
-        if (!this->done || !this->options.awaitsAcknowledgement(this->socket)) {
-            return;
-        }
+    const auto dueAt = this->timers.now() + delay;
+    this->acknowledgementTimer = this->timers.once(delay, [this, period, dueAt](Core::Instant now) {
         // After this process was held up, the reply may be there unread, or come from a process on the same machine that was held up as well.
         const bool wasHeldUp = now - dueAt >= period;
         this->acknowledgementChecksLeft -= wasHeldUp ? 0 : 1;
-        if (this->acknowledgementChecksLeft > 0) {
-            this->scheduleAcknowledgementCheck(period);
-            return;
-        }
-        this->unacknowledged = true;
-        // The reset discards the bytes in transit. After an orderly close the system would retransmit them, and a machine that recovers seconds
-        // later would run the request.
-        this->socket.resetOnClose();
-        this->fail("sent bytes were not acknowledged in time");
+        this->checkAcknowledgement(period);
     });
 }
 
+void ClientConnection::checkAcknowledgement(Core::Duration period)
+{
+    if (!this->done) {
+        return;
+    }
+    const bool isAcknowledged = !this->options.awaitsAcknowledgement(this->socket);
+    if (isAcknowledged && this->confirm()) {
+        return;
+    }
+    if (this->acknowledgementChecksLeft > 0) {
+        this->scheduleAcknowledgementCheck(period, period);
+        return;
+    }
+    if (isAcknowledged) {
+        return;
+    }
+    this->unacknowledged = true;
+    // The reset discards the bytes in transit. After an orderly close the system would retransmit them, and a machine that recovers seconds
+    // later would run the request.
+    this->socket.resetOnClose();
+    this->fail("sent bytes were not acknowledged in time");
+}
+
+bool ClientConnection::confirm()
+{
+    if (!this->mayConfirm || this->confirmed) {
+        return true;
+    }
+    const bool isWritten = this->written == this->output.size();
+    if (!isWritten || !this->mayConfirm()) {
+        return false;
+    }
+    this->confirmed = true;
+    std::size_t offset = 0;
+    // A failed write is noticed when the response is read.
+    (void)this->socket.write(Confirmation, offset);
+    return true;
+}
+
 bool ClientConnection::hasSent(const std::string &key) const
 {
     return std::find(this->sentKeyHashes.begin(), this->sentKeyHashes.end(), std::hash<std::string>{}(key)) != this->sentKeyHashes.end();
@@ -205,6 +239,7 @@
     this->hasClosed = true;
     this->done = nullptr;
     this->recognise = nullptr;
+    this->mayConfirm = nullptr;
     this->trialTimer.cancel();
     this->failTimer.cancel();
     this->acknowledgementTimer.cancel();
@@ -226,6 +261,7 @@
     this->written = 0;
     this->done = nullptr;
     this->recognise = nullptr;
+    this->mayConfirm = nullptr;
     this->sentKeyHashes.pop_back();
     return true;
 }
@@ -445,6 +481,8 @@
     const auto keepAlive = this->shared_from_this();
     const auto hook = std::exchange(this->done, nullptr);
     this->recognise = nullptr;
+    this->mayConfirm = nullptr;
+    result.confirmed = this->confirmed;
     this->acknowledgementTimer.cancel();
     if (!keep) {
         this->hasClosed = true;
--- a/Libraries/LibWire/ClientConnection.h
+++ b/Libraries/LibWire/ClientConnection.h
@@ -44,6 +44,8 @@
     Response response;
     /** For log lines; empty when the request was answered. */
     std::string reason;
+    /** The server may have been told that the request was acknowledged; see ClientRequest::mayConfirm. */
+    bool confirmed{false};
 };
 
 /** A request, and how its response is recognised. */
@@ -56,6 +58,11 @@
     bool isHead{false};
     /** Whether it is checked before the write if the server has ended the connection, which takes a system call. */
     bool verifyOpen{false};
+    /**
+     * If set, the server is told by an empty line after the request that its acknowledgement has arrived, so that it knows that the request will not fail as
+     * Unacknowledged. That takes place when the acknowledgement is checked and the hook returns true.
+     */
+    std::function<bool()> mayConfirm;
     /** Returns whether a response belongs to the request. A response that does not is discarded. */
     std::function<bool(const Response &response)> recognise;
     /** Called once, unless close() or withdraw() ends the request before. */
@@ -138,7 +145,10 @@
     void writeFailed(Transfer transfer);
     void failUnsent();
     void startAcknowledgementTimer();
-    void scheduleAcknowledgementCheck(Core::Duration period);
+    void scheduleAcknowledgementCheck(Core::Duration delay, Core::Duration period);
+    void checkAcknowledgement(Core::Duration period);
+    /** Confirms the acknowledged request if that is wanted. Returns false if it is wanted and not possible yet. */
+    [[nodiscard]] bool confirm();
     void connectTimedOut();
     void connectFailed(int error, const std::string &reason);
     void startResponse();
@@ -159,6 +169,9 @@
     std::size_t written{0};
     std::string input;
     std::function<bool(const Response &response)> recognise;
+    std::function<bool()> mayConfirm;
+    // The confirmation of the request in flight was written, or may have been.
+    bool confirmed{false};
     // ClientRequest::isHead of the request in flight.
     bool isHead{false};
     // Invariant: set if and only if a request is in flight.
--- a/Libraries/LibWire/Message.h
+++ b/Libraries/LibWire/Message.h
@@ -15,6 +15,9 @@
 namespace Wire
 {
 
+/** What a client sends after a request to confirm it (ClientRequest::mayConfirm). Between requests, servers ignore an empty line. */
+constexpr std::string_view Confirmation = "\r\n";
+
 /** One header line. */
 struct Header {
     std::string name;
--- a/Libraries/LibWire/Server.cpp
+++ b/Libraries/LibWire/Server.cpp
@@ -35,6 +35,7 @@
     }
     this->open = false;
     this->aborted = nullptr;
+    this->confirmed = nullptr;
     if (const auto target = this->connection.lock()) {
         target->respond(response);
     }
@@ -245,6 +246,21 @@
         this->socket.acknowledge();
     }
     this->parse();
+    this->takeConfirmation();
+}
+
+void ServerConnection::takeConfirmation()
+{
+    if (this->stage != Stage::Answering || !this->input.starts_with(Confirmation)) {
+        return;
+    }
+    this->input.erase(0, Confirmation.size());
+    const auto current = this->exchange;
+    if (current && current->confirmed) {
+        // NOTE: The hook may respond, which clears it.
+        const auto hook = current->confirmed;
+        hook();
+    }
 }
 
 // A handler that responds at once causes a nested call for the next request. The nested call returns immediately, and the loop of the outer call
@@ -268,6 +284,11 @@
 {
     if (!this->parser.hasBegun()) {
         this->requestStartedAt = this->server->timers.now();
+        // The confirmation of a request that was answered before it arrived.
+        if (this->input.starts_with(Confirmation)) {
+            this->input.erase(0, Confirmation.size());
+            return;
+        }
     }
     const std::size_t consumed = this->parser.feed(this->input);
     this->input.erase(0, consumed);
--- a/Libraries/LibWire/Server.h
+++ b/Libraries/LibWire/Server.h
@@ -41,6 +41,9 @@
     /** Called once if the caller disconnects before the response. */
     std::function<void()> aborted;
 
+    /** Called when the caller has received the acknowledgement of the request, if it tells so before the response (ClientRequest::mayConfirm). */
+    std::function<void()> confirmed;
+
 private:
     friend class ServerConnection;
     std::weak_ptr<ServerConnection> connection;
@@ -164,6 +167,8 @@
     };
 
     void readMore();
+    /** Handles the confirmation of the request that is being answered. */
+    void takeConfirmation();
     void parse();
     void parseNext();
     void handleRequest();
--- a/Tests/LibGateway/TestRepeatHold.cpp
+++ b/Tests/LibGateway/TestRepeatHold.cpp
@@ -166,3 +166,49 @@
     cr_assert_eq(fixture.attempts, 0);
     cr_assert_not(fixture.answer.has_value(), "the shard can still be answered after the hold");
 }
+
+// The requesting gateway has got the acknowledgement and counts all attempts from then on, so hedges and retries need not wait any longer.
+Test(RepeatHold, endsWhenThePartIsConfirmed)
+{
+    for (const bool isHedge : {true, false}) {
+        HeldPartFixture fixture(Forever, isHedge ? ignore : fail);
+        fixture.settings.hedgeFactor = 0.0;
+        fixture.begin("r1");
+        fixture.settle(Core::milliseconds(100));
+        cr_assert_eq(fixture.attempts, 1);
+        fixture.request->receiptConfirmed();
+        cr_assert(fixture.runUntil([&fixture] {
+            return fixture.answer.has_value();
+        }));
+        cr_assert_eq(fixture.attempts, 2);
+    }
+}
+
+// A part that was confirmed may have been hedged at once, so all attempts are assumed when its connection breaks.
+Test(RepeatHold, isNotReliedOnForAConfirmedPart)
+{
+    for (const bool isConfirmed : {false, true}) {
+        GatewayFixture fixture;
+        fixture.route().idempotent = true;
+        fixture.route().maximumAttempts = 2;
+        fixture.route().targetLatency = Core::seconds(8);
+        fixture.route().shards = {Core::ServiceName("a")};
+        fixture.relayed = fixture.route().shards;
+        fixture.settings.maximumGiveUpTime = Core::seconds(10);
+        const auto &server = fixture.add("a", "a-1", ignore);
+        const auto &gateway = fixture.addGateway([&](const Wire::Request &, const Wire::ExchangePointer &exchange) {
+            if (isConfirmed) {
+                exchange->confirmed = [&fixture] {
+                    fixture.backends.back()->server.reset();
+                };
+            } else {
+                fixture.backends.back()->server.reset();
+            }
+        });
+        fixture.begin("r1");
+        cr_assert(fixture.runUntil([&] {
+            return gateway.requests.size() == 1 && (fixture.answer.has_value() || !server.requests.empty());
+        }));
+        cr_assert_eq(server.requests.size(), isConfirmed ? 0 : 1);
+    }
+}
--- a/Tests/LibWire/TestClientConnection.cpp
+++ b/Tests/LibWire/TestClientConnection.cpp
@@ -467,3 +467,63 @@
     }));
     cr_assert(result->end == Wire::ClientEnd::NotSent, "%s", result->reason.c_str());
 }
+
+// Guards against a server that is told that a request will not be given up while it still may be.
+Test(Confirmation, isSentOnceTheRequestIsAcknowledgedAndMayBeConfirmed)
+{
+    TestSupport::LoopFixture fixture;
+    const auto endpoint = TestSupport::freeEndpoint();
+    bool isAcknowledged = false;
+    bool mayConfirm = false;
+    bool isConfirmed = false;
+    Wire::ExchangePointer waiting;
+    std::optional<Wire::ClientResult> result;
+    const auto server = Wire::Server::create({.name = "test",
+                                                 .endpoint = endpoint,
+                                                 .handler =
+                                                     [&](const Wire::Request &, const auto &exchange) {
+                                                         waiting = exchange;
+                                                         waiting->confirmed = [&] {
+                                                             isConfirmed = true;
+                                                             cr_assert(isAcknowledged && mayConfirm);
+                                                         };
+                                                     },
+                                                 .limits = {}},
+        *fixture.poll,
+        fixture.timers)
+                            .value();
+    int checks = 0;
+    const auto connection = Wire::ClientConnection::create({.endpoint = endpoint,
+                                                               .acknowledgementTimeout = Core::milliseconds(80),
+                                                               .awaitsAcknowledgement =
+                                                                   [&](const Wire::Socket &) {
+                                                                       // The first check finds no acknowledgement, the second one must not confirm.
+                                                                       isAcknowledged = ++checks > 1;
+                                                                       mayConfirm = checks > 2;
+                                                                       return !isAcknowledged;
+                                                                   }},
+        *fixture.poll,
+        fixture.timers)
+                                .value();
+    connection->send({.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+        .mayConfirm =
+            [&mayConfirm] {
+                return mayConfirm;
+            },
+        .recognise =
+            [](const Wire::Response &) {
+                return true;
+            },
+        .done =
+            [&result](const Wire::ClientResult &ended) {
+                result = ended;
+            }});
+    cr_assert(fixture.runUntil([&] {
+        return isConfirmed;
+    }));
+    waiting->respond({.status = 200, .headers = {}, .body = {}});
+    cr_assert(fixture.runUntil([&] {
+        return result.has_value();
+    }));
+    cr_assert(result->end == Wire::ClientEnd::Answered && result->confirmed);
+}
--- a/Tests/LibWire/TestServer.cpp
+++ b/Tests/LibWire/TestServer.cpp
@@ -186,3 +186,42 @@
     }
     cr_assert(heldBack < MaximumHeldBack, "%d of %d requests were not acknowledged when they were handled", heldBack, Rounds);
 }
+
+// Guards against a confirmation that is taken for the beginning of the next request, which would then be timed out.
+Test(Server, reportsTheConfirmationOfARequest)
+{
+    const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    ServerFixture served;
+    served.send(request);
+    cr_assert(served.hasRequests(1));
+    int confirmations = 0;
+    served.exchanges[0]->confirmed = [&confirmations] {
+        ++confirmations;
+    };
+    served.send("\r\n");
+    cr_assert(served.fixture.runUntil([&confirmations] {
+        return confirmations == 1;
+    }));
+    served.exchanges[0]->respond({.status = 200, .headers = {}, .body = "first"});
+    cr_assert(served.callerReads("first"));
+    // This one crosses the response.
+    served.send("\r\n");
+    served.fixture.settle();
+    cr_assert_eq(confirmations, 1);
+    served.server->closeIdleConnections();
+    cr_assert(served.fixture.runUntil([&served] {
+        std::string more;
+        return served.caller.read(more, 100) == Wire::Transfer::Ended;
+    }));
+}
+
+Test(Server, readsARequestAfterAConfirmation)
+{
+    const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    ServerFixture served;
+    served.send(request + "\r\n" + request);
+    cr_assert(served.hasRequests(1));
+    served.exchanges[0]->respond({.status = 200, .headers = {}, .body = "first"});
+    cr_assert(served.hasRequests(2));
+    cr_assert_str_eq(served.requests[1].target.c_str(), "/a");
+}
