LibGateway: Divide the slack of retry budgets by silent gateways, too

What callers could see: repeats beyond the window of a service, where gateways are cut off from each other for longer than their heartbeats are missed and 15 s more.

Cause: each gateway divides the slack by the number of ready gateways that it knows.

One that was restarted counts once, one that stopped as planned does not. Connections and warm-up limits are shared as before. Costs callers the shares of gateways that are gone for good, for that time.

SlackShares/countSilentGateways fails with the number of ready gateways in its place (1 instead of 3).

--- a/Libraries/LibFleet/BackendRegistry.cpp
+++ b/Libraries/LibFleet/BackendRegistry.cpp
@@ -6,6 +6,8 @@
 #include <LibFleet/BackendRegistry.h>
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_set>
 
 namespace Fleet
 {
@@ -187,6 +189,18 @@
     }));
 }
 
+int BackendRegistry::presentCount() const
+{
+    std::unordered_set<std::string_view> addresses;
+    for (const auto &[id, record] : this->records) {
+        const auto phase = record.announcement.phase;
+        if (phase == BackendPhase::READY || phase == BackendPhase::SILENT) {
+            addresses.insert(record.announcement.address);
+        }
+    }
+    return static_cast<int>(addresses.size());
+}
+
 int BackendRegistry::readyCountIn(const std::string &zone) const
 {
     return static_cast<int>(std::count_if(this->records.begin(), this->records.end(), [&zone](const auto &item) {
--- a/Libraries/LibFleet/BackendRegistry.h
+++ b/Libraries/LibFleet/BackendRegistry.h
@@ -111,6 +111,11 @@
     /** Records of the ready backend servers, in no order. The pointers are valid until the next change. */
     [[nodiscard]] std::vector<const BackendRecord *> readyRecords() const;
     [[nodiscard]] int readyCount() const;
+    /**
+     * How many addresses have a ready or silent backend server. A silent one may run and be cut off from the coordinators only. One that was restarted has the
+     * address of the silent incarnation before it.
+     */
+    [[nodiscard]] int presentCount() const;
     /** How many ready backend servers are in one availability zone. */
     [[nodiscard]] int readyCountIn(const std::string &zone) const;
 
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -149,6 +149,9 @@
 class BackendPool
 {
 public:
+    /** Assumed until the registry reports the gateways: so many that this gateway's share comes to a single connection to each backend server. */
+    static constexpr int AssumedGateways = 10'000;
+
     BackendPool(BackendPoolOptions options, const Dialect &dialect, Core::EventPoll &poll, Core::TimerService &timers);
     ~BackendPool();
     BackendPool(const BackendPool &) = delete;
@@ -342,9 +345,7 @@
     Core::TimerService &timers;
     BackendChoice choice;
     WarmupLimiter warmupLimiter;
-    // Assumed until the registry reports the gateways: so many that this gateway's share comes to a single connection to each backend server.
     GatewayCount gateways{.all = AssumedGateways, .inZone = AssumedGateways};
-    static constexpr int AssumedGateways = 10'000;
     std::shared_ptr<const Fleet::Declaration> declaration;
     std::unordered_map<Core::ServiceName, Service> services;
     std::unordered_map<std::string, std::unique_ptr<Backend>> backends;
--- a/Libraries/LibGateway/CellOwnership.cpp
+++ b/Libraries/LibGateway/CellOwnership.cpp
@@ -89,7 +89,7 @@
     this->map.setSearchRate(this->searchRate.perSecond());
     const bool haveOwners = this->map.cellsHaveOwners();
     auto own = this->view.mayOwn && haveOwners ? this->findOwnCells() : std::set<CellKey>();
-    this->shares.setGateways(this->view.gateways, haveOwners, now);
+    this->shares.setGateways(this->view.sharingSlack, haveOwners, now);
     this->shares.setOwnCells(own, now);
     if (own != this->ownCells) {
         Core::logEvent(Core::LogLevel::Information,
--- a/Libraries/LibGateway/CellOwnership.h
+++ b/Libraries/LibGateway/CellOwnership.h
@@ -26,6 +26,8 @@
 /** Whether this gateway may own cells, and how many gateways there are. */
 struct OwnershipView {
     int gateways{1};
+    /** Number of gateways that share the slack of the retry budgets, at least `gateways`. */
+    int sharingSlack{1};
     /** False while this gateway drains or receives no updates from any coordinator, since another gateway may own its cells by then. */
     bool mayOwn{false};
 };
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -152,7 +152,7 @@
     this->ownership.updateGateways(this->gateways, this->timers.now());
     this->updateQuotas();
     this->quotas.sweep();
-    this->ownership.advance({.gateways = this->pool.gatewayCount(), .mayOwn = mayOwn}, HousekeepingPeriod, now);
+    this->ownership.advance({.gateways = this->pool.gatewayCount(), .sharingSlack = this->sharingGateways, .mayOwn = mayOwn}, HousekeepingPeriod, now);
 }
 
 // Uses the largest number of ready gateways within GatewayCountMemory, since gateways whose heartbeats are missing at the moment still send requests, and
@@ -170,16 +170,17 @@
     if (!known) {
         return;
     }
-    if (this->maximumGateways != this->pool.gatewayCount()) {
-        // The share of the retry budgets' slack follows the number.
+    const int sharing = std::max(this->maximumGateways, this->gateways.presentCount());
+    if (sharing != this->sharingGateways) {
         Core::logEvent(Core::LogLevel::Information,
             "gateways.counted",
-            {{"gateways", this->maximumGateways},
-                {"before", this->pool.gatewayCount()},
+            {{"gateways", sharing},
+                {"before", this->sharingGateways},
                 {"ready_now", all},
                 {"age_ms", Core::toMilliseconds(now - this->maximumAt)},
                 {"coordinators", this->watcher.reachableCount()}});
     }
+    this->sharingGateways = sharing;
     this->pool.setGatewayCount(this->maximumGateways, this->gatewaysInZone);
 }
 
@@ -838,6 +839,8 @@
     page.gauge("crankrudder_ready", "Whether callers should come here.", this->isReady() ? 1 : 0);
     page.gauge("crankrudder_coordinators_in_reach", "Coordinators that answer.", static_cast<double>(this->watcher.reachableCount()));
     page.gauge("crankrudder_gateways", "Gateways that are known to be ready.", this->pool.gatewayCount());
+    page.gauge(
+        "crankrudder_gateways_sharing_slack", "Gateways by which the slack of the retry budgets is divided, silent ones included.", this->sharingGateways);
     page.gauge(
         "crankrudder_declaration_version", "The declaration in force.", this->routes ? static_cast<double>(this->routes->declaration().version.value()) : -1.0);
     page.histogram("crankrudder_request_seconds", "Time until the answer.", this->searchLatencies, {{"kind", "search"}});
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -164,6 +164,9 @@
     int maximumGateways{0};
     int gatewaysInZone{0};
     Core::Instant maximumAt;
+    // Number of gateways that share the slack of the retry budgets. Includes silent ones: each side of a cut that left the others out would use the whole
+    // slack.
+    int sharingGateways{BackendPool::AssumedGateways};
     bool draining{false};
     GatewayCounters counts;
     Metrics::LatencyHistogram searchLatencies;
--- a/Libraries/LibGateway/SlackShares.h
+++ b/Libraries/LibGateway/SlackShares.h
@@ -40,7 +40,8 @@
 };
 
 /**
- * As long as all gateways know the same set of gateways, their shares add up to at most 1 in any window. Two rules ensure this:
+ * The number of gateways includes silent ones, so gateways that are cut off from each other divide the slack by about the same number. As long as all know the
+ * same set of gateways, their shares add up to at most 1 in any window. Two rules ensure this:
  * S1. A gateway gets an owner's share only after it has been an owner for a whole window, and loses it immediately when it is no longer an owner. By then the
  *     repeats of the owner before it have left the window.
  * S2. A gateway gets an equal share of the whole slack only after it has known for two windows that there are no owners.
--- a/Tests/LibGateway/TestSlackShares.cpp
+++ b/Tests/LibGateway/TestSlackShares.cpp
@@ -15,7 +15,9 @@
 #include <LibGateway/RetryBudget.h>
 #include <LibGateway/SlackShares.h>
 
+#include <Support/NodeFixture.h>
 #include <algorithm>
+
 #include <criterion/criterion.h>
 #include <random>
 
@@ -238,3 +240,29 @@
     }
     cr_assert_geq(maximumOfAllSeeds, static_cast<int>(0.6 * Slack), "the slack should be used, but at most %d repeats of it were consumed", maximumOfAllSeeds);
 }
+
+// Each side of a cut counted only its own gateways once the others had been silent for 15 s, and used the whole slack.
+Test(SlackShares, countSilentGateways)
+{
+    TestSupport::NodeFixture fixture;
+    fixture.coordinator.declare(nlohmann::json::parse(R"({"version": 1, "services": [{"name": "a"}], "routes": [
+        {"name": "a", "host": "h.example", "path_prefix": "/", "route_type": "idempotent", "timeout_ms": 1000, "target_latency_ms": 100, "service": "a"}]})"));
+    fixture.addBackend("a", "a-1", "here");
+    Protocol::BackendAnnouncement other;
+    other.zone = "there";
+    other.slots = 1;
+    for (const auto &[id, address, phase] : {std::tuple("cut-1", "10.0.0.1:1", Protocol::BackendPhase::SILENT),
+             std::tuple("cut-2", "10.0.0.2:1", Protocol::BackendPhase::SILENT),
+             std::tuple("cut-2-restarted", "10.0.0.2:1", Protocol::BackendPhase::SILENT),
+             std::tuple("stopped", "10.0.0.3:1", Protocol::BackendPhase::GONE)}) {
+        other.id = id;
+        other.address = address;
+        other.phase = phase;
+        fixture.coordinator.gateways.merge(other, fixture.timers.now());
+    }
+    const auto &node = fixture.addNode("here");
+    cr_assert(fixture.awaitReady());
+    const auto metrics = node.node.metrics();
+    cr_assert(metrics.find("crankrudder_gateways_sharing_slack 3\n") != std::string::npos, "this gateway and the two that are cut off");
+    cr_assert(metrics.find("crankrudder_gateways 1\n") != std::string::npos, "%s", metrics.c_str());
+}
