LibGateway: Count silent gateways when their registry changes only

The count looks at each known gateway, each second, which an idle gateway among 2,000 need not do. No behaviour changes: every change of a phase or an address has a position of its own. LibGateway's tests pass (257).

--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -170,7 +170,10 @@
     if (!known) {
         return;
     }
-    const int sharing = std::max(this->maximumGateways, this->gateways.presentCount());
+    if (std::exchange(this->presentPosition, this->gateways.position()) != this->gateways.position()) {
+        this->presentGateways = this->gateways.presentCount();
+    }
+    const int sharing = std::max(this->maximumGateways, this->presentGateways);
     if (sharing != this->sharingGateways) {
         Core::logEvent(Core::LogLevel::Information,
             "gateways.counted",
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -167,6 +167,9 @@
     // Number of gateways that share the slack of the retry budgets. Includes silent ones: each side of a cut that left the others out would use the whole
     // slack.
     int sharingGateways{BackendPool::AssumedGateways};
+    // BackendRegistry::presentCount() of the gateways at this position of their registry.
+    int presentGateways{0};
+    std::int64_t presentPosition{-1};
     bool draining{false};
     GatewayCounters counts;
     Metrics::LatencyHistogram searchLatencies;
