--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -7,6 +7,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -81,6 +82,11 @@
         return None
 
 
+def refuse_writes_with_an_error():
+    """A write that the platform's disk refuses fails with an error. Without this it would be a signal."""
+    signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
+
+
 class Process:
     """One process of a machine."""
 
@@ -115,11 +121,23 @@
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         environment["CRANKRUDDER_CONFIG"] = self.settings()
         self.first = False
-        with open(os.path.join(self.machine.folder, f"{self.program}.log"), "ab") as log:
-            self.child = await asyncio.create_subprocess_exec(
-                f"target/Services/{self.program}/{self.program}", cwd=ROOT, env=environment, stdout=log, stderr=log)
+        self.child = await asyncio.create_subprocess_exec(
+            f"target/Services/{self.program}/{self.program}", cwd=ROOT, env=environment, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT,
+            preexec_fn=refuse_writes_with_an_error)
+        self.machine.deployment.tasks.append(asyncio.create_task(self.copy_log(self.child.stdout)))
         self.machine.deployment.record.line(f"platform starts {self.program} of {self.machine.name}, pid {self.child.pid}")
 
+    async def copy_log(self, stream):
+        with open(os.path.join(self.machine.folder, f"{self.program}.log"), "ab", buffering=0) as log:
+            while data := await stream.read(65536):
+                log.write(data)
+
+    def fill_disk(self, full):
+        """The platform's disk takes no more bytes, or does so again: a limit on the size of the files of this one process."""
+        unlimited = resource.RLIM_INFINITY
+        resource.prlimit(self.child.pid, resource.RLIMIT_FSIZE, (0 if full else unlimited, unlimited))
+        self.machine.deployment.record.line(f"the disk of {self.machine.name} {'takes no more bytes' if full else 'takes bytes again'}")
+
     def running(self):
         return self.child is not None and self.child.returncode is None
 
