--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,7 +10,7 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common"))
 
-from deployment import CONTACT_S, DRAIN_S, ZONES, CannotRun, Client, Deployment, Replica, call, run_case
+from deployment import CONTACT_S, DRAIN_S, CannotRun, call, run_case
 
 # How long the replica serves on after the acknowledgement: DRAIN_S "and a little longer (at times many seconds)".
 SERVES_ON_S = 16.0
@@ -19,26 +19,9 @@
 MARGIN_S = 0.3
 
 
-async def case(record, trouble):
-    deployment = Deployment(record, machines_per_zone=2)
-    try:
-        return await play(deployment, record, trouble)
-    finally:
-        await deployment.end()
-
-
 async def play(deployment, record, trouble):
-    await deployment.start()
-    replicas = [Replica(deployment, "gowu98c", zone) for zone in ZONES]
-    for replica in replicas:
-        await replica.start()
-    route = {"name": "r-1", "host": "pupu76.example", "path_prefix": "/timi402/", "route_type": "idempotent", "timeout_ms": 2000, "target_latency_ms": 300,
-             "priority": 2, "service": "gowu98c", "max_attempts": 2}
-    await deployment.configure([route], ["gowu98c"])
-    await deployment.until_ready()
-    client = Client(deployment, "pupu76.example")
-    load = asyncio.create_task(client.load("/timi402/2f", per_s=30))
-    deployment.tasks.append(load)
+    _, replicas = await deployment.serve("gowu98c")
+    client, load = deployment.begin_load("/timi402/2f", per_s=30)
     # All machines are in touch once they have run undisturbed for CONTACT_S.
     await asyncio.sleep(CONTACT_S + 3)
     leaver, giver = replicas[0], deployment.core[2]
@@ -74,4 +57,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, case))
+    sys.exit(run_case(FOLDER, play, machines_per_zone=2))
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -23,6 +23,7 @@
 DRAIN_S = BOUNDS["drain_ms"] / 1000
 HEARTBEAT_S = 1.2
 RESTART_DELAY_S = 0.5
+HOST = "pupu76.example"
 # For machines that replace others.
 SPARE_ADDRESSES = 3
 REGION_OF = {"bern-wankdorf": "bern", "zurich-oerlikon": "zurich", "lausanne-renens": "lausanne"}
@@ -261,6 +262,21 @@
         self.core[self.core.index(removed)] = machine
         return machine
 
+    async def stop(self, machine):
+        """SIGTERM, and SIGKILL after the grace period. Ends once all processes of the machine have ended."""
+        self.record.line(f"platform sends SIGTERM to {machine.name}")
+
+        async def stop_one(process):
+            process.send(signal.SIGTERM)
+            try:
+                await asyncio.wait_for(process.child.wait(), BOUNDS["grace_s"])
+            except asyncio.TimeoutError:
+                process.send(signal.SIGKILL)
+                await process.child.wait()
+            self.record.line(f"{process.program} of {machine.name} has ended")
+
+        await asyncio.gather(*(stop_one(process) for process in machine.processes()))
+
     async def leader(self):
         """The machine whose coordinator leads, by the metrics page that the deploy file names."""
         for machine in self.core:
@@ -305,15 +321,37 @@
             pause = min(1.0, pause * 1.5)
         return None
 
-    async def configure(self, routes, services, more=None):
+    async def is_accepted(self, routes, services):
+        """Orders the next version of the configuration. Returns whether it was acknowledged."""
         self.version += 3
         document = {"version": self.version, "routes": routes,
                     "services": [{"name": name, "health_path": "/health", "max_conns": 120, "protocol": "h1", "tls": False} for name in services],
-                    "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}, **(more or {})}
+                    "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
         answer = await self.order("PUT", "/crankrudder/config", json.dumps(document).encode())
-        if answer is None or answer[0] != 200:
-            raise CannotRun(f"the configuration was not acknowledged: {answer}")
-        return time.monotonic()
+        return answer is not None and answer[0] == 200
+
+    async def configure(self, routes, services):
+        if not await self.is_accepted(routes, services):
+            raise CannotRun("the configuration was not acknowledged")
+
+    async def serve(self, service, idempotent=True, prefix="/timi402/", timeout_ms=2000, **options):
+        """Starts the machines and a replica of the service in each zone, and configures a route to them. Returns the route and the replicas."""
+        await self.start()
+        replicas = [Replica(self, service, zone, **options) for zone in ZONES]
+        for replica in replicas:
+            await replica.start()
+        route = {"name": "r-1", "host": HOST, "path_prefix": prefix, "route_type": "idempotent" if idempotent else "non_idempotent",
+                 "timeout_ms": timeout_ms, "target_latency_ms": 300, "priority": 2, "service": service, "max_attempts": 2}
+        await self.configure([route], [service])
+        await self.until_ready()
+        return route, replicas
+
+    def begin_load(self, path, per_s):
+        """Begins the load of clients that lasts until the returned task is cancelled."""
+        client = Client(self)
+        load = asyncio.create_task(client.load(path, per_s))
+        self.tasks.append(load)
+        return client, load
 
     async def end(self):
         for task in self.tasks:
@@ -461,9 +499,8 @@
 class Client:
     """Clients of all zones. Each attempt has an id of its own and comes on a new connection."""
 
-    def __init__(self, deployment, host):
+    def __init__(self, deployment):
         self.deployment = deployment
-        self.host = host
         self.attempts = 0
         self.answers = []
 
@@ -478,7 +515,7 @@
             reader, writer = await asyncio.open_connection(machine.address, self.deployment.port)
             answer.connected = True
             try:
-                lines = [f"{method} {path} HTTP/1.1", f"Host: {self.host}", f"Request-Id: {request_id}", f"Deadline-Ms: {deadline_ms}"]
+                lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"Request-Id: {request_id}", f"Deadline-Ms: {deadline_ms}"]
                 lines += [f"Content-Length: {len(body)}"] if body else []
                 writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
                 answer.sent_at = time.monotonic()
@@ -517,18 +554,24 @@
                 task.cancel()
 
 
-def run_case(folder, case):
-    """Runs a case: 1 if it reports a broken rule, 0 if the rule held, 2 if it could not run. TROUBLE=0 leaves the disruption out."""
+def run_case(folder, play, **options):
+    """Plays a case on a deployment: 1 if it reports a broken rule, 0 if the rule held, 2 if it could not run. TROUBLE=0 leaves the disruption out."""
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.line(f"the case begins, {'with' if trouble else 'without'} the disruption")
 
-    async def guarded():
-        return await asyncio.wait_for(case(record, trouble), 115)
+    async def case():
+        # A script that is ended ends its processes as well.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        deployment = Deployment(record, **options)
+        try:
+            return await asyncio.wait_for(play(deployment, record, trouble), 110)
+        finally:
+            await deployment.end()
 
     try:
-        broken = asyncio.run(guarded())
-    except (CannotRun, asyncio.TimeoutError) as error:
+        broken = asyncio.run(case())
+    except (CannotRun, OSError, asyncio.TimeoutError, asyncio.CancelledError) as error:
         record.line(f"the case could not run: {error!r}")
         print(f"could not run: {error!r}")
         return 2
