--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -554,9 +554,9 @@
                 task.cancel()
 
 
-def run_case(folder, play, **options):
+def run_case(record_path, play, **options):
     """Plays a case on a deployment: 1 if it reports a broken rule, 0 if the rule held, 2 if it could not run. TROUBLE=0 leaves the disruption out."""
-    record = Record(os.path.join(folder, "record.txt"))
+    record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.line(f"the case begins, {'with' if trouble else 'without'} the disruption")
 
