LibProtocol: Regenerate the code with the packaged compiler

The generated code had been extended by hand while the compiler was not installed. thrift-compiler 0.17.0 of Debian gives the same code, but for the numbers in the names of local variables. The package is not needed for a build.

--- a/Libraries/LibProtocol/Generated/Coordinator.cpp
+++ b/Libraries/LibProtocol/Generated/Coordinator.cpp
@@ -441,14 +441,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size108;
-            ::apache::thrift::protocol::TType _etype111;
-            xfer += iprot->readListBegin(_etype111, _size108);
-            this->records.resize(_size108);
-            uint32_t _i112;
-            for (_i112 = 0; _i112 < _size108; ++_i112)
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->records.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
             {
-              xfer += this->records[_i112].read(iprot);
+              xfer += this->records[_i120].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -477,10 +477,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<CrashRecord> ::const_iterator _iter113;
-    for (_iter113 = this->records.begin(); _iter113 != this->records.end(); ++_iter113)
+    std::vector<CrashRecord> ::const_iterator _iter121;
+    for (_iter121 = this->records.begin(); _iter121 != this->records.end(); ++_iter121)
     {
-      xfer += (*_iter113).write(oprot);
+      xfer += (*_iter121).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -504,10 +504,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->records)).size()));
-    std::vector<CrashRecord> ::const_iterator _iter114;
-    for (_iter114 = (*(this->records)).begin(); _iter114 != (*(this->records)).end(); ++_iter114)
+    std::vector<CrashRecord> ::const_iterator _iter122;
+    for (_iter122 = (*(this->records)).begin(); _iter122 != (*(this->records)).end(); ++_iter122)
     {
-      xfer += (*_iter114).write(oprot);
+      xfer += (*_iter122).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
--- a/Libraries/LibProtocol/Generated/fleet_types.cpp
+++ b/Libraries/LibProtocol/Generated/fleet_types.cpp
@@ -2037,17 +2037,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->contactAgesMs.clear();
-            uint32_t _size200;
-            ::apache::thrift::protocol::TType _ktype201;
-            ::apache::thrift::protocol::TType _vtype202;
-            xfer += iprot->readMapBegin(_ktype201, _vtype202, _size200);
-            uint32_t _i204;
-            for (_i204 = 0; _i204 < _size200; ++_i204)
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _ktype76;
+            ::apache::thrift::protocol::TType _vtype77;
+            xfer += iprot->readMapBegin(_ktype76, _vtype77, _size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
             {
-              std::string _key205;
-              xfer += iprot->readString(_key205);
-              int32_t& _val206 = this->contactAgesMs[_key205];
-              xfer += iprot->readI32(_val206);
+              std::string _key80;
+              xfer += iprot->readString(_key80);
+              int32_t& _val81 = this->contactAgesMs[_key80];
+              xfer += iprot->readI32(_val81);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2084,10 +2084,10 @@
   xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<BackendAnnouncement> ::const_iterator _iter75;
-    for (_iter75 = this->changed.begin(); _iter75 != this->changed.end(); ++_iter75)
+    std::vector<BackendAnnouncement> ::const_iterator _iter82;
+    for (_iter82 = this->changed.begin(); _iter82 != this->changed.end(); ++_iter82)
     {
-      xfer += (*_iter75).write(oprot);
+      xfer += (*_iter82).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2100,10 +2100,10 @@
   xfer += oprot->writeFieldBegin("changedGateways", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changedGateways.size()));
-    std::vector<BackendAnnouncement> ::const_iterator _iter76;
-    for (_iter76 = this->changedGateways.begin(); _iter76 != this->changedGateways.end(); ++_iter76)
+    std::vector<BackendAnnouncement> ::const_iterator _iter83;
+    for (_iter83 = this->changedGateways.begin(); _iter83 != this->changedGateways.end(); ++_iter83)
     {
-      xfer += (*_iter76).write(oprot);
+      xfer += (*_iter83).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2125,10 +2125,10 @@
   xfer += oprot->writeFieldBegin("coordinators", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coordinators.size()));
-    std::vector<CoordinatorPlace> ::const_iterator _iter77;
-    for (_iter77 = this->coordinators.begin(); _iter77 != this->coordinators.end(); ++_iter77)
+    std::vector<CoordinatorPlace> ::const_iterator _iter84;
+    for (_iter84 = this->coordinators.begin(); _iter84 != this->coordinators.end(); ++_iter84)
     {
-      xfer += (*_iter77).write(oprot);
+      xfer += (*_iter84).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2137,10 +2137,10 @@
   xfer += oprot->writeFieldBegin("heard", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->heard.size()));
-    std::vector<std::string> ::const_iterator _iter78;
-    for (_iter78 = this->heard.begin(); _iter78 != this->heard.end(); ++_iter78)
+    std::vector<std::string> ::const_iterator _iter85;
+    for (_iter85 = this->heard.begin(); _iter85 != this->heard.end(); ++_iter85)
     {
-      xfer += oprot->writeString((*_iter78));
+      xfer += oprot->writeString((*_iter85));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2167,10 +2167,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<CrashRecord> ::const_iterator _iter79;
-    for (_iter79 = this->crashes.begin(); _iter79 != this->crashes.end(); ++_iter79)
+    std::vector<CrashRecord> ::const_iterator _iter86;
+    for (_iter86 = this->crashes.begin(); _iter86 != this->crashes.end(); ++_iter86)
     {
-      xfer += (*_iter79).write(oprot);
+      xfer += (*_iter86).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2190,11 +2190,11 @@
     xfer += oprot->writeFieldBegin("contactAgesMs", ::apache::thrift::protocol::T_MAP, 18);
     {
       xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->contactAgesMs.size()));
-      std::map<std::string, int32_t> ::const_iterator _iter207;
-      for (_iter207 = this->contactAgesMs.begin(); _iter207 != this->contactAgesMs.end(); ++_iter207)
+      std::map<std::string, int32_t> ::const_iterator _iter87;
+      for (_iter87 = this->contactAgesMs.begin(); _iter87 != this->contactAgesMs.end(); ++_iter87)
       {
-        xfer += oprot->writeString(_iter207->first);
-        xfer += oprot->writeI32(_iter207->second);
+        xfer += oprot->writeString(_iter87->first);
+        xfer += oprot->writeI32(_iter87->second);
       }
       xfer += oprot->writeMapEnd();
     }
@@ -2228,47 +2228,47 @@
   swap(a.__isset, b.__isset);
 }
 
-WatchReply::WatchReply(const WatchReply& other80) {
-  coordinatorIncarnation = other80.coordinatorIncarnation;
-  cursor = other80.cursor;
-  changed = other80.changed;
-  gatewayCursor = other80.gatewayCursor;
-  changedGateways = other80.changedGateways;
-  declarationVersion = other80.declarationVersion;
-  declaration = other80.declaration;
-  declarationDelta = other80.declarationDelta;
-  confirmed = other80.confirmed;
-  coordinators = other80.coordinators;
-  heard = other80.heard;
-  hasLeader = other80.hasLeader;
-  evacuations = other80.evacuations;
-  crashCursor = other80.crashCursor;
-  crashes = other80.crashes;
-  oldestContactAgeMs = other80.oldestContactAgeMs;
-  heldMs = other80.heldMs;
-  contactAgesMs = other80.contactAgesMs;
-  __isset = other80.__isset;
-}
-WatchReply& WatchReply::operator=(const WatchReply& other81) {
-  coordinatorIncarnation = other81.coordinatorIncarnation;
-  cursor = other81.cursor;
-  changed = other81.changed;
-  gatewayCursor = other81.gatewayCursor;
-  changedGateways = other81.changedGateways;
-  declarationVersion = other81.declarationVersion;
-  declaration = other81.declaration;
-  declarationDelta = other81.declarationDelta;
-  confirmed = other81.confirmed;
-  coordinators = other81.coordinators;
-  heard = other81.heard;
-  hasLeader = other81.hasLeader;
-  evacuations = other81.evacuations;
-  crashCursor = other81.crashCursor;
-  crashes = other81.crashes;
-  oldestContactAgeMs = other81.oldestContactAgeMs;
-  heldMs = other81.heldMs;
-  contactAgesMs = other81.contactAgesMs;
-  __isset = other81.__isset;
+WatchReply::WatchReply(const WatchReply& other88) {
+  coordinatorIncarnation = other88.coordinatorIncarnation;
+  cursor = other88.cursor;
+  changed = other88.changed;
+  gatewayCursor = other88.gatewayCursor;
+  changedGateways = other88.changedGateways;
+  declarationVersion = other88.declarationVersion;
+  declaration = other88.declaration;
+  declarationDelta = other88.declarationDelta;
+  confirmed = other88.confirmed;
+  coordinators = other88.coordinators;
+  heard = other88.heard;
+  hasLeader = other88.hasLeader;
+  evacuations = other88.evacuations;
+  crashCursor = other88.crashCursor;
+  crashes = other88.crashes;
+  oldestContactAgeMs = other88.oldestContactAgeMs;
+  heldMs = other88.heldMs;
+  contactAgesMs = other88.contactAgesMs;
+  __isset = other88.__isset;
+}
+WatchReply& WatchReply::operator=(const WatchReply& other89) {
+  coordinatorIncarnation = other89.coordinatorIncarnation;
+  cursor = other89.cursor;
+  changed = other89.changed;
+  gatewayCursor = other89.gatewayCursor;
+  changedGateways = other89.changedGateways;
+  declarationVersion = other89.declarationVersion;
+  declaration = other89.declaration;
+  declarationDelta = other89.declarationDelta;
+  confirmed = other89.confirmed;
+  coordinators = other89.coordinators;
+  heard = other89.heard;
+  hasLeader = other89.hasLeader;
+  evacuations = other89.evacuations;
+  crashCursor = other89.crashCursor;
+  crashes = other89.crashes;
+  oldestContactAgeMs = other89.oldestContactAgeMs;
+  heldMs = other89.heldMs;
+  contactAgesMs = other89.contactAgesMs;
+  __isset = other89.__isset;
   return *this;
 }
 void WatchReply::printTo(std::ostream& out) const {
@@ -2405,17 +2405,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Introduction::Introduction(const Introduction& other82) {
-  member = other82.member;
-  initialised = other82.initialised;
-  mayFound = other82.mayFound;
-  __isset = other82.__isset;
+Introduction::Introduction(const Introduction& other90) {
+  member = other90.member;
+  initialised = other90.initialised;
+  mayFound = other90.mayFound;
+  __isset = other90.__isset;
 }
-Introduction& Introduction::operator=(const Introduction& other83) {
-  member = other83.member;
-  initialised = other83.initialised;
-  mayFound = other83.mayFound;
-  __isset = other83.__isset;
+Introduction& Introduction::operator=(const Introduction& other91) {
+  member = other91.member;
+  initialised = other91.initialised;
+  mayFound = other91.mayFound;
+  __isset = other91.__isset;
   return *this;
 }
 void Introduction::printTo(std::ostream& out) const {
@@ -2537,17 +2537,17 @@
   swap(a.__isset, b.__isset);
 }
 
-IntroductionReply::IntroductionReply(const IntroductionReply& other84) {
-  callee = other84.callee;
-  membership = other84.membership;
-  leaderAddress = other84.leaderAddress;
-  __isset = other84.__isset;
+IntroductionReply::IntroductionReply(const IntroductionReply& other92) {
+  callee = other92.callee;
+  membership = other92.membership;
+  leaderAddress = other92.leaderAddress;
+  __isset = other92.__isset;
 }
-IntroductionReply& IntroductionReply::operator=(const IntroductionReply& other85) {
-  callee = other85.callee;
-  membership = other85.membership;
-  leaderAddress = other85.leaderAddress;
-  __isset = other85.__isset;
+IntroductionReply& IntroductionReply::operator=(const IntroductionReply& other93) {
+  callee = other93.callee;
+  membership = other93.membership;
+  leaderAddress = other93.leaderAddress;
+  __isset = other93.__isset;
   return *this;
 }
 void IntroductionReply::printTo(std::ostream& out) const {
@@ -2652,15 +2652,15 @@
   swap(a.__isset, b.__isset);
 }
 
-EvacuationOrder::EvacuationOrder(const EvacuationOrder& other86) {
-  zone = other86.zone;
-  evacuate = other86.evacuate;
-  __isset = other86.__isset;
+EvacuationOrder::EvacuationOrder(const EvacuationOrder& other94) {
+  zone = other94.zone;
+  evacuate = other94.evacuate;
+  __isset = other94.__isset;
 }
-EvacuationOrder& EvacuationOrder::operator=(const EvacuationOrder& other87) {
-  zone = other87.zone;
-  evacuate = other87.evacuate;
-  __isset = other87.__isset;
+EvacuationOrder& EvacuationOrder::operator=(const EvacuationOrder& other95) {
+  zone = other95.zone;
+  evacuate = other95.evacuate;
+  __isset = other95.__isset;
   return *this;
 }
 void EvacuationOrder::printTo(std::ostream& out) const {
@@ -2783,17 +2783,17 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredOrder::StoredOrder(const StoredOrder& other88) {
-  version = other88.version;
-  compressed = other88.compressed;
-  evacuation = other88.evacuation;
-  __isset = other88.__isset;
+StoredOrder::StoredOrder(const StoredOrder& other96) {
+  version = other96.version;
+  compressed = other96.compressed;
+  evacuation = other96.evacuation;
+  __isset = other96.__isset;
 }
-StoredOrder& StoredOrder::operator=(const StoredOrder& other89) {
-  version = other89.version;
-  compressed = other89.compressed;
-  evacuation = other89.evacuation;
-  __isset = other89.__isset;
+StoredOrder& StoredOrder::operator=(const StoredOrder& other97) {
+  version = other97.version;
+  compressed = other97.compressed;
+  evacuation = other97.evacuation;
+  __isset = other97.__isset;
   return *this;
 }
 void StoredOrder::printTo(std::ostream& out) const {
@@ -2915,17 +2915,17 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredState::StoredState(const StoredState& other90) {
-  version = other90.version;
-  compressed = other90.compressed;
-  evacuations = other90.evacuations;
-  __isset = other90.__isset;
+StoredState::StoredState(const StoredState& other98) {
+  version = other98.version;
+  compressed = other98.compressed;
+  evacuations = other98.evacuations;
+  __isset = other98.__isset;
 }
-StoredState& StoredState::operator=(const StoredState& other91) {
-  version = other91.version;
-  compressed = other91.compressed;
-  evacuations = other91.evacuations;
-  __isset = other91.__isset;
+StoredState& StoredState::operator=(const StoredState& other99) {
+  version = other99.version;
+  compressed = other99.compressed;
+  evacuations = other99.evacuations;
+  __isset = other99.__isset;
   return *this;
 }
 void StoredState::printTo(std::ostream& out) const {
@@ -3064,19 +3064,19 @@
   swap(a.__isset, b.__isset);
 }
 
-MissingShard::MissingShard(const MissingShard& other92) {
-  serviceName = other92.serviceName;
-  executions = other92.executions;
-  sends = other92.sends;
-  counted = other92.counted;
-  __isset = other92.__isset;
+MissingShard::MissingShard(const MissingShard& other100) {
+  serviceName = other100.serviceName;
+  executions = other100.executions;
+  sends = other100.sends;
+  counted = other100.counted;
+  __isset = other100.__isset;
 }
-MissingShard& MissingShard::operator=(const MissingShard& other93) {
-  serviceName = other93.serviceName;
-  executions = other93.executions;
-  sends = other93.sends;
-  counted = other93.counted;
-  __isset = other93.__isset;
+MissingShard& MissingShard::operator=(const MissingShard& other101) {
+  serviceName = other101.serviceName;
+  executions = other101.executions;
+  sends = other101.sends;
+  counted = other101.counted;
+  __isset = other101.__isset;
   return *this;
 }
 void MissingShard::printTo(std::ostream& out) const {
@@ -3146,14 +3146,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->signatures.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->signatures.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->signatures.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
             {
-              xfer += iprot->readString(this->signatures[_i98]);
+              xfer += iprot->readString(this->signatures[_i106]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3174,14 +3174,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->missing.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->missing.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
+            uint32_t _size107;
+            ::apache::thrift::protocol::TType _etype110;
+            xfer += iprot->readListBegin(_etype110, _size107);
+            this->missing.resize(_size107);
+            uint32_t _i111;
+            for (_i111 = 0; _i111 < _size107; ++_i111)
             {
-              xfer += this->missing[_i103].read(iprot);
+              xfer += this->missing[_i111].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3226,10 +3226,10 @@
   xfer += oprot->writeFieldBegin("signatures", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->signatures.size()));
-    std::vector<std::string> ::const_iterator _iter104;
-    for (_iter104 = this->signatures.begin(); _iter104 != this->signatures.end(); ++_iter104)
+    std::vector<std::string> ::const_iterator _iter112;
+    for (_iter112 = this->signatures.begin(); _iter112 != this->signatures.end(); ++_iter112)
     {
-      xfer += oprot->writeString((*_iter104));
+      xfer += oprot->writeString((*_iter112));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3242,10 +3242,10 @@
   xfer += oprot->writeFieldBegin("missing", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->missing.size()));
-    std::vector<MissingShard> ::const_iterator _iter105;
-    for (_iter105 = this->missing.begin(); _iter105 != this->missing.end(); ++_iter105)
+    std::vector<MissingShard> ::const_iterator _iter113;
+    for (_iter113 = this->missing.begin(); _iter113 != this->missing.end(); ++_iter113)
     {
-      xfer += (*_iter105).write(oprot);
+      xfer += (*_iter113).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3275,21 +3275,21 @@
   swap(a.__isset, b.__isset);
 }
 
-PartialAnswer::PartialAnswer(const PartialAnswer& other106) {
-  signatures = other106.signatures;
-  records = other106.records;
-  missing = other106.missing;
-  packedSignatures = other106.packedSignatures;
-  crashes = other106.crashes;
-  __isset = other106.__isset;
-}
-PartialAnswer& PartialAnswer::operator=(const PartialAnswer& other107) {
-  signatures = other107.signatures;
-  records = other107.records;
-  missing = other107.missing;
-  packedSignatures = other107.packedSignatures;
-  crashes = other107.crashes;
-  __isset = other107.__isset;
+PartialAnswer::PartialAnswer(const PartialAnswer& other114) {
+  signatures = other114.signatures;
+  records = other114.records;
+  missing = other114.missing;
+  packedSignatures = other114.packedSignatures;
+  crashes = other114.crashes;
+  __isset = other114.__isset;
+}
+PartialAnswer& PartialAnswer::operator=(const PartialAnswer& other115) {
+  signatures = other115.signatures;
+  records = other115.records;
+  missing = other115.missing;
+  packedSignatures = other115.packedSignatures;
+  crashes = other115.crashes;
+  __isset = other115.__isset;
   return *this;
 }
 void PartialAnswer::printTo(std::ostream& out) const {
