--- a/Libraries/LibCoordinator/CoordinatorNode.cpp
+++ b/Libraries/LibCoordinator/CoordinatorNode.cpp
@@ -25,6 +25,15 @@
 static constexpr Core::Duration OwnPauseLimit = Core::seconds(3);
 // How often changes of backend servers are written to disk, in one write. Changes that a loss of power drops are received again with heartbeats.
 static constexpr Core::Duration StorePeriod = Core::milliseconds(500);
+// Delay of a write for which departures wait. By then watchers have been notified, whom a slow disk must not keep waiting, and the departures that arrive
+// within this time share one sync.
+static constexpr Core::Duration DepartureStoreDelay = Core::milliseconds(10);
+// On a slow disk the delay is this many times the duration of the latest write, which blocks this process, so that most of the time is left for watchers. The
+// maximum leaves time to acknowledge departures.
+static constexpr int DepartureStoreDelayFactor = 4;
+static constexpr Core::Duration MaximumDepartureStoreDelay = Core::milliseconds(300);
+// A backend server waits a second for an acknowledgement before it asks another coordinator.
+static constexpr Core::Duration DepartureTimeout = Core::milliseconds(800);
 static constexpr Core::Duration DrainPollPeriod = Core::milliseconds(20);
 
 CoordinatorNode::CoordinatorNode(CoordinatorOptions options, Core::TimerService &timers)
@@ -32,6 +41,7 @@
     , timers(timers)
     , incarnation(static_cast<std::int64_t>(Core::randomNumber() >> 1U))
     , registry(Fleet::RegistryOptions{.unconfirmedTimeout = this->options.heartbeats.unconfirmedTimeout})
+    , departures({.name = this->options.log.log.identity.name, .requiredCopies = this->options.membership.targetVoters / 2 + 1}, timers)
     , lastExpiry(timers.now())
 {
 }
@@ -95,6 +105,7 @@
         return replicated != nullptr && replicated->leader() != nullptr && raw->peers->hasReachableRegistries();
     };
     node->peers->addCoordinators(node->options.seeds);
+    node->connectDepartures();
     node->restoreStoredState();
     node->startTimers();
     return node;
@@ -112,11 +123,29 @@
         this->expireBackends();
     });
     this->storeTimer = this->timers.every(StorePeriod, [this](Core::Instant) {
+        this->expireUnconfirmedBackends();
         this->storeBackends();
         this->storeCrashes();
     });
 }
 
+void CoordinatorNode::connectDepartures()
+{
+    this->registry.forgotten = [this](const std::string &id) {
+        this->store.forget(id);
+        this->departures.forget(id);
+    };
+    this->departures.peers = [this] {
+        return this->departurePeers();
+    };
+    this->departures.sendToPeer = [this](const Core::Endpoint &endpoint, const auto &sent, const auto &done) {
+        this->sendDepartures(endpoint, sent, done);
+    };
+    this->departures.storeHere = [this](const auto &done) {
+        this->storeBackendsSoon(done);
+    };
+}
+
 void CoordinatorNode::addSeeds(const std::vector<Core::Endpoint> &seeds)
 {
     this->options.seeds = seeds;
@@ -224,17 +253,74 @@
 
 // ---- Backend servers
 
-void CoordinatorNode::announce(const Protocol::BackendAnnouncement &announcement)
+void CoordinatorNode::announce(const Protocol::BackendAnnouncement &announcement, const DepartureReplication::OutcomeHook &done)
 {
     this->registry.mergeHeartbeat(announcement, this->timers.now());
+    if (Fleet::isDeparture(announcement)) {
+        this->acknowledgeDeparture(announcement.id, done);
+    } else {
+        done(DepartureOutcome::Stored);
+    }
 }
 
-void CoordinatorNode::deregister(const std::string &id, std::int64_t born)
+void CoordinatorNode::deregister(const std::string &id, std::int64_t born, const DepartureReplication::OutcomeHook &done)
 {
     this->registry.markGone(id, this->timers.now(), born);
+    this->acknowledgeDeparture(id, done);
+}
+
+void CoordinatorNode::acknowledgeDeparture(const std::string &id, const DepartureReplication::OutcomeHook &done)
+{
+    // A departure of an earlier incarnation than the known one changes nothing.
+    const auto *record = this->registry.find(id);
+    if (record == nullptr || !Fleet::isDeparture(record->announcement)) {
+        done(DepartureOutcome::Stored);
+        return;
+    }
+    this->departures.replicate(record->announcement, done);
+}
+
+std::vector<Core::Endpoint> CoordinatorNode::departurePeers()
+{
+    auto endpoints = this->peers->coordinators();
+    std::erase_if(this->departureChannels, [&endpoints](const auto &item) {
+        return std::find(endpoints.begin(), endpoints.end(), item.first) == endpoints.end();
+    });
+    return endpoints;
+}
+
+// NOTE: Departures have connections of their own, since replies on one connection are sent in the order of the calls and a watch request may be held for long.
+void CoordinatorNode::sendDepartures(
+    const Core::Endpoint &endpoint, const std::vector<Protocol::BackendAnnouncement> &sent, const DepartureReplication::StoredHook &done)
+{
+    auto &channel = this->departureChannels[endpoint];
+    if (!channel) {
+        channel = Rpc::RpcChannel::create({.endpoint = endpoint, .callTimeout = DepartureTimeout, .limits = {}}, this->timers);
+    }
+    Rpc::call<Protocol::CoordinatorCobClient, bool>(
+        channel,
+        [sent](auto &client, auto callback) {
+            client.storeDepartures(callback, sent);
+        },
+        [](auto &client, bool &stored) {
+            stored = client.recv_storeDepartures();
+        },
+        [done](const Core::Result<bool> &stored) {
+            done(stored.value_or(false));
+        });
 }
 
-// Reads what was stored on disk: ready backend servers and crash records.
+void CoordinatorNode::receiveDepartures(const std::vector<Protocol::BackendAnnouncement> &received, const DepartureReplication::StoredHook &done)
+{
+    for (const auto &departure : received) {
+        this->registry.merge(departure, this->timers.now());
+    }
+    this->storeBackendsSoon(done);
+}
+
+// ---- Files
+
+// Reads what was stored on disk: backend servers and crash records.
 void CoordinatorNode::restoreStoredState()
 {
     auto *folder = this->log->dataFolder();
@@ -246,7 +332,7 @@
         announcement.warmupLeftMs = 0;
         this->registry.restore(announcement, this->timers.now());
     }
-    Core::logEvent(Core::LogLevel::Information, "registry.restored", {{"backends", stored.size()}});
+    Core::logEvent(Core::LogLevel::Information, "registry.restored", {{"backends", stored.size()}, {"ready", this->registry.readyCount()}});
     this->crashStore.load(*folder, this->crashes, this->timers.now(), Core::systemClock().wallTime());
 }
 
@@ -262,19 +348,52 @@
     }
 }
 
-void CoordinatorNode::storeBackends()
+void CoordinatorNode::expireUnconfirmedBackends()
 {
     const auto silent = this->registry.expireUnconfirmed(this->timers.now());
     if (silent > 0) {
         Core::logEvent(Core::LogLevel::Information, "registry.unconfirmed", {{"backends", silent}});
     }
+}
+
+void CoordinatorNode::storeBackendsSoon(const DepartureReplication::StoredHook &done)
+{
+    this->storeHooks.push_back(done);
+    if (!this->storeSoonTimer.isActive()) {
+        const auto delay = std::clamp(DepartureStoreDelayFactor * this->storeDuration, DepartureStoreDelay, MaximumDepartureStoreDelay);
+        this->storeSoonTimer = this->timers.once(delay, [this](Core::Instant) {
+            this->storeBackends();
+        });
+    }
+}
+
+Core::Result<void> CoordinatorNode::writeBackends()
+{
     auto *folder = this->log->dataFolder();
-    if (folder == nullptr || !this->store.hasUnwritten()) {
-        return;
+    if (folder == nullptr) {
+        return Core::failure(Core::ErrorKind::Storage, "the data folder can't be used");
     }
-    const auto written = this->store.flush(*folder);
-    if (!written.has_value()) {
+    if (this->store.isDurable()) {
+        return {};
+    }
+    const auto began = this->timers.now();
+    auto written = this->store.flush(*folder);
+    this->storeDuration = this->timers.now() - began;
+    return written;
+}
+
+void CoordinatorNode::storeBackends()
+{
+    const auto written = this->writeBackends();
+    const bool failed = !written.has_value();
+    if (failed && !this->isStoreFailing) {
         Core::logEvent(Core::LogLevel::Warning, "registry.not_written", {{"error", written.error().message}});
+    } else if (!failed && this->isStoreFailing) {
+        Core::logEvent(Core::LogLevel::Information, "registry.written_again", {});
+    }
+    this->isStoreFailing = failed;
+    for (const auto &done : std::exchange(this->storeHooks, {})) {
+        done(!failed);
     }
 }
 
@@ -509,7 +628,7 @@
 
 void CoordinatorNode::finishDrain()
 {
-    if (this->log->waitingProposals() > 0) {
+    if (this->log->waitingProposals() > 0 || this->departures.waitingCount() > 0) {
         return;
     }
     if (this->log->isLeader() && this->log->log()->transferLeadership(this->timers.now())) {
@@ -536,6 +655,12 @@
     page.gauge("crankrudder_gateways", "Gateways that are ready.", this->gateways.readyCount());
     page.gauge("crankrudder_watchers", "Questions that are held for news.", static_cast<double>(this->watchService->waitingCount()));
     page.gauge("crankrudder_coordinators_in_reach", "Other coordinators that are reachable.", static_cast<double>(this->peers->reachableCount()));
+    constexpr const char *DepartureHelp = "Departures of backend servers, by whether enough coordinators stored them to acknowledge them.";
+    page.counter("crankrudder_departures_total", DepartureHelp, static_cast<double>(this->departures.storedCount()), {{"outcome", "stored"}});
+    page.counter("crankrudder_departures_total", DepartureHelp, static_cast<double>(this->departures.notStoredCount()), {{"outcome", "not_stored"}});
+    page.gauge("crankrudder_departures_waiting", "Departures that are not acknowledged yet.", static_cast<double>(this->departures.waitingCount()));
+    page.histogram("crankrudder_departure_stored_seconds", "Time until a departure was stored and acknowledged.", this->departures.storedTimes());
+    page.counter("crankrudder_registry_syncs_total", "Syncs of the registry file.", static_cast<double>(this->store.syncCount()));
     Fleet::addCrashMetrics(page, this->crashes, this->timers.now());
     page.counter("crankrudder_disk_syncs_total", "Writes that were made last.", static_cast<double>(this->log->syncCount()));
     if (replicated != nullptr) {
@@ -554,6 +679,8 @@
     document["backends"] = this->registry.size();
     document["gateways"] = this->gateways.readyCount();
     document["watchers"] = this->watchService->waitingCount();
+    document["departures_waiting"] = this->departures.waitingCount();
+    document["registry_on_disk"] = this->store.isDurable();
     document["peers_in_reach"] = this->peers->reachableCount();
     document["folder_usable"] = replicated != nullptr;
     if (replicated != nullptr) {
@@ -583,6 +710,13 @@
     callback(this->node.introduce(introduction));
 }
 
+void CoordinatorHandler::storeDepartures(std::function<void(bool const &)> callback, const std::vector<Protocol::BackendAnnouncement> &departures)
+{
+    this->node.receiveDepartures(departures, [callback = std::move(callback)](bool stored) {
+        callback(stored);
+    });
+}
+
 void CoordinatorHandler::reportCrashes(std::function<void(std::int32_t const &)> callback, const std::vector<Protocol::CrashRecord> &records)
 {
     callback(static_cast<std::int32_t>(this->node.receiveCrashes(records)));
--- a/Libraries/LibCoordinator/CoordinatorNode.h
+++ b/Libraries/LibCoordinator/CoordinatorNode.h
@@ -11,6 +11,7 @@
 
 #include <LibCoordinator/CrashStore.h>
 #include <LibCoordinator/DeclarationLog.h>
+#include <LibCoordinator/DepartureReplication.h>
 #include <LibCoordinator/MembershipPolicy.h>
 #include <LibCoordinator/RegistryStore.h>
 #include <LibCoordinator/WatchService.h>
@@ -94,10 +95,16 @@
 
     // For backend servers.
 
-    /** Receives a heartbeat. */
-    void announce(const Protocol::BackendAnnouncement &announcement);
-    /** Receives a deregistration. `born` is the start time of the incarnation that ends, in Unix milliseconds; 0 when it was not given. */
-    void deregister(const std::string &id, std::int64_t born);
+    /**
+     * Receives a heartbeat. `done` is called at once for a ready backend server, and for a draining one as by deregister(). Watchers are notified before that
+     * in both cases.
+     */
+    void announce(const Protocol::BackendAnnouncement &announcement, const DepartureReplication::OutcomeHook &done);
+    /**
+     * Receives a deregistration. `born` is the start time of the incarnation that ends, in Unix milliseconds; 0 when it was not given. `done` is called once
+     * the departure is stored by as many coordinators as are needed or can't be.
+     */
+    void deregister(const std::string &id, std::int64_t born, const DepartureReplication::OutcomeHook &done);
 
     // For gateways and other coordinators.
 
@@ -107,6 +114,8 @@
     [[nodiscard]] Protocol::IntroductionReply introduce(const Protocol::Introduction &introduction);
     /** Receives the crash records of a gateway. Returns how many records this coordinator holds. */
     [[nodiscard]] std::size_t receiveCrashes(const std::vector<Protocol::CrashRecord> &records);
+    /** Merges departures that another coordinator received. `done` is called with whether they are on the disk of this coordinator. */
+    void receiveDepartures(const std::vector<Protocol::BackendAnnouncement> &departures, const DepartureReplication::StoredHook &done);
     /** Receives messages of the replicated log. */
     void receive(const std::vector<Protocol::LogMessage> &messages);
 
@@ -114,8 +123,8 @@
     void addSeeds(const std::vector<Core::Endpoint> &seeds);
 
     /**
-     * Refuses further orders and transfers leadership. `stopped` is called when no proposal waits any more and this coordinator is not the leader, or has no
-     * reachable voter to which it could transfer leadership.
+     * Refuses further orders and transfers leadership. `stopped` is called when no proposal and no departure waits any more and this coordinator is not the
+     * leader, or has no reachable voter to which it could transfer leadership.
      */
     void drain(std::function<void()> stopped);
 
@@ -139,9 +148,19 @@
     [[nodiscard]] bool isMember() const;
     [[nodiscard]] Protocol::Introduction ownIntroduction() const;
     [[nodiscard]] std::string leaderOperatorAddress() const;
+    void connectDepartures();
+    /** Acknowledges the departure of a backend server if it is known to have left; there is nothing to keep otherwise. */
+    void acknowledgeDeparture(const std::string &id, const DepartureReplication::OutcomeHook &done);
+    [[nodiscard]] std::vector<Core::Endpoint> departurePeers();
+    void sendDepartures(
+        const Core::Endpoint &endpoint, const std::vector<Protocol::BackendAnnouncement> &departures, const DepartureReplication::StoredHook &done);
     void expireBackends();
+    void expireUnconfirmedBackends();
     void restoreStoredState();
+    /** Calls `done` after the next write of the registry, which follows soon. */
+    void storeBackendsSoon(const DepartureReplication::StoredHook &done);
     void storeBackends();
+    [[nodiscard]] Core::Result<void> writeBackends();
     void storeCrashes();
     void finishDrain();
 
@@ -150,6 +169,13 @@
     std::int64_t incarnation;
     Fleet::BackendRegistry registry;
     RegistryStore store;
+    bool isStoreFailing{false};
+    // How long the latest write of the registry took.
+    Core::Duration storeDuration{0};
+    // Called after the next write of the registry with whether it succeeded.
+    std::vector<DepartureReplication::StoredHook> storeHooks;
+    DepartureReplication departures;
+    std::map<Core::Endpoint, std::shared_ptr<Rpc::RpcChannel>> departureChannels;
     std::unique_ptr<Fleet::FleetWatcher> peers;
     std::unique_ptr<DeclarationLog> log;
     // Gateways that accept requests, by their own announcements.
@@ -169,6 +195,7 @@
     Core::TimerSubscription introductionTimer;
     Core::TimerSubscription expiryTimer;
     Core::TimerSubscription storeTimer;
+    Core::TimerSubscription storeSoonTimer;
     Core::TimerSubscription drainTimer;
     std::shared_ptr<int> alive{std::make_shared<int>(0)};
 };
@@ -182,6 +209,7 @@
     void watch(std::function<void(Protocol::WatchReply const &)> callback, const Protocol::WatchRequest &request) override;
     void introduce(std::function<void(Protocol::IntroductionReply const &)> callback, const Protocol::Introduction &introduction) override;
     void reportCrashes(std::function<void(std::int32_t const &)> callback, const std::vector<Protocol::CrashRecord> &records) override;
+    void storeDepartures(std::function<void(bool const &)> callback, const std::vector<Protocol::BackendAnnouncement> &departures) override;
 
 private:
     CoordinatorNode &node;
--- a/Libraries/LibCoordinator/RegistryStore.cpp
+++ b/Libraries/LibCoordinator/RegistryStore.cpp
@@ -13,8 +13,8 @@
 {
 
 static constexpr const char *FileName = "backends";
-// The file is rewritten once it is this many times as long as the ready backend servers need, and not below a length at which rewriting saves too little.
-static constexpr std::size_t RewriteFactor = 4;
+// The file is rewritten once it is this many times as long as the stored backend servers need, and not below a length at which rewriting saves too little.
+static constexpr std::size_t RewriteFactor = 3;
 static constexpr std::size_t RewriteFromBytes = 64 * 1024;
 
 static std::string frame(const Protocol::BackendAnnouncement &announcement)
@@ -22,6 +22,20 @@
     return Storage::frameBatch(Rpc::serialize(announcement));
 }
 
+// Returns what has to be stored of a backend server. Of one that is gone, its id and incarnation suffice to recognize late announcements.
+static Protocol::BackendAnnouncement storedForm(const Protocol::BackendAnnouncement &announcement)
+{
+    if (announcement.phase != Protocol::BackendPhase::GONE) {
+        return announcement;
+    }
+    Protocol::BackendAnnouncement shortened;
+    shortened.id = announcement.id;
+    shortened.phase = announcement.phase;
+    shortened.sequence = announcement.sequence;
+    shortened.born = announcement.born;
+    return shortened;
+}
+
 std::vector<Protocol::BackendAnnouncement> RegistryStore::load(Storage::Folder &folder)
 {
     const auto content = folder.read(FileName);
@@ -45,7 +59,7 @@
         Core::logEvent(Core::LogLevel::Warning, "registry.file_cut", {{"bytes", rest.size()}});
     }
     std::vector<Protocol::BackendAnnouncement> found;
-    for (const auto &[id, announcement] : this->ready) {
+    for (const auto &[id, announcement] : this->stored) {
         found.push_back(announcement);
     }
     return found;
@@ -53,35 +67,46 @@
 
 void RegistryStore::apply(const Protocol::BackendAnnouncement &announcement)
 {
-    const auto found = this->ready.find(announcement.id);
-    if (found != this->ready.end()) {
-        this->readyBytes -= frame(found->second).size();
-        this->ready.erase(found);
+    this->forget(announcement.id);
+    if (announcement.phase != Protocol::BackendPhase::SILENT) {
+        this->storedBytes += frame(announcement).size();
+        this->stored[announcement.id] = announcement;
     }
-    if (announcement.phase == Protocol::BackendPhase::READY) {
-        this->readyBytes += frame(announcement).size();
-        this->ready[announcement.id] = announcement;
+}
+
+void RegistryStore::forget(const std::string &id)
+{
+    if (const auto found = this->stored.find(id); found != this->stored.end()) {
+        this->storedBytes -= frame(found->second).size();
+        this->stored.erase(found);
     }
 }
 
 void RegistryStore::addChange(const Protocol::BackendAnnouncement &announcement)
 {
-    this->apply(announcement);
-    this->unwritten += frame(announcement);
+    const auto form = storedForm(announcement);
+    this->apply(form);
+    this->unwritten += frame(form);
+}
+
+bool RegistryStore::isDurable() const
+{
+    return this->unwritten.empty() && !this->mustRewrite;
 }
 
-bool RegistryStore::hasUnwritten() const
+std::uint64_t RegistryStore::syncCount() const
 {
-    return !this->unwritten.empty();
+    return this->syncs;
 }
 
 Core::Result<void> RegistryStore::flush(Storage::Folder &folder)
 {
     const auto length = this->fileBytes + this->unwritten.size();
-    const bool tooLong = length >= RewriteFromBytes && length >= RewriteFactor * this->readyBytes;
+    const bool tooLong = length >= RewriteFromBytes && length >= RewriteFactor * this->storedBytes;
     const auto outcome = this->mustRewrite || tooLong ? this->rewrite(folder) : this->append(folder);
     this->mustRewrite = !outcome.has_value();
     this->unwritten.clear();
+    this->syncs += outcome.has_value() ? 1 : 0;
     return outcome;
 }
 
@@ -98,7 +123,7 @@
 Core::Result<void> RegistryStore::rewrite(Storage::Folder &folder)
 {
     std::string content;
-    for (const auto &[id, announcement] : this->ready) {
+    for (const auto &[id, announcement] : this->stored) {
         content += frame(announcement);
     }
     const auto replaced = folder.replace(FileName, content);
--- a/Libraries/LibFleet/BackendRegistry.cpp
+++ b/Libraries/LibFleet/BackendRegistry.cpp
@@ -25,7 +25,7 @@
     return held.phase != incoming.phase || held.address != incoming.address || held.serviceName != incoming.serviceName || held.slots != incoming.slots;
 }
 
-static bool isDeparture(const BackendAnnouncement &announcement)
+bool isDeparture(const BackendAnnouncement &announcement)
 {
     return announcement.phase == BackendPhase::DRAINING || announcement.phase == BackendPhase::GONE;
 }
@@ -237,6 +237,10 @@
 
 void BackendRegistry::restore(const BackendAnnouncement &announcement, Core::Instant now)
 {
+    if (isDeparture(announcement)) {
+        this->merge(announcement, now);
+        return;
+    }
     if (this->records.contains(announcement.id)) {
         return;
     }
@@ -270,11 +274,14 @@
     std::erase_if(this->records, [this, now](const auto &item) {
         const auto &record = item.second;
         const bool hasEnded = record.announcement.phase == BackendPhase::GONE || record.announcement.phase == BackendPhase::SILENT;
-        const bool forgotten = hasEnded && now - record.lastHeartbeat >= this->options.retention;
-        if (forgotten) {
+        const bool isOver = hasEnded && now - record.lastHeartbeat >= this->options.retention;
+        if (isOver) {
             this->byChange.erase(record.changePosition);
+            if (this->forgotten) {
+                this->forgotten(item.first);
+            }
         }
-        return forgotten;
+        return isOver;
     });
 }
 
--- a/Libraries/LibFleet/BackendRegistry.h
+++ b/Libraries/LibFleet/BackendRegistry.h
@@ -50,6 +50,9 @@
     std::int64_t changePosition{0};
 };
 
+/** Whether an announcement says that its backend server leaves or has left. */
+[[nodiscard]] bool isDeparture(const Protocol::BackendAnnouncement &announcement);
+
 /** Retention and timeouts of a registry. */
 struct RegistryOptions {
     /** A record that is gone or silent is kept for this long, so that late announcements of an ended incarnation are recognized and discarded. */
@@ -83,7 +86,10 @@
     /** Merges an announcement from any source. Returns whether watchers have to be notified. */
     bool merge(const Protocol::BackendAnnouncement &announcement, Core::Instant now);
 
-    /** Adds an unconfirmed record that a coordinator read from its disk. A record that exists already is left as it is. */
+    /**
+     * Adds a record that a coordinator read from its disk. A departure is merged like one that was received. A ready backend server becomes an unconfirmed
+     * record, unless there is a record of it already.
+     */
     void restore(const Protocol::BackendAnnouncement &announcement, Core::Instant now);
 
     /** Marks unconfirmed records silent whose unconfirmed timeout has ended. Returns how many. */
@@ -142,6 +148,8 @@
 
     /** Called after each change that watchers have to be notified of. */
     std::function<void(const BackendRecord &record)> changed;
+    /** Called after a record was removed because its retention has ended. */
+    std::function<void(const std::string &id)> forgotten;
 
 private:
     /** Whether the merge rules let an announcement change the record of its backend server. */
--- a/Libraries/LibProtocol/Generated/Coordinator.cpp
+++ b/Libraries/LibProtocol/Generated/Coordinator.cpp
@@ -640,6 +640,235 @@
   return xfer;
 }
 
+
+Coordinator_storeDepartures_args::~Coordinator_storeDepartures_args() noexcept {
+}
+
+
+uint32_t Coordinator_storeDepartures_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->departures.clear();
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->departures.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
+            {
+              xfer += this->departures[_i127].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.departures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Coordinator_storeDepartures_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Coordinator_storeDepartures_args");
+
+  xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
+    std::vector<BackendAnnouncement> ::const_iterator _iter128;
+    for (_iter128 = this->departures.begin(); _iter128 != this->departures.end(); ++_iter128)
+    {
+      xfer += (*_iter128).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Coordinator_storeDepartures_pargs::~Coordinator_storeDepartures_pargs() noexcept {
+}
+
+
+uint32_t Coordinator_storeDepartures_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Coordinator_storeDepartures_pargs");
+
+  xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->departures)).size()));
+    std::vector<BackendAnnouncement> ::const_iterator _iter129;
+    for (_iter129 = (*(this->departures)).begin(); _iter129 != (*(this->departures)).end(); ++_iter129)
+    {
+      xfer += (*_iter129).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Coordinator_storeDepartures_result::~Coordinator_storeDepartures_result() noexcept {
+}
+
+
+uint32_t Coordinator_storeDepartures_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->success);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Coordinator_storeDepartures_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("Coordinator_storeDepartures_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_BOOL, 0);
+    xfer += oprot->writeBool(this->success);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Coordinator_storeDepartures_presult::~Coordinator_storeDepartures_presult() noexcept {
+}
+
+
+uint32_t Coordinator_storeDepartures_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool((*(this->success)));
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Coordinator_storeDepartures_presult::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Coordinator_storeDepartures_presult");
+
+  xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_BOOL, 0);
+  xfer += oprot->writeBool((*(this->success)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
 void CoordinatorClient::watch(WatchReply& _return, const WatchRequest& request)
 {
   send_watch(request);
@@ -814,6 +1043,64 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "reportCrashes failed: unknown result");
 }
 
+bool CoordinatorClient::storeDepartures(const std::vector<BackendAnnouncement> & departures)
+{
+  send_storeDepartures(departures);
+  return recv_storeDepartures();
+}
+
+void CoordinatorClient::send_storeDepartures(const std::vector<BackendAnnouncement> & departures)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("storeDepartures", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Coordinator_storeDepartures_pargs args;
+  args.departures = &departures;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+bool CoordinatorClient::recv_storeDepartures()
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("storeDepartures") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  bool _return;
+  Coordinator_storeDepartures_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    return _return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "storeDepartures failed: unknown result");
+}
+
 bool CoordinatorProcessor::dispatchCall(::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid, void* callContext) {
   ProcessMap::iterator pfn;
   pfn = processMap_.find(fname);
@@ -995,6 +1282,60 @@
   }
 }
 
+void CoordinatorProcessor::process_storeDepartures(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Coordinator.storeDepartures", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Coordinator.storeDepartures");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "Coordinator.storeDepartures");
+  }
+
+  Coordinator_storeDepartures_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "Coordinator.storeDepartures", bytes);
+  }
+
+  Coordinator_storeDepartures_result result;
+  try {
+    result.success = iface_->storeDepartures(args.departures);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Coordinator.storeDepartures");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("storeDepartures", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "Coordinator.storeDepartures");
+  }
+
+  oprot->writeMessageBegin("storeDepartures", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "Coordinator.storeDepartures", bytes);
+  }
+}
+
 ::std::shared_ptr< ::apache::thrift::TProcessor > CoordinatorProcessorFactory::getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) {
   ::apache::thrift::ReleaseHandler< CoordinatorIfFactory > cleanup(handlerFactory_);
   ::std::shared_ptr< CoordinatorIf > handler(handlerFactory_->getHandler(connInfo), cleanup);
@@ -1254,6 +1595,90 @@
   } // end while(true)
 }
 
+bool CoordinatorConcurrentClient::storeDepartures(const std::vector<BackendAnnouncement> & departures)
+{
+  int32_t seqid = send_storeDepartures(departures);
+  return recv_storeDepartures(seqid);
+}
+
+int32_t CoordinatorConcurrentClient::send_storeDepartures(const std::vector<BackendAnnouncement> & departures)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("storeDepartures", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Coordinator_storeDepartures_pargs args;
+  args.departures = &departures;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+bool CoordinatorConcurrentClient::recv_storeDepartures(const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("storeDepartures") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      bool _return;
+      Coordinator_storeDepartures_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        sentry.commit();
+        return _return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "storeDepartures failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 void CoordinatorCobClient::watch(::std::function<void(CoordinatorCobClient* client)> cob, const WatchRequest& request)
 {
   send_watch(request);
@@ -1485,6 +1910,83 @@
   }
 }
 
+void CoordinatorCobClient::storeDepartures(::std::function<void(CoordinatorCobClient* client)> cob, const std::vector<BackendAnnouncement> & departures)
+{
+  send_storeDepartures(departures);
+  channel_->sendAndRecvMessage(::std::bind(cob, this), otrans_.get(), itrans_.get());
+}
+
+void CoordinatorCobClient::send_storeDepartures(const std::vector<BackendAnnouncement> & departures)
+{
+  int32_t cseqid = 0;
+  otrans_->resetBuffer();
+  oprot_->writeMessageBegin("storeDepartures", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Coordinator_storeDepartures_pargs args;
+  args.departures = &departures;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+bool CoordinatorCobClient::recv_storeDepartures()
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+  bool completed = false;
+
+  try {
+    iprot_->readMessageBegin(fname, mtype, rseqid);
+    if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+      ::apache::thrift::TApplicationException x;
+      x.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+      completed = true;
+      completed__(true);
+      throw x;
+    }
+    if (mtype != ::apache::thrift::protocol::T_REPLY) {
+      iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+      completed = true;
+      completed__(false);
+    }
+    if (fname.compare("storeDepartures") != 0) {
+      iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+      completed = true;
+      completed__(false);
+    }
+    bool _return;
+    Coordinator_storeDepartures_presult result;
+    result.success = &_return;
+    result.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+
+    if (result.__isset.success) {
+      completed = true;
+      completed__(true);
+      return _return;
+    }
+    completed = true;
+    completed__(true);
+    throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "storeDepartures failed: unknown result");
+  } catch (...) {
+    if (!completed) {
+      completed__(false);
+    }
+    throw;
+  }
+}
+
 void CoordinatorAsyncProcessor::dispatchCall(::std::function<void(bool ok)> cob, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid) {
   ProcessMap::iterator pfn;
   pfn = processMap_.find(fname);
@@ -1684,6 +2186,66 @@
   return cob(true);
 }
 
+void CoordinatorAsyncProcessor::process_storeDepartures(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot)
+{
+  Coordinator_storeDepartures_args args;
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Coordinator.storeDepartures", nullptr);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Coordinator.storeDepartures");
+
+  try {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->preRead(ctx, "Coordinator.storeDepartures");
+    }
+    args.read(iprot);
+    iprot->readMessageEnd();
+    uint32_t bytes = iprot->getTransport()->readEnd();
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->postRead(ctx, "Coordinator.storeDepartures", bytes);
+    }
+  }
+  catch (const std::exception&) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Coordinator.storeDepartures");
+    }
+    return cob(false);
+  }
+  freer.unregister();
+  void (CoordinatorAsyncProcessor::*return_fn)(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* oprot, void* ctx, const bool& _return) =
+    &CoordinatorAsyncProcessor::return_storeDepartures;
+  iface_->storeDepartures(
+      ::std::bind(return_fn, this, cob, seqid, oprot, ctx, ::std::placeholders::_1),
+      args.departures);
+}
+
+void CoordinatorAsyncProcessor::return_storeDepartures(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* oprot, void* ctx, const bool& _return)
+{
+  Coordinator_storeDepartures_presult result;
+  result.success = const_cast<bool*>(&_return);
+  result.__isset.success = true;
+
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Coordinator.storeDepartures", nullptr);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Coordinator.storeDepartures");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "Coordinator.storeDepartures");
+  }
+
+  oprot->writeMessageBegin("storeDepartures", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  uint32_t bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "Coordinator.storeDepartures", bytes);
+  }
+  return cob(true);
+}
+
 ::std::shared_ptr< ::apache::thrift::async::TAsyncProcessor > CoordinatorAsyncProcessorFactory::getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) {
   ::apache::thrift::ReleaseHandler< CoordinatorCobSvIfFactory > cleanup(handlerFactory_);
   ::std::shared_ptr< CoordinatorCobSvIf > handler(handlerFactory_->getHandler(connInfo), cleanup);
--- a/Libraries/LibProtocol/Generated/Coordinator.h
+++ b/Libraries/LibProtocol/Generated/Coordinator.h
@@ -49,6 +49,14 @@
    * @param records
    */
   virtual int32_t reportCrashes(const std::vector<CrashRecord> & records) = 0;
+
+  /**
+   * Merges departures of backend servers, which are draining or gone. Replies whether they are on this coordinator's disk, once a sync of the registry
+   * file has succeeded or failed.
+   * 
+   * @param departures
+   */
+  virtual bool storeDepartures(const std::vector<BackendAnnouncement> & departures) = 0;
 };
 
 class CoordinatorIfFactory {
@@ -88,6 +96,10 @@
     int32_t _return = 0;
     return _return;
   }
+  bool storeDepartures(const std::vector<BackendAnnouncement> & /* departures */) override {
+    bool _return = false;
+    return _return;
+  }
 };
 
 typedef struct _Coordinator_watch_args__isset {
@@ -406,6 +418,112 @@
 
 };
 
+typedef struct _Coordinator_storeDepartures_args__isset {
+  _Coordinator_storeDepartures_args__isset() : departures(false) {}
+  bool departures :1;
+} _Coordinator_storeDepartures_args__isset;
+
+class Coordinator_storeDepartures_args {
+ public:
+
+  Coordinator_storeDepartures_args(const Coordinator_storeDepartures_args&);
+  Coordinator_storeDepartures_args& operator=(const Coordinator_storeDepartures_args&);
+  Coordinator_storeDepartures_args() noexcept {
+  }
+
+  virtual ~Coordinator_storeDepartures_args() noexcept;
+  std::vector<BackendAnnouncement>  departures;
+
+  _Coordinator_storeDepartures_args__isset __isset;
+
+  void __set_departures(const std::vector<BackendAnnouncement> & val);
+
+  bool operator == (const Coordinator_storeDepartures_args & rhs) const
+  {
+    if (!(departures == rhs.departures))
+      return false;
+    return true;
+  }
+  bool operator != (const Coordinator_storeDepartures_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Coordinator_storeDepartures_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Coordinator_storeDepartures_pargs {
+ public:
+
+
+  virtual ~Coordinator_storeDepartures_pargs() noexcept;
+  const std::vector<BackendAnnouncement> * departures;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Coordinator_storeDepartures_result__isset {
+  _Coordinator_storeDepartures_result__isset() : success(false) {}
+  bool success :1;
+} _Coordinator_storeDepartures_result__isset;
+
+class Coordinator_storeDepartures_result {
+ public:
+
+  Coordinator_storeDepartures_result(const Coordinator_storeDepartures_result&) noexcept;
+  Coordinator_storeDepartures_result& operator=(const Coordinator_storeDepartures_result&) noexcept;
+  Coordinator_storeDepartures_result() noexcept
+                                     : success(0) {
+  }
+
+  virtual ~Coordinator_storeDepartures_result() noexcept;
+  bool success;
+
+  _Coordinator_storeDepartures_result__isset __isset;
+
+  void __set_success(const bool val);
+
+  bool operator == (const Coordinator_storeDepartures_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    return true;
+  }
+  bool operator != (const Coordinator_storeDepartures_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Coordinator_storeDepartures_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Coordinator_storeDepartures_presult__isset {
+  _Coordinator_storeDepartures_presult__isset() : success(false) {}
+  bool success :1;
+} _Coordinator_storeDepartures_presult__isset;
+
+class Coordinator_storeDepartures_presult {
+ public:
+
+
+  virtual ~Coordinator_storeDepartures_presult() noexcept;
+  bool* success;
+
+  _Coordinator_storeDepartures_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
 class CoordinatorClient : virtual public CoordinatorIf {
  public:
   CoordinatorClient(std::shared_ptr< ::apache::thrift::protocol::TProtocol> prot) {
@@ -455,6 +573,15 @@
   int32_t reportCrashes(const std::vector<CrashRecord> & records) override;
   void send_reportCrashes(const std::vector<CrashRecord> & records);
   int32_t recv_reportCrashes();
+  /**
+   * Merges departures of backend servers, which are draining or gone. Replies whether they are on this coordinator's disk, once a sync of the registry
+   * file has succeeded or failed.
+   * 
+   * @param departures
+   */
+  bool storeDepartures(const std::vector<BackendAnnouncement> & departures) override;
+  void send_storeDepartures(const std::vector<BackendAnnouncement> & departures);
+  bool recv_storeDepartures();
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
@@ -473,12 +600,14 @@
   void process_watch(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_introduce(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_reportCrashes(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_storeDepartures(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   CoordinatorProcessor(::std::shared_ptr<CoordinatorIf> iface) :
     iface_(iface) {
     processMap_["watch"] = &CoordinatorProcessor::process_watch;
     processMap_["introduce"] = &CoordinatorProcessor::process_introduce;
     processMap_["reportCrashes"] = &CoordinatorProcessor::process_reportCrashes;
+    processMap_["storeDepartures"] = &CoordinatorProcessor::process_storeDepartures;
   }
 
   virtual ~CoordinatorProcessor() {}
@@ -551,6 +680,21 @@
     return ifaces_[i]->reportCrashes(records);
   }
 
+  /**
+   * Merges departures of backend servers, which are draining or gone. Replies whether they are on this coordinator's disk, once a sync of the registry
+   * file has succeeded or failed.
+   * 
+   * @param departures
+   */
+  bool storeDepartures(const std::vector<BackendAnnouncement> & departures) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->storeDepartures(departures);
+    }
+    return ifaces_[i]->storeDepartures(departures);
+  }
+
 };
 
 // The 'concurrent' client is a thread safe client that correctly handles
@@ -607,6 +751,15 @@
   int32_t reportCrashes(const std::vector<CrashRecord> & records) override;
   int32_t send_reportCrashes(const std::vector<CrashRecord> & records);
   int32_t recv_reportCrashes(const int32_t seqid);
+  /**
+   * Merges departures of backend servers, which are draining or gone. Replies whether they are on this coordinator's disk, once a sync of the registry
+   * file has succeeded or failed.
+   * 
+   * @param departures
+   */
+  bool storeDepartures(const std::vector<BackendAnnouncement> & departures) override;
+  int32_t send_storeDepartures(const std::vector<BackendAnnouncement> & departures);
+  bool recv_storeDepartures(const int32_t seqid);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
@@ -641,6 +794,14 @@
    * @param records
    */
   virtual void reportCrashes(::std::function<void(CoordinatorCobClient* client)> cob, const std::vector<CrashRecord> & records) = 0;
+
+  /**
+   * Merges departures of backend servers, which are draining or gone. Replies whether they are on this coordinator's disk, once a sync of the registry
+   * file has succeeded or failed.
+   * 
+   * @param departures
+   */
+  virtual void storeDepartures(::std::function<void(CoordinatorCobClient* client)> cob, const std::vector<BackendAnnouncement> & departures) = 0;
 };
 
 class CoordinatorCobSvIf {
@@ -667,6 +828,14 @@
    * @param records
    */
   virtual void reportCrashes(::std::function<void(int32_t const& _return)> cob, const std::vector<CrashRecord> & records) = 0;
+
+  /**
+   * Merges departures of backend servers, which are draining or gone. Replies whether they are on this coordinator's disk, once a sync of the registry
+   * file has succeeded or failed.
+   * 
+   * @param departures
+   */
+  virtual void storeDepartures(::std::function<void(bool const& _return)> cob, const std::vector<BackendAnnouncement> & departures) = 0;
 };
 
 class CoordinatorCobSvIfFactory {
@@ -708,6 +877,10 @@
     int32_t _return = 0;
     return cob(_return);
   }
+  void storeDepartures(::std::function<void(bool const& _return)> cob, const std::vector<BackendAnnouncement> & /* departures */) override {
+    bool _return = false;
+    return cob(_return);
+  }
 };
 
 class CoordinatorCobClient : virtual public CoordinatorCobClIf {
@@ -749,6 +922,15 @@
   void reportCrashes(::std::function<void(CoordinatorCobClient* client)> cob, const std::vector<CrashRecord> & records) override;
   void send_reportCrashes(const std::vector<CrashRecord> & records);
   int32_t recv_reportCrashes();
+  /**
+   * Merges departures of backend servers, which are draining or gone. Replies whether they are on this coordinator's disk, once a sync of the registry
+   * file has succeeded or failed.
+   * 
+   * @param departures
+   */
+  void storeDepartures(::std::function<void(CoordinatorCobClient* client)> cob, const std::vector<BackendAnnouncement> & departures) override;
+  void send_storeDepartures(const std::vector<BackendAnnouncement> & departures);
+  bool recv_storeDepartures();
  protected:
   ::std::shared_ptr< ::apache::thrift::async::TAsyncChannel> channel_;
   ::std::shared_ptr< ::apache::thrift::transport::TMemoryBuffer> itrans_;
@@ -776,12 +958,16 @@
   void process_reportCrashes(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot);
   void return_reportCrashes(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* oprot, void* ctx, const int32_t& _return);
   void throw_reportCrashes(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* oprot, void* ctx, ::apache::thrift::TDelayedException* _throw);
+  void process_storeDepartures(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot);
+  void return_storeDepartures(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* oprot, void* ctx, const bool& _return);
+  void throw_storeDepartures(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* oprot, void* ctx, ::apache::thrift::TDelayedException* _throw);
  public:
   CoordinatorAsyncProcessor(::std::shared_ptr<CoordinatorCobSvIf> iface) :
     iface_(iface) {
     processMap_["watch"] = &CoordinatorAsyncProcessor::process_watch;
     processMap_["introduce"] = &CoordinatorAsyncProcessor::process_introduce;
     processMap_["reportCrashes"] = &CoordinatorAsyncProcessor::process_reportCrashes;
+    processMap_["storeDepartures"] = &CoordinatorAsyncProcessor::process_storeDepartures;
   }
 
   virtual ~CoordinatorAsyncProcessor() {}
--- a/Libraries/LibProtocol/fleet.thrift
+++ b/Libraries/LibProtocol/fleet.thrift
@@ -191,6 +191,11 @@
   IntroductionReply introduce(1: Introduction introduction),
   /** Receives the crash records of a gateway, and returns how many records this coordinator holds. */
   i32 reportCrashes(1: list<CrashRecord> records),
+  /**
+   * Merges departures of backend servers, which are draining or gone. Replies whether they are on this coordinator's disk, once a sync of the registry
+   * file has succeeded or failed.
+   */
+  bool storeDepartures(1: list<BackendAnnouncement> departures),
 }
 
 /** An operator's order to evacuate an availability zone, or to use it again. */
--- /dev/null
+++ b/Tests/Incidents/TestLostDepartures.cpp
@@ -0,0 +1,258 @@
+/*
+ * SPDX-FileCopyrightText: 2026 the crankrudder developers
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+// Tests that what a coordinator has acknowledged to a leaving backend server outlives the coordinator. They guard against an acknowledgement that is sent
+// while nobody else knows of the departure: after a kill at that moment the backend server got requests until it ended.
+
+#include <LibCoordinator/CoordinatorNode.h>
+#include <LibRpc/RpcServer.h>
+#include <Support/LoopFixture.h>
+#include <platform/ControlInterface.h>
+
+#include <array>
+#include <criterion/criterion.h>
+#include <filesystem>
+
+namespace
+{
+
+using Protocol::BackendPhase;
+
+/** One coordinator with its listeners, as in Services/coordinatord, which can be killed and started again. */
+class TestCoordinator
+{
+public:
+    TestCoordinator(TestSupport::LoopFixture &fixture, int number)
+        : control(TestSupport::freeEndpoint())
+        , watch(TestSupport::freeEndpoint())
+        , fixture(fixture)
+        , name("coordinator-" + std::to_string(number))
+        , folder(std::filesystem::temp_directory_path() / ("lost-departures-" + std::to_string(getpid()) + "-" + this->name))
+    {
+        std::filesystem::create_directories(this->folder);
+    }
+
+    ~TestCoordinator()
+    {
+        this->kill();
+        std::filesystem::remove_all(this->folder);
+    }
+
+    void start(const std::vector<Core::Endpoint> &seeds)
+    {
+        Coordinator::CoordinatorOptions options;
+        options.watchEndpoint = this->watch;
+        options.seeds = seeds;
+        options.membership.targetVoters = seeds.size();
+        options.log.dataFolder = this->folder;
+        options.log.log.identity.name = this->name;
+        options.log.send = [](const Protocol::Member &, const Protocol::LogMessage &) {
+        };
+        this->node = Coordinator::CoordinatorNode::create(std::move(options), this->fixture.timers).value();
+        const auto handler = std::make_shared<Coordinator::CoordinatorHandler>(*this->node);
+        this->watchServer = Rpc::RpcServer::create(
+            {.name = "watch", .endpoint = this->watch, .processor = std::make_shared<Protocol::CoordinatorAsyncProcessor>(handler), .limits = {}},
+            this->fixture.timers)
+                                .value();
+        this->interface = std::make_unique<Platform::ControlInterface>(*this->node, this->control.toString());
+        this->controlServer = Wire::Server::create({.name = "control",
+                                                       .endpoint = this->control,
+                                                       .handler =
+                                                           [this](const Wire::Request &request, const auto &exchange) {
+                                                               this->interface->handle(request, exchange);
+                                                           },
+                                                       .limits = {}},
+            *this->fixture.poll,
+            this->fixture.timers)
+                                  .value();
+    }
+
+    /** Ends the coordinator at once, as SIGKILL would; the files stay as they are. */
+    void kill()
+    {
+        this->controlServer.reset();
+        this->watchServer.reset();
+        this->interface.reset();
+        this->node.reset();
+    }
+
+    void loseDisk() const
+    {
+        std::filesystem::remove_all(this->folder);
+        std::filesystem::create_directories(this->folder);
+    }
+
+    [[nodiscard]] std::optional<BackendPhase::type> phaseOf(const std::string &id) const
+    {
+        const auto *record = this->node->backends().find(id);
+        return record == nullptr ? std::nullopt : std::optional(record->announcement.phase);
+    }
+
+    Core::Endpoint control;
+    Core::Endpoint watch;
+
+private:
+    TestSupport::LoopFixture &fixture;
+    std::string name;
+    std::filesystem::path folder;
+    std::unique_ptr<Coordinator::CoordinatorNode> node;
+    std::unique_ptr<Rpc::RpcServer> watchServer;
+    std::unique_ptr<Platform::ControlInterface> interface;
+    std::shared_ptr<Wire::Server> controlServer;
+};
+
+/** Three coordinators, of which one may lose its disk, and a backend server that all of them know as ready. */
+class DepartureFixture
+{
+public:
+    DepartureFixture()
+    {
+        for (const auto &coordinator : this->coordinators) {
+            this->seeds.push_back(coordinator.watch);
+        }
+        this->startAll();
+        // The first heartbeats may be sent before the coordinators watch each other.
+        cr_assert(this->fixture.runUntil([this] {
+            return this->call(this->coordinators[0], "PUT", this->heartbeat("ready")) == 200 && this->haveAll(BackendPhase::READY);
+        }));
+        // Longer than the period in which the registry is stored, so that the coordinators have the backend server as ready on their disks.
+        this->fixture.settle(Core::milliseconds(700));
+    }
+
+    void startAll()
+    {
+        for (auto &coordinator : this->coordinators) {
+            coordinator.start(this->seeds);
+        }
+    }
+
+    void killAll()
+    {
+        for (auto &coordinator : this->coordinators) {
+            coordinator.kill();
+        }
+    }
+
+    std::string heartbeat(const std::string &state)
+    {
+        return R"({"service":"records","address":"127.0.0.1:9","zone":"zone","version":"v1","capacity":2,"state":")" + state
+            + R"(","warmup_left_ms":0,"sequence":)" + std::to_string(++this->sequence) + "}";
+    }
+
+    /** Sends a request of the backend server, and returns the status of the response as soon as it is received; 0 without a response. */
+    int call(const TestCoordinator &coordinator, const std::string &method, const std::string &body = {})
+    {
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(coordinator.control.port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        std::string response;
+        if (::connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0) {
+            const auto text
+                = method + " /crankrudder/instances/leaver HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            cr_assert_eq(::send(descriptor, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
+            cr_assert(this->fixture.runUntil([descriptor, &response] {
+                std::array<char, 1024> buffer{};
+                const auto count = ::recv(descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+                response.append(buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(0, count)));
+                return response.find("\r\n\r\n") != std::string::npos;
+            }));
+        }
+        ::close(descriptor);
+        return response.size() < 12 ? 0 : std::stoi(response.substr(9, 3));
+    }
+
+    [[nodiscard]] bool haveAll(BackendPhase::type phase) const
+    {
+        return std::all_of(this->coordinators.begin(), this->coordinators.end(), [phase](const TestCoordinator &coordinator) {
+            return coordinator.phaseOf("leaver") == phase;
+        });
+    }
+
+    /** Whether all coordinators come to hold the phase and keep it while they exchange their records again. */
+    [[nodiscard]] bool endsWith(BackendPhase::type phase)
+    {
+        const bool reached = this->fixture.runUntil([this, phase] {
+            return this->haveAll(phase);
+        });
+        this->fixture.settle(Core::milliseconds(700));
+        return reached && this->haveAll(phase);
+    }
+
+    TestSupport::LoopFixture fixture;
+    std::array<TestCoordinator, 3> coordinators{TestCoordinator(this->fixture, 0), TestCoordinator(this->fixture, 1), TestCoordinator(this->fixture, 2)};
+    std::vector<Core::Endpoint> seeds;
+    int sequence{0};
+};
+
+}
+
+Test(LostDepartures, anAcknowledgedDeregistrationOutlivesTheKillOfItsCoordinator)
+{
+    DepartureFixture fixture;
+    cr_assert_eq(fixture.call(fixture.coordinators[0], "DELETE"), 200);
+    fixture.coordinators[0].kill();
+    fixture.coordinators[0].start(fixture.seeds);
+    cr_assert(fixture.endsWith(BackendPhase::GONE));
+}
+
+Test(LostDepartures, anAcknowledgedDeregistrationOutlivesTheKillOfAllCoordinators)
+{
+    DepartureFixture fixture;
+    cr_assert_eq(fixture.call(fixture.coordinators[0], "DELETE"), 200);
+    fixture.killAll();
+    fixture.startAll();
+    cr_assert(fixture.endsWith(BackendPhase::GONE));
+}
+
+Test(LostDepartures, anAcknowledgedDeregistrationOutlivesALostDisk)
+{
+    DepartureFixture fixture;
+    cr_assert_eq(fixture.call(fixture.coordinators[0], "DELETE"), 200);
+    fixture.killAll();
+    fixture.coordinators[0].loseDisk();
+    fixture.startAll();
+    cr_assert(fixture.endsWith(BackendPhase::GONE));
+}
+
+// A draining heartbeat is acknowledged like a deregistration. The next one is sent after a heartbeat period, which may be longer than a leaving backend server
+// may still get requests.
+Test(LostDepartures, anAcknowledgedDrainOutlivesTheKillOfAllCoordinators)
+{
+    DepartureFixture fixture;
+    cr_assert_eq(fixture.call(fixture.coordinators[0], "PUT", fixture.heartbeat("draining")), 200);
+    fixture.killAll();
+    fixture.startAll();
+    cr_assert(fixture.endsWith(BackendPhase::DRAINING));
+}
+
+// A backend server that repeats its deregistration at another coordinator, which knows of it already, gets an acknowledgement that means as much.
+Test(LostDepartures, aRepeatedDeregistrationIsAcknowledgedOnTheSameTerms)
+{
+    DepartureFixture fixture;
+    fixture.coordinators[2].kill();
+    cr_assert_eq(fixture.call(fixture.coordinators[0], "DELETE"), 200);
+    cr_assert_eq(fixture.call(fixture.coordinators[1], "DELETE"), 200);
+    fixture.coordinators[0].kill();
+    cr_assert_eq(fixture.call(fixture.coordinators[1], "DELETE"), 200, "what is stored already is acknowledged again");
+    fixture.coordinators[1].kill();
+    fixture.coordinators[0].loseDisk();
+    fixture.startAll();
+    cr_assert(fixture.endsWith(BackendPhase::GONE));
+}
+
+// A coordinator that reaches no other one can't keep such a promise, but passes the news on as soon as it can.
+Test(LostDepartures, aDeregistrationThatNobodyElseStoresIsNotAcknowledged)
+{
+    DepartureFixture fixture;
+    fixture.coordinators[1].kill();
+    fixture.coordinators[2].kill();
+    cr_assert_eq(fixture.call(fixture.coordinators[0], "DELETE"), 503);
+    cr_assert(fixture.coordinators[0].phaseOf("leaver") == BackendPhase::GONE);
+    fixture.coordinators[1].start(fixture.seeds);
+    fixture.coordinators[2].start(fixture.seeds);
+    cr_assert(fixture.endsWith(BackendPhase::GONE));
+}
--- a/Tests/LibCoordinator/TestRegistryStore.cpp
+++ b/Tests/LibCoordinator/TestRegistryStore.cpp
@@ -3,7 +3,7 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-// Tests of the ready backend servers that a coordinator stores on its disk. They
+// Tests of the backend servers that a coordinator stores on its disk. Those of ready ones
 // guard against searches that lack shards after all coordinators and gateways lost
 // power at once: callers send searches from the first moment, and heartbeats, which
 // are sent every 1.2 s, make the backend servers known only one by one. Without the
@@ -35,12 +35,15 @@
     return made;
 }
 
-std::vector<std::string> idsIn(TestSupport::FakeFolder &folder)
+/** The ids of the stored backend servers that are in a phase. */
+std::vector<std::string> idsIn(TestSupport::FakeFolder &folder, BackendPhase::type phase = BackendPhase::READY)
 {
     Coordinator::RegistryStore store;
     std::vector<std::string> ids;
     for (const auto &found : store.load(folder)) {
-        ids.push_back(found.id);
+        if (found.phase == phase) {
+            ids.push_back(found.id);
+        }
     }
     return ids;
 }
@@ -60,9 +63,70 @@
     store.addChange(announcement("c"));
     store.addChange(announcement("a", BackendPhase::DRAINING));
     cr_assert(store.flush(folder).has_value());
-    cr_assert_not(store.hasUnwritten());
+    cr_assert(store.isDurable());
     folder.crash(random);
     cr_assert(idsIn(folder) == Ids({"b", "c"}));
+    cr_assert(idsIn(folder, BackendPhase::DRAINING) == Ids({"a"}));
+}
+
+// Guards against a coordinator that restores a backend server as ready after it has acknowledged its departure and lost power.
+Test(RegistryStore, restoresDeparturesAfterALossOfPower)
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        TestSupport::FakeFolder folder;
+        std::mt19937_64 random(seed);
+        Coordinator::RegistryStore store;
+        store.addChange(announcement("left"));
+        store.addChange(announcement("reborn", BackendPhase::GONE, INT64_MAX));
+        cr_assert(store.flush(folder).has_value());
+        store.addChange(announcement("left", BackendPhase::GONE, INT64_MAX));
+        store.addChange(announcement("reborn"));
+        cr_assert(store.flush(folder).has_value());
+        // These changes are written, and the sync fails.
+        store.addChange(announcement("later", BackendPhase::GONE, INT64_MAX));
+        folder.failAfter(1);
+        cr_assert_not(store.flush(folder).has_value());
+        cr_assert_not(store.isDurable());
+        folder.failNever();
+        folder.crash(random);
+        const auto departed = idsIn(folder, BackendPhase::GONE);
+        cr_assert(departed == Ids({"left"}) || departed == Ids({"later", "left"}), "seed %d", static_cast<int>(seed));
+        cr_assert(idsIn(folder) == Ids({"reborn"}), "seed %d", static_cast<int>(seed));
+    }
+}
+
+// Guards against a departure that is acknowledged although only the process that was killed before it could sync had written it.
+Test(RegistryStore, isNotDurableUntilWhatAKilledProcessWroteIsSynced)
+{
+    TestSupport::FakeFolder folder;
+    std::mt19937_64 random(1);
+    Coordinator::RegistryStore killed;
+    killed.addChange(announcement("a"));
+    cr_assert(killed.flush(folder).has_value());
+    killed.addChange(announcement("a", BackendPhase::GONE, INT64_MAX));
+    folder.failAfter(1);
+    cr_assert_not(killed.flush(folder).has_value());
+    folder.failNever();
+    Coordinator::RegistryStore restarted;
+    cr_assert_eq(restarted.load(folder).size(), 1);
+    cr_assert_not(restarted.isDurable());
+    cr_assert(restarted.flush(folder).has_value());
+    cr_assert(restarted.isDurable());
+    folder.crash(random);
+    cr_assert(idsIn(folder, BackendPhase::GONE) == Ids({"a"}));
+}
+
+Test(RegistryStore, dropsForgottenBackendsWhenTheFileIsRewritten)
+{
+    TestSupport::FakeFolder folder;
+    Coordinator::RegistryStore store;
+    for (int number = 0; number < 2000; ++number) {
+        const auto id = std::to_string(number);
+        store.addChange(announcement(id, BackendPhase::GONE, INT64_MAX));
+        cr_assert(store.flush(folder).has_value());
+        store.forget(id);
+    }
+    cr_assert_leq(folder.size("backends"), 64 * 1024);
 }
 
 Test(RegistryStore, readsTheIntactPartOfATruncatedFile)
@@ -136,6 +200,26 @@
     cr_assert_eq(registry.find("left")->announcement.phase, BackendPhase::GONE);
 }
 
+// Guards against a restarted coordinator that takes a ready backend server of another coordinator, which has not heard of its departure, for the newer state.
+Test(RestoredRegistry, keepsADepartureAgainstAnOutdatedRecord)
+{
+    const Core::Instant now(Core::seconds(100));
+    for (const bool isRestoredFirst : {true, false}) {
+        Fleet::BackendRegistry registry;
+        if (isRestoredFirst) {
+            registry.restore(announcement("left", BackendPhase::GONE, INT64_MAX), now);
+        }
+        registry.merge(announcement("left", BackendPhase::READY, 1'000), now);
+        registry.restore(announcement("left", BackendPhase::GONE, INT64_MAX), now);
+        cr_assert_eq(registry.find("left")->announcement.phase, BackendPhase::GONE);
+        cr_assert_eq(registry.expireUnconfirmed(now + Core::seconds(10)), 0, "a departure needs no heartbeat to confirm it");
+        cr_assert_not(registry.mergeHeartbeat(announcement("left", BackendPhase::READY, 1'001), now + Core::seconds(11)), "a late heartbeat changes nothing");
+        auto reborn = announcement("left");
+        reborn.born = 5;
+        cr_assert(registry.mergeHeartbeat(reborn, now + Core::seconds(12)), "a later incarnation is ready");
+    }
+}
+
 Test(RestoredRegistry, isConfirmedByARemoteHeartbeat)
 {
     Fleet::BackendRegistry registry;
--- a/Tests/LibRpc/TestSlowReader.cpp
+++ b/Tests/LibRpc/TestSlowReader.cpp
@@ -32,6 +32,11 @@
         callback(Protocol::IntroductionReply());
     }
 
+    void storeDepartures(std::function<void(bool const &)> callback, const std::vector<Protocol::BackendAnnouncement> &) override
+    {
+        callback(false);
+    }
+
     void reportCrashes(std::function<void(std::int32_t const &)> callback, const std::vector<Protocol::CrashRecord> &) override
     {
         callback(0);
--- a/Tests/Support/NodeFixture.h
+++ b/Tests/Support/NodeFixture.h
@@ -49,6 +49,11 @@
         }));
     }
 
+    void storeDepartures(std::function<void(bool const &)> callback, const std::vector<Protocol::BackendAnnouncement> &) override
+    {
+        callback(false);
+    }
+
     void reportCrashes(std::function<void(std::int32_t const &)> callback, const std::vector<Protocol::CrashRecord> &records) override
     {
         for (const auto &record : records) {
