LibCoordinator: Read the registry file before it is written

What callers would see: as after a lost disk. A coordinator whose data folder could not be used when it started (a disk that refuses writes, a predecessor that still holds the lock) never read its registry file and its crash records. Once the folder could be used it replaced both by what it had received since, so departures that it had acknowledged were lost on this disk, beside another disk that may be lost as well.

Cause: the files were read in create() only, and only if the folder was open by then, while the log opens its folder again every 500 ms. Found by reading the paths on which a stored departure can be lost.

Change: the files are read once, as soon as the folder can be used, and not written before. Changes that were collected in between prevail over the file. A registry file that exists and can't be read is no longer taken for an empty one.

Evidence: LostDepartures::aCoordinatorReadsItsFilesWhenItsFolderBecomesUsable fails without the change (the departure is not known again within 20 s) and passes with it.

--- a/Libraries/LibCoordinator/CoordinatorNode.cpp
+++ b/Libraries/LibCoordinator/CoordinatorNode.cpp
@@ -106,7 +106,10 @@
     };
     node->peers->addCoordinators(node->options.seeds);
     node->connectDepartures();
-    node->restoreStoredState();
+    const auto restored = node->restoreStoredState();
+    if (!restored.has_value()) {
+        Core::logEvent(Core::LogLevel::Warning, "registry.unreadable", {{"error", restored.error().message}});
+    }
     node->startTimers();
     return node;
 }
@@ -320,26 +323,34 @@
 
 // ---- Files
 
-// Reads what was stored on disk: backend servers and crash records.
-void CoordinatorNode::restoreStoredState()
+// Reads what was stored on disk: backend servers and crash records. Does nothing if they were read before. Fails while the data folder can't be used.
+Core::Result<void> CoordinatorNode::restoreStoredState()
 {
+    if (this->isStateRestored) {
+        return {};
+    }
     auto *folder = this->log->dataFolder();
     if (folder == nullptr) {
-        return;
+        return Core::failure(Core::ErrorKind::Storage, "the data folder can't be used");
     }
     const auto stored = this->store.load(*folder);
-    for (auto announcement : stored) {
+    if (!stored.has_value()) {
+        return tl::make_unexpected(stored.error());
+    }
+    this->isStateRestored = true;
+    for (auto announcement : stored.value()) {
         announcement.warmupLeftMs = 0;
         this->registry.restore(announcement, this->timers.now());
     }
-    Core::logEvent(Core::LogLevel::Information, "registry.restored", {{"backends", stored.size()}, {"ready", this->registry.readyCount()}});
+    Core::logEvent(Core::LogLevel::Information, "registry.restored", {{"backends", stored->size()}, {"ready", this->registry.readyCount()}});
     this->crashStore.load(*folder, this->crashes, this->timers.now(), Core::systemClock().wallTime());
+    return {};
 }
 
 void CoordinatorNode::storeCrashes()
 {
     auto *folder = this->log->dataFolder();
-    if (folder == nullptr || !this->crashStore.hasUnwritten(this->crashes)) {
+    if (folder == nullptr || !this->isStateRestored || !this->crashStore.hasUnwritten(this->crashes)) {
         return;
     }
     const auto written = this->crashStore.write(*folder, this->crashes, this->timers.now(), Core::systemClock().wallTime());
@@ -369,6 +380,10 @@
 
 Core::Result<void> CoordinatorNode::writeBackends()
 {
+    auto restored = this->restoreStoredState();
+    if (!restored.has_value()) {
+        return restored;
+    }
     auto *folder = this->log->dataFolder();
     if (folder == nullptr) {
         return Core::failure(Core::ErrorKind::Storage, "the data folder can't be used");
@@ -680,7 +695,7 @@
     document["gateways"] = this->gateways.readyCount();
     document["watchers"] = this->watchService->waitingCount();
     document["departures_waiting"] = this->departures.waitingCount();
-    document["registry_on_disk"] = this->store.isDurable();
+    document["registry_on_disk"] = this->isStateRestored && this->store.isDurable();
     document["peers_in_reach"] = this->peers->reachableCount();
     document["folder_usable"] = replicated != nullptr;
     if (replicated != nullptr) {
--- a/Libraries/LibCoordinator/CoordinatorNode.h
+++ b/Libraries/LibCoordinator/CoordinatorNode.h
@@ -156,7 +156,7 @@
         const Core::Endpoint &endpoint, const std::vector<Protocol::BackendAnnouncement> &departures, const DepartureReplication::StoredHook &done);
     void expireBackends();
     void expireUnconfirmedBackends();
-    void restoreStoredState();
+    [[nodiscard]] Core::Result<void> restoreStoredState();
     /** Calls `done` after the next write of the registry, which follows soon. */
     void storeBackendsSoon(const DepartureReplication::StoredHook &done);
     void storeBackends();
@@ -169,6 +169,8 @@
     std::int64_t incarnation;
     Fleet::BackendRegistry registry;
     RegistryStore store;
+    // Set once the files of the data folder were read. They are not written before, since that would replace what they hold.
+    bool isStateRestored{false};
     bool isStoreFailing{false};
     // How long the latest write of the registry took.
     Core::Duration storeDuration{0};
--- a/Libraries/LibCoordinator/RegistryStore.cpp
+++ b/Libraries/LibCoordinator/RegistryStore.cpp
@@ -36,15 +36,17 @@
     return shortened;
 }
 
-std::vector<Protocol::BackendAnnouncement> RegistryStore::load(Storage::Folder &folder)
+Core::Result<std::vector<Protocol::BackendAnnouncement>> RegistryStore::load(Storage::Folder &folder)
 {
     const auto content = folder.read(FileName);
     if (!content.has_value()) {
-        if (content.error().kind != Core::ErrorKind::NotFound) {
-            Core::logEvent(Core::LogLevel::Warning, "registry.unreadable", {{"error", content.error().message}});
+        if (content.error().kind == Core::ErrorKind::NotFound) {
+            return {};
         }
-        return {};
+        return tl::make_unexpected(content.error());
     }
+    // The latest record of each backend server in the file. Changes that were collected before the file could be read are more recent.
+    std::map<std::string, Protocol::BackendAnnouncement> latest;
     std::string_view rest = content.value();
     while (!rest.empty() && Storage::examineBatch(rest) == Storage::BatchState::Intact) {
         const auto batch = Storage::batchContent(rest);
@@ -52,15 +54,21 @@
         if (!announcement.has_value()) {
             break;
         }
-        this->apply(announcement.value());
+        latest[announcement->id] = announcement.value();
         rest.remove_prefix(Storage::BatchHeaderBytes + batch.size());
     }
     if (!rest.empty()) {
         Core::logEvent(Core::LogLevel::Warning, "registry.file_cut", {{"bytes", rest.size()}});
     }
     std::vector<Protocol::BackendAnnouncement> found;
-    for (const auto &[id, announcement] : this->stored) {
+    for (const auto &[id, announcement] : latest) {
+        if (announcement.phase == Protocol::BackendPhase::SILENT) {
+            continue;
+        }
         found.push_back(announcement);
+        if (!this->stored.contains(id)) {
+            this->apply(announcement);
+        }
     }
     return found;
 }
--- a/Libraries/LibCoordinator/RegistryStore.h
+++ b/Libraries/LibCoordinator/RegistryStore.h
@@ -34,10 +34,10 @@
 {
 public:
     /**
-     * Reads the backend servers of the file. An unreadable file gives none; a damaged file is read up to the damage, before which lies all that a flush() has
-     * synced.
+     * Reads the backend servers of the file. A missing file has none; a damaged file is read up to the damage, before which lies all that a flush() has
+     * synced. Fails with Storage when the file can't be read; it must not be written then, since that would replace what it holds.
      */
-    [[nodiscard]] std::vector<Protocol::BackendAnnouncement> load(Storage::Folder &folder);
+    [[nodiscard]] Core::Result<std::vector<Protocol::BackendAnnouncement>> load(Storage::Folder &folder);
 
     /** Collects a change of a backend server. Has to be called for each change. */
     void addChange(const Protocol::BackendAnnouncement &announcement);
--- a/Tests/Incidents/TestLostDepartures.cpp
+++ b/Tests/Incidents/TestLostDepartures.cpp
@@ -13,7 +13,9 @@
 
 #include <array>
 #include <criterion/criterion.h>
+#include <fcntl.h>
 #include <filesystem>
+#include <sys/file.h>
 
 namespace
 {
@@ -84,6 +86,14 @@
         std::filesystem::create_directories(this->folder);
     }
 
+    /** Keeps the data folder from being opened, as a process that still uses it does, until the returned descriptor is closed. */
+    [[nodiscard]] int lockFolder() const
+    {
+        const int lock = ::open((this->folder / "lock").c_str(), O_RDWR | O_CLOEXEC);
+        cr_assert_eq(::flock(lock, LOCK_EX | LOCK_NB), 0);
+        return lock;
+    }
+
     [[nodiscard]] std::optional<BackendPhase::type> phaseOf(const std::string &id) const
     {
         const auto *record = this->node->backends().find(id);
@@ -256,3 +266,20 @@
     fixture.coordinators[2].start(fixture.seeds);
     cr_assert(fixture.endsWith(BackendPhase::GONE));
 }
+
+// Guards against a coordinator that could not use its disk when it started, and replaced the departures on it by what it has received since.
+Test(LostDepartures, aCoordinatorReadsItsFilesWhenItsFolderBecomesUsable)
+{
+    DepartureFixture fixture;
+    fixture.coordinators[2].kill();
+    cr_assert_eq(fixture.call(fixture.coordinators[0], "DELETE"), 200);
+    fixture.killAll();
+    const int lock = fixture.coordinators[0].lockFolder();
+    fixture.coordinators[0].start(fixture.seeds);
+    cr_assert_eq(fixture.call(fixture.coordinators[0], "PUT", fixture.heartbeat("ready")), 200);
+    fixture.fixture.settle(Core::milliseconds(700));
+    ::close(lock);
+    cr_assert(fixture.fixture.runUntil([&fixture] {
+        return fixture.coordinators[0].phaseOf("leaver") == BackendPhase::GONE;
+    }));
+}
--- a/Tests/LibCoordinator/TestRegistryStore.cpp
+++ b/Tests/LibCoordinator/TestRegistryStore.cpp
@@ -40,7 +40,8 @@
 {
     Coordinator::RegistryStore store;
     std::vector<std::string> ids;
-    for (const auto &found : store.load(folder)) {
+    const auto loaded = store.load(folder);
+    for (const auto &found : loaded.value()) {
         if (found.phase == phase) {
             ids.push_back(found.id);
         }
@@ -108,7 +109,7 @@
     cr_assert_not(killed.flush(folder).has_value());
     folder.failNever();
     Coordinator::RegistryStore restarted;
-    cr_assert_eq(restarted.load(folder).size(), 1);
+    cr_assert(restarted.load(folder).has_value());
     cr_assert_not(restarted.isDurable());
     cr_assert(restarted.flush(folder).has_value());
     cr_assert(restarted.isDurable());
@@ -116,6 +117,21 @@
     cr_assert(idsIn(folder, BackendPhase::GONE) == Ids({"a"}));
 }
 
+// Guards against a coordinator that can't read its file at the start, and later replaces it by what it has received since.
+Test(RegistryStore, keepsChangesThatWereCollectedBeforeTheFileWasRead)
+{
+    TestSupport::FakeFolder folder;
+    Coordinator::RegistryStore before;
+    before.addChange(announcement("left", BackendPhase::GONE, INT64_MAX));
+    before.addChange(announcement("leaving"));
+    cr_assert(before.flush(folder).has_value());
+    Coordinator::RegistryStore store;
+    store.addChange(announcement("leaving", BackendPhase::GONE, INT64_MAX));
+    cr_assert_eq(store.load(folder)->size(), 2);
+    cr_assert(store.flush(folder).has_value());
+    cr_assert(idsIn(folder, BackendPhase::GONE) == Ids({"leaving", "left"}));
+}
+
 Test(RegistryStore, dropsForgottenBackendsWhenTheFileIsRewritten)
 {
     TestSupport::FakeFolder folder;
