LibGateway: Log when a gateway hears of a departure

A deregistration can now be followed from its acknowledgement (departure.acknowledged) over the coordinators (backend.changed) to the last gateway (backend.departed).

--- a/Libraries/LibGateway/BackendLog.cpp
+++ b/Libraries/LibGateway/BackendLog.cpp
@@ -52,6 +52,16 @@
             {"omitted", omitted}});
 }
 
+void logDeparture(const Backend &backend, const Protocol::BackendAnnouncement &announcement)
+{
+    Core::logEvent(Core::LogLevel::Information,
+        "backend.departed",
+        {{"backend", backend.name.value()},
+            {"service", backend.service.value()},
+            {"phase", static_cast<int>(announcement.phase)},
+            {"born", announcement.born}});
+}
+
 static const char *nameOf(SpeedChangeKind kind)
 {
     switch (kind) {
--- a/Libraries/LibGateway/BackendLog.h
+++ b/Libraries/LibGateway/BackendLog.h
@@ -27,6 +27,9 @@
 /** Logs that the speed of a backend server changed, or that it answered after a pause. `omitted` as for logAcceptanceChange(). */
 void logSpeedChange(const Backend &backend, const SpeedChange &change, std::uint64_t omitted);
 
+/** Logs that a backend server is draining or gone as of an announcement, so that it gets no new requests from this gateway. */
+void logDeparture(const Backend &backend, const Protocol::BackendAnnouncement &announcement);
+
 /** Returns the row of a backend server in the state dump; times in milliseconds. */
 [[nodiscard]] nlohmann::json describeBackend(const Backend &backend, bool isEvacuated, Core::Instant now);
 
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -70,6 +70,9 @@
         if (announcement.born < found->second->born) {
             return;
         }
+        if (Fleet::isDeparture(announcement) && announcement.phase != found->second->phase) {
+            logDeparture(*found->second, announcement);
+        }
         found->second->phase = announcement.phase;
         if (announcement.phase == Protocol::BackendPhase::GONE) {
             this->markGone(*found->second);
