Tests: Let the soak kill whoever gave an acknowledgement

The soak could not see a lost departure. It killed processes at random moments, backend servers served for 1.5 s after the time in which they may get requests, and the check of drains was without effect: it ran after the kill of all coordinators at the end of a run and asked whether they had been undisturbed since the departure. It is replaced by one at each arrival, which fails if all processes are in contact at that moment; it is stricter, as it also sees arrivals after faults that have passed. The check of evacuated zones, which looked only at what came after that last kill, is made in the same way.

--- a/Tests/Soak/backends.py
+++ b/Tests/Soak/backends.py
@@ -30,10 +30,6 @@
 
     def __init__(self):
         self.runs = {}
-        # (backend, time since the acknowledgement) of requests that arrived after a drain was acknowledged.
-        self.late_arrivals = []
-        # (backend, time of the acknowledgement, time of arrival) of requests that arrived in an evacuated zone.
-        self.evacuated_arrivals = []
         # (backend, request id) of requests that ran outside the regions that their route allows.
         self.outside_regions = []
         # (request id, workspace) as received by backend servers, and the ids of backend servers that received a caller's key.
@@ -120,6 +116,8 @@
         self.reports_falsely = False
         self.false_load = None
         self.tasks = []
+        self.heartbeats = None
+        self.proxy = None
         self.writers = set()
         # Duplicate answers by connection. They are sent when the next request arrives, before its own answer.
         self.duplicates = {}
@@ -127,18 +125,22 @@
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
-        self.tasks.append(asyncio.create_task(self.send_heartbeats()))
+        self.heartbeats = asyncio.create_task(self.send_heartbeats())
+        self.tasks.append(self.heartbeats)
 
     async def send_heartbeats(self):
         while not self.gone:
             await self.send_heartbeat()
             await asyncio.sleep(self.soak.random.uniform(0.3, 0.5))
 
-    async def send_heartbeat(self):
+    def next_heartbeat(self):
         self.sequence += 1
         document = {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": self.zone, "version": "v1", "capacity": SLOTS,
                     "state": self.state, "warmup_left_ms": 0, "sequence": self.sequence, "born": self.born}
-        return await self.soak.control_call("PUT", f"/crankrudder/instances/{self.id}", json.dumps(document).encode())
+        return json.dumps(document).encode()
+
+    async def send_heartbeat(self):
+        return await self.soak.control_call("PUT", f"/crankrudder/instances/{self.id}", self.next_heartbeat())
 
     async def drain(self):
         """Announces that it drains, serves for a while longer, deregisters and ends."""
@@ -179,7 +181,7 @@
         request_id = headers.get("request-id", "")
         self.soak.budget.record_arrival(time.monotonic(), self.service, self.id, request_id, headers.get("deadline-ms"))
         if self.drain_acknowledged is not None:
-            self.soak.journal.late_arrivals.append((self, time.monotonic() - self.drain_acknowledged))
+            self.soak.check_departed(self, time.monotonic() - self.drain_acknowledged)
         if headers.get("target-instance") != self.id:
             await self.write(writer, 421, request_id, b"", {"Instance-Id": self.id})
             return True
@@ -192,7 +194,7 @@
         self.soak.journal.add(Run(request_id, self.service, self.id, words[1], body))
         evacuated_at = self.soak.evacuated.get(self.zone)
         if evacuated_at is not None:
-            self.soak.journal.evacuated_arrivals.append((self, evacuated_at, time.monotonic()))
+            self.soak.check_evacuated(self, time.monotonic() - evacuated_at)
         if words[1].startswith("/home/") and self.zone != self.soak.home_zone:
             self.soak.journal.outside_regions.append((self, request_id))
         crashing = self.soak.crashing_request(words[1])
--- a/Tests/Soak/crashing.py
+++ b/Tests/Soak/crashing.py
@@ -52,10 +52,6 @@
     def crashing_request(self, target):
         return self.crashing.get(target)
 
-    def is_in_contact(self):
-        now = time.monotonic()
-        return all(process.was_stable(now) for process in self.coordinators + self.gateways)
-
     async def run_crashing(self, backend, request, request_id):
         """Runs a crashing request: the backend server ends during the run, and is back after some seconds."""
         if self.is_in_contact():
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -148,6 +148,8 @@
         self.failures = []
         self.ending = False
         self.drain_seconds = DRAIN_SECONDS
+        # Backend servers that got requests long after their departure was acknowledged.
+        self.used_after_departure = set()
         self.folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
         # Gateways find the coordinators beyond the seed nodes through these, and then choose among coordinators of their own zone and of others.
         self.addresses = [f"127.0.1.{index + 1}" for index in range(options.coordinators)]
@@ -555,7 +557,8 @@
             await backend.drain()
 
     async def inject_proxy_fault(self):
-        await self.random.choice(self.proxies).inject_fault()
+        if self.proxies:
+            await self.random.choice(self.proxies).inject_fault()
 
     # ---- The run
 
@@ -596,20 +599,24 @@
         if self.counts["takeovers_confirmed"] == 0:
             self.fail("takeover-unconfirmed", f"{self.counts['takeovers_waited']} gateways waited for the maximum time")
 
-    def check_drains(self):
-        late = [(backend, after) for backend, after in self.journal.late_arrivals if after > DRAIN_SECONDS]
-        for backend, after in late:
-            began = backend.drain_acknowledged
-            if all(process.was_stable(began) and process.disturbed_until < began for process in self.coordinators + self.gateways):
-                self.fail("work-after-drain", f"{backend.id} {after:.1f} s after the acknowledgement")
+    def is_in_contact(self):
+        now = time.monotonic()
+        return all(process.was_stable(now) for process in self.coordinators + self.gateways)
+
+    def check_departed(self, backend, after):
+        """A request has arrived at a backend server whose departure was acknowledged. One that a proxy held up may have been sent in time."""
+        if after > DRAIN_SECONDS and backend.proxy is None and self.is_in_contact() and backend not in self.used_after_departure:
+            self.used_after_departure.add(backend)
+            self.fail("work-after-departure", f"{backend.id} {after:.1f} s after the acknowledgement")
+
+    def check_evacuated(self, backend, after):
+        """A request has arrived in a zone whose evacuation was acknowledged."""
+        if after > EVACUATE_SECONDS and self.is_in_contact():
+            self.fail("evacuated-zone-used", f"{backend.id} in {backend.zone}, {after:.1f} s after the acknowledgement")
 
     def check_places(self):
         for backend, request_id in self.journal.outside_regions:
             self.fail("out-of-its-regions", f"{request_id} at {backend.id} in {backend.zone}")
-        for backend, acknowledged, arrived in self.journal.evacuated_arrivals:
-            stable = all(process.was_stable(arrived) for process in self.coordinators + self.gateways)
-            if arrived - acknowledged > EVACUATE_SECONDS and stable:
-                self.fail("evacuated-zone-used", f"{backend.id} in {backend.zone}, {arrived - acknowledged:.1f} s after the acknowledgement")
 
     async def run(self):
         await self.start_processes()
@@ -650,7 +657,6 @@
         for task in tasks:
             task.cancel()
         self.check_runs()
-        self.check_drains()
         self.check_workspaces()
         self.check_takeovers()
         self.check_places()
@@ -675,9 +681,12 @@
 
 def make_soak(options, seed):
     if options.crashing:
-        # Imported here, since the module imports this one.
+        # Imported here, since these modules import this one.
         from crashing import CrashingSoak
         return CrashingSoak(options, seed)
+    if options.acknowledgements:
+        from acknowledgements import AcknowledgementSoak
+        return AcknowledgementSoak(options, seed)
     return Soak(options, seed)
 
 
@@ -691,6 +700,7 @@
     parser.add_argument("--servers", type=int, default=2, choices=[2, 3], help="servers of each shard: 2 (1 with --divided), or one in each zone")
     parser.add_argument("--divided", action="store_true", help="add gateways to one zone, so that it divides searches among them, and use one server per shard")
     parser.add_argument("--crashing", action="store_true", help="send requests that crash every backend server that runs them")
+    parser.add_argument("--acknowledgements", action="store_true", help="kill whoever gave an acknowledgement, right after it")
     parser.add_argument("--callers", type=int, default=8, help="number of concurrent callers")
     options = parser.parse_args()
     options.binaries = os.path.abspath(options.binaries)
