LibStorage: Sync what recovery has read before it is used

What callers would see: an acknowledged configuration or evacuation that is lost after a loss of power.

Cause: a process that is killed between the write and the sync of a batch leaves it in the page cache. The next process read it and treated it as durable: the leader was told that the entries are stored, and votes were kept, without any sync. The same holds for a log that is opened again after a failed sync.

Change: recovery syncs the log file. One sync at each start.

--- a/Libraries/LibStorage/WriteAheadLog.cpp
+++ b/Libraries/LibStorage/WriteAheadLog.cpp
@@ -71,10 +71,16 @@
             }
         }
     }
-    auto outcome = this->readLog(fileName(LogPrefix, this->generation));
+    const auto logName = fileName(LogPrefix, this->generation);
+    auto outcome = this->readLog(logName);
     if (!outcome.has_value()) {
         return outcome;
     }
+    // An earlier process may have been killed between a write and its sync. What was read is treated as durable from here on, so it has to be.
+    auto synced = this->folder.sync(logName);
+    if (!synced.has_value()) {
+        return synced;
+    }
     if (this->recovered.storageId.empty()) {
         return Core::failure(Core::ErrorKind::Corruption, "the log file does not begin with the storage id");
     }
--- a/Tests/LibStorage/TestWriteAheadLog.cpp
+++ b/Tests/LibStorage/TestWriteAheadLog.cpp
@@ -62,6 +62,30 @@
     cr_expect_eq(state.entries.back().command, "other");
 }
 
+// Guards against entries and votes that a restarted member acknowledges although only the page cache holds them: a process that was killed had written but not
+// synced them, and a later loss of power drops them.
+Test(WriteAheadLog, recoveredRecordsOutliveALossOfPower)
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        FakeFolder folder;
+        std::mt19937_64 random(seed);
+        {
+            auto killed = openLog(folder);
+            writeEntries(*killed, 1, 2);
+            killed->queueVote(7, "somebody");
+            killed->queueEntry(makeEntry(3));
+            folder.failAfter(1);
+            cr_assert_not(killed->flush().has_value());
+        }
+        folder.failNever();
+        const auto recovered = openLog(folder)->takeRecoveredState();
+        folder.crash(random);
+        const auto afterwards = openLog(folder)->takeRecoveredState();
+        cr_assert_eq(afterwards.entries.size(), recovered.entries.size(), "seed %d", static_cast<int>(seed));
+        cr_assert_eq(afterwards.votedFor, recovered.votedFor, "seed %d", static_cast<int>(seed));
+    }
+}
+
 Test(WriteAheadLog, truncatesATornLastBatchOfAnyLength)
 {
     FakeFolder intact;
