LibConsensus: Replace a voter in one change, without waiting for its silence

What callers saw: after two planned replacements of coordinators in turn, the second once the successor of the first had had catch_up_s, the acknowledged configuration could not be read back, no new one was acknowledged, and gateways that started later served nothing, for good.

Cause: a coordinator that had ended counted as a voter for 4 to 5 s more. A planned stop said nothing, so its silence was waited for, 4 s and counted anew by each new leader; its successor was then promoted and it was removed by two changes 0.5 s apart, and four voters in between need three. The time came from a constant, not from bounds.catch_up_s. When the next one ended within that time, two of three voters were gone.

Change: REPLACE exchanges a voter for a learner by a joint membership (M7), under which elections and commits need a quorum of the old and one of the new voters; two voters that run are enough in each state. A coordinator that is stopped tells all others, which keep it for whoever leads. A new leader counts the silence of a voter from its last watch reply. The silence is half of bounds.catch_up_s. A voter that was only paused becomes a learner, so a wrong guess costs no vote.

--- a/Libraries/LibConsensus/Membership.cpp
+++ b/Libraries/LibConsensus/Membership.cpp
@@ -46,35 +46,71 @@
     }));
 }
 
-std::size_t quorumSize(const Protocol::Membership &membership)
+bool isJoint(const Protocol::Membership &membership)
 {
-    return voterCount(membership) / 2 + 1;
+    return std::any_of(membership.members.begin(), membership.members.end(), [](const Protocol::Member &member) {
+        return member.joining || member.leaving;
+    });
 }
 
-bool hasQuorum(const Protocol::Membership &membership, const std::function<bool(const Protocol::Member &voter)> &predicate)
+Protocol::Membership finishReplacement(Protocol::Membership membership)
+{
+    for (auto &member : membership.members) {
+        member.voter = member.voter && !member.leaving;
+        member.joining = false;
+        member.leaving = false;
+    }
+    return membership;
+}
+
+// The voters before a replacement and those after it. They are the same unless the membership is joint.
+static std::vector<const Protocol::Member *> oldVoters(const Protocol::Membership &membership)
 {
-    std::size_t agreeing = 0;
+    std::vector<const Protocol::Member *> voters;
     for (const auto &member : membership.members) {
-        if (member.voter && predicate(member)) {
-            ++agreeing;
+        if (member.voter && !member.joining) {
+            voters.push_back(&member);
         }
     }
-    return agreeing >= quorumSize(membership);
+    return voters;
 }
 
-std::int64_t quorumValue(const Protocol::Membership &membership, const std::function<std::int64_t(const Protocol::Member &voter)> &valueOf)
+static std::vector<const Protocol::Member *> newVoters(const Protocol::Membership &membership)
 {
-    std::vector<std::int64_t> values;
+    std::vector<const Protocol::Member *> voters;
     for (const auto &member : membership.members) {
-        if (member.voter) {
-            values.push_back(valueOf(member));
+        if (member.voter && !member.leaving) {
+            voters.push_back(&member);
         }
     }
+    return voters;
+}
+
+static std::int64_t majorityValue(
+    const std::vector<const Protocol::Member *> &voters, const std::function<std::int64_t(const Protocol::Member &voter)> &valueOf)
+{
+    std::vector<std::int64_t> values;
+    for (const auto *voter : voters) {
+        values.push_back(valueOf(*voter));
+    }
     if (values.empty()) {
         return 0;
     }
     std::sort(values.begin(), values.end(), std::greater<>());
-    return values[quorumSize(membership) - 1];
+    return values[values.size() / 2];
+}
+
+bool hasQuorum(const Protocol::Membership &membership, const std::function<bool(const Protocol::Member &voter)> &predicate)
+{
+    const auto agreement = quorumValue(membership, [&predicate](const Protocol::Member &voter) {
+        return predicate(voter) ? 1 : 0;
+    });
+    return agreement > 0;
+}
+
+std::int64_t quorumValue(const Protocol::Membership &membership, const std::function<std::int64_t(const Protocol::Member &voter)> &valueOf)
+{
+    return std::min(majorityValue(oldVoters(membership), valueOf), majorityValue(newVoters(membership), valueOf));
 }
 
 static MembershipProposal refuse(std::string reason)
@@ -114,6 +150,26 @@
     return refuse("no member named " + wanted.name + " has this data folder");
 }
 
+static MembershipProposal replaceVoter(Protocol::Membership membership, const Protocol::Member &wanted, const Protocol::Member &successor)
+{
+    Protocol::Member *leaving = nullptr;
+    Protocol::Member *joining = nullptr;
+    for (auto &member : membership.members) {
+        if (member.voter && matchesMember(member, wanted)) {
+            leaving = &member;
+        } else if (!member.voter && matchesMember(member, successor)) {
+            joining = &member;
+        }
+    }
+    if (leaving == nullptr || joining == nullptr) {
+        return refuse(wanted.name + " is not a voter, or " + successor.name + " is not a learner, with this data folder");
+    }
+    leaving->leaving = true;
+    joining->voter = true;
+    joining->joining = true;
+    return MembershipProposal{.membership = std::move(membership), .refusal = {}};
+}
+
 static MembershipProposal removeMember(Protocol::Membership membership, const Protocol::Member &wanted)
 {
     const auto removed = std::erase_if(membership.members, [&wanted](const Protocol::Member &member) {
@@ -130,6 +186,9 @@
 
 MembershipProposal applyChange(const Protocol::Membership &membership, const Protocol::MemberChange &change)
 {
+    if (isJoint(membership)) {
+        return refuse("a voter is being replaced");
+    }
     switch (change.kind) {
     case Protocol::MemberChangeKind::ADD:
         return addLearner(membership, change.member);
@@ -137,6 +196,8 @@
         return promoteLearner(membership, change.member);
     case Protocol::MemberChangeKind::REMOVE:
         return removeMember(membership, change.member);
+    case Protocol::MemberChangeKind::REPLACE:
+        return replaceVoter(membership, change.member, change.successor);
     }
     return refuse("unknown kind of membership change");
 }
--- a/Libraries/LibConsensus/ReplicatedLog.cpp
+++ b/Libraries/LibConsensus/ReplicatedLog.cpp
@@ -130,6 +130,12 @@
     return found == this->progress.end() ? Core::Instant() : found->second.lastContact;
 }
 
+std::optional<Core::Instant> ReplicatedLog::lastReplyFrom(const std::string &name) const
+{
+    const auto found = this->progress.find(name);
+    return found == this->progress.end() || !found->second.hasReplied ? std::nullopt : std::optional(found->second.lastContact);
+}
+
 const std::string &ReplicatedLog::storageFailure() const
 {
     return this->failureMessage;
@@ -489,7 +495,7 @@
     const Protocol::Member *mostUpToDate = nullptr;
     for (const auto &member : this->store.membership().members) {
         const bool reachable = now - this->lastContactWith(member.name) < this->options.electionTimeout;
-        const bool eligible = member.voter && member.name != this->ownMember.name && reachable;
+        const bool eligible = member.voter && !member.leaving && member.name != this->ownMember.name && reachable;
         if (eligible && (mostUpToDate == nullptr || this->matchIndexOf(member.name) > this->matchIndexOf(mostUpToDate->name))) {
             mostUpToDate = &member;
         }
@@ -549,8 +555,10 @@
         return Core::failure(Core::ErrorKind::LimitReached, "an earlier membership change or the first entry of this leader's term is not committed yet");
     }
     // M3. A learner becomes a voter only after its log has reached the commit index.
-    if (change.kind == Protocol::MemberChangeKind::PROMOTE && this->matchIndexOf(change.member.name) < this->committed) {
-        return Core::failure(Core::ErrorKind::LimitReached, change.member.name + " has not caught up yet");
+    const bool isReplacement = change.kind == Protocol::MemberChangeKind::REPLACE;
+    const auto &learner = isReplacement ? change.successor.name : change.member.name;
+    if ((isReplacement || change.kind == Protocol::MemberChangeKind::PROMOTE) && this->matchIndexOf(learner) < this->committed) {
+        return Core::failure(Core::ErrorKind::LimitReached, learner + " has not caught up yet");
     }
     MembershipProposal proposal = applyChange(this->store.membership(), change);
     if (!proposal.membership.has_value()) {
@@ -671,14 +679,20 @@
     return sameFolder && found != this->progress.end() ? &found->second : nullptr;
 }
 
+void ReplicatedLog::recordContact(Progress &progress, const LogMessage &message, Core::Instant now)
+{
+    progress.lastContact = now;
+    progress.hasReplied = true;
+    progress.confirmedRound = std::max(progress.confirmedRound, message.round);
+}
+
 void ReplicatedLog::handleAppendReply(const LogMessage &message, Core::Instant now)
 {
     auto *progress = this->progressOfSender(message);
     if (progress == nullptr) {
         return;
     }
-    progress->lastContact = now;
-    progress->confirmedRound = std::max(progress->confirmedRound, message.round);
+    recordContact(*progress, message, now);
     if (message.granted) {
         progress->matchIndex = std::max(progress->matchIndex, message.matchIndex);
         progress->nextIndex = std::max(progress->nextIndex, progress->matchIndex + 1);
@@ -701,8 +715,7 @@
     if (progress == nullptr) {
         return;
     }
-    progress->lastContact = now;
-    progress->confirmedRound = std::max(progress->confirmedRound, message.round);
+    recordContact(*progress, message, now);
     this->finishConfirmations();
     if (message.granted) {
         progress->matchIndex = std::max(progress->matchIndex, message.matchIndex);
@@ -860,6 +873,7 @@
     }
     this->readIndexRequests.confirmUpTo(this->committed);
     const bool removed = this->currentRole == Role::Leader && this->store.membershipIndex() <= this->committed && !this->isVotingMember();
+    this->finishReplacementIfCommitted();
     if (removed) {
         // M6. A leader that was removed or is no longer a voter steps down once this change is committed.
         this->currentRole = Role::Follower;
@@ -870,6 +884,19 @@
     this->compactIfDue();
 }
 
+// M7. A replacement of a voter ends with a second entry, once the joint membership is committed by both quorums. Whoever leads by then appends it.
+void ReplicatedLog::finishReplacementIfCommitted()
+{
+    const bool isCommitted = this->committed >= this->termStartIndex && this->store.membershipIndex() <= this->committed;
+    if (this->currentRole != Role::Leader || !isCommitted || !isJoint(this->store.membership())) {
+        return;
+    }
+    Protocol::LogEntry entry;
+    entry.__set_membership(finishReplacement(this->store.membership()));
+    const auto appended = this->appendEntry(std::move(entry));
+    Core::verify(appended.has_value(), "a leader can append");
+}
+
 void ReplicatedLog::compactIfDue()
 {
     if (this->committed - this->store.snapshotIndex() < this->options.entriesBetweenSnapshots) {
--- a/Libraries/LibConsensus/ReplicatedLog.h
+++ b/Libraries/LibConsensus/ReplicatedLog.h
@@ -102,7 +102,8 @@
 
     /**
      * Queues a change of the membership and returns its index. Fails unless this instance is the leader, while an earlier change or the
-     * first entry of the leader's term is not committed, when a learner to be promoted has not caught up, and when the change is invalid.
+     * first entry of the leader's term is not committed, when a learner that is to vote has not caught up, and when the change is invalid.
+     * A replacement takes two entries; the second one is queued when the first one is committed.
      */
     [[nodiscard]] Core::Result<std::int64_t> proposeMembership(const Protocol::MemberChange &change);
 
@@ -139,6 +140,8 @@
     [[nodiscard]] std::int64_t matchIndexOf(const std::string &name) const;
     /** When this leader last received a reply from a member, or else started to send to it; the epoch when this instance is not the leader. */
     [[nodiscard]] Core::Instant lastContactWith(const std::string &name) const;
+    /** When this leader last received a reply from a member; nothing when it has received none or this instance is not the leader. */
+    [[nodiscard]] std::optional<Core::Instant> lastReplyFrom(const std::string &name) const;
     /** The storage error that put this instance into Role::Failed, or empty. */
     [[nodiscard]] const std::string &storageFailure() const;
 
@@ -150,6 +153,8 @@
         // Latest round of messages that the member has replied to.
         std::int64_t confirmedRound{0};
         Core::Instant lastContact;
+        // Whether a reply was received. Otherwise `lastContact` is when this leader started to send to the member.
+        bool hasReplied{false};
         // Index of the snapshot that is being sent, 0 when none is, and the number of its bytes that the member has acknowledged.
         std::int64_t snapshotIndex{0};
         std::int64_t snapshotOffset{0};
@@ -198,6 +203,9 @@
     void installSnapshot(const Protocol::LogMessage &message);
     void handleSnapshotReply(const Protocol::LogMessage &message, Core::Instant now);
     [[nodiscard]] Progress *progressOfSender(const Protocol::LogMessage &message);
+    static void recordContact(Progress &progress, const Protocol::LogMessage &message, Core::Instant now);
+    /** Ends a replacement of a voter once its joint membership is committed. */
+    void finishReplacementIfCommitted();
     void advanceCommit();
     void commitTo(std::int64_t index);
     void compactIfDue();
--- a/Libraries/LibCoordinator/CoordinatorNode.cpp
+++ b/Libraries/LibCoordinator/CoordinatorNode.cpp
@@ -20,6 +20,10 @@
 static constexpr Core::Duration MemberCheckPeriod = Core::milliseconds(500);
 static constexpr Core::Duration IntroductionPeriod = Core::milliseconds(300);
 static constexpr Core::Duration IntroductionTimeout = Core::milliseconds(800);
+// A coordinator that is still heard of this long after it last said that it is being stopped has started again.
+static constexpr Core::Duration LeavingTimeout = Core::seconds(1);
+// A new leader does not count members as silent before they could reply to it.
+static constexpr Core::Duration FirstReplyTime = Core::milliseconds(500);
 static constexpr Core::Duration ExpiryPeriod = Core::seconds(1);
 // A longer gap between two checks for expired records shows that this process itself was stopped for a while.
 static constexpr Core::Duration OwnPauseLimit = Core::seconds(3);
@@ -475,6 +479,7 @@
         introduction.member = replicated->identity();
         introduction.initialised = replicated->isInitialised();
         introduction.mayFound = this->options.mayBootstrap;
+        introduction.leaving = this->draining;
     }
     return introduction;
 }
@@ -488,10 +493,15 @@
         return reply;
     }
     reply.membership = replicated->membership();
+    const bool known = Consensus::findMember(reply.membership, introduction.member.name) != nullptr;
+    if (introduction.leaving && known) {
+        this->leavingSince[introduction.member.name] = this->timers.now();
+    } else {
+        this->leavingSince.erase(introduction.member.name);
+    }
     const auto *leader = replicated->leader();
     reply.leaderAddress = leader == nullptr ? std::string() : leader->entryAddress;
-    const bool known = Consensus::findMember(reply.membership, introduction.member.name) != nullptr;
-    if (!this->log->isLeader() || known || introduction.member.storageId.empty()) {
+    if (!this->log->isLeader() || known || introduction.leaving || introduction.member.storageId.empty()) {
         return reply;
     }
     Protocol::MemberChange change;
@@ -514,10 +524,15 @@
     }
     // A member either has a known leader or becomes a candidate itself. A member without a leader may have been removed while it was down.
     const bool withoutLeader = replicated->leader() == nullptr;
-    if (this->isMember() && !withoutLeader) {
+    if (this->isMember() && !withoutLeader && !this->draining) {
         this->introductionChannels.clear();
         return;
     }
+    this->introduceToAll();
+}
+
+void CoordinatorNode::introduceToAll()
+{
     auto endpoints = this->peers->coordinators();
     for (const auto &endpoint : this->options.seeds) {
         if (std::find(endpoints.begin(), endpoints.end(), endpoint) == endpoints.end() && endpoint != this->options.watchEndpoint) {
@@ -609,22 +624,76 @@
             },
         .timeSinceContact =
             [this, &replicated](const std::string &name) {
-                return this->timers.now() - replicated.lastContactWith(name);
+                const auto *member = Consensus::findMember(replicated.membership(), name);
+                return member == nullptr ? Core::Duration(0) : this->timeSinceContactWith(*member);
+            },
+        .isLeaving =
+            [this](const std::string &name) {
+                return this->isLeaving(name);
             },
     };
     const auto change = chooseMemberChange(view, this->options.membership);
     if (!change.has_value()) {
         return;
     }
-    const auto proposed = replicated.proposeMembership(change.value());
+    const auto silence = view.timeSinceContact(change->member.name);
+    this->logMemberChange(change.value(), silence, replicated.proposeMembership(change.value()));
+}
+
+static const char *nameOf(Protocol::MemberChangeKind::type kind)
+{
+    switch (kind) {
+    case Protocol::MemberChangeKind::ADD:
+        return "add";
+    case Protocol::MemberChangeKind::PROMOTE:
+        return "promote";
+    case Protocol::MemberChangeKind::REMOVE:
+        return "remove";
+    case Protocol::MemberChangeKind::REPLACE:
+        return "replace";
+    }
+    return "unknown";
+}
+
+void CoordinatorNode::logMemberChange(const Protocol::MemberChange &change, Core::Duration silence, const Core::Result<std::int64_t> &proposed) const
+{
     Core::logEvent(Core::LogLevel::Warning,
         "members.change",
-        {{"kind", change->kind == Protocol::MemberChangeKind::PROMOTE ? "promote" : "remove"},
-            {"member", change->member.name},
-            {"silent_ms", Core::toMilliseconds(view.timeSinceContact(change->member.name))},
+        {{"kind", nameOf(change.kind)},
+            {"member", change.member.name},
+            {"successor", change.successor.name},
+            {"silent_ms", Core::toMilliseconds(silence)},
+            {"leaving", this->isLeaving(change.member.name) ? 1 : 0},
             {"outcome", proposed.has_value() ? std::string("proposed") : proposed.error().message}});
 }
 
+Core::Duration CoordinatorNode::timeSinceContactWith(const Protocol::Member &member) const
+{
+    const auto now = this->timers.now();
+    const auto *replicated = this->log->log();
+    const auto reply = replicated->lastReplyFrom(member.name);
+    if (reply.has_value()) {
+        return now - reply.value();
+    }
+    const auto sinceFirstSend = now - replicated->lastContactWith(member.name);
+    const auto watchReply = this->peers->lastReplyFrom(member.entryAddress);
+    if (sinceFirstSend < FirstReplyTime || !watchReply.has_value()) {
+        return sinceFirstSend;
+    }
+    return std::max(sinceFirstSend, now - watchReply.value());
+}
+
+bool CoordinatorNode::isLeaving(const std::string &name) const
+{
+    const auto found = this->leavingSince.find(name);
+    if (found == this->leavingSince.end()) {
+        return false;
+    }
+    const auto *replicated = this->log->log();
+    const auto reply = replicated == nullptr ? std::nullopt : replicated->lastReplyFrom(name);
+    return reply.value_or(Core::Instant()) <= found->second + LeavingTimeout;
+}
+
 void CoordinatorNode::receive(const std::vector<Protocol::LogMessage> &messages)
 {
     this->log->receive(messages);
@@ -636,6 +705,9 @@
 {
     this->draining = true;
     this->stopped = std::move(stoppedHook);
+    if (this->isMember()) {
+        this->introduceToAll();
+    }
     this->drainTimer = this->timers.every(DrainPollPeriod, [this](Core::Instant) {
         this->finishDrain();
     });
@@ -737,4 +809,14 @@
     callback(static_cast<std::int32_t>(this->node.receiveCrashes(records)));
 }
 
+LogPeerHandler::LogPeerHandler(CoordinatorNode &node) : node(node)
+{
+}
+
+void LogPeerHandler::deliver(std::function<void()> callback, const std::vector<Protocol::LogMessage> &messages)
+{
+    this->node.receive(messages);
+    callback();
+}
+
 }
--- a/Libraries/LibCoordinator/CoordinatorNode.h
+++ b/Libraries/LibCoordinator/CoordinatorNode.h
@@ -18,6 +18,7 @@
 #include <LibFleet/BackendRegistry.h>
 #include <LibFleet/FleetWatcher.h>
 #include <LibFleet/HeartbeatTimes.h>
+#include <LibProtocol/Generated/ControlPeer.h>
 
 namespace Coordinator
 {
@@ -141,7 +142,12 @@
     /** Makes a hook that completes `outcome` with the end of a proposal and calls `done` with it. */
     [[nodiscard]] static DeclarationLog::ProposalHook makeProposalHook(OrderOutcome outcome, const std::function<void(const OrderOutcome &outcome)> &done);
     void changeMembers();
+    /** Time since a member was last heard of, as the leader; what is known of it from before this coordinator led counts until it replies. */
+    [[nodiscard]] Core::Duration timeSinceContactWith(const Protocol::Member &member) const;
+    [[nodiscard]] bool isLeaving(const std::string &name) const;
+    void logMemberChange(const Protocol::MemberChange &change, Core::Duration silence, const Core::Result<std::int64_t> &proposed) const;
     void requestMembership();
+    void introduceToAll();
     void introduceTo(const Core::Endpoint &endpoint);
     void handleIntroductionReply(const Core::Endpoint &endpoint, const Protocol::IntroductionReply &reply);
     void bootstrapIfComplete();
@@ -190,6 +196,8 @@
     // Introductions of other coordinators, by their endpoint; only used until the log is bootstrapped.
     std::map<Core::Endpoint, Protocol::Introduction> introduced;
     std::map<Core::Endpoint, std::shared_ptr<Rpc::RpcChannel>> introductionChannels;
+    // When coordinators last said that they are being stopped, by their member name. Every coordinator keeps this, since any of them may lead next.
+    std::map<std::string, Core::Instant> leavingSince;
     Core::Instant lastExpiry;
     bool draining{false};
     std::function<void()> stopped;
@@ -217,4 +225,16 @@
     CoordinatorNode &node;
 };
 
+/** The Thrift service through which coordinators send messages of the replicated log. */
+class LogPeerHandler : public Protocol::ControlPeerCobSvIf
+{
+public:
+    explicit LogPeerHandler(CoordinatorNode &node);
+
+    void deliver(std::function<void()> callback, const std::vector<Protocol::LogMessage> &messages) override;
+
+private:
+    CoordinatorNode &node;
+};
+
 }
--- a/Libraries/LibCoordinator/MembershipPolicy.cpp
+++ b/Libraries/LibCoordinator/MembershipPolicy.cpp
@@ -39,13 +39,14 @@
     {
         const bool isOther = member.name != this->view.leaderName;
         const bool silent = this->view.timeSinceContact(member.name) >= this->options.replacementTimeout;
-        return member.voter && isOther && (silent || this->folderIsLost(member));
+        return member.voter && isOther && (silent || this->view.isLeaving(member.name) || this->folderIsLost(member));
     }
 
     [[nodiscard]] bool isReadyLearner(const Protocol::Member &member) const
     {
         const bool fresh = this->view.timeSinceContact(member.name) <= this->options.learnerFreshness;
-        return !member.voter && fresh && !this->folderIsLost(member) && this->view.matchIndexOf(member.name) >= this->view.commitIndex;
+        const bool stays = !this->view.isLeaving(member.name) && !this->folderIsLost(member);
+        return !member.voter && fresh && stays && this->view.matchIndexOf(member.name) >= this->view.commitIndex;
     }
 
     [[nodiscard]] bool isRemovableLearner(const Protocol::Member &member) const
@@ -76,19 +77,29 @@
     const auto lostVoter = std::find_if(members.begin(), members.end(), [&classifier](const auto &member) {
         return classifier.isLostVoter(member);
     });
-    const auto learner = std::find_if(members.begin(), members.end(), [&classifier](const auto &member) {
+    const auto isReadyLearner = [&classifier](const auto &member) {
         return classifier.isReadyLearner(member);
-    });
+    };
+    auto learner = std::find_if(members.begin(), members.end(), isReadyLearner);
+    if (lostVoter != members.end()) {
+        // The voters stay spread over the availability zones.
+        const auto inSameZone = std::find_if(members.begin(), members.end(), [&isReadyLearner, &lostVoter](const auto &member) {
+            return member.zone == lostVoter->zone && isReadyLearner(member);
+        });
+        learner = inSameZone != members.end() ? inSameZone : learner;
+    }
     const auto voters = static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [](const auto &member) {
         return member.voter;
     }));
-    const bool hasSurplusVoter = voters > options.targetVoters;
-    if (lostVoter != members.end() && hasSurplusVoter) {
+    if (lostVoter != members.end() && voters > options.targetVoters) {
         return makeChange(Protocol::MemberChangeKind::REMOVE, *lostVoter);
     }
-    // A learner is promoted before the lost voter is removed, so that the number of voters that store the log never decreases.
-    const bool needed = voters < options.targetVoters || (lostVoter != members.end() && !hasSurplusVoter);
-    if (learner != members.end() && needed) {
+    if (lostVoter != members.end() && learner != members.end()) {
+        auto change = makeChange(Protocol::MemberChangeKind::REPLACE, *lostVoter);
+        change.successor = *learner;
+        return change;
+    }
+    if (voters < options.targetVoters && learner != members.end()) {
         return makeChange(Protocol::MemberChangeKind::PROMOTE, *learner);
     }
     const auto removable = std::find_if(members.begin(), members.end(), [&classifier](const auto &member) {
--- a/Libraries/LibFleet/FleetWatcher.cpp
+++ b/Libraries/LibFleet/FleetWatcher.cpp
@@ -91,6 +91,13 @@
     return found == this->table.end() ? std::nullopt : found->second.syncedAt;
 }
 
+std::optional<Core::Instant> FleetWatcher::lastReplyFrom(const std::string &address) const
+{
+    const auto endpoint = Core::Endpoint::parse(address);
+    const auto found = endpoint.has_value() ? this->table.find(endpoint.value()) : this->table.end();
+    return found == this->table.end() ? std::nullopt : std::optional(found->second.lastReply);
+}
+
 bool FleetWatcher::hasReachableRegistries() const
 {
     const bool haveAll = std::all_of(this->table.begin(), this->table.end(), [](const auto &item) {
--- a/Libraries/LibFleet/FleetWatcher.h
+++ b/Libraries/LibFleet/FleetWatcher.h
@@ -88,6 +88,8 @@
     [[nodiscard]] const std::optional<ContactStatement> &contactStatement() const;
     /** The latest time as of which all changes of the coordinator at an address were received here; nothing for an unknown one. */
     [[nodiscard]] std::optional<Core::Instant> syncedWith(const std::string &address) const;
+    /** When a coordinator last replied, or else became known; nothing for an unknown address. While it runs, it replies after the long-poll timeout. */
+    [[nodiscard]] std::optional<Core::Instant> lastReplyFrom(const std::string &address) const;
     /** Whether every known coordinator has sent its whole registry, except those that can't be reached; at least one must have, if any is known. */
     [[nodiscard]] bool hasReachableRegistries() const;
     /** Whether any coordinator has replied yet. */
--- a/Libraries/LibProtocol/Generated/fleet_types.cpp
+++ b/Libraries/LibProtocol/Generated/fleet_types.cpp
@@ -2311,6 +2311,10 @@
 void Introduction::__set_mayFound(const bool val) {
   this->mayFound = val;
 }
+
+void Introduction::__set_leaving(const bool val) {
+  this->leaving = val;
+}
 std::ostream& operator<<(std::ostream& out, const Introduction& obj)
 {
   obj.printTo(out);
@@ -2363,6 +2367,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2392,6 +2404,10 @@
   xfer += oprot->writeBool(this->mayFound);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2402,6 +2418,7 @@
   swap(a.member, b.member);
   swap(a.initialised, b.initialised);
   swap(a.mayFound, b.mayFound);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
@@ -2409,12 +2426,14 @@
   member = other90.member;
   initialised = other90.initialised;
   mayFound = other90.mayFound;
+  leaving = other90.leaving;
   __isset = other90.__isset;
 }
 Introduction& Introduction::operator=(const Introduction& other91) {
   member = other91.member;
   initialised = other91.initialised;
   mayFound = other91.mayFound;
+  leaving = other91.leaving;
   __isset = other91.__isset;
   return *this;
 }
@@ -2424,6 +2443,7 @@
   out << "member=" << to_string(member);
   out << ", " << "initialised=" << to_string(initialised);
   out << ", " << "mayFound=" << to_string(mayFound);
+  out << ", " << "leaving=" << to_string(leaving);
   out << ")";
 }
 
--- a/Libraries/LibProtocol/Generated/fleet_types.h
+++ b/Libraries/LibProtocol/Generated/fleet_types.h
@@ -1044,10 +1044,11 @@
 std::ostream& operator<<(std::ostream& out, const WatchReply& obj);
 
 typedef struct _Introduction__isset {
-  _Introduction__isset() : member(false), initialised(false), mayFound(false) {}
+  _Introduction__isset() : member(false), initialised(false), mayFound(false), leaving(true) {}
   bool member :1;
   bool initialised :1;
   bool mayFound :1;
+  bool leaving :1;
 } _Introduction__isset;
 
 class Introduction : public virtual ::apache::thrift::TBase {
@@ -1057,7 +1058,8 @@
   Introduction& operator=(const Introduction&);
   Introduction() noexcept
                : initialised(0),
-                 mayFound(0) {
+                 mayFound(0),
+                 leaving(false) {
   }
 
   virtual ~Introduction() noexcept;
@@ -1070,6 +1072,10 @@
    * Whether the whole system starts for the first time, so that a log may be bootstrapped.
    */
   bool mayFound;
+  /**
+   * The coordinator is being stopped as planned, and need not be waited for.
+   */
+  bool leaving;
 
   _Introduction__isset __isset;
 
@@ -1079,6 +1085,8 @@
 
   void __set_mayFound(const bool val);
 
+  void __set_leaving(const bool val);
+
   bool operator == (const Introduction & rhs) const
   {
     if (!(member == rhs.member))
@@ -1087,6 +1095,8 @@
       return false;
     if (!(mayFound == rhs.mayFound))
       return false;
+    if (!(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const Introduction &rhs) const {
--- a/Libraries/LibProtocol/Generated/operator_types.cpp
+++ b/Libraries/LibProtocol/Generated/operator_types.cpp
@@ -100,7 +100,11 @@
   /**
    * Removes a voter or learner.
    */
-  MemberChangeKind::REMOVE
+  MemberChangeKind::REMOVE,
+  /**
+   * Makes a learner that has caught up a voter in place of another one, which becomes a learner. The number of voters stays the same.
+   */
+  MemberChangeKind::REPLACE
 };
 const char* _kMemberChangeKindNames[] = {
   /**
@@ -114,9 +118,13 @@
   /**
    * Removes a voter or learner.
    */
-  "REMOVE"
+  "REMOVE",
+  /**
+   * Makes a learner that has caught up a voter in place of another one, which becomes a learner. The number of voters stays the same.
+   */
+  "REPLACE"
 };
-const std::map<int, const char*> _MemberChangeKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kMemberChangeKindValues, _kMemberChangeKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _MemberChangeKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kMemberChangeKindValues, _kMemberChangeKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const MemberChangeKind::type& val) {
   std::map<int, const char*>::const_iterator it = _MemberChangeKind_VALUES_TO_NAMES.find(val);
@@ -1654,6 +1662,14 @@
 void Member::__set_voter(const bool val) {
   this->voter = val;
 }
+
+void Member::__set_joining(const bool val) {
+  this->joining = val;
+}
+
+void Member::__set_leaving(const bool val) {
+  this->leaving = val;
+}
 std::ostream& operator<<(std::ostream& out, const Member& obj)
 {
   obj.printTo(out);
@@ -1738,6 +1754,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->joining);
+          this->__isset.joining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1783,6 +1815,14 @@
   xfer += oprot->writeBool(this->voter);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("joining", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->joining);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1797,6 +1837,8 @@
   swap(a.zone, b.zone);
   swap(a.storageId, b.storageId);
   swap(a.voter, b.voter);
+  swap(a.joining, b.joining);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
@@ -1808,6 +1850,8 @@
   zone = other53.zone;
   storageId = other53.storageId;
   voter = other53.voter;
+  joining = other53.joining;
+  leaving = other53.leaving;
   __isset = other53.__isset;
 }
 Member& Member::operator=(const Member& other54) {
@@ -1818,6 +1862,8 @@
   zone = other54.zone;
   storageId = other54.storageId;
   voter = other54.voter;
+  joining = other54.joining;
+  leaving = other54.leaving;
   __isset = other54.__isset;
   return *this;
 }
@@ -1831,6 +1877,8 @@
   out << ", " << "zone=" << to_string(zone);
   out << ", " << "storageId=" << to_string(storageId);
   out << ", " << "voter=" << to_string(voter);
+  out << ", " << "joining=" << to_string(joining);
+  out << ", " << "leaving=" << to_string(leaving);
   out << ")";
 }
 
@@ -1958,6 +2006,10 @@
 void MemberChange::__set_member(const Member& val) {
   this->member = val;
 }
+
+void MemberChange::__set_successor(const Member& val) {
+  this->successor = val;
+}
 std::ostream& operator<<(std::ostream& out, const MemberChange& obj)
 {
   obj.printTo(out);
@@ -2004,6 +2056,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->successor.read(iprot);
+          this->__isset.successor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2029,6 +2089,10 @@
   xfer += this->member.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("successor", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->successor.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2038,17 +2102,20 @@
   using ::std::swap;
   swap(a.kind, b.kind);
   swap(a.member, b.member);
+  swap(a.successor, b.successor);
   swap(a.__isset, b.__isset);
 }
 
 MemberChange::MemberChange(const MemberChange& other64) {
   kind = other64.kind;
   member = other64.member;
+  successor = other64.successor;
   __isset = other64.__isset;
 }
 MemberChange& MemberChange::operator=(const MemberChange& other65) {
   kind = other65.kind;
   member = other65.member;
+  successor = other65.successor;
   __isset = other65.__isset;
   return *this;
 }
@@ -2057,6 +2124,7 @@
   out << "MemberChange(";
   out << "kind=" << to_string(kind);
   out << ", " << "member=" << to_string(member);
+  out << ", " << "successor=" << to_string(successor);
   out << ")";
 }
 
--- a/Libraries/LibProtocol/Generated/operator_types.h
+++ b/Libraries/LibProtocol/Generated/operator_types.h
@@ -70,7 +70,11 @@
     /**
      * Removes a voter or learner.
      */
-    REMOVE = 3
+    REMOVE = 3,
+    /**
+     * Makes a learner that has caught up a voter in place of another one, which becomes a learner. The number of voters stays the same.
+     */
+    REPLACE = 4
   };
 };
 
@@ -714,7 +718,7 @@
 std::ostream& operator<<(std::ostream& out, const HistoryEntry& obj);
 
 typedef struct _Member__isset {
-  _Member__isset() : name(false), peerAddress(false), entryAddress(false), operatorAddress(false), zone(false), storageId(false), voter(false) {}
+  _Member__isset() : name(false), peerAddress(false), entryAddress(false), operatorAddress(false), zone(false), storageId(false), voter(false), joining(true), leaving(true) {}
   bool name :1;
   bool peerAddress :1;
   bool entryAddress :1;
@@ -722,6 +726,8 @@
   bool zone :1;
   bool storageId :1;
   bool voter :1;
+  bool joining :1;
+  bool leaving :1;
 } _Member__isset;
 
 /**
@@ -739,7 +745,9 @@
            operatorAddress(),
            zone(),
            storageId(),
-           voter(0) {
+           voter(0),
+           joining(false),
+           leaving(false) {
   }
 
   virtual ~Member() noexcept;
@@ -756,6 +764,12 @@
    * Voters count for the quorum. Learners only receive the log.
    */
   bool voter;
+  /**
+   * Set in a joint membership, while one voter replaces another: the one that joins counts for the quorum of the new voters only, the one that leaves for
+   * that of the old ones only. Both quorums are needed.
+   */
+  bool joining;
+  bool leaving;
 
   _Member__isset __isset;
 
@@ -773,6 +787,10 @@
 
   void __set_voter(const bool val);
 
+  void __set_joining(const bool val);
+
+  void __set_leaving(const bool val);
+
   bool operator == (const Member & rhs) const
   {
     if (!(name == rhs.name))
@@ -789,6 +807,10 @@
       return false;
     if (!(voter == rhs.voter))
       return false;
+    if (!(joining == rhs.joining))
+      return false;
+    if (!(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const Member &rhs) const {
@@ -850,9 +872,10 @@
 std::ostream& operator<<(std::ostream& out, const Membership& obj);
 
 typedef struct _MemberChange__isset {
-  _MemberChange__isset() : kind(false), member(false) {}
+  _MemberChange__isset() : kind(false), member(false), successor(false) {}
   bool kind :1;
   bool member :1;
+  bool successor :1;
 } _MemberChange__isset;
 
 class MemberChange : public virtual ::apache::thrift::TBase {
@@ -871,9 +894,13 @@
    */
   MemberChangeKind::type kind;
   /**
-   * ADD: all fields. PROMOTE and REMOVE: name and, if given, storageId.
+   * ADD: all fields. PROMOTE, REMOVE and REPLACE (the voter that is replaced): name and, if given, storageId.
    */
   Member member;
+  /**
+   * REPLACE: the learner that takes its place, by name and, if given, storageId.
+   */
+  Member successor;
 
   _MemberChange__isset __isset;
 
@@ -881,12 +908,16 @@
 
   void __set_member(const Member& val);
 
+  void __set_successor(const Member& val);
+
   bool operator == (const MemberChange & rhs) const
   {
     if (!(kind == rhs.kind))
       return false;
     if (!(member == rhs.member))
       return false;
+    if (!(successor == rhs.successor))
+      return false;
     return true;
   }
   bool operator != (const MemberChange &rhs) const {
--- a/Libraries/LibProtocol/fleet.thrift
+++ b/Libraries/LibProtocol/fleet.thrift
@@ -175,6 +175,8 @@
   2: bool initialised,
   /** Whether the whole system starts for the first time, so that a log may be bootstrapped. */
   3: bool mayFound,
+  /** The coordinator is being stopped as planned, and need not be waited for. */
+  4: bool leaving = false,
 }
 
 struct IntroductionReply {
--- a/Libraries/LibProtocol/operator.thrift
+++ b/Libraries/LibProtocol/operator.thrift
@@ -108,6 +108,12 @@
   6: string storageId,
   /** Voters count for the quorum. Learners only receive the log. */
   7: bool voter,
+  /**
+   * Set in a joint membership, while one voter replaces another: the one that joins counts for the quorum of the new voters only, the one that leaves for
+   * that of the old ones only. Both quorums are needed.
+   */
+  8: bool joining = false,
+  9: bool leaving = false,
 }
 
 struct Membership {
@@ -121,12 +127,16 @@
   PROMOTE = 2,
   /** Removes a voter or learner. */
   REMOVE = 3,
+  /** Makes a learner that has caught up a voter in place of another one, which becomes a learner. The number of voters stays the same. */
+  REPLACE = 4,
 }
 
 struct MemberChange {
   1: MemberChangeKind kind,
-  /** ADD: all fields. PROMOTE and REMOVE: name and, if given, storageId. */
+  /** ADD: all fields. PROMOTE, REMOVE and REPLACE (the voter that is replaced): name and, if given, storageId. */
   2: Member member,
+  /** REPLACE: the learner that takes its place, by name and, if given, storageId. */
+  3: Member successor,
 }
 
 enum MemberStatus {
--- a/Services/coordinatord/main.cpp
+++ b/Services/coordinatord/main.cpp
@@ -12,7 +12,6 @@
 #include <LibCore/EventPoll.h>
 #include <LibCore/Identity.h>
 #include <LibCore/Log.h>
-#include <LibProtocol/Generated/ControlPeer.h>
 #include <LibRpc/RpcServer.h>
 #include <platform/ConfigurationCodec.h>
 #include <platform/ControlInterface.h>
@@ -20,6 +19,7 @@
 #include <platform/SettingsFile.h>
 #include <platform/SettingsWatch.h>
 
+#include <algorithm>
 #include <cstdio>
 
 namespace
@@ -31,30 +31,15 @@
 // processor time on every coordinator.
 constexpr Core::Duration HeartbeatPeriod = Core::milliseconds(200);
 constexpr Core::Duration ElectionTimeout = Core::milliseconds(900);
+// A voter that is lost is replaced after half of the time in which its successor has to have its place. The rest is for the successor to join and catch up, and
+// for the election of a leader. It is not replaced before a leader could be elected.
+constexpr Core::Duration MinimumReplacementTimeout = 2 * ElectionTimeout;
 // Longer than an election between the farthest known regions, which takes two round trips of 24 ms, disk syncs and two ticks.
 constexpr Core::Duration InitialElectionStagger = Core::milliseconds(100);
 constexpr Core::Duration ResponseFlushTime = Core::milliseconds(300);
 // Maximum size of an operator's request. Declarations with thousands of routes must fit.
 constexpr std::size_t MaximumDocumentBytes = 8 * 1024 * 1024;
 
-/** Passes messages of the replicated log from other coordinators to the node. */
-class LogPeerHandler : public Protocol::ControlPeerCobSvIf
-{
-public:
-    explicit LogPeerHandler(Coordinator::CoordinatorNode &node) : node(node)
-    {
-    }
-
-    void deliver(std::function<void()> callback, const std::vector<Protocol::LogMessage> &messages) override
-    {
-        this->node.receive(messages);
-        callback();
-    }
-
-private:
-    Coordinator::CoordinatorNode &node;
-};
-
 Coordinator::CoordinatorOptions makeOptions(const Platform::ProcessSettings &settings, Control::PeerTransport &transport)
 {
     Coordinator::CoordinatorOptions options;
@@ -62,6 +47,7 @@
     options.seeds = Platform::watchEndpoints(settings);
     options.mayBootstrap = settings.firstStart;
     options.membership.targetVoters = 2 * static_cast<std::size_t>(settings.toleratedFailures) + 1;
+    options.membership.replacementTimeout = std::max(MinimumReplacementTimeout, settings.catchUpTime / 2);
     options.regions = settings.regions;
     options.heartbeats = Fleet::HeartbeatTimes::of(settings.heartbeatPeriod);
     options.validateDeclaration = [regions = settings.regions](const std::string &content) -> Core::Result<Fleet::DeclarationVersion> {
@@ -118,7 +104,7 @@
     auto &coordinator = *node.value();
 
     const auto watchers = std::make_shared<Protocol::CoordinatorAsyncProcessor>(std::make_shared<Coordinator::CoordinatorHandler>(coordinator));
-    const auto peers = std::make_shared<Protocol::ControlPeerAsyncProcessor>(std::make_shared<LogPeerHandler>(coordinator));
+    const auto peers = std::make_shared<Protocol::ControlPeerAsyncProcessor>(std::make_shared<Coordinator::LogPeerHandler>(coordinator));
     const auto watchServer = Rpc::RpcServer::create(
         {.name = "watch", .endpoint = Platform::internalEndpoint(settings.value(), Platform::InternalPort::Watch), .processor = watchers, .limits = {}},
         timers);
--- a/Tests/Incidents/TestLostDepartures.cpp
+++ b/Tests/Incidents/TestLostDepartures.cpp
@@ -6,112 +6,16 @@
 // Tests that what a coordinator has acknowledged to a leaving backend server outlives the coordinator. They guard against an acknowledgement that is sent
 // while nobody else knows of the departure: after a kill at that moment the backend server got requests until it ended.
 
-#include <LibCoordinator/CoordinatorNode.h>
-#include <LibRpc/RpcServer.h>
-#include <Support/LoopFixture.h>
-#include <platform/ControlInterface.h>
+#include <Support/TestCoordinator.h>
 
 #include <array>
 #include <criterion/criterion.h>
-#include <fcntl.h>
-#include <filesystem>
-#include <sys/file.h>
 
 namespace
 {
 
 using Protocol::BackendPhase;
-
-/** One coordinator with its listeners, as in Services/coordinatord, which can be killed and started again. */
-class TestCoordinator
-{
-public:
-    TestCoordinator(TestSupport::LoopFixture &fixture, int number)
-        : control(TestSupport::freeEndpoint())
-        , watch(TestSupport::freeEndpoint())
-        , fixture(fixture)
-        , name("coordinator-" + std::to_string(number))
-        , folder(std::filesystem::temp_directory_path() / ("lost-departures-" + std::to_string(getpid()) + "-" + this->name))
-    {
-        std::filesystem::create_directories(this->folder);
-    }
-
-    ~TestCoordinator()
-    {
-        this->kill();
-        std::filesystem::remove_all(this->folder);
-    }
-
-    void start(const std::vector<Core::Endpoint> &seeds)
-    {
-        Coordinator::CoordinatorOptions options;
-        options.watchEndpoint = this->watch;
-        options.seeds = seeds;
-        options.membership.targetVoters = seeds.size();
-        options.log.dataFolder = this->folder;
-        options.log.log.identity.name = this->name;
-        options.log.send = [](const Protocol::Member &, const Protocol::LogMessage &) {
-        };
-        this->node = Coordinator::CoordinatorNode::create(std::move(options), this->fixture.timers).value();
-        const auto handler = std::make_shared<Coordinator::CoordinatorHandler>(*this->node);
-        this->watchServer = Rpc::RpcServer::create(
-            {.name = "watch", .endpoint = this->watch, .processor = std::make_shared<Protocol::CoordinatorAsyncProcessor>(handler), .limits = {}},
-            this->fixture.timers)
-                                .value();
-        this->interface = std::make_unique<Platform::ControlInterface>(*this->node, this->control.toString());
-        this->controlServer = Wire::Server::create({.name = "control",
-                                                       .endpoint = this->control,
-                                                       .handler =
-                                                           [this](const Wire::Request &request, const auto &exchange) {
-                                                               this->interface->handle(request, exchange);
-                                                           },
-                                                       .limits = {}},
-            *this->fixture.poll,
-            this->fixture.timers)
-                                  .value();
-    }
-
-    /** Ends the coordinator at once, as SIGKILL would; the files stay as they are. */
-    void kill()
-    {
-        this->controlServer.reset();
-        this->watchServer.reset();
-        this->interface.reset();
-        this->node.reset();
-    }
-
-    void loseDisk() const
-    {
-        std::filesystem::remove_all(this->folder);
-        std::filesystem::create_directories(this->folder);
-    }
-
-    /** Keeps the data folder from being opened, as a process that still uses it does, until the returned descriptor is closed. */
-    [[nodiscard]] int lockFolder() const
-    {
-        const int lock = ::open((this->folder / "lock").c_str(), O_RDWR | O_CLOEXEC);
-        cr_assert_eq(::flock(lock, LOCK_EX | LOCK_NB), 0);
-        return lock;
-    }
-
-    [[nodiscard]] std::optional<BackendPhase::type> phaseOf(const std::string &id) const
-    {
-        const auto *record = this->node->backends().find(id);
-        return record == nullptr ? std::nullopt : std::optional(record->announcement.phase);
-    }
-
-    Core::Endpoint control;
-    Core::Endpoint watch;
-
-private:
-    TestSupport::LoopFixture &fixture;
-    std::string name;
-    std::filesystem::path folder;
-    std::unique_ptr<Coordinator::CoordinatorNode> node;
-    std::unique_ptr<Rpc::RpcServer> watchServer;
-    std::unique_ptr<Platform::ControlInterface> interface;
-    std::shared_ptr<Wire::Server> controlServer;
-};
+using TestSupport::TestCoordinator;
 
 /** Three coordinators, of which one may lose its disk, and a backend server that all of them know as ready. */
 class DepartureFixture
--- a/Tests/LibCoordinator/TestMembershipPolicy.cpp
+++ b/Tests/LibCoordinator/TestMembershipPolicy.cpp
@@ -20,6 +20,7 @@
     bool voter;
     int silentSeconds;
     std::int64_t matchIndex;
+    bool leaving{false};
 };
 
 struct Case {
@@ -27,11 +28,14 @@
     std::vector<MemberState> members;
     std::optional<MemberChangeKind::type> kind;
     const char *member;
+    const char *successor{""};
 };
 
 }
 
-Test(MembershipPolicy, promotesALearnerBeforeItRemovesALostVoter)
+// Guards against a change that needs the votes of more coordinators than run: a voter that was replaced by adding its successor first and removing it later
+// made four voters in between, of which one no longer ran.
+Test(MembershipPolicy, replacesALostVoterByOneChange)
 {
     const std::vector<Case> cases{
         {"three voters are reachable", {{"a", "1", true, 0, 9}, {"b", "2", true, 0, 9}, {"c", "3", true, 0, 9}}, std::nullopt, ""},
@@ -40,20 +44,35 @@
             {{"a", "1", true, 0, 9}, {"b", "2", true, 0, 9}, {"c", "3", true, 1, 5}, {"c2", "3", false, 0, 3}},
             std::nullopt,
             ""},
-        {"a learner that has caught up is promoted before the lost voter is removed",
+        {"a learner that has caught up replaces the voter that lost its folder",
             {{"a", "1", true, 0, 9}, {"b", "2", true, 0, 9}, {"c", "3", true, 1, 5}, {"c2", "3", false, 0, 9}},
-            MemberChangeKind::PROMOTE,
+            MemberChangeKind::REPLACE,
+            "c",
             "c2"},
-        {"the lost voter is removed after the promotion",
+        {"a lost voter is removed when there are too many voters",
             {{"a", "1", true, 0, 9}, {"b", "2", true, 0, 9}, {"c", "3", true, 1, 5}, {"c2", "3", true, 0, 9}},
             MemberChangeKind::REMOVE,
             "c"},
         {"a learner at another address replaces a silent voter",
             {{"a", "1", true, 0, 9}, {"b", "2", true, 0, 9}, {"c", "3", true, 5, 5}, {"d", "4", false, 0, 9}},
-            MemberChangeKind::PROMOTE,
+            MemberChangeKind::REPLACE,
+            "c",
             "d"},
+        {"a voter that is being stopped is replaced without waiting for its silence",
+            {{"a", "1", true, 0, 9}, {"b", "2", true, 0, 9}, {"c", "3", true, 0, 9, true}, {"d", "4", false, 0, 9}},
+            MemberChangeKind::REPLACE,
+            "c",
+            "d"},
+        {"a learner that is being stopped replaces nobody",
+            {{"a", "1", true, 0, 9}, {"b", "2", true, 0, 9}, {"c", "3", true, 5, 5}, {"d", "4", false, 0, 9, true}},
+            std::nullopt,
+            ""},
+        {"a voter that is being stopped remains while there is no learner",
+            {{"a", "1", true, 0, 9}, {"b", "2", true, 0, 9}, {"c", "3", true, 0, 9, true}},
+            std::nullopt,
+            ""},
         {"a voter that was silent for less than the timeout remains",
-            {{"a", "1", true, 0, 9}, {"b", "2", true, 0, 9}, {"c", "3", true, 2, 5}, {"d", "4", false, 0, 9}},
+            {{"a", "1", true, 0, 9}, {"b", "2", true, 0, 9}, {"c", "3", true, 1, 5}, {"d", "4", false, 0, 9}},
             std::nullopt,
             ""},
         {"a learner is promoted when there are too few voters",
@@ -91,9 +110,13 @@
         view.timeSinceContact = [&stateOf](const std::string &name) -> Core::Duration {
             return Core::seconds(stateOf(name).silentSeconds);
         };
+        view.isLeaving = [&stateOf](const std::string &name) {
+            return stateOf(name).leaving;
+        };
         const auto change = Coordinator::chooseMemberChange(view, {});
         cr_assert(change.has_value() == item.kind.has_value(), "%s", item.description);
         cr_assert(!change.has_value() || change->kind == item.kind.value(), "%s", item.description);
         cr_assert(!change.has_value() || change->member.name == item.member, "%s", item.description);
+        cr_assert(!change.has_value() || change->successor.name == item.successor, "%s", item.description);
     }
 }
--- a/Tests/LibFleet/TestFleetWatcher.cpp
+++ b/Tests/LibFleet/TestFleetWatcher.cpp
@@ -290,6 +290,28 @@
 
 // Guards against a watcher that stops sending watch requests for good. This happens when a watch request is sent twice and the channel of one of the two is
 // closed after the order of the coordinators has changed.
+// Guards against a new leader that counts the silence of a lost coordinator only from its own election on.
+Test(FleetWatcher, remembersWhenALostCoordinatorLastReplied)
+{
+    WatcherFixture fixture;
+    auto &lost = fixture.add("near", answerOnce(fixture, -1));
+    fixture.add("far-1", answerOnce(fixture, -1));
+    fixture.start();
+    cr_assert(fixture.runUntil([&fixture] {
+        return fixture.watcher.reachableCount() == 2;
+    }));
+    const auto address = lost.endpoint.toString();
+    const auto replied = fixture.watcher.lastReplyFrom(address);
+    cr_assert(replied.has_value());
+    lost.server.reset();
+    cr_assert(fixture.runUntil([&fixture] {
+        return fixture.watcher.reachableCount() == 1;
+    }));
+    fixture.settle(Core::milliseconds(500));
+    cr_assert(fixture.watcher.lastReplyFrom(address) == replied, "failed watch requests are no replies");
+    cr_assert_not(fixture.watcher.lastReplyFrom("10.9.9.9:1").has_value());
+}
+
 Test(FleetWatcher, continuesToSendRequestsWhenTheOrderOfCoordinatorsChanges)
 {
     WatcherFixture fixture;
