LibCoordinator: Build the operators' state anew when the log is opened

What callers saw: after one coordinator's disk had been full for some seconds and that coordinator was restarted, gateways sent thousands of requests into an evacuated zone although the evacuation was acknowledged.

An evacuation and its withdrawal changed the zones twice more, and a revision that each coordinator counted for itself ran ahead of the others. Gateways that had taken it over ignored the true one as an older one.

Ruled out: coordinators that disagree on what is committed, and gateways that miss an update; the logs show the gateways ahead of the coordinators.

A revision is the index of the log entry that made the change. A confirmed reply replaces a higher revision that was never committed.

The test of FleetWatcher::lastReplyFrom watches both of its coordinators now: by default the fixture watches one, and the other replied in only some of the runs.

--- a/Libraries/LibCoordinator/DeclarationLog.cpp
+++ b/Libraries/LibCoordinator/DeclarationLog.cpp
@@ -19,7 +19,7 @@
 static constexpr int TicksPerHeartbeat = 4;
 // Number of earlier texts that are stored, compressed, as bases of deltas. A watcher that holds an older version is sent the whole text.
 static constexpr std::size_t EarlierVersions = 12;
-// The longest declaration text. The operators' interface bounds the documents that it accepts by the same figure.
+// The longest earlier text, as for the declaration itself.
 static constexpr std::size_t MaximumContentBytes = 16 * 1024 * 1024;
 
 DeclarationLog::DeclarationLog(DeclarationLogOptions options, Core::TimerService &timers) : options(std::move(options)), timers(timers)
@@ -52,6 +52,7 @@
         return tl::make_unexpected(openedLog.error());
     }
     this->writeAheadLog = std::move(openedLog.value());
+    this->built = OperatorState();
     auto made = Consensus::ReplicatedLog::create(this->options.log, this->makeHooks(), *this->writeAheadLog, this->timers.now());
     if (!made.has_value()) {
         return tl::make_unexpected(made.error());
@@ -65,7 +66,7 @@
         {{"member", this->replicatedLog->identity().name},
             {"initialised", this->replicatedLog->isInitialised() ? 1 : 0},
             {"last_index", this->replicatedLog->lastIndex()},
-            {"declaration", this->newestVersion}});
+            {"declaration", this->visible.version()}});
     return {};
 }
 
@@ -96,21 +97,15 @@
             },
         .takeSnapshot =
             [this] {
-                Protocol::StoredState state;
-                state.version = this->newestVersion;
-                state.compressed = this->newestCompressed;
-                state.evacuations = this->evacuated.current();
-                return Rpc::serialize(state);
+                return this->built.toSnapshot();
             },
         .restoreSnapshot = [this](const std::string &state) -> Core::Result<void> {
-            const auto stored = Rpc::deserialize<Protocol::StoredState>(state);
-            if (!stored.has_value()) {
-                return tl::make_unexpected(stored.error());
-            }
-            this->applyDeclaration(stored->version, stored->compressed);
-            if (this->evacuated.restore(stored->evacuations)) {
-                this->publishEvacuations();
+            auto restored = OperatorState::fromSnapshot(state);
+            if (!restored.has_value()) {
+                return tl::make_unexpected(restored.error());
             }
+            this->built = std::move(restored.value());
+            this->publish(this->built);
             return {};
         },
         .flushNeeded =
@@ -151,64 +146,39 @@
     }
 }
 
-void DeclarationLog::applyDeclaration(std::int64_t version, const std::string &compressed)
+void DeclarationLog::publish(const OperatorState &state)
 {
-    if (version <= this->newestVersion) {
-        return;
-    }
-    auto content = Fleet::expandText(compressed, MaximumContentBytes);
-    if (!content.has_value()) {
-        Core::logEvent(Core::LogLevel::Error, "declaration.unreadable", {{"version", version}, {"error", content.error().message}});
+    if (state.appliedIndex() < this->visible.appliedIndex()) {
         return;
     }
-    if (this->newestVersion >= 0) {
-        this->earlier.emplace_back(this->newestVersion, std::move(this->newestCompressed));
+    const bool hasDeclaration = state.version() != this->visible.version();
+    const bool hasEvacuations = state.evacuations().revision != this->visible.evacuations().revision;
+    if (hasDeclaration && this->visible.version() >= 0) {
+        this->earlier.emplace_back(this->visible.version(), this->visible.compressed());
+        if (this->earlier.size() > EarlierVersions) {
+            this->earlier.pop_front();
+        }
     }
-    if (this->earlier.size() > EarlierVersions) {
-        this->earlier.pop_front();
+    this->visible = state;
+    if (hasDeclaration) {
+        this->deltas.clear();
+        Core::logEvent(Core::LogLevel::Information,
+            "declaration.committed",
+            {{"version", state.version()}, {"bytes", state.content().size()}, {"compressed", state.compressed().size()}});
     }
-    this->deltas.clear();
-    this->newestVersion = version;
-    this->newestCompressed = compressed;
-    this->newestContent = std::move(content.value());
-    Core::logEvent(Core::LogLevel::Information,
-        "declaration.committed",
-        {{"version", this->newestVersion}, {"bytes", this->newestContent.size()}, {"compressed", this->newestCompressed.size()}});
-    if (this->changed) {
-        this->changed();
+    if (hasEvacuations) {
+        const auto &current = state.evacuations();
+        Core::logEvent(Core::LogLevel::Information, "evacuations.committed", {{"revision", current.revision}, {"zones", Core::joinList(current.zones)}});
     }
-}
-
-void DeclarationLog::publishEvacuations()
-{
-    const auto &current = this->evacuated.current();
-    Core::logEvent(Core::LogLevel::Information, "evacuations.committed", {{"revision", current.revision}, {"zones", Core::joinList(current.zones)}});
-    if (this->changed) {
+    if (this->changed && (hasDeclaration || hasEvacuations)) {
         this->changed();
     }
 }
 
-void DeclarationLog::applyOrder(const Protocol::StoredOrder &order)
-{
-    if (order.version >= 0) {
-        this->applyDeclaration(order.version, order.compressed);
-    }
-    if (order.__isset.evacuation && this->evacuated.apply(order.evacuation)) {
-        this->publishEvacuations();
-    }
-}
-
 void DeclarationLog::applyEntry(const Protocol::LogEntry &entry)
 {
-    if (!entry.command.empty()) {
-        const auto order = Rpc::deserialize<Protocol::StoredOrder>(entry.command);
-        if (order.has_value()) {
-            this->applyOrder(order.value());
-        } else {
-            // Every coordinator applies the same bytes, so all of them skip this entry alike and their states stay the same.
-            Core::logEvent(Core::LogLevel::Error, "log.command_unreadable", {{"index", entry.index}, {"error", order.error().message}});
-        }
-    }
+    this->built.apply(entry.command, entry.index);
+    this->publish(this->built);
     const auto decided = this->waiting.take(entry);
     if (decided.has_value()) {
         decided->hook(decided->isProposedEntry ? ProposalEnd::Committed : ProposalEnd::Unknown);
@@ -246,7 +216,7 @@
 
 const Protocol::Evacuations &DeclarationLog::evacuations() const
 {
-    return this->evacuated.current();
+    return this->visible.evacuations();
 }
 
 void DeclarationLog::confirm(const std::function<void(bool confirmed)> &hook)
@@ -260,17 +230,17 @@
 
 std::int64_t DeclarationLog::version() const
 {
-    return this->newestVersion;
+    return this->visible.version();
 }
 
 const std::string &DeclarationLog::content() const
 {
-    return this->newestContent;
+    return this->visible.content();
 }
 
 const std::string &DeclarationLog::compressed() const
 {
-    return this->newestCompressed;
+    return this->visible.compressed();
 }
 
 const std::string *DeclarationLog::deltaFrom(std::int64_t earlierVersion)
@@ -289,7 +259,7 @@
     if (!before.has_value()) {
         return nullptr;
     }
-    return &(this->deltas[earlierVersion] = Fleet::makeTextDelta(before.value(), this->newestContent));
+    return &(this->deltas[earlierVersion] = Fleet::makeTextDelta(before.value(), this->visible.content()));
 }
 
 Storage::Folder *DeclarationLog::dataFolder()
--- a/Libraries/LibCoordinator/DeclarationLog.h
+++ b/Libraries/LibCoordinator/DeclarationLog.h
@@ -15,7 +15,7 @@
 
 #include <LibConsensus/ReplicatedLog.h>
 #include <LibConsensus/WaitingProposals.h>
-#include <LibCoordinator/EvacuatedZones.h>
+#include <LibCoordinator/OperatorState.h>
 #include <LibCore/TimerService.h>
 #include <LibFleet/Declaration.h>
 #include <LibProtocol/Generated/fleet_types.h>
@@ -47,7 +47,10 @@
     Unknown,
 };
 
-/** State machine over the replicated log. After a disk failure it leaves the log and opens its folder again after a delay, repeatedly if that fails. */
+/**
+ * The replicated log with the state that results from it. After a disk failure it leaves the log and opens its folder again after a delay, repeatedly if that
+ * fails. The state is then built anew; the one before stays visible until the new one has caught up with it.
+ */
 class DeclarationLog
 {
 public:
@@ -106,19 +109,18 @@
     [[nodiscard]] Consensus::ReplicatedLogHooks makeHooks();
     void proposeOrder(const Protocol::StoredOrder &order, ProposalHook done);
     void applyEntry(const Protocol::LogEntry &entry);
-    void applyOrder(const Protocol::StoredOrder &order);
-    void applyDeclaration(std::int64_t version, const std::string &compressed);
-    void publishEvacuations();
+    /** Makes a state visible if no older one than the visible one. Calls `changed` if watchers see a difference. */
+    void publish(const OperatorState &state);
     void tick();
     void scheduleFlush();
     void failWaiting();
 
     DeclarationLogOptions options;
     Core::TimerService &timers;
-    std::int64_t newestVersion{-1};
-    std::string newestCompressed;
-    std::string newestContent;
-    EvacuatedZones evacuated;
+    // Built from the open log: its snapshot and the entries that were applied since it was opened.
+    OperatorState built;
+    // Invariant: its applied index never decreases.
+    OperatorState visible;
     // Compressed texts of earlier versions, newest last, and the deltas from them that were computed since the newest version was applied.
     std::deque<std::pair<std::int64_t, std::string>> earlier;
     std::map<std::int64_t, std::string> deltas;
--- a/Libraries/LibCoordinator/EvacuatedZones.cpp
+++ b/Libraries/LibCoordinator/EvacuatedZones.cpp
@@ -6,11 +6,16 @@
 #include <LibCoordinator/EvacuatedZones.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Coordinator
 {
 
-bool EvacuatedZones::apply(const Protocol::EvacuationOrder &order)
+EvacuatedZones::EvacuatedZones(Protocol::Evacuations snapshot) : state(std::move(snapshot))
+{
+}
+
+bool EvacuatedZones::apply(const Protocol::EvacuationOrder &order, std::int64_t index)
 {
     auto &zones = this->state.zones;
     const auto found = std::find(zones.begin(), zones.end(), order.zone);
@@ -23,16 +28,7 @@
     } else {
         zones.erase(found);
     }
-    ++this->state.revision;
-    return true;
-}
-
-bool EvacuatedZones::restore(const Protocol::Evacuations &snapshot)
-{
-    if (snapshot.revision <= this->state.revision) {
-        return false;
-    }
-    this->state = snapshot;
+    this->state.revision = index;
     return true;
 }
 
--- a/Libraries/LibCoordinator/EvacuatedZones.h
+++ b/Libraries/LibCoordinator/EvacuatedZones.h
@@ -14,15 +14,19 @@
 namespace Coordinator
 {
 
-/** The evacuated zones and their revision. All coordinators apply the same orders in the same order, so a revision means the same zones on each of them. */
+/** The evacuated zones and their revision, which is the index of the entry that made the latest change. */
 class EvacuatedZones
 {
 public:
-    /** Applies a committed order and returns whether it changed the zones. An order without effect, such as a repeated one, does not raise the revision. */
-    bool apply(const Protocol::EvacuationOrder &order);
-
-    /** Replaces the state by that of a snapshot if the snapshot has a higher revision. Returns whether it did. */
-    bool restore(const Protocol::Evacuations &snapshot);
+    EvacuatedZones() = default;
+    /** Takes the state of a snapshot. */
+    explicit EvacuatedZones(Protocol::Evacuations snapshot);
+
+    /**
+     * Applies the committed order at an index of the log and returns whether it changed the zones. An order without effect, such as a repeated one, leaves the
+     * revision as it is.
+     */
+    bool apply(const Protocol::EvacuationOrder &order, std::int64_t index);
 
     [[nodiscard]] const Protocol::Evacuations &current() const;
 
--- a/Libraries/LibCoordinator/WatchService.cpp
+++ b/Libraries/LibCoordinator/WatchService.cpp
@@ -293,7 +293,9 @@
     if (request.wantsDeclaration && reply.declarationVersion > request.declarationVersion) {
         this->addDeclaration(reply, request.declarationVersion);
     }
-    if (request.evacuationRevision < this->log.evacuations().revision) {
+    // A confirmed reply also corrects a watcher that holds a revision which was never committed.
+    const auto revision = this->log.evacuations().revision;
+    if (request.evacuationRevision < revision || (confirmed && request.evacuationRevision != revision)) {
         reply.__set_evacuations(this->log.evacuations());
     }
     this->addContacts(reply, watcher);
--- a/Libraries/LibFleet/FleetWatcher.cpp
+++ b/Libraries/LibFleet/FleetWatcher.cpp
@@ -319,7 +319,7 @@
     const bool departuresOnly = request.registryInterest == RegistryInterest::LEAVERS;
     watched.receivedEverything
         = request.registryInterest == RegistryInterest::EVERYTHING || (isSameIncarnation && watched.receivedEverything && !departuresOnly);
-    this->applyReply(watched, reply, request.declarationVersion);
+    this->applyReply(watched, reply, request);
     if (!isSameIncarnation) {
         watched.announcedSince.reset();
     }
@@ -401,7 +401,7 @@
         });
 }
 
-void FleetWatcher::applyReply(Watched &watched, const Protocol::WatchReply &reply, std::int64_t baseVersion)
+void FleetWatcher::applyReply(Watched &watched, const Protocol::WatchReply &reply, const Protocol::WatchRequest &request)
 {
     const auto now = this->timers.now();
     this->receivedReply = true;
@@ -430,8 +430,8 @@
         this->newestNamedVersion = reply.declarationVersion;
         this->newestNamedAt = now;
     }
-    this->applyEvacuations(reply);
-    this->applyDeclaration(reply, baseVersion);
+    this->applyEvacuations(reply, request);
+    this->applyDeclaration(reply, request.declarationVersion);
     for (const auto &place : reply.coordinators) {
         const auto endpoint = Core::Endpoint::parse(place.address);
         if (endpoint.has_value() && endpoint.value() != this->options.own) {
@@ -470,9 +470,17 @@
 }
 
 // A reply to a watch request with an older revision contains all evacuations, so a watcher whose state was confirmed holds the newest ones.
-void FleetWatcher::applyEvacuations(const Protocol::WatchReply &reply)
+void FleetWatcher::applyEvacuations(const Protocol::WatchReply &reply, const Protocol::WatchRequest &request)
 {
-    if (!reply.__isset.evacuations || reply.evacuations.revision <= this->evacuated.revision) {
+    if (!reply.__isset.evacuations) {
+        return;
+    }
+    const bool isNewer = reply.evacuations.revision > this->evacuated.revision;
+    // What a quorum confirmed after the request was sent includes every revision that was committed before, so a higher one that is still held was never
+    // committed.
+    const bool isCorrection
+        = request.confirm && reply.confirmed && request.evacuationRevision == this->evacuated.revision && reply.evacuations.revision < this->evacuated.revision;
+    if (!isNewer && !isCorrection) {
         return;
     }
     this->evacuated = reply.evacuations;
--- a/Libraries/LibFleet/FleetWatcher.h
+++ b/Libraries/LibFleet/FleetWatcher.h
@@ -159,10 +159,10 @@
     void scheduleRequest(const Core::Endpoint &endpoint, Core::Duration delay);
     [[nodiscard]] Protocol::WatchRequest makeRequest(Watched &watched);
     void handleReply(Watched &watched, const Protocol::WatchReply &reply, const Protocol::WatchRequest &request);
-    void applyReply(Watched &watched, const Protocol::WatchReply &reply, std::int64_t baseVersion);
+    void applyReply(Watched &watched, const Protocol::WatchReply &reply, const Protocol::WatchRequest &request);
     /** Applies contacts and sync times, after applyReply(). */
     void applyContacts(Watched &watched, const Protocol::WatchReply &reply, const Protocol::WatchRequest &request);
-    void applyEvacuations(const Protocol::WatchReply &reply);
+    void applyEvacuations(const Protocol::WatchReply &reply, const Protocol::WatchRequest &request);
     void applyDeclaration(const Protocol::WatchReply &reply, std::int64_t baseVersion);
     void handleFailure(Watched &watched, const std::string &reason);
     void sendCrashReports();
--- a/Libraries/LibProtocol/Generated/fleet_types.cpp
+++ b/Libraries/LibProtocol/Generated/fleet_types.cpp
@@ -2841,6 +2841,10 @@
 void StoredState::__set_evacuations(const Evacuations& val) {
   this->evacuations = val;
 }
+
+void StoredState::__set_appliedIndex(const int64_t val) {
+  this->appliedIndex = val;
+}
 std::ostream& operator<<(std::ostream& out, const StoredState& obj)
 {
   obj.printTo(out);
@@ -2893,6 +2897,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->appliedIndex);
+          this->__isset.appliedIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2922,6 +2934,10 @@
   xfer += this->evacuations.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("appliedIndex", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->appliedIndex);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2932,6 +2948,7 @@
   swap(a.version, b.version);
   swap(a.compressed, b.compressed);
   swap(a.evacuations, b.evacuations);
+  swap(a.appliedIndex, b.appliedIndex);
   swap(a.__isset, b.__isset);
 }
 
@@ -2939,12 +2956,14 @@
   version = other98.version;
   compressed = other98.compressed;
   evacuations = other98.evacuations;
+  appliedIndex = other98.appliedIndex;
   __isset = other98.__isset;
 }
 StoredState& StoredState::operator=(const StoredState& other99) {
   version = other99.version;
   compressed = other99.compressed;
   evacuations = other99.evacuations;
+  appliedIndex = other99.appliedIndex;
   __isset = other99.__isset;
   return *this;
 }
@@ -2954,6 +2973,7 @@
   out << "version=" << to_string(version);
   out << ", " << "compressed=" << to_string(compressed);
   out << ", " << "evacuations=" << to_string(evacuations);
+  out << ", " << "appliedIndex=" << to_string(appliedIndex);
   out << ")";
 }
 
--- a/Libraries/LibProtocol/Generated/fleet_types.h
+++ b/Libraries/LibProtocol/Generated/fleet_types.h
@@ -369,7 +369,7 @@
 
   virtual ~Evacuations() noexcept;
   /**
-   * Increases with each change; 0 before the first one.
+   * Index of the log entry that made the latest change, so that a revision means the same zones on each coordinator; 0 before the first one.
    */
   int64_t revision;
   std::vector<std::string>  zones;
@@ -914,7 +914,7 @@
    */
   bool hasLeader;
   /**
-   * Set when the watcher's revision is older.
+   * Set when the watcher's revision is older, and in a confirmed reply also when it is any other.
    */
   Evacuations evacuations;
   int64_t crashCursor;
@@ -1291,10 +1291,11 @@
 std::ostream& operator<<(std::ostream& out, const StoredOrder& obj);
 
 typedef struct _StoredState__isset {
-  _StoredState__isset() : version(true), compressed(false), evacuations(false) {}
+  _StoredState__isset() : version(true), compressed(false), evacuations(false), appliedIndex(true) {}
   bool version :1;
   bool compressed :1;
   bool evacuations :1;
+  bool appliedIndex :1;
 } _StoredState__isset;
 
 /**
@@ -1307,7 +1308,8 @@
   StoredState& operator=(const StoredState&);
   StoredState() noexcept
               : version(-1LL),
-                compressed() {
+                compressed(),
+                appliedIndex(0LL) {
   }
 
   virtual ~StoredState() noexcept;
@@ -1317,6 +1319,10 @@
   int64_t version;
   std::string compressed;
   Evacuations evacuations;
+  /**
+   * Index of the last applied entry; 0 in snapshots of earlier versions.
+   */
+  int64_t appliedIndex;
 
   _StoredState__isset __isset;
 
@@ -1326,6 +1332,8 @@
 
   void __set_evacuations(const Evacuations& val);
 
+  void __set_appliedIndex(const int64_t val);
+
   bool operator == (const StoredState & rhs) const
   {
     if (!(version == rhs.version))
@@ -1334,6 +1342,8 @@
       return false;
     if (!(evacuations == rhs.evacuations))
       return false;
+    if (!(appliedIndex == rhs.appliedIndex))
+      return false;
     return true;
   }
   bool operator != (const StoredState &rhs) const {
--- a/Libraries/LibProtocol/fleet.thrift
+++ b/Libraries/LibProtocol/fleet.thrift
@@ -60,7 +60,7 @@
 
 /** The availability zones whose backend servers get no requests, by operators' orders. */
 struct Evacuations {
-  /** Increases with each change; 0 before the first one. */
+  /** Index of the log entry that made the latest change, so that a revision means the same zones on each coordinator; 0 before the first one. */
   1: i64 revision = 0,
   2: list<string> zones,
 }
@@ -150,7 +150,7 @@
   10: list<string> heard,
   /** Whether this coordinator has a known leader, so that it receives updates of the declaration. */
   11: bool hasLeader,
-  /** Set when the watcher's revision is older. */
+  /** Set when the watcher's revision is older, and in a confirmed reply also when it is any other. */
   13: optional Evacuations evacuations,
   14: i64 crashCursor = 0,
   /** Crash records that changed after the watcher's cursor: all for a coordinator, those of suspects for a gateway. */
@@ -220,6 +220,8 @@
   1: i64 version = -1,
   2: binary compressed,
   3: Evacuations evacuations,
+  /** Index of the last applied entry; 0 in snapshots of earlier versions. */
+  4: i64 appliedIndex = 0,
 }
 
 /** A requested shard for which the serving gateway has no answer. */
--- a/Tests/LibFleet/TestFleetWatcher.cpp
+++ b/Tests/LibFleet/TestFleetWatcher.cpp
@@ -288,12 +288,10 @@
     cr_assert(successor.requests.size() == requestsBefore);
 }
 
-// Guards against a watcher that stops sending watch requests for good. This happens when a watch request is sent twice and the channel of one of the two is
-// closed after the order of the coordinators has changed.
 // Guards against a new leader that counts the silence of a lost coordinator only from its own election on.
 Test(FleetWatcher, remembersWhenALostCoordinatorLastReplied)
 {
-    WatcherFixture fixture;
+    WatcherFixture fixture(2);
     auto &lost = fixture.add("near", answerOnce(fixture, -1));
     fixture.add("far-1", answerOnce(fixture, -1));
     fixture.start();
@@ -312,6 +310,8 @@
     cr_assert_not(fixture.watcher.lastReplyFrom("10.9.9.9:1").has_value());
 }
 
+// Guards against a watcher that stops sending watch requests for good. This happens when a watch request is sent twice and the channel of one of the two is
+// closed after the order of the coordinators has changed.
 Test(FleetWatcher, continuesToSendRequestsWhenTheOrderOfCoordinatorsChanges)
 {
     WatcherFixture fixture;
@@ -462,6 +462,50 @@
     cr_assert(fixture.watcher.evacuations().zones.size() == 1);
 }
 
+// Guards against a gateway that ignores every later evacuation, since it holds a revision from a coordinator that counted wrongly and that nobody else reached
+// yet.
+Test(FleetWatcher, takesTheConfirmedEvacuationsForAHigherRevisionThatWasNeverCommitted)
+{
+    WatcherFixture fixture;
+    std::int64_t revision = 9;
+    fixture.add("near", [&](const WatchRequest &request) -> std::optional<WatchReply> {
+        const bool differs = request.evacuationRevision < revision || (request.confirm && request.evacuationRevision != revision);
+        if (!differs && !request.confirm) {
+            return std::nullopt;
+        }
+        auto reply = fixture.reply(-1);
+        reply.confirmed = request.confirm;
+        Protocol::Evacuations evacuations;
+        evacuations.revision = revision;
+        evacuations.zones = {"far-" + std::to_string(revision)};
+        reply.__set_evacuations(evacuations);
+        return reply;
+    });
+    fixture.start();
+    auto &held = fixture.coordinators.back()->held;
+    cr_assert(fixture.runUntil([&] {
+        return fixture.watcher.evacuations().revision == 9 && held.size() == 1;
+    }));
+    revision = 4;
+    // A reply that is not confirmed may come from a coordinator that lags behind.
+    auto lagging = fixture.reply(-1);
+    Protocol::Evacuations older;
+    older.revision = 4;
+    lagging.__set_evacuations(older);
+    held.back()(lagging);
+    cr_assert(fixture.runUntil([&held] {
+        return held.size() == 2;
+    }));
+    cr_assert_eq(fixture.watcher.evacuations().revision, 9);
+    fixture.watcher.requestConfirmation();
+    held.back()(fixture.reply(-1));
+    cr_assert(fixture.runUntil([&] {
+        return fixture.watcher.isConfirmed();
+    }));
+    cr_assert_eq(fixture.watcher.evacuations().revision, 4);
+    cr_assert(fixture.watcher.evacuations().zones == std::vector<std::string>{"far-4"});
+}
+
 namespace
 {
 
