Tests: Let the soak replace coordinators in turn and fill disks

In between the disk of one coordinator refuses writes for up to 4 s, by a limit on the length of files that the test sets on that process.

--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -79,6 +79,8 @@
         # End of the latest fault of this process. Guarantees with a time limit are checked only if it ended CONTACT_SECONDS earlier.
         self.disturbed_until = 0.0
         self.stopped = False
+        # Set when the process was replaced by another one, so that it is not started again.
+        self.is_removed = False
 
     def write_settings(self):
         base = self.soak.port
@@ -87,7 +89,7 @@
                  "listen_addrs.control": f"{self.address}:{base + 2}", "data_dir": os.path.join(self.folder, "data"),
                  "seed_nodes": ",".join(f"{address}:{base + 2}" for address in self.soak.seed_addresses),
                  "bootstrap": "true" if self.first else "false", "fault_tolerance.machines": "1", "heartbeat_ms": "400",
-                 "bounds.grace_s": str(int(GRACE_SECONDS)), "bounds.retry_budget_ratio": "0.2", "bounds.retry_window_s": "10", "bounds.retry_slack": str(RETRY_SLACK),
+                 "bounds.catch_up_s": "4", "bounds.grace_s": str(int(GRACE_SECONDS)), "bounds.retry_budget_ratio": "0.2", "bounds.retry_window_s": "10", "bounds.retry_slack": str(RETRY_SLACK),
                  "bounds.quota_window_s": str(int(QUOTA_WINDOW_SECONDS)), "bounds.quota_overshoot": str(QUOTA_OVERSHOOT), "bounds.quota_slack": str(QUOTA_SLACK)}
         lines.update({f"zones.{zone}": zone.replace("zone", "region") for zone in ZONES})
         path = os.path.join(self.folder, "settings.conf")
@@ -99,7 +101,7 @@
         environment = dict(os.environ, CRANKRUDDER_CONFIG=self.write_settings())
         log = open(os.path.join(self.folder, "log.txt"), "ab")
         self.log_size_at_start = log.seek(0, os.SEEK_END)
-        self.process = await asyncio.create_subprocess_exec(self.program, env=environment, stdout=log, stderr=log)
+        self.process = await asyncio.create_subprocess_exec(self.program, env=environment, stdout=log, stderr=log, preexec_fn=self.soak.prepare_process)
         log.close()
         self.first = False
         asyncio.create_task(self.watch(self.process))
@@ -113,6 +115,8 @@
         if code not in (0, -signal.SIGKILL) and not (code == -signal.SIGTERM and log_is_unchanged):
             self.soak.fail("crash", f"{self.name} ended with {code}")
         self.record_fault(0.5)
+        if self.is_removed:
+            return
         await asyncio.sleep(self.soak.random.uniform(0.05, 0.6))
         if not self.soak.ending:
             await self.start()
@@ -150,6 +154,8 @@
         self.drain_seconds = DRAIN_SECONDS
         # Backend servers that got requests long after their departure was acknowledged.
         self.used_after_departure = set()
+        # Backend servers that got requests long after the evacuation of their zone was acknowledged.
+        self.used_though_evacuated = set()
         self.folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
         # Gateways find the coordinators beyond the seed nodes through these, and then choose among coordinators of their own zone and of others.
         self.addresses = [f"127.0.1.{index + 1}" for index in range(options.coordinators)]
@@ -179,6 +185,9 @@
 
     # ---- The deployment
 
+    # Called in each new process before its program starts.
+    prepare_process = None
+
     async def start_processes(self):
         self.coordinators = []
         self.gateways = []
@@ -611,7 +620,8 @@
 
     def check_evacuated(self, backend, after):
         """A request has arrived in a zone whose evacuation was acknowledged."""
-        if after > EVACUATE_SECONDS and self.is_in_contact():
+        if after > EVACUATE_SECONDS and self.is_in_contact() and backend not in self.used_though_evacuated:
+            self.used_though_evacuated.add(backend)
             self.fail("evacuated-zone-used", f"{backend.id} in {backend.zone}, {after:.1f} s after the acknowledgement")
 
     def check_places(self):
@@ -687,6 +697,9 @@
     if options.acknowledgements:
         from acknowledgements import AcknowledgementSoak
         return AcknowledgementSoak(options, seed)
+    if options.replacements:
+        from replacements import ReplacementSoak
+        return ReplacementSoak(options, seed)
     return Soak(options, seed)
 
 
@@ -701,6 +714,7 @@
     parser.add_argument("--divided", action="store_true", help="add gateways to one zone, so that it divides searches among them, and use one server per shard")
     parser.add_argument("--crashing", action="store_true", help="send requests that crash every backend server that runs them")
     parser.add_argument("--acknowledgements", action="store_true", help="kill whoever gave an acknowledgement, right after it")
+    parser.add_argument("--replacements", action="store_true", help="replace coordinators in turn, and let disks refuse writes")
     parser.add_argument("--callers", type=int, default=8, help="number of concurrent callers")
     options = parser.parse_args()
     options.binaries = os.path.abspath(options.binaries)
