LibGateway: Log what a process holds when it ends

A request that was in flight when its gateway ended had no log line, and nothing told a stop that ran its course from one that a second signal broke off, or from one that ended early. A stop now says which signals it got, how long it took and what its connections held; each request without an answer gets a line, and so does a connection on which bytes arrive after this side has ended it.

--- a/Libraries/LibCore/Daemon.cpp
+++ b/Libraries/LibCore/Daemon.cpp
@@ -17,8 +17,8 @@
 {
     // Without SIGPIPE, a write to a connection that the peer has closed fails with an error instead of ending the process.
     std::signal(SIGPIPE, SIG_IGN);
-    this->terminateSource = g_unix_signal_add(SIGTERM, stopSignal, this);
-    this->interruptSource = g_unix_signal_add(SIGINT, stopSignal, this);
+    this->terminateSource = g_unix_signal_add(SIGTERM, terminateSignal, this);
+    this->interruptSource = g_unix_signal_add(SIGINT, interruptSignal, this);
     this->dumpSource = g_unix_signal_add(SIGUSR1, dumpSignal, this);
 }
 
@@ -48,7 +48,10 @@
 void Daemon::run()
 {
     g_main_loop_run(this->loop);
-    logEvent(LogLevel::Information, "daemon.stopped", {{"daemon", this->name}});
+    const auto now = this->timerService.now();
+    logEvent(LogLevel::Information,
+        "daemon.stopped",
+        {{"daemon", this->name}, {"requests", this->stopRequests}, {"after_ms", toMilliseconds(now - this->stopRequestedAt.value_or(now))}});
 }
 
 void Daemon::quit()
@@ -56,15 +59,34 @@
     g_main_loop_quit(this->loop);
 }
 
-gboolean Daemon::stopSignal(gpointer data)
+gboolean Daemon::terminateSignal(gpointer data)
 {
-    static_cast<Daemon *>(data)->requestStop();
+    static_cast<Daemon *>(data)->handleStopSignal("SIGTERM");
     return G_SOURCE_CONTINUE;
 }
 
+gboolean Daemon::interruptSignal(gpointer data)
+{
+    static_cast<Daemon *>(data)->handleStopSignal("SIGINT");
+    return G_SOURCE_CONTINUE;
+}
+
+void Daemon::handleStopSignal(const char *signalName)
+{
+    logEvent(LogLevel::Information, "daemon.signal", {{"daemon", this->name}, {"signal", signalName}});
+    this->requestStop();
+}
+
 void Daemon::requestStop()
 {
-    logEvent(LogLevel::Information, "daemon.stop_requested", {{"daemon", this->name}});
+    const auto now = this->timerService.now();
+    if (!this->stopRequestedAt.has_value()) {
+        this->stopRequestedAt = now;
+    }
+    ++this->stopRequests;
+    logEvent(LogLevel::Information,
+        "daemon.stop_requested",
+        {{"daemon", this->name}, {"requests", this->stopRequests}, {"first_ms_ago", toMilliseconds(now - this->stopRequestedAt.value())}});
     if (this->stopping || !this->stopHook) {
         this->quit();
         return;
--- a/Libraries/LibCore/Daemon.h
+++ b/Libraries/LibCore/Daemon.h
@@ -16,6 +16,7 @@
 
 #include <functional>
 #include <glib.h>
+#include <optional>
 #include <string>
 
 namespace Core
@@ -55,8 +56,10 @@
     void requestStop();
 
 private:
-    static gboolean stopSignal(gpointer data);
+    static gboolean terminateSignal(gpointer data);
+    static gboolean interruptSignal(gpointer data);
     static gboolean dumpSignal(gpointer data);
+    void handleStopSignal(const char *signalName);
 
     std::string name;
     GMainLoop *loop;
@@ -65,6 +68,9 @@
     std::function<void()> stopHook;
     std::function<void()> dumpHook;
     bool stopping{false};
+    // When the stop was requested for the first time, and how often so far.
+    std::optional<Instant> stopRequestedAt;
+    int stopRequests{0};
     guint terminateSource{0};
     guint interruptSource{0};
     guint dumpSource{0};
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -33,6 +33,9 @@
 // Attempts are named by a digest of their id, since callers may send ids of any length.
 static constexpr std::size_t AttemptNameCharacters = 16;
 
+// Requests that are named in the log when the process ends with requests unanswered.
+static constexpr std::size_t MaximumUnansweredLines = 200;
+
 static BackendPoolOptions relayPoolOptions(const GatewayOptions &options)
 {
     BackendPoolOptions relays = options.pool;
@@ -828,6 +831,33 @@
             {"missing", summary.detail}});
 }
 
+void GatewayNode::logUnanswered() const
+{
+    std::size_t lines = 0;
+    for (const auto &[number, request] : this->requests) {
+        if (++lines > MaximumUnansweredLines) {
+            break;
+        }
+        const auto state = request->currentState();
+        Core::logEvent(Core::LogLevel::Warning,
+            "request.cut",
+            {{"request", state.request->id.value()},
+                {"digest", state.request->trace->digest.value()},
+                {"route", state.route->name},
+                {"shards", state.shards},
+                {"answered", state.answered},
+                {"attempts", state.attempts},
+                {"age_ms", Core::toMilliseconds(state.took)},
+                {"missing", state.detail}});
+    }
+    for (const auto &[number, admission] : this->admissions) {
+        if (++lines > MaximumUnansweredLines) {
+            break;
+        }
+        Core::logEvent(Core::LogLevel::Warning, "request.cut", {{"request", admission.request.id.value()}, {"attempts", 0}, {"missing", "quota decision"}});
+    }
+}
+
 std::string GatewayNode::metrics() const
 {
     Metrics::MetricsPage page;
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -63,6 +63,9 @@
     /** Makes isReady() return false from now on, and gives up cells and quota shares. Requests are still answered. */
     void beginDrain();
 
+    /** Writes a log line for each request that has no answer, up to a limit. To be called when the process ends. */
+    void logUnanswered() const;
+
     void addCoordinators(const std::vector<Core::Endpoint> &endpoints);
 
     /** Number of requests that are not answered yet: callers' requests, also those that wait for a quota decision, and parts for other gateways. */
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -279,19 +279,25 @@
     }
 }
 
-void RoutedRequest::complete(Wire::Response response, RequestOutcome outcome)
+RequestSummary RoutedRequest::currentState() const
 {
-    this->done = true;
-    this->checkTimer.cancel();
     RequestSummary summary;
     summary.request = &this->request;
     summary.route = &this->route;
     summary.declarationVersion = this->routes->declaration().version.value();
+    summary.took = this->now() - this->arrivedAt;
+    this->describe(summary);
+    return summary;
+}
+
+void RoutedRequest::complete(Wire::Response response, RequestOutcome outcome)
+{
+    this->done = true;
+    this->checkTimer.cancel();
+    auto summary = this->currentState();
     summary.status = response.status;
     summary.outcome = outcome;
     summary.evidence = outcome == RequestOutcome::FailedByBackend ? RunEvidence::DirectAttempt : this->evidence;
-    summary.took = this->now() - this->arrivedAt;
-    this->describe(summary);
     const auto answer = std::exchange(this->answerHook, nullptr);
     if (answer) {
         answer(std::move(response));
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -126,6 +126,9 @@
     /** Handles that the caller has gone: nothing more is sent, and attempts in flight are cancelled. */
     void callerGone();
 
+    /** Describes the request as it is now. The pointers are valid until it ends. */
+    [[nodiscard]] RequestSummary currentState() const;
+
     /** Whether this is the part with this id. */
     [[nodiscard]] bool isPart(const PartId &part) const;
     /** Handles that the search of this part has ended, as callerGone() does. An answer without content leaves the connection open for other parts. */
--- a/Libraries/LibWire/Server.cpp
+++ b/Libraries/LibWire/Server.cpp
@@ -130,6 +130,23 @@
     return count;
 }
 
+ServerLoad Server::load() const
+{
+    ServerLoad load;
+    for (const auto &[descriptor, connection] : this->connections) {
+        if (connection->stage == ServerConnection::Stage::Answering) {
+            ++load.answering;
+        } else if (connection->written < connection->output.size()) {
+            ++load.writing;
+        } else if (connection->stage == ServerConnection::Stage::Lingering) {
+            ++load.lingering;
+        } else {
+            ++(connection->isIdle() ? load.idle : load.receiving);
+        }
+    }
+    return load;
+}
+
 const ServerCounters &Server::counters() const
 {
     return this->counts;
@@ -230,7 +247,7 @@
 {
     const auto transfer = this->socket.read(this->input, ReadLimitBytes);
     if (this->stage == Stage::Lingering) {
-        this->input.clear();
+        this->discardInput();
         if (transfer != Transfer::Open) {
             this->close();
         }
@@ -249,6 +266,16 @@
     this->takeConfirmation();
 }
 
+// These bytes crossed the end of the connection, or a caller ignores it.
+void ServerConnection::discardInput()
+{
+    if (!this->input.empty() && !std::exchange(this->hasDiscarded, true)) {
+        ++this->server->counts.discarded;
+        Core::logEvent(Core::LogLevel::Information, "request.crossed_close", {{"server", this->server->options.name}, {"bytes", this->input.size()}});
+    }
+    this->input.clear();
+}
+
 void ServerConnection::takeConfirmation()
 {
     if (this->stage != Stage::Answering || !this->input.starts_with(Confirmation)) {
--- a/Libraries/LibWire/Server.h
+++ b/Libraries/LibWire/Server.h
@@ -87,6 +87,26 @@
     std::uint64_t malformed{0};
     /** Requests that exceeded ServerLimits::requestTimeout; `malformed` includes them. */
     std::uint64_t timedOut{0};
+    /** Connections on which bytes arrived after this side had ended them; the bytes were discarded. */
+    std::uint64_t discarded{0};
+};
+
+/** What the connections of a server hold. Each connection counts once. */
+struct ServerLoad {
+    /** Requests without a response. */
+    std::size_t answering{0};
+    /** Responses that are not completely written. */
+    std::size_t writing{0};
+    /** Requests that have arrived in part. */
+    std::size_t receiving{0};
+    std::size_t idle{0};
+    /** Connections that wait for the other side to close. */
+    std::size_t lingering{0};
+
+    [[nodiscard]] std::size_t connections() const
+    {
+        return this->answering + this->writing + this->receiving + this->idle + this->lingering;
+    }
 };
 
 /** Listens from create() until stopListening() or its destruction. */
@@ -111,6 +131,7 @@
     [[nodiscard]] std::size_t connectionCount() const;
     /** Number of requests without a response, plus responses that are not completely written. */
     [[nodiscard]] std::size_t inFlight() const;
+    [[nodiscard]] ServerLoad load() const;
     [[nodiscard]] const ServerCounters &counters() const;
 
     void handleEvents(std::uint32_t events) override;
@@ -167,6 +188,7 @@
     };
 
     void readMore();
+    void discardInput();
     /** Handles the confirmation of the request that is being answered. */
     void takeConfirmation();
     void parse();
@@ -192,6 +214,8 @@
     bool wantsRead{true};
     // Set while parse() runs, to prevent recursion through a handler that responds at once.
     bool parsing{false};
+    // Set once bytes were discarded.
+    bool hasDiscarded{false};
     ExchangePointer exchange;
     Core::Instant lastActivity;
     Core::Instant requestStartedAt;
--- a/Services/gatewayd/main.cpp
+++ b/Services/gatewayd/main.cpp
@@ -66,10 +66,26 @@
         const bool isBusy = this->node.requestsInFlight() > 0 || this->callers.inFlight() > 0;
         const bool isDrained = !isBusy && (this->callers.connectionCount() == 0 || elapsed >= BalancerRemovalTime + Core::seconds(1));
         if (isDrained || elapsed >= this->stopTime - ConnectionCloseReserve) {
+            this->logEnd(elapsed);
             this->daemon.quit();
         }
     }
 
+    void logEnd(Core::Duration elapsed)
+    {
+        const auto load = this->callers.load();
+        Core::logEvent(Core::LogLevel::Information,
+            "stop.ended",
+            {{"after_ms", Core::toMilliseconds(elapsed)},
+                {"requests", this->node.requestsInFlight()},
+                {"answering", load.answering},
+                {"writing", load.writing},
+                {"receiving", load.receiving},
+                {"idle", load.idle},
+                {"lingering", load.lingering},
+                {"crossed_close", this->callers.counters().discarded}});
+    }
+
     Core::Daemon &daemon;
     Gateway::GatewayNode &node;
     Wire::Server &callers;
@@ -189,6 +205,7 @@
     });
     Core::logEvent(Core::LogLevel::Information, "daemon.started", {{"name", settings->instanceName}, {"zone", settings->zone}});
     daemon.run();
+    node.logUnanswered();
     return {};
 }
 
