Tests: Let the soak check that planned stops cut nothing

The soak counted requests without an answer and checked nothing of them; it took a planned stop for a fault like any other, sent one signal, and nobody killed a process that took longer than its grace period.

--- a/Tests/Soak/backends.py
+++ b/Tests/Soak/backends.py
@@ -203,7 +203,7 @@
             return False
         self.running += 1
         try:
-            await asyncio.sleep(self.soak.random.uniform(0.002, 0.012) * self.slow * self.noise)
+            await asyncio.sleep(self.soak.work_seconds(self) * self.slow * self.noise)
         finally:
             self.running -= 1
         chance = self.soak.random.random()
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -37,6 +37,7 @@
 EVACUATE_SECONDS = 3.0
 CONTACT_SECONDS = 4.0
 GRACE_SECONDS = 6.0
+LOSS_SLACK_SECONDS = 0.2
 QUOTA_WINDOW_SECONDS = 5.0
 QUOTA_OVERSHOOT = 0.1
 QUOTA_SLACK = 20
@@ -78,6 +79,8 @@
         self.first = True
         # End of the latest fault of this process. Guarantees with a time limit are checked only if it ended CONTACT_SECONDS earlier.
         self.disturbed_until = 0.0
+        # Begin and end of each fault that was no planned stop.
+        self.unplanned = []
         self.stopped = False
         # Set when the process was replaced by another one, so that it is not started again.
         self.is_removed = False
@@ -89,7 +92,7 @@
                  "listen_addrs.control": f"{self.address}:{base + 2}", "data_dir": os.path.join(self.folder, "data"),
                  "seed_nodes": ",".join(f"{address}:{base + 2}" for address in self.soak.seed_addresses),
                  "bootstrap": "true" if self.first else "false", "fault_tolerance.machines": "1", "heartbeat_ms": "400",
-                 "bounds.catch_up_s": "4", "bounds.grace_s": str(int(GRACE_SECONDS)), "bounds.retry_budget_ratio": "0.2", "bounds.retry_window_s": "10", "bounds.retry_slack": str(RETRY_SLACK),
+                 "bounds.catch_up_s": "4", "bounds.grace_s": f"{self.soak.grace_seconds:g}", "bounds.retry_budget_ratio": "0.2", "bounds.retry_window_s": "10", "bounds.retry_slack": str(RETRY_SLACK),
                  "bounds.quota_window_s": str(int(QUOTA_WINDOW_SECONDS)), "bounds.quota_overshoot": str(QUOTA_OVERSHOOT), "bounds.quota_slack": str(QUOTA_SLACK)}
         lines.update({f"zones.{zone}": zone.replace("zone", "region") for zone in ZONES})
         path = os.path.join(self.folder, "settings.conf")
@@ -114,15 +117,40 @@
         log_is_unchanged = os.path.getsize(os.path.join(self.folder, "log.txt")) == self.log_size_at_start
         if code not in (0, -signal.SIGKILL) and not (code == -signal.SIGTERM and log_is_unchanged):
             self.soak.fail("crash", f"{self.name} ended with {code}")
-        self.record_fault(0.5)
+        self.record_fault(0.5, planned=True)
         if self.is_removed:
             return
         await asyncio.sleep(self.soak.random.uniform(0.05, 0.6))
         if not self.soak.ending:
             await self.start()
 
-    def record_fault(self, seconds):
-        self.disturbed_until = max(self.disturbed_until, time.monotonic() + seconds)
+    def record_fault(self, seconds, planned=False):
+        now = time.monotonic()
+        self.disturbed_until = max(self.disturbed_until, now + seconds)
+        if not planned:
+            self.unplanned.append((now, now + seconds))
+
+    def had_unplanned_fault(self, since, until):
+        return any(began <= until and ended >= since for began, ended in self.unplanned)
+
+    async def stop_as_planned(self, more_signals=()):
+        """Stops the process as the platform does: SIGTERM, and SIGKILL once the grace period is over. `more_signals`: further signals, with the delay before each."""
+        process, grace = self.process, self.soak.grace_seconds
+        self.record_fault(grace, planned=True)
+        self.send(signal.SIGTERM)
+        began = time.monotonic()
+        self.soak.counts["stops"] += 1
+        for delay, number in more_signals:
+            await asyncio.sleep(delay)
+            if process.returncode is None and self.process is process:
+                self.send(number)
+                self.soak.counts["further_signals"] += 1
+        try:
+            await asyncio.wait_for(asyncio.shield(process.wait()), max(0.0, began + grace - time.monotonic()))
+        except asyncio.TimeoutError:
+            if not self.soak.ending and not self.had_unplanned_fault(began, time.monotonic()):
+                self.soak.fail("stop-too-long", f"{self.name} still runs {grace:g} s after SIGTERM")
+            process.kill()
 
     def send(self, number):
         if self.process.returncode is None:
@@ -143,6 +171,10 @@
         self.duplicate_random = random.Random(f"stutter {seed}")
         # Callers' keys use a separate generator for the same reason.
         self.key_random = random.Random(f"keys {seed}")
+        self.stop_random = random.Random(f"stops {seed}")
+        self.grace_seconds = GRACE_SECONDS
+        # Requests whose connection ended without an answer: the gateway, the request's id, when its last byte was sent, and when the connection ended.
+        self.unanswered = []
         self.load = Load(self)
         # The key that each request was sent with, by request id.
         self.key_of = {}
@@ -170,7 +202,7 @@
         # Acknowledged versions as (version, time of the acknowledgement), in order, and the document of each version that was sent.
         self.acknowledged = []
         self.sent = {}
-        self.counts = {"answered": 0, "partial": 0, "not_run": 0, "failed": 0, "no_answer": 0, "unrouted": 0, "over_quota": 0, "no_key": 0, "returned": 0, "returned_served": 0, "takeovers_confirmed": 0, "takeovers_waited": 0}
+        self.counts = {"answered": 0, "partial": 0, "not_run": 0, "failed": 0, "no_answer": 0, "unrouted": 0, "over_quota": 0, "no_key": 0, "returned": 0, "returned_served": 0, "takeovers_confirmed": 0, "takeovers_waited": 0, "stops": 0, "further_signals": 0, "cut": 0}
         self.non_idempotent = set()
         # Ids of backend servers that crashed while they ran a crashing request (crashing.py). Runs there do not count as attempts.
         self.crashed_under_requests = set()
@@ -220,6 +252,9 @@
     def uses_proxy(self):
         return self.random.random() < 0.5
 
+    def work_seconds(self, _backend):
+        return self.random.uniform(0.002, 0.012)
+
     def crashing_request(self, _target):
         """Returns the crashing request with a target (crashing.py), or None."""
 
@@ -415,13 +450,19 @@
         self.budget.record_request(time.monotonic(), request.request_id, request.kind, request.caller_timeout / 1000)
         if request.kind == "action":
             self.non_idempotent.add(request.request_id)
+        sent_at = time.monotonic()
         try:
             writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + request.body)
             if not request.is_return and self.random.random() < 0.03:
                 return False
+            sent_at = time.monotonic()
             first, headers, content = await asyncio.wait_for(read_message(reader), request.caller_timeout / 1000 + 1.0)
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+        except asyncio.TimeoutError:
+            self.counts["no_answer"] += 1
+            return False
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
             self.counts["no_answer"] += 1
+            self.unanswered.append((gateway, request.request_id, sent_at, time.monotonic()))
             return False
         request.status = int(first.split(" ")[1])
         self.check_answer(gateway, request.kind, request.request_id, request.status, headers, content)
@@ -499,9 +540,13 @@
         process.send(signal.SIGCONT)
 
     async def roll(self):
-        process = self.random.choice(self.gateways + self.coordinators)
-        process.record_fault(GRACE_SECONDS)
-        process.send(signal.SIGTERM)
+        await self.random.choice(self.gateways + self.coordinators).stop_as_planned(self.draw_signals())
+
+    def draw_signals(self):
+        """Signals that follow a SIGTERM, with the delay before each; none after half of them."""
+        if self.stop_random.random() < 0.5:
+            return []
+        return [(self.stop_random.uniform(0.0, 2.0), self.stop_random.choice([signal.SIGTERM, signal.SIGINT, signal.SIGHUP])) for _ in range(self.stop_random.randint(1, 3))]
 
     async def wipe_coordinator(self):
         """Kills a coordinator and deletes its data folder. Does nothing after a recent fault, since only one folder may be lost at a time."""
@@ -580,6 +625,14 @@
             self.fail(promise, detail)
         self.counts["window_use_percent"] = round(100 * max(self.budget.window_use().values(), default=0))
 
+    def check_cuts(self):
+        """A planned stop cuts nothing: a request that was passed on, or that waited for longer than LOSS_SLACK_SECONDS, is answered unless its gateway was killed or paused."""
+        for gateway, request_id, sent_at, ended_at in self.unanswered:
+            ran = request_id in self.journal.runs
+            if (ran or ended_at - sent_at > LOSS_SLACK_SECONDS) and not gateway.had_unplanned_fault(sent_at - CONTACT_SECONDS, ended_at):
+                self.counts["cut"] += 1
+                self.fail("cut-by-a-planned-stop", f"{request_id} at {gateway.name}, {ended_at - sent_at:.2f} s after it was sent, {'run' if ran else 'not run'}")
+
     def check_workspaces(self):
         for request_id, name in self.journal.workspaces:
             if request_id in self.key_of and name != KEYS.get(self.key_of[request_id]):
@@ -667,6 +720,7 @@
         for task in tasks:
             task.cancel()
         self.check_runs()
+        self.check_cuts()
         self.check_workspaces()
         self.check_takeovers()
         self.check_places()
@@ -700,6 +754,9 @@
     if options.replacements:
         from replacements import ReplacementSoak
         return ReplacementSoak(options, seed)
+    if options.stops:
+        from stops import StopSoak
+        return StopSoak(options, seed)
     return Soak(options, seed)
 
 
@@ -715,6 +772,8 @@
     parser.add_argument("--crashing", action="store_true", help="send requests that crash every backend server that runs them")
     parser.add_argument("--acknowledgements", action="store_true", help="kill whoever gave an acknowledgement, right after it")
     parser.add_argument("--replacements", action="store_true", help="replace coordinators in turn, and let disks refuse writes")
+    parser.add_argument("--stops", action="store_true", help="stop processes as planned, in series, under long requests on open connections")
+    parser.add_argument("--grace", type=float, default=GRACE_SECONDS, help="with --stops: time from SIGTERM to SIGKILL in seconds")
     parser.add_argument("--callers", type=int, default=8, help="number of concurrent callers")
     options = parser.parse_args()
     options.binaries = os.path.abspath(options.binaries)
