LibCore: Let no further signal shorten a planned stop

Callers got no answer to all that was in flight when a second SIGTERM, or a SIGINT, followed the first one: Daemon::requestStop() took it for an order to end at once. A SIGHUP before the settings were watched, or at programs that watch none, ended the process as well.

A stop is requested once; further signals are logged and change nothing. SIGHUP is ignored until something handles it, and the signals are ignored while the process ends.

--- a/Libraries/LibCore/Daemon.cpp
+++ b/Libraries/LibCore/Daemon.cpp
@@ -19,6 +19,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     this->terminateSource = g_unix_signal_add(SIGTERM, terminateSignal, this);
     this->interruptSource = g_unix_signal_add(SIGINT, interruptSignal, this);
+    // SIGHUP ends a process that does not handle it. Parts that handle it add sources of their own.
+    this->hangupSource = g_unix_signal_add(SIGHUP, hangupSignal, this);
     this->dumpSource = g_unix_signal_add(SIGUSR1, dumpSignal, this);
 }
 
@@ -26,7 +28,12 @@
 {
     g_source_remove(this->terminateSource);
     g_source_remove(this->interruptSource);
+    g_source_remove(this->hangupSource);
     g_source_remove(this->dumpSource);
+    // Removing the sources restores the default action, which would end the process by a signal instead of with its exit code.
+    for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+        std::signal(number, SIG_IGN);
+    }
     g_main_loop_unref(this->loop);
 }
 
@@ -71,6 +78,12 @@
     return G_SOURCE_CONTINUE;
 }
 
+gboolean Daemon::hangupSignal(gpointer data)
+{
+    logEvent(LogLevel::Information, "daemon.signal", {{"daemon", static_cast<Daemon *>(data)->name}, {"signal", "SIGHUP"}});
+    return G_SOURCE_CONTINUE;
+}
+
 void Daemon::handleStopSignal(const char *signalName)
 {
     logEvent(LogLevel::Information, "daemon.signal", {{"daemon", this->name}, {"signal", signalName}});
@@ -87,12 +100,11 @@
     logEvent(LogLevel::Information,
         "daemon.stop_requested",
         {{"daemon", this->name}, {"requests", this->stopRequests}, {"first_ms_ago", toMilliseconds(now - this->stopRequestedAt.value())}});
-    if (this->stopping || !this->stopHook) {
+    if (!this->stopHook) {
         this->quit();
-        return;
+    } else if (this->stopRequests == 1) {
+        this->stopHook();
     }
-    this->stopping = true;
-    this->stopHook();
 }
 
 gboolean Daemon::dumpSignal(gpointer data)
@@ -122,6 +134,8 @@
 int runProgram(
     Settings &settings, int argumentCount, char **arguments, const LogLevel &logLevel, const std::function<Result<void>()> &program, LogStream stream)
 {
+    // A SIGHUP may arrive before anything handles it; the settings are read after this.
+    std::signal(SIGHUP, SIG_IGN);
     const auto rest = settings.parse(argumentCount, arguments);
     if (!rest.has_value()) {
         std::fprintf(stderr, "%s\n", rest.error().message.c_str());
--- a/Libraries/LibCore/Daemon.h
+++ b/Libraries/LibCore/Daemon.h
@@ -42,7 +42,7 @@
 
     [[nodiscard]] TimerService &timers();
 
-    /** Sets the hook that the first SIGTERM or SIGINT calls. A second signal quits the loop at once; without a hook the first one does. */
+    /** Sets the hook that the first SIGTERM or SIGINT calls. Further signals do not shorten the stop. Without a hook the loop quits at once. */
     void onStop(std::function<void()> hook);
 
     /** Sets the hook that SIGUSR1 calls, to write the state to standard output. */
@@ -58,6 +58,7 @@
 private:
     static gboolean terminateSignal(gpointer data);
     static gboolean interruptSignal(gpointer data);
+    static gboolean hangupSignal(gpointer data);
     static gboolean dumpSignal(gpointer data);
     void handleStopSignal(const char *signalName);
 
@@ -67,12 +68,12 @@
     LoopTimer loopTimer;
     std::function<void()> stopHook;
     std::function<void()> dumpHook;
-    bool stopping{false};
     // When the stop was requested for the first time, and how often so far.
     std::optional<Instant> stopRequestedAt;
     int stopRequests{0};
     guint terminateSource{0};
     guint interruptSource{0};
+    guint hangupSource{0};
     guint dumpSource{0};
 };
 
