LibCore: Give every request of a stopping gateway a final answer

Callers got no answer, or a closed connection, for requests that a gateway had taken during a planned stop. Cause: nobody owned the end of the process. GracefulShutdown looked at the time and at what was in flight, but requests did not know when the process would end: they were taken to the last moment with timeouts of their own, and the process ended 0.5 s before the kill with all of them. A request that was half uploaded counted as nothing, so the process could end under it at its first quiet moment; and with a grace period below 3.2 s it was killed before it looked.

GracefulStop owns the end. It derives the moments of a stop from the grace period, and the process ends only when it says so. Every request ends by answersDue: those under way have their timeout cut to it, so they end with a true answer (what has arrived, else 504 if it may have run, else 503). A request that is not expected to be finished by then is refused at once as not run; what is expected is the route's measured latency, not its timeout, so few are turned away. Requests that have arrived in part are rejected and delay the end; connections in the listening queue are accepted before the listener is closed; a connection is closed as idle only after half a second without a request.

--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -36,6 +36,8 @@
     std::uint64_t overQuota{0};
     /** Requests, and parts of searches, that were refused because they crash backend servers. */
     std::uint64_t quarantined{0};
+    /** Requests, and parts of searches, that were refused since this gateway is being stopped. */
+    std::uint64_t refusedInStop{0};
     /** Requests that were refused or failed, by outcome and why they may have run. */
     std::map<std::pair<RequestOutcome, RunEvidence>, std::uint64_t> endings;
     std::uint64_t hedges{0};
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -10,6 +10,7 @@
 #include <LibCore/Settings.h>
 #include <LibFleet/CrashMetrics.h>
 #include <LibGateway/RequestTrace.h>
+#include <LibGateway/Scheduling/StopAdmission.h>
 #include <LibGateway/SingleRequest.h>
 
 #include <algorithm>
@@ -95,7 +96,7 @@
     };
     this->watcher.wantsContacts = [this] {
         this->updateQuotas();
-        return !this->draining && this->quotas.isTakeoverPending();
+        return !this->isStopping() && this->quotas.isTakeoverPending();
     };
     this->watcher.declarationReceived = [this](Fleet::DeclarationVersion version, const std::string &content) {
         this->applyDeclaration(version, content);
@@ -151,7 +152,7 @@
     if (this->watcher.reachableCount() > 0) {
         this->lastReachableAt = now;
     }
-    const bool mayOwn = !this->draining && now - this->lastReachableAt < CoordinatorlessOwnershipTime;
+    const bool mayOwn = !this->isStopping() && now - this->lastReachableAt < CoordinatorlessOwnershipTime;
     this->ownership.updateGateways(this->gateways, this->timers.now());
     this->updateQuotas();
     this->quotas.sweep();
@@ -238,7 +239,7 @@
 {
     // A gateway that has the coordinators' current state may serve other gateways, even while missing backend servers keep it from being ready for callers.
     const bool isCurrent = this->routes && this->watcher.isConfirmed() && this->watcher.lastLeaderSync().has_value();
-    if (!isCurrent && !this->isReady() && !this->draining) {
+    if (!isCurrent && !this->isReady() && !this->isStopping()) {
         return std::nullopt;
     }
     Protocol::BackendAnnouncement ownAnnouncement;
@@ -246,7 +247,7 @@
     ownAnnouncement.address = this->options.relayEndpoint.toString();
     ownAnnouncement.zone = this->options.pool.zone.value();
     ownAnnouncement.slots = this->options.relayConnections;
-    ownAnnouncement.phase = this->draining ? Protocol::BackendPhase::DRAINING : Protocol::BackendPhase::READY;
+    ownAnnouncement.phase = this->isStopping() ? Protocol::BackendPhase::DRAINING : Protocol::BackendPhase::READY;
     ownAnnouncement.sequence = ++this->announcementSequence;
     return ownAnnouncement;
 }
@@ -318,7 +319,7 @@
 
 bool GatewayNode::isReady() const
 {
-    if (this->draining || !this->routes || !this->watcher.isConfirmed()) {
+    if (this->isStopping() || !this->routes || !this->watcher.isConfirmed()) {
         return false;
     }
     // NOTE: After the readiness timeout, missing backend servers do not make this gateway unready: other gateways have lost the same backend servers, so
@@ -327,11 +328,6 @@
     return hasTimedOut || this->knowsEveryService();
 }
 
-void GatewayNode::beginDrain()
-{
-    this->draining = true;
-}
-
 std::size_t GatewayNode::requestsInFlight() const
 {
     return this->requests.size() + this->admissions.size();
@@ -396,6 +392,9 @@
         this->refuse(Refusal::Unauthorized, request, answerTo(exchange), request.key.has_value() ? "key-unknown" : "no-key");
         return;
     }
+    if (this->refuseIfTooLate(*route, request, request.callerTimeout, answerTo(exchange))) {
+        return;
+    }
     if (workspace != nullptr && workspace->quota.isBounded()) {
         this->admit(*workspace, *route, std::move(request), exchange);
         return;
@@ -403,13 +402,95 @@
     this->startRequest(*route, workspace, std::move(request), exchange);
 }
 
+// ---- Planned stop
+
+template<typename Row>
+static std::vector<std::uint64_t> numbersOf(const std::unordered_map<std::uint64_t, Row> &rows)
+{
+    std::vector<std::uint64_t> numbers;
+    numbers.reserve(rows.size());
+    for (const auto &[number, row] : rows) {
+        numbers.push_back(number);
+    }
+    return numbers;
+}
+
+bool GatewayNode::isStopping() const
+{
+    return this->stop.has_value();
+}
+
+void GatewayNode::beginStop(const Core::StopSchedule &schedule)
+{
+    this->stop = schedule;
+    this->endRequestsBy(schedule.answersDue);
+}
+
+void GatewayNode::endRequests()
+{
+    for (const auto &id : numbersOf(this->admissions)) {
+        const auto admission = this->admissions.extract(id);
+        if (!admission.empty()) {
+            this->quotas.cancel(admission.mapped().decisionNumber);
+            ++this->counts.refusedInStop;
+            this->refuse(Refusal::NotRun, admission.mapped().request, answerTo(admission.mapped().exchange), "stopping");
+        }
+    }
+    this->endRequestsBy(this->timers.now());
+}
+
+// Ending a request may end others.
+void GatewayNode::endRequestsBy(Core::Instant latest)
+{
+    for (const auto &id : numbersOf(this->requests)) {
+        if (const auto found = this->requests.find(id); found != this->requests.end()) {
+            found->second->endBy(latest);
+        }
+    }
+}
+
+bool GatewayNode::refuseIfTooLate(
+    const Fleet::Route &route, const CallerRequest &request, std::optional<Core::Duration> timeLeft, const RoutedRequest::AnswerHook &answer)
+{
+    if (!this->isStopping()) {
+        return false;
+    }
+    const auto expected = expectedDuration({.callerTimeout = timeLeft.value_or(this->options.requests.defaultTimeout),
+        .routeTimeout = route.timeout,
+        .targetLatency = route.targetLatency,
+        .isRepeatable = route.idempotent,
+        .latencies = &this->latencies[route.name]});
+    const auto left = this->stop->answersDue - this->timers.now();
+    if (expected <= left) {
+        return false;
+    }
+    ++this->counts.refusedInStop;
+    if (const auto omitted = this->stopLines.take(this->timers.now()); omitted.has_value()) {
+        Core::logEvent(Core::LogLevel::Information,
+            "stop.refused",
+            {{"request", request.id.value()},
+                {"route", route.name},
+                {"expected_ms", Core::toMilliseconds(expected)},
+                {"left_ms", Core::toMilliseconds(left)},
+                {"since_stop_ms", Core::toMilliseconds(this->timers.now() - this->stop->requestedAt)},
+                {"omitted", omitted.value()}});
+    }
+    this->refuse(Refusal::NotRun, request, answer, "stopping");
+    return true;
+}
+
+Wire::Response GatewayNode::stoppingResponse() const
+{
+    return this->options.dialect.writeRefusal(Refusal::NotRun, Core::RequestId(), this->options.requests.retryAfter);
+}
+
 // ---- Quotas
 
 void GatewayNode::updateQuotas()
 {
     this->quotas.updateGateways(this->gateways);
     const auto lastSync = this->watcher.lastLeaderSync();
-    this->quotas.setMayHoldShares(!this->draining && lastSync.has_value() && this->timers.now() - lastSync.value() < LeaderlessHoldTime);
+    this->quotas.setMayHoldShares(!this->isStopping() && lastSync.has_value() && this->timers.now() - lastSync.value() < LeaderlessHoldTime);
     if (const auto &statement = this->watcher.contactStatement(); statement.has_value()) {
         this->quotas.setContactStatement(statement.value());
     }
@@ -461,6 +542,9 @@
         this->refuse(route == nullptr ? Refusal::NoRoute : Refusal::Unauthorized, request, answerTo(exchange), "declaration-changed");
         return;
     }
+    if (this->refuseIfTooLate(*route, request, request.callerTimeout, answerTo(exchange))) {
+        return;
+    }
     this->startRequest(*route, workspace, std::move(request), exchange);
 }
 
@@ -585,7 +669,7 @@
         this->refuse(Refusal::NotRun, request, answer, "part-refused");
         return;
     }
-    if (this->declineIfBusy(request, parameters.value(), answer)) {
+    if (this->refuseIfTooLate(*route, request, parameters->timeLeftToDeadline, answer) || this->declineIfBusy(request, parameters.value(), answer)) {
         return;
     }
     if (!parameters->evidence.empty()) {
@@ -665,6 +749,7 @@
         .workspace = workspace,
         .isCautious = this->pool.hasServersEnding(),
         .relayParameters = std::move(relayParameters),
+        .endsBy = this->isStopping() ? std::optional(this->stop->answersDue) : std::nullopt,
         .cancelsParts = this->options.relay.cancelsParts,
         .lostParts = &this->lostParts,
         .ownerLoad = &this->ownerLoad};
@@ -869,6 +954,9 @@
     Fleet::addCrashMetrics(page, this->crashes, this->timers.now());
     page.gauge("crankrudder_evacuated_zones", "Availability zones that are evacuated.", static_cast<double>(this->watcher.evacuations().zones.size()));
     page.gauge("crankrudder_requests_under_way", "Requests that wait for their answer.", static_cast<double>(this->requests.size()));
+    page.counter("crankrudder_requests_refused_in_stop_total",
+        "Requests and parts that were refused since this gateway ends before they would.",
+        this->counts.refusedInStop);
     page.gauge("crankrudder_ready", "Whether callers should come here.", this->isReady() ? 1 : 0);
     page.gauge("crankrudder_coordinators_in_reach", "Coordinators that answer.", static_cast<double>(this->watcher.reachableCount()));
     page.gauge("crankrudder_gateways", "Gateways that are known to be ready.", this->pool.gatewayCount());
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -9,6 +9,7 @@
 
 #pragma once
 
+#include <LibCore/GracefulStop.h>
 #include <LibFleet/FleetWatcher.h>
 #include <LibGateway/CellOwnership.h>
 #include <LibGateway/FanOutRequest.h>
@@ -60,8 +61,17 @@
     /** Whether the load balancer should send callers to this gateway. */
     [[nodiscard]] bool isReady() const;
 
-    /** Makes isReady() return false from now on, and gives up cells and quota shares. Requests are still answered. */
-    void beginDrain();
+    /**
+     * Begins a planned stop: isReady() returns false from now on, and cells and quota shares are given up. Every request ends by schedule.answersDue, and
+     * requests that are not expected to be finished by then are refused.
+     */
+    void beginStop(const Core::StopSchedule &schedule);
+
+    /** Ends every request with its final answer. */
+    void endRequests();
+
+    /** The response to requests that a stopping gateway rejects before they have arrived completely. */
+    [[nodiscard]] Wire::Response stoppingResponse() const;
 
     /** Writes a log line for each request that has no answer, up to a limit. To be called when the process ends. */
     void logUnanswered() const;
@@ -91,6 +101,12 @@
         QuotaTerms terms;
     };
 
+    [[nodiscard]] bool isStopping() const;
+    /** Refuses a request that is not expected to end before this gateway does. Returns whether it was refused. */
+    [[nodiscard]] bool refuseIfTooLate(
+        const Fleet::Route &route, const CallerRequest &request, std::optional<Core::Duration> timeLeft, const RoutedRequest::AnswerHook &answer);
+
+    void endRequestsBy(Core::Instant latest);
     void applyDeclaration(Fleet::DeclarationVersion version, const std::string &content);
     void applyEvacuations(const Protocol::Evacuations &evacuations);
     /** Returns the workspace that the request's API key belongs to and stores its name in the request; nullptr without a known key. */
@@ -173,7 +189,8 @@
     // BackendRegistry::presentCount() of the gateways at this position of their registry.
     int presentGateways{0};
     std::int64_t presentPosition{-1};
-    bool draining{false};
+    // Set once a planned stop has begun.
+    std::optional<Core::StopSchedule> stop;
     GatewayCounters counts;
     Metrics::LatencyHistogram searchLatencies;
     Metrics::LatencyHistogram singleLatencies;
@@ -186,6 +203,8 @@
     Core::TimerSubscription loadTimer;
     static constexpr int DeclineLinesPerSecond = 2;
     LogLimit declineLines{DeclineLinesPerSecond};
+    static constexpr int StopLinesPerSecond = 20;
+    LogLimit stopLines{StopLinesPerSecond};
 };
 
 }
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -112,6 +112,9 @@
     if (context.workspace != nullptr) {
         this->parameters.allowedRegions = this->parameters.allowedRegions.intersectedWith(context.workspace->allowedRegions);
     }
+    if (context.endsBy.has_value()) {
+        this->parameters.expiresAt = std::min(this->parameters.expiresAt, context.endsBy.value());
+    }
     if (context.relayParameters.has_value()) {
         this->parameters.targetAt = this->arrivedAt + context.relayParameters->timeLeftToTarget;
         this->parameters.expiresAt = std::min(this->parameters.expiresAt, this->arrivedAt + context.relayParameters->timeLeftToDeadline);
@@ -208,6 +211,15 @@
     }
 }
 
+void RoutedRequest::endBy(Core::Instant latest)
+{
+    if (this->done || latest >= this->parameters.expiresAt) {
+        return;
+    }
+    this->parameters.expiresAt = latest;
+    this->runScheduledCheck();
+}
+
 void RoutedRequest::callerGone()
 {
     if (this->done) {
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -96,6 +96,8 @@
     std::optional<RelayParameters> relayParameters;
     /** Returns whether the connection on which the answer is awaited is still open. Set with `relayParameters`. */
     std::function<bool()> isAwaited;
+    /** Set while this gateway stops: the request ends then at the latest. */
+    std::optional<Core::Instant> endsBy;
     /** See RelayOptions::cancelsParts. */
     bool cancelsParts{false};
     /** Records the parts of searches that are lost; may be nullptr. */
@@ -123,6 +125,9 @@
     /** Applies a newer declaration: later sends are also restricted to the regions that it allows for the route and the workspace. */
     void restrictTo(const Fleet::RouteTable &newer);
 
+    /** Lets the request end at `latest` with whatever it has by then, as if its timeout were over. Has no effect if it ends earlier anyway. */
+    void endBy(Core::Instant latest);
+
     /** Handles that the caller has gone: nothing more is sent, and attempts in flight are cancelled. */
     void callerGone();
 
--- a/Libraries/LibWire/Server.cpp
+++ b/Libraries/LibWire/Server.cpp
@@ -8,7 +8,6 @@
 #include <LibCore/Log.h>
 
 #include <sys/epoll.h>
-#include <vector>
 
 namespace Wire
 {
@@ -75,7 +74,7 @@
 
 Server::~Server()
 {
-    this->stopListening();
+    this->closeListener();
     const auto remaining = std::exchange(this->connections, {});
     for (const auto &[descriptor, connection] : remaining) {
         connection->close();
@@ -92,20 +91,48 @@
     this->draining = true;
 }
 
-void Server::closeIdleConnections()
+std::vector<std::shared_ptr<ServerConnection>> Server::allConnections() const
 {
-    std::vector<std::shared_ptr<ServerConnection>> idle;
+    std::vector<std::shared_ptr<ServerConnection>> all;
+    all.reserve(this->connections.size());
     for (const auto &[descriptor, connection] : this->connections) {
-        if (connection->isIdle()) {
-            idle.push_back(connection);
-        }
+        all.push_back(connection);
     }
-    for (const auto &connection : idle) {
-        connection->linger();
+    return all;
+}
+
+void Server::closeIdleConnections(Core::Duration idleTime)
+{
+    for (const auto &connection : this->allConnections()) {
+        connection->closeIfIdle(idleTime);
+    }
+}
+
+void Server::rejectPartialRequests(const Response &response)
+{
+    for (const auto &connection : this->allConnections()) {
+        connection->rejectPartial(response);
+    }
+}
+
+void Server::answerOpenRequests(const Response &response)
+{
+    for (const auto &connection : this->allConnections()) {
+        connection->answerOpen(response);
     }
 }
 
 void Server::stopListening()
+{
+    if (!this->listening) {
+        return;
+    }
+    // The system resets the connections that are still in the listening queue when the listener is closed.
+    this->accept();
+    this->closeListener();
+}
+
+void Server::closeListener()
 {
     if (!this->listening) {
         return;
@@ -120,16 +147,6 @@
     return this->connections.size();
 }
 
-std::size_t Server::inFlight() const
-{
-    std::size_t count = 0;
-    for (const auto &[descriptor, connection] : this->connections) {
-        const bool answering = connection->stage == ServerConnection::Stage::Answering;
-        count += answering || connection->written < connection->output.size() ? 1 : 0;
-    }
-    return count;
-}
-
 ServerLoad Server::load() const
 {
     ServerLoad load;
@@ -187,12 +204,7 @@
 void Server::sweep()
 {
     const auto now = this->timers.now();
-    std::vector<std::shared_ptr<ServerConnection>> all;
-    all.reserve(this->connections.size());
-    for (const auto &[descriptor, connection] : this->connections) {
-        all.push_back(connection);
-    }
-    for (const auto &connection : all) {
+    for (const auto &connection : this->allConnections()) {
         connection->closeIfTimedOut(now);
     }
     if (this->listening && std::exchange(this->mayHaveQueuedConnections, false)) {
@@ -458,6 +470,36 @@
     }
 }
 
+void ServerConnection::closeIfIdle(Core::Duration idleTime)
+{
+    if (!this->isIdle() || this->server->timers.now() - this->lastActivity < idleTime) {
+        return;
+    }
+    // A request may have arrived since the loop last ran.
+    this->readMore();
+    if (this->isIdle()) {
+        this->linger();
+    }
+}
+
+void ServerConnection::rejectPartial(const Response &response)
+{
+    if (this->stage != Stage::Reading || !this->parser.hasBegun()) {
+        return;
+    }
+    this->stage = Stage::Answering;
+    this->closeAfterResponse = true;
+    this->respond(response);
+}
+
+void ServerConnection::answerOpen(const Response &response)
+{
+    // NOTE: respond() releases this connection's reference to the exchange.
+    if (const auto open = this->exchange) {
+        open->respond(response);
+    }
+}
+
 void ServerConnection::closeIfTimedOut(Core::Instant now)
 {
     const auto &limits = this->server->options.limits;
--- a/Libraries/LibWire/Server.h
+++ b/Libraries/LibWire/Server.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 namespace Wire
 {
@@ -103,9 +104,15 @@
     /** Connections that wait for the other side to close. */
     std::size_t lingering{0};
 
+    /** Requests that have arrived, also in part, and whose response is not completely written. */
+    [[nodiscard]] std::size_t requests() const
+    {
+        return this->answering + this->writing + this->receiving;
+    }
+
     [[nodiscard]] std::size_t connections() const
     {
-        return this->answering + this->writing + this->receiving + this->idle + this->lingering;
+        return this->requests() + this->idle + this->lingering;
     }
 };
 
@@ -122,15 +129,19 @@
     /** From now on every response closes its connection, so that callers reconnect to other servers by themselves. */
     void endConnectionsAfterResponse();
 
-    /** Closes the connections that have neither a request in progress nor unwritten output. */
-    void closeIdleConnections();
+    /** Closes the connections that have had neither a request in progress nor unwritten output for `idleTime`. What has arrived on them is read first. */
+    void closeIdleConnections(Core::Duration idleTime);
+
+    /** Responds to every request that has arrived in part, without waiting for the rest, and closes its connection. */
+    void rejectPartialRequests(const Response &response);
+
+    /** Responds to every request that has no response yet. A later response to it has no effect. */
+    void answerOpenRequests(const Response &response);
 
-    /** Stops accepting new connections. */
+    /** Accepts the connections that wait in the listening queue, and stops listening. */
     void stopListening();
 
     [[nodiscard]] std::size_t connectionCount() const;
-    /** Number of requests without a response, plus responses that are not completely written. */
-    [[nodiscard]] std::size_t inFlight() const;
     [[nodiscard]] ServerLoad load() const;
     [[nodiscard]] const ServerCounters &counters() const;
 
@@ -140,9 +151,12 @@
     friend class ServerConnection;
     Server(ServerOptions options, Core::EventPoll &poll, Core::TimerService &timers);
     void accept();
+    void closeListener();
     void startSweeps();
     void sweep();
     void removeConnection(int descriptor);
+    /** Returns the connections. Handling one of them may remove it and others. */
+    [[nodiscard]] std::vector<std::shared_ptr<ServerConnection>> allConnections() const;
 
     ServerOptions options;
     Core::EventPoll &poll;
@@ -189,6 +203,9 @@
 
     void readMore();
     void discardInput();
+    void closeIfIdle(Core::Duration idleTime);
+    void rejectPartial(const Response &response);
+    void answerOpen(const Response &response);
     /** Handles the confirmation of the request that is being answered. */
     void takeConfirmation();
     void parse();
--- a/Services/gatewayd/main.cpp
+++ b/Services/gatewayd/main.cpp
@@ -8,6 +8,7 @@
 
 #include <LibCore/Daemon.h>
 #include <LibCore/EventPoll.h>
+#include <LibCore/GracefulStop.h>
 #include <LibCore/Identity.h>
 #include <LibCore/Log.h>
 #include <LibCore/LoopWait.h>
@@ -27,72 +28,51 @@
 
 // The load balancer checks readiness once a second and removes an instance after two failed checks; one more second covers its own delay.
 constexpr Core::Duration BalancerRemovalTime = Core::milliseconds(3200);
-// Part of the grace period before the kill that is reserved for closing connections.
-constexpr Core::Duration ConnectionCloseReserve = Core::milliseconds(500);
-constexpr Core::Duration DrainPollPeriod = Core::milliseconds(20);
+// A connection that was just opened, or answered, may still bring a request.
+constexpr Core::Duration MinimumIdleTime = Core::milliseconds(500);
 
-/**
- * Stops the process in three steps: reports that the gateway is not ready, answers new requests until the load balancer has removed the gateway, and quits
- * once nothing is in flight and the callers' connections are closed. Idle connections delay the end by at most one second, and the process quits at the
- * latest ConnectionCloseReserve before the grace period ends.
- */
-class GracefulShutdown
-{
-public:
-    GracefulShutdown(Core::Daemon &daemon, Gateway::GatewayNode &node, Wire::Server &callers, Core::Duration stopTime)
-        : daemon(daemon), node(node), callers(callers), stopTime(stopTime)
-    {
-    }
-
-    void begin()
-    {
-        this->node.beginDrain();
-        this->callers.endConnectionsAfterResponse();
-        this->drainStart = this->daemon.timers().now();
-        this->timer = this->daemon.timers().every(DrainPollPeriod, [this](Core::Instant now) {
-            this->checkDrained(now);
-        });
-    }
-
-private:
-    void checkDrained(Core::Instant now)
-    {
-        const auto elapsed = now - this->drainStart;
-        if (elapsed < BalancerRemovalTime) {
-            return;
-        }
-        this->callers.closeIdleConnections();
-        // The node's count includes the parts of searches that it serves for other gateways.
-        const bool isBusy = this->node.requestsInFlight() > 0 || this->callers.inFlight() > 0;
-        const bool isDrained = !isBusy && (this->callers.connectionCount() == 0 || elapsed >= BalancerRemovalTime + Core::seconds(1));
-        if (isDrained || elapsed >= this->stopTime - ConnectionCloseReserve) {
-            this->logEnd(elapsed);
-            this->daemon.quit();
-        }
-    }
+/** The listeners of a gateway whose connections are closed in a planned stop. */
+struct Listeners {
+    Wire::Server &callers;
+    Wire::Server &relay;
+};
 
-    void logEnd(Core::Duration elapsed)
-    {
-        const auto load = this->callers.load();
+Core::StopHooks makeStopHooks(Core::Daemon &daemon, Gateway::GatewayNode &node, const Listeners &listeners)
+{
+    Core::StopHooks hooks;
+    hooks.begun = [&node, listeners](const Core::StopSchedule &schedule) {
+        node.beginStop(schedule);
+        listeners.callers.endConnectionsAfterResponse();
+    };
+    hooks.closeIdleConnections = [listeners] {
+        listeners.callers.closeIdleConnections(MinimumIdleTime);
+    };
+    hooks.stopListening = [listeners] {
+        listeners.callers.stopListening();
+        listeners.relay.endConnectionsAfterResponse();
+    };
+    hooks.answerAll = [&node, listeners] {
+        node.endRequests();
+        listeners.callers.rejectPartialRequests(node.stoppingResponse());
+    };
+    hooks.load = [&node, listeners] {
+        // The node's requests are those of both listeners, so each listener adds only what the node does not know.
+        const auto callers = listeners.callers.load();
+        const auto relay = listeners.relay.load();
+        return Core::StopLoad{.requests = node.requestsInFlight() + callers.writing + callers.receiving + relay.writing, .connections = callers.connections()};
+    };
+    hooks.ended = [&daemon, &node, listeners](const Core::StopLoad &left) {
         Core::logEvent(Core::LogLevel::Information,
             "stop.ended",
-            {{"after_ms", Core::toMilliseconds(elapsed)},
-                {"requests", this->node.requestsInFlight()},
-                {"answering", load.answering},
-                {"writing", load.writing},
-                {"receiving", load.receiving},
-                {"idle", load.idle},
-                {"lingering", load.lingering},
-                {"crossed_close", this->callers.counters().discarded}});
-    }
-
-    Core::Daemon &daemon;
-    Gateway::GatewayNode &node;
-    Wire::Server &callers;
-    Core::Duration stopTime;
-    Core::Instant drainStart;
-    Core::TimerSubscription timer;
-};
+            {{"requests", left.requests},
+                {"connections", left.connections},
+                {"refused", node.counters().refusedInStop},
+                {"crossed_close", listeners.callers.counters().discarded}});
+        node.logUnanswered();
+        daemon.quit();
+    };
+    return hooks;
+}
 
 Gateway::GatewayOptions makeOptions(const Platform::ProcessSettings &settings, Core::Instant now)
 {
@@ -184,8 +164,12 @@
             .requestTimeout = limits.requestTimeout,
             .idleTimeout = limits.idleTimeout});
     };
-    const Platform::SettingsWatch settingsWatch(timers, [&node](const Platform::ProcessSettings &changed) {
+    Core::GracefulStop stop({.grace = settings->stopTime, .notice = BalancerRemovalTime},
+        makeStopHooks(daemon, node, {.callers = *callers.value(), .relay = *relay.value()}),
+        timers);
+    const Platform::SettingsWatch settingsWatch(timers, [&node, &stop](const Platform::ProcessSettings &changed) {
         node.addCoordinators(Platform::watchEndpoints(changed));
+        stop.setGraceTime(changed.stopTime);
     });
     const auto metrics = Platform::serveMetrics(
         settings.value(),
@@ -195,9 +179,8 @@
         },
         *poll.value(),
         timers);
-    GracefulShutdown stop(daemon, node, *callers.value(), settings->stopTime);
     daemon.onStop([&stop] {
-        stop.begin();
+        stop.request();
     });
     daemon.onDump([&node] {
         std::fprintf(stdout, "%s\n", node.dump().c_str());
@@ -205,7 +188,6 @@
     });
     Core::logEvent(Core::LogLevel::Information, "daemon.started", {{"name", settings->instanceName}, {"zone", settings->zone}});
     daemon.run();
-    node.logUnanswered();
     return {};
 }
 
--- a/Tests/LibGateway/TestQuotas.cpp
+++ b/Tests/LibGateway/TestQuotas.cpp
@@ -102,7 +102,7 @@
     QuotaFixture fixture({"here"});
     cr_assert(fixture.awaitReady());
     // A draining gateway gives up its shares, since another one may hold them.
-    fixture.nodes.front()->node.beginDrain();
+    fixture.nodes.front()->node.beginStop(Core::StopSchedule::of({}, fixture.timers.now()));
     const auto answer = fixture.askAs(*fixture.nodes.front(), "small-secret");
     cr_assert_eq(answer.status, NotRun, "without a keeper the quota is not known to be exhausted");
     cr_assert_not_null(Wire::findHeader(answer.headers, "Retry-After"));
--- a/Tests/LibWire/TestServer.cpp
+++ b/Tests/LibWire/TestServer.cpp
@@ -104,7 +104,7 @@
     }));
     cr_assert_not(served.exchanges[0]->isOpen());
     served.exchanges[0]->respond(respondWith("nobody"));
-    cr_assert(served.server->inFlight() == 0);
+    cr_assert(served.server->load().requests() == 0);
 }
 
 Test(Server, rejectsRequestsThatExceedItsLimits)
@@ -208,7 +208,7 @@
     served.send("\r\n");
     served.fixture.settle();
     cr_assert_eq(confirmations, 1);
-    served.server->closeIdleConnections();
+    served.server->closeIdleConnections(Core::Duration(0));
     cr_assert(served.fixture.runUntil([&served] {
         std::string more;
         return served.caller.read(more, 100) == Wire::Transfer::Ended;
@@ -225,3 +225,58 @@
     cr_assert(served.hasRequests(2));
     cr_assert_str_eq(served.requests[1].target.c_str(), "/a");
 }
+
+// Guards against a connection that is closed before it could bring its first request, or while a request waits to be read.
+Test(Server, closesOnlyConnectionsThatHaveBeenIdleForAWhile)
+{
+    ServerFixture served;
+    served.server->closeIdleConnections(Core::seconds(60));
+    cr_assert_eq(served.server->load().idle, 1U);
+    served.send("GET /late HTTP/1.1\r\n\r\n");
+    served.server->closeIdleConnections(Core::Duration(0));
+    cr_assert_eq(served.requests.size(), 1U, "the request had arrived");
+    served.exchanges[0]->respond(respondWith("served"));
+    cr_assert(served.callerReads("served"));
+}
+
+// Guards against a half uploaded request that gets no answer when the server ends.
+Test(Server, rejectsRequestsThatHaveArrivedInPart)
+{
+    ServerFixture served;
+    served.send("POST /half HTTP/1.1\r\nContent-Length: 10\r\n\r\n12345");
+    cr_assert(served.fixture.runUntil([&served] {
+        return served.server->load().receiving == 1;
+    }));
+    served.server->rejectPartialRequests({.status = 503, .headers = {}, .body = {}});
+    cr_assert(served.callerReads("503"));
+    cr_assert(served.received.find("Connection: close") != std::string::npos);
+    cr_assert(served.requests.empty());
+}
+
+// Guards against requests whose handler never responds: they get a final response, and a later one has no effect.
+Test(Server, answersOpenRequestsForTheirHandler)
+{
+    ServerFixture served;
+    served.send("GET /slow HTTP/1.1\r\n\r\n");
+    cr_assert(served.hasRequests(1));
+    served.server->answerOpenRequests({.status = 503, .headers = {}, .body = "stopping"});
+    served.exchanges[0]->respond(respondWith("too late"));
+    cr_assert(served.callerReads("stopping"));
+    served.fixture.settle();
+    cr_assert(served.received.find("too late") == std::string::npos);
+}
+
+// Guards against connections in the listening queue that are reset when the server stops to listen.
+Test(Server, acceptsWaitingConnectionsBeforeItStopsListening)
+{
+    ServerFixture served;
+    auto waiting = Wire::Socket::connectTo(served.endpoint, Core::seconds(5)).value();
+    std::size_t offset = 0;
+    const std::string_view request = "GET /waiting HTTP/1.1\r\n\r\n";
+    while (offset < request.size()) {
+        (void)waiting.write(request, offset);
+    }
+    served.server->stopListening();
+    cr_assert(served.hasRequests(1));
+    cr_assert_str_eq(served.requests[0].target.c_str(), "/waiting");
+}
