LibCoordinator: Answer every caller of a stopping coordinator

It takes GracefulStop now: callers' requests delay the end, those that are left when answers are due get a 503 that says that the outcome is unknown, departures of other coordinators are stored first, and held watch requests are replied to.

--- a/Libraries/LibCoordinator/CoordinatorNode.cpp
+++ b/Libraries/LibCoordinator/CoordinatorNode.cpp
@@ -325,6 +325,11 @@
     this->storeBackendsSoon(done);
 }
 
+std::size_t CoordinatorNode::waitingDepartureStores() const
+{
+    return this->storeHooks.size();
+}
+
 // ---- Files
 
 // Reads what was stored on disk: backend servers and crash records. Does nothing if they were read before. Fails while the data folder can't be used.
@@ -713,6 +718,11 @@
     });
 }
 
+void CoordinatorNode::answerWatchers()
+{
+    this->watchService->answerAll();
+}
+
 void CoordinatorNode::finishDrain()
 {
     if (this->log->waitingProposals() > 0 || this->departures.waitingCount() > 0) {
--- a/Libraries/LibCoordinator/CoordinatorNode.h
+++ b/Libraries/LibCoordinator/CoordinatorNode.h
@@ -129,6 +129,12 @@
      */
     void drain(std::function<void()> stopped);
 
+    /** Replies to all watch requests that are held, so that their senders do not wait for a coordinator that is about to end. */
+    void answerWatchers();
+
+    /** Number of batches of departures, of this and other coordinators, that are not stored on the disk yet. */
+    [[nodiscard]] std::size_t waitingDepartureStores() const;
+
     [[nodiscard]] const DeclarationLog &declarations() const;
     [[nodiscard]] const Fleet::BackendRegistry &backends() const;
     /** Metrics in the Prometheus text format; docs/OPERATIONS.md explains them. */
--- a/Libraries/LibCoordinator/WatchService.cpp
+++ b/Libraries/LibCoordinator/WatchService.cpp
@@ -348,6 +348,13 @@
     }
 }
 
+void WatchService::answerAll()
+{
+    this->answerWhere([](const WaitingWatcher &) {
+        return true;
+    });
+}
+
 void WatchService::answerTimedOutWatchers()
 {
     this->answerWhere([this, now = this->timers.now()](const WaitingWatcher &watcher) {
--- a/Libraries/LibCoordinator/WatchService.h
+++ b/Libraries/LibCoordinator/WatchService.h
@@ -68,6 +68,9 @@
     /** Returns the latest time as of which all changes of another coordinator were received here, by its address. */
     std::function<std::optional<Core::Instant>(const std::string &address)> syncedWith;
 
+    /** Replies to all watch requests that are held, with what is new for each. */
+    void answerAll();
+
     /** Number of watch requests that are held. */
     [[nodiscard]] std::size_t waitingCount() const;
 
--- a/Libraries/LibRpc/RpcServer.cpp
+++ b/Libraries/LibRpc/RpcServer.cpp
@@ -56,6 +56,13 @@
     return this->connections.size();
 }
 
+std::size_t RpcServer::unwrittenConnections() const
+{
+    return static_cast<std::size_t>(std::count_if(this->connections.begin(), this->connections.end(), [](const auto &item) {
+        return item.second.stream->hasUnwritten();
+    }));
+}
+
 bool RpcServer::isIdle() const
 {
     return std::all_of(this->connections.begin(), this->connections.end(), [](const auto &item) {
--- a/Libraries/LibRpc/RpcServer.h
+++ b/Libraries/LibRpc/RpcServer.h
@@ -56,6 +56,8 @@
     RpcServer &operator=(const RpcServer &) = delete;
 
     [[nodiscard]] std::size_t connectionCount() const;
+    /** Number of connections with replies that have not been written to the last byte. */
+    [[nodiscard]] std::size_t unwrittenConnections() const;
     /** Whether no call waits and every reply has been written to the last byte. */
     [[nodiscard]] bool isIdle() const;
 
--- a/Services/coordinatord/main.cpp
+++ b/Services/coordinatord/main.cpp
@@ -10,6 +10,7 @@
 #include <LibCoordinator/CoordinatorNode.h>
 #include <LibCore/Daemon.h>
 #include <LibCore/EventPoll.h>
+#include <LibCore/GracefulStop.h>
 #include <LibCore/Identity.h>
 #include <LibCore/Log.h>
 #include <LibRpc/RpcServer.h>
@@ -36,7 +37,8 @@
 constexpr Core::Duration MinimumReplacementTimeout = 2 * ElectionTimeout;
 // Longer than an election between the farthest known regions, which takes two round trips of 24 ms, disk syncs and two ticks.
 constexpr Core::Duration InitialElectionStagger = Core::milliseconds(100);
-constexpr Core::Duration ResponseFlushTime = Core::milliseconds(300);
+// How long idle connections delay the end of a stop; callers find another coordinator by themselves.
+constexpr Core::Duration IdleConnectionTime = Core::milliseconds(300);
 // Maximum size of an operator's request. Declarations with thousands of routes must fit.
 constexpr std::size_t MaximumDocumentBytes = 8 * 1024 * 1024;
 
@@ -80,6 +82,51 @@
     return options;
 }
 
+/** The listeners of a coordinator. */
+struct Listeners {
+    Wire::Server &operators;
+    Rpc::RpcServer &watchers;
+    Rpc::RpcServer &peers;
+};
+
+Core::StopHooks makeStopHooks(Core::Daemon &daemon, Coordinator::CoordinatorNode &coordinator, const Listeners &listeners)
+{
+    Core::StopHooks hooks;
+    const auto drained = std::make_shared<bool>(false);
+    hooks.begun = [&coordinator, listeners, drained](const Core::StopSchedule &) {
+        coordinator.drain([drained] {
+            *drained = true;
+        });
+        listeners.operators.endConnectionsAfterResponse();
+    };
+    hooks.closeIdleConnections = [listeners] {
+        listeners.operators.closeIdleConnections(IdleConnectionTime);
+    };
+    hooks.stopListening = [&coordinator, listeners] {
+        listeners.operators.stopListening();
+        coordinator.answerWatchers();
+    };
+    hooks.answerAll = [listeners] {
+        const auto stopping = Platform::ControlInterface::stoppingResponse();
+        listeners.operators.answerOpenRequests(stopping);
+        listeners.operators.rejectPartialRequests(stopping);
+    };
+    hooks.load = [&coordinator, listeners, drained] {
+        const auto operators = listeners.operators.load();
+        const std::size_t unfinished = *drained ? 0 : 1;
+        const std::size_t unwritten = listeners.watchers.unwrittenConnections() + listeners.peers.unwrittenConnections();
+        return Core::StopLoad{
+            .requests = unfinished + operators.requests() + coordinator.waitingDepartureStores() + unwritten, .connections = operators.connections()};
+    };
+    hooks.ended = [&daemon, listeners](const Core::StopLoad &left) {
+        Core::logEvent(Core::LogLevel::Information,
+            "stop.ended",
+            {{"requests", left.requests}, {"connections", left.connections}, {"crossed_close", listeners.operators.counters().discarded}});
+        daemon.quit();
+    };
+    return hooks;
+}
+
 Core::Result<void> run()
 {
     const auto settings = Platform::loadProcessSettings();
@@ -128,9 +175,6 @@
     if (!operators.has_value()) {
         return tl::make_unexpected(operators.error());
     }
-    const Platform::SettingsWatch settingsWatch(timers, [&coordinator](const Platform::ProcessSettings &changed) {
-        coordinator.addSeeds(Platform::watchEndpoints(changed));
-    });
     const auto metrics = Platform::serveMetrics(
         settings.value(),
         Platform::MetricsPort::Coordinator,
@@ -139,14 +183,18 @@
         },
         *poll.value(),
         timers);
-    Core::TimerSubscription flushTimer;
-    daemon.onStop([&coordinator, &daemon, &flushTimer] {
-        coordinator.drain([&daemon, &flushTimer] {
-            // All responses were passed to their connections, but the last bytes may not have been sent yet.
-            flushTimer = daemon.timers().once(ResponseFlushTime, [&daemon](Core::Instant) {
-                daemon.quit();
-            });
-        });
+    Core::GracefulStop stop({.grace = settings->stopTime, .idleWait = IdleConnectionTime},
+        makeStopHooks(daemon, coordinator, {.operators = *operators.value(), .watchers = *watchServer.value(), .peers = *peerServer.value()}),
+        timers);
+    interface.isRejecting = [&stop] {
+        return stop.phase() >= Core::StopPhase::Flushing;
+    };
+    const Platform::SettingsWatch settingsWatch(timers, [&coordinator, &stop](const Platform::ProcessSettings &changed) {
+        coordinator.addSeeds(Platform::watchEndpoints(changed));
+        stop.setGraceTime(changed.stopTime);
+    });
+    daemon.onStop([&stop] {
+        stop.request();
     });
     daemon.onDump([&coordinator] {
         std::fprintf(stdout, "%s\n", coordinator.dump().c_str());
