LibEntry, LibControl: Bound the stop of entryd and controld

Both waited without limit for what was under way, so that a service manager killed them with callers' requests in flight, and entryd did not count a request whose body had not arrived completely.

--- a/Libraries/LibControl/ControlNode.h
+++ b/Libraries/LibControl/ControlNode.h
@@ -77,6 +77,9 @@
      */
     void drain(std::function<void()> stopped);
 
+    /** Ends the waiting proposals without a known outcome: each caller is told that the records are not available. */
+    void failWaitingProposals();
+
     [[nodiscard]] const Consensus::ReplicatedLog &log() const;
     [[nodiscard]] const ControlState &controlState() const;
     [[nodiscard]] std::uint64_t syncCount() const;
@@ -99,7 +102,6 @@
     void scheduleFlush();
     void applyEntry(const Protocol::LogEntry &entry);
     void propose(Protocol::Command command, OutcomeHook done);
-    void failWaitingProposals();
     void repair();
     void removeStaleEntryInstances();
     void finishDrain();
--- a/Libraries/LibEntry/EntryNode.cpp
+++ b/Libraries/LibEntry/EntryNode.cpp
@@ -15,7 +15,6 @@
 namespace Entry
 {
 
-static constexpr Core::Duration DrainPollPeriod = Core::milliseconds(20);
 static constexpr int RequestIdLength = 16;
 
 EntryNode::EntryNode(EntryNodeOptions optionsGiven, Core::TimerService &timersGiven)
@@ -62,7 +61,7 @@
 
 bool EntryNode::isReady() const
 {
-    return !this->drainRequestedAt.has_value() && this->peerRelay.hasCompleteTable() && this->state.configuration.isFresh(this->timers.now());
+    return !this->state.stop.has_value() && this->peerRelay.hasCompleteTable() && this->state.configuration.isFresh(this->timers.now());
 }
 
 void EntryNode::runMaintenance(Core::Instant now)
@@ -79,7 +78,10 @@
 void EntryNode::handleCaller(const Http::Request &request, const Http::ResponderPointer &responder)
 {
     const Core::RequestId requestId(Core::randomToken().substr(0, RequestIdLength));
-    const AnswerHook done = [responder, requestId](CallerAnswer answer) {
+    const auto number = this->nextCall++;
+    this->openCalls[number] = OpenCall{.requestId = requestId, .responder = responder};
+    const AnswerHook done = [this, number, responder, requestId](CallerAnswer answer) {
+        this->openCalls.erase(number);
         responder->respond(makeResponse(std::move(answer), requestId));
     };
     auto call = readCallerRequest(request, requestId);
@@ -234,8 +236,8 @@
     document["zone"] = this->state.options.zone.value();
     document["ready"] = this->isReady();
     document["registry_warm"] = this->peerRelay.hasCompleteTable();
-    document["leaving"] = this->drainRequestedAt.has_value();
-    document["draining"] = this->state.draining;
+    document["leaving"] = this->state.stop.has_value();
+    document["draining"] = this->state.isDraining();
     document["configuration"] = {{"revision", configuration.revision().value()},
         {"fresh", configuration.isFresh(now)},
         {"fresh_for_ms", Core::toMilliseconds(configuration.freshUntil() - now)},
@@ -307,25 +309,23 @@
 
 // ---- Planned stop
 
-void EntryNode::drain(std::function<void()> stoppedHook)
+void EntryNode::beginStop(const Core::StopSchedule &schedule)
 {
-    this->stopped = std::move(stoppedHook);
-    this->drainRequestedAt = this->timers.now();
-    this->drainTimer = this->timers.every(DrainPollPeriod, [this](Core::Instant) {
-        this->finishDrain();
-    });
+    this->state.stop = schedule;
 }
 
-void EntryNode::finishDrain()
+std::size_t EntryNode::activeCount() const
 {
-    this->state.draining = this->timers.now() - this->drainRequestedAt.value() >= this->options.drainNotice;
-    if (!this->state.draining || this->queries.activeCount() > 0 || this->actions.activeCount() > 0) {
-        return;
-    }
-    this->drainTimer.cancel();
-    const auto hook = std::exchange(this->stopped, nullptr);
-    if (hook) {
-        hook();
+    return this->queries.activeCount() + this->actions.activeCount();
+}
+
+void EntryNode::answerOpenCalls()
+{
+    for (const auto &[number, call] : std::exchange(this->openCalls, {})) {
+        const Problem problem{
+            .type = ProblemType::OutcomeUnknown, .run = RunState::Unknown, .detail = "this entry instance ends before the request does", .retryAfter = {}};
+        Core::logEvent(Core::LogLevel::Warning, "request.ended_by_stop", {{"request_id", call.requestId.value()}});
+        call.responder->respond(makeResponse(problemAnswer(problem, call.requestId), call.requestId));
     }
 }
 
--- a/Libraries/LibEntry/EntryNode.h
+++ b/Libraries/LibEntry/EntryNode.h
@@ -19,6 +19,7 @@
 #include <LibHttp/Message.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 
 namespace Entry
@@ -32,8 +33,6 @@
     RegistryRefresherOptions refresher;
     std::vector<Core::Endpoint> controlInstances;
     std::int64_t incarnation{0};
-    /** During a planned stop, requests are accepted for this long after /readyz reports not ready, so that the load balancer can notice. */
-    Core::Duration drainNotice{Core::milliseconds(1000)};
 };
 
 /** Connects the parts of an entry instance. */
@@ -55,8 +54,17 @@
 
     [[nodiscard]] PeerRelay &relay();
 
-    /** Begins a planned stop: reports not ready, refuses new requests after drainNotice, and calls `stopped` once no requests are active. */
-    void drain(std::function<void()> stopped);
+    /**
+     * Begins a planned stop: reports not ready. New requests are refused from schedule.noticeEnds on, and before if their deadline is later than
+     * schedule.answersDue.
+     */
+    void beginStop(const Core::StopSchedule &schedule);
+
+    /** Number of searches, look-ups and actions that have not ended. */
+    [[nodiscard]] std::size_t activeCount() const;
+
+    /** Answers every request of a caller that has no answer yet: its outcome is unknown. */
+    void answerOpenCalls();
 
     /** Called when an operator requests a planned stop of the process. */
     std::function<void()> stopRequested;
@@ -69,7 +77,6 @@
 
 private:
     void runMaintenance(Core::Instant now);
-    void finishDrain();
     [[nodiscard]] Core::Result<void> handleAnnouncement(const std::string &body);
     [[nodiscard]] bool isDeclared(const Protocol::Announcement &announcement) const;
     [[nodiscard]] nlohmann::json backendsToJson() const;
@@ -86,11 +93,14 @@
     ActionService actions;
     PeerRelay peerRelay;
     RegistryRefresher refresher;
-    std::function<void()> stopped;
-    // Set when a planned stop begins. state.draining is set drainNotice later, so that the load balancer can notice.
-    std::optional<Core::Instant> drainRequestedAt;
+    // Requests of callers without an answer, by the order of their arrival.
+    struct OpenCall {
+        Core::RequestId requestId;
+        Http::ResponderPointer responder;
+    };
+    std::map<std::uint64_t, OpenCall> openCalls;
+    std::uint64_t nextCall{1};
     Core::TimerSubscription maintenanceTimer;
-    Core::TimerSubscription drainTimer;
 };
 
 }
--- a/Libraries/LibEntry/EntryState.cpp
+++ b/Libraries/LibEntry/EntryState.cpp
@@ -57,6 +57,11 @@
     };
 }
 
+bool EntryState::isDraining() const
+{
+    return this->stop.has_value() && this->timers.now() >= this->stop->noticeEnds;
+}
+
 static tl::unexpected<Problem> refuse(ProblemType type, std::string detail, std::optional<std::chrono::seconds> retryAfter = std::nullopt)
 {
     return tl::make_unexpected(Problem{.type = type, .run = RunState::NotRun, .detail = std::move(detail), .retryAfter = retryAfter});
@@ -65,7 +70,7 @@
 tl::expected<RequestParameters, Problem> resolveRequestParameters(EntryState &state, const Core::ServiceName &service, const std::string &className)
 {
     const Core::Instant now = state.timers.now();
-    if (state.draining) {
+    if (state.isDraining()) {
         return refuse(ProblemType::Draining, "retry at another entry instance", ShortRetryAfter);
     }
     if (!state.configuration.isFresh(now)) {
@@ -83,12 +88,16 @@
     if (urgencyClass == nullptr) {
         return refuse(ProblemType::UnknownClass, "\"" + wanted + "\" is not declared");
     }
+    const auto deadline = now + Core::milliseconds(urgencyClass->deadlineMilliseconds) - state.options.answerReserve;
+    if (state.stop.has_value() && deadline > state.stop->answersDue) {
+        return refuse(ProblemType::Draining, "this entry instance may end before the request does; retry at another one", ShortRetryAfter);
+    }
     return RequestParameters{
         .service = service,
         .declaration = *declaration,
         .urgencyClass = *urgencyClass,
         .connectionShare = state.configuration.connectionShare(*declaration),
-        .deadline = now + Core::milliseconds(urgencyClass->deadlineMilliseconds) - state.options.answerReserve,
+        .deadline = deadline,
     };
 }
 
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -9,6 +9,7 @@
 
 #pragma once
 
+#include <LibCore/GracefulStop.h>
 #include <LibEntry/ActiveConfiguration.h>
 #include <LibEntry/Admission.h>
 #include <LibEntry/BackendTable.h>
@@ -75,8 +76,11 @@
     Core::Instant refusalSecond;
     /** Whether the table of backend servers is assumed to be complete, which it is not right after the process started. */
     std::function<bool()> registryIsComplete;
-    /** Set during a planned stop, when new requests are refused. */
-    bool draining{false};
+    /** Set once a planned stop has begun. */
+    std::optional<Core::StopSchedule> stop;
+
+    /** Whether callers had time to go elsewhere, so that new requests are refused. */
+    [[nodiscard]] bool isDraining() const;
 };
 
 /** Answer to a caller. */
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -211,6 +211,11 @@
 void HttpServer::handleHeaders(SoupServer *, SoupServerMessage *message, const char *, GHashTable *, gpointer data)
 {
     const auto &self = *static_cast<HttpServer *>(data);
+    // A request is counted from its headers on until its message is released: after the last byte of the response, and possibly after the server is destroyed.
+    ++self.connections->requests;
+    g_object_weak_ref(G_OBJECT(message), handleRelease, new ReleaseHook{.released = [counted = self.connections] {
+        --counted->requests;
+    }});
     auto *headers = soup_server_message_get_request_headers(message);
     const auto length = soup_message_headers_get_content_length(headers);
     if (length > static_cast<goffset>(self.options.maximumBodyBytes)) {
@@ -265,11 +270,6 @@
         rejectTooLarge(message);
         return;
     }
-    // A request is counted until its message is released: after the last byte of the response, and possibly after the server is destroyed.
-    ++self.connections->requests;
-    g_object_weak_ref(G_OBJECT(message), handleRelease, new ReleaseHook{.released = [counted = self.connections] {
-        --counted->requests;
-    }});
     soup_server_message_pause(message);
     const auto responder = std::make_shared<SoupResponder>(message, self.counts.aborted);
     self.options.handler(readRequest(message, path, query), responder);
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -59,7 +59,7 @@
 
     [[nodiscard]] std::size_t connectionCount() const;
     [[nodiscard]] const ServerCounters &counters() const;
-    /** Returns the number of requests whose response has not been written to the last byte. */
+    /** Returns the number of requests whose headers have arrived and whose response has not been written to the last byte. */
     [[nodiscard]] std::size_t requestsInFlight() const;
     /** Changes the limit for connections that are accepted from now on. */
     void setMaximumConnections(std::size_t maximum);
--- a/Services/controld/main.cpp
+++ b/Services/controld/main.cpp
@@ -9,6 +9,7 @@
 #include <LibControl/ControlHandlers.h>
 #include <LibControl/PeerTransport.h>
 #include <LibCore/Daemon.h>
+#include <LibCore/GracefulStop.h>
 #include <LibCore/Identity.h>
 #include <LibCore/Log.h>
 #include <LibCore/Settings.h>
@@ -18,9 +19,6 @@
 #include <algorithm>
 #include <cstdio>
 
-// How often a stopping process checks whether all responses have been written.
-static constexpr Core::Duration ResponseFlushPeriod = Core::milliseconds(10);
-
 namespace
 {
 
@@ -38,6 +36,7 @@
     std::int64_t replaceAfterSeconds{0};
     std::int64_t claimHorizonSeconds{0};
     std::int64_t entriesBetweenSnapshots{0};
+    std::int64_t stopTimeMilliseconds{0};
     Core::LogLevel logLevel{Core::LogLevel::Information};
 };
 
@@ -79,6 +78,13 @@
         values.claimHorizonSeconds,
         60,
         2'592'000);
+    settings.addInteger({.name = "stop-time-ms",
+                            .valueName = "N",
+                            .help = "Time from the request to stop until this process is killed. Callers have their answers before.",
+                            .defaultValue = "30000"},
+        values.stopTimeMilliseconds,
+        100,
+        3'600'000);
     settings.addInteger({.name = "snapshot-entries", .valueName = "N", .help = "Entries between two snapshots of the state.", .defaultValue = "4096"},
         values.entriesBetweenSnapshots,
         16,
@@ -110,6 +116,31 @@
     };
 }
 
+static Core::StopHooks makeStopHooks(Core::Daemon &daemon, Control::ControlNode &control, const std::vector<std::unique_ptr<Rpc::RpcServer>> &servers)
+{
+    Core::StopHooks hooks;
+    const auto drained = std::make_shared<bool>(false);
+    hooks.begun = [&control, drained](const Core::StopSchedule &) {
+        control.drain([drained] {
+            *drained = true;
+        });
+    };
+    hooks.answerAll = [&control] {
+        control.failWaitingProposals();
+    };
+    hooks.load = [&servers, drained] {
+        const auto busy = std::count_if(servers.begin(), servers.end(), [](const auto &server) {
+            return !server->isIdle();
+        });
+        return Core::StopLoad{.requests = static_cast<std::size_t>(busy) + (*drained ? 0 : 1)};
+    };
+    hooks.ended = [&daemon](const Core::StopLoad &left) {
+        Core::logEvent(Core::LogLevel::Information, "stop.ended", {{"requests", left.requests}});
+        daemon.quit();
+    };
+    return hooks;
+}
+
 static Core::Result<void> run(const ControldSettings &values)
 {
     Core::Daemon daemon("controld");
@@ -145,19 +176,9 @@
         servers.push_back(std::move(server.value()));
     }
 
-    Core::TimerSubscription flushTimer;
-    daemon.onStop([&control, &daemon, &servers, &flushTimer] {
-        control.drain([&daemon, &servers, &flushTimer] {
-            // All responses have been produced, but their last bytes may not have been written yet.
-            flushTimer = daemon.timers().every(ResponseFlushPeriod, [&daemon, &servers](Core::Instant) {
-                const bool written = std::all_of(servers.begin(), servers.end(), [](const auto &server) {
-                    return server->isIdle();
-                });
-                if (written) {
-                    daemon.quit();
-                }
-            });
-        });
+    Core::GracefulStop stop({.grace = Core::milliseconds(values.stopTimeMilliseconds)}, makeStopHooks(daemon, control, servers), timers);
+    daemon.onStop([&stop] {
+        stop.request();
     });
     daemon.onDump([&control] {
         std::fprintf(stdout, "%s\n", control.dump().c_str());
--- a/Services/entryd/main.cpp
+++ b/Services/entryd/main.cpp
@@ -7,6 +7,7 @@
 // to its listeners on one GLib loop.
 
 #include <LibCore/Daemon.h>
+#include <LibCore/GracefulStop.h>
 #include <LibCore/Identity.h>
 #include <LibCore/Log.h>
 #include <LibCore/Settings.h>
@@ -17,9 +18,6 @@
 #include <algorithm>
 #include <cstdio>
 
-// How often a stopping process checks whether all responses have been written.
-static constexpr Core::Duration ResponseFlushPeriod = Core::milliseconds(10);
-
 namespace
 {
 
@@ -34,6 +32,7 @@
     std::vector<Core::Endpoint> controlInstances;
     std::vector<Core::Endpoint> peers;
     std::int64_t drainNoticeMilliseconds{0};
+    std::int64_t stopTimeMilliseconds{0};
     std::int64_t backendLeaseMilliseconds{0};
     std::string hedging;
     std::string replicaChoice;
@@ -62,6 +61,13 @@
         values.drainNoticeMilliseconds,
         0,
         600'000);
+    settings.addInteger({.name = "stop-time-ms",
+                            .valueName = "N",
+                            .help = "Time from the request to stop until this process is killed. Callers have their answers before.",
+                            .defaultValue = "30000"},
+        values.stopTimeMilliseconds,
+        100,
+        3'600'000);
     settings.addInteger(
         {.name = "backend-lease-ms", .valueName = "N", .help = "How long one announcement keeps a backend server in use.", .defaultValue = "3000"},
         values.backendLeaseMilliseconds,
@@ -92,10 +98,33 @@
     options.relay.peers = values.peers;
     options.controlInstances = values.controlInstances;
     options.incarnation = static_cast<std::int64_t>(Core::randomNumber() >> 1U);
-    options.drainNotice = Core::milliseconds(values.drainNoticeMilliseconds);
     return options;
 }
 
+static Core::StopHooks makeStopHooks(
+    Core::Daemon &daemon, Entry::EntryNode &node, std::vector<std::unique_ptr<Http::HttpServer>> &servers, const Rpc::RpcServer &peers)
+{
+    Core::StopHooks hooks;
+    hooks.begun = [&node](const Core::StopSchedule &schedule) {
+        node.beginStop(schedule);
+    };
+    hooks.answerAll = [&node] {
+        node.answerOpenCalls();
+    };
+    hooks.load = [&node, &servers, &peers] {
+        Core::StopLoad load{.requests = node.activeCount() + peers.unwrittenConnections()};
+        for (const auto &server : servers) {
+            load.requests += server->requestsInFlight();
+        }
+        return load;
+    };
+    hooks.ended = [&daemon](const Core::StopLoad &left) {
+        Core::logEvent(Core::LogLevel::Information, "stop.ended", {{"requests", left.requests}});
+        daemon.quit();
+    };
+    return hooks;
+}
+
 static Core::Result<void> run(const EntrydSettings &values)
 {
     Core::Daemon daemon("entryd");
@@ -129,19 +158,11 @@
     node.stopRequested = [&daemon] {
         daemon.requestStop();
     };
-    Core::TimerSubscription flushTimer;
-    daemon.onStop([&node, &daemon, &servers, &flushTimer] {
-        node.drain([&daemon, &servers, &flushTimer] {
-            // All responses have been produced, but their last bytes may not have been written yet.
-            flushTimer = daemon.timers().every(ResponseFlushPeriod, [&daemon, &servers](Core::Instant) {
-                const bool written = std::all_of(servers.begin(), servers.end(), [](const auto &server) {
-                    return server->requestsInFlight() == 0;
-                });
-                if (written) {
-                    daemon.quit();
-                }
-            });
-        });
+    Core::GracefulStop stop({.grace = Core::milliseconds(values.stopTimeMilliseconds), .notice = Core::milliseconds(values.drainNoticeMilliseconds)},
+        makeStopHooks(daemon, node, servers, *peerServer.value()),
+        timers);
+    daemon.onStop([&stop] {
+        stop.request();
     });
     daemon.onDump([&node] {
         std::fprintf(stdout, "%s\n", node.dump().c_str());
--- a/Tests/LibEntry/TestFanOut.cpp
+++ b/Tests/LibEntry/TestFanOut.cpp
@@ -244,12 +244,20 @@
 {
     EntryFixture fixture;
     SearchCaller caller(fixture);
-    fixture.state.draining = true;
+    const auto now = fixture.state.timers.now();
+    fixture.state.stop = Core::StopSchedule::of({.grace = Core::seconds(60)}, now);
     caller.search();
     cr_expect_eq(caller.status, 503);
     cr_expect_eq(caller.document["run"], "not-run");
     cr_expect(fixture.transport.sent.empty());
-    fixture.state.draining = false;
+    // Callers are still to be served, but this one can't be answered by its deadline before the instance ends.
+    fixture.state.stop = Core::StopSchedule{
+        .requestedAt = now, .noticeEnds = now + Core::seconds(10), .answersDue = now + Core::milliseconds(1), .end = now + Core::milliseconds(2)};
+    caller.search();
+    cr_expect_eq(caller.document["type"], "urn:crankrudder:problem:draining");
+    cr_expect_eq(caller.document["run"], "not-run");
+    cr_expect(fixture.transport.sent.empty());
+    fixture.state.stop.reset();
     fixture.advance(Core::seconds(700));
     caller.search();
     cr_expect_eq(caller.document["type"], "urn:crankrudder:problem:configuration-stale");
