--- a/Tests/Platform/TestCodecs.cpp
+++ b/Tests/Platform/TestCodecs.cpp
@@ -394,6 +394,19 @@
     }
 }
 
+// Guards against a program that does not start because the platform gives a time as a fraction.
+Test(SettingsFile, parsesTimesWithFractions)
+{
+    const std::string required = "ip=1.2.3.4\ninternal_ports=7000,7001\n";
+    const auto read = Platform::parseProcessSettings(required + "bounds.grace_s=2.5\nbounds.catch_up_s=4.0\n");
+    cr_assert(read.has_value());
+    cr_assert(read->stopTime == Core::milliseconds(2500));
+    cr_assert(read->catchUpTime == Core::seconds(4));
+    for (const char *bad : {"bounds.grace_s=0\n", "bounds.grace_s=-1\n", "bounds.grace_s=1e300\n", "bounds.grace_s=nan\n"}) {
+        cr_assert_not(Platform::parseProcessSettings(required + bad).has_value(), "%s", bad);
+    }
+}
+
 Test(RequestDialect, forwardsMatchingAndRelayHeadersThatConnectionLists)
 {
     const auto dialect = Platform::makeDialect();
