LibWire: Give up responses that do not end

Interim responses, and responses to other requests, were read without limit until the timeout.

Connections to backend servers and other gateways share a tenth of the memory limit for unfinished responses. One that holds 64 KiB or more when it is used up is given up, so small answers do not pay for endless ones. Interim responses and responses to other requests are limited in number.

ClientConnection/givesUpResponsesWithoutEnd plays six forms of it.

--- a/Libraries/LibGateway/BackendConnector.cpp
+++ b/Libraries/LibGateway/BackendConnector.cpp
@@ -57,7 +57,8 @@
                                                      .connectLimit = this->connectLimit(backend),
                                                      .awaitsAcknowledgement = this->options.awaitsAcknowledgement,
                                                      .trialMargin = this->trialMargin(reuseAvoided),
-                                                     .limits = {}},
+                                                     .limits = {},
+                                                     .receiveBudget = this->options.receiveBudget},
         this->poll,
         this->timers);
     if (!opened.has_value()) {
--- a/Libraries/LibGateway/BackendConnector.h
+++ b/Libraries/LibGateway/BackendConnector.h
@@ -29,6 +29,7 @@
     Core::Duration acknowledgementTimeout{0};
     std::function<bool(const Wire::Socket &socket)> awaitsAcknowledgement;
     std::optional<TrialOptions> trial;
+    std::shared_ptr<Wire::ReceiveBudget> receiveBudget;
 };
 
 /** What the owner of the connections provides. */
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -421,7 +421,8 @@
         .acceptsPromptly = this->options.acceptsPromptly,
         .acknowledgementTimeout = this->options.acknowledgementTimeout,
         .awaitsAcknowledgement = this->options.awaitsAcknowledgement,
-        .trial = this->options.trial};
+        .trial = this->options.trial,
+        .receiveBudget = this->options.receiveBudget};
 }
 
 BackendConnectorHooks BackendPool::makeConnectorHooks()
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -63,6 +63,8 @@
     bool recordsCrashes{true};
     /** Maximum number of connections to a backend server of a service that is not declared. */
     int undeclaredCap{1};
+    /** Memory for unfinished answers, shared with other pools; may be nullptr. */
+    std::shared_ptr<Wire::ReceiveBudget> receiveBudget;
 };
 
 /** The request of an attempt and how its latency is judged. */
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -956,7 +956,7 @@
     page.gauge("crankrudder_requests_under_way", "Requests that wait for their answer.", static_cast<double>(this->requests.size()));
     page.counter("crankrudder_requests_refused_in_stop_total",
         "Requests and parts that were refused since this gateway ends before they would.",
-        this->counts.refusedInStop);
+        static_cast<double>(this->counts.refusedInStop));
     page.gauge("crankrudder_ready", "Whether callers should come here.", this->isReady() ? 1 : 0);
     page.gauge("crankrudder_coordinators_in_reach", "Coordinators that answer.", static_cast<double>(this->watcher.reachableCount()));
     page.gauge("crankrudder_gateways", "Gateways that are known to be ready.", this->pool.gatewayCount());
--- a/Libraries/LibWire/ClientConnection.cpp
+++ b/Libraries/LibWire/ClientConnection.cpp
@@ -37,6 +37,10 @@
 // thousand sends.
 static constexpr std::size_t RequestsPerConnection = 1024;
 
+// A server that repeats each of its responses stays below this. One that sends them without end does not.
+static constexpr std::size_t SurplusResponsesPerRequest = 2;
+static constexpr std::size_t SurplusAllowance = 8;
+
 Core::Duration acknowledgementLimit(Core::Duration roundTrip)
 {
     return RoundTripsToAcknowledgement * roundTrip + AcknowledgementMargin;
@@ -71,7 +75,10 @@
 {
 }
 
-ClientConnection::~ClientConnection() = default;
+ClientConnection::~ClientConnection()
+{
+    this->reportHeld(0);
+}
 
 void ClientConnection::send(ClientRequest request)
 {
@@ -237,6 +244,7 @@
     }
     const auto keepAlive = this->shared_from_this();
     this->hasClosed = true;
+    this->reportHeld(0);
     this->done = nullptr;
     this->recognise = nullptr;
     this->mayConfirm = nullptr;
@@ -398,6 +406,12 @@
         return;
     }
     this->parse();
+    if (this->done) {
+        this->reportHeld(this->parser.bodyBytes() + this->input.size());
+    }
+    if (this->done && this->options.receiveBudget && this->options.receiveBudget->isExceededBy(this->heldBytes)) {
+        this->fail("unfinished responses take more memory than they may");
+    }
     if (this->hasClosed || transfer == Transfer::Open) {
         return;
     }
@@ -419,6 +433,14 @@
     }
 }
 
+void ClientConnection::reportHeld(std::size_t bytes)
+{
+    if (this->options.receiveBudget) {
+        this->options.receiveBudget->replace(this->heldBytes, bytes);
+        this->heldBytes = bytes;
+    }
+}
+
 void ClientConnection::parse()
 {
     while (!this->hasClosed && this->done && !this->input.empty()) {
@@ -444,6 +466,11 @@
             this->fail("the response belongs to another request");
             return;
         }
+        ++this->surplusCount;
+        if (this->surplusCount > SurplusResponsesPerRequest * this->sentKeyHashes.size() + SurplusAllowance) {
+            this->fail("too many responses belong to no request");
+            return;
+        }
         // This is a surplus response to an earlier request; the response to the current one may still follow.
         this->startResponse();
         return;
@@ -480,6 +507,7 @@
 {
     const auto keepAlive = this->shared_from_this();
     const auto hook = std::exchange(this->done, nullptr);
+    this->reportHeld(0);
     this->recognise = nullptr;
     this->mayConfirm = nullptr;
     result.confirmed = this->confirmed;
--- a/Libraries/LibWire/ClientConnection.h
+++ b/Libraries/LibWire/ClientConnection.h
@@ -15,6 +15,7 @@
 #include <LibCore/EventPoll.h>
 #include <LibCore/TimerService.h>
 #include <LibWire/MessageParser.h>
+#include <LibWire/ReceiveBudget.h>
 #include <LibWire/Socket.h>
 
 #include <functional>
@@ -85,6 +86,8 @@
      */
     std::optional<Core::Duration> trialMargin;
     MessageLimits limits;
+    /** Memory for unfinished responses, shared with other connections; may be nullptr. */
+    std::shared_ptr<ReceiveBudget> receiveBudget;
 };
 
 /** The longest time that a running machine may take to acknowledge sent bytes, given the round-trip time to it. */
@@ -153,6 +156,8 @@
     void connectFailed(int error, const std::string &reason);
     void startResponse();
     void readMore();
+    /** Reports to the receive budget what this connection holds, in bytes. */
+    void reportHeld(std::size_t bytes);
     void parse();
     void handleResponse();
     void finish(ClientResult result, bool keep);
@@ -189,6 +194,10 @@
     bool endedBeforeSend{false};
     bool wantsWrite{true};
     std::uint64_t answerCount{0};
+    // Responses that belonged to no request in flight, on this connection so far.
+    std::size_t surplusCount{0};
+    // What was reported to the receive budget. Invariant: 0 unless a request is in flight.
+    std::size_t heldBytes{0};
     Core::Instant startedAt;
     Core::Instant lastUse;
     Core::Instant keptAliveUntil;
--- a/Libraries/LibWire/MessageParser.cpp
+++ b/Libraries/LibWire/MessageParser.cpp
@@ -16,6 +16,9 @@
 // Return value of onHeadersComplete for a message without a body.
 static constexpr int SkipBody = 1;
 
+// A server may send interim responses without end in place of a final one.
+static constexpr std::size_t MaximumInterimResponses = 16;
+
 MessageParser::MessageParser(MessageKind kind, MessageLimits limits) : kind(kind), limits(limits)
 {
     this->reset(limits);
@@ -33,6 +36,7 @@
     this->valueStarted = false;
     this->withoutBody = false;
     this->headerBytes = 0;
+    this->interimResponses = 0;
     this->target.clear();
     this->headers.clear();
     this->body.clear();
@@ -111,6 +115,11 @@
     return this->headersDone;
 }
 
+std::size_t MessageParser::bodyBytes() const
+{
+    return this->body.size();
+}
+
 bool MessageParser::keepsConnection() const
 {
     return this->keepAlive;
@@ -217,6 +226,10 @@
     const bool interim = reader.kind == MessageKind::Response && parser->status_code >= 100 && parser->status_code < 200;
     if (interim) {
         // An interim response such as "100 Continue" precedes the final response.
+        if (++reader.interimResponses > MaximumInterimResponses) {
+            reader.currentState = ParseState::Malformed;
+            return Stop;
+        }
         reader.headers.clear();
         reader.headersDone = false;
         reader.valueStarted = false;
--- a/Libraries/LibWire/MessageParser.h
+++ b/Libraries/LibWire/MessageParser.h
@@ -65,6 +65,8 @@
     /** Returns whether any byte of the message has arrived. */
     [[nodiscard]] bool hasBegun() const;
     [[nodiscard]] bool headersComplete() const;
+    /** Number of bytes of the body that have arrived. */
+    [[nodiscard]] std::size_t bodyBytes() const;
     /** Returns whether the other side keeps the connection open after this message. Valid once the message is complete. */
     [[nodiscard]] bool keepsConnection() const;
     /** Returns whether the sender waits for "100 Continue" before it sends the body. */
@@ -95,6 +97,7 @@
     bool valueStarted{false};
     bool withoutBody{false};
     std::size_t headerBytes{0};
+    std::size_t interimResponses{0};
     std::string target;
     Headers headers;
     std::string body;
--- a/Services/gatewayd/main.cpp
+++ b/Services/gatewayd/main.cpp
@@ -31,6 +31,10 @@
 // A connection that was just opened, or answered, may still bring a request.
 constexpr Core::Duration MinimumIdleTime = Core::milliseconds(500);
 
+constexpr double BytesPerMegabyte = 1024.0 * 1024.0;
+// Part of the memory of the process that answers may take while they arrive. A buffer that grows takes up to three times its size for a moment.
+constexpr double UnfinishedAnswersShare = 0.1;
+
 /** The listeners of a gateway whose connections are closed in a planned stop. */
 struct Listeners {
     Wire::Server &callers;
@@ -87,6 +91,8 @@
     options.ownership.slack.window = settings.retryWindow;
     options.pool.warmup = {.overshoot = settings.warmupOvershoot, .slack = settings.warmupSlack};
     options.quotas.quota = {.overshoot = settings.quotaOvershoot, .slack = settings.quotaSlack, .window = settings.quotaWindow};
+    options.pool.receiveBudget
+        = std::make_shared<Wire::ReceiveBudget>(static_cast<std::size_t>(settings.memoryMegabytes * BytesPerMegabyte * UnfinishedAnswersShare));
     options.pool.choice.seed = Core::randomNumber();
     options.requests.minimumReturnReserve = Gateway::minimumReturnReserveFor(options.requests, settings.processorShare);
     options.coordinators = Platform::watchEndpoints(settings);
--- a/Tests/LibWire/TestClientConnection.cpp
+++ b/Tests/LibWire/TestClientConnection.cpp
@@ -71,6 +71,14 @@
     {
     }
 
+    Client(LoopFixture &fixture, const ByteServer &server, std::shared_ptr<Wire::ReceiveBudget> budget)
+        : fixture(fixture)
+        , connection(
+              Wire::ClientConnection::create({.endpoint = server.endpoint, .limits = {}, .receiveBudget = std::move(budget)}, *fixture.poll, fixture.timers)
+                  .value())
+    {
+    }
+
     void send(const std::string &id, bool isHead = false)
     {
         this->connection->send({.bytes = (isHead ? "HEAD /" : "GET /") + id + " HTTP/1.1\r\nHost: h\r\n\r\n",
@@ -527,3 +535,56 @@
     }));
     cr_assert(result->end == Wire::ClientEnd::Answered && result->confirmed);
 }
+
+// Guards against bytes that are no answer and do not end: whatever they look like, the connection is given up long before its memory or time is.
+Test(ClientConnection, givesUpResponsesWithoutEnd)
+{
+    const std::string block(16 * 1024, 'x');
+    struct Case {
+        const char *name;
+        std::string beginning;
+        std::string repeated;
+    };
+    const std::vector<Case> cases{{"header", "HTTP/1.1 200 OK\r\nId: a\r\nX: ", block},
+        {"reason phrase", "HTTP/1.1 200 ", block},
+        {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"responses to others", "", makeResponse("b", "")},
+        {"body until the close", "HTTP/1.1 200 OK\r\nId: a\r\n\r\n", block},
+        {"body in chunks", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n", "4000\r\n" + block + "\r\n"}};
+    for (const auto &endless : cases) {
+        LoopFixture fixture;
+        ByteServer server(fixture);
+        const auto budget = std::make_shared<Wire::ReceiveBudget>(1024 * 1024);
+        Client client(fixture, server, budget);
+        client.send("a");
+        cr_assert(server.accept());
+        server.send(endless.beginning);
+        std::size_t largest = 0;
+        cr_assert(fixture.runUntil([&] {
+            server.send(endless.repeated);
+            g_main_context_iteration(fixture.context, FALSE);
+            largest = std::max(largest, budget->used());
+            return !client.results.empty();
+        }),
+            "%s",
+            endless.name);
+        cr_assert(client.results[0].end == Wire::ClientEnd::Broken, "%s", endless.name);
+        cr_assert(largest < 2 * 1024 * 1024, "%s took %zu bytes", endless.name, largest);
+        cr_assert_eq(budget->used(), 0U, "%s", endless.name);
+    }
+}
+
+// Guards against small answers that are given up because another one does not end.
+Test(ClientConnection, smallResponsesDoNotPayForOthers)
+{
+    LoopFixture fixture;
+    ByteServer server(fixture);
+    const auto budget = std::make_shared<Wire::ReceiveBudget>(1024 * 1024);
+    Client client(fixture, server, budget);
+    client.send("a");
+    cr_assert(server.accept());
+    budget->replace(0, 2 * 1024 * 1024);
+    server.send(makeResponse("a", std::string(32 * 1024, 'x')));
+    cr_assert(client.hasResults(1));
+    cr_assert(client.results[0].end == Wire::ClientEnd::Answered);
+}
