LibCoordinator: Remember a first start across a restart

A coordinator stores that with the names of the seeds before it tells others, and holds to it while its settings name the same seeds; with others a second log might be founded (rule F6).

--- a/Libraries/LibCoordinator/CoordinatorNode.cpp
+++ b/Libraries/LibCoordinator/CoordinatorNode.cpp
@@ -17,6 +17,8 @@
 namespace Coordinator
 {
 
+// File in the data folder that says that the whole system starts for the first time, and names the seeds.
+static constexpr const char *FirstStartFile = "first-start";
 static constexpr Core::Duration MemberCheckPeriod = Core::milliseconds(500);
 static constexpr Core::Duration IntroductionPeriod = Core::milliseconds(300);
 static constexpr Core::Duration IntroductionTimeout = Core::milliseconds(800);
@@ -58,6 +60,7 @@
         return tl::make_unexpected(log.error());
     }
     node->log = std::move(log.value());
+    (void)node->isFirstStart();
     node->watchService = std::make_unique<WatchService>(WatchServiceOptions{.incarnation = node->incarnation, .longPollTimeout = node->options.longPollTimeout},
         *node->log,
         node->registry,
@@ -476,14 +479,38 @@
     return Consensus::findMember(replicated->membership(), replicated->identity().name) != nullptr;
 }
 
-Protocol::Introduction CoordinatorNode::ownIntroduction() const
+// Rule F6: The platform says only once that the system starts for the first time, so a coordinator stores it, with the seeds, before it tells others. It holds
+// for as long as the seeds are the same: with others a second log might be founded.
+bool CoordinatorNode::isFirstStart()
+{
+    auto *folder = this->log->dataFolder();
+    if (this->firstStart.has_value() || folder == nullptr) {
+        return this->firstStart.value_or(false);
+    }
+    auto seeds = this->options.seeds;
+    std::sort(seeds.begin(), seeds.end());
+    std::string content;
+    for (const auto &seed : seeds) {
+        content += seed.toString() + "\n";
+    }
+    if (!this->options.mayBootstrap) {
+        this->firstStart = folder->read(FirstStartFile).value_or("") == content;
+    } else if (const auto stored = folder->replace(FirstStartFile, content); stored.has_value()) {
+        this->firstStart = true;
+    } else {
+        Core::logEvent(Core::LogLevel::Warning, "first_start.not_stored", {{"error", stored.error().message}});
+    }
+    return this->firstStart.value_or(false);
+}
+
+Protocol::Introduction CoordinatorNode::ownIntroduction()
 {
     Protocol::Introduction introduction;
     const auto *replicated = this->log->log();
     if (replicated != nullptr) {
         introduction.member = replicated->identity();
         introduction.initialised = replicated->isInitialised();
-        introduction.mayFound = this->options.mayBootstrap;
+        introduction.mayFound = this->isFirstStart();
         introduction.leaving = this->draining;
     }
     return introduction;
@@ -585,7 +612,7 @@
 void CoordinatorNode::bootstrapIfComplete()
 {
     auto *replicated = this->log->log();
-    if (replicated == nullptr || !this->options.mayBootstrap || replicated->isInitialised() || this->options.seeds.empty()) {
+    if (replicated == nullptr || replicated->isInitialised() || this->options.seeds.empty() || !this->isFirstStart()) {
         return;
     }
     const auto lowest = *std::min_element(this->options.seeds.begin(), this->options.seeds.end());
--- a/Libraries/LibCoordinator/CoordinatorNode.h
+++ b/Libraries/LibCoordinator/CoordinatorNode.h
@@ -158,7 +158,9 @@
     void handleIntroductionReply(const Core::Endpoint &endpoint, const Protocol::IntroductionReply &reply);
     void bootstrapIfComplete();
     [[nodiscard]] bool isMember() const;
-    [[nodiscard]] Protocol::Introduction ownIntroduction() const;
+    [[nodiscard]] Protocol::Introduction ownIntroduction();
+    /** Whether the whole system starts for the first time, by the settings or by what an earlier incarnation of this process has stored. */
+    [[nodiscard]] bool isFirstStart();
     [[nodiscard]] std::string leaderOperatorAddress() const;
     void connectDepartures();
     /** Acknowledges the departure of a backend server if it is known to have left; there is nothing to keep otherwise. */
@@ -201,6 +203,8 @@
     std::unique_ptr<WatchService> watchService;
     // Introductions of other coordinators, by their endpoint; only used until the log is bootstrapped.
     std::map<Core::Endpoint, Protocol::Introduction> introduced;
+    // Set once the data folder could be used. Invariant: if true, it is stored in the folder.
+    std::optional<bool> firstStart;
     std::map<Core::Endpoint, std::shared_ptr<Rpc::RpcChannel>> introductionChannels;
     // When coordinators last said that they are being stopped, by their member name. Every coordinator keeps this, since any of them may lead next.
     std::map<std::string, Core::Instant> leavingSince;
