LibGateway: Say when a stop ended a request

A request whose timeout was cut by a planned stop looked like one that had reached its own. request.finished has ended_by_stop, with a counter beside that of refusals.

--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -38,6 +38,8 @@
     std::uint64_t quarantined{0};
     /** Requests, and parts of searches, that were refused since this gateway is being stopped. */
     std::uint64_t refusedInStop{0};
+    /** Requests that had to end before their timeout since this gateway is being stopped. */
+    std::uint64_t endedByStop{0};
     /** Requests that were refused or failed, by outcome and why they may have run. */
     std::map<std::pair<RequestOutcome, RunEvidence>, std::uint64_t> endings;
     std::uint64_t hedges{0};
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -868,6 +868,7 @@
 void GatewayNode::count(const RequestSummary &summary)
 {
     this->counts.hedges += static_cast<std::uint64_t>(summary.hedges);
+    this->counts.endedByStop += summary.endedByStop ? 1 : 0;
     if (summary.evidence.has_value()) {
         ++this->counts.endings[{summary.outcome, summary.evidence.value()}];
     }
@@ -913,6 +914,7 @@
             {"most_attempts", summary.mostAttempts},
             {"max_attempts", summary.route->maximumAttempts},
             {"took_ms", Core::toMilliseconds(summary.took)},
+            {"ended_by_stop", summary.endedByStop ? 1 : 0},
             {"missing", summary.detail}});
 }
 
@@ -957,6 +959,9 @@
     page.counter("crankrudder_requests_refused_in_stop_total",
         "Requests and parts that were refused since this gateway ends before they would.",
         static_cast<double>(this->counts.refusedInStop));
+    page.counter("crankrudder_requests_ended_by_stop_total",
+        "Requests and parts that ended before their timeout since this gateway is stopping.",
+        static_cast<double>(this->counts.endedByStop));
     page.gauge("crankrudder_ready", "Whether callers should come here.", this->isReady() ? 1 : 0);
     page.gauge("crankrudder_coordinators_in_reach", "Coordinators that answer.", static_cast<double>(this->watcher.reachableCount()));
     page.gauge("crankrudder_gateways", "Gateways that are known to be ready.", this->pool.gatewayCount());
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -112,8 +112,9 @@
     if (context.workspace != nullptr) {
         this->parameters.allowedRegions = this->parameters.allowedRegions.intersectedWith(context.workspace->allowedRegions);
     }
-    if (context.endsBy.has_value()) {
-        this->parameters.expiresAt = std::min(this->parameters.expiresAt, context.endsBy.value());
+    if (context.endsBy.has_value() && context.endsBy.value() < this->parameters.expiresAt) {
+        this->parameters.expiresAt = context.endsBy.value();
+        this->expiresByStop = true;
     }
     if (context.relayParameters.has_value()) {
         this->parameters.targetAt = this->arrivedAt + context.relayParameters->timeLeftToTarget;
@@ -217,6 +218,7 @@
         return;
     }
     this->parameters.expiresAt = latest;
+    this->expiresByStop = true;
     this->runScheduledCheck();
 }
 
@@ -298,6 +300,7 @@
     summary.route = &this->route;
     summary.declarationVersion = this->routes->declaration().version.value();
     summary.took = this->now() - this->arrivedAt;
+    summary.endedByStop = this->expiresByStop && this->isExpired();
     this->describe(summary);
     return summary;
 }
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -69,6 +69,8 @@
     /** Largest number of attempts that one shard may have had, at all gateways as far as this one knows. */
     int mostAttempts{0};
     Core::Duration took{0};
+    /** Whether the request had to end before its timeout since this gateway is being stopped. */
+    bool endedByStop{false};
     /** The missing shards, each with the reason. */
     std::string detail;
 };
@@ -185,6 +187,8 @@
     /** Returns how long the caller of a request that has not run should wait before its retry. */
     [[nodiscard]] Core::Duration retryDelay(bool lacksServers) const;
 
+    // Invariant: set if and only if a planned stop has made expiresAt earlier.
+    bool expiresByStop{false};
     std::optional<RunEvidence> evidence;
     bool completionDeferred{false};
     bool done{false};
--- a/Services/gatewayd/main.cpp
+++ b/Services/gatewayd/main.cpp
@@ -30,7 +30,6 @@
 constexpr Core::Duration BalancerRemovalTime = Core::milliseconds(3200);
 // A connection that was just opened, or answered, may still bring a request.
 constexpr Core::Duration MinimumIdleTime = Core::milliseconds(500);
-
 constexpr double BytesPerMegabyte = 1024.0 * 1024.0;
 // Part of the memory of the process that answers may take while they arrive. A buffer that grows takes up to three times its size for a moment.
 constexpr double UnfinishedAnswersShare = 0.1;
@@ -71,6 +70,7 @@
             {{"requests", left.requests},
                 {"connections", left.connections},
                 {"refused", node.counters().refusedInStop},
+                {"ended_by_stop", node.counters().endedByStop},
                 {"crossed_close", listeners.callers.counters().discarded}});
         node.logUnanswered();
         daemon.quit();
--- a/Tests/LibGateway/TestStopAdmission.cpp
+++ b/Tests/LibGateway/TestStopAdmission.cpp
@@ -75,6 +75,7 @@
     cr_assert(fixture.answer.has_value());
     cr_assert_eq(fixture.answer->status, 504, "the request may have run");
     cr_assert(fixture.summary->evidence == Gateway::RunEvidence::DirectAttempt);
+    cr_assert(fixture.summary->endedByStop);
 }
 
 // Guards against a search that is thrown away with its gateway although enough shards have answered.
