--- a/Utilities/crankmeasure/Slopes.cpp
+++ b/Utilities/crankmeasure/Slopes.cpp
@@ -8,15 +8,19 @@
 #include <LibControl/ConfigurationDelta.h>
 #include <LibControl/ConfigurationRules.h>
 #include <LibControl/ControlState.h>
+#include <LibCoordinator/DeclarationLog.h>
 #include <LibCore/Identity.h>
 #include <LibEntry/QueryService.h>
 #include <LibFleet/CrashLedger.h>
 #include <LibRpc/Serialization.h>
 #include <Support/EntryFixture.h>
 
+#include <algorithm>
 #include <ctime>
+#include <filesystem>
 #include <fmt/core.h>
 #include <malloc.h>
+#include <random>
 
 namespace Measure
 {
@@ -302,4 +306,64 @@
         {"crash_records_looked_up", "us", size, lookup.microseconds()}};
 }
 
+// The clock is the process's own, so the time until the declaration is applied includes the election of the only voter.
+std::vector<Sample> measureLogReopening(std::int64_t declarations)
+{
+    static constexpr std::size_t DeclarationBytes = 1024 * 1024;
+    const auto folder = std::filesystem::temp_directory_path() / ("crankmeasure-" + Core::randomToken().substr(0, 8));
+    std::filesystem::create_directories(folder);
+    Coordinator::DeclarationLogOptions options;
+    options.dataFolder = folder;
+    options.log.identity.name = "measured";
+    options.log.entriesBetweenSnapshots = 2 * declarations;
+    options.send = [](const Protocol::Member &, const Protocol::LogMessage &) {
+    };
+    Core::TimerService timers(Core::systemClock());
+    const auto runUntil = [&timers](const std::function<bool()> &condition) {
+        while (!condition()) {
+            timers.runDue();
+        }
+    };
+    // Random bytes, since the log compresses declarations.
+    std::mt19937_64 random(1);
+    std::string content(DeclarationBytes, ' ');
+    {
+        const auto log = Coordinator::DeclarationLog::create(options, timers).value();
+        Protocol::Membership membership;
+        membership.members.push_back(log->log()->identity());
+        membership.members.front().voter = true;
+        (void)log->log()->bootstrap(membership);
+        runUntil([&log] {
+            return log->isLeader();
+        });
+        for (std::int64_t version = 1; version <= declarations; ++version) {
+            std::generate(content.begin(), content.end(), [&random] {
+                return static_cast<char>(random());
+            });
+            bool ended = false;
+            log->propose(version, content, [&ended](Coordinator::ProposalEnd) {
+                ended = true;
+            });
+            runUntil([&ended] {
+                return ended;
+            });
+        }
+    }
+    std::uintmax_t bytes = 0;
+    for (const auto &file : std::filesystem::directory_iterator(folder)) {
+        bytes += file.file_size();
+    }
+    const auto began = timers.now();
+    const auto reopened = Coordinator::DeclarationLog::create(options, timers).value();
+    const auto opened = timers.now();
+    runUntil([&reopened, declarations] {
+        return reopened->version() == declarations;
+    });
+    const auto applied = timers.now();
+    std::filesystem::remove_all(folder);
+    const auto size = static_cast<double>(bytes);
+    return {{"log_reopened", "ms", size, Core::toFractionalMilliseconds(opened - began)},
+        {"log_applied", "ms", size, Core::toFractionalMilliseconds(applied - began)}};
+}
+
 }
--- a/Utilities/crankmeasure/Slopes.h
+++ b/Utilities/crankmeasure/Slopes.h
@@ -37,4 +37,7 @@
 /** Memory, message size and processor time of crash records, each with three attempts, for a number of records. */
 [[nodiscard]] std::vector<Sample> measureCrashRecords(std::size_t records);
 
+/** Time until a coordinator's log with this many declarations of 1 MiB is open again, and until its newest declaration is applied. */
+[[nodiscard]] std::vector<Sample> measureLogReopening(std::int64_t declarations);
+
 }
--- a/Utilities/crankmeasure/main.cpp
+++ b/Utilities/crankmeasure/main.cpp
@@ -57,6 +57,9 @@
     for (const std::size_t records : {64U, 1024U}) {
         print(Measure::measureCrashRecords(records));
     }
+    for (const std::int64_t declarations : {16, 64}) {
+        print(Measure::measureLogReopening(declarations));
+    }
     return {};
 }
 
