Tests: Correct two faults of the soak itself

A stop with three further signals could last for longer than its grace period before the soak looked whether the process had ended; with nothing left to wait for, wait_for() then says that it has not. Further signals are sent beside the wait now.

Overlapping faults of load.py restored each other: one that began during another one restored that one's value when it ended, so backend servers refused every request for the rest of the run. Faults end with the values of a healthy server now.

--- a/Tests/Soak/load.py
+++ b/Tests/Soak/load.py
@@ -15,6 +15,9 @@
 # What a backend server reports in place of its load: idle, overloaded, nothing, not a report.
 FALSE_LOADS = ["0,0,4,100", "4,50,4,900", None, "4,x"]
 
+# What set_for_a_time() sets, at a backend server without faults.
+HEALTHY = {"shed": 0.0, "noise": 1.0, "false_load": None, "reports_falsely": False}
+
 
 class Load:
     """Returning callers and faults of backend servers in one run."""
@@ -63,14 +66,14 @@
         return self.random.sample(ready, max(1, int(len(ready) * self.random.choice([0.2, 0.5, 0.8]))))
 
     async def set_for_a_time(self, backends, seconds, **faults):
-        before = [{name: getattr(backend, name) for name in faults} for backend in backends]
         for backend in backends:
             for name, value in faults.items():
                 setattr(backend, name, value)
         await asyncio.sleep(seconds)
-        for backend, values in zip(backends, before):
-            for name, value in values.items():
-                setattr(backend, name, value)
+        # Faults may overlap, so what was set before may be another fault, which has ended meanwhile.
+        for backend in backends:
+            for name in faults:
+                setattr(backend, name, HEALTHY[name])
 
     async def refuse(self):
         await self.set_for_a_time(self.some_backends(), self.random.uniform(1, 4), shed=self.random.choice([0.3, 0.6, 1.0]))
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -140,17 +140,22 @@
         self.send(signal.SIGTERM)
         began = time.monotonic()
         self.soak.counts["stops"] += 1
-        for delay, number in more_signals:
-            await asyncio.sleep(delay)
-            if process.returncode is None and self.process is process:
-                self.send(number)
-                self.soak.counts["further_signals"] += 1
+        signals = asyncio.create_task(self.send_in_turn(process, more_signals))
         try:
-            await asyncio.wait_for(asyncio.shield(process.wait()), max(0.0, began + grace - time.monotonic()))
+            await asyncio.wait_for(process.wait(), grace)
         except asyncio.TimeoutError:
             if not self.soak.ending and not self.had_unplanned_fault(began, time.monotonic()):
                 self.soak.fail("stop-too-long", f"{self.name} still runs {grace:g} s after SIGTERM")
             process.kill()
+        finally:
+            signals.cancel()
+
+    async def send_in_turn(self, process, signals):
+        for delay, number in signals:
+            await asyncio.sleep(delay)
+            if process.returncode is None:
+                process.send_signal(number)
+                self.soak.counts["further_signals"] += 1
 
     def send(self, number):
         if self.process.returncode is None:
