LibCoordinator: Wait until the others know that a coordinator leaves

The stop waits until the calls that carry the notice are answered, 300 ms at most, since some of the others may not run.

--- a/Libraries/LibCoordinator/CoordinatorNode.cpp
+++ b/Libraries/LibCoordinator/CoordinatorNode.cpp
@@ -41,6 +41,8 @@
 // A backend server waits a second for an acknowledgement before it asks another coordinator.
 static constexpr Core::Duration DepartureTimeout = Core::milliseconds(800);
 static constexpr Core::Duration DrainPollPeriod = Core::milliseconds(20);
+// How long a coordinator that is being stopped waits until the others have confirmed that they know. Some of them may not run.
+static constexpr Core::Duration LeavingNoticeTime = Core::milliseconds(300);
 
 CoordinatorNode::CoordinatorNode(CoordinatorOptions options, Core::TimerService &timers)
     : options(std::move(options))
@@ -736,6 +738,7 @@
 void CoordinatorNode::drain(std::function<void()> stoppedHook)
 {
     this->draining = true;
+    this->drainBegan = this->timers.now();
     this->stopped = std::move(stoppedHook);
     if (this->isMember()) {
         this->introduceToAll();
@@ -752,7 +755,11 @@
 
 void CoordinatorNode::finishDrain()
 {
-    if (this->log->waitingProposals() > 0 || this->departures.waitingCount() > 0) {
+    const bool isNoticePending = std::any_of(this->introductionChannels.begin(), this->introductionChannels.end(), [](const auto &row) {
+        return row.second->waitingCalls() > 0;
+    });
+    const bool mayWait = this->timers.now() - this->drainBegan < LeavingNoticeTime;
+    if (this->log->waitingProposals() > 0 || this->departures.waitingCount() > 0 || (isNoticePending && mayWait)) {
         return;
     }
     if (this->log->isLeader() && this->log->log()->transferLeadership(this->timers.now())) {
--- a/Libraries/LibCoordinator/CoordinatorNode.h
+++ b/Libraries/LibCoordinator/CoordinatorNode.h
@@ -124,8 +124,9 @@
     void addSeeds(const std::vector<Core::Endpoint> &seeds);
 
     /**
-     * Refuses further orders and transfers leadership. `stopped` is called when no proposal and no departure waits any more and this coordinator is not the
-     * leader, or has no reachable voter to which it could transfer leadership.
+     * Refuses further orders, tells the other coordinators that this one leaves, and transfers leadership. `stopped` is called when no proposal and no
+     * departure waits any more, the others have confirmed the notice or had time to, and this coordinator is not the leader, or has no reachable voter to
+     * which it could transfer leadership.
      */
     void drain(std::function<void()> stopped);
 
@@ -210,6 +211,8 @@
     std::map<std::string, Core::Instant> leavingSince;
     Core::Instant lastExpiry;
     bool draining{false};
+    // Set once `draining` is.
+    Core::Instant drainBegan;
     std::function<void()> stopped;
     Core::TimerSubscription memberTimer;
     Core::TimerSubscription introductionTimer;
