Tests: Tell a signal before the program has begun from a crash

Their logs have no line of that start. The soak knew this case for SIGTERM; it holds for SIGHUP and SIGINT as well, and only while the log is unchanged since the start.

--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -113,9 +113,10 @@
         code = await process.wait()
         if self.soak.ending:
             return
-        # A process that gets SIGTERM before it has installed its signal handler ends by the signal, which is no crash. Its log is still empty.
+        # A process that gets a signal before its program has begun ends by the signal, which is no crash. Its log is still empty.
         log_is_unchanged = os.path.getsize(os.path.join(self.folder, "log.txt")) == self.log_size_at_start
-        if code not in (0, -signal.SIGKILL) and not (code == -signal.SIGTERM and log_is_unchanged):
+        ended_before_it_began = code in (-signal.SIGTERM, -signal.SIGINT, -signal.SIGHUP) and log_is_unchanged
+        if code not in (0, -signal.SIGKILL) and not ended_before_it_began:
             self.soak.fail("crash", f"{self.name} ended with {code}")
         self.record_fault(0.5, planned=True)
         if self.is_removed:
