LibCore: Answer what arrives in the last phase of a stop

Those who had arrived in part were rejected once, this one came after that, and nothing answered it until the process ended at 5.7 s (stop.ended requests=1). It had not been sent on.

The last answers are given at each check of Flushing, until the end. GracefulStop/answersWhatIsLeftBeforeTheEnd has such a request now, and fails without the change.

--- a/Libraries/LibCore/GracefulStop.cpp
+++ b/Libraries/LibCore/GracefulStop.cpp
@@ -118,9 +118,9 @@
     }
     if (this->currentPhase == StopPhase::Closing && areAnswersDue) {
         this->enter(StopPhase::Flushing, now);
-        if (this->hooks.answerAll) {
-            this->hooks.answerAll();
-        }
+    }
+    if (this->currentPhase == StopPhase::Flushing && this->hooks.answerAll) {
+        this->hooks.answerAll();
     }
     const bool mayEnd = this->currentPhase == StopPhase::Closing || this->currentPhase == StopPhase::Flushing;
     if (mayEnd && (this->hasDrained(this->hooks.load(), now) || now >= this->schedule.end)) {
--- a/Libraries/LibCore/GracefulStop.h
+++ b/Libraries/LibCore/GracefulStop.h
@@ -73,7 +73,7 @@
     std::function<void()> closeIdleConnections;
     /** Called when Closing begins. Connections that wait to be accepted have to be accepted first. */
     std::function<void()> stopListening;
-    /** Called when Flushing begins, if requests were left at `answersDue`: gives each its final answer, and refuses what arrives from now on. */
+    /** Called at each check of Flushing, since requests may still arrive on open connections: gives each that is left its final answer. */
     std::function<void()> answerAll;
     std::function<StopLoad()> load;
     /** Called once, with what was left unanswered: nothing, unless a response could not be written in time. */
--- a/Tests/LibCore/TestGracefulStop.cpp
+++ b/Tests/LibCore/TestGracefulStop.cpp
@@ -79,9 +79,14 @@
     process.time.advance(process.schedule.answersDue - process.time.now() - Core::milliseconds(20));
     cr_assert_eq(process.finalAnswers, 0);
     cr_assert(process.isListening && !process.endedAt.has_value());
-    process.time.advance(Core::milliseconds(100));
-    cr_assert_eq(process.finalAnswers, 1);
+    process.time.advance(Core::milliseconds(30));
+    cr_assert_eq(process.load.requests, 0U);
     cr_assert_not(process.isListening);
+    // Arrives on a connection that was accepted at the last moment.
+    process.load.requests = 1;
+    process.time.advance(Core::milliseconds(30));
+    cr_assert_eq(process.load.requests, 0U);
+    cr_assert_not(process.endedAt.has_value());
     process.load.connections = 0;
     process.time.advance(Core::milliseconds(40));
     cr_assert(process.endedAt.has_value());
@@ -137,7 +142,7 @@
         cr_assert(
             schedule.requestedAt < schedule.noticeEnds && schedule.noticeEnds < schedule.answersDue && schedule.answersDue < schedule.end, "%d ms", grace);
         process.time.advance(Core::milliseconds(grace));
-        cr_assert_eq(process.finalAnswers, 1, "%d ms", grace);
+        cr_assert_geq(process.finalAnswers, 1, "%d ms", grace);
         cr_assert(process.endedAt.has_value(), "%d ms", grace);
         cr_assert_eq(process.left, 1U, "an answer that can't be written doesn't keep the process from its end");
     }
