LibWire, LibConsensus: Say who ended a connection and who holds an order

Cause: the hypotheses about the lost requests and orders could not be told apart. A request that ended as caller-gone did not say whether its caller had closed the connection, had reset it, or whether this side closed it. A connection that was closed at its idle timeout, and an answer that was written in part, had no line. Nobody logged which coordinators had an order on disk when it was acknowledged, nor that entries were removed from a log. Change: request.finished has connection=, request.crossed_close its cause and age, response.unwritten and order.committed (with holders) are new, and so are log.entries_removed and the indices of log.snapshot_installed, log.opened and log.became_leader. A counter of connections by what was left.

--- a/Libraries/LibConsensus/ReplicatedLog.cpp
+++ b/Libraries/LibConsensus/ReplicatedLog.cpp
@@ -124,6 +124,18 @@
     return found == this->progress.end() ? 0 : found->second.matchIndex;
 }
 
+std::vector<std::string> ReplicatedLog::holdersOf(std::int64_t index) const
+{
+    std::vector<std::string> holders;
+    for (const auto &member : this->store.membership().members) {
+        const auto held = member.name == this->ownMember.name ? this->durableIndex : this->matchIndexOf(member.name);
+        if (held >= index) {
+            holders.push_back(member.name);
+        }
+    }
+    return holders;
+}
+
 Core::Instant ReplicatedLog::lastContactWith(const std::string &name) const
 {
     const auto found = this->progress.find(name);
@@ -516,7 +528,13 @@
         this->progress[member.name] = Progress{.nextIndex = this->store.lastIndex() + 1, .lastContact = now};
     }
     this->nextHeartbeat = now + this->options.heartbeatPeriod;
-    Core::logEvent(Core::LogLevel::Information, "log.became_leader", {{"term", this->currentTerm}, {"last_index", this->store.lastIndex()}});
+    Core::logEvent(Core::LogLevel::Information,
+        "log.became_leader",
+        {{"term", this->currentTerm},
+            {"last_index", this->store.lastIndex()},
+            {"committed", this->committed},
+            {"votes", this->votes.size()},
+            {"voters", voterCount(this->store.membership())}});
     // E4. A new leader begins its term with an empty entry.
     this->termStartIndex = this->store.lastIndex() + 1;
     const auto appended = this->appendEntry(Protocol::LogEntry{});
@@ -798,6 +816,9 @@
         // R3. An entry whose term differs from the leader's is removed with all entries after it.
         if (entry.index <= this->store.lastIndex()) {
             Core::verify(entry.index > this->committed, "committed entries are never removed");
+            Core::logEvent(Core::LogLevel::Warning,
+                "log.entries_removed",
+                {{"from", entry.index}, {"to", this->store.lastIndex()}, {"committed", this->committed}, {"leader", message.sender}, {"term", message.term}});
             this->store.truncateFrom(entry.index);
         }
         Core::verify(entry.index == this->store.lastIndex() + 1, "entries are consecutive");
@@ -845,6 +866,7 @@
     snapshot.state = std::move(this->incomingSnapshot.state);
     snapshot.membership = message.membership;
     this->incomingSnapshot = IncomingSnapshot{};
+    const auto lastBefore = this->store.lastIndex();
     auto outcome = this->writeAheadLog.flush();
     if (outcome.has_value()) {
         outcome = this->store.install(snapshot, this->currentTerm, this->votedFor);
@@ -859,7 +881,14 @@
     }
     this->committed = snapshot.index;
     this->readIndexRequests.confirmUpTo(this->committed);
-    Core::logEvent(Core::LogLevel::Information, "log.snapshot_installed", {{"index", snapshot.index}, {"bytes", snapshot.state.size()}});
+    Core::logEvent(Core::LogLevel::Information,
+        "log.snapshot_installed",
+        {{"index", snapshot.index},
+            {"term", snapshot.term},
+            {"bytes", snapshot.state.size()},
+            {"leader", message.sender},
+            {"last_before", lastBefore},
+            {"last_index", this->store.lastIndex()}});
 }
 
 // ---- Committed entries
--- a/Libraries/LibConsensus/ReplicatedLog.h
+++ b/Libraries/LibConsensus/ReplicatedLog.h
@@ -138,6 +138,8 @@
     [[nodiscard]] const Protocol::Member *leader() const;
     /** The highest index up to which a member's log is known to equal the leader's; 0 when unknown or when this instance is not the leader. */
     [[nodiscard]] std::int64_t matchIndexOf(const std::string &name) const;
+    /** Names of the members that are known to have the entries up to an index on disk; only this one's when it is not the leader. */
+    [[nodiscard]] std::vector<std::string> holdersOf(std::int64_t index) const;
     /** When this leader last received a reply from a member, or else started to send to it; the epoch when this instance is not the leader. */
     [[nodiscard]] Core::Instant lastContactWith(const std::string &name) const;
     /** When this leader last received a reply from a member; nothing when it has received none or this instance is not the leader. */
--- a/Libraries/LibCoordinator/DeclarationLog.cpp
+++ b/Libraries/LibCoordinator/DeclarationLog.cpp
@@ -65,6 +65,8 @@
         "log.opened",
         {{"member", this->replicatedLog->identity().name},
             {"initialised", this->replicatedLog->isInitialised() ? 1 : 0},
+            {"term", this->replicatedLog->term()},
+            {"committed", this->replicatedLog->commitIndex()},
             {"last_index", this->replicatedLog->lastIndex()},
             {"declaration", this->visible.version()}});
     return {};
@@ -181,6 +183,14 @@
     this->publish(this->built);
     const auto decided = this->waiting.take(entry);
     if (decided.has_value()) {
+        Core::logEvent(Core::LogLevel::Information,
+            "order.committed",
+            {{"index", entry.index},
+                {"term", entry.term},
+                {"proposed", decided->isProposedEntry ? 1 : 0},
+                {"declaration", this->built.version()},
+                {"evacuations", this->built.evacuations().revision},
+                {"holders", Core::joinList(this->replicatedLog->holdersOf(entry.index))}});
         decided->hook(decided->isProposedEntry ? ProposalEnd::Committed : ProposalEnd::Unknown);
     }
 }
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -199,6 +199,18 @@
         static_cast<double>(quotas.waitingShareCount()));
 }
 
+void addConnectionMetrics(Metrics::MetricsPage &page, const Wire::ServerCounters &counts)
+{
+    constexpr const char *Help = "Connections of callers that ended, other than by the caller between two requests, by what was left.";
+    const auto ended = [&page](const char *left, std::uint64_t value) {
+        page.counter("crankrudder_connections_ended_total", Help, static_cast<double>(value), {{"left", left}});
+    };
+    ended("request", counts.aborted);
+    ended("response", counts.unwritten);
+    ended("crossing-bytes", counts.discarded);
+    ended("nothing", counts.idleClosed);
+}
+
 void addOwnerMetrics(Metrics::MetricsPage &page, const OwnerLoadCounters &counts, const std::optional<LoopReport> &ownLoad)
 {
     for (std::size_t rank = 0; rank < counts.answeredByRank.size(); ++rank) {
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -14,6 +14,7 @@
 #include <LibGateway/RoutedRequest.h>
 #include <LibGateway/Scheduling/OwnerLoad.h>
 #include <LibMetrics/MetricsPage.h>
+#include <LibWire/Server.h>
 
 namespace Gateway
 {
@@ -68,6 +69,9 @@
 /** Adds the counters of quota decisions, of queries to and from other gateways, and the number of quotas of which this gateway holds a share. */
 void addQuotaMetrics(Metrics::MetricsPage &page, const QuotaLimiter &quotas);
 
+/** Adds how the connections of callers ended. */
+void addConnectionMetrics(Metrics::MetricsPage &page, const Wire::ServerCounters &counts);
+
 /** Adds the counters of parts by owner and the load of this gateway, if it is measured. */
 void addOwnerMetrics(Metrics::MetricsPage &page, const OwnerLoadCounters &counts, const std::optional<LoopReport> &ownLoad);
 
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -507,7 +507,7 @@
         .targetLeft = route.targetLatency,
         .typicalLatency = typicalLatencyOf(this->options.requests, route, this->latencies[route.name])};
     this->admissions[id] = Admission{.request = std::move(request), .exchange = exchange, .terms = terms};
-    exchange->aborted = [this, id] {
+    exchange->aborted = [this, id](Wire::ConnectionEnd) {
         const auto waiting = this->admissions.extract(id);
         if (!waiting.empty()) {
             ++this->counts.callersGone;
@@ -845,10 +845,10 @@
     const auto id = this->nextRequest++;
     auto &started = *request;
     this->requests[id] = std::move(request);
-    exchange->aborted = [this, id] {
+    exchange->aborted = [this, id](Wire::ConnectionEnd end) {
         const auto found = this->requests.find(id);
         if (found != this->requests.end()) {
-            found->second->callerGone();
+            found->second->callerGone(end);
         }
     };
     exchange->confirmed = [this, id] {
@@ -915,6 +915,7 @@
             {"max_attempts", summary.route->maximumAttempts},
             {"took_ms", Core::toMilliseconds(summary.took)},
             {"ended_by_stop", summary.endedByStop ? 1 : 0},
+            {"connection", summary.connectionEnd.has_value() ? Wire::connectionEndName(summary.connectionEnd.value()) : ""},
             {"missing", summary.detail}});
 }
 
@@ -962,6 +963,9 @@
     page.counter("crankrudder_requests_ended_by_stop_total",
         "Requests and parts that ended before their timeout since this gateway is stopping.",
         static_cast<double>(this->counts.endedByStop));
+    if (this->callerConnections) {
+        addConnectionMetrics(page, this->callerConnections());
+    }
     page.gauge("crankrudder_ready", "Whether callers should come here.", this->isReady() ? 1 : 0);
     page.gauge("crankrudder_coordinators_in_reach", "Coordinators that answer.", static_cast<double>(this->watcher.reachableCount()));
     page.gauge("crankrudder_gateways", "Gateways that are known to be ready.", this->pool.gatewayCount());
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -91,6 +91,9 @@
     /** Called when a declaration has become active, with its limits for callers' requests, which may be the same as before. */
     std::function<void(const Fleet::CallerLimits &limits)> limitsChanged;
 
+    /** Returns the counters of the listener for callers, for metrics. Without a hook they are left out. */
+    std::function<Wire::ServerCounters()> callerConnections;
+
 private:
     /** A request that waits for the quota decision of its workspace. */
     struct Admission {
--- a/Libraries/LibGateway/RoutedRequest.cpp
+++ b/Libraries/LibGateway/RoutedRequest.cpp
@@ -222,11 +222,12 @@
     this->runScheduledCheck();
 }
 
-void RoutedRequest::callerGone()
+void RoutedRequest::callerGone(Wire::ConnectionEnd end)
 {
     if (this->done) {
         return;
     }
+    this->connectionEnd = end;
     this->cancelCalls(true);
     this->answerHook = nullptr;
     this->complete(Wire::Response{}, RequestOutcome::CallerGone);
@@ -301,6 +302,7 @@
     summary.declarationVersion = this->routes->declaration().version.value();
     summary.took = this->now() - this->arrivedAt;
     summary.endedByStop = this->expiresByStop && this->isExpired();
+    summary.connectionEnd = this->connectionEnd;
     this->describe(summary);
     return summary;
 }
--- a/Libraries/LibGateway/RoutedRequest.h
+++ b/Libraries/LibGateway/RoutedRequest.h
@@ -14,6 +14,7 @@
 #include <LibGateway/RelayPlan.h>
 #include <LibGateway/Scheduling/OwnerLoad.h>
 #include <LibGateway/ShardCall.h>
+#include <LibWire/Server.h>
 
 namespace Gateway
 {
@@ -71,6 +72,8 @@
     Core::Duration took{0};
     /** Whether the request had to end before its timeout since this gateway is being stopped. */
     bool endedByStop{false};
+    /** How the caller's connection ended, if it did before the answer. */
+    std::optional<Wire::ConnectionEnd> connectionEnd;
     /** The missing shards, each with the reason. */
     std::string detail;
 };
@@ -130,8 +133,8 @@
     /** Lets the request end at `latest` with whatever it has by then, as if its timeout were over. Has no effect if it ends earlier anyway. */
     void endBy(Core::Instant latest);
 
-    /** Handles that the caller has gone: nothing more is sent, and attempts in flight are cancelled. */
-    void callerGone();
+    /** Handles that the caller's connection has ended: nothing more is sent, and attempts in flight are cancelled. */
+    void callerGone(Wire::ConnectionEnd end);
 
     /** Describes the request as it is now. The pointers are valid until it ends. */
     [[nodiscard]] RequestSummary currentState() const;
@@ -189,6 +192,8 @@
 
     // Invariant: set if and only if a planned stop has made expiresAt earlier.
     bool expiresByStop{false};
+    // Set once the caller's connection has ended before the answer.
+    std::optional<Wire::ConnectionEnd> connectionEnd;
     std::optional<RunEvidence> evidence;
     bool completionDeferred{false};
     bool done{false};
--- a/Libraries/LibWire/Server.cpp
+++ b/Libraries/LibWire/Server.cpp
@@ -21,6 +21,19 @@
 // How long a connection waits, after its last response, for the other side to close it.
 static constexpr Core::Duration LingerTimeout = Core::seconds(1);
 
+const char *connectionEndName(ConnectionEnd end)
+{
+    switch (end) {
+    case ConnectionEnd::ClosedByCaller:
+        return "closed-by-caller";
+    case ConnectionEnd::Broken:
+        return "broken";
+    case ConnectionEnd::ClosedHere:
+        return "closed-here";
+    }
+    return "broken";
+}
+
 // ---- Exchange
 
 Exchange::Exchange(std::weak_ptr<ServerConnection> connection) : connection(std::move(connection))
@@ -77,7 +90,7 @@
     this->closeListener();
     const auto remaining = std::exchange(this->connections, {});
     for (const auto &[descriptor, connection] : remaining) {
-        connection->close();
+        connection->close(ConnectionEnd::ClosedHere);
     }
 }
 
@@ -244,7 +257,7 @@
 void ServerConnection::handleEvents(std::uint32_t events)
 {
     if ((events & EPOLLERR) != 0 || (events & EPOLLHUP) != 0) {
-        this->close();
+        this->close((events & EPOLLERR) != 0 ? ConnectionEnd::Broken : ConnectionEnd::ClosedByCaller);
         return;
     }
     if ((events & EPOLLOUT) != 0) {
@@ -258,16 +271,17 @@
 void ServerConnection::readMore()
 {
     const auto transfer = this->socket.read(this->input, ReadLimitBytes);
+    const auto end = transfer == Transfer::Ended ? ConnectionEnd::ClosedByCaller : ConnectionEnd::Broken;
     if (this->stage == Stage::Lingering) {
         this->discardInput();
         if (transfer != Transfer::Open) {
-            this->close();
+            this->close(end);
         }
         return;
     }
     // The end of the stream means that the caller has disconnected: callers of this interface keep their side open while they wait for a response.
     if (transfer != Transfer::Open) {
-        this->close();
+        this->close(end);
         return;
     }
     this->lastActivity = this->server->timers.now();
@@ -283,7 +297,12 @@
 {
     if (!this->input.empty() && !std::exchange(this->hasDiscarded, true)) {
         ++this->server->counts.discarded;
-        Core::logEvent(Core::LogLevel::Information, "request.crossed_close", {{"server", this->server->options.name}, {"bytes", this->input.size()}});
+        Core::logEvent(Core::LogLevel::Information,
+            "request.crossed_close",
+            {{"server", this->server->options.name},
+                {"bytes", this->input.size()},
+                {"cause", this->endedIdle ? "idle" : "response"},
+                {"after_ms", Core::toMilliseconds(this->server->timers.now() - this->lastActivity)}});
     }
     this->input.clear();
 }
@@ -395,7 +414,7 @@
 void ServerConnection::writeMore()
 {
     if (this->socket.write(this->output, this->written) != Transfer::Open) {
-        this->close();
+        this->close(ConnectionEnd::Broken);
         return;
     }
     if (this->written == this->output.size()) {
@@ -448,11 +467,21 @@
     this->server->poll.modify(this->socket.number(), events);
 }
 
-void ServerConnection::close()
+void ServerConnection::close(ConnectionEnd end)
 {
     if (this->stage == Stage::Closed) {
         return;
     }
+    if (this->written < this->output.size()) {
+        ++this->server->counts.unwritten;
+        Core::logEvent(Core::LogLevel::Information,
+            "response.unwritten",
+            {{"server", this->server->options.name},
+                {"end", connectionEndName(end)},
+                {"written", this->written},
+                {"bytes", this->output.size()},
+                {"after_ms", Core::toMilliseconds(this->server->timers.now() - this->lastActivity)}});
+    }
     const auto keepAlive = this->shared_from_this();
     this->stage = Stage::Closed;
     this->server->poll.remove(this->socket.number());
@@ -466,10 +495,17 @@
     ++this->server->counts.aborted;
     const auto hook = std::exchange(pending->aborted, nullptr);
     if (hook) {
-        hook();
+        hook(end);
     }
 }
 
+void ServerConnection::endIdle()
+{
+    ++this->server->counts.idleClosed;
+    this->endedIdle = true;
+    this->linger();
+}
+
 void ServerConnection::closeIfIdle(Core::Duration idleTime)
 {
     if (!this->isIdle() || this->server->timers.now() - this->lastActivity < idleTime) {
@@ -478,7 +514,7 @@
     // A request may have arrived since the loop last ran.
     this->readMore();
     if (this->isIdle()) {
-        this->linger();
+        this->endIdle();
     }
 }
 
@@ -504,7 +540,7 @@
 {
     const auto &limits = this->server->options.limits;
     if (this->stage == Stage::Lingering && now - this->lastActivity >= LingerTimeout) {
-        this->close();
+        this->close(ConnectionEnd::ClosedHere);
         return;
     }
     if (this->stage != Stage::Reading) {
@@ -516,7 +552,7 @@
         return;
     }
     if (!this->parser.hasBegun() && now - this->lastActivity >= limits.idleTimeout) {
-        this->linger();
+        this->endIdle();
     }
 }
 
--- a/Libraries/LibWire/Server.h
+++ b/Libraries/LibWire/Server.h
@@ -24,6 +24,19 @@
 
 class ServerConnection;
 
+/** How a connection ended on which a response was awaited. */
+enum class ConnectionEnd {
+    /** The other side ended it in order. */
+    ClosedByCaller,
+    /** The other side reset it, or can't be reached any more. */
+    Broken,
+    /** This side closed it. */
+    ClosedHere,
+};
+
+/** Name of the end in log lines. */
+[[nodiscard]] const char *connectionEndName(ConnectionEnd end);
+
 /** A request that awaits its response. */
 class Exchange
 {
@@ -39,8 +52,8 @@
     /** Like isOpen(), but also notices a caller that has disconnected since the event loop last ran, which takes a system call. */
     [[nodiscard]] bool isAwaited() const;
 
-    /** Called once if the caller disconnects before the response. */
-    std::function<void()> aborted;
+    /** Called once if the connection ends before the response. */
+    std::function<void(ConnectionEnd end)> aborted;
 
     /** Called when the caller has received the acknowledgement of the request, if it tells so before the response (ClientRequest::mayConfirm). */
     std::function<void()> confirmed;
@@ -90,6 +103,10 @@
     std::uint64_t timedOut{0};
     /** Connections on which bytes arrived after this side had ended them; the bytes were discarded. */
     std::uint64_t discarded{0};
+    /** Connections that this side ended since they were idle. */
+    std::uint64_t idleClosed{0};
+    /** Connections that ended while a response was written. */
+    std::uint64_t unwritten{0};
 };
 
 /** What the connections of a server hold. Each connection counts once. */
@@ -181,7 +198,7 @@
     void handleEvents(std::uint32_t events) override;
     void respond(const Response &response);
     /** Closes the connection without a response. */
-    void close();
+    void close(ConnectionEnd end);
     /** Returns whether the connection has neither a request in progress nor unwritten output. */
     [[nodiscard]] bool isIdle() const;
     /** Returns whether the other side has neither ended nor reset the connection. */
@@ -203,6 +220,7 @@
 
     void readMore();
     void discardInput();
+    void endIdle();
     void closeIfIdle(Core::Duration idleTime);
     void rejectPartial(const Response &response);
     void answerOpen(const Response &response);
@@ -233,6 +251,8 @@
     bool parsing{false};
     // Set once bytes were discarded.
     bool hasDiscarded{false};
+    // Set if this side ended the connection since it was idle.
+    bool endedIdle{false};
     ExchangePointer exchange;
     Core::Instant lastActivity;
     Core::Instant requestStartedAt;
--- a/Services/gatewayd/main.cpp
+++ b/Services/gatewayd/main.cpp
@@ -165,6 +165,9 @@
     if (!relay.has_value()) {
         return tl::make_unexpected(relay.error());
     }
+    node.callerConnections = [&callers] {
+        return callers.value()->counters();
+    };
     node.limitsChanged = [&callers](const Fleet::CallerLimits &limits) {
         callers.value()->setLimits({.message = {.headerBytes = limits.headerBytes, .bodyBytes = limits.bodyBytes},
             .requestTimeout = limits.requestTimeout,
--- a/Tests/LibWire/TestServer.cpp
+++ b/Tests/LibWire/TestServer.cpp
@@ -95,8 +95,8 @@
     served.send("GET /1 HTTP/1.1\r\n\r\n");
     cr_assert(served.hasRequests(1));
     bool aborted = false;
-    served.exchanges[0]->aborted = [&aborted] {
-        aborted = true;
+    served.exchanges[0]->aborted = [&aborted](Wire::ConnectionEnd end) {
+        aborted = end == Wire::ConnectionEnd::ClosedByCaller;
     };
     served.caller = Wire::Socket();
     cr_assert(served.fixture.runUntil([&aborted] {
