LibWire: Write responses that take longer than the idle timeout

What callers saw: a connection that ends in the middle of a large answer. Cause: the idle timeout counted from the beginning of a response, and did not look whether it had been written. A caller that read slowly lost the rest when the connection was ended for being idle. Change: a connection with unwritten output is not idle; bytes that are written count as activity. One whose caller takes no byte for 30 s is closed. Why it works: the end of an idle connection is decided in one place, which now looks at the output first. Measured: Server/writesAResponseThatTakesLongerThanTheIdleTimeout failed before (the rest of 16 MiB was dropped) and passes.

--- a/Libraries/LibWire/Server.cpp
+++ b/Libraries/LibWire/Server.cpp
@@ -18,6 +18,8 @@
 static constexpr std::size_t PipelinedLimitBytes = 64 * 1024;
 // How often timeouts are checked; a timeout is enforced to within this period.
 static constexpr Core::Duration SweepPeriod = Core::milliseconds(250);
+// How long a response is kept for a caller that takes no byte of it. Callers give up sooner.
+static constexpr Core::Duration StalledWriteTimeout = Core::seconds(30);
 // How long a connection waits, after its last response, for the other side to close it.
 static constexpr Core::Duration LingerTimeout = Core::seconds(1);
 
@@ -413,10 +415,14 @@
 
 void ServerConnection::writeMore()
 {
+    const auto writtenBefore = this->written;
     if (this->socket.write(this->output, this->written) != Transfer::Open) {
         this->close(ConnectionEnd::Broken);
         return;
     }
+    if (this->written > writtenBefore) {
+        this->lastActivity = this->server->timers.now();
+    }
     if (this->written == this->output.size()) {
         this->output.clear();
         this->written = 0;
@@ -543,6 +549,12 @@
         this->close(ConnectionEnd::ClosedHere);
         return;
     }
+    if (this->written < this->output.size()) {
+        if (now - this->lastActivity >= StalledWriteTimeout) {
+            this->close(ConnectionEnd::ClosedHere);
+        }
+        return;
+    }
     if (this->stage != Stage::Reading) {
         return;
     }
--- a/Libraries/LibWire/Server.h
+++ b/Libraries/LibWire/Server.h
@@ -74,7 +74,7 @@
     MessageLimits message{.headerBytes = 16 * 1024, .bodyBytes = 256 * 1024};
     /** Maximum time from the first byte of a request to its last. */
     Core::Duration requestTimeout{Core::seconds(10)};
-    /** A connection that has been idle for this long is closed. */
+    /** A connection that has been idle for this long is closed. Time in which a response is written does not count. */
     Core::Duration idleTimeout{Core::seconds(60)};
 };
 
@@ -254,6 +254,7 @@
     // Set if this side ended the connection since it was idle.
     bool endedIdle{false};
     ExchangePointer exchange;
+    // When bytes were last received or written.
     Core::Instant lastActivity;
     Core::Instant requestStartedAt;
 };
--- a/Tests/LibWire/TestServer.cpp
+++ b/Tests/LibWire/TestServer.cpp
@@ -8,7 +8,9 @@
 #include <LibWire/Server.h>
 #include <Support/LoopFixture.h>
 
+#include <chrono>
 #include <criterion/criterion.h>
+#include <thread>
 
 using TestSupport::LoopFixture;
 
@@ -280,3 +282,25 @@
     cr_assert(served.hasRequests(1));
     cr_assert_str_eq(served.requests[0].target.c_str(), "/waiting");
 }
+
+// Guards against a long response that ends in the middle: a caller that read slowly lost the rest at the idle timeout.
+Test(Server, writesAResponseThatTakesLongerThanTheIdleTimeout)
+{
+    ServerFixture served({.idleTimeout = Core::milliseconds(100)});
+    served.send("GET /large HTTP/1.1\r\n\r\n");
+    cr_assert(served.hasRequests(1));
+    const std::string body(16 * 1024 * 1024, 'x');
+    served.exchanges[0]->respond(respondWith(body + "end"));
+    served.fixture.settle(Core::milliseconds(900));
+    cr_assert_eq(served.server->load().writing, 1U, "the caller has not read it yet");
+    std::string received;
+    cr_assert(served.fixture.runUntil([&served, &received, &body] {
+        std::size_t before = 0;
+        do {
+            before = received.size();
+            (void)served.caller.read(received, body.size());
+            g_main_context_iteration(served.fixture.context, FALSE);
+        } while (received.size() > before);
+        return received.ends_with("end");
+    }));
+}
