LibWire: Read what has arrived before a timeout is enforced

What callers saw: a connection that ends without an answer, or a 408, though the whole request had been sent in time. Cause: the idle timeout and the timeout of a request are checked by a timer. After a pause of the process (a quota of the processor that is used up, a machine that was frozen) the timer ran before the sockets were read, so a request that waited in the socket was discarded unread with its connection. The planned stop already read first; the timeouts did not. Change: whoever is overdue is read once more, and judged again. Why it works: a request that arrived before the check is in the socket by then, so the check sees it.

--- a/Libraries/LibWire/Server.cpp
+++ b/Libraries/LibWire/Server.cpp
@@ -272,6 +272,7 @@
 
 void ServerConnection::readMore()
 {
+    const auto bytesBefore = this->input.size();
     const auto transfer = this->socket.read(this->input, ReadLimitBytes);
     const auto end = transfer == Transfer::Ended ? ConnectionEnd::ClosedByCaller : ConnectionEnd::Broken;
     if (this->stage == Stage::Lingering) {
@@ -286,6 +287,9 @@
         this->close(end);
         return;
     }
+    if (this->input.size() == bytesBefore) {
+        return;
+    }
     this->lastActivity = this->server->timers.now();
     if (this->server->options.acknowledgesAtOnce) {
         this->socket.acknowledge();
@@ -544,7 +548,6 @@
 
 void ServerConnection::closeIfTimedOut(Core::Instant now)
 {
-    const auto &limits = this->server->options.limits;
     if (this->stage == Stage::Lingering && now - this->lastActivity >= LingerTimeout) {
         this->close(ConnectionEnd::ClosedHere);
         return;
@@ -555,17 +558,29 @@
         }
         return;
     }
-    if (this->stage != Stage::Reading) {
+    if (!this->isRequestOverdue(now)) {
         return;
     }
-    if (this->parser.hasBegun() && now - this->requestStartedAt >= limits.requestTimeout) {
-        ++this->server->counts.timedOut;
-        this->rejectRequest(408);
+    // After a pause of this process, what arrived in time may not have been read yet.
+    this->readMore();
+    if (!this->isRequestOverdue(now)) {
         return;
     }
-    if (!this->parser.hasBegun() && now - this->lastActivity >= limits.idleTimeout) {
+    if (this->parser.hasBegun()) {
+        ++this->server->counts.timedOut;
+        this->rejectRequest(408);
+    } else {
         this->endIdle();
     }
 }
 
+bool ServerConnection::isRequestOverdue(Core::Instant now) const
+{
+    if (this->stage != Stage::Reading || this->written < this->output.size()) {
+        return false;
+    }
+    const auto &limits = this->server->options.limits;
+    return this->parser.hasBegun() ? now - this->requestStartedAt >= limits.requestTimeout : now - this->lastActivity >= limits.idleTimeout;
+}
+
 }
--- a/Libraries/LibWire/Server.h
+++ b/Libraries/LibWire/Server.h
@@ -221,6 +221,8 @@
     void readMore();
     void discardInput();
     void endIdle();
+    /** Whether the next request, or the rest of one that has arrived in part, has taken longer than ServerLimits allow. */
+    [[nodiscard]] bool isRequestOverdue(Core::Instant now) const;
     void closeIfIdle(Core::Duration idleTime);
     void rejectPartial(const Response &response);
     void answerOpen(const Response &response);
--- a/Tests/LibWire/TestServer.cpp
+++ b/Tests/LibWire/TestServer.cpp
@@ -304,3 +304,32 @@
         return received.ends_with("end");
     }));
 }
+
+// Guards against a request that is discarded unread: after a pause of the process the idle timeout was enforced before what had arrived was read.
+Test(Server, readsARequestThatArrivedBeforeTheIdleTimeout)
+{
+    ServerFixture served({.idleTimeout = Core::milliseconds(300)});
+    served.send("GET /first HTTP/1.1\r\n\r\n");
+    cr_assert(served.hasRequests(1));
+    served.exchanges[0]->respond(respondWith("one"));
+    cr_assert(served.callerReads("one"));
+    served.send("GET /in-time HTTP/1.1\r\n\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(1800));
+    cr_assert(served.hasRequests(2));
+    served.exchanges[1]->respond(respondWith("two"));
+    cr_assert(served.callerReads("two"));
+}
+
+// As above, for a request whose last bytes arrived in time.
+Test(Server, readsTheRestOfARequestThatArrivedBeforeItsTimeout)
+{
+    ServerFixture served({.requestTimeout = Core::milliseconds(300)});
+    served.send("POST /upload HTTP/1.1\r\nContent-Length: 10\r\n\r\n12345");
+    cr_assert(served.fixture.runUntil([&served] {
+        return served.server->load().receiving == 1;
+    }));
+    served.send("67890");
+    std::this_thread::sleep_for(std::chrono::milliseconds(1800));
+    cr_assert(served.hasRequests(1));
+    cr_assert_str_eq(served.requests[0].body.c_str(), "1234567890");
+}
