LibWire: Keep connections for the idle timeout that callers were told

What callers saw: no answer on a connection that they used within the time in which it may rest. Cause: the idle timeout of the newest configuration was applied to all connections, also to those whose callers had been told a longer one in Keep-Alive. And a connection was ended in the moment in which its time was over, when a request may have been under way for the length of the link. Change: each connection keeps the timeout that was stated last, and a second more. Measured: Server/keepsTheIdleTimeoutThatItHasStated failed before and passes.

--- a/Libraries/LibWire/Server.cpp
+++ b/Libraries/LibWire/Server.cpp
@@ -20,6 +20,8 @@
 static constexpr Core::Duration SweepPeriod = Core::milliseconds(250);
 // How long a response is kept for a caller that takes no byte of it. Callers give up sooner.
 static constexpr Core::Duration StalledWriteTimeout = Core::seconds(30);
+// A request that a caller sent just before the idle timeout may still be on its way.
+static constexpr Core::Duration IdleGracePeriod = Core::seconds(1);
 // How long a connection waits, after its last response, for the other side to close it.
 static constexpr Core::Duration LingerTimeout = Core::seconds(1);
 
@@ -241,6 +243,7 @@
     : server(&server)
     , socket(std::move(socket))
     , parser(MessageKind::Request, server.options.limits.message)
+    , idleTimeout(server.options.limits.idleTimeout)
     , lastActivity(server.timers.now())
     , requestStartedAt(this->lastActivity)
 {
@@ -408,7 +411,8 @@
     this->exchange.reset();
     const bool serverCloses = this->server->draining || findHeader(response.headers, "Connection") != nullptr;
     this->closeAfterResponse = this->closeAfterResponse || serverCloses;
-    const auto idleSeconds = std::chrono::duration_cast<std::chrono::seconds>(this->server->options.limits.idleTimeout).count();
+    this->idleTimeout = this->server->options.limits.idleTimeout;
+    const auto idleSeconds = std::chrono::duration_cast<std::chrono::seconds>(this->idleTimeout).count();
     appendResponse(this->output, response, {.close = this->closeAfterResponse, .idleSeconds = idleSeconds, .withoutBody = this->headRequest});
     this->stage = Stage::Reading;
     this->parser.reset(this->server->options.limits.message);
@@ -579,8 +583,10 @@
     if (this->stage != Stage::Reading || this->written < this->output.size()) {
         return false;
     }
-    const auto &limits = this->server->options.limits;
-    return this->parser.hasBegun() ? now - this->requestStartedAt >= limits.requestTimeout : now - this->lastActivity >= limits.idleTimeout;
+    if (this->parser.hasBegun()) {
+        return now - this->requestStartedAt >= this->server->options.limits.requestTimeout;
+    }
+    return now - this->lastActivity >= this->idleTimeout + IdleGracePeriod;
 }
 
 }
--- a/Libraries/LibWire/Server.h
+++ b/Libraries/LibWire/Server.h
@@ -74,7 +74,7 @@
     MessageLimits message{.headerBytes = 16 * 1024, .bodyBytes = 256 * 1024};
     /** Maximum time from the first byte of a request to its last. */
     Core::Duration requestTimeout{Core::seconds(10)};
-    /** A connection that has been idle for this long is closed. Time in which a response is written does not count. */
+    /** Told to callers. A connection that has been idle for this long is closed soon after. Time in which a response is written does not count. */
     Core::Duration idleTimeout{Core::seconds(60)};
 };
 
@@ -256,6 +256,8 @@
     // Set if this side ended the connection since it was idle.
     bool endedIdle{false};
     ExchangePointer exchange;
+    // As the caller was told with the last response. Later limits apply from the next response on.
+    Core::Duration idleTimeout;
     // When bytes were last received or written.
     Core::Instant lastActivity;
     Core::Instant requestStartedAt;
--- a/Tests/LibWire/TestServer.cpp
+++ b/Tests/LibWire/TestServer.cpp
@@ -333,3 +333,17 @@
     cr_assert(served.hasRequests(1));
     cr_assert_str_eq(served.requests[0].body.c_str(), "1234567890");
 }
+
+// Guards against connections that are closed although their callers were told a longer idle timeout: a new configuration had shortened it.
+Test(Server, keepsTheIdleTimeoutThatItHasStated)
+{
+    ServerFixture served({.idleTimeout = Core::seconds(5)});
+    served.send("GET /first HTTP/1.1\r\n\r\n");
+    cr_assert(served.hasRequests(1));
+    served.exchanges[0]->respond(respondWith("one"));
+    cr_assert(served.callerReads("timeout=5"));
+    served.server->setLimits({.idleTimeout = Core::milliseconds(100)});
+    served.fixture.settle(Core::milliseconds(1600));
+    served.send("GET /again HTTP/1.1\r\n\r\n");
+    cr_assert(served.hasRequests(2));
+}
