LibCore: Handle what has arrived before timers that are late

Cause: after a pause of the process (a quota that is used up, a frozen machine) timers and sockets are due together, and the loop ran the timers first. So each timeout counted time in which nothing could be read. Change: a late timer (10 ms) lets the sockets be handled once, before. Ruled out: a higher priority for sockets, since timers would starve under load. Why it works: it is decided in the one place that runs timers, for the timeouts of callers, requests, hedges and acknowledgements alike.

--- a/Libraries/LibCore/Daemon.cpp
+++ b/Libraries/LibCore/Daemon.cpp
@@ -47,6 +47,11 @@
     this->stopHook = std::move(hook);
 }
 
+void Daemon::onLateTimers(std::function<void()> hook)
+{
+    this->loopTimer.handleArrived = std::move(hook);
+}
+
 void Daemon::onDump(std::function<void()> hook)
 {
     this->dumpHook = std::move(hook);
--- a/Libraries/LibCore/Daemon.h
+++ b/Libraries/LibCore/Daemon.h
@@ -45,6 +45,9 @@
     /** Sets the hook that the first SIGTERM or SIGINT calls. Further signals do not shorten the stop. Without a hook the loop quits at once. */
     void onStop(std::function<void()> hook);
 
+    /** Sets the hook that handles what has arrived before timers that are late; see LoopTimer. */
+    void onLateTimers(std::function<void()> hook);
+
     /** Sets the hook that SIGUSR1 calls, to write the state to standard output. */
     void onDump(std::function<void()> hook);
 
--- a/Libraries/LibCore/EventPoll.h
+++ b/Libraries/LibCore/EventPoll.h
@@ -52,13 +52,15 @@
     /** Stops watching a descriptor. To be called before it is closed. Events that were already fetched are discarded. */
     void remove(int descriptor);
 
+    /** Calls the handlers of what has happened so far, one batch. To be called from the event loop, outside of any handler. */
+    void dispatch();
+
     /** Called after each batch of events, for work that is done once for many events. */
     std::function<void()> batchDone;
 
 private:
     EventPoll(int descriptor, GMainContext *context);
     static gboolean ready(gint descriptor, GIOCondition condition, gpointer data);
-    void dispatch();
 
     int descriptor;
     GSource *source{nullptr};
--- a/Libraries/LibCore/LoopTimer.cpp
+++ b/Libraries/LibCore/LoopTimer.cpp
@@ -8,6 +8,9 @@
 namespace Core
 {
 
+// Timers that are late by less run first: their sockets can't have been kept waiting for longer either.
+static constexpr Duration ToleratedLateness = milliseconds(10);
+
 namespace
 {
 // A GSource with a pointer to its owner. GLib allocates the source, so the pointer has to be stored in the source itself.
@@ -21,6 +24,11 @@
 gboolean LoopTimer::dispatch(GSource *source, GSourceFunc, gpointer)
 {
     auto *timerSource = reinterpret_cast<TimerSource *>(source);
+    const auto due = timerSource->service->nextDue();
+    const bool isLate = due.has_value() && timerSource->service->now() - due.value() >= ToleratedLateness;
+    if (isLate && timerSource->owner->handleArrived) {
+        timerSource->owner->handleArrived();
+    }
     timerSource->service->runDue();
     timerSource->owner->arm();
     return G_SOURCE_CONTINUE;
--- a/Libraries/LibCore/LoopTimer.h
+++ b/Libraries/LibCore/LoopTimer.h
@@ -9,6 +9,7 @@
 
 #include <LibCore/TimerService.h>
 
+#include <functional>
 #include <glib.h>
 
 namespace Core
@@ -23,6 +24,9 @@
     LoopTimer(const LoopTimer &) = delete;
     LoopTimer &operator=(const LoopTimer &) = delete;
 
+    /** Called before timers that are late, as after a pause of the process. Input that has arrived by then has to count before timeouts do. */
+    std::function<void()> handleArrived;
+
 private:
     static gboolean dispatch(GSource *source, GSourceFunc callback, gpointer data);
     void arm();
--- a/Services/coordinatord/main.cpp
+++ b/Services/coordinatord/main.cpp
@@ -143,6 +143,9 @@
     if (!poll.has_value()) {
         return tl::make_unexpected(poll.error());
     }
+    daemon.onLateTimers([&poll] {
+        poll.value()->dispatch();
+    });
     Control::PeerTransport transport(timers);
     const auto node = Coordinator::CoordinatorNode::create(makeOptions(settings.value(), transport), timers);
     if (!node.has_value()) {
--- a/Services/gatewayd/main.cpp
+++ b/Services/gatewayd/main.cpp
@@ -120,6 +120,9 @@
     if (!poll.has_value()) {
         return tl::make_unexpected(poll.error());
     }
+    daemon.onLateTimers([&poll] {
+        poll.value()->dispatch();
+    });
     const Core::LoopWait loopWait(nullptr);
     auto options = makeOptions(settings.value(), timers.now());
     options.loopWaited = [&loopWait] {
