Tests/Soak: Play final faults and kept connections

Cause: no run killed all processes right after an acknowledgement while the leader was paused, replaced or had lost its disk, and none kept connections until their idle timeout, behind slow links, beside SIGHUP and declarations, or with a part of the processor. The host of a probe was sent twice, so probe_current() was answered 404 whenever it ran; it is sent once now. Signals are sent by process id, since asyncio's own call reaps a process that has just ended and loses its exit code.

--- a/Tests/Soak/backends.py
+++ b/Tests/Soak/backends.py
@@ -72,8 +72,8 @@
     async def run():
         reader, writer = await asyncio.open_connection(host, port)
         try:
-            lines = [f"{method} {path} HTTP/1.1", f"Host: {host}:{port}", f"Content-Length: {len(body)}", "Connection: close"]
-            lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+            all_headers = {"Host": f"{host}:{port}", "Content-Length": len(body), "Connection": "close", **(headers or {})}
+            lines = [f"{method} {path} HTTP/1.1"] + [f"{name}: {value}" for name, value in all_headers.items()]
             writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
             first, answer_headers, answer = await read_message(reader)
             return int(first.split(" ")[1]), answer_headers, answer
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -65,6 +65,14 @@
         return CallerRequest(request_id, self.kind, self.key, self.caller_timeout, self.body, self.content_id, True)
 
 
+def send_signal(process, number):
+    # NOTE: Process.send_signal() reaps a process that has ended, and its exit code is lost to watch().
+    try:
+        os.kill(process.pid, number)
+    except ProcessLookupError:
+        pass
+
+
 class Process:
     """A gateway or coordinator process that is restarted whenever it ends."""
 
@@ -84,6 +92,7 @@
         self.stopped = False
         # Set when the process was replaced by another one, so that it is not started again.
         self.is_removed = False
+        self.started_at = 0.0
 
     def write_settings(self):
         base = self.soak.port
@@ -107,6 +116,7 @@
         self.process = await asyncio.create_subprocess_exec(self.program, env=environment, stdout=log, stderr=log, preexec_fn=self.soak.prepare_process)
         log.close()
         self.first = False
+        self.started_at = time.monotonic()
         asyncio.create_task(self.watch(self.process))
 
     async def watch(self, process):
@@ -155,12 +165,12 @@
         for delay, number in signals:
             await asyncio.sleep(delay)
             if process.returncode is None:
-                process.send_signal(number)
+                send_signal(process, number)
                 self.soak.counts["further_signals"] += 1
 
     def send(self, number):
         if self.process.returncode is None:
-            self.process.send_signal(number)
+            send_signal(self.process, number)
 
     def was_stable(self, since):
         return self.disturbed_until < since - CONTACT_SECONDS
@@ -760,6 +770,12 @@
     if options.replacements:
         from replacements import ReplacementSoak
         return ReplacementSoak(options, seed)
+    if options.finals:
+        from finals import FinalSoak
+        return FinalSoak(options, seed)
+    if options.connections:
+        from connections import ConnectionSoak
+        return ConnectionSoak(options, seed)
     if options.stops:
         from stops import StopSoak
         return StopSoak(options, seed)
@@ -779,6 +795,9 @@
     parser.add_argument("--acknowledgements", action="store_true", help="kill whoever gave an acknowledgement, right after it")
     parser.add_argument("--replacements", action="store_true", help="replace coordinators in turn, and let disks refuse writes")
     parser.add_argument("--stops", action="store_true", help="stop processes as planned, in series, under long requests on open connections")
+    parser.add_argument("--finals", action="store_true", help="kill all processes right after an acknowledgement, some with the loss of a disk or of the leader")
+    parser.add_argument("--connections", action="store_true", help="keep connections open behind slow links, beside stops, SIGHUP and declarations")
+    parser.add_argument("--processor-share", type=float, default=1.0, help="with --connections: part of the time in which each process may run")
     parser.add_argument("--grace", type=float, default=GRACE_SECONDS, help="with --stops: time from SIGTERM to SIGKILL in seconds")
     parser.add_argument("--callers", type=int, default=8, help="number of concurrent callers")
     options = parser.parse_args()
