--- a/Tests/LibGateway/TestRequests.cpp
+++ b/Tests/LibGateway/TestRequests.cpp
@@ -324,7 +324,7 @@
     cr_assert(fixture.runUntil([&] {
         return one.requests.size() + two.requests.size() == 1;
     }));
-    fixture.request->callerGone();
+    fixture.request->callerGone(Wire::ConnectionEnd::ClosedByCaller);
     fixture.settle(Core::milliseconds(400));
     cr_assert(one.requests.size() + two.requests.size() == 1);
     cr_assert_not(fixture.answer.has_value());
