Tests: Give each test a loopback address of its own

What was seen: LostQuorum failed once while it listened, in two copies of TestIncidents at a time; one more failure had no name. Cause: a test looked for a free port on 127.0.0.1 and bound it later. The places where tests look were divided by the process id modulo 300, so two processes that run at the same time may find the same port. Change: the address within 127.0.0.0/8 is made from the process id; ports are given out in turn. The fixture's loop handles sockets before late timers, as the programs do since.

--- a/Tests/Incidents/TestLostDepartures.cpp
+++ b/Tests/Incidents/TestLostDepartures.cpp
@@ -62,7 +62,7 @@
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_port = htons(coordinator.control.port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        inet_pton(AF_INET, coordinator.control.address.c_str(), &address.sin_addr);
         std::string response;
         if (::connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0) {
             const auto text
--- a/Tests/LibCore/TestLoopTimer.cpp
+++ b/Tests/LibCore/TestLoopTimer.cpp
@@ -37,9 +37,6 @@
 Test(LoopTimer, handlesWhatHasArrivedBeforeLateTimers)
 {
     TestSupport::LoopFixture fixture;
-    fixture.loopTimer.handleArrived = [&fixture] {
-        fixture.poll->dispatch();
-    };
     int ends[2];
     cr_assert_eq(pipe(ends), 0);
     const auto reader = std::make_shared<Reader>(ends[0]);
--- a/Tests/LibRpc/TestHostileInput.cpp
+++ b/Tests/LibRpc/TestHostileInput.cpp
@@ -17,7 +17,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-// Tests run concurrently, so each one gets a free port from the kernel.
 static std::uint16_t freePort()
 {
     return TestSupport::freeEndpoint().port;
@@ -41,7 +40,7 @@
         this->node = std::move(made.value());
         const auto handler = std::make_shared<Control::OperatorHandler>(*this->node);
         auto server = Rpc::RpcServer::create({.name = "test",
-                                                 .endpoint = {.address = "127.0.0.1", .port = this->port},
+                                                 .endpoint = {.address = TestSupport::ownLoopbackAddress(), .port = this->port},
                                                  .processor = std::make_shared<Protocol::OperatorAsyncProcessor>(handler),
                                                  .limits = {.maximumFrameBytes = 100'000}},
             this->daemon.timers());
@@ -60,7 +59,8 @@
     /** Whether the server still answers a valid call. */
     bool answersCalls()
     {
-        const auto channel = Rpc::RpcChannel::create({.endpoint = {.address = "127.0.0.1", .port = this->port}, .limits = {}}, this->daemon.timers());
+        const auto channel
+            = Rpc::RpcChannel::create({.endpoint = {.address = TestSupport::ownLoopbackAddress(), .port = this->port}, .limits = {}}, this->daemon.timers());
         bool answered = false;
         Rpc::call<Protocol::OperatorCobClient, std::string>(
             channel,
@@ -94,7 +94,7 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
-    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    inet_pton(AF_INET, TestSupport::ownLoopbackAddress().c_str(), &address.sin_addr);
     cr_assert_eq(connect(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)), 0);
     fcntl(descriptor, F_SETFL, O_NONBLOCK);
     return descriptor;
@@ -189,7 +189,8 @@
         responder->respond(Http::Response{.status = 200, .body = "body=" + std::to_string(request.body.size()), .headers = {}});
     };
     const auto server = Http::HttpServer::create(
-        {.name = "test", .endpoint = {.address = "127.0.0.1", .port = port}, .handler = handler, .maximumBodyBytes = 1000}, daemon.timers());
+        {.name = "test", .endpoint = {.address = TestSupport::ownLoopbackAddress(), .port = port}, .handler = handler, .maximumBodyBytes = 1000},
+        daemon.timers());
     cr_assert(server.has_value());
     cr_expect_neq(exchange(port, "GET / HTTP/1.1\r\nHost: x\r\n\r\n").find("200 OK"), std::string::npos);
     const std::string tooLong = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n\r\n" + std::string(2000, 'x');
--- a/Tests/Support/LoopFixture.h
+++ b/Tests/Support/LoopFixture.h
@@ -30,6 +30,10 @@
         , loopTimer(this->timers, this->context)
         , poll(std::move(Core::EventPoll::create(this->context).value()))
     {
+        // As in the programs: on a busy machine the time of a test may be over before its sockets were handled.
+        this->loopTimer.handleArrived = [this] {
+            this->poll->dispatch();
+        };
     }
 
     /** Runs the loop until `condition` holds, for 20 s at most. Returns whether it holds. */
@@ -63,24 +67,23 @@
     std::unique_ptr<Core::EventPoll> poll;
 };
 
-/**
- * Finds a free port of the loopback interface. The port is not reserved, so it lies outside of the range from which the system takes ports for outgoing
- * connections (32768 and above), and test programs that run in parallel search in different blocks: otherwise another program binds it first now and then.
- */
+/** Returns a loopback address that no other process of the tests uses: with one address for all, another test could bind a free port first. */
+[[nodiscard]] inline std::string ownLoopbackAddress()
+{
+    constexpr unsigned FirstNetwork = 64;
+    constexpr unsigned Networks = 128;
+    const auto id = static_cast<unsigned>(getpid());
+    return "127." + std::to_string(FirstNetwork + (id >> 16U) % Networks) + "." + std::to_string((id >> 8U) & 0xFFU) + "." + std::to_string(id & 0xFFU);
+}
+
+/** Returns an endpoint on ownLoopbackAddress() that it has not returned before. */
 [[nodiscard]] inline Core::Endpoint freeEndpoint()
 {
+    // Below the range from which the system takes ports for outgoing connections.
     constexpr int FirstPort = 23'000;
-    constexpr int PortsInBlock = 32;
-    constexpr int Blocks = 300;
+    constexpr int Ports = 9'000;
     static int used = 0;
-    for (int tries = 0; tries < Blocks * PortsInBlock; ++tries) {
-        const int port = FirstPort + (static_cast<int>(getpid()) * PortsInBlock + used++) % (Blocks * PortsInBlock);
-        const Core::Endpoint endpoint{.address = "127.0.0.1", .port = static_cast<std::uint16_t>(port)};
-        if (Wire::Socket::listenOn(endpoint, 1).has_value()) {
-            return endpoint;
-        }
-    }
-    return {};
+    return {.address = ownLoopbackAddress(), .port = static_cast<std::uint16_t>(FirstPort + used++ % Ports)};
 }
 
 }
