LibGateway: Let the gateway that took a search count its requests

Cause: the gateway that serves a part counted the part's requests in its budget. When servers refuse, gateways relay less and send by themselves, so the place where a search is counted moves. The former gateway has used its repeats of the last window, and the new one is granted its own for the next requests. Ruled out: the measuring (the soak's loop was 0.08 s late at most) and sends that no budget has granted (3,210 granted, 3,179 arrived). Change: parts without owners say that their requests are counted, and the gateway that took the search from its caller counts them. Shards that the serving gateway has no repeat for are repeated by that one, as before. Owners of cells go on counting: their shares have to add up to whole repeats. Why it works: where a caller's requests are counted no longer depends on which gateway sends them. What remains: callers that move between gateways move the count, too. RequestCounting/gatewayThatTookARequestHasTheRepeatsOfItsParts failed before.

--- a/Libraries/LibGateway/FanOutRequest.cpp
+++ b/Libraries/LibGateway/FanOutRequest.cpp
@@ -101,6 +101,7 @@
             }
         }
         if (!part.shards.empty()) {
+            this->countRequests(part);
             this->startPart(part, std::move(rowNumbers));
         }
     }
@@ -118,6 +119,20 @@
     }
 }
 
+// A request is counted in the retry budget of one gateway. Owners count those of their parts, so that small shares add up to whole repeats. Otherwise the
+// gateway that took the request counts it, also while others serve its parts: if that moved with the parts, the repeats that the former gateway made for the
+// requests of a window, and those that the new one makes for the next ones, would come at the same time.
+void FanOutRequest::countRequests(PartPlan &part)
+{
+    if (!part.owners.empty() || part.before.counted) {
+        return;
+    }
+    for (const auto &shard : part.shards) {
+        this->context.pool->recordRequest(shard);
+    }
+    part.before.counted = true;
+}
+
 // ---- Canaries
 
 bool FanOutRequest::needsCanary() const
--- a/Libraries/LibGateway/FanOutRequest.h
+++ b/Libraries/LibGateway/FanOutRequest.h
@@ -64,6 +64,8 @@
     void handleCanary();
     /** Ends the search after the canaries, which have shown that it crashes backend servers or can't be run. */
     void endAfterCanaries();
+    /** Counts the requests of a part in the retry budgets, unless another gateway does. */
+    void countRequests(PartPlan &part);
     void startDirect(SearchRow &row, const Protocol::MissingShard &before);
     void startHedgeForGateway(SearchRow &row);
     void startCall(const SearchRow &row);
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -685,6 +685,9 @@
         plan.direct = parameters->shards;
     }
     plan.before = parameters->before;
+    for (auto &part : plan.parts) {
+        part.before = parameters->before;
+    }
     if (!this->startTrace(request, answer)) {
         return;
     }
