--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -773,6 +773,9 @@
     if options.finals:
         from finals import FinalSoak
         return FinalSoak(options, seed)
+    if options.rate:
+        from rate import RateSoak
+        return RateSoak(options, seed)
     if options.connections:
         from connections import ConnectionSoak
         return ConnectionSoak(options, seed)
@@ -797,6 +800,7 @@
     parser.add_argument("--stops", action="store_true", help="stop processes as planned, in series, under long requests on open connections")
     parser.add_argument("--finals", action="store_true", help="kill all processes right after an acknowledgement, some with the loss of a disk or of the leader")
     parser.add_argument("--connections", action="store_true", help="keep connections open behind slow links, beside stops, SIGHUP and declarations")
+    parser.add_argument("--rate", action="store_true", help="callers without pauses, so that repeats use up their budgets")
     parser.add_argument("--processor-share", type=float, default=1.0, help="with --connections: part of the time in which each process may run")
     parser.add_argument("--grace", type=float, default=GRACE_SECONDS, help="with --stops: time from SIGTERM to SIGKILL in seconds")
     parser.add_argument("--callers", type=int, default=8, help="number of concurrent callers")
