LibGateway: Give waiting requests and the stop's admission classes of their own

QuotaAdmission has the requests that wait for a quota decision, StopAdmission decides which requests a stopping gateway takes, and logs why not. No decision changes. Requests that wait for a quota no longer take a number of those that run.

--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -10,7 +10,6 @@
 #include <LibCore/Settings.h>
 #include <LibFleet/CrashMetrics.h>
 #include <LibGateway/RequestTrace.h>
-#include <LibGateway/Scheduling/StopAdmission.h>
 #include <LibGateway/SingleRequest.h>
 
 #include <algorithm>
@@ -65,6 +64,8 @@
           timers)
     , ownership(this->options.ownership, this->options.pool.zone.value(), this->options.pool.regions, this->options.relayEndpoint.toString(), timers.now())
     , quotas(this->options.quotas, this->options.pool.regions, this->options.pool.zone.value(), this->options.relayEndpoint.toString(), this->relays, timers)
+    , admission(this->quotas)
+    , stop(timers)
     , lastReachableAt(timers.now())
     , incarnationName(this->options.name + "/" + Core::randomToken().substr(0, 8))
 {
@@ -74,6 +75,12 @@
     this->gateways.changed = [this](const Fleet::BackendRecord &record) {
         this->updateRelays(record);
     };
+    this->admission.decided = [this](WaitingRequest waiting, const QuotaDecision &decision) {
+        this->handleDecision(std::move(waiting), decision);
+    };
+    this->admission.callerGone = [this] {
+        ++this->counts.callersGone;
+    };
     this->pool.slackShare = [this](const Core::ServiceName &service, const std::set<std::string> &zones) {
         return this->ownership.slackShareOf(service, zones, this->timers.now());
     };
@@ -330,7 +337,7 @@
 
 std::size_t GatewayNode::requestsInFlight() const
 {
-    return this->requests.size() + this->admissions.size();
+    return this->requests.size() + this->admission.size();
 }
 
 const GatewayCounters &GatewayNode::counters() const
@@ -417,24 +424,20 @@
 
 bool GatewayNode::isStopping() const
 {
-    return this->stop.has_value();
+    return this->stop.isStopping();
 }
 
 void GatewayNode::beginStop(const Core::StopSchedule &schedule)
 {
-    this->stop = schedule;
+    this->stop.begin(schedule);
     this->endRequestsBy(schedule.answersDue);
 }
 
 void GatewayNode::endRequests()
 {
-    for (const auto &id : numbersOf(this->admissions)) {
-        const auto admission = this->admissions.extract(id);
-        if (!admission.empty()) {
-            this->quotas.cancel(admission.mapped().decisionNumber);
-            ++this->counts.refusedInStop;
-            this->refuse(Refusal::NotRun, admission.mapped().request, answerTo(admission.mapped().exchange), "stopping");
-        }
+    for (const auto &waiting : this->admission.takeAll()) {
+        ++this->counts.refusedInStop;
+        this->refuse(Refusal::NotRun, waiting.request, answerTo(waiting.exchange), "stopping");
     }
     this->endRequestsBy(this->timers.now());
 }
@@ -452,29 +455,15 @@
 bool GatewayNode::refuseIfTooLate(
     const Fleet::Route &route, const CallerRequest &request, std::optional<Core::Duration> timeLeft, const RoutedRequest::AnswerHook &answer)
 {
-    if (!this->isStopping()) {
-        return false;
-    }
-    const auto expected = expectedDuration({.callerTimeout = timeLeft.value_or(this->options.requests.defaultTimeout),
+    const ExpectedWork work{.callerTimeout = timeLeft.value_or(this->options.requests.defaultTimeout),
         .routeTimeout = route.timeout,
         .targetLatency = route.targetLatency,
         .isRepeatable = route.idempotent,
-        .latencies = &this->latencies[route.name]});
-    const auto left = this->stop->answersDue - this->timers.now();
-    if (expected <= left) {
+        .latencies = &this->latencies[route.name]};
+    if (!this->stop.isTooLate(work, route.name, request.id)) {
         return false;
     }
     ++this->counts.refusedInStop;
-    if (const auto omitted = this->stopLines.take(this->timers.now()); omitted.has_value()) {
-        Core::logEvent(Core::LogLevel::Information,
-            "stop.refused",
-            {{"request", request.id.value()},
-                {"route", route.name},
-                {"expected_ms", Core::toMilliseconds(expected)},
-                {"left_ms", Core::toMilliseconds(left)},
-                {"since_stop_ms", Core::toMilliseconds(this->timers.now() - this->stop->requestedAt)},
-                {"omitted", omitted.value()}});
-    }
     this->refuse(Refusal::NotRun, request, answer, "stopping");
     return true;
 }
@@ -499,40 +488,21 @@
 void GatewayNode::admit(const Fleet::Workspace &workspace, const Fleet::Route &route, CallerRequest request, const Wire::ExchangePointer &exchange)
 {
     this->updateQuotas();
-    const auto id = this->nextRequest++;
-    const auto requestId = request.id;
     const QuotaTerms terms{.urgency = urgencyOf(&workspace, route),
         .digest = digestOf(request),
         .timeLeft = request.callerTimeout.value_or(this->options.requests.defaultTimeout),
         .targetLeft = route.targetLatency,
         .typicalLatency = typicalLatencyOf(this->options.requests, route, this->latencies[route.name])};
-    this->admissions[id] = Admission{.request = std::move(request), .exchange = exchange, .terms = terms};
-    exchange->aborted = [this, id](Wire::ConnectionEnd) {
-        const auto waiting = this->admissions.extract(id);
-        if (!waiting.empty()) {
-            ++this->counts.callersGone;
-            this->quotas.cancel(waiting.mapped().decisionNumber);
-        }
-    };
-    const auto decisionNumber = this->quotas.decide(workspace, terms, requestId, [this, id](const QuotaDecision &decision) {
-        this->handleDecision(id, decision);
-    });
-    // NOTE: decide() may have called the hook already, which removes the admission.
-    if (const auto waiting = this->admissions.find(id); waiting != this->admissions.end()) {
-        waiting->second.decisionNumber = decisionNumber;
-    }
+    this->admission.add(workspace, WaitingRequest{.request = std::move(request), .exchange = exchange, .terms = terms});
 }
 
-void GatewayNode::handleDecision(std::uint64_t id, const QuotaDecision &decision)
+void GatewayNode::handleDecision(WaitingRequest waiting, const QuotaDecision &decision)
 {
-    auto admission = this->admissions.extract(id);
-    if (admission.empty()) {
-        return;
-    }
-    auto &[request, exchange, decisionNumber, terms] = admission.mapped();
+    auto &request = waiting.request;
+    const auto &exchange = waiting.exchange;
     request.waited = decision.waited;
     if (decision.verdict != QuotaDecision::Verdict::Granted) {
-        this->refuseByQuota(request, exchange, terms, decision);
+        this->refuseByQuota(waiting, decision);
         return;
     }
     // Another declaration may have become active while the request waited.
@@ -548,8 +518,10 @@
     this->startRequest(*route, workspace, std::move(request), exchange);
 }
 
-void GatewayNode::refuseByQuota(const CallerRequest &request, const Wire::ExchangePointer &exchange, const QuotaTerms &terms, const QuotaDecision &decision)
+void GatewayNode::refuseByQuota(const WaitingRequest &waiting, const QuotaDecision &decision)
 {
+    const auto &request = waiting.request;
+    const auto &terms = waiting.terms;
     const bool isOverQuota = decision.verdict == QuotaDecision::Verdict::OverQuota;
     const bool isStarting = decision.verdict == QuotaDecision::Verdict::Starting;
     // When no keeper has replied, the caller should retry when a keeper that takes over now begins to grant requests, which is after about this time.
@@ -572,7 +544,7 @@
             {"unqueried", decision.unqueried},
             {"over_quota", isOverQuota ? 1 : 0},
             {"starting", isStarting ? 1 : 0}});
-    this->refuse(isOverQuota ? Refusal::OverQuota : Refusal::NotRun, request, answerTo(exchange), isOverQuota ? "over-quota" : outcome, retryAfter);
+    this->refuse(isOverQuota ? Refusal::OverQuota : Refusal::NotRun, request, answerTo(waiting.exchange), isOverQuota ? "over-quota" : outcome, retryAfter);
 }
 
 void GatewayNode::answerQuotaQuery(const ReceivedQuotaQuery &received, const CallerRequest &query, const RoutedRequest::AnswerHook &answer)
@@ -752,7 +724,7 @@
         .workspace = workspace,
         .isCautious = this->pool.hasServersEnding(),
         .relayParameters = std::move(relayParameters),
-        .endsBy = this->isStopping() ? std::optional(this->stop->answersDue) : std::nullopt,
+        .endsBy = this->stop.answersDue(),
         .cancelsParts = this->options.relay.cancelsParts,
         .lostParts = &this->lostParts,
         .ownerLoad = &this->ownerLoad};
@@ -941,12 +913,11 @@
                 {"age_ms", Core::toMilliseconds(state.took)},
                 {"missing", state.detail}});
     }
-    for (const auto &[number, admission] : this->admissions) {
-        if (++lines > MaximumUnansweredLines) {
-            break;
+    this->admission.forEach([&lines](const WaitingRequest &waiting) {
+        if (++lines <= MaximumUnansweredLines) {
+            Core::logEvent(Core::LogLevel::Warning, "request.cut", {{"request", waiting.request.id.value()}, {"attempts", 0}, {"missing", "quota decision"}});
         }
-        Core::logEvent(Core::LogLevel::Warning, "request.cut", {{"request", admission.request.id.value()}, {"attempts", 0}, {"missing", "quota decision"}});
-    }
+    });
 }
 
 std::string GatewayNode::metrics() const
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -14,6 +14,8 @@
 #include <LibGateway/CellOwnership.h>
 #include <LibGateway/FanOutRequest.h>
 #include <LibGateway/GatewayMetrics.h>
+#include <LibGateway/Quota/QuotaAdmission.h>
+#include <LibGateway/Scheduling/StopAdmission.h>
 #include <LibMetrics/LatencyHistogram.h>
 #include <LibWire/Server.h>
 
@@ -95,15 +97,6 @@
     std::function<Wire::ServerCounters()> callerConnections;
 
 private:
-    /** A request that waits for the quota decision of its workspace. */
-    struct Admission {
-        CallerRequest request;
-        Wire::ExchangePointer exchange;
-        // The pending decision in the quota limiter.
-        std::uint64_t decisionNumber{0};
-        QuotaTerms terms;
-    };
-
     [[nodiscard]] bool isStopping() const;
     /** Refuses a request that is not expected to end before this gateway does. Returns whether it was refused. */
     [[nodiscard]] bool refuseIfTooLate(
@@ -116,8 +109,8 @@
     [[nodiscard]] const Fleet::Workspace *authenticate(CallerRequest &request) const;
     /** Requests a quota decision; the request starts or is refused when the decision is made. */
     void admit(const Fleet::Workspace &workspace, const Fleet::Route &route, CallerRequest request, const Wire::ExchangePointer &exchange);
-    void handleDecision(std::uint64_t id, const QuotaDecision &decision);
-    void refuseByQuota(const CallerRequest &request, const Wire::ExchangePointer &exchange, const QuotaTerms &terms, const QuotaDecision &decision);
+    void handleDecision(WaitingRequest waiting, const QuotaDecision &decision);
+    void refuseByQuota(const WaitingRequest &waiting, const QuotaDecision &decision);
     void cancelPart(const PartId &part);
     void answerQuotaQuery(const ReceivedQuotaQuery &received, const CallerRequest &query, const RoutedRequest::AnswerHook &answer);
     void updateQuotas();
@@ -164,6 +157,8 @@
     Fleet::FleetWatcher watcher;
     CellOwnership ownership;
     QuotaLimiter quotas;
+    QuotaAdmission admission;
+    StopAdmission stop;
     // When housekeeping last found a reachable coordinator.
     Core::Instant lastReachableAt;
     // The newest declaration that was received. Requests are served by it once a coordinator has confirmed that it is current.
@@ -174,7 +169,6 @@
     std::unordered_map<std::string, Core::LatencyDigest> latencies;
     std::unordered_map<std::string, Core::LatencyDigest> relayLatencies;
     std::unordered_map<std::string, WorkLimit> workLimits;
-    std::unordered_map<std::uint64_t, Admission> admissions;
     std::unordered_map<std::uint64_t, std::unique_ptr<RoutedRequest>> requests;
     std::uint64_t nextRequest{1};
     // When housekeeping first found that a coordinator had sent an update.
@@ -192,8 +186,6 @@
     // BackendRegistry::presentCount() of the gateways at this position of their registry.
     int presentGateways{0};
     std::int64_t presentPosition{-1};
-    // Set once a planned stop has begun.
-    std::optional<Core::StopSchedule> stop;
     GatewayCounters counts;
     Metrics::LatencyHistogram searchLatencies;
     Metrics::LatencyHistogram singleLatencies;
@@ -206,8 +198,6 @@
     Core::TimerSubscription loadTimer;
     static constexpr int DeclineLinesPerSecond = 2;
     LogLimit declineLines{DeclineLinesPerSecond};
-    static constexpr int StopLinesPerSecond = 20;
-    LogLimit stopLines{StopLinesPerSecond};
 };
 
 }
--- a/Libraries/LibGateway/Scheduling/StopAdmission.cpp
+++ b/Libraries/LibGateway/Scheduling/StopAdmission.cpp
@@ -5,6 +5,8 @@
 
 #include <LibGateway/Scheduling/StopAdmission.h>
 
+#include <LibCore/Log.h>
+
 #include <algorithm>
 
 namespace Gateway
@@ -27,4 +29,47 @@
     return std::min({std::max(usual, work.targetLatency), work.callerTimeout, work.routeTimeout});
 }
 
+StopAdmission::StopAdmission(Core::TimerService &timers) : timers(timers)
+{
+}
+
+void StopAdmission::begin(const Core::StopSchedule &begun)
+{
+    this->schedule = begun;
+}
+
+bool StopAdmission::isStopping() const
+{
+    return this->schedule.has_value();
+}
+
+std::optional<Core::Instant> StopAdmission::answersDue() const
+{
+    return this->schedule.has_value() ? std::optional(this->schedule->answersDue) : std::nullopt;
+}
+
+bool StopAdmission::isTooLate(const ExpectedWork &work, const std::string &route, const Core::RequestId &request)
+{
+    if (!this->schedule.has_value()) {
+        return false;
+    }
+    const auto now = this->timers.now();
+    const auto expected = expectedDuration(work);
+    const auto left = this->schedule->answersDue - now;
+    if (expected <= left) {
+        return false;
+    }
+    if (const auto omitted = this->lines.take(now); omitted.has_value()) {
+        Core::logEvent(Core::LogLevel::Information,
+            "stop.refused",
+            {{"request", request.value()},
+                {"route", route},
+                {"expected_ms", Core::toMilliseconds(expected)},
+                {"left_ms", Core::toMilliseconds(left)},
+                {"since_stop_ms", Core::toMilliseconds(now - this->schedule->requestedAt)},
+                {"omitted", omitted.value()}});
+    }
+    return true;
+}
+
 }
--- a/Libraries/LibGateway/Scheduling/StopAdmission.h
+++ b/Libraries/LibGateway/Scheduling/StopAdmission.h
@@ -9,8 +9,13 @@
 
 #pragma once
 
+#include <LibCore/GracefulStop.h>
 #include <LibCore/LatencyDigest.h>
 #include <LibFleet/Declaration.h>
+#include <LibGateway/Scheduling/LogLimit.h>
+
+#include <optional>
+#include <string>
 
 namespace Gateway
 {
@@ -30,4 +35,25 @@
 /** Returns how long the request is expected to take at most: never longer than it may take. */
 [[nodiscard]] Core::Duration expectedDuration(const ExpectedWork &work);
 
+/** Refuses requests that are not expected to end before this gateway does. Until begin() it takes all of them. */
+class StopAdmission
+{
+public:
+    explicit StopAdmission(Core::TimerService &timers);
+
+    void begin(const Core::StopSchedule &schedule);
+    [[nodiscard]] bool isStopping() const;
+    /** When each request has to have its answer; nothing before begin(). */
+    [[nodiscard]] std::optional<Core::Instant> answersDue() const;
+
+    /** Whether the request comes too late, which is logged with the inputs of the decision. `route` and `request` are for the log line. */
+    [[nodiscard]] bool isTooLate(const ExpectedWork &work, const std::string &route, const Core::RequestId &request);
+
+private:
+    Core::TimerService &timers;
+    std::optional<Core::StopSchedule> schedule;
+    static constexpr int LinesPerSecond = 20;
+    LogLimit lines{LinesPerSecond};
+};
+
 }
