Tests/Soak: End processes that others have replaced

Change: a run ends all processes that it has made. Measured: the process was found by its id and command and ended; its log and that of the refused start name the same address.

--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -239,6 +239,8 @@
     async def start_processes(self):
         self.coordinators = []
         self.gateways = []
+        # All that were made, also those that others have replaced.
+        self.processes = []
         for index, address in enumerate(self.addresses):
             self.coordinators.append(self.make_process("coordinatord", index, address, ZONES[index % len(ZONES)]))
         for index, zone in enumerate(self.gateway_zones):
@@ -250,7 +252,8 @@
         folder = os.path.join(self.folder, f"{kind}-{index}")
         os.makedirs(os.path.join(folder, "data"))
         program = os.path.join(self.options.binaries, "Services", kind, kind)
-        return Process(self, program, f"{kind}-{index}", address, zone, folder)
+        self.processes.append(Process(self, program, f"{kind}-{index}", address, zone, folder))
+        return self.processes[-1]
 
     async def start_backends(self):
         for shard in range(SHARDS):
@@ -746,8 +749,9 @@
         for backend in self.backends:
             if not backend.gone:
                 backend.crash()
-        for process in self.coordinators + self.gateways:
-            process.send(signal.SIGKILL)
+        for process in self.processes:
+            if process.process is not None:
+                process.send(signal.SIGKILL)
         await asyncio.sleep(0.1)
 
 
