--- a/Libraries/LibConsensus/LogStore.cpp
+++ b/Libraries/LibConsensus/LogStore.cpp
@@ -128,35 +128,24 @@
     snapshot.term = this->termAt(index).value_or(0);
     snapshot.state = std::move(state);
     snapshot.membership = this->membershipAt(index);
-    return this->replaceUpTo(std::move(snapshot), term, votedFor);
+    return this->install(std::move(snapshot), term, votedFor);
 }
 
 Core::Result<void> LogStore::install(Protocol::StoredSnapshot snapshot, std::int64_t term, const std::string &votedFor)
-{
-    if (this->lastIndex() > snapshot.index && this->termAt(snapshot.index) == snapshot.term) {
-        return this->replaceUpTo(std::move(snapshot), term, votedFor);
-    }
-    auto outcome = this->writeAheadLog.compact(snapshot, term, votedFor, {});
-    if (!outcome.has_value()) {
-        return outcome;
-    }
-    this->entries.clear();
-    this->memberships.assign(1, MembershipAtIndex{.index = snapshot.index, .membership = snapshot.membership});
-    this->latestSnapshot = std::move(snapshot);
-    return {};
-}
-
-Core::Result<void> LogStore::replaceUpTo(Protocol::StoredSnapshot snapshot, std::int64_t term, const std::string &votedFor)
 {
     const auto index = snapshot.index;
-    const std::vector<Protocol::LogEntry> remaining(this->entries.begin() + static_cast<std::ptrdiff_t>(this->positionOf(index)) + 1, this->entries.end());
+    const bool holdsLastEntry = this->termAt(index) == snapshot.term;
+    std::vector<Protocol::LogEntry> remaining;
+    if (holdsLastEntry) {
+        remaining.assign(this->entries.begin() + static_cast<std::ptrdiff_t>(this->positionOf(index)) + 1, this->entries.end());
+    }
     auto outcome = this->writeAheadLog.compact(snapshot, term, votedFor, remaining);
     if (!outcome.has_value()) {
         return outcome;
     }
     MembershipAtIndex base{.index = index, .membership = snapshot.membership};
-    std::erase_if(this->memberships, [index](const MembershipAtIndex &known) {
-        return known.index <= index;
+    std::erase_if(this->memberships, [index, holdsLastEntry](const MembershipAtIndex &known) {
+        return !holdsLastEntry || known.index <= index;
     });
     this->memberships.insert(this->memberships.begin(), std::move(base));
     this->entries.assign(remaining.begin(), remaining.end());
--- a/Libraries/LibConsensus/LogStore.h
+++ b/Libraries/LibConsensus/LogStore.h
@@ -61,14 +61,12 @@
     [[nodiscard]] Core::Result<void> compact(std::int64_t index, std::string state, std::int64_t term, const std::string &votedFor);
 
     /**
-     * Replaces the snapshot, and the entries that it covers, by a snapshot that was received from the leader. Entries after it stay if the log holds its last
-     * entry, since they may have been acknowledged; otherwise they are removed.
+     * Replaces the snapshot, and the entries that it covers, by another snapshot, such as one that was received from the leader. Entries after it stay if the
+     * log holds its last entry, since they may have been acknowledged; otherwise they are removed.
      */
     [[nodiscard]] Core::Result<void> install(Protocol::StoredSnapshot snapshot, std::int64_t term, const std::string &votedFor);
 
 private:
-    /** Replaces all entries up to the snapshot's. The entry at its index has to be stored. */
-    [[nodiscard]] Core::Result<void> replaceUpTo(Protocol::StoredSnapshot snapshot, std::int64_t term, const std::string &votedFor);
     [[nodiscard]] std::size_t positionOf(std::int64_t index) const;
 
     Storage::WriteAheadLog &writeAheadLog;
