LibWire: Read the clock for unwritten responses only

Each response read the clock twice: when it was made, and again when it was written at once. Only the rest of a response that did not fit needs it, and that is written when the caller has room, so the time is taken there.

--- a/Libraries/LibWire/Server.cpp
+++ b/Libraries/LibWire/Server.cpp
@@ -266,6 +266,7 @@
         return;
     }
     if ((events & EPOLLOUT) != 0) {
+        this->lastActivity = this->server->timers.now();
         this->writeMore();
     }
     if (this->stage != Stage::Closed && (events & (EPOLLIN | EPOLLRDHUP)) != 0) {
@@ -423,14 +424,10 @@
 
 void ServerConnection::writeMore()
 {
-    const auto writtenBefore = this->written;
     if (this->socket.write(this->output, this->written) != Transfer::Open) {
         this->close(ConnectionEnd::Broken);
         return;
     }
-    if (this->written > writtenBefore) {
-        this->lastActivity = this->server->timers.now();
-    }
     if (this->written == this->output.size()) {
         this->output.clear();
         this->written = 0;
--- a/Libraries/LibWire/Server.h
+++ b/Libraries/LibWire/Server.h
@@ -258,7 +258,7 @@
     ExchangePointer exchange;
     // As the caller was told with the last response. Later limits apply from the next response on.
     Core::Duration idleTimeout;
-    // When bytes were last received or written.
+    // When bytes were last received, a response was sent, or its caller had room for more of it.
     Core::Instant lastActivity;
     Core::Instant requestStartedAt;
 };
