LibGateway: Look at the stop first when a request arrives

Cause: since StopAdmission decides which requests come too late, each request looked up the latencies of its route for it, also while no stop was under way. Change: the gateway returns before, as it did. The template that listed the numbers of two tables has one table left and is a loop there.

--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -411,17 +411,6 @@
 
 // ---- Planned stop
 
-template<typename Row>
-static std::vector<std::uint64_t> numbersOf(const std::unordered_map<std::uint64_t, Row> &rows)
-{
-    std::vector<std::uint64_t> numbers;
-    numbers.reserve(rows.size());
-    for (const auto &[number, row] : rows) {
-        numbers.push_back(number);
-    }
-    return numbers;
-}
-
 bool GatewayNode::isStopping() const
 {
     return this->stop.isStopping();
@@ -445,8 +434,13 @@
 // Ending a request may end others.
 void GatewayNode::endRequestsBy(Core::Instant latest)
 {
-    for (const auto &id : numbersOf(this->requests)) {
-        if (const auto found = this->requests.find(id); found != this->requests.end()) {
+    std::vector<std::uint64_t> numbers;
+    numbers.reserve(this->requests.size());
+    for (const auto &[number, request] : this->requests) {
+        numbers.push_back(number);
+    }
+    for (const auto number : numbers) {
+        if (const auto found = this->requests.find(number); found != this->requests.end()) {
             found->second->endBy(latest);
         }
     }
@@ -455,6 +449,9 @@
 bool GatewayNode::refuseIfTooLate(
     const Fleet::Route &route, const CallerRequest &request, std::optional<Core::Duration> timeLeft, const RoutedRequest::AnswerHook &answer)
 {
+    if (!this->isStopping()) {
+        return false;
+    }
     const ExpectedWork work{.callerTimeout = timeLeft.value_or(this->options.requests.defaultTimeout),
         .routeTimeout = route.timeout,
         .targetLatency = route.targetLatency,
