Tests/Support: Listen once

Listening was tried up to 20 times, since another test could bind the port first. Each test process has an address of its own since, and a port is given out once, so a second try can't be needed.

--- a/Tests/Support/GatewayFixture.h
+++ b/Tests/Support/GatewayFixture.h
@@ -27,13 +27,19 @@
 public:
     using Script = std::function<void(const Wire::Request &request, const Wire::ExchangePointer &exchange)>;
 
-    ScriptedBackend(LoopFixture &fixture, std::string id, Script script) : id(std::move(id)), script(std::move(script))
+    ScriptedBackend(LoopFixture &fixture, std::string id, Script script) : id(std::move(id)), endpoint(freeEndpoint()), script(std::move(script))
     {
-        auto listened = this->listen(fixture);
-        for (int attempts = 1; !listened.has_value() && attempts < MaximumAttempts; ++attempts) {
-            listened = this->listen(fixture);
-        }
-        this->server = listened.value();
+        auto created = Wire::Server::create({.name = this->id,
+                                                .endpoint = this->endpoint,
+                                                .handler =
+                                                    [this](Wire::Request request, const auto &exchange) {
+                                                        this->requests.push_back(request);
+                                                        this->script(request, exchange);
+                                                    },
+                                                .limits = {}},
+            *fixture.poll,
+            fixture.timers);
+        this->server = created.value();
     }
 
     std::string id;
@@ -41,25 +47,6 @@
     Script script;
     std::vector<Wire::Request> requests;
     std::shared_ptr<Wire::Server> server;
-
-private:
-    // Listening is retried, because a test program that runs in parallel may bind the port after freeEndpoint() has found it free.
-    static constexpr int MaximumAttempts = 20;
-
-    [[nodiscard]] Core::Result<std::shared_ptr<Wire::Server>> listen(LoopFixture &fixture)
-    {
-        this->endpoint = freeEndpoint();
-        return Wire::Server::create({.name = this->id,
-                                        .endpoint = this->endpoint,
-                                        .handler =
-                                            [this](Wire::Request request, const auto &exchange) {
-                                                this->requests.push_back(request);
-                                                this->script(request, exchange);
-                                            },
-                                        .limits = {}},
-            *fixture.poll,
-            fixture.timers);
-    }
 };
 
 /** A test backend server at its connection cap: accepts each new connection and closes it at once. */
