--- a/Tests/Soak/acknowledgements.py
+++ b/Tests/Soak/acknowledgements.py
@@ -10,13 +10,10 @@
 
 import asyncio
 import json
-import os
 import random
-import shutil
 import signal
 import time
 
-from backends import call
 from soak import CONTACT_SECONDS, EVACUATE_SECONDS, ZONES, Soak
 
 # The longest time from an acknowledgement to the kill.
@@ -59,20 +56,6 @@
 
     # ---- Acknowledgements
 
-    async def acknowledged_by(self, method, path, body=b""):
-        """Sends a call to coordinators in random order, following redirections. Returns the process that answered it with 200, or None."""
-        for coordinator in self.rounds_random.sample(self.coordinators, len(self.coordinators)):
-            giver = coordinator
-            for _ in range(3):
-                answer = await call(giver.address, self.port + 2, method, path, body)
-                if answer is None or answer[0] != 307:
-                    break
-                address = answer[1]["location"].split("/")[2].split(":")[0]
-                giver = next(process for process in self.coordinators if process.address == address)
-            if answer is not None and answer[0] == 200:
-                return giver
-        return None
-
     async def depart(self, announce):
         """Lets some backend servers leave at once. The giver of the last acknowledgement is killed."""
         leaving = []
@@ -168,9 +151,7 @@
         process.record_fault(8.0 if loses_disk else 1.0)
         process.send(signal.SIGKILL)
         if loses_disk:
-            data = os.path.join(process.folder, "data")
-            shutil.rmtree(data)
-            os.makedirs(data)
+            process.lose_disk()
 
     async def strike(self, giver):
         """Kills the process that gave an acknowledgement, alone or with others."""
--- a/Tests/Soak/connections.py
+++ b/Tests/Soak/connections.py
@@ -16,9 +16,6 @@
 
 # Way from callers to gateways, one way.
 LINK_DELAY_SECONDS = 0.003
-# Work of a single request.
-SHORTEST_WORK_SECONDS = 0.03
-LONGEST_WORK_SECONDS = 0.12
 IDLE_TIMEOUTS_MS = [2000, 3000, 6000]
 # Shares of the idle timeout, as the gateway stated it, after which a connection is used again.
 RESTS = [0.0] * 24 + [0.5, 0.8, 0.95, 1.0, 1.05]
@@ -32,6 +29,8 @@
 class ConnectionSoak(StopSoak):
     """The run of one seed. Odd seeds have planned stops of gateways; even ones have none."""
 
+    SINGLE_WORK_SECONDS = (0.03, 0.12)
+
     def __init__(self, options, seed):
         super().__init__(options, seed)
         self.counts.update({"kept": 0, "rested": 0, "crossed_close": 0})
@@ -48,11 +47,6 @@
         document["limits"]["idle_timeout_ms"] = self.idle_timeouts.setdefault(version, self.stop_random.choice(IDLE_TIMEOUTS_MS))
         return document
 
-    def work_seconds(self, backend):
-        if backend.is_shard:
-            return super().work_seconds(backend)
-        return self.stop_random.uniform(SHORTEST_WORK_SECONDS, LONGEST_WORK_SECONDS)
-
     async def start_processes(self):
         await super().start_processes()
         for gateway in self.gateways:
--- a/Tests/Soak/finals.py
+++ b/Tests/Soak/finals.py
@@ -10,8 +10,6 @@
 
 import asyncio
 import json
-import os
-import shutil
 import signal
 import time
 
@@ -89,25 +87,14 @@
         body = json.dumps(document).encode()
         deadline = time.monotonic() + RECOVERY_SECONDS
         while time.monotonic() < deadline and not self.ending:
-            for coordinator in self.rounds_random.sample(self.coordinators, len(self.coordinators)):
-                giver = await self.send_change(coordinator, body)
-                if giver is not None:
-                    self.acknowledged.append((document["version"], time.monotonic()))
-                    self.counts["acknowledged"] += 1
-                    return giver
+            giver = await self.acknowledged_by("PUT", "/crankrudder/config", body)
+            if giver is not None:
+                self.acknowledged.append((document["version"], time.monotonic()))
+                self.counts["acknowledged"] += 1
+                return giver
             await asyncio.sleep(0.05)
         return None
 
-    async def send_change(self, coordinator, body):
-        """Sends a change to a coordinator and follows redirections. Returns the coordinator that acknowledged it, or None."""
-        for _ in range(3):
-            answer = await call(coordinator.address, self.port + 2, "PUT", "/crankrudder/config", body)
-            if answer is None or answer[0] != 307:
-                return coordinator if answer is not None and answer[0] == 200 else None
-            address = answer[1]["location"].split("/")[2].split(":")[0]
-            coordinator = next((process for process in self.coordinators if process.address == address), coordinator)
-        return None
-
     # ---- Faults
 
     async def disturb(self, leader):
@@ -146,9 +133,7 @@
             process.record_fault(CATCH_UP_SECONDS)
             process.send(signal.SIGKILL)
         if loser is not None:
-            data = os.path.join(loser.folder, "data")
-            shutil.rmtree(data)
-            os.makedirs(data)
+            loser.lose_disk()
             self.counts["disks_lost"] += 1
         self.counts["finals"] += 1
 
--- a/Tests/Soak/rate.py
+++ b/Tests/Soak/rate.py
@@ -12,24 +12,18 @@
 
 from stops import StopSoak
 
-# Work of a single request.
-SHORTEST_WORK_SECONDS = 0.03
-LONGEST_WORK_SECONDS = 0.12
 LAG_CHECK_SECONDS = 0.01
 
 
 class RateSoak(StopSoak):
     """The run of one seed."""
 
+    SINGLE_WORK_SECONDS = (0.03, 0.12)
+
     def __init__(self, options, seed):
         super().__init__(options, seed)
         self.counts.update({"longest_lag_ms": 0})
 
-    def work_seconds(self, backend):
-        if backend.is_shard:
-            return super().work_seconds(backend)
-        return self.stop_random.uniform(SHORTEST_WORK_SECONDS, LONGEST_WORK_SECONDS)
-
     async def inject_faults(self):
         while not self.ending:
             began = time.monotonic()
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -12,6 +12,7 @@
 import argparse
 import asyncio
 import bisect
+import importlib
 import json
 import os
 import random
@@ -172,6 +173,11 @@
         if self.process.returncode is None:
             send_signal(self.process, number)
 
+    def lose_disk(self):
+        data = os.path.join(self.folder, "data")
+        shutil.rmtree(data)
+        os.makedirs(data)
+
     def was_stable(self, since):
         return self.disturbed_until < since - CONTACT_SECONDS
 
@@ -188,6 +194,8 @@
         # Callers' keys use a separate generator for the same reason.
         self.key_random = random.Random(f"keys {seed}")
         self.stop_random = random.Random(f"stops {seed}")
+        # Modes that play rounds replace this by a generator of their own.
+        self.rounds_random = random.Random(f"rounds {seed}")
         self.grace_seconds = GRACE_SECONDS
         # Requests whose connection ended without an answer: the gateway, the request's id, when its last byte was sent, and when the connection ended.
         self.unanswered = []
@@ -303,6 +311,20 @@
                 return answer
         return None
 
+    async def acknowledged_by(self, method, path, body=b""):
+        """Sends a call to coordinators in random order, following redirections. Returns the process that answered it with 200, or None."""
+        for coordinator in self.rounds_random.sample(self.coordinators, len(self.coordinators)):
+            giver = coordinator
+            for _ in range(3):
+                answer = await call(giver.address, self.port + 2, method, path, body)
+                if answer is None or answer[0] != 307:
+                    break
+                address = answer[1]["location"].split("/")[2].split(":")[0]
+                giver = next((process for process in self.coordinators if process.address == address), giver)
+            if answer is not None and answer[0] == 200:
+                return giver
+        return None
+
     # ---- Operators
 
     def configuration(self, version):
@@ -575,8 +597,7 @@
         process = self.random.choice(self.coordinators)
         process.record_fault(8.0)
         process.send(signal.SIGKILL)
-        shutil.rmtree(os.path.join(process.folder, "data"))
-        os.makedirs(os.path.join(process.folder, "data"))
+        process.lose_disk()
 
     def random_backend(self):
         ready = [backend for backend in self.backends if backend.state == "ready" and not backend.gone]
@@ -763,29 +784,16 @@
     return seeds
 
 
+# The class of each mode. Its module has the name of the mode.
+MODES = {"crashing": "CrashingSoak", "acknowledgements": "AcknowledgementSoak", "replacements": "ReplacementSoak", "finals": "FinalSoak", "rate": "RateSoak",
+         "connections": "ConnectionSoak", "stops": "StopSoak"}
+
+
 def make_soak(options, seed):
-    if options.crashing:
-        # Imported here, since these modules import this one.
-        from crashing import CrashingSoak
-        return CrashingSoak(options, seed)
-    if options.acknowledgements:
-        from acknowledgements import AcknowledgementSoak
-        return AcknowledgementSoak(options, seed)
-    if options.replacements:
-        from replacements import ReplacementSoak
-        return ReplacementSoak(options, seed)
-    if options.finals:
-        from finals import FinalSoak
-        return FinalSoak(options, seed)
-    if options.rate:
-        from rate import RateSoak
-        return RateSoak(options, seed)
-    if options.connections:
-        from connections import ConnectionSoak
-        return ConnectionSoak(options, seed)
-    if options.stops:
-        from stops import StopSoak
-        return StopSoak(options, seed)
+    for mode, name in MODES.items():
+        if getattr(options, mode):
+            # Imported here, since these modules import this one.
+            return getattr(importlib.import_module(mode), name)(options, seed)
     return Soak(options, seed)
 
 
--- a/Tests/Soak/stops.py
+++ b/Tests/Soak/stops.py
@@ -14,9 +14,6 @@
 from backends import read_message
 from soak import CallerRequest, Soak
 
-# Work of a single request: some last longer than what is left of the grace period.
-SHORTEST_WORK_SECONDS = 0.1
-LONGEST_WORK_SECONDS = 1.5
 ROUTE_TIMEOUT_MS = 10000
 CALLER_TIMEOUTS_MS = [800, 2000, 10000]
 RECORD_SERVERS = 9
@@ -25,6 +22,9 @@
 class StopSoak(Soak):
     """The run of one seed. There are no faults but planned stops."""
 
+    # Shortest and longest work of a single request: some last longer than what is left of the grace period.
+    SINGLE_WORK_SECONDS = (0.1, 1.5)
+
     def __init__(self, options, seed):
         super().__init__(options, seed)
         self.grace_seconds = options.grace
@@ -38,7 +38,7 @@
         return document
 
     def work_seconds(self, backend):
-        return super().work_seconds(backend) if backend.is_shard else self.stop_random.uniform(SHORTEST_WORK_SECONDS, LONGEST_WORK_SECONDS)
+        return super().work_seconds(backend) if backend.is_shard else self.stop_random.uniform(*self.SINGLE_WORK_SECONDS)
 
     async def start_backends(self):
         await super().start_backends()
