LibWire: Check the grammar of every message

Callers got answers with status 000 (also 001, 099, 600, 999 and statuses of one, two or four digits), signed, and successes whose body was the rest of a head. Worse, a broken answer was believed: its Not-Executed field made the gateway send a request that must not be repeated to three servers and promise with 503 that it never ran.

Cause: http_parser, as Debian builds it without its strict mode, takes any three digits for a status, any byte after CR for LF and versions such as 0.9. We passed on what it accepted.

Why this works: the parser is ours now and checks each line against RFC 9112 and 9110 before anything of the message is used, for requests as well. A broken response ends its connection as Broken: the request may have run, nothing is read from its fields. What has arrived of a line is checked before the line ends, so noise fails at once, as it did.

--- a/Libraries/LibWire/MessageParser.h
+++ b/Libraries/LibWire/MessageParser.h
@@ -3,22 +3,23 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-// Parses HTTP/1.1 messages from bytes as they arrive, with the http_parser
-// library. The parser never consumes bytes after the end of a message: they stay
-// with the caller, who decides which message they belong to.
+// Parses HTTP/1.1 messages from bytes as they arrive and rejects what violates the
+// grammar (LibWire/Grammar.h): what it accepts is passed on to other programs. The
+// parser never consumes bytes after the end of a message: they stay with the caller,
+// who decides which message they belong to.
 
 #pragma once
 
 #include <LibWire/Message.h>
 
 #include <cstdint>
-#include <http_parser.h>
 
 namespace Wire
 {
 
 /** Maximum sizes of an accepted message. */
 struct MessageLimits {
+    /** Of the target and of the names and values of the fields, together. A line longer than that is not accepted either. */
     std::size_t headerBytes{16 * 1024};
     std::size_t bodyBytes{64 * 1024 * 1024};
 };
@@ -77,27 +78,57 @@
     [[nodiscard]] Response extractResponse();
 
 private:
-    static int onUrl(http_parser *parser, const char *bytes, std::size_t count);
-    static int onHeaderField(http_parser *parser, const char *bytes, std::size_t count);
-    static int onHeaderValue(http_parser *parser, const char *bytes, std::size_t count);
-    static int onHeadersComplete(http_parser *parser);
-    static int onBody(http_parser *parser, const char *bytes, std::size_t count);
-    static int onMessageComplete(http_parser *parser);
-    static const http_parser_settings &callbacks();
-    [[nodiscard]] static MessageParser &self(http_parser *parser);
-    [[nodiscard]] int countHeaderBytes(std::size_t count);
+    /** What the next byte belongs to. */
+    enum class Stage {
+        StartLine,
+        Field,
+        /** The body, of which `bodyLeft` bytes are missing. */
+        Body,
+        /** A body that ends with the stream. */
+        BodyUntilEnd,
+        ChunkSize,
+        /** The content of a chunk, of which `bodyLeft` bytes are missing. */
+        Chunk,
+        ChunkEnd,
+        Trailer,
+    };
+
+    std::size_t takeLine(std::string_view bytes);
+    std::size_t takeBody(std::string_view bytes);
+    void takePartialLine(std::string_view bytes);
+    [[nodiscard]] bool mayBecomeLine(std::string_view start) const;
+    void handleLine(std::string_view line);
+    void handleStartLine(std::string_view line);
+    void handleField(std::string_view line);
+    void handleChunkSize(std::string_view line);
+    void handleHeadEnd();
+    void handleInterimResponse();
+    void startBody();
+    void expectBody(Stage newStage, std::uint64_t bytes);
+    /** Reads the fields that determine the end of the message and of its connection. Returns false if they are invalid. */
+    [[nodiscard]] bool readFraming();
+    void countHeaderBytes(std::size_t count);
+    void complete();
 
     MessageKind kind;
     MessageLimits limits;
-    http_parser parser{};
     ParseState currentState{ParseState::Partial};
+    Stage stage{Stage::StartLine};
     bool begun{false};
     bool headersDone{false};
-    bool keepAlive{false};
-    bool valueStarted{false};
     bool withoutBody{false};
     std::size_t headerBytes{0};
     std::size_t interimResponses{0};
+    // The start of a line that has not arrived completely. Invariant: at most as long as a line may be.
+    std::string partialLine;
+    std::uint64_t bodyLeft{0};
+    // How the message states its end and that of its connection.
+    std::optional<std::uint64_t> contentLength;
+    bool isChunked{false};
+    bool keepAlive{false};
+    int minorVersion{1};
+    int status{0};
+    std::string method;
     std::string target;
     Headers headers;
     std::string body;
--- a/Tests/LibWire/TestMessageParser.cpp
+++ b/Tests/LibWire/TestMessageParser.cpp
@@ -8,6 +8,7 @@
 #include <LibWire/MessageParser.h>
 
 #include <criterion/criterion.h>
+#include <random>
 
 using Wire::MessageKind;
 using Wire::MessageParser;
@@ -54,6 +55,21 @@
             "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n15\r\n123456789012345678901\r\n0\r\n\r\n",
             ParseState::BodyTooLarge,
             ""},
+        {"blank in a name", "GET / HTTP/1.1\r\nHost h: h\r\n\r\n", ParseState::Malformed, ""},
+        {"control byte in a name", "GET / HTTP/1.1\r\nHost\x01: h\r\n\r\n", ParseState::Malformed, ""},
+        {"control byte in a value", "GET / HTTP/1.1\r\nHost: \x01\r\n\r\n", ParseState::Malformed, ""},
+        {"control byte in the target", "GET /\x7f HTTP/1.1\r\n\r\n", ParseState::Malformed, ""},
+        {"folded field", "GET / HTTP/1.1\r\nHost: h\r\n i\r\n\r\n", ParseState::Malformed, ""},
+        {"CR without LF at the end of the head", "POST /a HTTP/1.1\r\nContent-Length: 5\r\n\rXhello", ParseState::Malformed, ""},
+        {"CR without LF in a value", "GET / HTTP/1.1\r\nHost: h\rA: b\r\n\r\n", ParseState::Malformed, ""},
+        {"LF without CR", "GET / HTTP/1.1\nHost: h\n\n", ParseState::Malformed, ""},
+        {"CR without LF in the request line", "GET / HTTP/1.1\rHost: h\r\n\r\n", ParseState::Malformed, ""},
+        {"unknown version", "GET / HTTP/2.0\r\n\r\n", ParseState::Malformed, ""},
+        {"two blanks", "GET  / HTTP/1.1\r\n\r\n", ParseState::Malformed, ""},
+        {"length in two parts", "POST /a HTTP/1.1\r\nContent-Length: 5 5\r\n\r\nhello", ParseState::Malformed, ""},
+        {"length that overflows", "POST /a HTTP/1.1\r\nContent-Length: 18446744073709551621\r\n\r\nhello", ParseState::BodyTooLarge, ""},
+        {"chunk that overflows", "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n10000000000000005\r\nhello", ParseState::BodyTooLarge, ""},
+        {"empty lines before a request", "\r\n\r\nGET / HTTP/1.1\r\n\r\n", ParseState::Complete, ""},
         // A server may ignore an offer of another protocol (RFC 9110, section 7.8).
         {"another protocol", "GET / HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n", ParseState::Complete, ""},
     };
@@ -115,3 +131,83 @@
         cr_assert(parser.state() == item.state, "%s", item.name);
     }
 }
+
+// A server in trouble may send noise and keep the connection open. Its request is answered sooner if the noise is recognised before a line ends.
+Test(MessageParser, recognisesNoiseBeforeTheLineEnds)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    for (const auto &bytes : {std::string("n"),
+             std::string("\r\n"),
+             std::string("HTTP/1.1 0"),
+             std::string("HTTP/1.1 6"),
+             std::string("HTTP/1.1 200O"),
+             std::string("HTTP/1.1 200 \x01"),
+             std::string("HTTP/1.1 200 OK\rX"),
+             head + "A b",
+             head + " ",
+             head + "A: \x01",
+             head + "A: b\rc",
+             chunked + "x",
+             chunked + "5x",
+             chunked + "5\r\nhelloX",
+             chunked + "0\r\nA b"}) {
+        for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
+            MessageParser parser(MessageKind::Response, SmallLimits);
+            (void)feedInTwoPieces(parser, bytes, cut);
+            cr_assert(parser.state() == ParseState::Malformed, "%s, cut at %zu", bytes.c_str(), cut);
+        }
+    }
+}
+
+Test(MessageParser, limitsLinesThatDoNotEnd)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    for (const auto &start : {std::string("HTTP/1.1 200 "), head + "A: ", head + "Transfer-Encoding: chunked\r\n\r\n5;"}) {
+        MessageParser parser(MessageKind::Response, SmallLimits);
+        (void)parser.feed(start);
+        for (int number = 0; number < 1000 && parser.state() == ParseState::Partial; ++number) {
+            (void)parser.feed("x");
+        }
+        cr_assert(parser.state() == ParseState::HeadersTooLarge, "%s", start.c_str());
+    }
+}
+
+// The verdict on a response must not depend on the segments in which it arrives, and fields of an accepted one can be written again.
+Test(MessageParser, acceptsOnlyValidResponsesInRandomRuns)
+{
+    static constexpr int Seeds = 20000;
+    const std::vector<std::string> valid{"HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 100 Go\r\n\r\nHTTP/1.0 404 \r\nA: b\r\n\r\nhello",
+        "HTTP/1.1 200\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\nhello\r\n0\r\nC: d\r\n\r\n"};
+    const std::string noise("\r\n\t \0\x01\x7f\xff:;09aZ/", 15);
+    for (int seed = 0; seed < Seeds; ++seed) {
+        std::mt19937 random(static_cast<std::mt19937::result_type>(seed));
+        auto bytes = valid[random() % valid.size()];
+        for (auto changes = random() % 3; changes > 0; --changes) {
+            const auto place = random() % bytes.size();
+            random() % 2 == 0 ? bytes.insert(place, 1, noise[random() % noise.size()]) : bytes.replace(place, 1, 1, noise[random() % noise.size()]);
+        }
+        MessageParser whole(MessageKind::Response, SmallLimits);
+        const auto consumed = whole.feed(bytes);
+        whole.feedEnd();
+        MessageParser byByte(MessageKind::Response, SmallLimits);
+        std::size_t fed = 0;
+        while (fed < bytes.size() && byByte.state() == ParseState::Partial) {
+            fed += byByte.feed(bytes.substr(fed, 1));
+        }
+        byByte.feedEnd();
+        cr_assert((whole.state() == ParseState::Complete) == (byByte.state() == ParseState::Complete), "seed %d", seed);
+        if (whole.state() != ParseState::Complete) {
+            continue;
+        }
+        cr_assert_eq(consumed, fed, "seed %d", seed);
+        const auto response = whole.extractResponse();
+        cr_assert(response.status >= 200 && response.status <= 599, "seed %d: status %d", seed, response.status);
+        cr_assert(response.body == byByte.extractResponse().body, "seed %d", seed);
+        for (const auto &header : response.headers) {
+            cr_assert(!header.name.empty() && header.name.find_first_of("\r\n\t \x01\x7f:") == std::string::npos, "seed %d", seed);
+            cr_assert(header.value.find_first_of(std::string_view("\r\n\0\x01\x7f", 5)) == std::string::npos, "seed %d", seed);
+        }
+    }
+}
--- a/Tests/Support/DuplicatingBackend.h
+++ b/Tests/Support/DuplicatingBackend.h
@@ -37,10 +37,18 @@
     {
         std::string bytes;
         Wire::appendResponse(bytes, response, options);
+        this->writeBytes(bytes);
+    }
+
+    /** Writes bytes as they are, which may be no response. */
+    void writeBytes(std::string_view bytes) const
+    {
         std::size_t offset = 0;
         (void)this->socket.write(bytes, offset);
     }
 
+    void close();
+
     DuplicatingBackend &backend;
     Wire::Socket socket;
     Wire::MessageParser parser{Wire::MessageKind::Request, {}};
@@ -97,8 +105,19 @@
     std::vector<DuplicatingRun> runs;
 };
 
+inline void DuplicatingConnection::close()
+{
+    if (this->socket.isOpen()) {
+        this->backend.fixture.poll->remove(this->socket.number());
+        this->socket = Wire::Socket();
+    }
+}
+
 inline void DuplicatingConnection::handleEvents(std::uint32_t)
 {
+    if (!this->socket.isOpen()) {
+        return;
+    }
     const auto transfer = this->socket.read(this->input, 65536);
     while (!this->input.empty()) {
         const auto consumed = this->parser.feed(this->input);
@@ -118,9 +137,8 @@
         this->parser.reset({});
         this->backend.onRun(this->backend.runs.back());
     }
-    if (transfer != Wire::Transfer::Open && this->socket.isOpen()) {
-        this->backend.fixture.poll->remove(this->socket.number());
-        this->socket = Wire::Socket();
+    if (transfer != Wire::Transfer::Open) {
+        this->close();
     }
 }
 
