LibWire: Refuse to write invalid messages

What callers could see: a field with a line end in its value, or a status such as 0, written as it was: another answer than was meant, or two of them.

Cause: the writer copied status, names and values without a look. The parser keeps such bytes out since, but not all text comes through it: signatures of relayed parts are in a Thrift body, names of workspaces in a declaration, ids in heartbeats.

Change: appendRequest() and appendResponse() check by the grammar that the parser uses, append nothing and return false. A server answers 500, logs event=response.invalid and counts crankrudder_invalid_responses_total; a send is reported as not sent, with event=request.invalid.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -485,7 +485,12 @@
     }
     const BackendRequest request{.caller = attemptOptions.caller, .backend = backend.name, .timeLeft = attemptOptions.timeLeft, .number = id};
     const auto key = this->dialect.replyKey(request);
-    attempt.connection = eligible ? this->connector.connectionFor(backend, key) : nullptr;
+    std::string bytes;
+    const bool isWritable = this->dialect.writeRequest(bytes, request);
+    if (!isWritable) {
+        Core::logEvent(Core::LogLevel::Error, "request.invalid", {{"backend", backend.name.value()}, {"request", attemptOptions.caller->id.value()}});
+    }
+    attempt.connection = eligible && isWritable ? this->connector.connectionFor(backend, key) : nullptr;
     if (!attempt.connection) {
         // Reports the outcome from the event loop at the next sweep, as all outcomes are reported from the loop.
         attempt.cancelAt = attempt.startedAt;
@@ -494,8 +499,6 @@
     if (this->timers.now() < backend.warmUntil) {
         this->warmupLimiter.recordSend(backend.name, this->timers.now());
     }
-    std::string bytes;
-    this->dialect.writeRequest(bytes, request);
     attempt.connection->send({.bytes = std::move(bytes),
         .key = key.value(),
         .isHead = attemptOptions.caller->message.method == "HEAD",
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -127,8 +127,8 @@
     std::function<ReplyKey(const Wire::Response &message)> readReplyKey;
     /** Whether a reply without a key counts as a refusal of the send that waits on its connection. Without this hook every such reply is discarded. */
     std::function<bool(const Wire::Response &message)> isRefusalWithoutKey;
-    /** Appends the bytes of a request to a backend server. */
-    std::function<void(std::string &bytes, const BackendRequest &request)> writeRequest;
+    /** Appends the bytes of a request to a backend server. Returns false if the request can't be written (Wire::appendRequest). */
+    std::function<bool(std::string &bytes, const BackendRequest &request)> writeRequest;
     /** Converts a backend server's reply to the response that the caller receives. */
     std::function<Wire::Response(BackendReply reply)> forwardReply;
     std::function<Wire::Response(const MergedAnswer &answer)> writeMerged;
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -209,6 +209,9 @@
     ended("response", counts.unwritten);
     ended("crossing-bytes", counts.discarded);
     ended("nothing", counts.idleClosed);
+    page.counter("crankrudder_invalid_responses_total",
+        "Responses that violate the grammar of HTTP, for which callers received 500.",
+        static_cast<double>(counts.invalidResponses));
 }
 
 void addOwnerMetrics(Metrics::MetricsPage &page, const OwnerLoadCounters &counts, const std::optional<LoopReport> &ownLoad)
--- a/Libraries/LibGateway/RelayPlan.cpp
+++ b/Libraries/LibGateway/RelayPlan.cpp
@@ -366,7 +366,7 @@
         named.message.headers.push_back({RelayHeader::Send, std::to_string(request.number)});
         BackendRequest sent = request;
         sent.caller = &named;
-        write(bytes, sent);
+        return write(bytes, sent);
     };
     relay.replyKey = [](const BackendRequest &request) {
         return ReplyKey(std::to_string(request.number));
--- a/Libraries/LibWire/Message.cpp
+++ b/Libraries/LibWire/Message.cpp
@@ -5,6 +5,8 @@
 
 #include <LibWire/Message.h>
 
+#include <LibWire/Grammar.h>
+
 #include <algorithm>
 #include <array>
 #include <strings.h>
@@ -99,8 +101,18 @@
     bytes += "\r\n";
 }
 
-void appendRequest(std::string &bytes, const Request &request)
+static bool areValid(const Headers &headers)
 {
+    return std::all_of(headers.begin(), headers.end(), [](const Header &header) {
+        return isToken(header.name) && isFieldText(header.value);
+    });
+}
+
+bool appendRequest(std::string &bytes, const Request &request)
+{
+    if (!isToken(request.method) || !isTarget(request.target) || !areValid(request.headers)) {
+        return false;
+    }
     bytes += request.method;
     bytes += ' ';
     bytes += request.target;
@@ -114,10 +126,14 @@
     }
     bytes += "\r\n";
     bytes += request.body;
+    return true;
 }
 
-void appendResponse(std::string &bytes, const Response &response, const ResponseOptions &options)
+bool appendResponse(std::string &bytes, const Response &response, const ResponseOptions &options)
 {
+    if (response.status < MinimumFinalStatus || response.status > MaximumStatus || !areValid(response.headers)) {
+        return false;
+    }
     bytes += "HTTP/1.1 ";
     bytes += std::to_string(response.status);
     bytes += ' ';
@@ -141,6 +157,7 @@
     if (mayHaveBody && !options.withoutBody) {
         bytes += response.body;
     }
+    return true;
 }
 
 }
--- a/Libraries/LibWire/Message.h
+++ b/Libraries/LibWire/Message.h
@@ -58,8 +58,11 @@
 /** The standard reason phrase of a status code, or "Other" for a code that is not in the table. */
 [[nodiscard]] const char *reasonPhrase(int status);
 
-/** Appends a request. A Content-Length header is added when there is a body or the method usually has one. */
-void appendRequest(std::string &bytes, const Request &request);
+/**
+ * Appends a request. A Content-Length header is added when there is a body or the method usually has one. Appends nothing and returns false if the request
+ * violates the grammar: a part of it would be read as something else.
+ */
+[[nodiscard]] bool appendRequest(std::string &bytes, const Request &request);
 
 /** How a response is serialized, and what it states about the connection. */
 struct ResponseOptions {
@@ -71,7 +74,10 @@
     bool withoutBody{false};
 };
 
-/** Appends a response. Connection headers in `response` are omitted; those that are sent follow from `options`. */
-void appendResponse(std::string &bytes, const Response &response, const ResponseOptions &options);
+/**
+ * Appends a final response. Connection headers in `response` are omitted; those that are sent follow from `options`. Appends nothing and returns false if the
+ * response violates the grammar.
+ */
+[[nodiscard]] bool appendResponse(std::string &bytes, const Response &response, const ResponseOptions &options);
 
 }
--- a/Libraries/LibWire/Server.cpp
+++ b/Libraries/LibWire/Server.cpp
@@ -414,7 +414,10 @@
     this->closeAfterResponse = this->closeAfterResponse || serverCloses;
     this->idleTimeout = this->server->options.limits.idleTimeout;
     const auto idleSeconds = std::chrono::duration_cast<std::chrono::seconds>(this->idleTimeout).count();
-    appendResponse(this->output, response, {.close = this->closeAfterResponse, .idleSeconds = idleSeconds, .withoutBody = this->headRequest});
+    const ResponseOptions written{.close = this->closeAfterResponse, .idleSeconds = idleSeconds, .withoutBody = this->headRequest};
+    if (!appendResponse(this->output, response, written)) {
+        this->respondInvalid(response.status, written);
+    }
     this->stage = Stage::Reading;
     this->parser.reset(this->server->options.limits.message);
     this->continueSent = false;
@@ -422,6 +425,14 @@
     this->writeMore();
 }
 
+void ServerConnection::respondInvalid(int status, const ResponseOptions &options)
+{
+    static constexpr int InternalServerError = 500;
+    ++this->server->counts.invalidResponses;
+    Core::logEvent(Core::LogLevel::Error, "response.invalid", {{"server", this->server->options.name}, {"status", status}});
+    (void)appendResponse(this->output, Response{.status = InternalServerError, .headers = {}, .body = {}}, options);
+}
+
 void ServerConnection::writeMore()
 {
     if (this->socket.write(this->output, this->written) != Transfer::Open) {
--- a/Libraries/LibWire/Server.h
+++ b/Libraries/LibWire/Server.h
@@ -107,6 +107,8 @@
     std::uint64_t idleClosed{0};
     /** Connections that ended while a response was written. */
     std::uint64_t unwritten{0};
+    /** Responses of the handler that violate the grammar of HTTP; the caller received 500 instead. */
+    std::uint64_t invalidResponses{0};
 };
 
 /** What the connections of a server hold. Each connection counts once. */
@@ -234,6 +236,8 @@
     void rejectRequest(int status);
     void writeMore();
     void responseWritten();
+    /** Replaces a response that can't be sent. */
+    void respondInvalid(int status, const ResponseOptions &options);
     void linger();
     void updateInterest();
 
--- a/Tests/Incidents/TestCrashingRequests.cpp
+++ b/Tests/Incidents/TestCrashingRequests.cpp
@@ -77,7 +77,7 @@
     {
         const int before = this->crashes;
         std::string bytes;
-        Wire::appendRequest(bytes,
+        (void)Wire::appendRequest(bytes,
             {.method = "GET",
                 .target = target,
                 .headers = {{"Host", "h.example"}, {"Request-Id", "left-" + std::to_string(before)}, {"Deadline-Ms", "5000"}},
--- a/Tests/LibGateway/TestCancelledParts.cpp
+++ b/Tests/LibGateway/TestCancelledParts.cpp
@@ -44,7 +44,7 @@
     {
         std::string bytes;
         const Wire::Headers headers{{"Host", "h.example"}, {"Request-Id", id}, {"Deadline-Ms", "60000"}};
-        Wire::appendRequest(bytes, {.method = "GET", .target = "/search/1", .headers = headers, .body = {}});
+        (void)Wire::appendRequest(bytes, {.method = "GET", .target = "/search/1", .headers = headers, .body = {}});
         auto connection = Wire::ClientConnection::create({.endpoint = this->asked->callerEndpoint}, *this->poll, this->timers).value();
         connection->send({.bytes = std::move(bytes),
             .recognise =
--- a/Tests/LibWire/TestMessageParser.cpp
+++ b/Tests/LibWire/TestMessageParser.cpp
@@ -211,3 +211,28 @@
         }
     }
 }
+
+Test(MessageParser, writerRefusesRequestsThatItCannotParse)
+{
+    const Wire::Request valid{.method = "GET", .target = "/a", .headers = {{"A", "b c\t\xe4"}}, .body = {}};
+    std::string bytes;
+    cr_assert(Wire::appendRequest(bytes, valid));
+    for (const char *method : {"", "GET /b HTTP/1.1\r\n", "G T"}) {
+        auto request = valid;
+        request.method = method;
+        cr_assert_not(Wire::appendRequest(bytes, request), "%s", method);
+    }
+    for (const char *target : {"", "/a b", "/a\r\n\r\n"}) {
+        auto request = valid;
+        request.target = target;
+        cr_assert_not(Wire::appendRequest(bytes, request), "%s", target);
+    }
+    for (const auto &header : {Wire::Header{"", "b"}, Wire::Header{"A:", "b"}, Wire::Header{"A", "b\r\nC: d"}, Wire::Header{"A", std::string(1, '\0')}}) {
+        auto request = valid;
+        request.headers.push_back(header);
+        cr_assert_not(Wire::appendRequest(bytes, request), "%s: %s", header.name.c_str(), header.value.c_str());
+    }
+    MessageParser parser(MessageKind::Request, SmallLimits);
+    cr_assert_eq(parser.feed(bytes), bytes.size(), "nothing of the refused requests is written");
+    cr_assert(parser.state() == ParseState::Complete);
+}
--- a/Tests/LibWire/TestServer.cpp
+++ b/Tests/LibWire/TestServer.cpp
@@ -347,3 +347,25 @@
     served.send("GET /again HTTP/1.1\r\n\r\n");
     cr_assert(served.hasRequests(2));
 }
+
+// A response with such a field would be read as another one, or as two.
+Test(Server, replacesAResponseThatCannotBeWritten)
+{
+    ServerFixture served;
+    const std::vector<Wire::Response> invalid{{.status = 200, .headers = {{"A", "b\r\nC: d"}}, .body = "wrong"},
+        {.status = 200, .headers = {{"A b", "c"}}, .body = "wrong"},
+        {.status = 0, .headers = {}, .body = "wrong"},
+        {.status = 100, .headers = {}, .body = "wrong"},
+        {.status = 600, .headers = {}, .body = "wrong"}};
+    for (const auto &response : invalid) {
+        const auto before = served.requests.size();
+        served.received.clear();
+        served.send("GET /1 HTTP/1.1\r\n\r\n");
+        cr_assert(served.hasRequests(before + 1));
+        served.exchanges.back()->respond(response);
+        cr_assert(served.callerReads("\r\n\r\n"));
+        cr_assert(served.received.starts_with("HTTP/1.1 500 "), "%s", served.received.c_str());
+        cr_assert(served.received.find("wrong") == std::string::npos);
+    }
+    cr_assert_eq(served.server->counters().invalidResponses, invalid.size());
+}
--- a/Tests/Platform/TestCodecs.cpp
+++ b/Tests/Platform/TestCodecs.cpp
@@ -323,7 +323,7 @@
     const auto request = dialect.readRequest(std::move(message));
     cr_assert(request.id.value() == "id-1" && request.host == "h.example" && request.callerTimeout == Core::milliseconds(500));
     std::string bytes;
-    dialect.writeRequest(bytes, {.caller = &request, .backend = Gateway::BackendName("i-9"), .timeLeft = Core::milliseconds(321)});
+    cr_assert(dialect.writeRequest(bytes, {.caller = &request, .backend = Gateway::BackendName("i-9"), .timeLeft = Core::milliseconds(321)}));
     cr_assert(bytes.starts_with("POST /a/b?c=1 HTTP/1.1\r\n"));
     for (const char *present :
         {"Host: h.example\r\n", "Request-Id: id-1\r\n", "X-Other: 2\r\n", "Deadline-Ms: 321\r\n", "Target-Instance: i-9\r\n", "Content-Length: 4\r\n"}) {
@@ -344,7 +344,7 @@
     cr_assert(request.key.has_value() && !request.workspace.has_value());
     const auto written = [&](const Gateway::Dialect &used) {
         std::string bytes;
-        used.writeRequest(bytes, {.caller = &request, .backend = Gateway::BackendName("i"), .timeLeft = Core::seconds(1), .number = 7});
+        cr_assert(used.writeRequest(bytes, {.caller = &request, .backend = Gateway::BackendName("i"), .timeLeft = Core::seconds(1), .number = 7}));
         return bytes;
     };
     cr_assert(written(dialect).find("enant: ") == std::string::npos && written(dialect).find("forged") == std::string::npos);
@@ -420,7 +420,7 @@
                 {"Connection", "request-id, own, crankrudder-send, crankrudder-allowed-regions"}},
             .body = {}}};
     std::string bytes;
-    relay.writeRequest(bytes, {.caller = &request, .backend = Gateway::BackendName("g"), .timeLeft = Core::seconds(1), .number = 7});
+    cr_assert(relay.writeRequest(bytes, {.caller = &request, .backend = Gateway::BackendName("g"), .timeLeft = Core::seconds(1), .number = 7}));
     cr_assert_neq(bytes.find("Request-Id: x"), std::string::npos, "sent: %s", bytes.c_str());
     cr_assert_neq(bytes.find("Crankrudder-Send: 7"), std::string::npos, "sent: %s", bytes.c_str());
     cr_assert_neq(bytes.find("Crankrudder-Allowed-Regions: home"), std::string::npos, "sent: %s", bytes.c_str());
--- a/Tests/Support/DuplicatingBackend.h
+++ b/Tests/Support/DuplicatingBackend.h
@@ -36,7 +36,7 @@
     void write(const Wire::Response &response, const Wire::ResponseOptions &options = {}) const
     {
         std::string bytes;
-        Wire::appendResponse(bytes, response, options);
+        (void)Wire::appendResponse(bytes, response, options);
         this->writeBytes(bytes);
     }
 
--- a/Tests/Support/NodeFixture.h
+++ b/Tests/Support/NodeFixture.h
@@ -198,7 +198,7 @@
         headers.push_back({"Request-Id", "request-" + std::to_string(++this->lastRequest)});
         headers.push_back({"Deadline-Ms", "5000"});
         std::string bytes;
-        Wire::appendRequest(bytes, {.method = "GET", .target = target, .headers = std::move(headers), .body = {}});
+        (void)Wire::appendRequest(bytes, {.method = "GET", .target = target, .headers = std::move(headers), .body = {}});
         Wire::Response answer;
         bool ended = false;
         const auto connection = Wire::ClientConnection::create({.endpoint = gateway.callerEndpoint}, *this->poll, this->timers).value();
