LibWire: Tell malformed responses from ended connections

What callers saw: after noise from a backend server on a new connection, each new connection of the gateway, to any server, held its first request for a round trip and a margin, for 10 s.

Cause: ClientEnd::Broken stood for connections that ended and for bytes that are no response. The pool took both for the reset by which a server at its connection limit refuses, and tried new connections out again.

Change: bytes that are no response to the request end it as Malformed. The request may have run, as with Broken, and the pool treats it so in all other respects. The tests of ClientConnection say which of the two they expect, so they are stricter than before. Seen by reading; no run compared the wait.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -591,6 +591,10 @@
         }
         logBroken(attempt, outcome.reason, this->timers.now());
         break;
+    case Wire::ClientEnd::Malformed:
+        outcome.end = AttemptEnd::Broken;
+        logBroken(attempt, outcome.reason, this->timers.now());
+        break;
     case Wire::ClientEnd::Unacknowledged:
         outcome.end = AttemptEnd::Unacknowledged;
         logBroken(attempt, outcome.reason, this->timers.now());
--- a/Libraries/LibWire/ClientConnection.cpp
+++ b/Libraries/LibWire/ClientConnection.cpp
@@ -410,7 +410,7 @@
         this->reportHeld(this->parser.bodyBytes() + this->input.size());
     }
     if (this->done && this->options.receiveBudget && this->options.receiveBudget->isExceededBy(this->heldBytes)) {
-        this->fail("unfinished responses take more memory than they may");
+        this->failMalformed("unfinished responses take more memory than they may");
     }
     if (this->hasClosed || transfer == Transfer::Open) {
         return;
@@ -450,7 +450,7 @@
             return;
         }
         if (this->parser.state() != ParseState::Complete) {
-            this->fail("the received bytes are not a valid HTTP response");
+            this->failMalformed("the received bytes are not a valid HTTP response");
             return;
         }
         this->handleResponse();
@@ -463,12 +463,12 @@
     Response response = this->parser.extractResponse();
     if (this->recognise && !this->recognise(response)) {
         if (!serverKeepsAlive) {
-            this->fail("the response belongs to another request");
+            this->failMalformed("the response belongs to another request");
             return;
         }
         ++this->surplusCount;
         if (this->surplusCount > SurplusResponsesPerRequest * this->sentKeyHashes.size() + SurplusAllowance) {
-            this->fail("too many responses belong to no request");
+            this->failMalformed("too many responses belong to no request");
             return;
         }
         // This is a surplus response to an earlier request; the response to the current one may still follow.
@@ -531,6 +531,11 @@
     }
 }
 
+void ClientConnection::failMalformed(const std::string &reason)
+{
+    this->finish(ClientResult{.end = ClientEnd::Malformed, .response = {}, .reason = reason}, false);
+}
+
 void ClientConnection::fail(const std::string &reason)
 {
     const auto end = this->unacknowledged ? ClientEnd::Unacknowledged : ClientEnd::Broken;
--- a/Libraries/LibWire/ClientConnection.h
+++ b/Libraries/LibWire/ClientConnection.h
@@ -33,8 +33,10 @@
     NotSent,
     /** The server accepted the connection and reset it before a request was sent on it. A server does so at its connection limit. */
     ConnectionRejected,
-    /** The connection failed, or what arrived was no valid response to the request. The request may have run. */
+    /** The connection failed before a response to the request had arrived. The request may have run. */
     Broken,
+    /** What arrived is no valid response to the request, or too large a one. The request may have run. */
+    Malformed,
     /** Like Broken, but sent bytes stayed unacknowledged: the server's machine has most likely never received the request. */
     Unacknowledged,
 };
@@ -162,6 +164,7 @@
     void handleResponse();
     void finish(ClientResult result, bool keep);
     void fail(const std::string &reason);
+    void failMalformed(const std::string &reason);
     void applyKeepAlive(const Response &response);
     void setWantsWrite(bool wants);
 
--- a/Tests/LibWire/TestClientConnection.cpp
+++ b/Tests/LibWire/TestClientConnection.cpp
@@ -183,15 +183,15 @@
         const char *name;
         bool reset;
         const char *bytes;
-        bool whole;
+        Wire::ClientEnd end;
     };
     const std::vector<Case> cases{
-        {"no length, ended", false, "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart", true},
-        {"no length, reset", true, "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart", false},
-        {"a length, ended early", false, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\npart", false},
-        {"chunks, ended early", false, "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", false},
-        {"no HTTP", false, "garbage garbage\r\n\r\n", false},
-        {"nothing", false, "", false},
+        {"no length, ended", false, "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart", Wire::ClientEnd::Answered},
+        {"no length, reset", true, "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart", Wire::ClientEnd::Broken},
+        {"a length, ended early", false, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\npart", Wire::ClientEnd::Broken},
+        {"chunks, ended early", false, "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", Wire::ClientEnd::Broken},
+        {"no HTTP", false, "garbage garbage\r\n\r\n", Wire::ClientEnd::Malformed},
+        {"nothing", false, "", Wire::ClientEnd::Broken},
     };
     for (const auto &item : cases) {
         LoopFixture fixture;
@@ -208,8 +208,7 @@
         }
         server.socket = Wire::Socket();
         cr_assert(client.hasResults(1), "%s", item.name);
-        cr_assert((client.results[0].end == Wire::ClientEnd::Answered) == item.whole, "%s", item.name);
-        cr_assert(item.whole || client.results[0].end == Wire::ClientEnd::Broken, "%s", item.name);
+        cr_assert(client.results[0].end == item.end, "%s", item.name);
     }
 }
 
@@ -568,7 +567,7 @@
         }),
             "%s",
             endless.name);
-        cr_assert(client.results[0].end == Wire::ClientEnd::Broken, "%s", endless.name);
+        cr_assert(client.results[0].end == Wire::ClientEnd::Malformed, "%s", endless.name);
         cr_assert(largest < 2 * 1024 * 1024, "%s took %zu bytes", endless.name, largest);
         cr_assert_eq(budget->used(), 0U, "%s", endless.name);
     }
