LibHttp: Read responses by LibWire

What callers could see: an entry instance took answers for sound that are none, and one whose body did not end took its memory, with the requests of all other callers. crankload counted such answers as served.

Cause: HttpClient left reading to libsoup. It skips fields that it can't read, takes blanks and control bytes, any byte after CR in chunks, sizes such as "10 x" and statuses up to 999, and soup_session_send_and_read_async() keeps a body of any length.

Change: HttpClient sends over Wire::ClientConnection, with kept connections for each host: one reader for all answers. A body may have 16 MiB, unfinished ones 64 MiB together. As before, a GET is sent again once if its kept connection ends without a response; a malformed response is no such end, and nothing else is sent twice. What is not sent is reported as not sent.

--- a/Libraries/LibEntry/BackendClient.cpp
+++ b/Libraries/LibEntry/BackendClient.cpp
@@ -16,6 +16,10 @@
 static constexpr int FirstServerError = 500;
 static constexpr std::size_t MaximumActionBody = 64 * 1024;
 
+BackendClient::BackendClient(Core::TimerService &timers) : http(timers)
+{
+}
+
 const BackendClientCounters &BackendClient::counters() const
 {
     return this->counts;
@@ -50,7 +54,7 @@
         {BackendHeader::TimeLeft, std::to_string(std::max<std::int64_t>(0, Core::toMilliseconds(attempt.timeLeft)))},
     };
     if (request.operation == Operation::Action) {
-        // NOTE: Actions are sent as POST, since libsoup resends a GET when its reused connection closes, but never a POST that is not marked idempotent.
+        // NOTE: Actions are sent as POST, since HttpClient resends a GET when its kept connection ends without a response.
         exchange.method = "POST";
         exchange.body = request.body;
         exchange.contentType = request.contentType;
--- a/Libraries/LibEntry/BackendClient.h
+++ b/Libraries/LibEntry/BackendClient.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <LibCore/Result.h>
+#include <LibCore/TimerService.h>
 #include <LibEntry/BackendTransport.h>
 #include <LibHttp/HttpClient.h>
 #include <LibProtocol/Generated/entry_types.h>
@@ -31,6 +32,8 @@
 class BackendClient final : public BackendTransport
 {
 public:
+    explicit BackendClient(Core::TimerService &timers);
+
     void send(const AttemptRequest &attempt, ResultHook done) override;
     void cancel(const Core::AttemptId &attempt) override;
 
--- a/Libraries/LibEntry/EntryNode.cpp
+++ b/Libraries/LibEntry/EntryNode.cpp
@@ -20,6 +20,7 @@
 EntryNode::EntryNode(EntryNodeOptions optionsGiven, Core::TimerService &timersGiven)
     : options(std::move(optionsGiven))
     , timers(timersGiven)
+    , backendClient(timersGiven)
     , state(this->options.entry, this->backendClient, timersGiven)
     , control(this->options.controlInstances, timersGiven)
     , follower({.entryName = this->options.entry.name, .incarnation = this->options.incarnation}, this->state.configuration, this->control, timersGiven)
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -5,24 +5,33 @@
 
 #include <LibHttp/HttpClient.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace Http
 {
 
-static constexpr guint IdleSeconds = 120;
-static constexpr std::int64_t SessionLifetimeMicroseconds = 600'000'000;
+static constexpr std::size_t MaximumResponseBytes = 16 * 1024 * 1024;
+// What unfinished responses may take together; responses below 64 KiB are not affected.
+static constexpr std::size_t UnfinishedResponsesBytes = 64 * 1024 * 1024;
+static constexpr Core::Duration ExpiryPeriod = Core::seconds(10);
 
-/** User data of libsoup's callback, by which it finds its exchange. */
-struct HttpClient::CallbackContext {
-    HttpClient *client;
-    std::weak_ptr<int> alive;
-    ExchangeId id;
-};
+HttpClient::HttpClient(Core::TimerService &timers)
+    : timers(timers)
+    , receiveBudget(std::make_shared<Wire::ReceiveBudget>(UnfinishedResponsesBytes))
+    , expiryTimer(timers.every(ExpiryPeriod, [this](Core::Instant) {
+        this->closeExpired();
+    }))
+{
+}
 
 HttpClient::~HttpClient()
 {
-    for (const auto &[id, exchange] : this->exchanges) {
-        g_signal_handlers_disconnect_by_data(exchange->message.get(), exchange.get());
-        g_cancellable_cancel(exchange->cancellable.get());
+    for (const auto &[key, host] : std::exchange(this->hosts, {})) {
+        for (const auto &connection : host.connections) {
+            connection->closed = nullptr;
+            connection->close();
+        }
     }
 }
 
@@ -31,101 +40,167 @@
     return this->exchanges.size();
 }
 
-HttpClient::Session &HttpClient::sessionFor(const SessionKey &key)
+static Wire::Request wireRequest(const ClientRequest &request)
+{
+    Wire::Request message{.method = request.method, .target = request.target, .headers = {{"Host", request.endpoint.toString()}}, .body = request.body};
+    for (const auto &header : request.headers) {
+        message.headers.push_back({header.name, header.value});
+    }
+    if (!request.contentType.empty()) {
+        message.headers.push_back({"Content-Type", request.contentType});
+    }
+    return message;
+}
+
+ExchangeId HttpClient::send(const ClientRequest &request, ResultHook done)
+{
+    const ExchangeId id = this->nextId++;
+    const HostKey key{.endpoint = request.endpoint, .connectionsPerHost = request.connectionsPerHost};
+    auto &exchange = this->exchanges[id];
+    exchange.host = key;
+    exchange.method = request.method;
+    exchange.done = std::move(done);
+    if (!Wire::appendRequest(exchange.bytes, wireRequest(request))) {
+        this->failLater(id, "the request violates the grammar of HTTP");
+        return id;
+    }
+    this->hosts[key].waiting.push_back(id);
+    this->startWaiting(key);
+    return id;
+}
+
+void HttpClient::startWaiting(const HostKey &key)
 {
-    const std::int64_t now = g_get_monotonic_time();
-    auto &found = this->sessions[key];
-    found.lastUsedMicroseconds = now;
-    if (found.session) {
-        return found;
+    auto &waiting = this->hosts[key].waiting;
+    while (!waiting.empty()) {
+        const auto id = waiting.front();
+        if (!this->exchanges.contains(id)) {
+            waiting.pop_front();
+            continue;
+        }
+        const auto connection = this->connectionTo(key);
+        if (!connection.has_value()) {
+            waiting.pop_front();
+            this->failLater(id, connection.error().message);
+            continue;
+        }
+        if (!connection.value()) {
+            return;
+        }
+        waiting.pop_front();
+        this->sendOn(connection.value(), id);
     }
-    found.session.reset(soup_session_new_with_options(
-        "max-conns", key.connectionsPerHost, "max-conns-per-host", key.connectionsPerHost, "idle-timeout", IdleSeconds, "timeout", 0, nullptr));
-    this->removeUnusedSessions(now);
-    return found;
 }
 
-void HttpClient::removeUnusedSessions(std::int64_t now)
+Core::Result<HttpClient::ConnectionPointer> HttpClient::connectionTo(const HostKey &key)
 {
-    // Hosts change over time, so a session that was not used for its lifetime is removed together with its connections.
-    std::erase_if(this->sessions, [now](const auto &item) {
-        return item.second.inFlight == 0 && now - item.second.lastUsedMicroseconds > SessionLifetimeMicroseconds;
+    const auto &connections = this->hosts[key].connections;
+    const auto now = this->timers.now();
+    const auto idle = std::find_if(connections.begin(), connections.end(), [now](const auto &connection) {
+        return connection->isIdle() && now < connection->idleUntil();
     });
+    if (idle != connections.end()) {
+        return *idle;
+    }
+    if (connections.size() >= static_cast<std::size_t>(key.connectionsPerHost)) {
+        return ConnectionPointer();
+    }
+    return this->open(key);
 }
 
-void HttpClient::handleStarting(SoupMessage *, gpointer data)
+Core::Result<HttpClient::ConnectionPointer> HttpClient::open(const HostKey &key)
 {
-    static_cast<Exchange *>(data)->started = true;
+    if (!this->poll) {
+        auto created = Core::EventPoll::create(g_main_context_default());
+        if (!created.has_value()) {
+            return tl::make_unexpected(created.error());
+        }
+        this->poll = std::move(created.value());
+    }
+    auto opened = Wire::ClientConnection::create(
+        {.endpoint = key.endpoint, .limits = {.bodyBytes = MaximumResponseBytes}, .receiveBudget = this->receiveBudget}, *this->poll, this->timers);
+    if (opened.has_value()) {
+        opened.value()->closed = [this, key, raw = opened.value().get()] {
+            this->connectionClosed(key, raw);
+        };
+        this->hosts[key].connections.push_back(opened.value());
+    }
+    return opened;
 }
 
-ExchangeId HttpClient::send(const ClientRequest &request, ResultHook done)
+void HttpClient::sendOn(const ConnectionPointer &connection, ExchangeId id)
 {
-    const ExchangeId id = this->nextId++;
-    const std::string uri = "http://" + request.endpoint.toString() + request.target;
-    auto exchange = std::make_unique<Exchange>();
-    exchange->message.reset(soup_message_new(request.method.c_str(), uri.c_str()));
-    exchange->cancellable.reset(g_cancellable_new());
-    exchange->done = std::move(done);
-    auto *message = exchange->message.get();
-    soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
-    auto *headers = soup_message_get_request_headers(message);
-    for (const auto &header : request.headers) {
-        soup_message_headers_replace(headers, header.name.c_str(), header.value.c_str());
-    }
-    if (!request.body.empty() || request.method == "POST") {
-        GBytes *body = g_bytes_new(request.body.data(), request.body.size());
-        soup_message_set_request_body_from_bytes(message, request.contentType.c_str(), body);
-        g_bytes_unref(body);
-    }
-    // libsoup emits this signal right before it writes the first byte of the request.
-    g_signal_connect(message, "starting", G_CALLBACK(handleStarting), exchange.get());
-    exchange->sessionKey = SessionKey{.endpoint = request.endpoint, .connectionsPerHost = request.connectionsPerHost};
-    auto &session = this->sessionFor(exchange->sessionKey);
-    ++session.inFlight;
-    auto *context = new CallbackContext{.client = this, .alive = this->alive, .id = id};
-    soup_session_send_and_read_async(session.session.get(), message, G_PRIORITY_DEFAULT, exchange->cancellable.get(), handleResponse, context);
-    this->exchanges.emplace(id, std::move(exchange));
-    return id;
+    auto &exchange = this->exchanges.at(id);
+    exchange.connection = connection;
+    exchange.usesKeptConnection = connection->answered() > 0;
+    connection->send({.bytes = exchange.bytes,
+        .key = std::to_string(id) + (exchange.wasResent ? "/2" : "/1"),
+        .isHead = exchange.method == "HEAD",
+        .verifyOpen = exchange.usesKeptConnection,
+        .recognise = {},
+        .done = [this, id](Wire::ClientResult result) {
+            this->finish(id, std::move(result));
+        }});
 }
 
-void HttpClient::handleResponse(GObject *source, GAsyncResult *result, gpointer data)
+// Converts a response, and keeps its headers for the result hook.
+static ClientResult readResponse(Wire::Response response)
 {
-    const std::unique_ptr<CallbackContext> context(static_cast<CallbackContext *>(data));
-    GError *rawError = nullptr;
-    GBytes *bytes = soup_session_send_and_read_finish(SOUP_SESSION(source), result, &rawError);
-    const Core::ErrorPointer error(rawError);
-    const std::unique_ptr<GBytes, void (*)(GBytes *)> body(bytes, g_bytes_unref);
-    if (context->alive.expired()) {
+    const auto headers = std::make_shared<const Wire::Headers>(std::move(response.headers));
+    ClientResult result;
+    result.status = response.status;
+    result.body = std::move(response.body);
+    result.header = [headers](const char *name) {
+        const auto *value = Wire::findHeader(*headers, name);
+        return value == nullptr ? std::string() : *value;
+    };
+    result.contentType = result.header("Content-Type");
+    return result;
+}
+
+void HttpClient::finish(ExchangeId id, Wire::ClientResult result)
+{
+    auto &exchange = this->exchanges.at(id);
+    exchange.connection = nullptr;
+    if (result.end == Wire::ClientEnd::Answered) {
+        this->complete(id, readResponse(std::move(result.response)));
         return;
     }
-    auto &client = *context->client;
-    const auto found = client.exchanges.find(context->id);
-    if (found == client.exchanges.end()) {
+    const bool wasNotSent = result.end == Wire::ClientEnd::NotSent || result.end == Wire::ClientEnd::ConnectionRejected;
+    const bool endedWithoutResponse = wasNotSent || (result.end == Wire::ClientEnd::Broken && exchange.method == "GET");
+    // The server may have closed the connection as idle while the request was under way.
+    if (exchange.usesKeptConnection && endedWithoutResponse && !std::exchange(exchange.wasResent, true)) {
+        // Sent once the connection is removed, which follows.
+        this->hosts[exchange.host].waiting.push_front(id);
         return;
     }
-    const auto exchange = std::move(found->second);
-    client.exchanges.erase(found);
-    --client.sessions[exchange->sessionKey].inFlight;
-    g_signal_handlers_disconnect_by_data(exchange->message.get(), exchange.get());
-
-    ClientResult answer;
-    answer.mayHaveBeenSent = exchange->started;
-    if (error) {
-        answer.error = error->message;
-    } else {
-        gsize size = 0;
-        const auto *content = static_cast<const char *>(g_bytes_get_data(body.get(), &size));
-        answer.body.assign(content == nullptr ? "" : content, size);
-        answer.status = static_cast<int>(soup_message_get_status(exchange->message.get()));
-    }
-    auto *headers = soup_message_get_response_headers(exchange->message.get());
-    const char *contentType = soup_message_headers_get_one(headers, "Content-Type");
-    answer.contentType = contentType == nullptr ? "" : contentType;
-    answer.header = [headers](const char *name) {
-        const char *value = soup_message_headers_get_one(headers, name);
-        return std::string(value == nullptr ? "" : value);
+    ClientResult failed;
+    failed.mayHaveBeenSent = !wasNotSent;
+    failed.error = result.reason;
+    failed.header = [](const char *) {
+        return std::string();
     };
-    exchange->done(std::move(answer));
+    this->complete(id, std::move(failed));
+}
+
+void HttpClient::complete(ExchangeId id, ClientResult result)
+{
+    const auto found = this->exchanges.find(id);
+    const auto exchange = std::move(found->second);
+    this->exchanges.erase(found);
+    exchange.done(std::move(result));
+    // The connection is idle again, unless it was closed.
+    this->startWaiting(exchange.host);
+}
+
+void HttpClient::failLater(ExchangeId id, const std::string &error)
+{
+    this->failures[id] = this->timers.once(Core::Duration(0), [this, id, error](Core::Instant) {
+        this->failures.erase(id);
+        if (this->exchanges.contains(id)) {
+            this->finish(id, Wire::ClientResult{.end = Wire::ClientEnd::NotSent, .response = {}, .reason = error});
+        }
+    });
 }
 
 void HttpClient::cancel(ExchangeId id)
@@ -134,11 +209,37 @@
     if (found == this->exchanges.end()) {
         return;
     }
-    const auto exchange = std::move(found->second);
+    const auto connection = std::move(found->second.connection);
     this->exchanges.erase(found);
-    --this->sessions[exchange->sessionKey].inFlight;
-    g_signal_handlers_disconnect_by_data(exchange->message.get(), exchange.get());
-    g_cancellable_cancel(exchange->cancellable.get());
+    if (connection) {
+        connection->close();
+    }
+}
+
+void HttpClient::connectionClosed(const HostKey &key, const Wire::ClientConnection *connection)
+{
+    auto &host = this->hosts[key];
+    std::erase_if(host.connections, [connection](const auto &open) {
+        return open.get() == connection;
+    });
+    this->startWaiting(key);
+    if (host.connections.empty() && host.waiting.empty()) {
+        this->hosts.erase(key);
+    }
+}
+
+void HttpClient::closeExpired()
+{
+    const auto now = this->timers.now();
+    std::vector<ConnectionPointer> expired;
+    for (const auto &[key, host] : this->hosts) {
+        std::copy_if(host.connections.begin(), host.connections.end(), std::back_inserter(expired), [now](const auto &connection) {
+            return connection->isIdle() && now >= connection->idleUntil();
+        });
+    }
+    for (const auto &connection : expired) {
+        connection->close();
+    }
 }
 
 }
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -3,20 +3,21 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-// An HTTP client on the GLib loop, based on libsoup with one session per host.
-// libsoup iterates over all messages and connections of a session at each step of
-// any of them, so the cost of a session shared by many hosts would grow with the
-// square of the requests in flight (docs/QUERY-PATH.md gives the figures).
+// An HTTP client on the GLib loop, over LibWire, with kept connections per host.
+// LibWire reads the responses: libsoup accepts fields and chunks that violate the
+// grammar, and keeps a body of any length.
 
 #pragma once
 
-#include <LibCore/ObjectPointer.h>
+#include <LibCore/EventPoll.h>
 #include <LibCore/Settings.h>
+#include <LibCore/TimerService.h>
 #include <LibHttp/Message.h>
+#include <LibWire/ClientConnection.h>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
-#include <libsoup/soup.h>
 #include <map>
 #include <memory>
 #include <string>
@@ -35,7 +36,7 @@
     std::vector<Header> headers;
     std::string contentType;
     std::string body;
-    /** Maximum number of open connections to this host. */
+    /** Maximum number of open connections to this host. Further requests wait for one. */
     int connectionsPerHost{8};
 };
 
@@ -56,18 +57,18 @@
 /** Identifies an exchange until it ends. */
 using ExchangeId = std::uint64_t;
 
-/** Sends requests. libsoup never sends a request twice unless its method is GET. */
+/** Sends requests. A request is sent a second time only if its method is GET and a kept connection ended without a response. */
 class HttpClient
 {
 public:
     using ResultHook = std::function<void(ClientResult result)>;
 
-    HttpClient() = default;
+    explicit HttpClient(Core::TimerService &timers);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    /** Sends a request. The hook is called exactly once, from the loop, unless the exchange is cancelled. */
+    /** Sends a request. The hook is called exactly once, from the loop, unless the exchange is cancelled. It must not destroy the client. */
     ExchangeId send(const ClientRequest &request, ResultHook done);
 
     /** Cancels an exchange without calling its hook. Its connection is closed, by which the server detects the cancellation. */
@@ -76,35 +77,52 @@
     [[nodiscard]] std::size_t inFlight() const;
 
 private:
-    struct SessionKey {
+    using ConnectionPointer = std::shared_ptr<Wire::ClientConnection>;
+
+    struct HostKey {
         Core::Endpoint endpoint;
         int connectionsPerHost{0};
-        auto operator<=>(const SessionKey &) const = default;
+        auto operator<=>(const HostKey &) const = default;
     };
-    struct Session {
-        Core::ObjectPointer<SoupSession> session;
-        std::size_t inFlight{0};
-        std::int64_t lastUsedMicroseconds{0};
+    struct Host {
+        // Invariant: at most connectionsPerHost; none is closed.
+        std::vector<ConnectionPointer> connections;
+        // Requests that wait for a connection, in the order of their arrival. Those that were cancelled are not in `exchanges` any more.
+        std::deque<ExchangeId> waiting;
     };
-
     struct Exchange {
-        SessionKey sessionKey;
-        Core::ObjectPointer<SoupMessage> message;
-        Core::ObjectPointer<GCancellable> cancellable;
+        HostKey host;
+        std::string bytes;
+        std::string method;
+        // Set while the request is in flight.
+        ConnectionPointer connection;
+        // The connection had answered a request before.
+        bool usesKeptConnection{false};
+        bool wasResent{false};
         ResultHook done;
-        bool started{false};
     };
-    struct CallbackContext;
-
-    [[nodiscard]] Session &sessionFor(const SessionKey &key);
-    void removeUnusedSessions(std::int64_t now);
-    static void handleStarting(SoupMessage *message, gpointer data);
-    static void handleResponse(GObject *source, GAsyncResult *result, gpointer data);
 
-    std::map<SessionKey, Session> sessions;
-    std::unordered_map<ExchangeId, std::unique_ptr<Exchange>> exchanges;
+    void startWaiting(const HostKey &key);
+    /** Returns an idle connection or a new one, nullptr if all are in use, or an error if none can be opened. */
+    [[nodiscard]] Core::Result<ConnectionPointer> connectionTo(const HostKey &key);
+    [[nodiscard]] Core::Result<ConnectionPointer> open(const HostKey &key);
+    void sendOn(const ConnectionPointer &connection, ExchangeId id);
+    void finish(ExchangeId id, Wire::ClientResult result);
+    void complete(ExchangeId id, ClientResult result);
+    void failLater(ExchangeId id, const std::string &error);
+    void connectionClosed(const HostKey &key, const Wire::ClientConnection *connection);
+    void closeExpired();
+
+    Core::TimerService &timers;
+    std::shared_ptr<Wire::ReceiveBudget> receiveBudget;
+    // Created with the first connection. Invariant: outlives the connections.
+    std::unique_ptr<Core::EventPoll> poll;
+    std::map<HostKey, Host> hosts;
+    std::unordered_map<ExchangeId, Exchange> exchanges;
     ExchangeId nextId{1};
-    std::shared_ptr<int> alive{std::make_shared<int>(0)};
+    // Exchanges that failed before they were sent; reported from the loop.
+    std::map<ExchangeId, Core::TimerSubscription> failures;
+    Core::TimerSubscription expiryTimer;
 };
 
 }
--- a/Tests/Incidents/TestBrokenAnswers.cpp
+++ b/Tests/Incidents/TestBrokenAnswers.cpp
@@ -13,6 +13,7 @@
 // as Debian builds it, any byte after a carriage return for a line feed. Its verdict
 // was trusted, and the fields that it reported were passed on.
 
+#include <LibHttp/HttpClient.h>
 #include <Support/DuplicatingBackend.h>
 #include <Support/GatewayFixture.h>
 
@@ -199,3 +200,43 @@
         cr_expect_eq(fixture.ask("x").status, 502, "cut at %zu", cut);
     }
 }
+
+namespace
+{
+
+/** Sends a request with the client of entry instances and of the load client. */
+Http::ClientResult fetch(RawFixture &fixture, const std::string &bytes)
+{
+    Http::HttpClient client(fixture.timers);
+    std::optional<Http::ClientResult> result;
+    const auto server = fixture.addRaw("service", "server", bytes);
+    client.send({.endpoint = server->endpoint, .target = "/", .headers = {{"Request-Id", "x"}}}, [&result](Http::ClientResult received) {
+        result = std::move(received);
+    });
+    (void)fixture.runUntil([&result] {
+        return result.has_value();
+    });
+    return result.value_or(Http::ClientResult());
+}
+
+}
+
+Test(BrokenAnswers, httpClientReportsBrokenAnswersAsNone)
+{
+    for (const auto &broken : brokenResponses()) {
+        RawFixture fixture;
+        const auto result = fetch(fixture, broken.bytes);
+        cr_expect_eq(result.status, 0, "%s: status %d, body '%s'", broken.name, result.status, result.body.c_str());
+        cr_expect(result.mayHaveBeenSent, "%s", broken.name);
+    }
+}
+
+Test(BrokenAnswers, httpClientAcceptsSoundAnswers)
+{
+    for (const auto &sound : soundResponses()) {
+        RawFixture fixture;
+        const auto result = fetch(fixture, sound.bytes);
+        cr_expect_eq(result.status, 200, "%s: status %d: %s", sound.name, result.status, result.error.c_str());
+        cr_expect_str_eq(result.body.c_str(), completeRecord.c_str(), "%s", sound.name);
+    }
+}
--- a/Tests/Support/FakeBackend.cpp
+++ b/Tests/Support/FakeBackend.cpp
@@ -29,7 +29,12 @@
 static constexpr std::int32_t HugeLoad = 1000;
 
 FakeBackend::FakeBackend(FakeBackendOptions options, Core::TimerService &timers)
-    : options(std::move(options)), timers(timers), random(this->options.seed), startedAt(timers.now()), incarnation(Core::systemClock().wallTime().count())
+    : options(std::move(options))
+    , timers(timers)
+    , random(this->options.seed)
+    , client(timers)
+    , startedAt(timers.now())
+    , incarnation(Core::systemClock().wallTime().count())
 {
 }
 
--- a/Utilities/crankload/main.cpp
+++ b/Utilities/crankload/main.cpp
@@ -147,7 +147,7 @@
 {
     Core::Daemon daemon("crankload");
     auto &timers = daemon.timers();
-    Http::HttpClient http;
+    Http::HttpClient http(timers);
     Load::Balancer balancer(values.targets, http, timers);
     values.load.duration = Core::milliseconds(values.durationMilliseconds);
     values.load.seed = static_cast<std::uint64_t>(values.seed);
