Tests/Soak: Break answers on purpose

--broken SHARE lets backend servers send answers that are no HTTP responses, with another body and at times with the statement that nothing ran.

--- a/Tests/Soak/backends.py
+++ b/Tests/Soak/backends.py
@@ -12,6 +12,11 @@
 RECORD_BYTES = 16
 SLOTS = 4
 
+# Heads of answers that violate RFC 9112 or RFC 9110, without the fields that every answer has.
+BROKEN_HEADS = ["HTTP/1.1 000 Any", "HTTP/1.1 099 Any", "HTTP/1.1 20 Any", "HTTP/1.1 0200 Any", "HTTP/1.1 600 Any", "HTTP/0.9 200 Any", "HTTP/1.1 200 A\rny",
+                "HTTP/1.1 200 A\x01ny", "HTTP/1.1 200 Any\r\nA b: c", "HTTP/1.1 200 Any\r\nA\x01: b", "HTTP/1.1 200 Any\r\n\rA: b",
+                "HTTP/1.1 200 Any\r\nA: b\rC: d"]
+
 
 class Run:
     """The execution of one request at one backend server."""
@@ -214,6 +219,8 @@
         extra = {"Response-Signature": signature_of(self.service, request_id)}
         load = self.false_load if self.reports_falsely else f"{self.running},0,{SLOTS},{int(100 * self.slow)}"
         extra.update({"Server-Load": load} if load is not None else {})
+        if self.soak.broken_random.random() < self.soak.options.broken:
+            return await self.write_broken(writer, request_id, extra)
         if chance < self.lose + self.garble:
             await self.write_garbled(writer, request_id, content, extra)
             return False
@@ -232,6 +239,15 @@
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + content)
         await writer.drain()
 
+    async def write_broken(self, writer, request_id, extra):
+        """Sends an answer that is no HTTP response, with another body, and half of the time the statement that the request did not run."""
+        fields = {"Request-Id": request_id, "Content-Length": 5, **extra, **self.soak.broken_random.choice([{}, {"Not-Executed": "1"}])}
+        lines = [self.soak.broken_random.choice(BROKEN_HEADS)] + [f"{name}: {value}" for name, value in fields.items()]
+        writer.write(("\r\n".join(lines) + "\r\n\r\nshort").encode())
+        await writer.drain()
+        self.soak.counts["broken_answers"] += 1
+        return self.soak.broken_random.random() < 0.5
+
     async def write_garbled(self, writer, request_id, content, extra):
         kind = self.soak.random.choice(["cut", "surplus", "noise"])
         if kind == "cut":
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -191,6 +191,7 @@
         self.random = random.Random(seed)
         # Duplicate answers, and the faults that make requests meet them, use a separate generator, so that the draws for the other faults stay the same.
         self.duplicate_random = random.Random(f"stutter {seed}")
+        self.broken_random = random.Random(f"broken {seed}")
         # Callers' keys use a separate generator for the same reason.
         self.key_random = random.Random(f"keys {seed}")
         self.stop_random = random.Random(f"stops {seed}")
@@ -226,7 +227,7 @@
         # Acknowledged versions as (version, time of the acknowledgement), in order, and the document of each version that was sent.
         self.acknowledged = []
         self.sent = {}
-        self.counts = {"answered": 0, "partial": 0, "not_run": 0, "failed": 0, "no_answer": 0, "unrouted": 0, "over_quota": 0, "no_key": 0, "returned": 0, "returned_served": 0, "takeovers_confirmed": 0, "takeovers_waited": 0, "stops": 0, "further_signals": 0, "cut": 0}
+        self.counts = {"answered": 0, "partial": 0, "not_run": 0, "failed": 0, "no_answer": 0, "unrouted": 0, "over_quota": 0, "no_key": 0, "returned": 0, "returned_served": 0, "takeovers_confirmed": 0, "takeovers_waited": 0, "stops": 0, "further_signals": 0, "cut": 0, "broken_answers": 0}
         self.non_idempotent = set()
         # Ids of backend servers that crashed while they ran a crashing request (crashing.py). Runs there do not count as attempts.
         self.crashed_under_requests = set()
@@ -813,6 +814,7 @@
     parser.add_argument("--finals", action="store_true", help="kill all processes right after an acknowledgement, some with the loss of a disk or of the leader")
     parser.add_argument("--connections", action="store_true", help="keep connections open behind slow links, beside stops, SIGHUP and declarations")
     parser.add_argument("--rate", action="store_true", help="callers without pauses, so that repeats use up their budgets")
+    parser.add_argument("--broken", type=float, default=0.0, help="share of the answers that are no HTTP responses")
     parser.add_argument("--processor-share", type=float, default=1.0, help="with --connections: part of the time in which each process may run")
     parser.add_argument("--grace", type=float, default=GRACE_SECONDS, help="with --stops: time from SIGTERM to SIGKILL in seconds")
     parser.add_argument("--callers", type=int, default=8, help="number of concurrent callers")
