LibGateway: Count and explain malformed answers

An operator could not tell a backend server that sends noise from one whose connections end: attempt.broken gave one reason for all invalid bytes, and no counter showed them.

--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -593,6 +593,7 @@
         break;
     case Wire::ClientEnd::Malformed:
         outcome.end = AttemptEnd::Broken;
+        ++this->counts.malformed;
         logBroken(attempt, outcome.reason, this->timers.now());
         break;
     case Wire::ClientEnd::Unacknowledged:
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -106,6 +106,8 @@
     std::uint64_t attemptsToOtherRegion{0};
     std::uint64_t connectionsOpened{0};
     std::uint64_t broken{0};
+    /** Of these, the ones for which bytes arrived that are no response to them. */
+    std::uint64_t malformed{0};
     std::uint64_t notSent{0};
     /** Connections that a backend server accepted and reset before a request was sent. */
     std::uint64_t connectionRejected{0};
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -103,6 +103,10 @@
     addCounter(page, "crankrudder_sends_total", "Requests sent to backend servers.", sends.attempts);
     addCounter(page, "crankrudder_sends_other_region_total", "Of these, to another region.", sends.attemptsToOtherRegion);
     addCounter(page, "crankrudder_sends_broken_total", "Sends whose answer was lost.", sends.broken);
+    addCounter(page,
+        "crankrudder_answers_malformed_total",
+        "Of these, sends for which bytes arrived that are no valid answer, from backend servers and gateways.",
+        sends.malformed + gateways.counters().malformed);
     addCounter(page, "crankrudder_backend_crashes_total", "Backend servers that ended while they ran a request of this gateway.", sends.crashes);
     addCounter(page, "crankrudder_sends_refused_total", "Sends that backend servers refused to run.", sends.notExecuted);
     addCounter(page,
--- a/Libraries/LibWire/ClientConnection.cpp
+++ b/Libraries/LibWire/ClientConnection.cpp
@@ -441,6 +441,18 @@
     }
 }
 
+static const char *malformedReason(ParseState state)
+{
+    switch (state) {
+    case ParseState::HeadersTooLarge:
+        return "the head of the response is too large";
+    case ParseState::BodyTooLarge:
+        return "the body of the response is too large";
+    default:
+        return "the response violates the grammar of HTTP";
+    }
+}
+
 void ClientConnection::parse()
 {
     while (!this->hasClosed && this->done && !this->input.empty()) {
@@ -450,7 +462,7 @@
             return;
         }
         if (this->parser.state() != ParseState::Complete) {
-            this->failMalformed("the received bytes are not a valid HTTP response");
+            this->failMalformed(malformedReason(this->parser.state()));
             return;
         }
         this->handleResponse();
--- a/Tests/LibWire/TestClientConnection.cpp
+++ b/Tests/LibWire/TestClientConnection.cpp
@@ -548,6 +548,8 @@
         {"reason phrase", "HTTP/1.1 200 ", block},
         {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
         {"responses to others", "", makeResponse("b", "")},
+        {"chunk extension", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n4;", block},
+        {"trailers", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
         {"body until the close", "HTTP/1.1 200 OK\r\nId: a\r\n\r\n", block},
         {"body in chunks", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n", "4000\r\n" + block + "\r\n"}};
     for (const auto &endless : cases) {
