LibWire: Check the length of a line before it is kept

A line whose end arrived after it had become too long was copied once more before it was refused, up to what one read returns. The limit is looked at first now, for whole lines as for unfinished ones, and the state's invariant holds. Also a test that a broken part of another gateway is not merged: on it was, for the three forms that it sends (status 0200, HTTP/0.9, a control byte in the reason), as a success.

--- a/Libraries/LibWire/MessageParser.cpp
+++ b/Libraries/LibWire/MessageParser.cpp
@@ -132,28 +132,35 @@
         return bytes.size();
     }
     auto line = bytes.substr(0, lineFeed);
+    if (this->exceedsLineLimit(line)) {
+        this->currentState = ParseState::HeadersTooLarge;
+        return lineFeed + 1;
+    }
     if (!this->partialLine.empty()) {
         this->partialLine.append(line);
         line = this->partialLine;
     }
-    if (line.size() > this->limits.headerBytes + LineOverheadBytes) {
-        this->currentState = ParseState::HeadersTooLarge;
-    } else if (!line.ends_with('\r')) {
-        this->currentState = ParseState::Malformed;
-    } else {
+    if (line.ends_with('\r')) {
         this->handleLine(line.substr(0, line.size() - 1));
+    } else {
+        this->currentState = ParseState::Malformed;
     }
     this->partialLine.clear();
     return lineFeed + 1;
 }
 
+bool MessageParser::exceedsLineLimit(std::string_view further) const
+{
+    return this->partialLine.size() + further.size() > this->limits.headerBytes + LineOverheadBytes;
+}
+
 void MessageParser::takePartialLine(std::string_view bytes)
 {
-    if (this->partialLine.size() + bytes.size() > this->limits.headerBytes + LineOverheadBytes) {
+    if (this->exceedsLineLimit(bytes)) {
         this->currentState = ParseState::HeadersTooLarge;
         return;
     }
-    // What follows a carriage return is no line feed.
+    // A carriage return that is not followed by a line feed.
     const bool isInterrupted = this->partialLine.ends_with('\r');
     const bool checksStructure = this->partialLine.size() < StructureBytes;
     this->partialLine.append(bytes);
--- a/Libraries/LibWire/MessageParser.h
+++ b/Libraries/LibWire/MessageParser.h
@@ -96,6 +96,8 @@
     std::size_t takeLine(std::string_view bytes);
     std::size_t takeBody(std::string_view bytes);
     void takePartialLine(std::string_view bytes);
+    /** Returns whether the current line becomes too long with these bytes. */
+    [[nodiscard]] bool exceedsLineLimit(std::string_view further) const;
     [[nodiscard]] bool mayBecomeLine(std::string_view start) const;
     void handleLine(std::string_view line);
     void handleStartLine(std::string_view line);
--- a/Tests/Incidents/TestBrokenAnswers.cpp
+++ b/Tests/Incidents/TestBrokenAnswers.cpp
@@ -176,6 +176,36 @@
     }
 }
 
+Test(BrokenAnswers, brokenPartOfAnotherGatewayIsNotMerged)
+{
+    for (const std::string start : {"HTTP/1.1 0200 OK", "HTTP/0.9 200 OK", "HTTP/1.1 200 O\x01K"}) {
+        RawFixture fixture;
+        const Core::ServiceName shard("shard");
+        fixture.route().shards = {shard};
+        fixture.route().topRecords = 1;
+        fixture.route().idempotent = true;
+        fixture.route().maximumAttempts = 2;
+        fixture.route().targetLatency = Core::seconds(5);
+        fixture.relayed = {shard};
+        const auto gateway = std::make_shared<DuplicatingBackend>(fixture);
+        gateway->listen();
+        GatewayFixture::announce(fixture.relays, Gateway::relayService("there").value(), "gateway", gateway->endpoint, "there");
+        gateway->onRun = [&start](const DuplicatingRun &run) {
+            Protocol::PartialAnswer part;
+            part.records = "not the part's..";
+            part.signatures = {"signature"};
+            std::string bytes;
+            (void)Wire::appendResponse(bytes, partOf(run.request, part), {});
+            run.connection->writeBytes(start + bytes.substr(bytes.find('\r')));
+        };
+        (void)fixture.add("shard", "server", [](const Wire::Request &request, const Wire::ExchangePointer &exchange) {
+            exchange->respond(successResponse(request, "sound", completeRecord));
+        });
+        const auto answer = fixture.ask("x");
+        cr_expect_str_eq(answer.body.c_str(), completeRecord.c_str(), "%s: status %d", start.c_str(), answer.status);
+    }
+}
+
 Test(BrokenAnswers, soundAnswersAreAccepted)
 {
     for (const auto &sound : soundResponses()) {
