Tests: Draw random changes of messages in a fixed order

The three draws were arguments of one call, whose order compilers choose, so a seed that fails on one could have passed on another.

--- a/Tests/LibWire/TestMessageParser.cpp
+++ b/Tests/LibWire/TestMessageParser.cpp
@@ -177,7 +177,9 @@
         std::mt19937 random(static_cast<std::mt19937::result_type>(seed));
         auto bytes = valid[random() % valid.size()];
         for (auto changes = random() % 3; changes > 0; --changes) {
-            bytes.replace(random() % bytes.size(), random() % 2, 1, noise[random() % noise.size()]);
+            const auto place = random() % bytes.size();
+            const auto removed = random() % 2;
+            bytes.replace(place, removed, 1, noise[random() % noise.size()]);
         }
         MessageParser whole(MessageKind::Response, SmallLimits);
         const auto consumed = whole.feed(bytes);
