--- a/Meta/install-dependencies.sh
+++ b/Meta/install-dependencies.sh
@@ -1,5 +1,5 @@
-#!/ usr / bin / env bash
-#Installs the Debian packages that the build and the tests need.
+#!/usr/bin/env bash
+# Installs the Debian packages that the build and the tests need.
 set -euo pipefail
 
 PACKAGES=(
@@ -12,10 +12,15 @@
 )
 
 missing=()
-for package in "${PACKAGES[@]}";
-do
-    if
-        !dpkg - query - W - f = '${Status}' "$package" 2 > / dev / null | grep - q 'install ok installed';
-then missing += ("$package")fi done if["${#missing[@]}" - eq 0];
-then exit 0 fi echo "installing: ${missing[*]}" export DEBIAN_FRONTEND
-    = noninteractive apt - get update - qq apt - get install - y - qq-- no - install - recommends "${missing[@]}" > / dev / null
+for package in "${PACKAGES[@]}"; do
+    if ! dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed'; then
+        missing+=("$package")
+    fi
+done
+if [ "${#missing[@]}" -eq 0 ]; then
+    exit 0
+fi
+echo "installing: ${missing[*]}"
+export DEBIAN_FRONTEND=noninteractive
+apt-get update -qq
+apt-get install -y -qq --no-install-recommends "${missing[@]}" >/dev/null
