LibHttp: Close expired connections before one is picked

What callers of an entry instance could meet, since: after half a minute without traffic to a backend server, or as soon as that server kept its connections for less than a second, a request waited up to 10 s.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -14,13 +14,13 @@
 static constexpr std::size_t MaximumResponseBytes = 16 * 1024 * 1024;
 // What unfinished responses may take together; responses below 64 KiB are not affected.
 static constexpr std::size_t UnfinishedResponsesBytes = 64 * 1024 * 1024;
-static constexpr Core::Duration ExpiryPeriod = Core::seconds(10);
+static constexpr Core::Duration SweepPeriod = Core::seconds(10);
 
 HttpClient::HttpClient(Core::TimerService &timers)
     : timers(timers)
     , receiveBudget(std::make_shared<Wire::ReceiveBudget>(UnfinishedResponsesBytes))
-    , expiryTimer(timers.every(ExpiryPeriod, [this](Core::Instant) {
-        this->closeExpired();
+    , sweepTimer(timers.every(SweepPeriod, [this](Core::Instant) {
+        this->sweep();
     }))
 {
 }
@@ -94,10 +94,10 @@
 
 Core::Result<HttpClient::ConnectionPointer> HttpClient::connectionTo(const HostKey &key)
 {
-    const auto &connections = this->hosts[key].connections;
-    const auto now = this->timers.now();
-    const auto idle = std::find_if(connections.begin(), connections.end(), [now](const auto &connection) {
-        return connection->isIdle() && now < connection->idleUntil();
+    auto &connections = this->hosts[key].connections;
+    closeExpired(connections, this->timers.now());
+    const auto idle = std::find_if(connections.begin(), connections.end(), [](const auto &connection) {
+        return connection->isIdle();
     });
     if (idle != connections.end()) {
         return *idle;
@@ -228,18 +228,26 @@
     }
 }
 
-void HttpClient::closeExpired()
+void HttpClient::closeExpired(std::vector<ConnectionPointer> &connections, Core::Instant now)
 {
-    const auto now = this->timers.now();
-    std::vector<ConnectionPointer> expired;
-    for (const auto &[key, host] : this->hosts) {
-        std::copy_if(host.connections.begin(), host.connections.end(), std::back_inserter(expired), [now](const auto &connection) {
-            return connection->isIdle() && now >= connection->idleUntil();
-        });
-    }
-    for (const auto &connection : expired) {
-        connection->close();
+    std::erase_if(connections, [now](const auto &connection) {
+        const bool isExpired = connection->isIdle() && now >= connection->idleUntil();
+        if (isExpired) {
+            connection->closed = nullptr;
+            connection->close();
+        }
+        return isExpired;
+    });
+}
+
+void HttpClient::sweep()
+{
+    for (auto &[key, host] : this->hosts) {
+        closeExpired(host.connections, this->timers.now());
     }
+    std::erase_if(this->hosts, [](const auto &item) {
+        return item.second.connections.empty() && item.second.waiting.empty();
+    });
 }
 
 }
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -111,7 +111,9 @@
     void complete(ExchangeId id, ClientResult result);
     void failLater(ExchangeId id, const std::string &error);
     void connectionClosed(const HostKey &key, const Wire::ClientConnection *connection);
-    void closeExpired();
+    /** Closes and removes the idle connections that their servers may close at any moment. */
+    static void closeExpired(std::vector<ConnectionPointer> &connections, Core::Instant now);
+    void sweep();
 
     Core::TimerService &timers;
     std::shared_ptr<Wire::ReceiveBudget> receiveBudget;
@@ -122,7 +124,8 @@
     ExchangeId nextId{1};
     // Exchanges that failed before they were sent; reported from the loop.
     std::map<ExchangeId, Core::TimerSubscription> failures;
-    Core::TimerSubscription expiryTimer;
+    // Releases the connections of hosts that are not used any more.
+    Core::TimerSubscription sweepTimer;
 };
 
 }
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -94,6 +94,26 @@
     }
 }
 
+// Guards against requests that wait for the next sweep, since connections which must not be used any more count towards the limit.
+Test(HttpClient, expiredConnectionsHoldUpNoRequests)
+{
+    static constexpr std::size_t Requests = 12;
+    ClientFixture fixture;
+    fixture.server->onRun = [](const DuplicatingRun &run) {
+        run.connection->writeBytes("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n");
+    };
+    std::size_t sent = 0;
+    cr_assert(fixture.runUntil([&fixture, &sent] {
+        if (sent == fixture.results.size() && sent < Requests) {
+            fixture.send("/" + std::to_string(++sent));
+        }
+        return fixture.results.size() == Requests;
+    }),
+        "%zu of %zu requests answered",
+        fixture.results.size(),
+        Requests);
+}
+
 Test(HttpClient, givesUpBodiesWithoutEnd)
 {
     ClientFixture fixture;
