--- a/review/5/play.py
+++ b/review/5/play.py
@@ -16,12 +16,12 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = {"bern-wankdorf": "bern", "zurich-oerlikon": "zurich", "lausanne-renens": "lausanne"}
-WARMUP_SECONDS, WARMUP_PER_SECOND = 15, 4
+WARMUP_SECONDS, WARMUP_PER_SECOND = 15, 2
 OVERSHOOT, SLACK = 1.5, 5
 BOUNDS = {"catch_up_s": 6, "drain_ms": 4000, "grace_s": 6, "config_apply_ms": 4000, "contact_ms": 6000, "retry_budget_ratio": 0.2, "retry_window_s": 10,
           "retry_slack": 170, "warmup_overshoot": OVERSHOOT, "warmup_slack": SLACK, "evacuate_ms": 5000, "recovery_s": 15}
-REQUESTS_PER_SECOND = 240
-REPLICAS_PER_ZONE = 2
+REQUESTS_PER_SECOND = 480
+REPLICAS_PER_ZONE = 4
 
 
 def manifest():
--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -22,6 +22,8 @@
 with open(os.path.join(REPOSITORY, "deploy", "system.toml"), "rb") as file:
     ROLES = tomllib.load(file)["roles"]
 CLIENT_PORT, READINESS_PORT, CONTROL_PORT, INTERNAL_PORT = 0, 1, 2, 10
+# A cold replica takes this many times as long.
+COLD_FACTOR = 3
 # The platform waits this long before it starts a process again that has ended.
 RESTART_SECONDS = 0.3
 
@@ -339,7 +341,7 @@
             self.runs.append((time.monotonic(), request_id, headers.get("tenant")))
             self.deployment.record.add("request.run", replica=self.id, request=request_id, tenant=headers.get("tenant"))
             try:
-                await asyncio.sleep(self.work_seconds)
+                await asyncio.sleep(self.work_seconds * (COLD_FACTOR if self.warmup_left_ms() > 0 else 1))
             finally:
                 self.running -= 1
         load = f"{self.running},{self.waiting},{self.capacity}"
