--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -345,7 +345,10 @@
             finally:
                 self.running -= 1
         load = f"{self.running},{self.waiting},{self.capacity}"
-        await self.write(writer, 200, request_id, f"answer to {request_id}".encode(), {"Response-Signature": f"{self.service}.{request_id}", "Server-Load": load})
+        await self.write(writer, 200, request_id, self.content(request_id), {"Response-Signature": f"{self.service}.{request_id}", "Server-Load": load})
+
+    def content(self, request_id):
+        return f"answer to {request_id}".encode()
 
     async def write(self, writer, status, request_id, content, extra):
         lines = [f"HTTP/1.1 {status} Any", f"Request-Id: {request_id}", f"Content-Length: {len(content)}"]
