--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -282,6 +282,7 @@
         self.waiting = 0
         self.slots = asyncio.Semaphore(capacity)
         self.cold_until = 0.0
+        self.last_ping = 0.0
         # (time of arrival, request id, tenant) of each request that ran.
         self.runs = []
         self.writers = set()
@@ -306,6 +307,7 @@
     async def ping(self):
         """Tells one coordinator after the other until one acknowledges."""
         self.sequence += 1
+        self.last_ping = time.monotonic()
         document = {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": self.zone, "version": "v1", "capacity": self.capacity,
                     "state": self.state, "warmup_left_ms": self.warmup_left_ms(), "sequence": self.sequence}
         answer = await self.deployment.control("PUT", f"/crankrudder/instances/{self.id}", json.dumps(document).encode())
@@ -367,12 +369,14 @@
 class Clients:
     """Clients that send requests at a steady rate to the gateways that the balancer names, on kept connections, each request once."""
 
-    def __init__(self, deployment, host, path, headers, deadline_ms):
+    def __init__(self, deployment, host, path, headers, deadline_ms, patience_seconds=None):
         self.deployment = deployment
         self.host = host
         self.path = path
         self.headers = headers
         self.deadline_ms = deadline_ms
+        # A client gives an attempt up after this long without an answer.
+        self.patience_seconds = patience_seconds or deadline_ms / 1000
         self.idle = {}
         # Time of sending and status (None without an answer) by request id.
         self.sent = {}
@@ -412,7 +416,7 @@
             lines += [f"{name}: {value}" for name, value in self.headers.items()]
             self.sent[request_id] = time.monotonic()
             connection[1].write(("\r\n".join(lines) + "\r\n\r\n").encode())
-            first, headers, _ = await asyncio.wait_for(read_message(connection[0]), self.deadline_ms / 1000)
+            first, headers, _ = await asyncio.wait_for(read_message(connection[0]), self.patience_seconds)
             status = int(first.split(" ")[1])
             keep = headers.get("connection") != "close"
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError, IndexError):
