--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -285,6 +285,9 @@
         self.last_ping = 0.0
         # (time of arrival, request id, tenant) of each request that ran.
         self.runs = []
+        # (time, request id) of everything that arrived, and the share of it that is refused as not run.
+        self.arrivals = []
+        self.refused_share = 0.0
         self.writers = set()
         self.tasks = []
         self.heartbeats = None
@@ -319,7 +322,7 @@
             while True:
                 first, headers, _ = await read_message(reader)
                 await self.answer(writer, first.split(" "), headers)
-        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError, IndexError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, asyncio.CancelledError, ValueError, IndexError):
             pass
         finally:
             self.writers.discard(writer)
@@ -333,7 +336,8 @@
         if headers.get("target-instance", self.id) != self.id:
             await self.write(writer, 421, request_id, b"", {"Not-Executed": "1"})
             return
-        if self.waiting >= 2 * self.capacity:
+        self.arrivals.append((time.monotonic(), request_id))
+        if self.waiting >= 2 * self.capacity or random.random() < self.refused_share:
             await self.write(writer, 503, request_id, b"", {"Not-Executed": "1"})
             return
         self.waiting += 1
@@ -369,14 +373,14 @@
 class Clients:
     """Clients that send requests at a steady rate to the gateways that the balancer names, on kept connections, each request once."""
 
-    def __init__(self, deployment, host, path, headers, deadline_ms, patience_seconds=None):
+    def __init__(self, deployment, host, path, headers, deadline_ms):
         self.deployment = deployment
         self.host = host
         self.path = path
         self.headers = headers
         self.deadline_ms = deadline_ms
-        # A client gives an attempt up after this long without an answer.
-        self.patience_seconds = patience_seconds or deadline_ms / 1000
+        # The zone whose gateways are used; any if empty.
+        self.zone = ""
         self.idle = {}
         # Time of sending and status (None without an answer) by request id.
         self.sent = {}
@@ -395,7 +399,7 @@
             task.add_done_callback(self.tasks.discard)
 
     async def one(self):
-        machines = [machine for machine in self.deployment.machines if machine.in_balancer]
+        machines = [machine for machine in self.deployment.machines if machine.in_balancer and self.zone in ("", machine.zone)]
         if not machines:
             return
         machine = random.choice(machines)
@@ -416,7 +420,7 @@
             lines += [f"{name}: {value}" for name, value in self.headers.items()]
             self.sent[request_id] = time.monotonic()
             connection[1].write(("\r\n".join(lines) + "\r\n\r\n").encode())
-            first, headers, _ = await asyncio.wait_for(read_message(connection[0]), self.patience_seconds)
+            first, headers, _ = await asyncio.wait_for(read_message(connection[0]), self.deadline_ms / 1000)
             status = int(first.split(" ")[1])
             keep = headers.get("connection") != "close"
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError, IndexError):
