--- a/review/5/play.py
+++ b/review/5/play.py
@@ -18,11 +18,11 @@
 RATIO, WINDOW_SECONDS, SLACK = 0.2, 10.0, 58
 BOUNDS = {"catch_up_s": 4, "drain_ms": 3000, "grace_s": 6, "config_apply_ms": 3000, "contact_ms": 5000, "retry_budget_ratio": RATIO,
           "retry_window_s": int(WINDOW_SECONDS), "retry_slack": SLACK, "recovery_s": 12}
-REQUESTS_PER_SECOND = 110
+REQUESTS_PER_SECOND = 160
 REPLICAS = 10
 REFUSING_REPLICAS = 8
-# Share of their requests that the refusing replicas refuse, and for how long; when the clients move after that has begun.
-REFUSED_SHARE, REFUSING_SECONDS, SHIFT_AFTER_SECONDS = 0.6, 9.0, 3.0
+# Share of their requests that the refusing replicas refuse, and for how long; when half of the clients move after that has begun, and for how long.
+REFUSED_SHARE, REFUSING_SECONDS, SHIFT_AFTER_SECONDS, SHIFT_SECONDS = 0.6, 9.0, 3.8, 6.5
 
 
 def manifest():
@@ -41,7 +41,7 @@
         deployment.add_machine(f"core-{zone}", zone, number, ["coordinator", "gateway"], seeds)
         deployment.add_machine(f"front-{zone}", zone, 10 + number, ["gateway"], seeds)
     clients = Clients(deployment, "fleet.example", "/report/1", {}, 2000)
-    clients.zone = zones[0]
+    clients.zones = zones[:1]
     tasks = []
     try:
         await deployment.start()
@@ -58,13 +58,17 @@
                 replica.refused_share = REFUSED_SHARE
             await asyncio.sleep(SHIFT_AFTER_SECONDS)
             record.add("disruption", what="clients-move")
-            clients.zone = zones[1]
+            # Half of the clients use the second zone now.
+            clients.zones = zones[:2]
             await asyncio.sleep(REFUSING_SECONDS - SHIFT_AFTER_SECONDS)
             record.add("disruption", what="replicas-refuse-no-more")
             for replica in deployment.replicas:
                 replica.refused_share = 0.0
+            await asyncio.sleep(SHIFT_SECONDS - (REFUSING_SECONDS - SHIFT_AFTER_SECONDS))
+            record.add("disruption", what="clients-move-back")
+            clients.zones = zones[:1]
         else:
-            await asyncio.sleep(REFUSING_SECONDS)
+            await asyncio.sleep(SHIFT_AFTER_SECONDS + SHIFT_SECONDS)
         await asyncio.sleep(4)
     finally:
         for task in tasks:
--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -379,8 +379,8 @@
         self.path = path
         self.headers = headers
         self.deadline_ms = deadline_ms
-        # The zone whose gateways are used; any if empty.
-        self.zone = ""
+        # The zones whose gateways are used, a client picks one at random; any if empty.
+        self.zones = []
         self.idle = {}
         # Time of sending and status (None without an answer) by request id.
         self.sent = {}
@@ -399,7 +399,8 @@
             task.add_done_callback(self.tasks.discard)
 
     async def one(self):
-        machines = [machine for machine in self.deployment.machines if machine.in_balancer and self.zone in ("", machine.zone)]
+        zone = random.choice(self.zones) if self.zones else ""
+        machines = [machine for machine in self.deployment.machines if machine.in_balancer and zone in ("", machine.zone)]
         if not machines:
             return
         machine = random.choice(machines)
