LibFleet: Pass restored records on as restored

Callers' requests went to backend servers that had ended while all coordinators were down, for the whole heartbeat timeout (12 s) instead of the 3.5 s that a record from the disk counts without a heartbeat.

Cause: a coordinator sent the records that it had restored to the others like those that it had received, and named their ids among those whose heartbeats it had received (mergedSince()). So coordinators that restarted together confirmed each other's files.

The announcement of an unconfirmed record now says so, and is merged as a restored one. It confirms nothing, and is not named as heard. BackendRegistry.aRestoredRecordOfAnotherCoordinatorConfirmsNothing uses a new counter, so it was not run on the old code; it fails with the old mergedSince() put back, and with restored records merged as received ones.

--- a/Libraries/LibFleet/BackendRegistry.cpp
+++ b/Libraries/LibFleet/BackendRegistry.cpp
@@ -71,6 +71,11 @@
 }
 
 bool BackendRegistry::merge(const BackendAnnouncement &announcement, Core::Instant now)
+{
+    return announcement.isRestored ? this->restore(announcement, now) : this->apply(announcement, now, {});
+}
+
+bool BackendRegistry::apply(const BackendAnnouncement &announcement, Core::Instant now, const Restoration &restoration)
 {
     const auto [position, isNew] = this->records.try_emplace(announcement.id);
     auto &record = position->second;
@@ -85,8 +90,15 @@
             .confirmBy = {},
             .lastContact = {},
             .lastDirectContact = {},
+            .readySince = {},
+            .isEstablished = false,
             .changePosition = record.changePosition};
     }
+    const bool wasReady = !isNew && !isNewIncarnation && record.announcement.phase == BackendPhase::READY;
+    if (!wasReady || announcement.phase != BackendPhase::READY) {
+        record.readySince = now;
+        record.isEstablished = restoration.isEstablished;
+    }
     const auto warmUntil = now + Core::milliseconds(announcement.warmupLeftMs);
     const bool turnedCold = warmUntil > std::max(now, record.warmUntil) + this->options.warmupChangeThreshold;
     const bool hasUpdate = isNew || isNewIncarnation || turnedCold || hasVisibleDifference(record.announcement, announcement);
@@ -105,7 +117,7 @@
     record.warmUntil = warmUntil;
     record.lastHeartbeat = now;
     record.lastMerged = now;
-    record.confirmBy.reset();
+    record.confirmBy = restoration.confirmBy;
     if (hasUpdate) {
         this->recordChange(record);
     }
@@ -153,7 +165,8 @@
 {
     std::vector<std::string> ids;
     for (const auto &[id, record] : this->records) {
-        if (record.lastMerged > time && record.announcement.phase != BackendPhase::GONE) {
+        const bool wasHeard = record.lastMerged > time && !record.confirmBy.has_value();
+        if (wasHeard && record.announcement.phase != BackendPhase::GONE) {
             ids.push_back(id);
         }
     }
@@ -235,17 +248,20 @@
     this->merge(announcement, now);
 }
 
-void BackendRegistry::restore(const BackendAnnouncement &announcement, Core::Instant now)
+bool BackendRegistry::restore(const BackendAnnouncement &announcement, Core::Instant now)
 {
-    if (isDeparture(announcement)) {
-        this->merge(announcement, now);
-        return;
+    auto stored = announcement;
+    stored.__isset.isRestored = stored.__isset.isEstablished = false;
+    stored.isRestored = stored.isEstablished = false;
+    if (isDeparture(stored)) {
+        return this->merge(stored, now);
     }
-    if (this->records.contains(announcement.id)) {
-        return;
+    if (const auto found = this->records.find(stored.id); found != this->records.end() && found->second.announcement.born >= stored.born) {
+        auto &record = found->second;
+        record.isEstablished = record.isEstablished || (announcement.isEstablished && record.confirmBy.has_value());
+        return false;
     }
-    this->merge(announcement, now);
-    this->records.at(announcement.id).confirmBy = now + this->options.unconfirmedTimeout;
+    return this->apply(stored, now, {.confirmBy = now + this->options.unconfirmedTimeout, .isEstablished = announcement.isEstablished});
 }
 
 std::size_t BackendRegistry::expireUnconfirmed(Core::Instant now)
@@ -262,6 +278,26 @@
     return unconfirmed.size();
 }
 
+std::size_t BackendRegistry::unconfirmedCount() const
+{
+    return static_cast<std::size_t>(std::count_if(this->records.begin(), this->records.end(), [](const auto &item) {
+        return item.second.confirmBy.has_value();
+    }));
+}
+
+std::vector<BackendAnnouncement> BackendRegistry::establish(Core::Instant now, Core::Duration time)
+{
+    std::vector<BackendAnnouncement> established;
+    for (auto &[id, record] : this->records) {
+        const bool isReady = record.announcement.phase == BackendPhase::READY;
+        if (isReady && !record.isEstablished && now - record.readySince >= time) {
+            record.isEstablished = true;
+            established.push_back(record.announcement);
+        }
+    }
+    return established;
+}
+
 void BackendRegistry::restartHeartbeatTimeouts(Core::Instant now)
 {
     for (auto &[id, record] : this->records) {
@@ -299,6 +335,10 @@
         changed.push_back(record.announcement);
         const auto warmupLeft = std::max(Core::Duration(0), record.warmUntil - now);
         changed.back().warmupLeftMs = static_cast<std::int32_t>(Core::toMilliseconds(warmupLeft));
+        if (record.confirmBy.has_value()) {
+            changed.back().__set_isRestored(true);
+            changed.back().__set_isEstablished(record.isEstablished);
+        }
     }
     return changed;
 }
--- a/Libraries/LibFleet/BackendRegistry.h
+++ b/Libraries/LibFleet/BackendRegistry.h
@@ -46,6 +46,10 @@
     std::optional<Core::Instant> lastContact;
     /** The latest contact with this coordinator itself. */
     std::optional<Core::Instant> lastDirectContact;
+    /** Since when it has been ready without interruption; only meaningful while it is. */
+    Core::Instant readySince;
+    /** Of a gateway: it was ready for so long that every gateway that may hold quota shares has received a list with its address. */
+    bool isEstablished{false};
     /** Position of the latest change in the sequence of changes that watchers receive. */
     std::int64_t changePosition{0};
 };
@@ -87,13 +91,18 @@
     bool merge(const Protocol::BackendAnnouncement &announcement, Core::Instant now);
 
     /**
-     * Adds a record that a coordinator read from its disk. A departure is merged like one that was received. A ready backend server becomes an unconfirmed
-     * record, unless there is a record of it already.
+     * Adds a record that a coordinator read from its disk, this one or, with `isRestored`, another one. A departure is merged like one that was received. A
+     * ready backend server becomes an unconfirmed record, unless there is a record of the same or a later incarnation already. Returns whether watchers have
+     * to be notified.
      */
-    void restore(const Protocol::BackendAnnouncement &announcement, Core::Instant now);
+    bool restore(const Protocol::BackendAnnouncement &announcement, Core::Instant now);
 
     /** Marks unconfirmed records silent whose unconfirmed timeout has ended. Returns how many. */
     std::size_t expireUnconfirmed(Core::Instant now);
+    [[nodiscard]] std::size_t unconfirmedCount() const;
+
+    /** Marks the ready records as established that have been ready for `time` or longer. Returns the announcements of those that were not before. */
+    std::vector<Protocol::BackendAnnouncement> establish(Core::Instant now, Core::Duration time);
 
     /**
      * Marks a backend server gone that deregistered or is known to have ended. `born` is the start time of the incarnation in Unix milliseconds, or 0 for
@@ -109,7 +118,10 @@
     /** Records that the gateway held the list of another coordinator, which knew the list of this one, at `time`. An unknown id is ignored. */
     void recordContact(const std::string &id, Core::Instant time);
 
-    /** Ids of the records into which an announcement was merged after `time`, whether or not watchers had to be notified, except those that are gone. */
+    /**
+     * Ids of the records into which an announcement was merged after `time`, whether or not watchers had to be notified, except those that are gone and those
+     * that were only restored from a disk.
+     */
     [[nodiscard]] std::vector<std::string> mergedSince(Core::Instant time) const;
 
     /** Announcements of the ready backend servers, in no order. The pointers are valid until the next change. */
@@ -152,6 +164,13 @@
     std::function<void(const std::string &id)> forgotten;
 
 private:
+    /** What a record that was read from a disk has beside its announcement. */
+    struct Restoration {
+        std::optional<Core::Instant> confirmBy{};
+        bool isEstablished{false};
+    };
+
+    bool apply(const Protocol::BackendAnnouncement &announcement, Core::Instant now, const Restoration &restoration);
     /** Whether the merge rules let an announcement change the record of its backend server. */
     [[nodiscard]] static bool isCurrent(const BackendRecord &record, const Protocol::BackendAnnouncement &announcement);
     void recordChange(BackendRecord &record);
--- a/Libraries/LibProtocol/Generated/fleet_types.cpp
+++ b/Libraries/LibProtocol/Generated/fleet_types.cpp
@@ -147,6 +147,16 @@
 void BackendAnnouncement::__set_born(const int64_t val) {
   this->born = val;
 }
+
+void BackendAnnouncement::__set_isRestored(const bool val) {
+  this->isRestored = val;
+__isset.isRestored = true;
+}
+
+void BackendAnnouncement::__set_isEstablished(const bool val) {
+  this->isEstablished = val;
+__isset.isEstablished = true;
+}
 std::ostream& operator<<(std::ostream& out, const BackendAnnouncement& obj)
 {
   obj.printTo(out);
@@ -249,6 +259,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isRestored);
+          this->__isset.isRestored = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isEstablished);
+          this->__isset.isEstablished = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -302,6 +328,16 @@
   xfer += oprot->writeI64(this->born);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.isRestored) {
+    xfer += oprot->writeFieldBegin("isRestored", ::apache::thrift::protocol::T_BOOL, 10);
+    xfer += oprot->writeBool(this->isRestored);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.isEstablished) {
+    xfer += oprot->writeFieldBegin("isEstablished", ::apache::thrift::protocol::T_BOOL, 11);
+    xfer += oprot->writeBool(this->isEstablished);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -318,6 +354,8 @@
   swap(a.warmupLeftMs, b.warmupLeftMs);
   swap(a.sequence, b.sequence);
   swap(a.born, b.born);
+  swap(a.isRestored, b.isRestored);
+  swap(a.isEstablished, b.isEstablished);
   swap(a.__isset, b.__isset);
 }
 
@@ -331,6 +369,8 @@
   warmupLeftMs = other1.warmupLeftMs;
   sequence = other1.sequence;
   born = other1.born;
+  isRestored = other1.isRestored;
+  isEstablished = other1.isEstablished;
   __isset = other1.__isset;
 }
 BackendAnnouncement& BackendAnnouncement::operator=(const BackendAnnouncement& other2) {
@@ -343,6 +383,8 @@
   warmupLeftMs = other2.warmupLeftMs;
   sequence = other2.sequence;
   born = other2.born;
+  isRestored = other2.isRestored;
+  isEstablished = other2.isEstablished;
   __isset = other2.__isset;
   return *this;
 }
@@ -358,6 +400,8 @@
   out << ", " << "warmupLeftMs=" << to_string(warmupLeftMs);
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "born=" << to_string(born);
+  out << ", " << "isRestored="; (__isset.isRestored ? (out << to_string(isRestored)) : (out << "<null>"));
+  out << ", " << "isEstablished="; (__isset.isEstablished ? (out << to_string(isEstablished)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1809,6 +1853,11 @@
   this->contactAgesMs = val;
 __isset.contactAgesMs = true;
 }
+
+void WatchReply::__set_hasAllGateways(const bool val) {
+  this->hasAllGateways = val;
+__isset.hasAllGateways = true;
+}
 std::ostream& operator<<(std::ostream& out, const WatchReply& obj)
 {
   obj.printTo(out);
@@ -2056,6 +2105,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->hasAllGateways);
+          this->__isset.hasAllGateways = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2200,6 +2257,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.hasAllGateways) {
+    xfer += oprot->writeFieldBegin("hasAllGateways", ::apache::thrift::protocol::T_BOOL, 19);
+    xfer += oprot->writeBool(this->hasAllGateways);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2225,6 +2287,7 @@
   swap(a.oldestContactAgeMs, b.oldestContactAgeMs);
   swap(a.heldMs, b.heldMs);
   swap(a.contactAgesMs, b.contactAgesMs);
+  swap(a.hasAllGateways, b.hasAllGateways);
   swap(a.__isset, b.__isset);
 }
 
@@ -2247,6 +2310,7 @@
   oldestContactAgeMs = other88.oldestContactAgeMs;
   heldMs = other88.heldMs;
   contactAgesMs = other88.contactAgesMs;
+  hasAllGateways = other88.hasAllGateways;
   __isset = other88.__isset;
 }
 WatchReply& WatchReply::operator=(const WatchReply& other89) {
@@ -2268,6 +2332,7 @@
   oldestContactAgeMs = other89.oldestContactAgeMs;
   heldMs = other89.heldMs;
   contactAgesMs = other89.contactAgesMs;
+  hasAllGateways = other89.hasAllGateways;
   __isset = other89.__isset;
   return *this;
 }
@@ -2292,6 +2357,7 @@
   out << ", " << "oldestContactAgeMs="; (__isset.oldestContactAgeMs ? (out << to_string(oldestContactAgeMs)) : (out << "<null>"));
   out << ", " << "heldMs="; (__isset.heldMs ? (out << to_string(heldMs)) : (out << "<null>"));
   out << ", " << "contactAgesMs="; (__isset.contactAgesMs ? (out << to_string(contactAgesMs)) : (out << "<null>"));
+  out << ", " << "hasAllGateways="; (__isset.hasAllGateways ? (out << to_string(hasAllGateways)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibProtocol/Generated/fleet_types.h
+++ b/Libraries/LibProtocol/Generated/fleet_types.h
@@ -107,7 +107,7 @@
 class PartialAnswer;
 
 typedef struct _BackendAnnouncement__isset {
-  _BackendAnnouncement__isset() : id(false), serviceName(false), address(false), zone(false), slots(false), phase(false), warmupLeftMs(false), sequence(false), born(true) {}
+  _BackendAnnouncement__isset() : id(false), serviceName(false), address(false), zone(false), slots(false), phase(false), warmupLeftMs(false), sequence(false), born(true), isRestored(false), isEstablished(false) {}
   bool id :1;
   bool serviceName :1;
   bool address :1;
@@ -117,6 +117,8 @@
   bool warmupLeftMs :1;
   bool sequence :1;
   bool born :1;
+  bool isRestored :1;
+  bool isEstablished :1;
 } _BackendAnnouncement__isset;
 
 /**
@@ -136,7 +138,9 @@
                         phase(static_cast<BackendPhase::type>(0)),
                         warmupLeftMs(0),
                         sequence(0),
-                        born(0LL) {
+                        born(0LL),
+                        isRestored(0),
+                        isEstablished(0) {
   }
 
   virtual ~BackendAnnouncement() noexcept;
@@ -168,6 +172,15 @@
    * Start time in Unix milliseconds, which identifies the incarnation; 0 on platforms that do not send it.
    */
   int64_t born;
+  /**
+   * A coordinator restored this from its disk and has not heard of a heartbeat since. Set by coordinators only.
+   */
+  bool isRestored;
+  /**
+   * Of a gateway: it had been listed for so long that every gateway that may hold quota shares has received a list with its address. Set by coordinators, in
+   * their files and with isRestored.
+   */
+  bool isEstablished;
 
   _BackendAnnouncement__isset __isset;
 
@@ -189,6 +202,10 @@
 
   void __set_born(const int64_t val);
 
+  void __set_isRestored(const bool val);
+
+  void __set_isEstablished(const bool val);
+
   bool operator == (const BackendAnnouncement & rhs) const
   {
     if (!(id == rhs.id))
@@ -209,6 +226,14 @@
       return false;
     if (!(born == rhs.born))
       return false;
+    if (__isset.isRestored != rhs.__isset.isRestored)
+      return false;
+    else if (__isset.isRestored && !(isRestored == rhs.isRestored))
+      return false;
+    if (__isset.isEstablished != rhs.__isset.isEstablished)
+      return false;
+    else if (__isset.isEstablished && !(isEstablished == rhs.isEstablished))
+      return false;
     return true;
   }
   bool operator != (const BackendAnnouncement &rhs) const {
@@ -845,7 +870,7 @@
 std::ostream& operator<<(std::ostream& out, const CoordinatorPlace& obj);
 
 typedef struct _WatchReply__isset {
-  _WatchReply__isset() : coordinatorIncarnation(false), cursor(false), changed(false), gatewayCursor(false), changedGateways(false), declarationVersion(false), declaration(false), declarationDelta(false), confirmed(false), coordinators(false), heard(false), hasLeader(false), evacuations(false), crashCursor(true), crashes(false), oldestContactAgeMs(false), heldMs(false), contactAgesMs(false) {}
+  _WatchReply__isset() : coordinatorIncarnation(false), cursor(false), changed(false), gatewayCursor(false), changedGateways(false), declarationVersion(false), declaration(false), declarationDelta(false), confirmed(false), coordinators(false), heard(false), hasLeader(false), evacuations(false), crashCursor(true), crashes(false), oldestContactAgeMs(false), heldMs(false), contactAgesMs(false), hasAllGateways(false) {}
   bool coordinatorIncarnation :1;
   bool cursor :1;
   bool changed :1;
@@ -864,6 +889,7 @@
   bool oldestContactAgeMs :1;
   bool heldMs :1;
   bool contactAgesMs :1;
+  bool hasAllGateways :1;
 } _WatchReply__isset;
 
 class WatchReply : public virtual ::apache::thrift::TBase {
@@ -882,7 +908,8 @@
                hasLeader(0),
                crashCursor(0LL),
                oldestContactAgeMs(0),
-               heldMs(0) {
+               heldMs(0),
+               hasAllGateways(0) {
   }
 
   virtual ~WatchReply() noexcept;
@@ -936,6 +963,10 @@
    * coordinator's list of gateways, and this coordinator the list of the watcher.
    */
   std::map<std::string, int32_t>  contactAgesMs;
+  /**
+   * For a coordinator: whether this coordinator's list contains every gateway that may hold quota shares.
+   */
+  bool hasAllGateways;
 
   _WatchReply__isset __isset;
 
@@ -975,6 +1006,8 @@
 
   void __set_contactAgesMs(const std::map<std::string, int32_t> & val);
 
+  void __set_hasAllGateways(const bool val);
+
   bool operator == (const WatchReply & rhs) const
   {
     if (!(coordinatorIncarnation == rhs.coordinatorIncarnation))
@@ -1025,6 +1058,10 @@
       return false;
     else if (__isset.contactAgesMs && !(contactAgesMs == rhs.contactAgesMs))
       return false;
+    if (__isset.hasAllGateways != rhs.__isset.hasAllGateways)
+      return false;
+    else if (__isset.hasAllGateways && !(hasAllGateways == rhs.hasAllGateways))
+      return false;
     return true;
   }
   bool operator != (const WatchReply &rhs) const {
--- a/Libraries/LibProtocol/fleet.thrift
+++ b/Libraries/LibProtocol/fleet.thrift
@@ -32,6 +32,13 @@
   8: i64 sequence,
   /** Start time in Unix milliseconds, which identifies the incarnation; 0 on platforms that do not send it. */
   9: i64 born = 0,
+  /** A coordinator restored this from its disk and has not heard of a heartbeat since. Set by coordinators only. */
+  10: optional bool isRestored,
+  /**
+   * Of a gateway: it had been listed for so long that every gateway that may hold quota shares has received a list with its address. Set by coordinators, in
+   * their files and with isRestored.
+   */
+  11: optional bool isEstablished,
 }
 
 /** A piece of the later text: literal bytes, then a range copied from the earlier text. */
@@ -167,6 +174,8 @@
    * coordinator's list of gateways, and this coordinator the list of the watcher.
    */
   18: optional map<string, i32> contactAgesMs,
+  /** For a coordinator: whether this coordinator's list contains every gateway that may hold quota shares. */
+  19: optional bool hasAllGateways,
 }
 
 struct Introduction {
--- a/Tests/LibFleet/TestBackendRegistry.cpp
+++ b/Tests/LibFleet/TestBackendRegistry.cpp
@@ -54,6 +54,31 @@
     } while (std::next_permutation(order.begin(), order.end()));
 }
 
+// Guards against records that coordinators restored from their disks and confirmed to each other, so that backend servers which had ended stayed ready for the
+// whole heartbeat timeout.
+Test(BackendRegistry, aRestoredRecordOfAnotherCoordinatorConfirmsNothing)
+{
+    BackendRegistry one;
+    BackendRegistry other;
+    one.restore(announcement(BackendPhase::READY, 7), at(1));
+    other.restore(announcement(BackendPhase::READY, 9), at(1));
+    cr_assert(one.mergedSince(at(0)).empty(), "nothing was heard");
+    for (const auto &sent : other.changedSince(0, at(2))) {
+        one.merge(sent, at(2));
+    }
+    BackendRegistry third;
+    for (const auto &sent : one.changedSince(0, at(2))) {
+        third.merge(sent, at(2));
+    }
+    cr_assert_eq(one.unconfirmedCount() + third.unconfirmedCount(), 2U);
+    cr_assert_eq(one.expireUnconfirmed(at(6)) + third.expireUnconfirmed(at(6)), 2U);
+    BackendRegistry heard;
+    heard.restore(announcement(BackendPhase::READY, 7), at(1));
+    heard.merge(announcement(BackendPhase::READY, 8), at(2));
+    cr_assert(heard.unconfirmedCount() == 0 && heard.mergedSince(at(1)).size() == 1);
+    cr_assert_not(heard.changedSince(0, at(2)).front().isRestored);
+}
+
 Test(BackendRegistry, keepsDrainingAndGoneBackendsFromBecomingReady)
 {
     struct Case {
