LibCoordinator: Keep the list of gateways on the disk

Cause: coordinators kept the gateways in memory only and took the list of those that had announced themselves since for complete. Gateways that started with them were told that all others were in contact and took over the shares of those that were cut off, which grant for up to 7 s (quota.takeover ended_by=contacts after 1.7 s, shares of a third in place of a fifth).

GatewayList stores the list, knows whether it is complete, and marks the gateways that nobody has heard of since. Contacts are stated only from a complete list that is on the disk. A gateway whose address was listed for 9 s before the restart need not wait for those that are missing: by their list it holds the same shares as by its own. Others wait up to 8 s. A gateway no longer ends its wait because its own list names nobody else.

The test of a gateway alone expected an end without any statement, which is the fault; it now expects the end by a statement, and none before 8 s without one.

--- a/Libraries/LibCoordinator/CoordinatorNode.cpp
+++ b/Libraries/LibCoordinator/CoordinatorNode.cpp
@@ -50,6 +50,7 @@
     , incarnation(static_cast<std::int64_t>(Core::randomNumber() >> 1U))
     , registry(Fleet::RegistryOptions{.unconfirmedTimeout = this->options.heartbeats.unconfirmedTimeout})
     , departures({.name = this->options.log.log.identity.name, .requiredCopies = this->options.membership.targetVoters / 2 + 1}, timers)
+    , gateways({.isFirstStart = this->options.mayBootstrap, .unconfirmedTimeout = this->options.gatewayHeartbeatTimeout}, timers)
     , lastExpiry(timers.now())
 {
 }
@@ -66,7 +67,7 @@
     node->watchService = std::make_unique<WatchService>(WatchServiceOptions{.incarnation = node->incarnation, .longPollTimeout = node->options.longPollTimeout},
         *node->log,
         node->registry,
-        node->gateways,
+        node->gateways.registry(),
         node->crashes,
         timers);
     node->log->changed = [raw = node.get()] {
@@ -86,9 +87,6 @@
         raw->store.addChange(announcement);
         raw->watchService->scheduleNotification();
     };
-    node->gateways.changed = [raw = node.get()](const Fleet::BackendRecord &) {
-        raw->watchService->scheduleNotification();
-    };
     node->crashes.changed = [raw = node.get()](Fleet::CrashRecords) {
         raw->watchService->scheduleNotification();
     };
@@ -100,7 +98,7 @@
                                                             .wantsOrders = false,
                                                             .wantsHeard = true},
         node->registry,
-        node->gateways,
+        node->gateways.registry(),
         node->crashes,
         timers);
     node->peers->wantsContacts = [raw = node.get()] {
@@ -109,10 +107,7 @@
     node->watchService->syncedWith = [raw = node.get()](const std::string &address) {
         return raw->peers->syncedWith(address);
     };
-    node->watchService->knowsAllGateways = [raw = node.get()] {
-        const auto *replicated = raw->log->log();
-        return replicated != nullptr && replicated->leader() != nullptr && raw->peers->hasReachableRegistries();
-    };
+    node->connectGateways();
     node->peers->addCoordinators(node->options.seeds);
     node->connectDepartures();
     const auto restored = node->restoreStoredState();
@@ -136,11 +131,43 @@
     });
     this->storeTimer = this->timers.every(StorePeriod, [this](Core::Instant) {
         this->expireUnconfirmedBackends();
+        this->gateways.advance();
         this->storeBackends();
+        this->storeGateways();
         this->storeCrashes();
     });
 }
 
+bool CoordinatorNode::isInTouch() const
+{
+    const auto *replicated = this->log->log();
+    return replicated != nullptr && replicated->leader() != nullptr && this->peers->hasReachableRegistries();
+}
+
+void CoordinatorNode::connectGateways()
+{
+    this->gateways.changed = [this](const Fleet::BackendRecord &record) {
+        this->watchService->scheduleNotification();
+        if (Fleet::isDeparture(record.announcement)) {
+            // Others take over its shares a second later. By then no coordinator may restore it as ready.
+            this->storeSoon();
+        }
+    };
+    this->gateways.isInTouch = [this] {
+        return this->isInTouch();
+    };
+    this->gateways.isReceivedComplete = [this] {
+        return this->peers->hasReceivedAllGateways();
+    };
+    this->watchService->hasAllGateways = [this] {
+        return this->gateways.isComplete();
+    };
+    // NOTE: A gateway grants from its shares after a statement, and must not be missing here if all coordinators are killed then.
+    this->watchService->knowsAllGateways = [this] {
+        return this->isInTouch() && this->gateways.isComplete() && this->gateways.isDurable();
+    };
+}
+
 void CoordinatorNode::connectDepartures()
 {
     this->registry.forgotten = [this](const std::string &id) {
@@ -351,12 +378,15 @@
     if (!stored.has_value()) {
         return tl::make_unexpected(stored.error());
     }
-    this->isStateRestored = true;
     for (auto announcement : stored.value()) {
         announcement.warmupLeftMs = 0;
         this->registry.restore(announcement, this->timers.now());
     }
     Core::logEvent(Core::LogLevel::Information, "registry.restored", {{"backends", stored->size()}, {"ready", this->registry.readyCount()}});
+    if (const auto gatewaysRestored = this->gateways.restore(*folder); !gatewaysRestored.has_value()) {
+        return gatewaysRestored;
+    }
+    this->isStateRestored = true;
     this->crashStore.load(*folder, this->crashes, this->timers.now(), Core::systemClock().wallTime());
     return {};
 }
@@ -384,14 +414,36 @@
 void CoordinatorNode::storeBackendsSoon(const DepartureReplication::StoredHook &done)
 {
     this->storeHooks.push_back(done);
+    this->storeSoon();
+}
+
+void CoordinatorNode::storeSoon()
+{
     if (!this->storeSoonTimer.isActive()) {
         const auto delay = std::clamp(DepartureStoreDelayFactor * this->storeDuration, DepartureStoreDelay, MaximumDepartureStoreDelay);
         this->storeSoonTimer = this->timers.once(delay, [this](Core::Instant) {
             this->storeBackends();
+            this->storeGateways();
         });
     }
 }
 
+void CoordinatorNode::storeGateways()
+{
+    auto *folder = this->log->dataFolder();
+    if (folder == nullptr || !this->isStateRestored) {
+        return;
+    }
+    const auto written = this->gateways.store(*folder);
+    const bool failed = !written.has_value();
+    if (failed && !this->isGatewayStoreFailing) {
+        Core::logEvent(Core::LogLevel::Warning, "gateways.not_written", {{"error", written.error().message}});
+    } else if (!failed && this->isGatewayStoreFailing) {
+        Core::logEvent(Core::LogLevel::Information, "gateways.written_again", {});
+    }
+    this->isGatewayStoreFailing = failed;
+}
+
 Core::Result<void> CoordinatorNode::writeBackends()
 {
     auto restored = this->restoreStoredState();
@@ -435,15 +487,15 @@
         // Rule G4: A missed heartbeat does not show that a backend server has ended when this process was stopped, or when heartbeats may have reached other
         // coordinators that are unreachable from here.
         this->registry.restartHeartbeatTimeouts(now);
-        this->gateways.restartHeartbeatTimeouts(now);
+        this->gateways.registry().restartHeartbeatTimeouts(now);
         return;
     }
     const auto backendsGone = this->registry.expire(now, this->options.heartbeats.heartbeatTimeout);
-    const auto gatewaysGone = this->gateways.expire(now, this->options.gatewayHeartbeatTimeout);
+    const auto gatewaysGone = this->gateways.registry().expire(now, this->options.gatewayHeartbeatTimeout);
     if (backendsGone + gatewaysGone > 0) {
         Core::logEvent(Core::LogLevel::Information, "registry.expired", {{"backends", backendsGone}, {"gateways", gatewaysGone}});
     }
-    this->gateways.forget(now);
+    this->gateways.registry().forget(now);
     this->registry.forget(now);
     this->crashes.forget(now);
 }
@@ -453,9 +505,9 @@
 void CoordinatorNode::watch(const Protocol::WatchRequest &request, const std::function<void(const Protocol::WatchReply &reply)> &done)
 {
     if (request.__isset.gateway) {
-        this->gateways.merge(request.gateway, this->timers.now());
+        this->gateways.registry().merge(request.gateway, this->timers.now());
         if (this->watchService->provesCurrentList(request)) {
-            this->gateways.recordDirectContact(request.gateway.id, this->watchService->earliestArrival());
+            this->gateways.registry().recordDirectContact(request.gateway.id, this->watchService->earliestArrival());
         }
     }
     this->watchService->watch(request, done);
@@ -783,7 +835,11 @@
     page.gauge("crankrudder_declaration_version", "Version of the newest committed declaration.", static_cast<double>(this->log->version()));
     page.gauge("crankrudder_evacuated_zones", "Availability zones that are evacuated.", static_cast<double>(this->log->evacuations().zones.size()));
     page.gauge("crankrudder_backends_ready", "Backend servers that take work.", this->registry.readyCount());
-    page.gauge("crankrudder_gateways", "Gateways that are ready.", this->gateways.readyCount());
+    page.gauge("crankrudder_gateways", "Gateways that are ready.", this->gateways.registry().readyCount());
+    page.gauge("crankrudder_gateways_unconfirmed",
+        "Gateways that were restored from the disk and not heard of since.",
+        static_cast<double>(this->gateways.registry().unconfirmedCount()));
+    page.gauge("crankrudder_gateway_list_complete", "Whether every gateway that may hold quota shares is known.", this->gateways.isComplete() ? 1 : 0);
     page.gauge("crankrudder_watchers", "Questions that are held for news.", static_cast<double>(this->watchService->waitingCount()));
     page.gauge("crankrudder_coordinators_in_reach", "Other coordinators that are reachable.", static_cast<double>(this->peers->reachableCount()));
     constexpr const char *DepartureHelp = "Departures of backend servers, by whether enough coordinators stored them to acknowledge them.";
@@ -808,7 +864,10 @@
     document["declaration_version"] = this->log->version();
     document["evacuated_zones"] = this->log->evacuations().zones;
     document["backends"] = this->registry.size();
-    document["gateways"] = this->gateways.readyCount();
+    document["gateways"] = this->gateways.registry().readyCount();
+    document["gateways_unconfirmed"] = this->gateways.registry().unconfirmedCount();
+    document["gateway_list_complete"] = this->gateways.isComplete();
+    document["gateways_on_disk"] = this->isStateRestored && this->gateways.isDurable();
     document["watchers"] = this->watchService->waitingCount();
     document["departures_waiting"] = this->departures.waitingCount();
     document["registry_on_disk"] = this->isStateRestored && this->store.isDurable();
--- a/Libraries/LibCoordinator/CoordinatorNode.h
+++ b/Libraries/LibCoordinator/CoordinatorNode.h
@@ -12,6 +12,7 @@
 #include <LibCoordinator/CrashStore.h>
 #include <LibCoordinator/DeclarationLog.h>
 #include <LibCoordinator/DepartureReplication.h>
+#include <LibCoordinator/GatewayList.h>
 #include <LibCoordinator/MembershipPolicy.h>
 #include <LibCoordinator/RegistryStore.h>
 #include <LibCoordinator/WatchService.h>
@@ -174,8 +175,15 @@
     [[nodiscard]] Core::Result<void> restoreStoredState();
     /** Calls `done` after the next write of the registry, which follows soon. */
     void storeBackendsSoon(const DepartureReplication::StoredHook &done);
+    /** Writes the registries within milliseconds, later on a slow disk. */
+    void storeSoon();
     void storeBackends();
     [[nodiscard]] Core::Result<void> writeBackends();
+    void storeGateways();
+    /** Connects the list of gateways to the other coordinators and to watchers. */
+    void connectGateways();
+    /** Whether this coordinator has a leader and the registries of all coordinators that it reaches. */
+    [[nodiscard]] bool isInTouch() const;
     void storeCrashes();
     void finishDrain();
 
@@ -187,6 +195,7 @@
     // Set once the files of the data folder were read. They are not written before, since that would replace what they hold.
     bool isStateRestored{false};
     bool isStoreFailing{false};
+    bool isGatewayStoreFailing{false};
     // How long the latest write of the registry took.
     Core::Duration storeDuration{0};
     // Called after the next write of the registry with whether it succeeded.
@@ -195,8 +204,7 @@
     std::map<Core::Endpoint, std::shared_ptr<Rpc::RpcChannel>> departureChannels;
     std::unique_ptr<Fleet::FleetWatcher> peers;
     std::unique_ptr<DeclarationLog> log;
-    // Gateways that accept requests, by their own announcements.
-    Fleet::BackendRegistry gateways;
+    GatewayList gateways;
     // Requests under which backend servers crashed, as reported by gateways and by other coordinators.
     Fleet::CrashLedger crashes;
     CrashStore crashStore;
--- a/Libraries/LibCoordinator/RegistryStore.cpp
+++ b/Libraries/LibCoordinator/RegistryStore.cpp
@@ -12,7 +12,6 @@
 namespace Coordinator
 {
 
-static constexpr const char *FileName = "backends";
 // The file is rewritten once it is this many times as long as the stored backend servers need, and not below a length at which rewriting saves too little.
 static constexpr std::size_t RewriteFactor = 3;
 static constexpr std::size_t RewriteFromBytes = 64 * 1024;
@@ -36,15 +35,20 @@
     return shortened;
 }
 
+RegistryStore::RegistryStore(std::string fileName) : fileName(std::move(fileName))
+{
+}
+
 Core::Result<std::vector<Protocol::BackendAnnouncement>> RegistryStore::load(Storage::Folder &folder)
 {
-    const auto content = folder.read(FileName);
+    const auto content = folder.read(this->fileName);
     if (!content.has_value()) {
         if (content.error().kind == Core::ErrorKind::NotFound) {
             return {};
         }
         return tl::make_unexpected(content.error());
     }
+    this->isFound = true;
     // The latest record of each backend server in the file. Changes that were collected before the file could be read are more recent.
     std::map<std::string, Protocol::BackendAnnouncement> latest;
     std::string_view rest = content.value();
@@ -102,6 +106,11 @@
     return this->unwritten.empty() && !this->mustRewrite;
 }
 
+bool RegistryStore::wasFound() const
+{
+    return this->isFound;
+}
+
 std::uint64_t RegistryStore::syncCount() const
 {
     return this->syncs;
@@ -120,12 +129,12 @@
 
 Core::Result<void> RegistryStore::append(Storage::Folder &folder)
 {
-    const auto appended = folder.append(FileName, this->unwritten);
+    const auto appended = folder.append(this->fileName, this->unwritten);
     if (!appended.has_value()) {
         return appended;
     }
     this->fileBytes += this->unwritten.size();
-    return folder.sync(FileName);
+    return folder.sync(this->fileName);
 }
 
 Core::Result<void> RegistryStore::rewrite(Storage::Folder &folder)
@@ -134,7 +143,7 @@
     for (const auto &[id, announcement] : this->stored) {
         content += frame(announcement);
     }
-    const auto replaced = folder.replace(FileName, content);
+    const auto replaced = folder.replace(this->fileName, content);
     if (replaced.has_value()) {
         this->fileBytes = content.size();
     }
--- a/Libraries/LibCoordinator/RegistryStore.h
+++ b/Libraries/LibCoordinator/RegistryStore.h
@@ -3,8 +3,8 @@
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-// Stores the backend servers on a coordinator's own disk: the ready ones and, as
-// long as the registry remembers them, those that have left.
+// Stores the backend servers, or the gateways, on a coordinator's own disk: the ready
+// ones and, as long as the registry remembers them, those that have left.
 //
 // Ready backend servers are stored for the time after a loss of power on all
 // machines, when no process knows any backend server. Receiving a heartbeat from
@@ -33,6 +33,8 @@
 class RegistryStore
 {
 public:
+    explicit RegistryStore(std::string fileName = "backends");
+
     /**
      * Reads the backend servers of the file. A missing file has none; a damaged file is read up to the damage, before which lies all that a flush() has
      * synced. Fails with Storage when the file can't be read; it must not be written then, since that would replace what it holds.
@@ -51,6 +53,9 @@
     /** Writes the collected changes and syncs the file. After a failure the next call rewrites the whole file. */
     [[nodiscard]] Core::Result<void> flush(Storage::Folder &folder);
 
+    /** Whether load() has found the file, also if it has no backend servers. */
+    [[nodiscard]] bool wasFound() const;
+
     /** Writes that were synced since the start. */
     [[nodiscard]] std::uint64_t syncCount() const;
 
@@ -59,6 +64,8 @@
     [[nodiscard]] Core::Result<void> rewrite(Storage::Folder &folder);
     void apply(const Protocol::BackendAnnouncement &announcement);
 
+    std::string fileName;
+    bool isFound{false};
     // The stored backend servers by id, including unwritten changes.
     std::map<std::string, Protocol::BackendAnnouncement> stored;
     std::string unwritten;
--- a/Libraries/LibCoordinator/WatchService.cpp
+++ b/Libraries/LibCoordinator/WatchService.cpp
@@ -288,6 +288,7 @@
     this->addCrashes(reply, request);
     if (request.wantsHeard) {
         reply.heard = this->receivedHeartbeatsFor(request.watcherName);
+        reply.__set_hasAllGateways(this->hasAllGateways && this->hasAllGateways());
     }
     reply.declarationVersion = this->log.version();
     if (request.wantsDeclaration && reply.declarationVersion > request.declarationVersion) {
--- a/Libraries/LibCoordinator/WatchService.h
+++ b/Libraries/LibCoordinator/WatchService.h
@@ -63,8 +63,10 @@
     /** Whether a gateway that watches this coordinator has lately requested contacts. */
     [[nodiscard]] bool areContactsWanted() const;
 
-    /** Returns whether every gateway that may hold quota shares is known here; never if not set. */
+    /** Returns whether contacts with all gateways that may hold quota shares can be stated now; never if not set. */
     std::function<bool()> knowsAllGateways;
+    /** Returns whether the list of gateways contained, as of the last restart or exchange, every gateway that may hold quota shares; never if not set. */
+    std::function<bool()> hasAllGateways;
     /** Returns the latest time as of which all changes of another coordinator were received here, by its address. */
     std::function<std::optional<Core::Instant>(const std::string &address)> syncedWith;
 
--- a/Libraries/LibFleet/ContactSummary.cpp
+++ b/Libraries/LibFleet/ContactSummary.cpp
@@ -20,24 +20,40 @@
         if (latest == nullptr || latest->changePosition < record->changePosition) {
             latest = record;
         }
+        if (record->isEstablished) {
+            this->establishedAddresses.insert(record->announcement.address);
+        }
     }
+    Rows all;
+    Rows confirmed;
     for (const auto &[address, record] : byAddress) {
-        this->oldest.push_back({.contact = record->lastContact, .address = address});
+        all.push_back({.contact = record->lastContact, .address = address});
+        if (!record->confirmBy.has_value()) {
+            confirmed.push_back(all.back());
+        }
     }
-    const auto kept = std::min(KeptRows, this->oldest.size());
-    const auto keptEnd = this->oldest.begin() + static_cast<std::ptrdiff_t>(kept);
-    std::partial_sort(this->oldest.begin(), keptEnd, this->oldest.end(), [](const Row &left, const Row &right) {
+    this->oldest = oldestOf(std::move(all));
+    this->oldestConfirmed = oldestOf(std::move(confirmed));
+}
+
+ContactSummary::Rows ContactSummary::oldestOf(Rows rows)
+{
+    const auto kept = std::min(KeptRows, rows.size());
+    const auto keptEnd = rows.begin() + static_cast<std::ptrdiff_t>(kept);
+    std::partial_sort(rows.begin(), keptEnd, rows.end(), [](const Row &left, const Row &right) {
         return left.contact < right.contact;
     });
-    this->oldest.resize(kept);
+    rows.resize(kept);
+    return rows;
 }
 
 std::optional<Core::Instant> ContactSummary::oldestExcept(const std::string &address) const
 {
-    const auto found = std::find_if(this->oldest.begin(), this->oldest.end(), [&address](const Row &row) {
+    const auto &rows = this->establishedAddresses.contains(address) ? this->oldestConfirmed : this->oldest;
+    const auto found = std::find_if(rows.begin(), rows.end(), [&address](const Row &row) {
         return row.address != address;
     });
-    return found == this->oldest.end() ? std::optional(this->takenAt) : found->contact;
+    return found == rows.end() ? std::optional(this->takenAt) : found->contact;
 }
 
 Core::Duration ContactSummary::ageAt(Core::Instant now) const
--- a/Libraries/LibFleet/ContactSummary.h
+++ b/Libraries/LibFleet/ContactSummary.h
@@ -6,11 +6,19 @@
 // The oldest of the latest contacts with gateways. A gateway that takes over quota shares
 // waits until no other gateway can hold them under an older list of gateways, so one
 // gateway that is cut off decides, however many others are in contact.
+//
+// After all coordinators restarted, a gateway of which they know by their files only may be
+// cut off since before. It still holds the shares that it held by the list of that time.
+// A gateway at an address that was established in that list gets its own shares back, which
+// the other one does not hold, so it need not wait for a contact with that one. Any other
+// gateway has to.
 
 #pragma once
 
 #include <LibFleet/BackendRegistry.h>
 
+#include <unordered_set>
+
 namespace Fleet
 {
 
@@ -37,7 +45,7 @@
 
     /**
      * Returns the oldest of the latest contacts with each ready gateway at another address; the time of the summary if there is no other gateway. Nothing if
-     * a contact is unknown.
+     * a contact is unknown. For an established address, gateways that are unconfirmed don't count.
      */
     [[nodiscard]] std::optional<Core::Instant> oldestExcept(const std::string &address) const;
 
@@ -52,8 +60,14 @@
         std::string address;
     };
 
-    // The two oldest, since one of them may be of the gateway that is left out. Invariant: ordered by contact.
-    std::vector<Row> oldest;
+    using Rows = std::vector<Row>;
+    [[nodiscard]] static Rows oldestOf(Rows rows);
+
+    // The two oldest, since one of them may be of the gateway that is left out; of all gateways, and of those that are not unconfirmed. Invariant: ordered by
+    // contact.
+    Rows oldest;
+    Rows oldestConfirmed;
+    std::unordered_set<std::string> establishedAddresses;
     Core::Instant takenAt;
     std::int64_t position{-1};
 };
--- a/Libraries/LibFleet/FleetWatcher.cpp
+++ b/Libraries/LibFleet/FleetWatcher.cpp
@@ -106,6 +106,13 @@
     return haveAll && (this->table.empty() || this->reachableCount() > 0);
 }
 
+bool FleetWatcher::hasReceivedAllGateways() const
+{
+    return std::any_of(this->table.begin(), this->table.end(), [](const auto &item) {
+        return item.second.reachable && item.second.receivedEverything && item.second.hasAllGateways;
+    });
+}
+
 std::vector<Core::Endpoint> FleetWatcher::coordinators() const
 {
     std::vector<Core::Endpoint> endpoints;
@@ -412,6 +419,7 @@
     watched.cursor = reply.cursor;
     watched.gatewayCursor = reply.gatewayCursor;
     watched.hasLeader = reply.hasLeader;
+    watched.hasAllGateways = reply.hasAllGateways;
     for (const auto &announcement : reply.changed) {
         this->backends.merge(announcement, now);
     }
--- a/Libraries/LibFleet/FleetWatcher.h
+++ b/Libraries/LibFleet/FleetWatcher.h
@@ -92,6 +92,8 @@
     [[nodiscard]] std::optional<Core::Instant> lastReplyFrom(const std::string &address) const;
     /** Whether every known coordinator has sent its whole registry, except those that can't be reached; at least one must have, if any is known. */
     [[nodiscard]] bool hasReachableRegistries() const;
+    /** Whether a coordinator that has sent its whole registry stated that its list contains every gateway that may hold quota shares. */
+    [[nodiscard]] bool hasReceivedAllGateways() const;
     /** Whether any coordinator has replied yet. */
     [[nodiscard]] bool hasReceivedUpdate() const;
 
@@ -123,6 +125,8 @@
         std::int64_t crashesReported{0};
         // Whether its updates up to the cursors contained all changes and not only departures.
         bool receivedEverything{false};
+        // Whether it stated, with the registry, that it knows every gateway that may hold quota shares.
+        bool hasAllGateways{false};
         bool inFlight{false};
         // Number of the watch request in flight. The outcome of another one is discarded: an abandoned request may still end, since its channel exists
         // until the call has ended.
--- a/Libraries/LibGateway/Quota/TakeoverWait.cpp
+++ b/Libraries/LibGateway/Quota/TakeoverWait.cpp
@@ -18,9 +18,9 @@
 {
 }
 
-void TakeoverWait::update(bool isMember, bool hasOthers, Core::Instant now)
+void TakeoverWait::update(bool isMember, bool knowsOthers, Core::Instant now)
 {
-    this->aloneSince = hasOthers ? std::nullopt : std::optional(this->aloneSince.value_or(now));
+    this->hasOthers = knowsOthers;
     if (isMember == this->joinedAt.has_value()) {
         return;
     }
@@ -38,7 +38,7 @@
     this->statement = newStatement;
     const auto propagated = std::max(this->joinedAt.value() + this->options.propagationTime, newStatement.listedSince);
     if (newStatement.oldestContact >= propagated && !this->isOver(now)) {
-        this->endAt(now, TakeoverEnd::Contacts);
+        this->endAt(now, this->hasOthers ? TakeoverEnd::Contacts : TakeoverEnd::NoOthers);
     }
 }
 
@@ -47,12 +47,9 @@
     if (!this->joinedAt.has_value() || this->endedAt.has_value()) {
         return this->endedAt.has_value();
     }
-    const auto propagated = this->joinedAt.value() + this->options.propagationTime;
     const auto latest = this->joinedAt.value() + this->options.maximumTime;
     if (now >= latest) {
         this->endAt(latest, TakeoverEnd::MaximumTime);
-    } else if (now >= propagated && this->aloneSince.has_value()) {
-        this->endAt(std::max(propagated, this->aloneSince.value()), TakeoverEnd::NoOthers);
     }
     return this->endedAt.has_value();
 }
--- a/Libraries/LibGateway/Quota/TakeoverWait.h
+++ b/Libraries/LibGateway/Quota/TakeoverWait.h
@@ -30,7 +30,7 @@
 
 /** What ended, or may end, the wait. */
 enum class TakeoverEnd {
-    /** No other gateway is listed. */
+    /** No other gateway is listed, as a coordinator stated that knows all of them. */
     NoOthers,
     /** Every other gateway was in contact with the coordinators after the list with this gateway had reached it. */
     Contacts,
@@ -44,7 +44,7 @@
     explicit TakeoverWait(const TakeoverOptions &options);
 
     /** Whether this gateway is listed, may hold shares and knows other gateways. */
-    void update(bool isMember, bool hasOthers, Core::Instant now);
+    void update(bool isMember, bool knowsOthers, Core::Instant now);
     void recordStatement(const Fleet::ContactStatement &statement, Core::Instant now);
 
     /** Whether shares may be granted from. Ends the wait when its time is over. */
@@ -67,8 +67,7 @@
     TakeoverOptions options;
     // Start of the current uninterrupted period as a member.
     std::optional<Core::Instant> joinedAt;
-    // Since when no other gateway is listed, if none is.
-    std::optional<Core::Instant> aloneSince;
+    bool hasOthers{true};
     std::optional<Fleet::ContactStatement> statement;
     // Set together, when the wait is over.
     std::optional<Core::Instant> endedAt;
--- a/Tests/LibFleet/TestContactSummary.cpp
+++ b/Tests/LibFleet/TestContactSummary.cpp
@@ -51,6 +51,34 @@
     cr_assert(unknown.oldestExcept("d") == at(100));
 }
 
+// Guards against a gateway that is taken for absent, or for in contact, because all coordinators restarted and know of it by their files only: it may be cut
+// off and hold its shares. And against a wait for it where the list that it holds contains the address of the gateway that asks.
+Test(ContactSummary, waitsForRestoredGatewaysUnlessTheAddressWasEstablished)
+{
+    Fleet::BackendRegistry gateways;
+    for (const auto &[name, isEstablished] : {std::pair("cut", true), std::pair("established", true), std::pair("recent", false)}) {
+        Protocol::BackendAnnouncement stored;
+        stored.id = std::string(name) + "/1";
+        stored.address = name;
+        stored.phase = Protocol::BackendPhase::READY;
+        stored.sequence = 1;
+        stored.__set_isEstablished(isEstablished);
+        gateways.restore(stored, at(100));
+    }
+    for (const char *name : {"established", "recent", "new"}) {
+        announce(gateways, std::string(name) + "/2", name);
+        gateways.recordDirectContact(std::string(name) + "/2", at(200));
+    }
+    const Fleet::ContactSummary summary(gateways, at(300));
+    cr_assert_not(summary.oldestExcept("new").has_value(), "the one that is cut off does not know it");
+    cr_assert_not(summary.oldestExcept("recent").has_value(), "the one that is cut off may not have heard of it");
+    cr_assert(summary.oldestExcept("established") == at(200));
+    gateways.recordRemoteHeartbeat("cut/1", at(310));
+    cr_assert_not(Fleet::ContactSummary(gateways, at(320)).oldestExcept("established").has_value(), "it runs, and may have received a later list");
+    gateways.recordContact("cut/1", at(330));
+    cr_assert(Fleet::ContactSummary(gateways, at(340)).oldestExcept("new") == at(200));
+}
+
 // Guards against a wait for the earlier process of a gateway that restarted, and against its contacts that count for the new one.
 Test(ContactSummary, countsTheLatestIncarnationAtAnAddress)
 {
--- a/Tests/LibGateway/TestQuotaLedger.cpp
+++ b/Tests/LibGateway/TestQuotaLedger.cpp
@@ -133,6 +133,9 @@
     ledger.setMayHoldShares(true, at(Core::seconds(10)));
     const auto early = ledger.admit({.workspace = name, .terms = {}}, at(Core::milliseconds(11'900)));
     cr_assert(early.isKeeper && !early.granted && early.freeAfter == Core::milliseconds(100), "the previous keeper may still grant requests");
+    ledger.setContactStatement(
+        {.oldestContact = at(Core::milliseconds(11'200)), .listedSince = at(Core::seconds(10)), .statedAt = at(Core::milliseconds(11'200))},
+        at(Core::milliseconds(11'950)));
     cr_assert(ledger.admit({.workspace = name, .terms = {}}, at(Core::seconds(12))).granted);
     ledger.setMayHoldShares(false, at(Core::seconds(15)));
     cr_assert_not(ledger.admit({.workspace = name, .terms = {}}, at(Core::seconds(20))).isKeeper);
--- a/Tests/LibGateway/TestTakeoverWait.cpp
+++ b/Tests/LibGateway/TestTakeoverWait.cpp
@@ -97,16 +97,21 @@
     cr_assert(wait.isOver(at(19'900)));
 }
 
-// Guards against counting the time before the last other gateway left, while that one granted.
-Test(TakeoverWait, endsWithoutOtherGateways)
+// Guards against a gateway that takes its own list, in which there is no other gateway, for complete: coordinators that have restarted may not know the others.
+// And against counting the time before the last other gateway left, while that one granted.
+Test(TakeoverWait, endsWithoutOtherGatewaysOnlyByAStatement)
 {
     auto alone = joinedWait(false);
-    cr_assert_not(alone.isOver(at(10'999)));
-    cr_assert(alone.isOver(at(11'000)) && alone.end() == TakeoverEnd::NoOthers);
+    cr_assert_not(alone.isOver(at(17'999)));
+    alone.recordStatement({.oldestContact = at(10'999), .listedSince = at(10'000), .statedAt = at(11'000)}, at(11'000));
+    cr_assert_not(alone.isOver(at(11'000)));
+    alone.recordStatement({.oldestContact = at(11'200), .listedSince = at(10'000), .statedAt = at(11'200)}, at(11'300));
+    cr_assert(alone.isOver(at(11'300)) && alone.end() == TakeoverEnd::NoOthers);
     auto leftAlone = joinedWait();
     leftAlone.update(true, false, at(13'000));
-    cr_assert(leftAlone.isOver(at(14'000)));
-    cr_assert(leftAlone.expectedEnd(at(14'000)) == at(13'000));
+    leftAlone.recordStatement({.oldestContact = at(13'200), .listedSince = at(10'000), .statedAt = at(13'200)}, at(13'300));
+    cr_assert(leftAlone.isOver(at(13'300)));
+    cr_assert(leftAlone.expectedEnd(at(14'000)) == at(13'300));
 }
 
 // Guards against a share that grants without confirmation, and against callers who are told a time at which it still grants nothing.
--- a/Tests/Support/TestCoordinator.h
+++ b/Tests/Support/TestCoordinator.h
@@ -55,6 +55,8 @@
         options.log.log.identity.entryAddress = this->watch.toString();
         options.log.log.identity.operatorAddress = this->control.toString();
         options.log.log.appendStorageIdToName = true;
+        // With equal seeds, two voters would become candidates at the same time again and again.
+        options.log.log.seed = std::hash<std::string>()(this->name);
         options.log.send = [this](const Protocol::Member &receiver, Protocol::LogMessage message) {
             this->transport->send(receiver, std::move(message));
         };
