LibGateway: Count a restarted gateway once, and give no work to restored ones

Callers had fewer repeats and connections for 12 s after gateways restarted: the earlier process stays listed for the heartbeat timeout and counted as another gateway (gateways.counted gateways=8 of 5 after three had restarted), by which the slack, the connections of servers and the rate of cold servers are divided. Since coordinators restore the list of gateways, that was also so after a loss of all power, and parts of searches went to gateways that had not started again.

Gateways are counted, and own cells, by address. Unconfirmed gateways are listed for quotas and counts only; watchers are told when one is confirmed.

SlackShares.countARestartedGatewayOnce fails with the former count (three for two).

--- a/Libraries/LibCoordinator/GatewayList.cpp
+++ b/Libraries/LibCoordinator/GatewayList.cpp
@@ -11,7 +11,7 @@
 {
 
 GatewayList::GatewayList(const GatewayListOptions &options, Core::TimerService &timers)
-    : options(options), timers(timers), gateways(Fleet::RegistryOptions{.unconfirmedTimeout = options.unconfirmedTimeout})
+    : options(options), timers(timers), gateways(Fleet::RegistryOptions{.unconfirmedTimeout = options.unconfirmedTimeout, .notifiesOfConfirmation = true})
 {
     this->gateways.changed = [this](const Fleet::BackendRecord &record) {
         auto announcement = record.announcement;
--- a/Libraries/LibFleet/BackendRegistry.cpp
+++ b/Libraries/LibFleet/BackendRegistry.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <string_view>
 #include <unordered_set>
+#include <utility>
 
 namespace Fleet
 {
@@ -59,7 +60,9 @@
     const bool goesBack = rankOf(announcement.phase) < rankOf(held.phase);
     // Rule G2: Within one phase the announcement with the higher sequence prevails.
     const bool samePhase = rankOf(announcement.phase) == rankOf(held.phase);
-    const bool outdated = samePhase && announcement.sequence <= held.sequence;
+    // An unconfirmed record may be confirmed by the announcement that was stored, as another coordinator received it.
+    const bool isOlder = announcement.sequence < held.sequence || (announcement.sequence == held.sequence && !record.confirmBy.has_value());
+    const bool outdated = samePhase && isOlder;
     return !isForeign && !goesBack && !outdated;
 }
 
@@ -101,7 +104,8 @@
     }
     const auto warmUntil = now + Core::milliseconds(announcement.warmupLeftMs);
     const bool turnedCold = warmUntil > std::max(now, record.warmUntil) + this->options.warmupChangeThreshold;
-    const bool hasUpdate = isNew || isNewIncarnation || turnedCold || hasVisibleDifference(record.announcement, announcement);
+    const bool isConfirmed = !isNew && record.confirmBy.has_value() && !restoration.confirmBy.has_value() && this->options.notifiesOfConfirmation;
+    const bool hasUpdate = isNew || isNewIncarnation || turnedCold || isConfirmed || hasVisibleDifference(record.announcement, announcement);
     const bool hasAddress = !announcement.address.empty();
     const auto sequence = std::max(record.announcement.sequence, announcement.sequence);
     const auto born = std::max(record.announcement.born, announcement.born);
@@ -140,7 +144,10 @@
     const auto found = this->records.find(id);
     if (found != this->records.end()) {
         found->second.lastHeartbeat = now;
-        found->second.confirmBy.reset();
+        const bool wasUnconfirmed = std::exchange(found->second.confirmBy, std::nullopt).has_value();
+        if (wasUnconfirmed && this->options.notifiesOfConfirmation) {
+            this->recordChange(found->second);
+        }
     }
 }
 
--- a/Libraries/LibFleet/BackendRegistry.h
+++ b/Libraries/LibFleet/BackendRegistry.h
@@ -76,6 +76,8 @@
      * greater than the usual delay of a heartbeat, since a delay also moves the computed end of the same warm-up.
      */
     Core::Duration warmupChangeThreshold{Core::milliseconds(500)};
+    /** Whether watchers are notified when an unconfirmed record is confirmed. */
+    bool notifiesOfConfirmation{false};
 };
 
 /** Merges announcements of backend servers, or of gateways, into one record for each id. */
--- a/Libraries/LibGateway/CellOwnership.cpp
+++ b/Libraries/LibGateway/CellOwnership.cpp
@@ -6,6 +6,7 @@
 #include <LibGateway/CellOwnership.h>
 
 #include <LibCore/Log.h>
+#include <LibGateway/Quota/QuotaKeepers.h>
 #include <LibGateway/WarmupLimiter.h>
 
 #include <algorithm>
@@ -41,8 +42,10 @@
         return;
     }
     std::map<std::string, std::vector<CellGateway>> byZone;
-    for (const auto *gateway : gateways.ready()) {
-        byZone[gateway->zone].push_back({.name = BackendName(gateway->id), .address = gateway->address});
+    for (auto &gateway : runningGateways(gateways)) {
+        if (!gateway.isUnconfirmed) {
+            byZone[gateway.zone].push_back({.name = std::move(gateway.name), .address = std::move(gateway.address)});
+        }
     }
     this->map.setGateways(std::move(byZone));
     this->gatewaysSince = now;
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -170,20 +170,24 @@
 // gateways that start together become known one after another.
 void GatewayNode::countGateways(Core::Instant now)
 {
-    const int all = this->gateways.readyCount();
-    const int inZone = this->gateways.readyCountIn(this->options.pool.zone.value());
+    if (std::exchange(this->countedPosition, this->gateways.position()) != this->gateways.position()) {
+        const auto running = runningGateways(this->gateways);
+        this->runningCount = static_cast<int>(running.size());
+        this->runningInZone = static_cast<int>(std::count_if(running.begin(), running.end(), [this](const KeeperGateway &gateway) {
+            return gateway.zone == this->options.pool.zone.value();
+        }));
+        this->presentGateways = this->gateways.presentCount();
+    }
+    const int all = this->runningCount;
     if (all >= this->maximumGateways || now - this->maximumAt >= GatewayCountMemory) {
         this->maximumGateways = all;
-        this->gatewaysInZone = inZone;
+        this->gatewaysInZone = this->runningInZone;
         this->maximumAt = now;
     }
     const bool known = this->isReady() && all > 0;
     if (!known) {
         return;
     }
-    if (std::exchange(this->presentPosition, this->gateways.position()) != this->gateways.position()) {
-        this->presentGateways = this->gateways.presentCount();
-    }
     const int sharing = std::max(this->maximumGateways, this->presentGateways);
     if (sharing != this->sharingGateways) {
         Core::logEvent(Core::LogLevel::Information,
@@ -261,7 +265,7 @@
 
 void GatewayNode::updateRelays(const Fleet::BackendRecord &record)
 {
-    if (record.announcement.id == this->incarnationName) {
+    if (record.announcement.id == this->incarnationName || record.confirmBy.has_value()) {
         return;
     }
     Fleet::BackendRecord relay = record;
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -152,7 +152,7 @@
     // The other gateways, stored as backend servers; the gateways of each zone form one service.
     BackendPool relays;
     Fleet::BackendRegistry registry;
-    Fleet::BackendRegistry gateways;
+    Fleet::BackendRegistry gateways{{.notifiesOfConfirmation = true}};
     Fleet::CrashLedger crashes;
     Fleet::FleetWatcher watcher;
     CellOwnership ownership;
@@ -185,7 +185,10 @@
     int sharingGateways{BackendPool::AssumedGateways};
     // BackendRegistry::presentCount() of the gateways at this position of their registry.
     int presentGateways{0};
-    std::int64_t presentPosition{-1};
+    // Position in the changes of the gateway registry as of which gateways were counted; a gateway that restarted counts once.
+    std::int64_t countedPosition{-1};
+    int runningCount{0};
+    int runningInZone{0};
     GatewayCounters counts;
     Metrics::LatencyHistogram searchLatencies;
     Metrics::LatencyHistogram singleLatencies;
--- a/Libraries/LibGateway/Quota/QuotaKeepers.cpp
+++ b/Libraries/LibGateway/Quota/QuotaKeepers.cpp
@@ -34,7 +34,10 @@
     }
     std::vector<KeeperGateway> running;
     for (const auto &[address, record] : byAddress) {
-        running.push_back({.name = BackendName(record->announcement.id), .address = address, .zone = record->announcement.zone});
+        running.push_back({.name = BackendName(record->announcement.id),
+            .address = address,
+            .zone = record->announcement.zone,
+            .isUnconfirmed = record->confirmBy.has_value()});
     }
     return running;
 }
--- a/Libraries/LibGateway/Quota/QuotaKeepers.h
+++ b/Libraries/LibGateway/Quota/QuotaKeepers.h
@@ -49,6 +49,8 @@
     /** Stays the same over restarts. */
     std::string address;
     std::string zone;
+    /** Known from the disk of a coordinator only: it may be cut off and keep quotas, or have ended, and gets no work. */
+    bool isUnconfirmed{false};
 };
 
 /**
--- a/Tests/LibFleet/TestBackendRegistry.cpp
+++ b/Tests/LibFleet/TestBackendRegistry.cpp
@@ -79,6 +79,25 @@
     cr_assert_not(heard.changedSince(0, at(2)).front().isRestored);
 }
 
+// Guards against watchers that keep a record for unconfirmed after its gateway was heard of.
+Test(BackendRegistry, notifiesOfConfirmationsWhereThatIsWanted)
+{
+    for (const bool isWanted : {false, true}) {
+        BackendRegistry coordinator({.notifiesOfConfirmation = isWanted});
+        BackendRegistry watcher({.notifiesOfConfirmation = isWanted});
+        coordinator.restore(announcement(BackendPhase::READY, 7), at(1));
+        watcher.merge(coordinator.changedSince(0, at(1)).front(), at(1));
+        cr_assert_eq(watcher.unconfirmedCount(), 1U);
+        const auto position = coordinator.position();
+        coordinator.recordRemoteHeartbeat("one", at(2));
+        cr_assert_eq(coordinator.changedSince(position, at(2)).size(), isWanted ? 1U : 0U);
+        for (const auto &sent : coordinator.changedSince(position, at(2))) {
+            cr_assert(watcher.merge(sent, at(2)));
+        }
+        cr_assert_eq(watcher.unconfirmedCount(), isWanted ? 0U : 1U);
+    }
+}
+
 Test(BackendRegistry, keepsDrainingAndGoneBackendsFromBecomingReady)
 {
     struct Case {
--- a/Tests/LibGateway/TestSlackShares.cpp
+++ b/Tests/LibGateway/TestSlackShares.cpp
@@ -266,3 +266,31 @@
     cr_assert(metrics.find("crankrudder_gateways_sharing_slack 3\n") != std::string::npos, "this gateway and the two that are cut off");
     cr_assert(metrics.find("crankrudder_gateways 1\n") != std::string::npos, "%s", metrics.c_str());
 }
+
+// Guards against restarted gateways that count twice until the heartbeat timeout of their earlier processes: shares of the slack and of connections were too
+// small for that long, half as large after a loss of all power.
+Test(SlackShares, countARestartedGatewayOnce)
+{
+    TestSupport::NodeFixture fixture;
+    fixture.coordinator.declare(nlohmann::json::parse(R"({"version": 1, "services": [{"name": "a"}], "routes": [
+        {"name": "a", "host": "h.example", "path_prefix": "/", "route_type": "idempotent", "timeout_ms": 1000, "target_latency_ms": 100, "service": "a"}]})"));
+    fixture.addBackend("a", "a-1", "here");
+    Protocol::BackendAnnouncement other;
+    other.zone = "here";
+    other.slots = 1;
+    other.address = "10.0.0.1:1";
+    other.phase = Protocol::BackendPhase::READY;
+    for (const char *id : {"other/1", "other/2"}) {
+        other.id = id;
+        fixture.coordinator.gateways.merge(other, fixture.timers.now());
+    }
+    const auto &node = fixture.addNode("here");
+    cr_assert(fixture.runUntil([&fixture, &node] {
+        return node.node.isReady() && fixture.coordinator.gateways.readyCount() == 3;
+    }));
+    // Gateways are counted once a second.
+    fixture.settle(Core::milliseconds(2200));
+    const auto metrics = node.node.metrics();
+    cr_assert(metrics.find("crankrudder_gateways_sharing_slack 2\n") != std::string::npos, "%s", metrics.c_str());
+    cr_assert(metrics.find("crankrudder_gateways 2\n") != std::string::npos, "%s", metrics.c_str());
+}
