--- a/Libraries/LibCoordinator/CoordinatorNode.cpp
+++ b/Libraries/LibCoordinator/CoordinatorNode.cpp
@@ -434,14 +434,18 @@
     if (folder == nullptr || !this->isStateRestored) {
         return;
     }
-    const auto written = this->gateways.store(*folder);
+    logWrite(this->gateways.store(*folder), this->isGatewayStoreFailing, "gateways.not_written", "gateways.written_again");
+}
+
+void CoordinatorNode::logWrite(const Core::Result<void> &written, bool &isFailing, const char *failedEvent, const char *recoveredEvent)
+{
     const bool failed = !written.has_value();
-    if (failed && !this->isGatewayStoreFailing) {
-        Core::logEvent(Core::LogLevel::Warning, "gateways.not_written", {{"error", written.error().message}});
-    } else if (!failed && this->isGatewayStoreFailing) {
-        Core::logEvent(Core::LogLevel::Information, "gateways.written_again", {});
+    if (failed && !isFailing) {
+        Core::logEvent(Core::LogLevel::Warning, failedEvent, {{"error", written.error().message}});
+    } else if (!failed && isFailing) {
+        Core::logEvent(Core::LogLevel::Information, recoveredEvent, {});
     }
-    this->isGatewayStoreFailing = failed;
+    isFailing = failed;
 }
 
 Core::Result<void> CoordinatorNode::writeBackends()
@@ -466,15 +470,9 @@
 void CoordinatorNode::storeBackends()
 {
     const auto written = this->writeBackends();
-    const bool failed = !written.has_value();
-    if (failed && !this->isStoreFailing) {
-        Core::logEvent(Core::LogLevel::Warning, "registry.not_written", {{"error", written.error().message}});
-    } else if (!failed && this->isStoreFailing) {
-        Core::logEvent(Core::LogLevel::Information, "registry.written_again", {});
-    }
-    this->isStoreFailing = failed;
+    logWrite(written, this->isStoreFailing, "registry.not_written", "registry.written_again");
     for (const auto &done : std::exchange(this->storeHooks, {})) {
-        done(!failed);
+        done(written.has_value());
     }
 }
 
--- a/Libraries/LibCoordinator/CoordinatorNode.h
+++ b/Libraries/LibCoordinator/CoordinatorNode.h
@@ -179,6 +179,8 @@
     void storeSoon();
     void storeBackends();
     [[nodiscard]] Core::Result<void> writeBackends();
+    /** Logs when writes of a file begin to fail, and when they succeed again; `isFailing` is the state after the write before. */
+    static void logWrite(const Core::Result<void> &written, bool &isFailing, const char *failedEvent, const char *recoveredEvent);
     void storeGateways();
     /** Connects the list of gateways to the other coordinators and to watchers. */
     void connectGateways();
--- a/Libraries/LibFleet/BackendRegistry.cpp
+++ b/Libraries/LibFleet/BackendRegistry.cpp
@@ -221,13 +221,6 @@
     return static_cast<int>(addresses.size());
 }
 
-int BackendRegistry::readyCountIn(const std::string &zone) const
-{
-    return static_cast<int>(std::count_if(this->records.begin(), this->records.end(), [&zone](const auto &item) {
-        return item.second.announcement.phase == BackendPhase::READY && item.second.announcement.zone == zone;
-    }));
-}
-
 std::size_t BackendRegistry::expire(Core::Instant now, Core::Duration heartbeatTimeout)
 {
     std::vector<BackendAnnouncement> silent;
--- a/Libraries/LibFleet/BackendRegistry.h
+++ b/Libraries/LibFleet/BackendRegistry.h
@@ -136,8 +136,6 @@
      * address of the silent incarnation before it.
      */
     [[nodiscard]] int presentCount() const;
-    /** How many ready backend servers are in one availability zone. */
-    [[nodiscard]] int readyCountIn(const std::string &zone) const;
 
     /** Applies the heartbeat timeout: ready backend servers that exceed it become silent, draining ones become gone. Returns how many. */
     std::size_t expire(Core::Instant now, Core::Duration heartbeatTimeout);
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -67,8 +67,10 @@
 /** Adds the numbers of relayed parts whose outcome stays unknown. */
 void addLostPartMetrics(Metrics::MetricsPage &page, const LostParts &lost);
 
-/** Adds the counters of quota decisions, of queries to and from other gateways, and the number of quotas of which this gateway holds a share. */
+/** Adds the counters of repeats that gateways lend each other, and of the queries for them. */
 void addLendingMetrics(Metrics::MetricsPage &page, const LendingCounters &counts);
+
+/** Adds the counters of quota decisions, of queries to and from other gateways, and the number of quotas of which this gateway holds a share. */
 void addQuotaMetrics(Metrics::MetricsPage &page, const QuotaLimiter &quotas);
 
 /** Adds how the connections of callers ended. */
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -184,10 +184,10 @@
     // Number of gateways that share the slack of the retry budgets. Includes silent ones: each side of a cut that left the others out would use the whole
     // slack.
     int sharingGateways{BackendPool::AssumedGateways};
-    // BackendRegistry::presentCount() of the gateways at this position of their registry.
-    int presentGateways{0};
-    // Position in the changes of the gateway registry as of which gateways were counted; a gateway that restarted counts once.
+    // As of this position in the changes of the gateway registry: BackendRegistry::presentCount(), and the addresses that have a ready gateway, in all zones
+    // and in this one.
     std::int64_t countedPosition{-1};
+    int presentGateways{0};
     int runningCount{0};
     int runningInZone{0};
     GatewayCounters counts;
--- a/Libraries/LibGateway/RepeatLending.cpp
+++ b/Libraries/LibGateway/RepeatLending.cpp
@@ -103,9 +103,9 @@
     }
     this->lastRound = this->timers.now();
     this->period = std::min(2 * this->period, this->options.maximumPeriod);
+    const auto parts = std::max(1, static_cast<int>(std::min(this->options.queriesAtOnce, this->lenders.size())));
     for (auto &[service, wanted] : shortages) {
-        const auto parts = static_cast<int>(std::min(this->options.queriesAtOnce, this->lenders.size()));
-        wanted = std::min(MaximumLoan, (wanted + parts - 1) / std::max(1, parts));
+        wanted = std::min(MaximumLoan, (wanted + parts - 1) / parts);
     }
     for (std::size_t count = 0; count < this->options.queriesAtOnce; ++count) {
         if (auto *backend = this->nextLender(); backend != nullptr) {
--- a/Libraries/LibGateway/RetryBudget.cpp
+++ b/Libraries/LibGateway/RetryBudget.cpp
@@ -86,6 +86,18 @@
     return isHeld ? this->repeats[static_cast<std::size_t>(slice % RepeatSlices)] : 0.0;
 }
 
+RetryBudget::SliceSums RetryBudget::sumsAt(std::int64_t slice) const
+{
+    const auto first = slice - SlicesInWindow;
+    SliceSums sums{.repeats = this->repeatsIn(first)};
+    for (std::int64_t number = 1; number <= SlicesInWindow + LoanSlices; ++number) {
+        sums.requests += this->requestsIn(first + number);
+        sums.repeats += this->repeatsIn(first + number);
+        sums.requestsBefore += number < SlicesInWindow ? this->requestsIn(first - number) : 0.0;
+    }
+    return sums;
+}
+
 void RetryBudget::recordRequest(Core::Instant now)
 {
     this->advance(now);
@@ -96,38 +108,32 @@
 
 // Looks at the windows that end now and whole slices later, until the last repeat has left. What will be received later is unknown and counts as nothing. Of
 // the slices in which a window begins and ends, the requests count by the part that lies in the window, and the repeats as a whole.
-double RetryBudget::headroomAt(Core::Instant now, double slackShare) const
+double RetryBudget::headroomWith(SliceSums sums, Core::Instant now, double slackShare) const
 {
     const auto slice = this->sliceNumberAt(now);
     const double elapsed = static_cast<double>((now.sinceStart() % this->sliceLength()).count()) / static_cast<double>(this->sliceLength().count());
     const double slack = now < this->options.slackFrom + this->loanValidity() ? 0.0 : this->options.slack * slackShare;
-    auto first = slice - SlicesInWindow;
-    // Whole slices after the one in which the window begins, and in the window before it.
-    double inWindow = 0.0;
-    double inWindowBefore = 0.0;
-    double repeatsInWindow = this->repeatsIn(first);
-    for (std::int64_t number = 1; number <= SlicesInWindow + LoanSlices; ++number) {
-        inWindow += this->requestsIn(first + number);
-        repeatsInWindow += this->repeatsIn(first + number);
-        inWindowBefore += number < SlicesInWindow ? this->requestsIn(first - number) : 0.0;
-    }
     double headroom = std::numeric_limits<double>::max();
-    for (; first <= slice + LoanSlices; ++first) {
+    for (auto first = slice - SlicesInWindow; first <= slice + LoanSlices; ++first) {
         // The current slice has been received before now, so that a window that begins now contains nothing of it.
         const double elapsedOfFirst = first < slice ? elapsed : 1.0;
         const double boundary = this->requestsIn(first);
-        const double requestsInWindow = inWindow + (1.0 - elapsedOfFirst) * boundary;
-        const double requestsBefore = inWindowBefore + elapsedOfFirst * boundary + (1.0 - elapsed) * this->requestsIn(first - SlicesInWindow);
-        const double allowed
-            = this->options.ratio * ((1.0 - this->options.shareBefore) * requestsInWindow + this->options.shareBefore * requestsBefore) + slack;
-        headroom = std::min(headroom, this->options.usedShare * allowed - repeatsInWindow);
-        inWindow -= this->requestsIn(first + 1);
-        inWindowBefore += boundary - this->requestsIn(first - SlicesInWindow + 1);
-        repeatsInWindow -= this->repeatsIn(first);
+        const double requests = sums.requests + (1.0 - elapsedOfFirst) * boundary;
+        const double requestsBefore = sums.requestsBefore + elapsedOfFirst * boundary + (1.0 - elapsed) * this->requestsIn(first - SlicesInWindow);
+        const double allowed = this->options.ratio * (requests + requestsBefore) / 2.0 + slack;
+        headroom = std::min(headroom, this->options.usedShare * allowed - sums.repeats);
+        sums.requests -= this->requestsIn(first + 1);
+        sums.requestsBefore += boundary - this->requestsIn(first - SlicesInWindow + 1);
+        sums.repeats -= this->repeatsIn(first);
     }
     return headroom;
 }
 
+double RetryBudget::headroomAt(Core::Instant now, double slackShare) const
+{
+    return this->headroomWith(this->sumsAt(this->sliceNumberAt(now)), now, slackShare);
+}
+
 double RetryBudget::borrowedAt(Core::Instant now) const
 {
     double borrowed = 0.0;
@@ -148,20 +154,10 @@
 
 BudgetUse RetryBudget::useAt(Core::Instant now, double slackShare) const
 {
-    const auto slice = this->sliceNumberAt(now);
-    double requestsInWindow = 0.0;
-    double repeatsInWindow = 0.0;
-    for (auto number = slice - SlicesInWindow; number <= slice + LoanSlices; ++number) {
-        requestsInWindow += number > slice - SlicesInWindow ? this->requestsIn(number) : 0.0;
-        repeatsInWindow += this->repeatsIn(number);
-    }
+    const auto sums = this->sumsAt(this->sliceNumberAt(now));
     const double borrowed = this->borrowedAt(now);
-    const double limit = repeatsInWindow + std::max(0.0, this->headroomAt(now, slackShare)) + borrowed;
-    return {.repeats = repeatsInWindow,
-        .requests = requestsInWindow,
-        .limit = limit,
-        .borrowed = borrowed,
-        .threshold = this->thresholdFor(repeatsInWindow, limit)};
+    const double limit = sums.repeats + std::max(0.0, this->headroomWith(sums, now, slackShare)) + borrowed;
+    return {.repeats = sums.repeats, .requests = sums.requests, .limit = limit, .borrowed = borrowed, .threshold = this->thresholdFor(sums.repeats, limit)};
 }
 
 // ---- Repeats
--- a/Libraries/LibGateway/RetryBudget.h
+++ b/Libraries/LibGateway/RetryBudget.h
@@ -40,8 +40,6 @@
      * is wrong for a moment.
      */
     double usedShare{0.95};
-    /** Part of what a request earns that counts in the window after it; the rest counts in its own window. */
-    double shareBefore{0.5};
     /**
      * Fraction of the limit that is granted to repeats of any value above 0. Over the rest the least value that gets a repeat rises linearly from 0 to the
      * highest value. A limit of up to three repeats is too small to keep any of them back, and each goes to the first that asks.
@@ -118,10 +116,19 @@
     /** Moves the counters on to the slice of this time. */
     void advance(Core::Instant now);
     [[nodiscard]] std::int64_t sliceNumberAt(Core::Instant now) const;
+    /** Counts of whole slices: requests in the window that ends now and in the one before it, without the slices that lie in a window in part only, and
+     * repeats. */
+    struct SliceSums {
+        double requests{0.0};
+        double requestsBefore{0.0};
+        double repeats{0.0};
+    };
+    [[nodiscard]] SliceSums sumsAt(std::int64_t slice) const;
     [[nodiscard]] double requestsIn(std::int64_t slice) const;
     [[nodiscard]] double repeatsIn(std::int64_t slice) const;
     /** Returns how many more repeats may be sent or lent now, so that no window that ends now or later exceeds the limit. */
     [[nodiscard]] double headroomAt(Core::Instant now, double slackShare) const;
+    [[nodiscard]] double headroomWith(SliceSums sums, Core::Instant now, double slackShare) const;
     [[nodiscard]] double borrowedAt(Core::Instant now) const;
     /** Consumes a borrowed repeat. Returns false if there is none. */
     [[nodiscard]] bool consumeLoan(Core::Instant now);
--- a/Tests/LibGateway/TestSlackShares.cpp
+++ b/Tests/LibGateway/TestSlackShares.cpp
@@ -241,13 +241,24 @@
     cr_assert_geq(maximumOfAllSeeds, static_cast<int>(0.6 * Slack), "the slack should be used, but at most %d repeats of it were consumed", maximumOfAllSeeds);
 }
 
-// Each side of a cut counted only its own gateways once the others had been silent for 15 s, and used the whole slack.
-Test(SlackShares, countSilentGateways)
+namespace
+{
+
+/** Declares a service and adds a backend server of it, without which a gateway is not ready. */
+void declareService(TestSupport::NodeFixture &fixture)
 {
-    TestSupport::NodeFixture fixture;
     fixture.coordinator.declare(nlohmann::json::parse(R"({"version": 1, "services": [{"name": "a"}], "routes": [
         {"name": "a", "host": "h.example", "path_prefix": "/", "route_type": "idempotent", "timeout_ms": 1000, "target_latency_ms": 100, "service": "a"}]})"));
     fixture.addBackend("a", "a-1", "here");
+}
+
+}
+
+// Each side of a cut counted only its own gateways once the others had been silent for 15 s, and used the whole slack.
+Test(SlackShares, countSilentGateways)
+{
+    TestSupport::NodeFixture fixture;
+    declareService(fixture);
     Protocol::BackendAnnouncement other;
     other.zone = "there";
     other.slots = 1;
@@ -272,9 +283,7 @@
 Test(SlackShares, countARestartedGatewayOnce)
 {
     TestSupport::NodeFixture fixture;
-    fixture.coordinator.declare(nlohmann::json::parse(R"({"version": 1, "services": [{"name": "a"}], "routes": [
-        {"name": "a", "host": "h.example", "path_prefix": "/", "route_type": "idempotent", "timeout_ms": 1000, "target_latency_ms": 100, "service": "a"}]})"));
-    fixture.addBackend("a", "a-1", "here");
+    declareService(fixture);
     Protocol::BackendAnnouncement other;
     other.zone = "here";
     other.slots = 1;
