LibFleet: Let readers of crash records catch up with removed ones

Cause: position() is that of the latest change, also when its record was removed since, while positionAfter() returned the position of the last record that is left. No reply brought a reader up to position(), so that each of its requests was answered as one that lacks something.

A reader that was sent all records that are left has no more to learn, and now stands at position(). The other positions were read with this in mind: those of the registries and of the stores are copied from position(), and can always be reached.

CrashLedger/readersCatchUpWithChangesOfRemovedRecords fails without the fix. The processor time of coordinators was not measured again.

--- a/Libraries/LibFleet/CrashLedger.cpp
+++ b/Libraries/LibFleet/CrashLedger.cpp
@@ -317,7 +317,10 @@
 std::int64_t CrashLedger::positionAfter(std::int64_t position, CrashRecords selection, std::size_t maximum) const
 {
     const auto found = this->after(position, selection);
-    return found.empty() ? position : positionOf(found[std::min(found.size(), maximum) - 1]->second, selection);
+    if (found.size() <= maximum) {
+        return std::max(position, this->position(selection));
+    }
+    return maximum == 0 ? position : positionOf(found[maximum - 1]->second, selection);
 }
 
 // ---- Retention
--- a/Libraries/LibFleet/CrashLedger.h
+++ b/Libraries/LibFleet/CrashLedger.h
@@ -122,7 +122,10 @@
         std::int64_t position, CrashRecords selection, Core::Instant now, std::size_t maximum = SIZE_MAX) const;
     /** Position of the latest change; 0 if there was none. */
     [[nodiscard]] std::int64_t position(CrashRecords selection) const;
-    /** Position of the last one of the records that changedSince() returns; `position` if it returns none. */
+    /**
+     * Position up to which a reader of changedSince() with this position and maximum knows all changes: that of the last record in the list, or position() if
+     * there are no further ones. Positions of records that were removed are passed over.
+     */
     [[nodiscard]] std::int64_t positionAfter(std::int64_t position, CrashRecords selection, std::size_t maximum) const;
 
     /** Removes records whose retention is over. */
--- a/Tests/LibFleet/TestCrashLedger.cpp
+++ b/Tests/LibFleet/TestCrashLedger.cpp
@@ -244,3 +244,23 @@
     cr_assert_eq(received.size(), Requests);
     cr_assert_eq(position, ledger.position(CrashRecords::Own));
 }
+
+// Coordinators replied to each other without end: the latest change was that of a record that had been removed, and no reply brought a reader up to it.
+Test(CrashLedger, readersCatchUpWithChangesOfRemovedRecords)
+{
+    CrashLedger ledger;
+    ledger.recordCrash(crash("first", "a", 0, 100));
+    auto answered = crash("second", "b", 0, 200);
+    answered.digest = RequestDigest("answered");
+    ledger.recordCrash(answered);
+    ledger.recordAnswer(answered.digest, at(300));
+    ledger.forget(at(100'000));
+    cr_assert_eq(ledger.size(), 1);
+    for (const auto selection : {CrashRecords::All, CrashRecords::Own}) {
+        std::int64_t position = 0;
+        for (int reply = 0; reply < 2; ++reply) {
+            position = ledger.positionAfter(position, selection, 1);
+        }
+        cr_assert_eq(position, ledger.position(selection));
+    }
+}
