LibGateway: Keep the splits that a declaration leaves as they are

Cause: a gateway chooses the target that is furthest behind its share, and each declaration reset how far, for all routes. At two requests a second most requests were the first after a reset, and that went to the heaviest target, or to the first one. Ruled out: refusals, since a request goes to the service that was chosen for it or to none.

TargetSplits keeps a split while its targets and weights stay. One that is new begins at a random position of its sequence, so that the first request has the chance of its weight as well, and gateways that begin together do not prefer one service together; resetting to the start only when a split changes would keep the fault for changes of weights.

--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -66,6 +66,7 @@
     , quotas(this->options.quotas, this->options.pool.regions, this->options.pool.zone.value(), this->options.relayEndpoint.toString(), this->relays, timers)
     , lending({.ownAddress = this->options.relayEndpoint.toString()}, this->pool, this->relays, timers)
     , admission(this->quotas)
+    , targetSplits(Core::randomNumber)
     , stop(timers)
     , lastReachableAt(timers.now())
     , incarnationName(this->options.name + "/" + Core::randomToken().substr(0, 8))
@@ -303,7 +304,7 @@
     for (const auto &[id, request] : this->requests) {
         request->restrictTo(*this->routes);
     }
-    this->credits.clear();
+    this->targetSplits.applyDeclaration(*declaration.value());
     Core::logEvent(Core::LogLevel::Information,
         "declaration.in_force",
         {{"version", version.value()},
@@ -566,7 +567,7 @@
     answer(this->options.dialect.writePartial(query.id, writeQuotaReply(reply, received.query.terms.has_value())));
 }
 
-// ---- Refusals and targets
+// ---- Refusals
 
 // Removes the API key from the request once its workspace is found, so that the key is not forwarded.
 const Fleet::Workspace *GatewayNode::authenticate(CallerRequest &request) const
@@ -597,26 +598,6 @@
     answer(this->options.dialect.writeRefusal(refusal, request.id, retryAfter.value_or(defaultRetryAfter)));
 }
 
-Core::ServiceName GatewayNode::chooseTarget(const Fleet::Route &route)
-{
-    if (route.targets.size() == 1) {
-        return route.targets.front().service;
-    }
-    // Chooses the target that is furthest behind its share of the requests, so that the shares hold over short periods, too.
-    double total = 0.0;
-    for (const auto &target : route.targets) {
-        total += target.weight;
-    }
-    auto &targetCredits = this->credits[route.name];
-    targetCredits.resize(route.targets.size(), 0.0);
-    for (std::size_t index = 0; index < targetCredits.size(); ++index) {
-        targetCredits[index] += route.targets[index].weight / total;
-    }
-    const auto chosen = std::max_element(targetCredits.begin(), targetCredits.end());
-    *chosen -= 1.0;
-    return route.targets[static_cast<std::size_t>(chosen - targetCredits.begin())].service;
-}
-
 void GatewayNode::handleRelayed(Wire::Request message, const Wire::ExchangePointer &exchange)
 {
     auto parameters = extractRelayParameters(message.headers);
@@ -818,7 +799,8 @@
     }
     const auto context = this->contextFor(route, workspace, std::nullopt);
     if (!route.isFanOut()) {
-        this->run(std::make_unique<SingleRequest>(context, this->routes, route, std::move(request), this->chooseTarget(route)), exchange, answerTo(exchange));
+        this->run(
+            std::make_unique<SingleRequest>(context, this->routes, route, std::move(request), this->targetSplits.choose(route)), exchange, answerTo(exchange));
         return;
     }
     this->ownership.recordSearch();
--- a/Libraries/LibGateway/GatewayNode.h
+++ b/Libraries/LibGateway/GatewayNode.h
@@ -16,6 +16,7 @@
 #include <LibGateway/GatewayMetrics.h>
 #include <LibGateway/Quota/QuotaAdmission.h>
 #include <LibGateway/Scheduling/StopAdmission.h>
+#include <LibGateway/TargetSplits.h>
 #include <LibMetrics/LatencyHistogram.h>
 #include <LibWire/Server.h>
 
@@ -139,7 +140,6 @@
         const RoutedRequest::AnswerHook &answer,
         const char *outcome,
         std::optional<Core::Duration> retryAfter = std::nullopt);
-    [[nodiscard]] Core::ServiceName chooseTarget(const Fleet::Route &route);
     [[nodiscard]] bool knowsEveryService() const;
     void count(const RequestSummary &summary);
     void log(const RequestSummary &summary);
@@ -159,13 +159,12 @@
     QuotaLimiter quotas;
     RepeatLending lending;
     QuotaAdmission admission;
+    TargetSplits targetSplits;
     StopAdmission stop;
     // When housekeeping last found a reachable coordinator.
     Core::Instant lastReachableAt;
     // The newest declaration that was received. Requests are served by it once a coordinator has confirmed that it is current.
     std::shared_ptr<const Fleet::RouteTable> routes;
-    // For each route with several targets: how many requests each target is behind its share.
-    std::unordered_map<std::string, std::vector<double>> credits;
     // Latencies of backend servers' replies and of parts served by other gateways, by route.
     std::unordered_map<std::string, Core::LatencyDigest> latencies;
     std::unordered_map<std::string, Core::LatencyDigest> relayLatencies;
