LibGateway: Treat a server as cold while nobody tells that it is warm

Cause: "warm" and "nothing known" were the same value. Coordinators restored their servers with a warm-up of 0, and a gateway judged by the end of the warm-up alone, however old that news was.

A gateway now knows as of when its registry is that of a coordinator that has a leader and has heard of every server. The time counts from when the reply was made, so that a pause of the gateway does not make it look newer. Beyond 0.6 s a server is unknown: it gets the share of a cold one, and one more request for each answer of its health path that says that it is warm. A check begins for a request that waits, one at a time, so that at most one such answer per gateway can precede the turn to cold, at any rate of requests. While a gateway sends to servers with a warm-up limit its watch requests are held for 0.2 s instead of 1.8 s.

--- a/Libraries/LibCoordinator/CoordinatorNode.cpp
+++ b/Libraries/LibCoordinator/CoordinatorNode.cpp
@@ -47,6 +47,7 @@
 CoordinatorNode::CoordinatorNode(CoordinatorOptions options, Core::TimerService &timers)
     : options(std::move(options))
     , timers(timers)
+    , startedAt(timers.now())
     , incarnation(static_cast<std::int64_t>(Core::randomNumber() >> 1U))
     , registry(Fleet::RegistryOptions{.unconfirmedTimeout = this->options.heartbeats.unconfirmedTimeout})
     , departures({.name = this->options.log.log.identity.name, .requiredCopies = this->options.membership.targetVoters / 2 + 1}, timers)
@@ -159,6 +160,11 @@
     this->gateways.isReceivedComplete = [this] {
         return this->peers->hasReceivedAllGateways();
     };
+    // A backend server that another coordinator did not know either, or that it heard of before it ended, is heard of again by then.
+    this->watchService->isRegistryConfirmed = [this] {
+        const bool hasHeardAll = this->timers.now() - this->startedAt >= this->options.heartbeats.unconfirmedTimeout;
+        return hasHeardAll && this->isStateRestored && this->registry.unconfirmedCount() == 0;
+    };
     this->watchService->hasAllGateways = [this] {
         return this->gateways.isComplete();
     };
--- a/Libraries/LibCoordinator/CoordinatorNode.h
+++ b/Libraries/LibCoordinator/CoordinatorNode.h
@@ -191,6 +191,7 @@
 
     CoordinatorOptions options;
     Core::TimerService &timers;
+    Core::Instant startedAt;
     std::int64_t incarnation;
     Fleet::BackendRegistry registry;
     RegistryStore store;
--- a/Libraries/LibCoordinator/WatchService.cpp
+++ b/Libraries/LibCoordinator/WatchService.cpp
@@ -105,6 +105,9 @@
 {
     const auto now = this->timers.now();
     WaitingWatcher watcher{.request = request, .done = done, .receivedAt = now, .deadline = now + this->options.longPollTimeout};
+    if (request.__isset.maximumHoldMs) {
+        watcher.deadline = std::min(watcher.deadline, now + Core::milliseconds(std::max(0, request.maximumHoldMs)));
+    }
     if (request.wantsContacts) {
         this->contactsExchangedUntil = now + ContactsWantedTime;
         this->contactsWantedUntil = request.wantsHeard ? this->contactsWantedUntil : now + ContactsWantedTime;
@@ -299,6 +302,10 @@
     if (request.evacuationRevision < revision || (confirmed && request.evacuationRevision != revision)) {
         reply.__set_evacuations(this->log.evacuations());
     }
+    reply.__set_isRegistryConfirmed(this->isRegistryConfirmed && this->isRegistryConfirmed());
+    if (request.__isset.maximumHoldMs) {
+        reply.__set_heldMs(static_cast<std::int32_t>(Core::toMilliseconds(this->timers.now() - watcher.receivedAt)));
+    }
     this->addContacts(reply, watcher);
     reply.confirmed = confirmed;
     const auto *replicated = this->log.log();
--- a/Libraries/LibCoordinator/WatchService.h
+++ b/Libraries/LibCoordinator/WatchService.h
@@ -67,6 +67,9 @@
     std::function<bool()> knowsAllGateways;
     /** Returns whether the list of gateways contained, as of the last restart or exchange, every gateway that may hold quota shares; never if not set. */
     std::function<bool()> hasAllGateways;
+    /** Returns whether every ready backend server in the registry has been heard of since it was restored (WatchReply::isRegistryConfirmed); never if not set.
+     */
+    std::function<bool()> isRegistryConfirmed;
     /** Returns the latest time as of which all changes of another coordinator were received here, by its address. */
     std::function<std::optional<Core::Instant>(const std::string &address)> syncedWith;
 
--- a/Libraries/LibFleet/BackendRegistry.cpp
+++ b/Libraries/LibFleet/BackendRegistry.cpp
@@ -87,6 +87,7 @@
     }
     const bool isNewIncarnation = !isNew && announcement.born > record.announcement.born;
     if (isNewIncarnation) {
+        this->setConfirmBy(record, std::nullopt);
         // Everything recorded of the earlier incarnation is reset, except the position of its change, by which the record stands in byChange.
         record = BackendRecord{.announcement = {},
             .discardHeartbeatsUntil = {},
@@ -121,7 +122,7 @@
     record.warmUntil = warmUntil;
     record.lastHeartbeat = now;
     record.lastMerged = now;
-    record.confirmBy = restoration.confirmBy;
+    this->setConfirmBy(record, restoration.confirmBy);
     if (hasUpdate) {
         this->recordChange(record);
     }
@@ -144,7 +145,8 @@
     const auto found = this->records.find(id);
     if (found != this->records.end()) {
         found->second.lastHeartbeat = now;
-        const bool wasUnconfirmed = std::exchange(found->second.confirmBy, std::nullopt).has_value();
+        const bool wasUnconfirmed = found->second.confirmBy.has_value();
+        this->setConfirmBy(found->second, std::nullopt);
         if (wasUnconfirmed && this->options.notifiesOfConfirmation) {
             this->recordChange(found->second);
         }
@@ -280,9 +282,7 @@
 
 std::size_t BackendRegistry::unconfirmedCount() const
 {
-    return static_cast<std::size_t>(std::count_if(this->records.begin(), this->records.end(), [](const auto &item) {
-        return item.second.confirmBy.has_value();
-    }));
+    return this->unconfirmed;
 }
 
 std::vector<BackendAnnouncement> BackendRegistry::establish(Core::Instant now, Core::Duration time)
@@ -312,6 +312,7 @@
         const bool hasEnded = record.announcement.phase == BackendPhase::GONE || record.announcement.phase == BackendPhase::SILENT;
         const bool isOver = hasEnded && now - record.lastHeartbeat >= this->options.retention;
         if (isOver) {
+            this->unconfirmed -= record.confirmBy.has_value() ? 1 : 0;
             this->byChange.erase(record.changePosition);
             if (this->forgotten) {
                 this->forgotten(item.first);
@@ -367,6 +368,13 @@
     return this->records.size();
 }
 
+void BackendRegistry::setConfirmBy(BackendRecord &record, std::optional<Core::Instant> time)
+{
+    this->unconfirmed -= record.confirmBy.has_value() ? 1 : 0;
+    this->unconfirmed += time.has_value() ? 1 : 0;
+    record.confirmBy = time;
+}
+
 void BackendRegistry::recordChange(BackendRecord &record)
 {
     this->byChange.erase(record.changePosition);
--- a/Libraries/LibFleet/BackendRegistry.h
+++ b/Libraries/LibFleet/BackendRegistry.h
@@ -174,6 +174,7 @@
     /** Whether the merge rules let an announcement change the record of its backend server. */
     [[nodiscard]] static bool isCurrent(const BackendRecord &record, const Protocol::BackendAnnouncement &announcement);
     void recordChange(BackendRecord &record);
+    void setConfirmBy(BackendRecord &record, std::optional<Core::Instant> time);
     void markSilent(Protocol::BackendAnnouncement announcement, Core::Instant now);
 
     RegistryOptions options;
@@ -182,6 +183,8 @@
     std::map<std::int64_t, std::string> byChange;
     std::int64_t changes{0};
     std::int64_t latestDeparture{0};
+    // Invariant: the number of records with a `confirmBy`.
+    std::size_t unconfirmed{0};
 };
 
 }
--- a/Libraries/LibFleet/Declaration.h
+++ b/Libraries/LibFleet/Declaration.h
@@ -37,6 +37,8 @@
     Core::Duration warmupTime{0};
     /** Requests per second that a cold backend server can serve from all clients together; 0 when not declared, and then there is no warm-up limit. */
     double warmupRequestsPerSecond{0.0};
+    /** Target of requests for the health of a backend server; empty when not declared. */
+    std::string healthPath;
 };
 
 /** A service that receives a share of a route's requests. */
--- a/Libraries/LibFleet/FleetWatcher.cpp
+++ b/Libraries/LibFleet/FleetWatcher.cpp
@@ -79,6 +79,11 @@
     return this->latestLeaderSync;
 }
 
+std::optional<Core::Instant> FleetWatcher::registryConfirmedAt() const
+{
+    return this->latestConfirmedRegistry;
+}
+
 const std::optional<ContactStatement> &FleetWatcher::contactStatement() const
 {
     return this->latestStatement;
@@ -232,6 +237,9 @@
     if (own.has_value()) {
         request.__set_gateway(own.value());
     }
+    if (const auto hold = wantsEverything && this->maximumHold ? this->maximumHold() : std::nullopt; hold.has_value()) {
+        request.__set_maximumHoldMs(static_cast<std::int32_t>(Core::toMilliseconds(hold.value())));
+    }
     // A coordinator states contacts to a gateway only with the whole registry, since only then it knows which list the gateway holds.
     const bool mayWantContacts = this->options.wantsHeard || (wantsEverything && own.has_value());
     if (mayWantContacts && this->wantsContacts && this->wantsContacts()) {
@@ -455,6 +463,9 @@
     const auto repliedAt = watched.requestedAt + Core::milliseconds(std::max(0, reply.heldMs));
     const bool hasEverything = request.registryInterest == Protocol::RegistryInterest::EVERYTHING;
     watched.syncedAt = hasEverything ? std::optional(repliedAt) : std::nullopt;
+    if (hasEverything && reply.hasLeader && reply.isRegistryConfirmed) {
+        this->latestConfirmedRegistry = std::max(this->latestConfirmedRegistry, std::optional(repliedAt));
+    }
     for (const auto &[id, ageMs] : reply.contactAgesMs) {
         this->gateways.recordContact(id, repliedAt - Core::milliseconds(std::max(0, ageMs)));
     }
--- a/Libraries/LibFleet/FleetWatcher.h
+++ b/Libraries/LibFleet/FleetWatcher.h
@@ -84,6 +84,11 @@
      * as recent as this time.
      */
     [[nodiscard]] std::optional<Core::Instant> lastLeaderSync() const;
+    /**
+     * As of when the records of all ready backend servers here are known to be those of a coordinator that heard of each of them and knows a leader; nothing
+     * until it stated that. A backend server that turned cold before this time is known to be cold.
+     */
+    [[nodiscard]] std::optional<Core::Instant> registryConfirmedAt() const;
     /** The latest statement about contacts with the other gateways, if any; it is requested while `wantsContacts` returns true. */
     [[nodiscard]] const std::optional<ContactStatement> &contactStatement() const;
     /** The latest time as of which all changes of the coordinator at an address were received here; nothing for an unknown one. */
@@ -103,6 +108,8 @@
     std::function<std::optional<Protocol::BackendAnnouncement>()> ownAnnouncement;
     /** Returns whether contacts with gateways are requested (WatchRequest::wantsContacts); never if not set. */
     std::function<bool()> wantsContacts;
+    /** Returns for how long a request for the whole registry may be held; not limited if not set, or without a value (WatchRequest::maximumHoldMs). */
+    std::function<std::optional<Core::Duration>()> maximumHold;
     /** The newest evacuations that this watcher has received. */
     [[nodiscard]] const Protocol::Evacuations &evacuations() const;
 
@@ -188,6 +195,7 @@
     Protocol::Evacuations evacuated;
     bool receivedReply{false};
     std::optional<Core::Instant> latestLeaderSync;
+    std::optional<Core::Instant> latestConfirmedRegistry;
     std::optional<ContactStatement> latestStatement;
     // The text of the last received declaration, as the base of the next delta. Not compressed, since each change needs it.
     std::string declarationText;
--- a/Libraries/LibGateway/Backend.h
+++ b/Libraries/LibGateway/Backend.h
@@ -64,6 +64,15 @@
     std::function<void(const AttemptOutcome &outcome)> done;
 };
 
+/** The latest answer of a backend server itself about its warm-up; see WarmthChecks. */
+struct WarmthAnswer {
+    /** How many more requests may be sent because of it, and until when. */
+    int sendsLeft{0};
+    Core::Instant validUntil;
+    /** The latest check failed; the next one is not begun before this time. */
+    Core::Instant noCheckBefore;
+};
+
 /** One incarnation of a backend server. */
 struct Backend {
     BackendName name;
@@ -79,6 +88,7 @@
     int slots{1};
     Protocol::BackendPhase::type phase{Protocol::BackendPhase::READY};
     Core::Instant warmUntil;
+    WarmthAnswer warmthAnswer;
 
     BackendHealth health;
     // Shared by the backend servers of a service.
--- a/Libraries/LibGateway/BackendPool.cpp
+++ b/Libraries/LibGateway/BackendPool.cpp
@@ -13,6 +13,7 @@
 #include <iterator>
 #include <nlohmann/json.hpp>
 #include <numeric>
+#include <utility>
 
 namespace Gateway
 {
@@ -21,6 +22,9 @@
 // Sweep period while no attempt is in flight and no request waits for capacity. Sweeps then only close idle connections, and an expired connection is also
 // closed before the next send picks one.
 static constexpr Core::Duration IdleSweepPeriod = Core::milliseconds(250);
+// How often a gateway needs news about the warm-up of backend servers, and for how long after it sent to one with a warm-up limit.
+static constexpr Core::Duration WarmthUpdatePeriod = Core::milliseconds(200);
+static constexpr Core::Duration WarmthInterestTime = Core::seconds(10);
 // Shortest typical latency against which speed is judged; the event loop's own delays are of this order.
 static constexpr Core::Duration ShortestTypicalLatency = Core::milliseconds(1);
 
@@ -30,6 +34,7 @@
     , timers(timers)
     , choice(this->options.choice)
     , warmupLimiter(this->options.warmup)
+    , warmthChecks(this->options.warmthChecks, timers, this->makeWarmthCheckHooks())
     , crashChecks(timers, this->makeCrashCheckHooks())
     , connector(this->connectorOptions(), poll, timers, this->makeConnectorHooks())
     , waiters(timers, this->makeCapacityHooks())
@@ -138,6 +143,7 @@
         row.connectionCap = declared.connectionCap;
         row.warmupTime = declared.warmupTime;
         row.warmupRequestsPerSecond = declared.warmupRequestsPerSecond;
+        row.healthPath = declared.healthPath;
     }
 }
 
@@ -259,7 +265,7 @@
     }
     std::vector<Backend *> candidates;
     std::copy_if(found->second.backends.begin(), found->second.backends.end(), std::back_inserter(candidates), [&](const Backend *backend) {
-        return this->isEligible(*backend, allowedRegions) && this->hasCapacity(*backend, found->second);
+        return this->isEligible(*backend, allowedRegions) && (this->hasCapacity(*backend, found->second) || this->hasUnknownCapacity(*backend, found->second));
     });
     return this->choice.goodZones(candidates, typicalLatency, this->timers.now());
 }
@@ -340,9 +346,17 @@
 
 bool BackendPool::hasCapacity(const Backend &backend, const Service &service, const CallerRequest *request) const
 {
-    if (!this->isWithinWarmupLimit(backend, service)) {
-        return false;
-    }
+    return this->isWithinWarmupLimit(backend, service) && this->hasFreeConnection(backend, service, request);
+}
+
+bool BackendPool::hasUnknownCapacity(const Backend &backend, const Service &service, const CallerRequest *request) const
+{
+    const bool isUnknown = this->warmthOf(backend, service) == Warmth::Unknown;
+    return isUnknown && this->warmthChecks.mayTell(backend) && this->hasFreeConnection(backend, service, request);
+}
+
+bool BackendPool::hasFreeConnection(const Backend &backend, const Service &service, const CallerRequest *request) const
+{
     const bool takesMore = backend.connectionRejected.hasElapsed(this->timers.now());
     const auto limit = this->connectionLimit(backend, service);
     if (takesMore && backend.connections.size() < limit) {
@@ -381,16 +395,115 @@
     return takesWork && !this->evacuatedZones.contains(backend.zone) && allowedRegions.allows(backend.region);
 }
 
+// ---- Warm-up
+
+bool BackendPool::isWarmthCurrent() const
+{
+    if (!this->warmthKnownAt) {
+        return true;
+    }
+    const auto knownAt = this->warmthKnownAt();
+    return knownAt.has_value() && this->timers.now() - knownAt.value() <= this->options.maximumWarmthAge;
+}
+
+BackendPool::Warmth BackendPool::warmthOf(const Backend &backend, const Service &service) const
+{
+    if (service.warmupRequestsPerSecond <= 0.0) {
+        return Warmth::Warm;
+    }
+    if (this->timers.now() < backend.warmUntil) {
+        return Warmth::Cold;
+    }
+    return this->isWarmthCurrent() ? Warmth::Warm : Warmth::Unknown;
+}
+
 bool BackendPool::isWithinWarmupLimit(const Backend &backend, const Service &service) const
 {
-    const auto now = this->timers.now();
-    const bool isBounded = service.warmupRequestsPerSecond > 0.0 && now < backend.warmUntil;
-    if (!isBounded) {
+    const auto warmth = this->warmthOf(backend, service);
+    if (warmth == Warmth::Warm || (warmth == Warmth::Unknown && this->warmthChecks.allowsSend(backend))) {
         return true;
     }
     const int total = this->warmupLimiter.total(service.warmupRequestsPerSecond);
     const int share = this->warmupShare ? this->warmupShare(backend.service, backend.zone, total) : 0;
-    return this->warmupLimiter.isWithin(backend.name, share, now);
+    return this->warmupLimiter.isWithin(backend.name, share, this->timers.now());
+}
+
+// NOTE: A request that is sent because of an answer does not count in the share. At most half of the limit is distributed as shares (computeWarmupShare()). A
+//       backend server that turns cold right after its answers gets beside that what these allowed; see sendsPerCheck().
+void BackendPool::recordWarmupSend(Backend &backend, const Service &service)
+{
+    if (service.warmupRequestsPerSecond <= 0.0) {
+        return;
+    }
+    const auto now = this->timers.now();
+    this->lastLimitedSend = now;
+    const auto warmth = this->warmthOf(backend, service);
+    if (warmth == Warmth::Unknown && this->warmthChecks.allowsSend(backend)) {
+        this->warmthChecks.recordSend(backend);
+    } else if (warmth != Warmth::Warm) {
+        this->warmupLimiter.recordSend(backend.name, now);
+    }
+}
+
+std::optional<Core::Duration> BackendPool::warmthUpdatePeriod() const
+{
+    const bool isNeeded = this->lastLimitedSend.has_value() && this->timers.now() - this->lastLimitedSend.value() < WarmthInterestTime;
+    return isNeeded ? std::optional(WarmthUpdatePeriod) : std::nullopt;
+}
+
+void BackendPool::logWarmthAge()
+{
+    const bool isOutdated = this->warmthUpdatePeriod().has_value() && !this->isWarmthCurrent();
+    if (std::exchange(this->isWarmthOutdated, isOutdated) == isOutdated) {
+        return;
+    }
+    const auto knownAt = this->warmthKnownAt ? this->warmthKnownAt() : std::nullopt;
+    Core::logEvent(Core::LogLevel::Information,
+        isOutdated ? "warmth.outdated" : "warmth.current",
+        {{"age_ms", knownAt.has_value() ? Core::toMilliseconds(this->timers.now() - knownAt.value()) : -1}, {"checks", this->warmthCounters().begun}});
+}
+
+// The gateways together send a quarter of the limit, or one request each if that is more. A check begins for a request that waits for it, so that an answer
+// is unused for a moment only.
+int BackendPool::sendsPerCheck(const Service &service) const
+{
+    const int quarter = this->warmupLimiter.total(service.warmupRequestsPerSecond) / 4;
+    return std::max(1, quarter / this->gateways.all);
+}
+
+const WarmthCheckCounters &BackendPool::warmthCounters() const
+{
+    return this->warmthChecks.counters();
+}
+
+WarmthCheckHooks BackendPool::makeWarmthCheckHooks()
+{
+    WarmthCheckHooks hooks;
+    hooks.connectionFor = [this](Backend &backend, const ReplyKey &key) {
+        return this->connectionForCheck(backend, key);
+    };
+    hooks.write = [this](std::string &bytes, const Backend &backend, const ReplyKey &key) {
+        const auto &path = this->serviceOf(backend.service).healthPath;
+        return !path.empty() && this->dialect.writeHealthRequest(bytes, {.endpoint = backend.endpoint, .target = path, .key = key});
+    };
+    hooks.recognise = [this](const Wire::Response &response, const ReplyKey &key) {
+        // Backend servers answer requests with their key, and may leave it out here.
+        const auto answered = this->dialect.readReplyKey(response);
+        return answered.value().empty() || answered == key;
+    };
+    hooks.read = [this](const Wire::Response &response, const Backend &backend) {
+        return this->dialect.readWarmupLeft(response, backend.name);
+    };
+    hooks.ended = [this](Backend &backend) {
+        this->waiters.offer(backend.service);
+    };
+    return hooks;
+}
+
+ConnectionPointer BackendPool::connectionForCheck(Backend &backend, const ReplyKey &key)
+{
+    const auto &service = this->serviceOf(backend.service);
+    return this->hasFreeConnection(backend, service, nullptr) ? this->connector.connectionFor(backend, key) : nullptr;
 }
 
 void BackendPool::assumeWarmingUp(Backend &backend)
@@ -417,13 +530,41 @@
 {
     const auto &row = this->serviceOf(criteria.service);
     std::vector<Backend *> candidates;
-    std::copy_if(row.backends.begin(), row.backends.end(), std::back_inserter(candidates), [&](const Backend *backend) {
+    std::vector<Backend *> unknown;
+    for (auto *backend : row.backends) {
         const bool wasTried = std::find(criteria.tried.begin(), criteria.tried.end(), backend->name) != criteria.tried.end();
-        return !wasTried && this->isEligible(*backend, criteria.allowedRegions) && this->hasCapacity(*backend, row, criteria.request);
-    });
+        if (wasTried || !this->isEligible(*backend, criteria.allowedRegions)) {
+            continue;
+        }
+        if (this->hasCapacity(*backend, row, criteria.request)) {
+            candidates.push_back(backend);
+        } else if (this->hasUnknownCapacity(*backend, row, criteria.request)) {
+            unknown.push_back(backend);
+        }
+    }
     const ChoiceTerms terms{
         .typicalLatency = criteria.typicalLatency, .within = criteria.within, .refusedBy = criteria.refusedBy, .mayProbe = criteria.mayProbe};
-    return this->choice.best(candidates, terms, this->timers.now());
+    if (unknown.empty()) {
+        return this->choice.best(candidates, terms, this->timers.now());
+    }
+    return this->chooseWithUnknown(std::move(candidates), unknown, criteria, terms);
+}
+
+// A first send waits for the check of the best backend server, which takes a round trip, rather than go to a worse one. A repeat does not wait.
+Backend *BackendPool::chooseWithUnknown(
+    std::vector<Backend *> candidates, const std::vector<Backend *> &unknown, const SelectionCriteria &criteria, const ChoiceTerms &terms)
+{
+    const auto now = this->timers.now();
+    auto all = candidates;
+    all.insert(all.end(), unknown.begin(), unknown.end());
+    auto *best = this->choice.best(all, terms, now);
+    if (best == nullptr || std::find(unknown.begin(), unknown.end(), best) == unknown.end()) {
+        return best;
+    }
+    this->warmthChecks.begin(*best, this->sendsPerCheck(this->serviceOf(best->service)));
+    const bool isRepeat = !criteria.tried.empty() || criteria.within.has_value();
+    const bool waits = !isRepeat && this->warmthChecks.isChecking(*best);
+    return waits ? nullptr : this->choice.best(candidates, terms, now);
 }
 
 Backend *BackendPool::firstHealthy(const std::vector<BackendName> &names, const SelectionCriteria &criteria)
@@ -529,9 +670,7 @@
         attempt.cancelAt = attempt.startedAt;
         return id;
     }
-    if (this->timers.now() < backend.warmUntil) {
-        this->warmupLimiter.recordSend(backend.name, this->timers.now());
-    }
+    this->recordWarmupSend(backend, this->serviceOf(backend.service));
     attempt.connection->send({.bytes = std::move(bytes),
         .key = key.value(),
         .isHead = attemptOptions.caller->message.method == "HEAD",
@@ -969,6 +1108,7 @@
     const auto now = this->timers.now();
     this->cancelOverdue(now);
     this->warmupLimiter.removeExpired(now);
+    this->logWarmthAge();
     this->crashChecks.removeExpired(now);
     this->closeIdleConnections(now);
     // Capacity can become free by time alone: a warm-up limit or a rejection backoff elapses.
@@ -1029,7 +1169,8 @@
 void BackendPool::closeIdleConnections(Core::Instant now)
 {
     const auto isReleasable = [this](Backend &backend) {
-        const bool isUsed = backend.connections.size() != 0 || !backend.inFlight.empty() || this->crashChecks.isChecking(backend);
+        const bool isUsed
+            = backend.connections.size() != 0 || !backend.inFlight.empty() || this->crashChecks.isChecking(backend) || this->warmthChecks.isChecking(backend);
         return backend.phase == Protocol::BackendPhase::GONE && !isUsed;
     };
     // Connections to a backend server that is gone are closed once they are idle; LimitsWhenGone has timeouts of zero.
--- a/Libraries/LibGateway/BackendPool.h
+++ b/Libraries/LibGateway/BackendPool.h
@@ -19,6 +19,7 @@
 #include <LibGateway/Scheduling/CapacityQueues.h>
 #include <LibGateway/Scheduling/DeniedRepeatLog.h>
 #include <LibGateway/Scheduling/LogLimit.h>
+#include <LibGateway/WarmthChecks.h>
 #include <LibGateway/WarmupLimiter.h>
 
 #include <map>
@@ -58,6 +59,12 @@
     Core::Duration idleTimeout{Core::seconds(20)};
     BackendChoiceOptions choice;
     WarmupOptions warmup;
+    /**
+     * What the registry tells about the warm-up of the backend servers is out of date when it is older than this, and is not relied on. Longer than the time
+     * between updates of a watcher that sends to servers with a warm-up limit (warmthUpdatePeriod()).
+     */
+    Core::Duration maximumWarmthAge{Core::milliseconds(600)};
+    WarmthCheckOptions warmthChecks;
     ConnectionShares connections;
     /** Whether it is checked, after a connection broke, if the backend server has ended, and crashes and answers are recorded in the trace of the request. */
     bool recordsCrashes{true};
@@ -262,6 +269,10 @@
     [[nodiscard]] std::size_t connectionCount() const;
     [[nodiscard]] std::size_t backendCount() const;
 
+    /** Returns how often this gateway needs news about the warm-up of backend servers; nothing while it sends to none that has a warm-up limit. */
+    [[nodiscard]] std::optional<Core::Duration> warmthUpdatePeriod() const;
+    [[nodiscard]] const WarmthCheckCounters &warmthCounters() const;
+
     /** Returns the table of backend servers as JSON, for operators. */
     [[nodiscard]] std::string dump() const;
 
@@ -284,8 +295,17 @@
      * share is 0.
      */
     std::function<int(const Core::ServiceName &service, const std::string &zone, int total)> warmupShare;
+    /** Returns as of when the registry tells of each backend server whether it is warming up. Without a hook it always does. */
+    std::function<std::optional<Core::Instant>()> warmthKnownAt;
 
 private:
+    /** What is known of the warm-up of a backend server. One whose service has no warm-up limit counts as warm. */
+    enum class Warmth {
+        Warm,
+        Cold,
+        /** It may be warm or cold, since what was known last is out of date. */
+        Unknown,
+    };
     struct Service {
         std::vector<Backend *> backends;
         // 0 when the service is not declared.
@@ -293,6 +313,7 @@
         // Warm-up parameters from the declaration.
         Core::Duration warmupTime{0};
         double warmupRequestsPerSecond{0.0};
+        std::string healthPath;
         std::unique_ptr<RetryBudget> budget;
         std::shared_ptr<ServiceAcceptance> acceptance{std::make_shared<ServiceAcceptance>()};
         // Zones of all backend servers that the service has had. A zone that loses its last one still counts, so that no gateway's share of the slack grows
@@ -306,6 +327,10 @@
     [[nodiscard]] std::size_t connectionLimit(const Backend &backend, const Service &service) const;
     /** Whether one more request can be sent now; `request` as in SelectionCriteria. */
     [[nodiscard]] bool hasCapacity(const Backend &backend, const Service &service, const CallerRequest *request = nullptr) const;
+    /** Whether there is a connection for one more request, or one can be opened. */
+    [[nodiscard]] bool hasFreeConnection(const Backend &backend, const Service &service, const CallerRequest *request) const;
+    /** Whether one more request could be sent if a check finds that the backend server is warm. */
+    [[nodiscard]] bool hasUnknownCapacity(const Backend &backend, const Service &service, const CallerRequest *request = nullptr) const;
     /** Whether any backend server of the service could get some request with these allowed regions now. */
     [[nodiscard]] bool hasAnyCapacity(const Service &service, const Fleet::AllowedRegions &allowedRegions) const;
     /** Returns how many requests all backend servers of the service can take if none is in flight. */
@@ -317,8 +342,21 @@
     [[nodiscard]] bool isEligible(const Backend &backend, const Fleet::AllowedRegions &allowedRegions) const;
     /** Whether this gateway may send one more request to the backend server, given its warm-up limit. */
     [[nodiscard]] bool isWithinWarmupLimit(const Backend &backend, const Service &service) const;
+    [[nodiscard]] Warmth warmthOf(const Backend &backend, const Service &service) const;
+    [[nodiscard]] bool isWarmthCurrent() const;
+    /** Logs when what the registry tells about warm-ups gets out of date while it is needed, and when it is current again. */
+    void logWarmthAge();
+    /** Returns how many requests this gateway sends because of one answer that the backend server is warm. */
+    [[nodiscard]] int sendsPerCheck(const Service &service) const;
+    /** Counts a request to a backend server that may be warming up. */
+    void recordWarmupSend(Backend &backend, const Service &service);
+    [[nodiscard]] WarmthCheckHooks makeWarmthCheckHooks();
+    [[nodiscard]] ConnectionPointer connectionForCheck(Backend &backend, const ReplyKey &key);
     /** Treats the backend server as warming up, since it may have restarted or become reachable again without a heartbeat that reports the warm-up. */
     void assumeWarmingUp(Backend &backend);
+    /** Continues choose() when there are backend servers with unknown capacity, see hasUnknownCapacity(). */
+    [[nodiscard]] Backend *chooseWithUnknown(
+        std::vector<Backend *> candidates, const std::vector<Backend *> &unknown, const SelectionCriteria &criteria, const ChoiceTerms &terms);
     void retire(std::unique_ptr<Backend> former);
     [[nodiscard]] BackendConnectorOptions connectorOptions() const;
     [[nodiscard]] BackendConnectorHooks makeConnectorHooks();
@@ -358,6 +396,10 @@
     Core::TimerService &timers;
     BackendChoice choice;
     WarmupLimiter warmupLimiter;
+    WarmthChecks warmthChecks;
+    // When a request was last sent to a service with a warm-up limit.
+    std::optional<Core::Instant> lastLimitedSend;
+    bool isWarmthOutdated{false};
     GatewayCount gateways{.all = AssumedGateways, .inZone = AssumedGateways};
     std::shared_ptr<const Fleet::Declaration> declaration;
     std::unordered_map<Core::ServiceName, Service> services;
--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -9,6 +9,7 @@
 
 #pragma once
 
+#include <LibCore/Settings.h>
 #include <LibCore/StrongValue.h>
 #include <LibCore/Time.h>
 #include <LibFleet/RequestDigest.h>
@@ -93,6 +94,14 @@
     std::uint64_t number{0};
 };
 
+/** A request for the health of a backend server. */
+struct HealthRequest {
+    Core::Endpoint endpoint;
+    /** Path of the service's health checks. */
+    std::string target;
+    ReplyKey key;
+};
+
 /** An answer that is merged from the replies of several backend servers. */
 struct MergedAnswer {
     Core::RequestId id;
@@ -129,6 +138,10 @@
     std::function<bool(const Wire::Response &message)> isRefusalWithoutKey;
     /** Appends the bytes of a request to a backend server. Returns false if the request can't be written (Wire::appendRequest). */
     std::function<bool(std::string &bytes, const BackendRequest &request)> writeRequest;
+    /** Appends the bytes of a request for the health of a backend server. Returns false if it can't be written. */
+    std::function<bool(std::string &bytes, const HealthRequest &request)> writeHealthRequest;
+    /** Returns how much longer the backend server of this name warms up, from the answer to a request for its health; nothing if that does not tell. */
+    std::function<std::optional<Core::Duration>(const Wire::Response &message, const BackendName &backend)> readWarmupLeft;
     /** Converts a backend server's reply to the response that the caller receives. */
     std::function<Wire::Response(BackendReply reply)> forwardReply;
     std::function<Wire::Response(const MergedAnswer &answer)> writeMerged;
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -108,6 +108,10 @@
         "Of these, sends for which bytes arrived that are no valid answer, from backend servers and gateways.",
         sends.malformed + gateways.counters().malformed);
     addCounter(page, "crankrudder_backend_crashes_total", "Backend servers that ended while they ran a request of this gateway.", sends.crashes);
+    const auto &warmth = servers.warmthCounters();
+    addCounter(page, "crankrudder_warmth_checks_total", "Health requests by which backend servers were asked whether they are warming up.", warmth.begun);
+    addCounter(page, "crankrudder_warmth_checks_failed_total", "Of these, the ones that were not answered, or did not tell.", warmth.failed);
+    addCounter(page, "crankrudder_warmth_checks_cold_total", "Of these, the ones that told of a backend server that is warming up.", warmth.cold);
     addCounter(page, "crankrudder_sends_refused_total", "Sends that backend servers refused to run.", sends.notExecuted);
     addCounter(page,
         "crankrudder_sends_low_acceptance_total",
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -118,6 +118,12 @@
     this->pool.warmupShare = [this](const Core::ServiceName &service, const std::string &zone, int total) {
         return this->ownership.warmupShareOf(service, zone, total, this->timers.now());
     };
+    this->pool.warmthKnownAt = [this] {
+        return this->watcher.registryConfirmedAt();
+    };
+    this->watcher.maximumHold = [this] {
+        return this->pool.warmthUpdatePeriod();
+    };
     this->watcher.evacuationsChanged = [this](const Protocol::Evacuations &evacuations) {
         this->applyEvacuations(evacuations);
     };
--- a/Libraries/LibProtocol/Generated/fleet_types.cpp
+++ b/Libraries/LibProtocol/Generated/fleet_types.cpp
@@ -1346,6 +1346,11 @@
   this->watcherAddress = val;
 __isset.watcherAddress = true;
 }
+
+void WatchRequest::__set_maximumHoldMs(const int32_t val) {
+  this->maximumHoldMs = val;
+__isset.maximumHoldMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const WatchRequest& obj)
 {
   obj.printTo(out);
@@ -1496,6 +1501,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maximumHoldMs);
+          this->__isset.maximumHoldMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1576,6 +1589,11 @@
     xfer += oprot->writeString(this->watcherAddress);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.maximumHoldMs) {
+    xfer += oprot->writeFieldBegin("maximumHoldMs", ::apache::thrift::protocol::T_I32, 16);
+    xfer += oprot->writeI32(this->maximumHoldMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1598,6 +1616,7 @@
   swap(a.crashCursor, b.crashCursor);
   swap(a.wantsContacts, b.wantsContacts);
   swap(a.watcherAddress, b.watcherAddress);
+  swap(a.maximumHoldMs, b.maximumHoldMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -1617,6 +1636,7 @@
   crashCursor = other46.crashCursor;
   wantsContacts = other46.wantsContacts;
   watcherAddress = other46.watcherAddress;
+  maximumHoldMs = other46.maximumHoldMs;
   __isset = other46.__isset;
 }
 WatchRequest& WatchRequest::operator=(const WatchRequest& other47) {
@@ -1635,6 +1655,7 @@
   crashCursor = other47.crashCursor;
   wantsContacts = other47.wantsContacts;
   watcherAddress = other47.watcherAddress;
+  maximumHoldMs = other47.maximumHoldMs;
   __isset = other47.__isset;
   return *this;
 }
@@ -1656,6 +1677,7 @@
   out << ", " << "crashCursor=" << to_string(crashCursor);
   out << ", " << "wantsContacts="; (__isset.wantsContacts ? (out << to_string(wantsContacts)) : (out << "<null>"));
   out << ", " << "watcherAddress="; (__isset.watcherAddress ? (out << to_string(watcherAddress)) : (out << "<null>"));
+  out << ", " << "maximumHoldMs="; (__isset.maximumHoldMs ? (out << to_string(maximumHoldMs)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1858,6 +1880,11 @@
   this->hasAllGateways = val;
 __isset.hasAllGateways = true;
 }
+
+void WatchReply::__set_isRegistryConfirmed(const bool val) {
+  this->isRegistryConfirmed = val;
+__isset.isRegistryConfirmed = true;
+}
 std::ostream& operator<<(std::ostream& out, const WatchReply& obj)
 {
   obj.printTo(out);
@@ -2113,6 +2140,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isRegistryConfirmed);
+          this->__isset.isRegistryConfirmed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2262,6 +2297,11 @@
     xfer += oprot->writeBool(this->hasAllGateways);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.isRegistryConfirmed) {
+    xfer += oprot->writeFieldBegin("isRegistryConfirmed", ::apache::thrift::protocol::T_BOOL, 20);
+    xfer += oprot->writeBool(this->isRegistryConfirmed);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2288,6 +2328,7 @@
   swap(a.heldMs, b.heldMs);
   swap(a.contactAgesMs, b.contactAgesMs);
   swap(a.hasAllGateways, b.hasAllGateways);
+  swap(a.isRegistryConfirmed, b.isRegistryConfirmed);
   swap(a.__isset, b.__isset);
 }
 
@@ -2311,6 +2352,7 @@
   heldMs = other88.heldMs;
   contactAgesMs = other88.contactAgesMs;
   hasAllGateways = other88.hasAllGateways;
+  isRegistryConfirmed = other88.isRegistryConfirmed;
   __isset = other88.__isset;
 }
 WatchReply& WatchReply::operator=(const WatchReply& other89) {
@@ -2333,6 +2375,7 @@
   heldMs = other89.heldMs;
   contactAgesMs = other89.contactAgesMs;
   hasAllGateways = other89.hasAllGateways;
+  isRegistryConfirmed = other89.isRegistryConfirmed;
   __isset = other89.__isset;
   return *this;
 }
@@ -2358,6 +2401,7 @@
   out << ", " << "heldMs="; (__isset.heldMs ? (out << to_string(heldMs)) : (out << "<null>"));
   out << ", " << "contactAgesMs="; (__isset.contactAgesMs ? (out << to_string(contactAgesMs)) : (out << "<null>"));
   out << ", " << "hasAllGateways="; (__isset.hasAllGateways ? (out << to_string(hasAllGateways)) : (out << "<null>"));
+  out << ", " << "isRegistryConfirmed="; (__isset.isRegistryConfirmed ? (out << to_string(isRegistryConfirmed)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibProtocol/Generated/fleet_types.h
+++ b/Libraries/LibProtocol/Generated/fleet_types.h
@@ -631,7 +631,7 @@
 std::ostream& operator<<(std::ostream& out, const StoredCrashes& obj);
 
 typedef struct _WatchRequest__isset {
-  _WatchRequest__isset() : watcherName(false), coordinatorIncarnation(false), cursor(false), gatewayCursor(false), declarationVersion(false), wantsDeclaration(false), confirm(false), gateway(false), wantsHeard(false), registryInterest(true), evacuationRevision(true), wantsCrashes(true), crashCursor(true), wantsContacts(false), watcherAddress(false) {}
+  _WatchRequest__isset() : watcherName(false), coordinatorIncarnation(false), cursor(false), gatewayCursor(false), declarationVersion(false), wantsDeclaration(false), confirm(false), gateway(false), wantsHeard(false), registryInterest(true), evacuationRevision(true), wantsCrashes(true), crashCursor(true), wantsContacts(false), watcherAddress(false), maximumHoldMs(false) {}
   bool watcherName :1;
   bool coordinatorIncarnation :1;
   bool cursor :1;
@@ -647,6 +647,7 @@
   bool crashCursor :1;
   bool wantsContacts :1;
   bool watcherAddress :1;
+  bool maximumHoldMs :1;
 } _WatchRequest__isset;
 
 class WatchRequest : public virtual ::apache::thrift::TBase {
@@ -668,7 +669,8 @@
                  wantsCrashes(false),
                  crashCursor(0LL),
                  wantsContacts(0),
-                 watcherAddress() {
+                 watcherAddress(),
+                 maximumHoldMs(0) {
   }
 
   virtual ~WatchRequest() noexcept;
@@ -728,6 +730,10 @@
    * IP:port where the watcher serves watch requests; set when it is a coordinator that wants contacts.
    */
   std::string watcherAddress;
+  /**
+   * The longest time, in milliseconds, for which the request is held; the coordinator's own limit if absent or longer.
+   */
+  int32_t maximumHoldMs;
 
   _WatchRequest__isset __isset;
 
@@ -761,6 +767,8 @@
 
   void __set_watcherAddress(const std::string& val);
 
+  void __set_maximumHoldMs(const int32_t val);
+
   bool operator == (const WatchRequest & rhs) const
   {
     if (!(watcherName == rhs.watcherName))
@@ -799,6 +807,10 @@
       return false;
     else if (__isset.watcherAddress && !(watcherAddress == rhs.watcherAddress))
       return false;
+    if (__isset.maximumHoldMs != rhs.__isset.maximumHoldMs)
+      return false;
+    else if (__isset.maximumHoldMs && !(maximumHoldMs == rhs.maximumHoldMs))
+      return false;
     return true;
   }
   bool operator != (const WatchRequest &rhs) const {
@@ -874,7 +886,7 @@
 std::ostream& operator<<(std::ostream& out, const CoordinatorPlace& obj);
 
 typedef struct _WatchReply__isset {
-  _WatchReply__isset() : coordinatorIncarnation(false), cursor(false), changed(false), gatewayCursor(false), changedGateways(false), declarationVersion(false), declaration(false), declarationDelta(false), confirmed(false), coordinators(false), heard(false), hasLeader(false), evacuations(false), crashCursor(true), crashes(false), oldestContactAgeMs(false), heldMs(false), contactAgesMs(false), hasAllGateways(false) {}
+  _WatchReply__isset() : coordinatorIncarnation(false), cursor(false), changed(false), gatewayCursor(false), changedGateways(false), declarationVersion(false), declaration(false), declarationDelta(false), confirmed(false), coordinators(false), heard(false), hasLeader(false), evacuations(false), crashCursor(true), crashes(false), oldestContactAgeMs(false), heldMs(false), contactAgesMs(false), hasAllGateways(false), isRegistryConfirmed(false) {}
   bool coordinatorIncarnation :1;
   bool cursor :1;
   bool changed :1;
@@ -894,6 +906,7 @@
   bool heldMs :1;
   bool contactAgesMs :1;
   bool hasAllGateways :1;
+  bool isRegistryConfirmed :1;
 } _WatchReply__isset;
 
 class WatchReply : public virtual ::apache::thrift::TBase {
@@ -913,7 +926,8 @@
                crashCursor(0LL),
                oldestContactAgeMs(0),
                heldMs(0),
-               hasAllGateways(0) {
+               hasAllGateways(0),
+               isRegistryConfirmed(0) {
   }
 
   virtual ~WatchReply() noexcept;
@@ -959,7 +973,8 @@
    */
   int32_t oldestContactAgeMs;
   /**
-   * How long the request was held, in milliseconds. Set for coordinators and for watchers that want contacts, while any watcher wants contacts.
+   * How long the request was held, in milliseconds. Set for coordinators and for watchers that want contacts, while any watcher wants contacts, and
+   * for watchers that limit how long a request is held.
    */
   int32_t heldMs;
   /**
@@ -971,6 +986,11 @@
    * For a coordinator: whether this coordinator's list contains every gateway that may hold quota shares.
    */
   bool hasAllGateways;
+  /**
+   * Whether every ready backend server in this coordinator's registry has been heard of since it was restored from a disk, so that the registry tells which of
+   * them are warming up.
+   */
+  bool isRegistryConfirmed;
 
   _WatchReply__isset __isset;
 
@@ -1012,6 +1032,8 @@
 
   void __set_hasAllGateways(const bool val);
 
+  void __set_isRegistryConfirmed(const bool val);
+
   bool operator == (const WatchReply & rhs) const
   {
     if (!(coordinatorIncarnation == rhs.coordinatorIncarnation))
@@ -1066,6 +1088,10 @@
       return false;
     else if (__isset.hasAllGateways && !(hasAllGateways == rhs.hasAllGateways))
       return false;
+    if (__isset.isRegistryConfirmed != rhs.__isset.isRegistryConfirmed)
+      return false;
+    else if (__isset.isRegistryConfirmed && !(isRegistryConfirmed == rhs.isRegistryConfirmed))
+      return false;
     return true;
   }
   bool operator != (const WatchReply &rhs) const {
--- a/Libraries/LibProtocol/fleet.thrift
+++ b/Libraries/LibProtocol/fleet.thrift
@@ -130,6 +130,8 @@
   14: optional bool wantsContacts,
   /** IP:port where the watcher serves watch requests; set when it is a coordinator that wants contacts. */
   15: optional string watcherAddress,
+  /** The longest time, in milliseconds, for which the request is held; the coordinator's own limit if absent or longer. */
+  16: optional i32 maximumHoldMs,
 }
 
 /** The address at which a coordinator serves watch requests, and its zone. */
@@ -167,7 +169,8 @@
    * Absent while it is unknown.
    */
   16: optional i32 oldestContactAgeMs,
-  /** How long the request was held, in milliseconds. Set for coordinators and for watchers that want contacts, while any watcher wants contacts. */
+  /** How long the request was held, in milliseconds. Set for coordinators and for watchers that want contacts, while any watcher wants contacts, and
+   * for watchers that limit how long a request is held. */
   17: optional i32 heldMs,
   /**
    * For a coordinator that wants contacts: by the id of a gateway, the age in milliseconds of the latest time at which it was known to hold this
@@ -176,6 +179,11 @@
   18: optional map<string, i32> contactAgesMs,
   /** For a coordinator: whether this coordinator's list contains every gateway that may hold quota shares. */
   19: optional bool hasAllGateways,
+  /**
+   * Whether every ready backend server in this coordinator's registry has been heard of since it was restored from a disk, so that the registry tells which of
+   * them are warming up.
+   */
+  20: optional bool isRegistryConfirmed,
 }
 
 struct Introduction {
--- a/Tests/LibCoordinator/TestWatchService.cpp
+++ b/Tests/LibCoordinator/TestWatchService.cpp
@@ -232,3 +232,21 @@
         }
     }
 }
+
+// A gateway that needs fresh news of the warm-up of backend servers can't wait for the long-poll timeout.
+Test(WatchService, holdsARequestNoLongerThanTheWatcherAllows)
+{
+    WatchServiceFixture fixture;
+    auto request = fixture.upToDateRequest(RegistryInterest::EVERYTHING);
+    request.__set_maximumHoldMs(50);
+    for (const bool isConfirmed : {false, true}) {
+        fixture.service.isRegistryConfirmed = [isConfirmed] {
+            return isConfirmed;
+        };
+        fixture.sendRequest(request);
+        cr_assert_not(fixture.reply.has_value());
+        cr_assert(fixture.isAnswered());
+        cr_assert_geq(fixture.reply->heldMs, 50);
+        cr_assert_eq(fixture.reply->isRegistryConfirmed, isConfirmed);
+    }
+}
--- a/Tests/LibFleet/TestBackendRegistry.cpp
+++ b/Tests/LibFleet/TestBackendRegistry.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <criterion/criterion.h>
+#include <random>
 
 using Fleet::BackendRegistry;
 using Protocol::BackendPhase;
@@ -276,3 +277,39 @@
     const auto notified = registry.changedSince(before, at(10));
     cr_assert(notified.size() == 1 && notified.front().warmupLeftMs == 1500);
 }
+
+// Coordinators tell by this number whether their registry can be relied on.
+Test(BackendRegistry, countsUnconfirmedRecords)
+{
+    std::mt19937 random(11);
+    const std::vector<std::string> ids{"one", "two", "three"};
+    BackendRegistry registry({.retention = Core::seconds(5)});
+    for (int step = 0; step < 3000; ++step) {
+        auto next = announcement(BackendPhase::READY, static_cast<std::int64_t>(random() % 9));
+        next.id = ids[random() % ids.size()];
+        next.born = static_cast<std::int64_t>(step / 500);
+        switch (random() % 6) {
+        case 0:
+        case 1:
+            registry.restore(next, at(step));
+            break;
+        case 2:
+            registry.merge(next, at(step));
+            break;
+        case 3:
+            registry.recordRemoteHeartbeat(next.id, at(step));
+            break;
+        case 4:
+            registry.expireUnconfirmed(at(step));
+            break;
+        default:
+            registry.markGone(next.id, at(step), next.born);
+            registry.forget(at(step));
+        }
+        const auto unconfirmed = std::count_if(ids.begin(), ids.end(), [&registry](const std::string &id) {
+            const auto *record = registry.find(id);
+            return record != nullptr && record->confirmBy.has_value();
+        });
+        cr_assert_eq(registry.unconfirmedCount(), static_cast<std::size_t>(unconfirmed));
+    }
+}
--- a/Tests/Support/NodeFixture.h
+++ b/Tests/Support/NodeFixture.h
@@ -43,6 +43,9 @@
                 this->gateways.recordDirectContact(request.gateway.id, this->timers.now());
             }
         }
+        if (this->isSilent) {
+            return;
+        }
         // Gateways repeat a watch request as soon as it is answered, so each is held for 10 ms to limit their rate.
         this->held.push_back(this->timers.once(Core::milliseconds(10), [this, callback = std::move(callback), request](Core::Instant now) {
             callback(this->replyTo(request, now));
@@ -79,6 +82,9 @@
     Fleet::CrashLedger crashes;
     // Announcements of gateways are not merged while this is set.
     bool ignoresAnnouncements{false};
+    // Watch requests get no reply while this is set.
+    bool isSilent{false};
+    bool isRegistryConfirmed{true};
 
 private:
     [[nodiscard]] Protocol::WatchReply replyTo(const Protocol::WatchRequest &request, Core::Instant now) const
@@ -94,6 +100,7 @@
         reply.crashes = this->crashes.changedSince(isSameIncarnation ? request.crashCursor : 0, Fleet::CrashRecords::Shared, now);
         reply.crashCursor = this->crashes.position(Fleet::CrashRecords::Shared);
         reply.hasLeader = true;
+        reply.__set_isRegistryConfirmed(this->isRegistryConfirmed);
         reply.confirmed = request.confirm;
         if (request.wantsDeclaration && request.declarationVersion < this->version) {
             reply.__set_declaration(this->declaration);
@@ -193,29 +200,39 @@
 
     /** Sends a caller's request to `asked` and returns the answer, with status 0 if none came. */
     Wire::Response ask(const NodeUnderTest &gateway, const std::string &target, Wire::Headers headers = {})
+    {
+        Wire::Response answer;
+        bool ended = false;
+        const auto connection = this->begin(gateway, target, std::move(headers), [&](const Wire::Response &response) {
+            ended = true;
+            answer = response;
+        });
+        (void)this->runUntil([&ended] {
+            return ended;
+        });
+        return answer;
+    }
+
+    /** Sends a caller's request over a connection of its own, which is returned. */
+    [[nodiscard]] std::shared_ptr<Wire::ClientConnection> begin(
+        const NodeUnderTest &gateway, const std::string &target, Wire::Headers headers, std::function<void(const Wire::Response &response)> done)
     {
         headers.push_back({"Host", "h.example"});
         headers.push_back({"Request-Id", "request-" + std::to_string(++this->lastRequest)});
         headers.push_back({"Deadline-Ms", "5000"});
         std::string bytes;
         (void)Wire::appendRequest(bytes, {.method = "GET", .target = target, .headers = std::move(headers), .body = {}});
-        Wire::Response answer;
-        bool ended = false;
-        const auto connection = Wire::ClientConnection::create({.endpoint = gateway.callerEndpoint}, *this->poll, this->timers).value();
+        auto connection = Wire::ClientConnection::create({.endpoint = gateway.callerEndpoint}, *this->poll, this->timers).value();
         connection->send({.bytes = std::move(bytes),
             .recognise =
                 [](const Wire::Response &) {
                     return true;
                 },
             .done =
-                [&](Wire::ClientResult result) {
-                    ended = true;
-                    answer = std::move(result.response);
+                [done = std::move(done)](const Wire::ClientResult &result) {
+                    done(result.response);
                 }});
-        (void)this->runUntil([&ended] {
-            return ended;
-        });
-        return answer;
+        return connection;
     }
 
     SteadyCoordinator coordinator{*this};
