LibGateway: Refuse requests that have more than one meaning

A request with two Host lines was routed by the first one and sent on with both, so that a backend server which reads the last one served another host's request. With two Request-Id lines a request ran and was answered with 504. Without a Host it got 404 instead of 400, and a target in absolute form was not found.

Cause: the fields by which a gateway decides were looked up by the first line of their name where they were needed, and copied with all others.

They are checked once, before anything is decided: Host, Request-Id, Deadline-Ms and Credential may stand once, others are answered with 400 and the reason in the log. So what the gateway decided by is what every reader finds.

RequestMeaning/* fail without the check: one makes 5,000 requests and compares what the gateway takes with what is sent on, the other asks a whole gateway.

--- a/Libraries/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/Dialect.h
@@ -40,6 +40,8 @@
 
 /** A caller's request after its headers were decoded. */
 struct CallerRequest {
+    /** Why the request has no unambiguous meaning, for log lines; nullptr if it has one. */
+    const char *fault{nullptr};
     /** Empty when the caller gave none. */
     Core::RequestId id;
     std::string host;
@@ -120,6 +122,8 @@
     /** The request may have been executed, but its answer was lost. */
     Failed,
     NoRoute,
+    /** The request has no unambiguous meaning; see CallerRequest::fault. */
+    Ambiguous,
     /** The route needs an API key, and the request has none or an unknown one. */
     Unauthorized,
     /** The request was not executed anywhere and will not be, because the workspace has used up its quota. */
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -29,6 +29,7 @@
     outcome("failed", counts.failed);
     outcome("caller-gone", counts.callersGone);
     outcome("no-route", counts.unrouted);
+    outcome("ambiguous", counts.ambiguous);
     outcome("unauthorized", counts.unauthorized);
     outcome("over-quota", counts.overQuota);
     outcome("quarantined", counts.quarantined);
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -32,6 +32,8 @@
     std::uint64_t callersGone{0};
     /** Requests that match no route. */
     std::uint64_t unrouted{0};
+    /** Requests without an unambiguous meaning (CallerRequest::fault). */
+    std::uint64_t ambiguous{0};
     /** Requests without an API key of a workspace, on routes that need one. */
     std::uint64_t unauthorized{0};
     /** Requests beyond the quota of their workspace. */
--- a/Libraries/LibGateway/GatewayNode.cpp
+++ b/Libraries/LibGateway/GatewayNode.cpp
@@ -401,6 +401,11 @@
 {
     ++this->counts.requests;
     CallerRequest request = this->options.dialect.readRequest(std::move(message));
+    if (request.fault != nullptr) {
+        ++this->counts.ambiguous;
+        this->refuse(Refusal::Ambiguous, request, answerTo(exchange), request.fault);
+        return;
+    }
     if (!this->routes || !this->watcher.isConfirmed()) {
         this->refuse(Refusal::NotRun, request, answerTo(exchange), "declaration-unknown");
         return;
