LibGateway: Let parts be as large as the requests of callers

A caller may send heads of 32 KiB where the declaration allows it, and a search with such a head was answered with 502 whenever a part of it went to another gateway.

Cause: the listener for other gateways kept the limits of a server without a declaration, 16 KiB for the head and 256 KiB for the body, whatever the declaration in force allows callers.

Its limits now follow the declaration, with 64 KiB for what gateways add to a head, and are never below those without a declaration. While a gateway does not hold the newer declaration yet, it still refuses larger parts.

RequestMeaning/isPassedToOtherGatewaysWhateverItsSize fails without the change. The limits of answers between gateways were not touched: only what gateways write stands in their heads.

--- a/Libraries/LibGateway/RelayPlan.cpp
+++ b/Libraries/LibGateway/RelayPlan.cpp
@@ -7,6 +7,7 @@
 
 #include <LibCore/Settings.h>
 #include <LibGateway/Scheduling/SharedEvidence.h>
+#include <LibWire/Server.h>
 
 #include <algorithm>
 #include <charconv>
@@ -20,6 +21,14 @@
 // Number of fields of RelayParameters in the header of numbers.
 static constexpr std::size_t ParameterCount = 9;
 
+Wire::MessageLimits relayMessageLimits(const Fleet::CallerLimits &limits)
+{
+    // For the names of the shards, the state of the search and evidence.
+    static constexpr std::size_t AddedHeaderBytes = 64UL * 1024;
+    const Wire::MessageLimits lowest = Wire::ServerLimits().message;
+    return {.headerBytes = std::max(lowest.headerBytes, limits.headerBytes) + AddedHeaderBytes, .bodyBytes = std::max(lowest.bodyBytes, limits.bodyBytes)};
+}
+
 Core::ServiceName relayService(const std::string &zone)
 {
     return Core::ServiceName("gateways/" + zone);
--- a/Libraries/LibGateway/RelayPlan.h
+++ b/Libraries/LibGateway/RelayPlan.h
@@ -98,6 +98,12 @@
 /** Returns the service name of the gateways of a zone in the pool of relays. */
 [[nodiscard]] Core::ServiceName relayService(const std::string &zone);
 
+/**
+ * Returns the limits on messages from other gateways, given the limits on callers' requests: a part carries a caller's request and what gateways add to it.
+ * Never below the limits of a server without a declaration, so that a part is not refused because the limits have just been lowered.
+ */
+[[nodiscard]] Wire::MessageLimits relayMessageLimits(const Fleet::CallerLimits &limits);
+
 /** Divides a search: each shard goes to a zone of its best backend servers, and shards that can go to the same zone go there together. */
 [[nodiscard]] RelayPlan planRelay(const std::vector<Core::ServiceName> &shards, const RelayView &view, const RelayOptions &options);
 
--- a/Services/gatewayd/main.cpp
+++ b/Services/gatewayd/main.cpp
@@ -171,10 +171,11 @@
     node.callerConnections = [&callers] {
         return callers.value()->counters();
     };
-    node.limitsChanged = [&callers](const Fleet::CallerLimits &limits) {
+    node.limitsChanged = [&callers, &relay](const Fleet::CallerLimits &limits) {
         callers.value()->setLimits({.message = {.headerBytes = limits.headerBytes, .bodyBytes = limits.bodyBytes},
             .requestTimeout = limits.requestTimeout,
             .idleTimeout = limits.idleTimeout});
+        relay.value()->setLimits({.message = Gateway::relayMessageLimits(limits)});
     };
     Core::GracefulStop stop({.grace = settings->stopTime, .notice = BalancerRemovalTime},
         makeStopHooks(daemon, node, {.callers = *callers.value(), .relay = *relay.value()}),
--- a/Tests/LibGateway/TestRequestMeaning.cpp
+++ b/Tests/LibGateway/TestRequestMeaning.cpp
@@ -27,9 +27,9 @@
 public:
     Form make()
     {
-        static const std::vector<std::string> Targets{
+        static const std::vector<std::string> targets{
             "/x", "/x?q=http://other.example/", "http://one.example/x", "HTTP://two.example:80", "https://three.example?q", "*"};
-        Form form{.target = Targets[this->random() % Targets.size()], .headers = {}};
+        Form form{.target = targets[this->random() % targets.size()], .headers = {}};
         this->add(form, {"Host", "host", "HOST"}, {"one.example", "two.example:80", "", "two .example", "one.example,two.example"});
         this->add(form, {"Request-Id", "request-id"}, {"a", "b"});
         this->add(form, {"Deadline-Ms", "DEADLINE-MS"}, {"100", "900"});
@@ -122,3 +122,28 @@
     cr_assert_eq(server.requests.back().target, "/x?y");
     cr_assert_eq(fixture.ask(gateway, "http://other.example/x").status, 404, "the target names the host, whatever the field says");
 }
+
+// Callers may send heads of 32 KiB, and gateways took parts of 16 KiB: 502.
+Test(RequestMeaning, isPassedToOtherGatewaysWhateverItsSize)
+{
+    TestSupport::NodeFixture fixture;
+    auto declaration = nlohmann::json::parse(R"({"version": 1, "services": [], "routes": [
+        {"name": "r", "host": "h.example", "path_prefix": "/", "route_type": "idempotent", "timeout_ms": 4000, "target_latency_ms": 2000, "gather": [],
+         "top_k": 5, "min_coverage": 1.0}],
+        "limits": {"max_header_bytes": 32768, "max_body_bytes": 524288, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})");
+    for (int shard = 0; shard < 8; ++shard) {
+        const auto name = "shard-" + std::to_string(shard);
+        declaration["services"].push_back({{"name", name}, {"max_conns", 200}});
+        declaration["routes"][0]["gather"].push_back(name);
+        fixture.addBackend(name, "server-" + name, "beside");
+    }
+    fixture.coordinator.declare(declaration);
+    const auto &requestingGateway = fixture.addNode("here");
+    const auto &servingGateway = fixture.addNode("beside");
+    for (auto &server : fixture.backends) {
+        server->server->setLimits({.message = {.headerBytes = 64 * 1024}});
+    }
+    cr_assert(fixture.awaitReady());
+    cr_assert_eq(fixture.ask(requestingGateway, "/x", {{"X-Large", std::string(20'000, 'x')}}).status, 200);
+    cr_assert_not(servingGateway.relayed.empty(), "the shards are in the zone of the other gateway");
+}
--- a/Tests/Support/NodeFixture.h
+++ b/Tests/Support/NodeFixture.h
@@ -133,6 +133,10 @@
             this->relayed.push_back(request);
             this->node.handleRelayed(std::move(request), exchange);
         });
+        this->node.limitsChanged = [this](const Fleet::CallerLimits &limits) {
+            this->callers->setLimits({.message = {.headerBytes = limits.headerBytes, .bodyBytes = limits.bodyBytes}});
+            this->relay->setLimits({.message = Gateway::relayMessageLimits(limits)});
+        };
     }
 
     Core::Endpoint callerEndpoint;
