--- a/Libraries/LibCoordinator/CoordinatorNode.cpp
+++ b/Libraries/LibCoordinator/CoordinatorNode.cpp
@@ -160,7 +160,7 @@
     this->gateways.isReceivedComplete = [this] {
         return this->peers->hasReceivedAllGateways();
     };
-    // A backend server that another coordinator did not know either, or that it heard of before it ended, is heard of again by then.
+    // Every backend server that runs has sent a heartbeat by then, also those that are on no disk.
     this->watchService->isRegistryConfirmed = [this] {
         const bool hasHeardAll = this->timers.now() - this->startedAt >= this->options.heartbeats.unconfirmedTimeout;
         return hasHeardAll && this->isStateRestored && this->registry.unconfirmedCount() == 0;
@@ -385,6 +385,7 @@
         return tl::make_unexpected(stored.error());
     }
     for (auto announcement : stored.value()) {
+        // Whether it is warming up is not known. Gateways don't rely on this until the registry is confirmed.
         announcement.warmupLeftMs = 0;
         this->registry.restore(announcement, this->timers.now());
     }
